--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Set-up, checks, tests and benchmarks of turmerichall.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: venv demo test check format bench-placement bench-requests bench-state bench-wire
+
+venv: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock requirements-dev.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: venv
+	$(BIN)/python -m turmerichall.demo
+
+test: venv
+	$(BIN)/python -m pytest -n 6
+
+format: venv
+	$(BIN)/pyink --quiet turmerichall
+
+check: venv
+	$(BIN)/pyink --check --quiet turmerichall
+	$(BIN)/pylint --score=n turmerichall
+	$(BIN)/mypy
--- /dev/null
+++ b/turmerichall/customers/__init__.py
@@ -0,0 +1,3 @@
+"""Customers, their parameters and the quotas of their teams."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/documents.py
@@ -0,0 +1,141 @@
+"""JSON documents of the typed values.
+
+Inside the project values are `NamedTuple`s, which codecs write as arrays.
+Callers and operators see JSON objects with named fields; this module makes
+one from the other, and reports a bad document with the place of its fault.
+"""
+
+import functools
+from typing import Any, NamedTuple, TypeVar, get_args, get_origin, get_type_hints
+
+import msgspec
+
+from turmerichall import errors
+
+__all__ = ["decode", "encode", "to_plain"]
+
+T = TypeVar("T")
+
+
+def to_plain(value: Any) -> Any:
+    """Turns values into objects that JSON can hold, with field names.
+
+    Examples:
+        >>> from turmerichall import resources
+        >>> to_plain(resources.Resources(1, 2))
+        {'processors': 1, 'memory_mb': 2, 'accelerators': 0}
+    """
+    if isinstance(value, tuple) and hasattr(value, "_fields"):
+        return {
+            name: to_plain(item)
+            for name, item in zip(value._fields, value, strict=True)
+        }
+    if isinstance(value, (list, tuple)):
+        return [to_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: to_plain(item) for key, item in value.items()}
+    return value
+
+
+def encode(value: Any) -> bytes:
+    """Encodes a value as a JSON document."""
+    return msgspec.json.encode(to_plain(value))
+
+
+def decode(data: bytes, value_type: type[T], place: str = "body") -> T:
+    """Decodes a JSON document into a typed value.
+
+    Args:
+        data: The document.
+        value_type: A `NamedTuple` class, or a container of them.
+        place: What the document is, for findings.
+
+    Returns:
+        The value.
+
+    Raises:
+        InputError: The document is malformed, has an unknown field, lacks one
+            or has one of the wrong type.
+
+    Examples:
+        >>> from turmerichall import resources
+        >>> decode(b'{"processors": 2}', resources.Resources).processors
+        2.0
+    """
+    try:
+        shaped = msgspec.json.decode(data, type=_shape(value_type))  # type: ignore[arg-type]
+    except msgspec.DecodeError as error:
+        finding = errors.Finding(place, str(error))
+        raise errors.InputError([finding]) from error
+    result: T = _to_typed(shaped, value_type)
+    return result
+
+
+@functools.cache
+def _shape(value_type: Any) -> Any:
+    """Returns the type that msgspec decodes an object of `value_type` as."""
+    if _is_named_tuple(value_type):
+        return _struct(value_type)
+    arguments = get_args(value_type)
+    if not arguments:
+        return value_type
+    shaped = tuple(_shape(item) for item in arguments)
+    origin = get_origin(value_type)
+    if origin in (list, dict, tuple):
+        return origin[shaped]
+    return functools.reduce(lambda left, right: left | right, shaped)
+
+
+def _struct(value_type: type[NamedTuple]) -> type[msgspec.Struct]:
+    hints = get_type_hints(value_type)
+    fields: list[Any] = []
+    for name in value_type._fields:
+        shape = _shape(hints[name])
+        if name in value_type._field_defaults:  # pylint: disable=protected-access
+            default = msgspec.field(default=_ABSENT)
+            fields.append((name, shape | _Absent, default))
+        else:
+            fields.append((name, shape))
+    return msgspec.defstruct(
+        value_type.__name__, fields, forbid_unknown_fields=True, kw_only=True
+    )
+
+
+_Absent = msgspec.UnsetType
+_ABSENT = msgspec.UNSET
+
+
+def _to_typed(shaped: Any, value_type: Any) -> Any:
+    if _is_named_tuple(value_type):
+        if not isinstance(shaped, msgspec.Struct):
+            return shaped
+        hints = get_type_hints(value_type)
+        given = {}
+        for name in value_type._fields:
+            item = getattr(shaped, name)
+            if item is not _ABSENT:
+                given[name] = _to_typed(item, hints[name])
+        return value_type(**given)
+    origin = get_origin(value_type)
+    arguments = get_args(value_type)
+    if origin is list:
+        return [_to_typed(item, arguments[0]) for item in shaped]
+    if origin is tuple:
+        return tuple(_to_typed(item, arguments[0]) for item in shaped)
+    if origin is dict:
+        return {
+            key: _to_typed(item, arguments[1]) for key, item in shaped.items()
+        }
+    if origin is not None and shaped is not None:
+        for option in arguments:
+            if _is_named_tuple(option):
+                return _to_typed(shaped, option)
+    return shaped
+
+
+def _is_named_tuple(value_type: Any) -> bool:
+    return (
+        isinstance(value_type, type)
+        and issubclass(value_type, tuple)
+        and hasattr(value_type, "_fields")
+    )
--- /dev/null
+++ b/turmerichall/jobs/__init__.py
@@ -0,0 +1,3 @@
+"""Batch jobs, their tasks and the recorded decisions about them."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/jobs/job.py
@@ -0,0 +1,128 @@
+"""A batch job, its tasks and the decisions recorded about them."""
+
+import enum
+from typing import NamedTuple
+
+from turmerichall.leases import lease
+
+__all__ = ["Decision", "Job", "JobState", "Task", "TaskState", "task_id"]
+
+MAX_DECISIONS_PER_JOB = 60
+
+
+class TaskState(enum.StrEnum):
+    """Where a task is in its life."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    EVICTING = "evicting"
+    FINISHED = "finished"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class JobState(enum.StrEnum):
+    """Where a job is, derived from its tasks."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class Decision(NamedTuple):
+    """Something that was decided about a job, and why.
+
+    Attributes:
+        position: Position in the replicated log, which orders decisions.
+        wall_seconds: Wall-clock time at the instance that decided, Unix time.
+        task: Task the decision is about, or empty for the whole job.
+        what: What was decided, such as `started` or `waits`.
+        reason: Why, as a sentence.
+    """
+
+    position: int
+    wall_seconds: float
+    task: str
+    what: str
+    reason: str
+
+
+class Task(NamedTuple):
+    """One unit of work that runs on one worker at a time.
+
+    Attributes:
+        task_id: `<job>/<number>` for batch, `<customer>/<service>/<zone>/<n>`
+            for a service.
+        template: Name of the template.
+        customer: Name of the customer.
+        state: Where the task is.
+        attempt: Starts so far; names the current lease.
+        held: The lease, while running or evicting.
+        checkpoint: Last checkpoint that the worker reported, or empty.
+        failures: Attempts that ended in failure.
+    """
+
+    task_id: str
+    template: str
+    customer: str
+    state: TaskState = TaskState.WAITING
+    attempt: int = 0
+    held: lease.Lease | None = None
+    checkpoint: str = ""
+    failures: int = 0
+
+
+class Job(NamedTuple):
+    """A batch job as it was accepted.
+
+    Attributes:
+        job_id: Unique id.
+        customer: Name of the customer.
+        template: Name of the batch template.
+        tasks: How many tasks the job has.
+        deadline_wall_seconds: When it must be finished, Unix time.
+        submitted_wall_seconds: When it was accepted, Unix time.
+        cancelled: Whether a cancellation was accepted.
+    """
+
+    job_id: str
+    customer: str
+    template: str
+    tasks: int
+    deadline_wall_seconds: float
+    submitted_wall_seconds: float
+    cancelled: bool = False
+
+
+def task_id(job_id: str, number: int) -> str:
+    """Names a task of a batch job.
+
+    Examples:
+        >>> task_id("j1", 0)
+        'j1/0'
+    """
+    return f"{job_id}/{number}"
+
+
+def job_state(job: Job, tasks: list[Task]) -> JobState:
+    """Derives the state of a job from its tasks.
+
+    Args:
+        job: The job.
+        tasks: All of its tasks.
+
+    Returns:
+        The state to show to operators.
+    """
+    states = {task.state for task in tasks}
+    if TaskState.RUNNING in states or TaskState.EVICTING in states:
+        return JobState.RUNNING
+    if job.cancelled:
+        return JobState.CANCELLED
+    if TaskState.WAITING in states:
+        return JobState.WAITING
+    if TaskState.FAILED in states:
+        return JobState.FAILED
+    return JobState.FINISHED
--- /dev/null
+++ b/turmerichall/leases/__init__.py
@@ -0,0 +1,3 @@
+"""Leases under which workers run tasks."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/outcomes.py
@@ -0,0 +1,105 @@
+"""Sentinel values with a reason, for expected outcomes.
+
+A function that may refuse returns `Refusal`; one whose effect cannot be
+known returns `Unknown`.  Each reason has its own counter; see docs/METRICS.md.
+"""
+
+import enum
+from typing import NamedTuple
+
+__all__ = [
+    "Refusal",
+    "RefusalReason",
+    "RetryReason",
+    "Unknown",
+    "UnknownReason",
+]
+
+
+class RefusalReason(enum.StrEnum):
+    """Why something was refused; nothing of it was run or changed."""
+
+    # Input.
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_CUSTOMER = "unknown_customer"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_NAME = "unknown_name"
+    # Configuration changes.
+    VERSION_CONFLICT = "version_conflict"
+    NO_QUORUM = "no_quorum"
+    NOT_LEADER = "not_leader"
+    STOPPED = "stopped"
+    # Requests.
+    DRAINING = "draining"
+    OVERLOADED = "overloaded"
+    CUSTOMER_LIMIT = "customer_limit"
+    DEADLINE = "deadline"
+    NO_BACKEND_SERVER = "no_backend_server"
+    BACKEND_SERVER_REFUSED = "backend_server_refused"
+    CONNECT_FAILED = "connect_failed"
+    DUPLICATE_REQUEST = "duplicate_request"
+    NOT_PROVABLY_SAFE = "not_provably_safe"
+    # Placement and leases.
+    NEVER_FITS = "never_fits"
+    NO_CAPACITY = "no_capacity"
+    OVER_QUOTA = "over_quota"
+    QUARANTINED = "quarantined"
+    STALE_EPOCH = "stale_epoch"
+    STALE_ANCHOR = "stale_anchor"
+    WRONG_STATE = "wrong_state"
+    # Peers.
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+
+
+class UnknownReason(enum.StrEnum):
+    """Why the effect of something sent is not known."""
+
+    CONNECTION_LOST = "connection_lost"
+    SILENT = "silent"
+    DEADLINE = "deadline"
+    TRUNCATED = "truncated"
+    WRONG_REQUEST_ID = "wrong_request_id"
+    LEADER_LOST = "leader_lost"
+    CALLER_LEFT = "caller_left"
+
+
+class RetryReason(enum.StrEnum):
+    """Why something was tried again."""
+
+    CONNECT_FAILED = "connect_failed"
+    BACKEND_SERVER_REFUSED = "backend_server_refused"
+    CONNECTION_LOST = "connection_lost"
+    SILENT = "silent"
+    SERVER_ERROR = "server_error"
+    HEDGE = "hedge"
+    NOT_LEADER = "not_leader"
+    PEER_UNREACHABLE = "peer_unreachable"
+
+
+class Refusal(NamedTuple):
+    """Something was refused and provably had no effect.
+
+    Attributes:
+        reason: The counted reason.
+        detail: A sentence for people.
+        retry_after_seconds: When a new try may succeed; None if it will not.
+    """
+
+    reason: RefusalReason
+    detail: str = ""
+    retry_after_seconds: float | None = None
+
+
+class Unknown(NamedTuple):
+    """Something was sent and its effect is not known.
+
+    Attributes:
+        reason: The counted reason.
+        detail: A sentence for people.
+    """
+
+    reason: UnknownReason
+    detail: str = ""
--- /dev/null
+++ b/turmerichall/resources.py
@@ -0,0 +1,52 @@
+"""Amounts of processors, memory and accelerators."""
+
+from typing import NamedTuple
+
+__all__ = ["NOTHING", "Resources"]
+
+
+class Resources(NamedTuple):
+    """An amount of what a worker offers or a task needs.
+
+    Attributes:
+        processors: Processor cores; fractions are allowed.
+        memory_mb: Memory in MiB.
+        accelerators: Whole accelerators.
+
+    Examples:
+        >>> Resources(4, 1024).fits_in(Resources(8, 2048, 1))
+        True
+        >>> Resources(4, 1024).plus(Resources(1, 24))
+        Resources(processors=5, memory_mb=1048, accelerators=0)
+    """
+
+    processors: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def fits_in(self, room: "Resources") -> bool:
+        """Tells whether each amount is at most that of `room`."""
+        return (
+            self.processors <= room.processors + 1e-9
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def plus(self, other: "Resources") -> "Resources":
+        """Adds two amounts."""
+        return Resources(
+            self.processors + other.processors,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: "Resources") -> "Resources":
+        """Subtracts `other`; the result may be negative."""
+        return Resources(
+            self.processors - other.processors,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/turmerichall/state/machine.py
@@ -0,0 +1,256 @@
+"""The state that every replica derives from the log.
+
+`Machine.apply` is deterministic: the same changes in the same order give the
+same state on every instance.  It reads no clock and no random numbers.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from turmerichall.jobs import job
+from turmerichall.state import change as changes
+from turmerichall.state import configuration
+from turmerichall.state import ledger
+from turmerichall.zones import authority
+
+__all__ = ["Machine", "Watcher"]
+
+MAX_REMEMBERED_OPERATIONS = 50_000
+
+Watcher = Callable[[changes.Change, changes.Result], None]
+
+
+class _Image(NamedTuple):
+    """What a snapshot holds."""
+
+    applied_index: int
+    configuration: configuration.Image
+    jobs: dict[str, job.Job]
+    tasks: dict[str, job.Task]
+    decisions: dict[str, list[job.Decision]]
+    grants: dict[str, authority.Grant]
+    operations: list[tuple[str, changes.Result]]
+
+
+class Machine:
+    """The replicated state.
+
+    Attributes:
+        applied_index: Position in the log of the last applied change.
+        configuration: Templates, customers, quotas and intentions.
+        ledger: Jobs, tasks and recorded decisions.
+        grants: Current grant of each zone.
+        operations: Results of past operations by id, oldest first.
+        watchers: Called after each applied change, in order.
+    """
+
+    def __init__(self) -> None:
+        self.applied_index = 0
+        self.configuration = configuration.Configuration()
+        self.ledger = ledger.Ledger()
+        self.grants: dict[str, authority.Grant] = {}
+        self.operations: OrderedDict[str, changes.Result] = OrderedDict()
+        self.watchers: list[Watcher] = []
+
+    def apply(self, index: int, data: bytes) -> bytes:
+        """Applies one committed change.
+
+        Args:
+            index: Its position in the log.
+            data: The change as `change.encode` made it.
+
+        Returns:
+            The result as `change.encode_result` makes it.
+        """
+        change = changes.decode(data)
+        self.applied_index = index
+        result = self._apply_once(index, change)
+        for watcher in self.watchers:
+            watcher(change, result)
+        return changes.encode_result(result)
+
+    def _apply_once(self, index: int, change: changes.Change) -> changes.Result:
+        operation = getattr(change, "operation", None)
+        if operation is None:
+            return self._dispatch(index, change)
+        known = self.operations.get(operation.operation_id)
+        if known is not None:
+            return known
+        result = self._dispatch(index, change)
+        self.operations[operation.operation_id] = result
+        if len(self.operations) > MAX_REMEMBERED_OPERATIONS:
+            self.operations.popitem(last=False)
+        return result
+
+    def _dispatch(self, index: int, change: changes.Change) -> changes.Result:
+        handler: Callable[[int, Any], changes.Result] | None
+        handler = self._handlers().get(type(change))
+        if handler is None:
+            detail = f"no handler for {type(change).__name__}"
+            return changes.Result(changes.Status.REFUSED, detail=detail)
+        return handler(index, change)
+
+    def _handlers(self) -> dict[type, Callable[[int, Any], changes.Result]]:
+        return {
+            changes.PublishTemplate: self._publish_template,
+            changes.SetCustomer: self._set_customer,
+            changes.SetQuota: self._set_quota,
+            changes.SetIntention: self._set_intention,
+            changes.AcceptJob: self._accept_job,
+            changes.CancelJob: self._cancel_job,
+            changes.TakeGrant: self._take_grant,
+            changes.RenewGrant: self._renew_grant,
+            changes.StartTasks: self._start_tasks,
+            changes.EndTasks: self._end_tasks,
+            changes.EvictTasks: self._evict_tasks,
+            changes.RecordDecisions: self._record_decisions,
+        }
+
+    def _publish_template(
+        self, _: int, change: changes.PublishTemplate
+    ) -> changes.Result:
+        return self.configuration.put(
+            configuration.TEMPLATES,
+            change.body.name,
+            change.body,
+            change.base_version,
+            change.operation,
+        )
+
+    def _set_customer(
+        self, _: int, change: changes.SetCustomer
+    ) -> changes.Result:
+        return self.configuration.put(
+            configuration.CUSTOMERS,
+            change.body.name,
+            change.body,
+            change.base_version,
+            change.operation,
+        )
+
+    def _set_quota(self, _: int, change: changes.SetQuota) -> changes.Result:
+        return self.configuration.put(
+            configuration.QUOTAS,
+            change.body.team,
+            change.body,
+            change.base_version,
+            change.operation,
+        )
+
+    def _set_intention(
+        self, _: int, change: changes.SetIntention
+    ) -> changes.Result:
+        return self.configuration.put(
+            configuration.INTENTIONS,
+            change.backend_server,
+            change.intention,
+            change.base_version,
+            change.operation,
+        )
+
+    def _accept_job(
+        self, index: int, change: changes.AcceptJob
+    ) -> changes.Result:
+        refusal = self.configuration.job_refusal(change)
+        if refusal is not None:
+            return refusal
+        return self.ledger.accept(index, change)
+
+    def _cancel_job(
+        self, index: int, change: changes.CancelJob
+    ) -> changes.Result:
+        return self.ledger.cancel(index, change)
+
+    def _take_grant(self, _: int, change: changes.TakeGrant) -> changes.Result:
+        current = self.grant(change.zone)
+        expected = (change.expected_epoch, change.expected_renewal)
+        if (current.epoch, current.renewal) != expected:
+            return changes.Result(
+                changes.Status.CONFLICT, current.epoch, current.holder
+            )
+        taken = authority.Grant(
+            change.zone, change.holder, current.epoch + 1, 0
+        )
+        self.grants[change.zone] = taken
+        return changes.Result(changes.Status.APPLIED, taken.epoch)
+
+    def _renew_grant(
+        self, _: int, change: changes.RenewGrant
+    ) -> changes.Result:
+        current = self.grant(change.zone)
+        if (current.holder, current.epoch) != (change.holder, change.epoch):
+            return changes.Result(
+                changes.Status.CONFLICT, current.epoch, current.holder
+            )
+        renewed = current._replace(renewal=current.renewal + 1)
+        self.grants[change.zone] = renewed
+        return changes.Result(changes.Status.APPLIED, renewed.epoch)
+
+    def _start_tasks(
+        self, index: int, change: changes.StartTasks
+    ) -> changes.Result:
+        stale = self._stale(change.zone, change.epoch)
+        return stale or self.ledger.start(index, change)
+
+    def _end_tasks(
+        self, index: int, change: changes.EndTasks
+    ) -> changes.Result:
+        stale = self._stale(change.zone, change.epoch)
+        return stale or self.ledger.end(index, change)
+
+    def _evict_tasks(
+        self, index: int, change: changes.EvictTasks
+    ) -> changes.Result:
+        stale = self._stale(change.zone, change.epoch)
+        return stale or self.ledger.evict(index, change)
+
+    def _record_decisions(
+        self, index: int, change: changes.RecordDecisions
+    ) -> changes.Result:
+        stale = self._stale(change.zone, change.epoch)
+        return stale or self.ledger.record_notes(index, change)
+
+    def _stale(self, zone: str, epoch: int) -> changes.Result | None:
+        current = self.grant(zone)
+        if epoch == current.epoch:
+            return None
+        return changes.Result(
+            changes.Status.REFUSED,
+            current.epoch,
+            current.holder,
+            "stale_epoch",
+            f"zone {zone} is at epoch {current.epoch}, not {epoch}",
+        )
+
+    def grant(self, zone: str) -> authority.Grant:
+        """Returns the current grant of a zone."""
+        return self.grants.get(zone, authority.no_grant(zone))
+
+    def snapshot(self) -> bytes:
+        """Encodes the whole state."""
+        image = _Image(
+            self.applied_index,
+            self.configuration.image(),
+            self.ledger.jobs,
+            self.ledger.tasks,
+            self.ledger.decisions,
+            self.grants,
+            list(self.operations.items()),
+        )
+        return msgspec.msgpack.encode(image)
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state by that of a snapshot."""
+        image = msgspec.msgpack.decode(data, type=_Image)
+        self.applied_index = image.applied_index
+        self.configuration = configuration.Configuration.from_image(
+            image.configuration
+        )
+        self.ledger = ledger.Ledger.from_parts(
+            image.jobs, image.tasks, image.decisions
+        )
+        self.grants = image.grants
+        self.operations = OrderedDict(image.operations)
--- /dev/null
+++ b/turmerichall/state/tests/test_machine.py
@@ -0,0 +1,98 @@
+"""Tests of the machine that applies changes."""
+
+from turmerichall import resources
+from turmerichall.customers import customer
+from turmerichall.jobs import job
+from turmerichall.state import change as changes
+from turmerichall.state import machine
+from turmerichall.templates import template
+
+
+def _operation(operation_id: str, operator: str = "ann") -> changes.Operation:
+    return changes.Operation(operation_id, operator, 1.0)
+
+
+def _template(run_seconds: float = 60.0) -> template.Template:
+    size = resources.Resources(1, 100)
+    return template.Template("r", template.Kind.BATCH, size, run_seconds)
+
+
+def _apply(made: machine.Machine, change: changes.Change) -> changes.Result:
+    data = made.apply(made.applied_index + 1, changes.encode(change))
+    return changes.decode_result(data)
+
+
+def _with_job() -> machine.Machine:
+    made = machine.Machine()
+    body = customer.Customer("c", "team", customer.Urgency.NORMAL, ("z1",), {})
+    _apply(made, changes.PublishTemplate(_operation("t"), 0, _template()))
+    _apply(made, changes.SetCustomer(_operation("c"), 0, body))
+    _apply(made, changes.AcceptJob(_operation("j"), "j1", "c", "r", 2, 9.0))
+    _apply(made, changes.TakeGrant("z1", "i1", 0, 0))
+    return made
+
+
+def _start(attempt: int, epoch: int = 1) -> changes.StartTasks:
+    starts = [changes.Start("j1/0", attempt, "w1", 1)]
+    return changes.StartTasks("z1", epoch, 2.0, starts)
+
+
+def _end(attempt: int, ending: changes.Ending) -> changes.EndTasks:
+    ends = [changes.End("j1/0", attempt, ending, "half")]
+    return changes.EndTasks("z1", 1, 3.0, ends)
+
+
+class TestVersions:
+
+    def test_equal_base_versions_conflict(self) -> None:
+        made = machine.Machine()
+        first = changes.PublishTemplate(_operation("1"), 0, _template())
+        second = changes.PublishTemplate(
+            _operation("2", "ben"), 0, _template(5.0)
+        )
+        assert _apply(made, first).status == changes.Status.APPLIED
+        result = _apply(made, second)
+        assert result.status == changes.Status.CONFLICT
+        assert result.holder == "ann"
+        assert made.configuration.templates["r"].body.run_seconds == 60.0
+
+    def test_resend_is_the_same_change(self) -> None:
+        made = machine.Machine()
+        change = changes.PublishTemplate(_operation("1"), 0, _template())
+        first = _apply(made, change)
+        made.restore(made.snapshot())
+        assert _apply(made, change) == first
+        assert made.configuration.templates["r"].version == 1
+
+
+class TestTasks:
+
+    def test_second_start_of_a_running_task_is_passed_over(self) -> None:
+        made = _with_job()
+        assert _apply(made, _start(1)).refused == ()
+        assert _apply(made, _start(2)).refused == ("j1/0",)
+        assert made.ledger.tasks["j1/0"].attempt == 1
+
+    def test_stale_epoch_starts_nothing(self) -> None:
+        made = _with_job()
+        result = _apply(made, _start(1, epoch=0))
+        assert result.reason == "stale_epoch"
+        assert made.ledger.tasks["j1/0"].state == job.TaskState.WAITING
+
+    def test_evicted_task_waits_with_its_checkpoint(self) -> None:
+        made = _with_job()
+        _apply(made, _start(1))
+        _apply(made, _end(1, changes.Ending.EVICTED))
+        task = made.ledger.tasks["j1/0"]
+        assert task.state == job.TaskState.WAITING
+        assert task.checkpoint == "half"
+        assert _apply(made, _end(1, changes.Ending.FINISHED)).refused
+
+    def test_snapshot_keeps_everything(self) -> None:
+        made = _with_job()
+        _apply(made, _start(1))
+        restored = machine.Machine()
+        restored.restore(made.snapshot())
+        assert restored.snapshot() == made.snapshot()
+        assert list(restored.ledger.waiting) == ["j1/1"]
+        assert list(restored.ledger.live["w1"]) == ["j1/0"]
--- /dev/null
+++ b/turmerichall/templates/__init__.py
@@ -0,0 +1,3 @@
+"""Templates of services and batch jobs."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/zones/authority.py
@@ -0,0 +1,44 @@
+"""The grant of the placing authority of an availability zone."""
+
+from typing import NamedTuple
+
+from turmerichall.leases import lease
+
+__all__ = ["Grant", "TERM_SECONDS", "no_grant", "takeover_after_seconds"]
+
+TERM_SECONDS = 9.0
+RENEWAL_PERIOD_SECONDS = 3.0
+# How long an authority without a quorum goes on renewing leases of batch
+# tasks.  Leases of services are renewed without this limit, because their
+# tasks never move to another zone.
+CUT_OFF_HOLD_SECONDS = 300.0
+
+
+class Grant(NamedTuple):
+    """Who may place tasks on the workers of a zone.
+
+    Attributes:
+        zone: The availability zone.
+        holder: Name of the entry instance that holds the grant.
+        epoch: Grows by one with each holder; fences the ones before.
+        renewal: Grows by one with each renewal within the epoch.
+    """
+
+    zone: str
+    holder: str
+    epoch: int
+    renewal: int
+
+
+def no_grant(zone: str) -> Grant:
+    """Returns the grant of a zone that never had a holder."""
+    return Grant(zone, "", 0, 0)
+
+
+def takeover_after_seconds() -> float:
+    """Returns how long a grant must go without a renewal before a takeover.
+
+    The holder counts its term from before it proposed the renewal, any other
+    instance from when it applied it; so this wait outlasts the holder's term.
+    """
+    return lease.ended_after_seconds(TERM_SECONDS)
