--- /dev/null
+++ b/turmerichall/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings of a daemon, read from an INI file."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Logs and metrics."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/telemetry/logs.py
@@ -0,0 +1,105 @@
+"""Structured logs: one JSON object a line, with a fixed prefix per part.
+
+A message is a short sentence.  What it is about goes into fields, of which
+`request_id` and `job_id` are the same in every process that the work passes
+through.
+"""
+
+import contextlib
+import enum
+import sys
+from typing import IO
+
+import eliot
+
+__all__ = ["Level", "Log", "configure"]
+
+
+class Level(enum.IntEnum):
+    """How much a message matters."""
+
+    DEBUG = 10
+    INFO = 20
+    WARNING = 30
+    ERROR = 40
+
+
+class _Output:
+    """Where the messages of this process go.
+
+    Attributes:
+        threshold: Lowest level that is written.
+        destination: The destination in use, if any was configured.
+        opened: Files that stay open for the life of the process.
+    """
+
+    threshold: int = Level.INFO
+    destination: eliot.FileDestination | None = None
+    opened = contextlib.ExitStack()
+
+
+class Log:
+    """The log of one part.
+
+    Attributes:
+        part: Name of the part, which each message starts with.
+    """
+
+    def __init__(self, part: str):
+        self.part = part
+        self._prefix = f"{part}: "
+
+    def debug(self, message: str, **fields: object) -> None:
+        """Writes a message that only a developer needs."""
+        if _Output.threshold <= Level.DEBUG:
+            self._write("debug", message, fields)
+
+    def info(self, message: str, **fields: object) -> None:
+        """Writes a message about ordinary work."""
+        if _Output.threshold <= Level.INFO:
+            self._write("info", message, fields)
+
+    def warning(self, message: str, **fields: object) -> None:
+        """Writes a message about something an operator may have to act on."""
+        if _Output.threshold <= Level.WARNING:
+            self._write("warning", message, fields)
+
+    def error(self, message: str, **fields: object) -> None:
+        """Writes a message about a failure."""
+        self._write("error", message, fields)
+
+    def _write(
+        self, level: str, message: str, fields: dict[str, object]
+    ) -> None:
+        eliot.log_message(
+            message_type=self.part,
+            level=level,
+            message=self._prefix + message,
+            **fields,
+        )
+
+
+def configure(
+    level: Level = Level.INFO,
+    path: str | None = None,
+    stream: IO[str] | None = None,
+    **fields: str,
+) -> None:
+    """Sets where the logs of this process go; a later call replaces it.
+
+    Args:
+        level: Lowest level to write.
+        path: File to append to; without one `stream` is used.
+        stream: Where to write; standard error by default.
+        **fields: Fields to add to every message, such as `instance`.
+    """
+    target: IO[str] = stream or sys.stderr
+    if path is not None:
+        target = _Output.opened.enter_context(open(path, "a", encoding="utf-8"))
+    destination = eliot.FileDestination(file=target)
+    eliot.add_global_fields(**fields)
+    eliot.add_destinations(destination)
+    if _Output.destination is not None:
+        eliot.remove_destination(_Output.destination)
+    _Output.destination = destination
+    _Output.threshold = level
