--- a/turmerichall/backend_servers/directory.py
+++ b/turmerichall/backend_servers/directory.py
@@ -29,10 +29,12 @@
     Attributes:
         told: Its last announcement.
         heard_at: When that was received here or passed on, trio time.
+        via: Instance that received the announcement; empty for this one.
     """
 
     told: announcement.Announcement
     heard_at: float
+    via: str = ""
 
 
 class Directory:
@@ -42,23 +44,27 @@
         entries: What is known of each backend server.
         revision: Grows whenever something that routing reads may have changed.
         intentions: What operators want of each.
+        origins_heard_at: When each other instance last vouched for the
+            backend servers that it hears from, trio time.
     """
 
     def __init__(self, intentions: Intentions):
         self.entries: dict[str, Entry] = {}
         self.revision = 0
         self.intentions = intentions
+        self.origins_heard_at: dict[str, float] = {}
         self._by_service: dict[tuple[str, str], list[str]] = {}
         self._indexed_revision = -1
 
     def hear(
-        self, told: announcement.Announcement, now: float
+        self, told: announcement.Announcement, now: float, via: str = ""
     ) -> outcomes.Refusal | None:
         """Takes an announcement in.
 
         Args:
             told: The announcement, received or passed on.
             now: Current time, trio clock.
+            via: Instance that passed it on; empty if received here.
 
         Returns:
             None, or why it was passed over: it is older than what is known, or
@@ -66,26 +72,29 @@
         """
         known = self.entries.get(told.name)
         if known is not None:
-            refusal = _order_refusal(known, told, now)
+            refusal = self._order_refusal(known, told, now)
             if refusal is not None:
                 return refusal
-        self.entries[told.name] = Entry(told, now)
-        if known is None or _routing_part(known.told) != _routing_part(told):
+        self.entries[told.name] = Entry(told, now, via)
+        if known is None or routing_part(known.told) != routing_part(told):
             self.revision += 1
         return None
 
-    def touch(self, name: str, now: float) -> None:
-        """Notes that another instance still hears from a backend server."""
-        known = self.entries.get(name)
-        if known is not None and now > known.heard_at:
-            self.entries[name] = known._replace(heard_at=now)
+    def heard_at(self, known: Entry) -> float:
+        """Returns when a backend server was last known to be alive."""
+        vouched_at = self.origins_heard_at.get(known.via, known.heard_at)
+        return max(vouched_at, known.heard_at)
+
+    def is_silent(self, known: Entry, now: float) -> bool:
+        """Tells whether nothing was heard of a backend server for long."""
+        return now - self.heard_at(known) > SILENT_AFTER_SECONDS
 
     def takes_new_work(self, name: str, now: float) -> bool:
         """Tells whether a backend server may be given new work."""
         known = self.entries.get(name)
         if known is None or known.told.leaving:
             return False
-        if now - known.heard_at > SILENT_AFTER_SECONDS:
+        if self.is_silent(known, now):
             return False
         wanted = self.intentions.intention(name)
         return wanted == changes.Intention.SERVING
@@ -124,6 +133,26 @@
                 self._by_service.setdefault(key, []).append(name)
         self._indexed_revision = self.revision
 
+    def _order_refusal(
+        self, known: Entry, told: announcement.Announcement, now: float
+    ) -> outcomes.Refusal | None:
+        before = known.told
+        if (told.incarnation, told.sequence) <= (
+            before.incarnation,
+            before.sequence,
+        ):
+            return outcomes.Refusal(
+                outcomes.RefusalReason.STALE_ANCHOR,
+                f"announcement {told.sequence} of {told.name} is not newer",
+            )
+        moved = told.address != before.address
+        if moved and not self.is_silent(known, now) and not before.leaving:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.WRONG_STATE,
+                f"{told.name} is claimed by {before.address}, which is live",
+            )
+        return None
+
 
 def services_of(
     told: announcement.Announcement,
@@ -139,7 +168,8 @@
     return found
 
 
-def _routing_part(told: announcement.Announcement) -> tuple[object, ...]:
+def routing_part(told: announcement.Announcement) -> tuple[object, ...]:
+    """Returns what routing reads of an announcement."""
     return (
         told.incarnation,
         told.address,
@@ -149,25 +179,3 @@
         told.leaving,
         frozenset(services_of(told)),
     )
-
-
-def _order_refusal(
-    known: Entry, told: announcement.Announcement, now: float
-) -> outcomes.Refusal | None:
-    before = known.told
-    if (told.incarnation, told.sequence) <= (
-        before.incarnation,
-        before.sequence,
-    ):
-        return outcomes.Refusal(
-            outcomes.RefusalReason.STALE_ANCHOR,
-            f"announcement {told.sequence} of {told.name} is not newer",
-        )
-    moved = told.address != before.address
-    silent = now - known.heard_at > SILENT_AFTER_SECONDS
-    if moved and not silent and not before.leaving:
-        return outcomes.Refusal(
-            outcomes.RefusalReason.WRONG_STATE,
-            f"{told.name} is claimed by {before.address}, which is live",
-        )
-    return None
--- /dev/null
+++ b/turmerichall/backend_servers/dissemination.py
@@ -0,0 +1,208 @@
+"""Passes announcements on to the other instances.
+
+An instance sends what routing reads of the backend servers that it hears from
+itself: at once when it changed, and otherwise only a heartbeat with the
+version of its table.  A receiver that missed a change sees it by the version
+and asks for the whole table.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+import msgspec
+import trio
+
+from turmerichall import outcomes
+from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import directory as directories
+
+__all__ = ["Dissemination", "Links"]
+
+HEARTBEAT_SECONDS = 1.0
+TABLE_TIMEOUT_SECONDS = 3.0
+
+CHANGED = "backend_servers/changed"
+HEARTBEAT = "backend_servers/heartbeat"
+TABLE = "backend_servers/table"
+
+
+Handler = Callable[[str, bytes], Awaitable[bytes | None]]
+
+
+class Links(Protocol):
+    """The connections to other daemons; `peers.network.Network` is one."""
+
+    addresses: dict[str, str]
+
+    def handle(self, kind: str, handler: Handler) -> None:
+        """Registers the handler of a kind of message."""
+
+    def send(self, instance: str, kind: str, body: bytes) -> bool:
+        """Sends a one-way message, or drops it if the queue is full."""
+
+    async def call(
+        self, instance: str, kind: str, body: bytes, timeout_seconds: float
+    ) -> bytes | outcomes.Refusal:
+        """Sends a message and awaits its answer."""
+
+
+class Batch(NamedTuple):
+    """A part of an instance's table.
+
+    Attributes:
+        run: Names one run of the sending daemon.
+        version: Version of the table after this part.
+        heard: Announcements to take in, cut down to what routing reads.
+        lost: Names of backend servers that the sender hears no longer.
+    """
+
+    run: int
+    version: int
+    heard: tuple[announcement.Announcement, ...] = ()
+    lost: tuple[str, ...] = ()
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Batch)
+
+
+class Dissemination:
+    """Keeps the directories of all instances in reach alike.
+
+    Attributes:
+        directory: This instance's directory.
+        links: Connections to the other instances.
+        run_id: Names this run of the daemon.
+        version: Version of this instance's own table.
+        own: Names of the backend servers that this instance hears from.
+        versions: Run and version of each other instance's table, as known.
+    """
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        links: Links,
+        run_id: int,
+    ):
+        self.directory = directory
+        self.links = links
+        self.run_id = run_id
+        self.version = 0
+        self.own: set[str] = set()
+        self.versions: dict[str, tuple[int, int]] = {}
+        links.handle(CHANGED, self._on_changed)
+        links.handle(HEARTBEAT, self._on_heartbeat)
+        links.handle(TABLE, self._on_table)
+
+    def hear(self, told: announcement.Announcement) -> outcomes.Refusal | None:
+        """Takes in an announcement received here, and passes a change on."""
+        before = self.directory.entries.get(told.name)
+        refusal = self.directory.hear(told, trio.current_time())
+        if refusal is not None:
+            return refusal
+        same = (
+            before is not None
+            and not before.via
+            and told.name in self.own
+            and directories.routing_part(before.told)
+            == directories.routing_part(told)
+        )
+        self.own.add(told.name)
+        if not same:
+            self._pass_on((cut_down(told),), ())
+        return None
+
+    async def run(self) -> None:
+        """Sends heartbeats and drops silent backend servers, for ever."""
+        while True:
+            self._drop_silent()
+            beat = _ENCODER.encode(Batch(self.run_id, self.version))
+            for instance in list(self.links.addresses):
+                self.links.send(instance, HEARTBEAT, beat)
+            await trio.sleep(HEARTBEAT_SECONDS)
+
+    def _pass_on(
+        self,
+        heard: tuple[announcement.Announcement, ...],
+        lost: tuple[str, ...],
+    ) -> None:
+        self.version += 1
+        batch = Batch(self.run_id, self.version, heard, lost)
+        body = _ENCODER.encode(batch)
+        for instance in list(self.links.addresses):
+            self.links.send(instance, CHANGED, body)
+
+    def _drop_silent(self) -> None:
+        now = trio.current_time()
+        lost = []
+        for name in sorted(self.own):
+            known = self.directory.entries.get(name)
+            if known is None or known.via:
+                self.own.discard(name)
+            elif self.directory.is_silent(known, now):
+                lost.append(name)
+                self.own.discard(name)
+                self.directory.forget(name)
+        if lost:
+            self._pass_on((), tuple(lost))
+
+    async def _on_changed(self, sender: str, body: bytes) -> None:
+        batch = _DECODER.decode(body)
+        known = self.versions.get(sender)
+        self._take(sender, batch)
+        if known != (batch.run, batch.version - 1):
+            await self._pull(sender)
+
+    async def _on_heartbeat(self, sender: str, body: bytes) -> None:
+        batch = _DECODER.decode(body)
+        if self.versions.get(sender) != (batch.run, batch.version):
+            await self._pull(sender)
+        else:
+            self.directory.origins_heard_at[sender] = trio.current_time()
+
+    async def _on_table(self, _: str, __: bytes) -> bytes:
+        heard = []
+        for name in sorted(self.own):
+            known = self.directory.entries.get(name)
+            if known is not None and not known.via:
+                heard.append(cut_down(known.told))
+        return _ENCODER.encode(Batch(self.run_id, self.version, tuple(heard)))
+
+    async def _pull(self, sender: str) -> None:
+        answer = await self.links.call(
+            sender, TABLE, b"", TABLE_TIMEOUT_SECONDS
+        )
+        if isinstance(answer, outcomes.Refusal):
+            return
+        batch = _DECODER.decode(answer)
+        named = {told.name for told in batch.heard}
+        for name, known in list(self.directory.entries.items()):
+            if known.via == sender and name not in named:
+                self.directory.forget(name)
+        self._take(sender, batch)
+
+    def _take(self, sender: str, batch: Batch) -> None:
+        now = trio.current_time()
+        known_run, known_version = self.versions.get(sender, (0, -1))
+        if known_run == batch.run and batch.version < known_version:
+            return
+        self.versions[sender] = (batch.run, batch.version)
+        self.directory.origins_heard_at[sender] = now
+        for told in batch.heard:
+            self.directory.hear(told, now, sender)
+        for name in batch.lost:
+            known = self.directory.entries.get(name)
+            if known is not None and known.via == sender:
+                self.directory.forget(name)
+
+
+def cut_down(
+    told: announcement.Announcement,
+) -> announcement.Announcement:
+    """Returns what routing reads of an announcement, and no more."""
+    tasks = tuple(
+        announcement.TaskReport(report.task_id, report.attempt, report.state)
+        for report in told.tasks
+        if report.task_id.startswith("svc:")
+    )
+    return told._replace(tasks=tasks)
--- a/turmerichall/state/change.py
+++ b/turmerichall/state/change.py
@@ -133,11 +133,19 @@
 
 
 class RenewGrant(NamedTuple):
-    """Renews the grant of a zone, if the holder still has it."""
+    """Renews the grant of a zone, if the holder still has it.
+
+    Attributes:
+        zone: The availability zone.
+        holder: Name of the instance.
+        epoch: Epoch that it holds.
+        confirmed: Earlier holders that have stopped renewing leases.
+    """
 
     zone: str
     holder: str
     epoch: int
+    confirmed: tuple[str, ...] = ()
 
 
 class Start(NamedTuple):
--- a/turmerichall/state/machine.py
+++ b/turmerichall/state/machine.py
@@ -171,9 +171,7 @@
             return changes.Result(
                 changes.Status.CONFLICT, current.epoch, current.holder
             )
-        taken = authority.Grant(
-            change.zone, change.holder, current.epoch + 1, 0
-        )
+        taken = current.taken_by(change.holder)
         self.grants[change.zone] = taken
         return changes.Result(changes.Status.APPLIED, taken.epoch)
 
@@ -185,7 +183,7 @@
             return changes.Result(
                 changes.Status.CONFLICT, current.epoch, current.holder
             )
-        renewed = current._replace(renewal=current.renewal + 1)
+        renewed = current.renewed(change.confirmed)
         self.grants[change.zone] = renewed
         return changes.Result(changes.Status.APPLIED, renewed.epoch)
 
--- a/turmerichall/zones/authority.py
+++ b/turmerichall/zones/authority.py
@@ -22,12 +22,33 @@
         holder: Name of the entry instance that holds the grant.
         epoch: Grows by one with each holder; fences the ones before.
         renewal: Grows by one with each renewal within the epoch.
+        unconfirmed: Earlier holders that were not yet seen to have stopped
+            renewing leases.
     """
 
     zone: str
     holder: str
     epoch: int
     renewal: int
+    unconfirmed: tuple[str, ...] = ()
+
+    def taken_by(self, holder: str) -> "Grant":
+        """Returns the grant after a takeover."""
+        earlier = dict.fromkeys((*self.unconfirmed, self.holder))
+        earlier.pop(holder, None)
+        earlier.pop("", None)
+        return Grant(self.zone, holder, self.epoch + 1, 0, tuple(earlier))
+
+    def renewed(self, confirmed: tuple[str, ...]) -> "Grant":
+        """Returns the grant after a renewal.
+
+        Args:
+            confirmed: Earlier holders that have stopped renewing leases.
+        """
+        left = tuple(
+            holder for holder in self.unconfirmed if holder not in confirmed
+        )
+        return self._replace(renewal=self.renewal + 1, unconfirmed=left)
 
 
 def no_grant(zone: str) -> Grant:
--- /dev/null
+++ b/turmerichall/zones/grant_holder.py
@@ -0,0 +1,153 @@
+"""Takes, renews and gives up the grant of one availability zone."""
+
+import math
+from typing import Protocol
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.state import change as changes
+from turmerichall.state import machine as machines
+from turmerichall.telemetry import logs
+from turmerichall.zones import authority
+
+__all__ = ["Changes", "GrantHolder"]
+
+OBSERVE_SECONDS = 0.5
+
+
+class Changes(Protocol):
+    """Submits changes; `state.proposer.Proposer` is one."""
+
+    async def submit(
+        self, change: changes.Change
+    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
+        """Submits a change and awaits its result."""
+
+
+class GrantHolder:
+    """One instance's part in the grant of one zone.
+
+    Attributes:
+        zone: The availability zone.
+        name: Name of this instance.
+        machine: The replicated state.
+        proposer: Submits changes.
+        held_epoch: Epoch that this run of the daemon holds; 0 if none.
+        took_at: When that epoch was taken, trio time.
+        renewed_at: When the last renewal that was applied had been sent.
+        confirmed: Earlier holders that have stopped, to be recorded.
+        seen: The grant as last observed.
+        seen_at: When that was first observed, trio time.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        name: str,
+        machine: machines.Machine,
+        proposer: Changes,
+    ):
+        self.zone = zone
+        self.name = name
+        self.machine = machine
+        self.proposer = proposer
+        self.held_epoch = 0
+        self.took_at = -math.inf
+        self.renewed_at = -math.inf
+        self.confirmed: set[str] = set()
+        self.seen = authority.no_grant(zone)
+        self.seen_at = -math.inf
+        self.log = logs.Log("placement")
+
+    def holds(self) -> bool:
+        """Tells whether no later epoch than the held one is known here."""
+        current = self.machine.grant(self.zone).epoch
+        return self.held_epoch > 0 and self.held_epoch == current
+
+    def may_start(self, now: float) -> bool:
+        """Tells whether the term allows new starts."""
+        return self.holds() and now < self.renewed_at + authority.TERM_SECONDS
+
+    def may_renew_batch(self, now: float) -> bool:
+        """Tells whether leases of batch tasks may be renewed."""
+        until = self.renewed_at + authority.CUT_OFF_HOLD_SECONDS
+        return self.holds() and now < until
+
+    async def run(self) -> None:
+        """Observes the grant, and takes or renews it, for ever."""
+        while True:
+            self.observe()
+            if self.holds():
+                await self._renew()
+                await trio.sleep(authority.RENEWAL_PERIOD_SECONDS)
+            elif self._free(authority.takeover_after_seconds()):
+                await self.take()
+                await trio.sleep(OBSERVE_SECONDS)
+            else:
+                await trio.sleep(OBSERVE_SECONDS)
+
+    def observe(self) -> None:
+        """Notes when the grant last changed, as seen here."""
+        current = self.machine.grant(self.zone)
+        if current != self.seen or self.seen_at == -math.inf:
+            self.seen = current
+            self.seen_at = trio.current_time()
+
+    def _free(self, after_seconds: float) -> bool:
+        if self.seen.epoch == 0 or self.seen.holder == self.name:
+            return True
+        return trio.current_time() - self.seen_at > after_seconds
+
+    async def take(self) -> bool:
+        """Tries to take the grant over as it was last seen.
+
+        Returns:
+            Whether this instance holds it now.
+        """
+        seen = self.seen
+        sent_at = trio.current_time()
+        result = await self.proposer.submit(
+            changes.TakeGrant(self.zone, self.name, seen.epoch, seen.renewal)
+        )
+        if not _applied(result):
+            return False
+        assert isinstance(result, changes.Result)
+        self.held_epoch = result.version
+        self.renewed_at = sent_at
+        self.took_at = trio.current_time()
+        self.confirmed = set()
+        self.log.info("took the grant", zone=self.zone, epoch=self.held_epoch)
+        return True
+
+    def give_up(self, epoch: int) -> None:
+        """Stops acting for any epoch below `epoch`, which another holds."""
+        if self.held_epoch < epoch:
+            self.held_epoch = 0
+
+    def earlier_holders(self) -> list[str]:
+        """Returns the earlier holders that may still renew leases."""
+        unconfirmed = self.machine.grant(self.zone).unconfirmed
+        return [name for name in unconfirmed if name not in self.confirmed]
+
+    async def _renew(self) -> None:
+        sent_at = trio.current_time()
+        renewal = changes.RenewGrant(
+            self.zone, self.name, self.held_epoch, tuple(self.confirmed)
+        )
+        result = await self.proposer.submit(renewal)
+        if _applied(result):
+            self.renewed_at = sent_at
+        elif isinstance(result, changes.Result):
+            self.log.warning(
+                "lost the grant", zone=self.zone, holder=result.holder
+            )
+            self.held_epoch = 0
+
+
+def _applied(
+    result: changes.Result | outcomes.Refusal | outcomes.Unknown,
+) -> bool:
+    if not isinstance(result, changes.Result):
+        return False
+    return result.status == changes.Status.APPLIED
