--- /dev/null
+++ b/turmerichall/placement/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about which task runs on which worker, and why."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/placement/waiting.py
@@ -0,0 +1,114 @@
+"""The waiting tasks, in buckets of tasks that any worker treats alike.
+
+Putting and dropping a task costs the same however many tasks wait: a dropped
+task is left in its bucket's heap and passed over when it comes up.
+"""
+
+import heapq
+import itertools
+from typing import NamedTuple
+
+from turmerichall import resources
+from turmerichall.customers import customer as customers
+from turmerichall.placement import views
+
+__all__ = ["Bucket", "Shape", "WaitingTasks"]
+
+
+class Shape(NamedTuple):
+    """What decides where a task may run."""
+
+    template: str
+    service_of: str
+    size: resources.Resources
+    zones: tuple[str, ...]
+
+    @classmethod
+    def of(cls, task: views.TaskView) -> "Shape":
+        """Returns the shape of a task."""
+        service_of = task.customer if task.service else ""
+        return cls(task.template, service_of, task.size, task.zones)
+
+
+class BucketKey(NamedTuple):
+    """What decides the turn of a task, besides its own deadline."""
+
+    shape: Shape
+    team: str
+    urgency: customers.Urgency
+
+
+class Bucket:
+    """Waiting tasks of one shape, team and urgency.
+
+    Attributes:
+        key: What the tasks have in common.
+        live: The waiting tasks by id, with the number of their entry.
+    """
+
+    def __init__(self, key: BucketKey) -> None:
+        self.key = key
+        self.live: dict[str, tuple[int, views.TaskView]] = {}
+        self.heap: list[tuple[bool, float, float, int, str]] = []
+
+    def push(self, task: views.TaskView, number: int) -> None:
+        """Adds a task: evicted ones first, then by deadline."""
+        self.live[task.task_id] = (number, task)
+        entry = (
+            not task.evicted,
+            task.deadline_wall_seconds,
+            task.submitted_wall_seconds,
+            number,
+            task.task_id,
+        )
+        heapq.heappush(self.heap, entry)
+
+    def head(self) -> views.TaskView | None:
+        """Returns the task whose turn it is, or None if none waits."""
+        while self.heap:
+            number, task_id = self.heap[0][-2:]
+            found = self.live.get(task_id)
+            if found is not None and found[0] == number:
+                return found[1]
+            heapq.heappop(self.heap)
+        return None
+
+
+class WaitingTasks:
+    """All waiting tasks.
+
+    Attributes:
+        buckets: Buckets that hold tasks, by key.
+        bucket_of: Bucket of each waiting task.
+    """
+
+    def __init__(self) -> None:
+        self.buckets: dict[BucketKey, Bucket] = {}
+        self.bucket_of: dict[str, Bucket] = {}
+        self.sequence = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self.bucket_of)
+
+    def __contains__(self, task_id: str) -> bool:
+        return task_id in self.bucket_of
+
+    def put(self, task: views.TaskView) -> None:
+        """Adds a task, or replaces it."""
+        self.drop(task.task_id)
+        key = BucketKey(Shape.of(task), task.team, task.urgency)
+        bucket = self.buckets.get(key)
+        if bucket is None:
+            bucket = self.buckets[key] = Bucket(key)
+        bucket.push(task, next(self.sequence))
+        self.bucket_of[task.task_id] = bucket
+
+    def drop(self, task_id: str) -> views.TaskView | None:
+        """Removes a task and returns it, or None if it does not wait."""
+        bucket = self.bucket_of.pop(task_id, None)
+        if bucket is None:
+            return None
+        _, task = bucket.live.pop(task_id)
+        if not bucket.live:
+            del self.buckets[bucket.key]
+        return task
