--- /dev/null
+++ b/turmerichall/settings/tests/test_reader.py
@@ -0,0 +1,191 @@
+"""Tests of reading settings."""
+
+import pathlib
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from turmerichall import errors
+from turmerichall.settings import reader
+
+MINIMAL = """\
+[instance]
+name = entry-1
+region = r
+zone = z1
+data_folder = /tmp/x
+
+[listen]
+callers = 127.0.0.1:8400
+operators = 127.0.0.1:8401
+peers = 127.0.0.1:8402
+
+[peers]
+bootstrap = true
+
+[keys]
+cluster = cluster-key-of-tests
+operators = operators-key-of-tests
+workers = workers-key-of-tests
+"""
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+
+
+def _findings(text: str) -> list[str]:
+    with pytest.raises(errors.SettingsError) as caught:
+        reader.parse(text, "d.ini")
+    return [str(finding) for finding in caught.value.findings]
+
+
+class TestSettings:
+
+    def test_units_and_defaults(self) -> None:
+        text = MINIMAL + "[limits]\nmax_request_bytes = 2 MiB\n"
+        text += "default_deadline = 250 ms\n"
+        found = reader.parse(text, "d.ini")
+        assert found.limits.max_request_bytes == 2 * 1024**2
+        assert found.limits.default_deadline_seconds == 0.25
+        assert found.limits.retry_ratio == 0.1
+
+    def test_keys_are_not_shown(self) -> None:
+        found = reader.parse(MINIMAL, "d.ini")
+        assert "key-of-tests" not in repr(found)
+
+    @pytest.mark.parametrize("name", ["replica.ini", "entry.ini"])
+    def test_examples_are_valid(self, name: str) -> None:
+        reader.load(str(EXAMPLES / name))
+
+
+class TestFindings:
+
+    @pytest.mark.parametrize(
+        ("before", "after", "finding"),
+        [
+            ("zone = z1", "zone = z/1", "d.ini:4 [instance] zone: expected a"),
+            ("zone = z1", "", "d.ini:1 [instance] zone: is missing"),
+            (
+                "zone = z1",
+                "zone = z1\nzome = z1",
+                "d.ini:5 [instance] zome: unknown key; did you mean 'zone'?",
+            ),
+            (
+                "zone = z1",
+                "zone = z1\nretry_ratio = 1",
+                "d.ini:5 [instance] retry_ratio: unknown key; it belongs to"
+                " [limits]",
+            ),
+            (
+                "zone = z1",
+                "zone = z1\nzone = z2",
+                "d.ini:5: 'zone' stands at line 4",
+            ),
+            ("zone = z1", "zone = z1\nzone", "d.ini:5: expected [section]"),
+            ("[instance]", "", "d.ini:2: expected a [section] before"),
+            (
+                "[peers]",
+                "[pears]",
+                "d.ini:12 [pears]: unknown section; did you mean 'peers'?",
+            ),
+            (
+                "callers = 127.0.0.1:8400",
+                "callers = localhost:8400",
+                "d.ini:8 [listen] callers: expected IP number and port",
+            ),
+            (
+                "peers = 127.0.0.1:8402",
+                "peers = 0.0.0.0:8402",
+                "d.ini:10 [listen] peers: expected the address of one",
+            ),
+            (
+                "peers = 127.0.0.1:8402",
+                "peers = 127.0.0.1:8401",
+                "d.ini:10 [listen] peers: expected an address of its own",
+            ),
+            (
+                "peers = 127.0.0.1:8402",
+                "peers = 127.0.0.1:99999",
+                "d.ini:10 [listen] peers: expected a port",
+            ),
+            (
+                "data_folder = /tmp/x",
+                "",
+                "d.ini:13 [peers] bootstrap: expected a data_folder",
+            ),
+            (
+                "bootstrap = true",
+                "bootstrap = false",
+                "d.ini:12 [peers] seeds: expected another instance",
+            ),
+            (
+                "bootstrap = true",
+                "seeds = a@10.0.0.1:1, a@10.0.0.2:1",
+                "d.ini:13 [peers] seeds: expected each name once",
+            ),
+            (
+                "workers = workers-key-of-tests",
+                "workers = hunter2",
+                "d.ini:18 [keys] workers: expected at least 16",
+            ),
+            (
+                "workers = workers-key-of-tests",
+                "workers = cluster-key-of-tests",
+                "d.ini:18 [keys] workers: expected a secret of its own",
+            ),
+        ],
+    )
+    def test_place_and_reason(
+        self, before: str, after: str, finding: str
+    ) -> None:
+        assert before in MINIMAL
+        found = _findings(MINIMAL.replace(before, after))
+        assert any(item.startswith(finding) for item in found), found
+        assert not any("hunter2" in item for item in found)
+
+    @pytest.mark.parametrize(
+        ("section", "key", "value"),
+        [
+            ("limits", "max_request_bytes", "4"),
+            ("limits", "max_request_bytes", "4 MB"),
+            ("limits", "queue_length", "0"),
+            ("limits", "queue_length", "-1"),
+            ("limits", "queue_length", "many"),
+            ("limits", "retry_ratio", "1.5"),
+            ("limits", "retry_ratio", "nan"),
+            ("limits", "default_deadline", "0 s"),
+            ("limits", "default_deadline", "2 h"),
+            ("placement", "preset", "fast"),
+            ("timing", "drain_limit", "60"),
+            ("logs", "level", "loud"),
+            ("logs", "file", ""),
+        ],
+    )
+    def test_bad_values(self, section: str, key: str, value: str) -> None:
+        found = _findings(f"{MINIMAL}[{section}]\n{key} = {value}\n")
+        line = MINIMAL.count("\n") + 2
+        assert len(found) == 1
+        assert found[0].startswith(f"d.ini:{line} [{section}] {key}: expected")
+
+    def test_all_are_reported_together(self) -> None:
+        text = MINIMAL.replace("zone = z1", "zone = /")
+        text = text.replace("bootstrap = true", "bootstrap = maybe")
+        text += "[limits]\nqueue_lenght = 3\nretry_ratio = 2\n"
+        assert len(_findings(text)) == 4
+
+    def test_file_that_can_not_be_read(self, tmp_path: pathlib.Path) -> None:
+        (tmp_path / "d.ini").write_bytes(b"\xff\xfe\x00")
+        for name in ("absent.ini", "d.ini", ""):
+            with pytest.raises(errors.SettingsError, match="can't be read"):
+                reader.load(str(tmp_path / name))
+
+
+class TestAnyText:
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(strategies.text(max_size=300))
+    def test_only_settings_errors(self, text: str) -> None:
+        for tried in (text, MINIMAL + text, text + MINIMAL):
+            try:
+                reader.parse(tried, "d.ini")
+            except errors.SettingsError as error:
+                assert error.findings
