Add calls and messages between daemons

Cause: the parts need calls and one-way messages between instances. Ruled out: one connection for each pair, because an instance that joins is not known to those it dials; each instance dials the others instead. Change: length-prefixed msgpack envelopes over trio TCP, a mutual proof of the cluster's key, bounded queues, probes and replacement of silent connections. Before and after: with the silence checks removed the test of a stalled proxy fails, with the proof check removed the test of another key fails; both pass with them.

--- /dev/null
+++ b/turmerichall/peers/handshake.py
@@ -0,0 +1,144 @@
+"""Opening of a connection: names, format version, and proof of the shared key.
+
+Each end proves that it has the cluster's key by a keyed digest over the nonce
+of the other end, so a recorded opening can't be replayed.
+"""
+
+import hashlib
+import hmac
+import secrets
+from typing import NamedTuple
+
+import msgspec
+
+from turmerichall import errors
+from turmerichall.peers import envelope
+
+__all__ = ["FORMAT_VERSION", "accept", "dial"]
+
+FORMAT_VERSION = 1
+NONCE_BYTES = 16
+
+
+class Hello(NamedTuple):
+    """Who opens or accepts a connection.
+
+    Attributes:
+        version: Format version of the frames and messages.
+        name: Name of the instance.
+        address: Where the instance accepts connections, host:port.
+        nonce: Random bytes that the other end must digest.
+    """
+
+    version: int
+    name: str
+    address: str
+    nonce: bytes
+
+
+class _Reply(NamedTuple):
+    """The acceptor's hello and its proof."""
+
+    hello: Hello
+    proof: bytes
+
+
+def _proof(key: bytes, role: str, dialer: Hello, acceptor: Hello) -> bytes:
+    message = msgspec.msgpack.encode((role, dialer, acceptor))
+    return hmac.digest(key, message, hashlib.sha256)
+
+
+def _new_hello(name: str, address: str) -> Hello:
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    return Hello(FORMAT_VERSION, name, address, nonce)
+
+
+def _check_version(hello: Hello) -> None:
+    if hello.version != FORMAT_VERSION:
+        raise errors.PeerError(
+            f"format version {hello.version}, expected {FORMAT_VERSION}"
+        )
+
+
+def _check_proof(given: bytes, expected: bytes) -> None:
+    if not hmac.compare_digest(given, expected):
+        raise errors.PeerError("the other end does not have the cluster's key")
+
+
+async def _send(connection: envelope.Connection, body: bytes) -> None:
+    frame = envelope.Envelope(envelope.FrameKind.HELLO, body=body)
+    await connection.send(envelope.encode(frame))
+
+
+async def _receive(connection: envelope.Connection) -> bytes:
+    frame = await connection.receive()
+    if frame.frame != envelope.FrameKind.HELLO:
+        raise errors.PeerError("expected a hello")
+    return frame.body
+
+
+async def dial(
+    connection: envelope.Connection,
+    key: bytes,
+    name: str,
+    address: str,
+    expected: str,
+) -> None:
+    """Opens a connection from the dialing end.
+
+    Args:
+        connection: The fresh connection.
+        key: Shared key of the cluster.
+        name: Name of this instance.
+        address: Where this instance accepts connections, host:port.
+        expected: Name that the other end must have.
+
+    Raises:
+        PeerError: The other end is another instance, has another format
+            version or lacks the key.
+    """
+    own = _new_hello(name, address)
+    await _send(connection, msgspec.msgpack.encode(own))
+    try:
+        body = await _receive(connection)
+        reply = msgspec.msgpack.decode(body, type=_Reply)
+    except msgspec.DecodeError as error:
+        raise errors.PeerError(f"malformed hello: {error}") from error
+    _check_version(reply.hello)
+    _check_proof(reply.proof, _proof(key, "acceptor", own, reply.hello))
+    if reply.hello.name != expected:
+        raise errors.PeerError(
+            f"reached instance {reply.hello.name}, expected {expected}"
+        )
+    await _send(connection, _proof(key, "dialer", own, reply.hello))
+
+
+async def accept(
+    connection: envelope.Connection, key: bytes, name: str, address: str
+) -> Hello:
+    """Opens a connection from the accepting end.
+
+    Args:
+        connection: The fresh connection.
+        key: Shared key of the cluster.
+        name: Name of this instance.
+        address: Where this instance accepts connections, host:port.
+
+    Returns:
+        The proven hello of the dialing end.
+
+    Raises:
+        PeerError: The other end has another format version or lacks the key.
+    """
+    try:
+        body = await _receive(connection)
+        dialer = msgspec.msgpack.decode(body, type=Hello)
+    except msgspec.DecodeError as error:
+        raise errors.PeerError(f"malformed hello: {error}") from error
+    _check_version(dialer)
+    own = _new_hello(name, address)
+    proof = _proof(key, "acceptor", dialer, own)
+    await _send(connection, msgspec.msgpack.encode(_Reply(own, proof)))
+    given = await _receive(connection)
+    _check_proof(given, _proof(key, "dialer", dialer, own))
+    return dialer
--- /dev/null
+++ b/turmerichall/peers/tests/test_network.py
@@ -0,0 +1,231 @@
+"""Tests of calls and messages between daemons over real sockets."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+
+from turmerichall import outcomes
+from turmerichall.peers import envelope
+from turmerichall.peers import link
+from turmerichall.peers import network
+
+KEY = b"shared"
+CALL_SECONDS = 20.0
+
+
+async def _echo(sender: str, body: bytes) -> bytes:
+    return sender.encode() + b":" + body
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    with trio.fail_after(CALL_SECONDS):
+        while not condition():
+            await trio.sleep(0.005)
+
+
+class _Log:
+    """Keeps what is written."""
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+
+    def info(self, message: str, **_: object) -> None:
+        self.lines.append(message)
+
+    warning = info
+    error = info
+
+    def says(self, words: str) -> bool:
+        return any(words in line for line in self.lines)
+
+
+async def _pair(
+    nursery: trio.Nursery, key: bytes = KEY, log: _Log | None = None
+) -> tuple[network.Network, network.Network]:
+    left = network.Network("a", KEY, log=log)
+    right = network.Network("b", key)
+    right.handle("echo", _echo)
+    await nursery.start(left.run, "127.0.0.1:0")
+    address = await nursery.start(right.run, "127.0.0.1:0")
+    left.set_addresses({"b": address})
+    return left, right
+
+
+async def _swallow(stream: trio.SocketStream) -> None:
+    """Accepts and delivers nothing."""
+    while await stream.receive_some(1024):
+        pass
+
+
+async def _garbage(stream: trio.SocketStream) -> None:
+    await stream.send_all(b"\xff\xff\xff\xffnonsense")
+
+
+async def _close(stream: trio.SocketStream) -> None:
+    await stream.aclose()
+
+
+Server = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+class TestCalls:
+
+    async def test_answer_and_sender(self, nursery: trio.Nursery) -> None:
+        left, right = await _pair(nursery)
+        await _until(lambda: left.links["b"].connected)
+        assert await left.call("b", "echo", b"x", CALL_SECONDS) == b"a:x"
+        await _until(lambda: "a" in right.links and right.links["a"].connected)
+        assert right.last_heard("a") > -float("inf")
+        nursery.cancel_scope.cancel()
+
+    async def test_many_calls_get_their_own_answers(
+        self, nursery: trio.Nursery
+    ) -> None:
+        left, _ = await _pair(nursery)
+        await _until(lambda: left.links["b"].connected)
+        answers = {}
+
+        async def ask(number: int) -> None:
+            body = str(number).encode()
+            answers[body] = await left.call("b", "echo", body, CALL_SECONDS)
+
+        async with trio.open_nursery() as asking:
+            for number in range(300):
+                asking.start_soon(ask, number)
+        assert all(answer == b"a:" + body for body, answer in answers.items())
+        nursery.cancel_scope.cancel()
+
+    async def test_unknown_kind_is_refused(self, nursery: trio.Nursery) -> None:
+        left, _ = await _pair(nursery)
+        await _until(lambda: left.links["b"].connected)
+        refusal = await left.call("b", "nothing", b"", CALL_SECONDS)
+        assert isinstance(refusal, outcomes.Refusal)
+        assert refusal.reason == outcomes.RefusalReason.UNKNOWN_NAME
+        nursery.cancel_scope.cancel()
+
+    async def test_handler_that_never_returns_times_out(
+        self, nursery: trio.Nursery
+    ) -> None:
+        left, right = await _pair(nursery)
+
+        async def stuck(_: str, __: bytes) -> bytes:
+            await trio.sleep_forever()
+            return b""
+
+        right.handle("stuck", stuck)
+        await _until(lambda: left.links["b"].connected)
+        refusal = await left.call("b", "stuck", b"", 0.05)
+        assert isinstance(refusal, outcomes.Refusal)
+        assert refusal.reason == outcomes.RefusalReason.TIMEOUT
+        assert await left.call("b", "echo", b"", CALL_SECONDS) == b"a:"
+        nursery.cancel_scope.cancel()
+
+
+class TestOpening:
+
+    async def test_other_key_is_not_served(self, nursery: trio.Nursery) -> None:
+        log = _Log()
+        left, right = await _pair(nursery, key=b"other", log=log)
+        await _until(lambda: log.says("does not have the cluster's key"))
+        assert not left.links["b"].connected
+        assert not right.addresses
+        assert not left.send("b", "echo", b"")
+        nursery.cancel_scope.cancel()
+
+    async def test_other_name_is_not_used(self, nursery: trio.Nursery) -> None:
+        log = _Log()
+        left, right = await _pair(nursery, log=log)
+        left.set_addresses({"c": right.listen_address})
+        await _until(lambda: log.says("reached instance b, expected c"))
+        refusal = await left.call("c", "echo", b"", CALL_SECONDS)
+        assert isinstance(refusal, outcomes.Refusal)
+        assert refusal.reason == outcomes.RefusalReason.UNREACHABLE
+        nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize("serve", [_swallow, _garbage, _close])
+    async def test_bad_server_gives_unreachable(
+        self,
+        nursery: trio.Nursery,
+        serve: Server,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.setattr(link, "CONNECT_SECONDS", 0.1)
+        log = _Log()
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        addresses = {"b": f"127.0.0.1:{port}"}
+        left = network.Network("a", KEY, addresses, log)
+        await nursery.start(left.run, "127.0.0.1:0")
+        await _until(lambda: log.says("was not opened"))
+        refusal = await left.call("b", "echo", b"", CALL_SECONDS)
+        assert isinstance(refusal, outcomes.Refusal)
+        assert refusal.reason == outcomes.RefusalReason.UNREACHABLE
+        nursery.cancel_scope.cancel()
+
+
+class TestQueue:
+
+    async def test_full_queue_drops(self, nursery: trio.Nursery) -> None:
+        left, _ = await _pair(nursery)
+        await _until(lambda: left.links["b"].connected)
+        body = bytes(envelope.MAX_FRAME_BYTES // 2)
+        queued = [left.send("b", "echo", body) for _ in range(20)]
+        assert queued[0] and not queued[-1]
+        assert left.links["b"].connected
+        nursery.cancel_scope.cancel()
+
+
+class _Proxy:
+    """Passes bytes on until it is told to deliver nothing more."""
+
+    def __init__(self, target: str):
+        self.target = target
+        self.accepted = 0
+        self.stalled: set[int] = set()
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.accepted += 1
+        number = self.accepted
+        host, _, port = self.target.rpartition(":")
+        onward = await trio.open_tcp_stream(host, int(port))
+        async with stream, onward, trio.open_nursery() as nursery:
+            nursery.start_soon(self._pass, number, stream, onward)
+            nursery.start_soon(self._pass, number, onward, stream)
+
+    async def _pass(
+        self, number: int, source: trio.SocketStream, sink: trio.SocketStream
+    ) -> None:
+        while data := await source.receive_some(65536):
+            if number not in self.stalled:
+                await sink.send_all(data)
+        if number in self.stalled:
+            await trio.sleep_forever()
+        await sink.send_eof()
+
+
+class TestSilentConnection:
+
+    async def test_silent_connection_is_replaced(
+        self, nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(link, "PING_AFTER_SECONDS", 0.05)
+        monkeypatch.setattr(link, "SILENT_AFTER_SECONDS", 0.2)
+        log = _Log()
+        left, right = await _pair(nursery, log=log)
+        proxy = _Proxy(right.listen_address)
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, proxy.serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        left.set_addresses({"b": f"127.0.0.1:{port}"})
+        await _until(lambda: left.links["b"].connected)
+        proxy.stalled.add(1)
+        lost = await left.call("b", "echo", b"1", CALL_SECONDS)
+        assert isinstance(lost, outcomes.Refusal)
+        assert lost.reason == outcomes.RefusalReason.TIMEOUT
+        await _until(lambda: left.links["b"].connected)
+        assert await left.call("b", "echo", b"2", CALL_SECONDS) == b"a:2"
+        assert proxy.accepted == 2
+        assert log.says("nothing arrives on it")
+        nursery.cancel_scope.cancel()
