Add a stand-in worker with an audit trail

It keeps a worker's side of the interface: leases counted from the send time of the anchor, refusal of lower epochs, of other incarnations, of old anchors, of duplicate attempts and of what exceeds its capacity. Tried by hand against a fake entry instance: start, renewal, end, leaving.

--- /dev/null
+++ b/turmerichall/tests/standins/attempts.py
@@ -0,0 +1,330 @@
+"""The attempts that a worker runs, and the rules by which it takes commands.
+
+Times are trio times of the worker; leases are counted from the moment at
+which the worker sent the announcement that a command or a renewal names.
+"""
+
+from typing import NamedTuple
+
+from turmerichall import outcomes
+from turmerichall import resources
+from turmerichall.backend_servers import announcement
+from turmerichall.tests.standins import trail
+
+__all__ = ["Answer", "Attempt", "Attempts", "STEP_SECONDS"]
+
+STEP_SECONDS = 0.1
+# Send times of announcements are kept for this long.
+ANCHOR_SECONDS = 120.0
+
+_LIVE = (
+    announcement.ReportedState.STARTING,
+    announcement.ReportedState.RUNNING,
+)
+
+
+class Answer(NamedTuple):
+    """A worker's answer to one command.
+
+    Attributes:
+        task_id: The task.
+        attempt: The attempt.
+        accepted: Whether the command was carried out.
+        detail: The reason and a sentence if it was not.
+    """
+
+    task_id: str
+    attempt: int
+    accepted: bool
+    detail: str = ""
+
+
+class Attempt:
+    """One attempt that a worker took.
+
+    Attributes:
+        start: The command that started it.
+        lease_until: When its lease ends, trio time.
+        state: Where it is.
+        progress: Share of its run time that is done.
+        throttle: Share of its processors that it keeps.
+        stepped_at: When it last did some of its work, trio time.
+        detail: Why it ended.
+        fails: Whether it is bound to fail.
+    """
+
+    def __init__(
+        self, start: announcement.Command, lease_until: float, now: float
+    ):
+        self.start = start
+        self.lease_until = lease_until
+        self.state = announcement.ReportedState.RUNNING
+        self.progress = float(start.checkpoint or 0.0)
+        self.throttle = start.throttle
+        self.stepped_at = now
+        self.detail = ""
+        self.fails = False
+
+    def report(self) -> announcement.TaskReport:
+        """Returns what an announcement tells of it."""
+        live = self.state in _LIVE
+        return announcement.TaskReport(
+            self.start.task_id,
+            self.start.attempt,
+            self.state,
+            usage=self.start.size if live else resources.NOTHING,
+            checkpoint="" if self.start.service else f"{self.progress:.4f}",
+            detail=self.detail,
+        )
+
+
+class Attempts:
+    """All attempts of one incarnation of a worker.
+
+    Attributes:
+        capacity: What the worker offers.
+        incarnation: Its incarnation.
+        speed: Run time that it does in one second.
+        fail_starts: Whether every attempt that starts from now on fails.
+        record: Where to record starts and ends.
+        epoch: Highest epoch of an authority seen.
+        held: Attempts that run or whose end is not acknowledged, by name.
+        anchors: Send times of announcements by sequence, oldest first.
+    """
+
+    def __init__(
+        self,
+        capacity: resources.Resources,
+        incarnation: int,
+        record: trail.Trail,
+        speed: float = 1.0,
+    ):
+        self.capacity = capacity
+        self.incarnation = incarnation
+        self.speed = speed
+        self.fail_starts = False
+        self.record = record
+        self.epoch = 0
+        self.held: dict[str, Attempt] = {}
+        self.anchors: dict[int, float] = {}
+        self._highest: dict[str, int] = {}
+
+    def note_sent(self, sequence: int, now: float) -> None:
+        """Notes the send time of an announcement."""
+        self.anchors[sequence] = now
+        while next(iter(self.anchors.values())) < now - ANCHOR_SECONDS:
+            del self.anchors[next(iter(self.anchors))]
+
+    def take_reply(
+        self, reply: announcement.Reply, sequence: int, now: float
+    ) -> list[Answer]:
+        """Takes the answer to an announcement.
+
+        Args:
+            reply: The answer.
+            sequence: Sequence of the announcement.
+            now: Current time.
+
+        Returns:
+            Answers to the commands in it.
+        """
+        if reply.epoch and reply.epoch >= self.epoch:
+            self.epoch = reply.epoch
+            until = self.anchors[sequence] + reply.lease_seconds
+            for name in reply.renewed:
+                held = self.held.get(name)
+                if held is not None and held.lease_until > now:
+                    held.lease_until = max(held.lease_until, until)
+            for name in reply.acknowledged:
+                held = self.held.get(name)
+                if held is not None and held.state not in _LIVE:
+                    del self.held[name]
+        return [self.take(command, now) for command in reply.commands]
+
+    def take(self, command: announcement.Command, now: float) -> Answer:
+        """Carries a command out, or refuses it."""
+        refusal = self._refusal(command, now)
+        if refusal is None:
+            self.epoch = max(self.epoch, command.epoch)
+            self._carry_out(command, now)
+            return Answer(command.task_id, command.attempt, True)
+        self.record.write(
+            "command_refused",
+            task=command.task_id,
+            attempt=command.attempt,
+            kind=command.kind,
+            reason=refusal.reason,
+            detail=refusal.detail,
+        )
+        detail = f"{refusal.reason}: {refusal.detail}"
+        return Answer(command.task_id, command.attempt, False, detail)
+
+    def _refusal(
+        self, command: announcement.Command, now: float
+    ) -> outcomes.Refusal | None:
+        reasons = outcomes.RefusalReason
+        if command.epoch < self.epoch:
+            return outcomes.Refusal(
+                reasons.STALE_EPOCH, f"epoch {self.epoch} was seen"
+            )
+        if command.incarnation != self.incarnation:
+            return outcomes.Refusal(
+                reasons.WRONG_STATE, f"incarnation is {self.incarnation}"
+            )
+        if command.kind == announcement.CommandKind.START:
+            return self._start_refusal(command, now)
+        name = announcement.attempt_name(command.task_id, command.attempt)
+        if name not in self.held:
+            return outcomes.Refusal(
+                reasons.UNKNOWN_NAME, f"attempt {name} is not here"
+            )
+        return None
+
+    def _start_refusal(
+        self, command: announcement.Command, now: float
+    ) -> outcomes.Refusal | None:
+        reasons = outcomes.RefusalReason
+        sent_at = self.anchors.get(command.anchor)
+        if sent_at is None or now >= sent_at + command.lease_seconds:
+            return outcomes.Refusal(
+                reasons.STALE_ANCHOR, f"anchor {command.anchor} is too old"
+            )
+        highest = self._highest.get(command.task_id, 0)
+        if command.attempt <= highest:
+            return outcomes.Refusal(
+                reasons.WRONG_STATE, f"attempt {highest} was started here"
+            )
+        running = [held for held in self.held.values() if held.state in _LIVE]
+        if any(held.start.task_id == command.task_id for held in running):
+            return outcomes.Refusal(
+                reasons.WRONG_STATE, f"attempt {highest} runs here"
+            )
+        needed = command.size
+        for held in running:
+            needed = needed.plus(held.start.size)
+        if not needed.fits_in(self.capacity):
+            self.record.write(
+                "over_capacity",
+                task=command.task_id,
+                attempt=command.attempt,
+                needed=needed,
+                capacity=self.capacity,
+            )
+            return outcomes.Refusal(
+                reasons.NO_CAPACITY, f"{needed} would be needed"
+            )
+        return None
+
+    def _carry_out(self, command: announcement.Command, now: float) -> None:
+        kinds = announcement.CommandKind
+        if command.kind == kinds.START:
+            self._start(command, now)
+            return
+        name = announcement.attempt_name(command.task_id, command.attempt)
+        held = self.held[name]
+        if held.state not in _LIVE:
+            return
+        if command.kind == kinds.THROTTLE:
+            held.throttle = command.throttle
+        elif command.kind == kinds.EVICT:
+            state = announcement.ReportedState.CHECKPOINTED
+            self.end(held, state, "evicted", now)
+        else:
+            state = announcement.ReportedState.STOPPED
+            self.end(held, state, "stopped", now)
+
+    def _start(self, command: announcement.Command, now: float) -> None:
+        until = self.anchors[command.anchor] + command.lease_seconds
+        held = Attempt(command, until, now)
+        held.fails = self.fail_starts
+        name = announcement.attempt_name(command.task_id, command.attempt)
+        self.held[name] = held
+        self._highest[command.task_id] = command.attempt
+        self.record.write(
+            "task_start",
+            task=command.task_id,
+            attempt=command.attempt,
+            epoch=command.epoch,
+            service=command.service,
+            size=command.size,
+            progress=held.progress,
+        )
+
+    def end(
+        self,
+        held: Attempt,
+        state: announcement.ReportedState,
+        detail: str,
+        now: float,
+    ) -> None:
+        """Ends an attempt; its end is reported until acknowledged.
+
+        No work is done after the lease has ended, so the record tells how
+        long ago that was.
+        """
+        held.state = state
+        held.detail = detail
+        self.record.write(
+            "task_end",
+            task=held.start.task_id,
+            attempt=held.start.attempt,
+            state=state,
+            progress=held.progress,
+            idle_seconds=max(0.0, now - held.lease_until),
+            detail=detail,
+        )
+
+    def step(self, now: float) -> bool:
+        """Does a step of work of each attempt whose lease still holds.
+
+        Returns:
+            Whether an attempt ended.
+        """
+        ended = False
+        for held in self.held.values():
+            if held.state in _LIVE:
+                self._step_one(held, now)
+                ended = ended or held.state not in _LIVE
+        return ended
+
+    def _step_one(self, held: Attempt, now: float) -> None:
+        states = announcement.ReportedState
+        if now >= held.lease_until:
+            self.end(held, states.CHECKPOINTED, "lease ended", now)
+            return
+        self.record.write(
+            "task_step", task=held.start.task_id, attempt=held.start.attempt
+        )
+        # A process that was stopped for a while did no work meanwhile.
+        elapsed = min(now - held.stepped_at, 2 * STEP_SECONDS)
+        held.stepped_at = now
+        if held.fails:
+            self.end(held, states.FAILED, "every start fails here", now)
+        elif not held.start.service:
+            done = elapsed * self.speed * held.throttle
+            held.progress += done / max(held.start.run_seconds, STEP_SECONDS)
+            if held.progress >= 1.0:
+                held.progress = 1.0
+                self.end(held, states.FINISHED, "", now)
+
+    def checkpoint_all(self, now: float) -> None:
+        """Checkpoints and ends every attempt that runs."""
+        for held in self.held.values():
+            if held.state in _LIVE:
+                state = announcement.ReportedState.CHECKPOINTED
+                self.end(held, state, "worker is leaving", now)
+
+    def serves(self, customer: str, service: str, now: float) -> bool:
+        """Tells whether a service runs here under a lease that holds."""
+        return any(
+            held.start.service
+            and held.state in _LIVE
+            and held.lease_until > now
+            and (held.start.customer, held.start.template)
+            == (customer, service)
+            for held in self.held.values()
+        )
+
+    def reports(self) -> tuple[announcement.TaskReport, ...]:
+        """Returns the reports of all attempts."""
+        return tuple(held.report() for held in self.held.values())
--- /dev/null
+++ b/turmerichall/tests/standins/worker.py
@@ -0,0 +1,303 @@
+"""A stand-in worker: announces itself, runs fake tasks, serves requests.
+
+Run as `python -m turmerichall.tests.standins.worker --name w1 ...`.  It
+prints one JSON line with its address once it listens.  SIGTERM makes it
+leave.
+"""
+
+import signal
+import sys
+import time
+from typing import Any, NamedTuple
+
+import fire
+import httpcore
+import hypercorn.config
+import hypercorn.trio
+import msgspec
+import trio
+
+from turmerichall import documents
+from turmerichall import errors
+from turmerichall import resources
+from turmerichall.backend_servers import announcement
+from turmerichall.tests.standins import application
+from turmerichall.tests.standins import attempts
+from turmerichall.tests.standins import faults
+from turmerichall.tests.standins import trail
+
+__all__ = ["Settings", "Worker", "main"]
+
+ANNOUNCE_TIMEOUT_SECONDS = 1.0
+RETRY_SECONDS = 0.2
+# How long a leaving worker goes on answering, so that all have heard of it.
+LEAVING_SECONDS = 3.0
+# How long a leaving worker tries to have its last ends acknowledged.
+LAST_REPORT_SECONDS = 10.0
+_TIMEOUTS = {
+    name: ANNOUNCE_TIMEOUT_SECONDS
+    for name in ("connect", "read", "write", "pool")
+}
+
+
+class Settings(NamedTuple):
+    """What a stand-in worker is started with.
+
+    Attributes:
+        name: Name of the worker.
+        zone: Availability zone.
+        rack: Rack.
+        listen: `host:port`; port 0 takes a free one.
+        entries: `host:port` of the entry instances' operators listeners.
+        key: Key of the announcements.
+        trail: File of the audit trail, or empty.
+        capacity: What it offers.
+        slots: Requests that it runs at once.
+        connections: Connections that it says it accepts.
+        speed: Run time that a task does in one second.
+        advertise: Address to announce, or empty for the own one.
+        shown: Faults that are on from the start.
+    """
+
+    name: str
+    zone: str
+    rack: str
+    listen: str
+    entries: tuple[str, ...]
+    key: str
+    trail: str
+    capacity: resources.Resources
+    slots: int = 8
+    connections: int = 64
+    speed: float = 1.0
+    advertise: str = ""
+    shown: faults.Faults = faults.Faults()
+
+
+class Worker:
+    """One incarnation of a stand-in worker.
+
+    Attributes:
+        settings: What it was started with.
+        address: Address that it announces, once it listens.
+        record: The audit trail.
+        held: Its attempts.
+        app: Its HTTP application.
+        sequence: Sequence of the last announcement.
+        authority: Where the zone's placing authority is, or empty.
+    """
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.address = ""
+        self.record = trail.Trail(settings.trail, settings.name)
+        self.held = attempts.Attempts(
+            settings.capacity,
+            time.time_ns() // 1_000_000,
+            self.record,
+            settings.speed,
+        )
+        self.app = application.Application(
+            settings.name, settings.key, settings.slots, self.held, self.record
+        )
+        self.app.set_faults(settings.shown)
+        self.sequence = 0
+        self.authority = ""
+        self._pool = httpcore.AsyncConnectionPool(max_connections=8)
+        self._next_entry = 0
+
+    async def run(self) -> None:
+        """Runs until SIGTERM has been obeyed."""
+        shutdown = trio.Event()
+        with trio.open_signal_receiver(signal.SIGTERM) as signals:
+            async with trio.open_nursery() as nursery:
+                bound = await nursery.start(self._listen, shutdown)
+                self._listening(bound)
+                nursery.start_soon(self._announce_forever)
+                nursery.start_soon(self._step_forever)
+                async for _ in signals:
+                    break
+                await self._leave()
+                shutdown.set()
+                nursery.cancel_scope.cancel()
+        self.record.write("worker_end")
+        self.record.close()
+
+    async def _listen(
+        self,
+        shutdown: trio.Event,
+        task_status: Any = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        config = hypercorn.config.Config()
+        config.bind = [self.settings.listen]
+        config.errorlog = None
+        config.keep_alive_timeout = 3600.0
+        await hypercorn.trio.serve(
+            self.app,
+            config,
+            shutdown_trigger=shutdown.wait,
+            task_status=task_status,
+        )
+
+    def _listening(self, bound: list[str]) -> None:
+        listening = bound[0].removeprefix("http://")
+        self.address = self.settings.advertise or listening
+        self.record.write(
+            "worker_start",
+            incarnation=self.held.incarnation,
+            zone=self.settings.zone,
+            capacity=self.settings.capacity,
+        )
+        line = {"name": self.settings.name, "address": listening}
+        print(msgspec.json.encode(line).decode(), flush=True)
+
+    async def _step_forever(self) -> None:
+        while True:
+            await trio.sleep(attempts.STEP_SECONDS)
+            if self.held.step(trio.current_time()):
+                self.app.changed.set()
+
+    async def _announce_forever(self) -> None:
+        while True:
+            self.app.changed = trio.Event()
+            heard = await self.announce()
+            if not heard:
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            with trio.move_on_after(announcement.ANNOUNCE_PERIOD_SECONDS):
+                await self.app.changed.wait()
+
+    async def announce(self) -> bool:
+        """Announces once, to the authority or else to the next entry."""
+        target = self.authority or self._entry()
+        reply = await self._exchange(target)
+        if reply is None or not reply.accepted:
+            self.authority = ""
+            self._next_entry += 1
+            return False
+        if reply.authority_address and reply.authority_address != target:
+            self.authority = reply.authority_address
+            self.app.changed.set()
+        return True
+
+    def _entry(self) -> str:
+        entries = self.settings.entries
+        return entries[self._next_entry % len(entries)]
+
+    async def _exchange(self, target: str) -> announcement.Reply | None:
+        self.sequence += 1
+        sequence = self.sequence
+        self.held.note_sent(sequence, trio.current_time())
+        headers = [
+            ("Authorization", f"Bearer {self.settings.key}"),
+            ("Content-Type", "application/json"),
+        ]
+        try:
+            with trio.fail_after(2 * ANNOUNCE_TIMEOUT_SECONDS):
+                response = await self._pool.request(
+                    "POST",
+                    f"http://{target}/v1/workers/announce",
+                    headers=headers,
+                    content=documents.encode(self.announcement()),
+                    extensions={"timeout": _TIMEOUTS},
+                )
+            if response.status != 200:
+                return None
+            reply = documents.decode(response.content, announcement.Reply)
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            errors.InputError,
+            trio.TooSlowError,
+        ):
+            return None
+        if self.held.take_reply(reply, sequence, trio.current_time()):
+            self.app.changed.set()
+        return reply
+
+    def announcement(self) -> announcement.Announcement:
+        """Returns the announcement of this moment."""
+        late = self.app.faults.report_late_seconds
+        reports = self.held.reports()
+        if late:
+            reports = tuple(
+                report._replace(measured_seconds_ago=late) for report in reports
+            )
+        return announcement.Announcement(
+            self.settings.name,
+            self.held.incarnation,
+            self.sequence,
+            self.settings.zone,
+            self.settings.rack,
+            self.address,
+            self.settings.capacity,
+            self.settings.slots,
+            self.settings.connections,
+            self.app.leaving,
+            reports,
+            self.held.epoch,
+        )
+
+    async def _leave(self) -> None:
+        """Announces leaving, finishes requests and reports the last ends."""
+        self.record.write("worker_leaving")
+        self.app.leaving = True
+        self.app.changed.set()
+        await trio.sleep(LEAVING_SECONDS)
+        while self.app.in_flight:
+            await trio.sleep(attempts.STEP_SECONDS)
+        self.held.checkpoint_all(trio.current_time())
+        self.app.changed.set()
+        with trio.move_on_after(LAST_REPORT_SECONDS):
+            while self.held.held:
+                await trio.sleep(attempts.STEP_SECONDS)
+
+
+def main(
+    name: str,
+    zone: str,
+    rack: str,
+    entries: str,
+    key: str,
+    listen: str = "127.0.0.1:0",
+    ledger: str = "",
+    processors: float = 8.0,
+    memory_mb: int = 16000,
+    accelerators: int = 0,
+    slots: int = 8,
+    connections: int = 64,
+    speed: float = 1.0,
+    advertise: str = "",
+    shown: str = "{}",
+) -> None:
+    """Runs a stand-in worker; `shown` is a JSON object of faults."""
+    if isinstance(entries, (tuple, list)):
+        entries = ",".join(entries)
+    worker = Worker(
+        Settings(
+            str(name),
+            str(zone),
+            str(rack),
+            listen,
+            tuple(entries.split(",")),
+            str(key),
+            ledger,
+            resources.Resources(processors, memory_mb, accelerators),
+            slots,
+            connections,
+            speed,
+            advertise,
+            documents.decode(
+                msgspec.json.encode(shown)
+                if isinstance(shown, dict)
+                else str(shown).encode(),
+                faults.Faults,
+            ),
+        )
+    )
+    trio.run(worker.run)
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire(main))
