--- a/turmerichall/state/change.py
+++ b/turmerichall/state/change.py
@@ -269,6 +269,7 @@
         reason: A `RefusalReason` value if not applied.
         detail: A sentence for people.
         refused: Ids of tasks in a batch that were passed over.
+        position: Position in the log of the change.
     """
 
     status: Status
@@ -277,6 +278,7 @@
     reason: str = ""
     detail: str = ""
     refused: tuple[str, ...] = ()
+    position: int = 0
 
 
 Change = (
--- a/turmerichall/state/ledger.py
+++ b/turmerichall/state/ledger.py
@@ -27,6 +27,7 @@
         decisions: Decisions by job id, oldest first.
         waiting: Ids of waiting batch tasks, in order of acceptance.
         live: Ids of running or evicting tasks, by worker.
+        services: Ids of service tasks that were ever started.
     """
 
     def __init__(self) -> None:
@@ -35,6 +36,7 @@
         self.decisions: dict[str, list[job.Decision]] = {}
         self.waiting: dict[str, None] = {}
         self.live: dict[str, dict[str, None]] = {}
+        self.services: dict[str, None] = {}
 
     @classmethod
     def from_parts(
@@ -60,7 +62,9 @@
         if task.held is not None:
             on_worker = self.live.setdefault(task.held.worker, {})
             on_worker[task.task_id] = None
-        if task.state == job.TaskState.WAITING and self.is_batch(task):
+        if not self.is_batch(task):
+            self.services[task.task_id] = None
+        elif task.state == job.TaskState.WAITING:
             self.waiting[task.task_id] = None
         else:
             self.waiting.pop(task.task_id, None)
@@ -77,6 +81,23 @@
             for number in range(held.tasks)
         ]
 
+    def live_services(self, zone: str) -> list[job.Task]:
+        """Returns the live service tasks of a zone."""
+        return [
+            self.tasks[name]
+            for name in self.services
+            if _is_live_in(self.tasks[name], zone)
+        ]
+
+    def live_in(self, zone: str) -> list[job.Task]:
+        """Returns all live tasks that hold a lease in a zone."""
+        return [
+            self.tasks[name]
+            for names in self.live.values()
+            for name in names
+            if _is_live_in(self.tasks[name], zone)
+        ]
+
     def accept(self, index: int, asked: changes.AcceptJob) -> changes.Result:
         """Accepts a job and makes its waiting tasks."""
         if asked.job_id in self.jobs:
@@ -283,6 +304,10 @@
     return job.Task(task_id, service, customer)
 
 
+def _is_live_in(task: job.Task, zone: str) -> bool:
+    return task.held is not None and task.held.zone == zone
+
+
 def _is_current(task: job.Task, attempt: int, zone: str) -> bool:
     if task.state not in _LIVE or task.attempt != attempt:
         return False
--- a/turmerichall/state/machine.py
+++ b/turmerichall/state/machine.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 import msgspec
+import trio
 
 from turmerichall.jobs import job
 from turmerichall.state import change as changes
@@ -45,6 +46,7 @@
         grants: Current grant of each zone.
         operations: Results of past operations by id, oldest first.
         watchers: Called after each applied change, in order.
+        restores: How often a snapshot replaced the whole state.
     """
 
     def __init__(self) -> None:
@@ -54,6 +56,8 @@
         self.grants: dict[str, authority.Grant] = {}
         self.operations: OrderedDict[str, changes.Result] = OrderedDict()
         self.watchers: list[Watcher] = []
+        self.restores = 0
+        self._applied = trio.Event()
 
     def apply(self, index: int, data: bytes) -> bytes:
         """Applies one committed change.
@@ -70,16 +74,18 @@
         result = self._apply_once(index, change)
         for watcher in self.watchers:
             watcher(change, result)
+        self._applied.set()
+        self._applied = trio.Event()
         return changes.encode_result(result)
 
     def _apply_once(self, index: int, change: changes.Change) -> changes.Result:
         operation = getattr(change, "operation", None)
         if operation is None:
-            return self._dispatch(index, change)
+            return self._dispatch(index, change)._replace(position=index)
         known = self.operations.get(operation.operation_id)
         if known is not None:
             return known
-        result = self._dispatch(index, change)
+        result = self._dispatch(index, change)._replace(position=index)
         self.operations[operation.operation_id] = result
         if len(self.operations) > MAX_REMEMBERED_OPERATIONS:
             self.operations.popitem(last=False)
@@ -223,6 +229,11 @@
             f"zone {zone} is at epoch {current.epoch}, not {epoch}",
         )
 
+    async def wait_applied(self, index: int) -> None:
+        """Waits until the change at a position of the log is applied here."""
+        while self.applied_index < index:
+            await self._applied.wait()
+
     def grant(self, zone: str) -> authority.Grant:
         """Returns the current grant of a zone."""
         return self.grants.get(zone, authority.no_grant(zone))
@@ -243,6 +254,7 @@
     def restore(self, data: bytes) -> None:
         """Replaces the whole state by that of a snapshot."""
         image = msgspec.msgpack.decode(data, type=_Image)
+        self.restores += 1
         self.applied_index = image.applied_index
         self.configuration = configuration.Configuration.from_image(
             image.configuration
@@ -251,4 +263,6 @@
             image.jobs, image.tasks, image.decisions
         )
         self.grants = image.grants
+        self._applied.set()
+        self._applied = trio.Event()
         self.operations = OrderedDict(image.operations)
--- /dev/null
+++ b/turmerichall/zones/planner_feed.py
@@ -0,0 +1,201 @@
+"""Keeps a planner told of the replicated state."""
+
+import heapq
+from collections.abc import Iterable
+
+from turmerichall.backend_servers import announcement
+from turmerichall.jobs import job
+from turmerichall.placement import planner as planners
+from turmerichall.placement import views
+from turmerichall.state import change as changes
+from turmerichall.state import machine as machines
+from turmerichall.zones import task_views
+
+__all__ = ["PlannerFeed"]
+
+# How long a task waits for the zone that tries it first.
+OTHER_ZONE_DELAY_SECONDS = 2.0
+
+
+class PlannerFeed:
+    """Tells one planner of tasks as they wait, run and end.
+
+    Attributes:
+        machine: The replicated state.
+        zone: The availability zone that the planner decides for.
+        planner: The planner.
+        restores: Restores of the machine when the feed was made.
+        dirty: Tasks that changed since the planner was last told.
+        held: Worker and attempt of each task that the planner counts as held.
+        deferred: Tasks that another zone tries first, by when to put them in.
+        services: Service tasks that the planner was asked to start.
+    """
+
+    def __init__(
+        self,
+        machine: machines.Machine,
+        zone: str,
+        planner: planners.Planner,
+        now: float,
+    ):
+        self.machine = machine
+        self.zone = zone
+        self.planner = planner
+        self.restores = machine.restores
+        self.dirty: dict[str, None] = {}
+        self.held: dict[str, tuple[str, int]] = {}
+        self.deferred: list[tuple[float, str]] = []
+        self.services: set[str] = set()
+        for task in machine.ledger.live_in(zone):
+            self._take_running(task, now)
+        for name in machine.ledger.waiting:
+            self.dirty[name] = None
+        self._set_quotas()
+
+    def note(self, change: changes.Change) -> None:
+        """Notes which tasks a change may have touched."""
+        if isinstance(change, changes.StartTasks):
+            self._mark(start.task_id for start in change.starts)
+        elif isinstance(change, changes.EndTasks):
+            self._mark(end.task_id for end in change.ends)
+        elif isinstance(change, changes.EvictTasks):
+            self._mark(eviction.task_id for eviction in change.evictions)
+        elif isinstance(change, changes.AcceptJob | changes.CancelJob):
+            self._mark_job(change.job_id)
+        elif isinstance(change, changes.SetQuota):
+            self._set_quotas()
+        elif isinstance(change, changes.SetCustomer | changes.PublishTemplate):
+            self._mark(self.machine.ledger.waiting)
+
+    def _mark(self, names: Iterable[str]) -> None:
+        for name in names:
+            self.dirty[name] = None
+
+    def _mark_job(self, job_id: str) -> None:
+        if job_id in self.machine.ledger.jobs:
+            tasks = self.machine.ledger.job_tasks(job_id)
+            self._mark(task.task_id for task in tasks)
+
+    def _set_quotas(self) -> None:
+        for team, entry in self.machine.configuration.quotas.items():
+            self.planner.set_quota(team, entry.body.limit)
+
+    def bring_up_to_date(self, now: float) -> None:
+        """Tells the planner of everything that changed."""
+        dirty = self.dirty
+        self.dirty = {}
+        for name in dirty:
+            self._take(name, now)
+        while self.deferred and self.deferred[0][0] <= now:
+            _, name = heapq.heappop(self.deferred)
+            self._put_waiting(name)
+
+    def _take(self, name: str, now: float) -> None:
+        task = self.machine.ledger.tasks.get(name)
+        self._release_if_ended(name, task, now)
+        if task is None:
+            self.planner.drop_waiting(name)
+        elif task.held is not None:
+            self.services.discard(name)
+            if task.held.zone == self.zone:
+                self._take_running(task, now)
+            else:
+                self.planner.drop_waiting(name)
+        elif name not in self.machine.ledger.waiting:
+            if name not in self.services:
+                self.planner.drop_waiting(name)
+        else:
+            self._take_waiting(task, now)
+
+    def _release_if_ended(
+        self, name: str, task: job.Task | None, now: float
+    ) -> None:
+        if name not in self.held:
+            return
+        worker, attempt = self.held[name]
+        current = task is not None and task.held is not None
+        if current and task is not None and task.attempt == attempt:
+            return
+        del self.held[name]
+        ending = _ending_of(task)
+        self.planner.note_ended(name, worker, ending, now)
+
+    def _take_running(self, task: job.Task, now: float) -> None:
+        assert task.held is not None
+        if task.task_id in self.held:
+            return
+        worker = task.held.worker
+        self.held[task.task_id] = (worker, task.attempt)
+        if self.planner.worker_of.get(task.task_id) == worker:
+            self.planner.note_started(task.task_id, worker, now)
+            return
+        view = task_views.task_view(self.machine, task)
+        if view is not None:
+            self.planner.put_running(view, worker, now)
+
+    def _take_waiting(self, task: job.Task, now: float) -> None:
+        view = task_views.task_view(self.machine, task)
+        if view is None or self.zone not in view.zones:
+            self.planner.drop_waiting(task.task_id)
+            return
+        first = task_views.preferred_zone(task.task_id, view.zones)
+        if first == self.zone:
+            self.planner.put_waiting(view)
+        else:
+            at = now + OTHER_ZONE_DELAY_SECONDS
+            heapq.heappush(self.deferred, (at, task.task_id))
+
+    def _put_waiting(self, name: str) -> None:
+        task = self.machine.ledger.tasks.get(name)
+        if task is None or name not in self.machine.ledger.waiting:
+            return
+        view = task_views.task_view(self.machine, task)
+        if view is not None and self.zone in view.zones:
+            self.planner.put_waiting(view)
+
+    def want_services(self, tasks: tuple[job.Task, ...]) -> None:
+        """Has the planner start the service tasks that are missing."""
+        names = {task.task_id for task in tasks}
+        for name in self.services - names:
+            self.planner.drop_waiting(name)
+        for task in tasks:
+            if task.task_id in self.services:
+                continue
+            view = task_views.task_view(self.machine, task)
+            if view is not None:
+                self.planner.put_waiting(view)
+        self.services = names
+
+    def start_failed(self, name: str, worker: str, now: float) -> None:
+        """Notes that a decided start was not recorded."""
+        if name in self.held:
+            return
+        self.planner.note_ended(name, worker, changes.Ending.REFUSED, now)
+        self.services.discard(name)
+        self.dirty[name] = None
+
+    def measure(self, told: announcement.Announcement, now: float) -> None:
+        """Passes the measurements of an announcement on."""
+        for report in told.tasks:
+            if not report.usage.processors and not report.slowdown:
+                continue
+            self.planner.put_usage(
+                views.UsageReport(
+                    told.name,
+                    report.task_id,
+                    report.attempt,
+                    report.usage,
+                    report.slowdown,
+                    now - report.measured_seconds_ago,
+                )
+            )
+
+
+def _ending_of(task: job.Task | None) -> changes.Ending:
+    if task is None or task.state == job.TaskState.FINISHED:
+        return changes.Ending.FINISHED
+    if task.state == job.TaskState.FAILED:
+        return changes.Ending.FAILED
+    if task.state == job.TaskState.CANCELLED:
+        return changes.Ending.CANCELLED
+    return changes.Ending.EVICTED
