--- a/turmerichall/tests/standins/application.py
+++ b/turmerichall/tests/standins/application.py
@@ -32,6 +32,7 @@
         record: The audit trail.
         faults: Faults that are on.
         in_flight: Requests that run now.
+        running: Their ids.
         leaving: Whether no new request is taken.
         changed: Set when an announcement is due.
     """
@@ -51,6 +52,7 @@
         self.record = record
         self.faults = faults.Faults()
         self.in_flight = 0
+        self.running: set[str] = set()
         self.leaving = False
         self.changed = trio.Event()
 
@@ -67,6 +69,9 @@
         path = scope["path"]
         if scope["method"] == "POST" and path.startswith("/v1/services/"):
             await self._serve(path, headers, body, send)
+        elif scope["method"] == "GET" and path.startswith("/v1/requests/"):
+            known = path.removeprefix("/v1/requests/") in self.running
+            await _answer(send, 200 if known else 404, b"{}")
         elif scope["method"] == "POST" and path == "/v1/tasks":
             await self._tasks(headers, body, send)
         elif scope["method"] == "POST" and path == "/v1/faults":
@@ -120,9 +125,11 @@
                 "request_refused", request=request_id, detail=refused_for
             )
             found = msgspec.json.encode({"detail": refused_for})
-            await _answer(send, 503, found, (NOT_RUN_HEADER,))
+            echoed = (REQUEST_ID_HEADER, request_id.encode())
+            await _answer(send, 503, found, (NOT_RUN_HEADER, echoed))
             return
         self.in_flight += 1
+        self.running.add(request_id)
         self.record.write(
             "request_start",
             request=request_id,
@@ -134,6 +141,7 @@
             await self._run(request_id, body, send)
         finally:
             self.in_flight -= 1
+            self.running.discard(request_id)
             self.record.write("request_end", request=request_id)
 
     def _refused_for(self, customer: str, service: str) -> str:
--- /dev/null
+++ b/turmerichall/tests/standins/proxy.py
@@ -0,0 +1,259 @@
+"""A TCP proxy that injects faults into the connections through it.
+
+Used in-process (`Proxy`), or as a process with
+`python -m turmerichall.tests.standins.proxy --control 127.0.0.1:0
+--links '{"a": ["127.0.0.1:0", "127.0.0.1:7101"]}'`, which takes one JSON
+object a line on the control port, such as
+`{"link": "a", "set": {"stall_to_client": true}}`.
+"""
+
+import functools
+import socket
+import struct
+from typing import Any, NamedTuple
+
+import fire
+import msgspec
+import trio
+
+__all__ = ["LinkFaults", "Proxy", "main"]
+
+CHUNK_BYTES = 1 << 16
+CONNECT_TIMEOUT_SECONDS = 5.0
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class LinkFaults(NamedTuple):
+    """Faults of a link.
+
+    Attributes:
+        refuse: Refuse new connections and reset open ones.
+        stall_to_target: Deliver nothing towards the target.
+        stall_to_client: Deliver nothing towards the client.
+        delay_seconds: How long each chunk waits, in both directions.
+        reset_after_bytes: Reset a connection once it carried this many bytes
+            towards the client; 0 for never.
+    """
+
+    refuse: bool = False
+    stall_to_target: bool = False
+    stall_to_client: bool = False
+    delay_seconds: float = 0.0
+    reset_after_bytes: int = 0
+
+
+STALLED = LinkFaults(stall_to_target=True, stall_to_client=True)
+
+
+class Connection:
+    """One connection through the proxy.
+
+    Attributes:
+        client: Stream to the client.
+        target: Stream to the target, once it is connected.
+        silenced: Whether it never delivers anything any more.
+        carried: Bytes carried towards the client.
+        scope: Cancelled to end the connection.
+    """
+
+    def __init__(self, client: trio.SocketStream):
+        self.client = client
+        self.target: trio.SocketStream | None = None
+        self.silenced = False
+        self.carried = 0
+        self.scope = trio.CancelScope()
+
+    def reset(self) -> None:
+        """Makes both ends see a reset, and ends the connection."""
+        for stream in (self.client, self.target):
+            if stream is not None:
+                stream.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+        self.scope.cancel()
+
+
+class Proxy:
+    """Forwards connections from one port to a target, with faults.
+
+    Attributes:
+        target: `host:port` to forward to.
+        address: `host:port` it listens at, once it runs.
+        faults: Faults that are on.
+        connections: Open connections.
+        most_open: Most connections that were open at once.
+    """
+
+    def __init__(self, target: str):
+        self.target = target
+        self.address = ""
+        self.faults = LinkFaults()
+        self.connections: set[Connection] = set()
+        self.most_open = 0
+        self._changed = trio.Event()
+
+    def set(self, faults: LinkFaults) -> None:
+        """Switches the faults."""
+        self.faults = faults
+        if faults.refuse:
+            self.reset_open()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def heal(self) -> None:
+        """Switches all faults off; silenced connections stay silent."""
+        self.set(LinkFaults())
+
+    def reset_open(self) -> None:
+        """Resets all open connections."""
+        for connection in list(self.connections):
+            connection.reset()
+
+    def silence_open(self) -> None:
+        """Makes open connections silent for good, while new ones work."""
+        for connection in self.connections:
+            connection.silenced = True
+
+    async def run(
+        self, listen: str = "127.0.0.1:0", *, task_status: Any
+    ) -> None:
+        """Forwards until cancelled; reports the address it listens at."""
+        host, _, port_text = listen.rpartition(":")
+        port = int(port_text)
+        async with trio.open_nursery() as nursery:
+            while True:
+                listeners = await trio.open_tcp_listeners(port, host=host)
+                port = listeners[0].socket.getsockname()[1]
+                if not self.address:
+                    self.address = f"{host}:{port}"
+                    task_status.started(self.address)
+                with trio.CancelScope() as scope:
+                    serve = functools.partial(
+                        trio.serve_listeners,
+                        self._carry,
+                        listeners,
+                        handler_nursery=nursery,
+                    )
+                    nursery.start_soon(self._stop_when_refusing, scope)
+                    await serve()
+                while self.faults.refuse:
+                    await self._changed.wait()
+
+    async def _stop_when_refusing(self, scope: trio.CancelScope) -> None:
+        while not self.faults.refuse:
+            await self._changed.wait()
+        scope.cancel()
+
+    async def _carry(self, client: trio.SocketStream) -> None:
+        connection = Connection(client)
+        self.connections.add(connection)
+        self.most_open = max(self.most_open, len(self.connections))
+        try:
+            with connection.scope:
+                await self._carry_on(connection)
+        finally:
+            self.connections.discard(connection)
+            for stream in (connection.client, connection.target):
+                if stream is not None:
+                    with trio.CancelScope(shield=True):
+                        await trio.aclose_forcefully(stream)
+
+    async def _carry_on(self, connection: Connection) -> None:
+        host, _, port = self.target.rpartition(":")
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_SECONDS):
+                connection.target = await trio.open_tcp_stream(host, int(port))
+        except (OSError, trio.TooSlowError):
+            connection.reset()
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._pump, connection, False)
+            nursery.start_soon(self._pump, connection, True)
+
+    async def _pump(self, connection: Connection, to_client: bool) -> None:
+        assert connection.target is not None
+        streams = (connection.client, connection.target)
+        source, sink = reversed(streams) if to_client else streams
+        try:
+            while True:
+                data = await source.receive_some(CHUNK_BYTES)
+                await self._pass(connection, to_client)
+                if not data:
+                    await sink.send_eof()
+                    return
+                if to_client:
+                    data = self._before_reset(connection, data)
+                await sink.send_all(data)
+                limit = self.faults.reset_after_bytes
+                if to_client and 0 < limit <= connection.carried:
+                    connection.reset()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            connection.reset()
+
+    async def _pass(self, connection: Connection, to_client: bool) -> None:
+        if self.faults.delay_seconds:
+            await trio.sleep(self.faults.delay_seconds)
+        while connection.silenced or self._stalls(to_client):
+            await self._changed.wait()
+
+    def _stalls(self, to_client: bool) -> bool:
+        if to_client:
+            return self.faults.stall_to_client
+        return self.faults.stall_to_target
+
+    def _before_reset(self, connection: Connection, data: bytes) -> bytes:
+        limit = self.faults.reset_after_bytes
+        if limit:
+            data = data[: max(0, limit - connection.carried)]
+        connection.carried += len(data)
+        return data
+
+
+async def _control(
+    proxies: dict[str, Proxy], stream: trio.SocketStream
+) -> None:
+    """Carries out the orders that come in on one control connection."""
+    waiting = b""
+    async for chunk in stream:
+        *lines, waiting = (waiting + chunk).split(b"\n")
+        for line in lines:
+            order = msgspec.json.decode(line)
+            proxy = proxies[order["link"]]
+            if "set" in order:
+                proxy.set(LinkFaults(**order["set"]))
+            if order.get("reset_open"):
+                proxy.reset_open()
+            if order.get("silence_open"):
+                proxy.silence_open()
+            answer = {"open": len(proxy.connections), "most": proxy.most_open}
+            await stream.send_all(msgspec.json.encode(answer) + b"\n")
+
+
+async def _run(control: str, links: dict[str, tuple[str, str]]) -> None:
+    async with trio.open_nursery() as nursery:
+        proxies = {}
+        for name, (listen, target) in links.items():
+            proxies[name] = Proxy(target)
+            await nursery.start(proxies[name].run, listen)
+        host, _, port = control.rpartition(":")
+        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        port = listeners[0].socket.getsockname()[1]
+        line = {
+            "control": f"{host}:{port}",
+            "links": {name: proxy.address for name, proxy in proxies.items()},
+        }
+        print(msgspec.json.encode(line).decode(), flush=True)
+        await trio.serve_listeners(
+            functools.partial(_control, proxies), listeners
+        )
+
+
+def main(
+    links: dict[str, tuple[str, str]], control: str = "127.0.0.1:0"
+) -> None:
+    """Runs proxies; `links` maps a name to listening address and target."""
+    trio.run(_run, control, links)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
