Add the HTTP interface of operators and workers

A routing table and handlers by noun; refusals, conflicts, unknown outcomes and findings are typed documents, each counted once. An integer above 64 bits in a document would have failed only in the log's codec, after it was accepted: documents now bound integers to 53 bits.

--- a/turmerichall/documents.py
+++ b/turmerichall/documents.py
@@ -6,7 +6,15 @@
 """
 
 import functools
-from typing import Any, NamedTuple, TypeVar, get_args, get_origin, get_type_hints
+from typing import (
+    Annotated,
+    Any,
+    NamedTuple,
+    TypeVar,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
 
 import msgspec
 
@@ -16,6 +24,10 @@
 
 T = TypeVar("T")
 
+# The log's codec holds no integer beyond 64 bits.
+MAX_INTEGER = 2**53
+_BoundedInteger = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+
 
 def to_plain(value: Any) -> Any:
     """Turns values into objects that JSON can hold, with field names.
@@ -76,6 +88,8 @@
     """Returns the type that msgspec decodes an object of `value_type` as."""
     if _is_named_tuple(value_type):
         return _struct(value_type)
+    if value_type is int:
+        return _BoundedInteger
     arguments = get_args(value_type)
     if not arguments:
         return value_type
--- /dev/null
+++ b/turmerichall/operators/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP interface of operators, workers' announcements and the platform."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/operators/application.py
@@ -0,0 +1,182 @@
+"""The ASGI application for operators, workers and the platform."""
+
+from collections.abc import Callable
+import hmac
+from typing import Any
+
+from turmerichall import errors
+from turmerichall import outcomes
+from turmerichall.backend_servers import directory as directories
+from turmerichall.operators import exchange
+from turmerichall.operators import replies
+from turmerichall.operators import routes
+from turmerichall.operators import services as services_module
+from turmerichall.settings import settings
+from turmerichall.state import machine as machines
+from turmerichall.telemetry import counters as metrics
+from turmerichall.telemetry import logs
+from turmerichall.templates import template
+
+__all__ = ["Application"]
+
+PART = services_module.PART
+MAX_REQUESTS_IN_FLIGHT = 512
+OVERLOAD_RETRY_SECONDS = 1.0
+
+
+class Application:
+    """Answers operators, workers' announcements and the platform's probes.
+
+    Attributes:
+        services: What the handlers use.
+        in_flight: Requests that are being answered.
+    """
+
+    def __init__(
+        self,
+        machine: machines.Machine,
+        changes: services_module.Changes,
+        announcements: services_module.Announcements,
+        directory: directories.Directory,
+        replica: services_module.Replica,
+        readiness: Callable[[], outcomes.Refusal | None],
+        keys: settings.Keys,
+        counters: metrics.Counters,
+        log: logs.Log,
+        bounds: exchange.Bounds = exchange.Bounds(),
+    ):
+        self.services = services_module.Services(
+            machine,
+            changes,
+            announcements,
+            directory,
+            replica,
+            readiness,
+            keys,
+            counters,
+            log,
+            bounds,
+        )
+        self.in_flight = 0
+
+    async def __call__(
+        self, scope: Any, receive: exchange.Receive, send: exchange.Send
+    ) -> None:
+        """Serves one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            # A websocket that is closed before it was accepted is answered
+            # with status 403.
+            await send({"type": "websocket.close"})
+            return
+        self.in_flight += 1
+        try:
+            response = await self._answer(scope, receive)
+            await exchange.respond(send, response)
+        except exchange.ClientLeft:
+            self.services.log.info("client left before its request was whole")
+        finally:
+            self.in_flight -= 1
+
+    async def _answer(
+        self, scope: exchange.Scope, receive: exchange.Receive
+    ) -> exchange.Response:
+        try:
+            outcome = await self._route(scope, receive)
+        except errors.InputError as error:
+            return self._refuse(
+                outcomes.Refusal(
+                    outcomes.RefusalReason.MALFORMED,
+                    "the input has findings; nothing was changed",
+                ),
+                error.findings,
+            )
+        if isinstance(outcome, outcomes.Refusal):
+            return self._refuse(outcome)
+        return outcome
+
+    def _refuse(
+        self,
+        refused: outcomes.Refusal,
+        findings: list[errors.Finding] | None = None,
+    ) -> exchange.Response:
+        self.services.counters.refused(PART, refused.reason)
+        self.services.log.info(
+            "request refused",
+            reason=refused.reason.value,
+            detail=refused.detail,
+        )
+        return replies.refusal(refused, findings)
+
+    async def _route(
+        self, scope: exchange.Scope, receive: exchange.Receive
+    ) -> exchange.Response | outcomes.Refusal:
+        request = exchange.head(scope, self.services.bounds)
+        if isinstance(request, outcomes.Refusal):
+            return request
+        match = routes.find(request.method, request.path)
+        if match.route is None:
+            return _no_route(request, match)
+        refused = self._access_refusal(request, match.route.access)
+        if refused is not None:
+            return refused
+        if match.route.access == routes.Access.ANYONE:
+            return await match.route.handler(self.services, request)
+        if self.in_flight > MAX_REQUESTS_IN_FLIGHT:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.OVERLOADED,
+                f"{MAX_REQUESTS_IN_FLIGHT} requests are in flight",
+                OVERLOAD_RETRY_SECONDS,
+            )
+        findings = template.name_findings("path", match.name or "none")
+        if findings:
+            raise errors.InputError(findings)
+        body = await exchange.body(receive, self.services.bounds)
+        if isinstance(body, outcomes.Refusal):
+            return body
+        whole = request.whole(body, match.name)
+        return await match.route.handler(self.services, whole)
+
+    def _access_refusal(
+        self, request: exchange.Request, access: routes.Access
+    ) -> outcomes.Refusal | None:
+        if access == routes.Access.ANYONE:
+            return None
+        key = self.services.keys.operators
+        if access == routes.Access.WORKERS:
+            key = self.services.keys.workers
+        given = request.headers.get("authorization", "")
+        expected = f"Bearer {key}"
+        if hmac.compare_digest(given.encode(), expected.encode()):
+            return None
+        return outcomes.Refusal(
+            outcomes.RefusalReason.UNAUTHORIZED,
+            f"expected the key of {access.value} as a bearer token",
+        )
+
+
+def _no_route(
+    request: exchange.Request, match: routes.Match
+) -> outcomes.Refusal:
+    if match.methods:
+        allowed = ", ".join(match.methods)
+        return outcomes.Refusal(
+            outcomes.RefusalReason.MALFORMED,
+            f"{request.method[:20]!r} is not allowed here; allowed: {allowed}",
+        )
+    return outcomes.Refusal(
+        outcomes.RefusalReason.UNKNOWN_NAME,
+        f"path {request.path[:80]!r} does not exist",
+    )
+
+
+async def _lifespan(receive: exchange.Receive, send: exchange.Send) -> None:
+    while True:
+        event = await receive()
+        if event["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        else:
+            await send({"type": "lifespan.shutdown.complete"})
+            return
--- /dev/null
+++ b/turmerichall/operators/configuration.py
@@ -0,0 +1,126 @@
+"""Templates, customers and quotas over HTTP."""
+
+from typing import Any, NamedTuple
+
+from turmerichall import errors
+from turmerichall import outcomes
+from turmerichall.customers import customer
+from turmerichall.operators import exchange
+from turmerichall.operators import operations
+from turmerichall.operators import reading
+from turmerichall.operators import replies
+from turmerichall.operators import services as services_module
+from turmerichall.state import change as changes
+from turmerichall.state import configuration
+from turmerichall.templates import template
+
+__all__ = ["Collection", "CUSTOMERS", "QUOTAS", "TEMPLATES"]
+
+
+class Collection(NamedTuple):
+    """How the entries of one collection are listed, shown and set.
+
+    Attributes:
+        attribute: Its attribute in the configuration.
+        noun: What an entry is called.
+        name_field: Field of the body that names the entry.
+        document: Type of the document that sets an entry.
+        change: Type of the change.
+    """
+
+    attribute: str
+    noun: str
+    name_field: str
+    document: Any
+    change: Any
+
+    async def list(
+        self, services: services_module.Services, request: exchange.Request
+    ) -> exchange.Response | outcomes.Refusal:
+        """Lists all entries."""
+        note = await reading.refresh(services, request)
+        if isinstance(note, outcomes.Refusal):
+            return note
+        entries = getattr(services.machine.configuration, self.attribute)
+        items = [_item(name, entries[name]) for name in sorted(entries)]
+        return replies.found(reading.marked(note, {"items": items}))
+
+    async def show(
+        self, services: services_module.Services, request: exchange.Request
+    ) -> exchange.Response | outcomes.Refusal:
+        """Shows one entry."""
+        note = await reading.refresh(services, request)
+        if isinstance(note, outcomes.Refusal):
+            return note
+        name = request.parameters["name"]
+        entries = getattr(services.machine.configuration, self.attribute)
+        if name not in entries:
+            detail = f"{self.noun} {name!r} does not exist"
+            return outcomes.Refusal(outcomes.RefusalReason.UNKNOWN_NAME, detail)
+        item = _item(name, entries[name])
+        return replies.found(reading.marked(note, {"item": item}))
+
+    async def set(
+        self, services: services_module.Services, request: exchange.Request
+    ) -> exchange.Response | outcomes.Refusal:
+        """Sets an entry that still has the version that the document names."""
+        asked = operations.operation(request)
+        document = operations.decode_body(request, self.document)
+        name = request.parameters["name"]
+        findings = document.body.findings()
+        if getattr(document.body, self.name_field) != name:
+            place = f"{self.noun}.{self.name_field}"
+            findings.append(errors.Finding(place, f"expected {name!r}"))
+        if document.base_version < 0:
+            reason = "must not be negative"
+            findings.append(errors.Finding("base_version", reason))
+        if findings:
+            raise errors.InputError(findings)
+        change = self.change(asked, document.base_version, document.body)
+        return await operations.submit(
+            services, change, asked, **{self.noun: name}
+        )
+
+
+class TemplateDocument(NamedTuple):
+    """A template to publish and the version that it is based on."""
+
+    base_version: int
+    body: template.Template
+
+
+class CustomerDocument(NamedTuple):
+    """A customer to set and the version that it is based on."""
+
+    base_version: int
+    body: customer.Customer
+
+
+class QuotaDocument(NamedTuple):
+    """A quota to set and the version that it is based on."""
+
+    base_version: int
+    body: customer.Quota
+
+
+TEMPLATES = Collection(
+    configuration.TEMPLATES,
+    "template",
+    "name",
+    TemplateDocument,
+    changes.PublishTemplate,
+)
+CUSTOMERS = Collection(
+    configuration.CUSTOMERS,
+    "customer",
+    "name",
+    CustomerDocument,
+    changes.SetCustomer,
+)
+QUOTAS = Collection(
+    configuration.QUOTAS, "quota", "team", QuotaDocument, changes.SetQuota
+)
+
+
+def _item(name: str, entry: configuration.Versioned[Any]) -> dict[str, Any]:
+    return {"name": name, **entry._asdict()}
--- /dev/null
+++ b/turmerichall/operators/exchange.py
@@ -0,0 +1,171 @@
+"""Requests and responses of the operators' listener, and their bounds."""
+
+from collections.abc import Awaitable, Callable, Mapping
+import types
+from typing import Any, NamedTuple
+import urllib.parse
+
+import trio
+
+from turmerichall import outcomes
+
+__all__ = [
+    "Bounds",
+    "ClientLeft",
+    "Request",
+    "Response",
+    "body",
+    "head",
+    "respond",
+]
+
+Scope = Mapping[str, Any]
+Receive = Callable[[], Awaitable[Mapping[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+JSON_TYPE = "application/json"
+
+
+class ClientLeft(Exception):
+    """The client closed the connection before its request was whole."""
+
+
+class Bounds(NamedTuple):
+    """Bounds on a request.
+
+    Attributes:
+        max_body_bytes: Size of the body.
+        max_header_count: Header fields.
+        max_header_bytes: Size of the header fields in sum.
+        max_path_bytes: Size of path and query.
+        body_timeout_seconds: For the whole body to arrive.
+    """
+
+    max_body_bytes: int = 1024**2
+    max_header_count: int = 64
+    max_header_bytes: int = 16 * 1024
+    max_path_bytes: int = 2048
+    body_timeout_seconds: float = 10.0
+
+
+class Request(NamedTuple):
+    """A whole request.
+
+    Attributes:
+        method: HTTP method.
+        path: Decoded path.
+        query: Last value of each query parameter.
+        headers: Header fields by name in lower case; the last of each.
+        body: The body.
+        parameters: Values of the named parts of the path.
+    """
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes = b""
+    parameters: Mapping[str, str] = types.MappingProxyType({})
+
+    def whole(self, data: bytes, name: str) -> "Request":
+        """Returns the request with its body and the name in its path."""
+        return self._replace(body=data, parameters={"name": name})
+
+
+class Response(NamedTuple):
+    """A whole response.
+
+    Attributes:
+        status: HTTP status.
+        body: The body.
+        headers: Further header fields.
+        content_type: Type of the body.
+    """
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+    content_type: str = JSON_TYPE
+
+
+def head(scope: Scope, bounds: Bounds) -> Request | outcomes.Refusal:
+    """Reads the head of a request.
+
+    Args:
+        scope: The ASGI scope.
+        bounds: What is accepted.
+
+    Returns:
+        The request without its body, or why it is refused.
+    """
+    fields = scope["headers"]
+    if len(fields) > bounds.max_header_count:
+        return _too_large(f"more than {bounds.max_header_count} header fields")
+    if sum(len(n) + len(v) for n, v in fields) > bounds.max_header_bytes:
+        return _too_large(f"header fields above {bounds.max_header_bytes} B")
+    query = scope["query_string"]
+    if len(scope["raw_path"]) + len(query) > bounds.max_path_bytes:
+        return _too_large(f"path above {bounds.max_path_bytes} B")
+    parsed = urllib.parse.parse_qsl(query.decode("latin-1"))
+    headers = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in fields
+    }
+    return Request(scope["method"], scope["path"], dict(parsed), headers)
+
+
+async def body(receive: Receive, bounds: Bounds) -> bytes | outcomes.Refusal:
+    """Reads the body of a request.
+
+    Args:
+        receive: The ASGI callable.
+        bounds: What is accepted.
+
+    Returns:
+        The body, or why it is refused.
+
+    Raises:
+        ClientLeft: The connection closed first.
+    """
+    with trio.move_on_after(bounds.body_timeout_seconds):
+        return await _whole_body(receive, bounds)
+    return outcomes.Refusal(
+        outcomes.RefusalReason.TIMEOUT,
+        f"the body did not arrive within {bounds.body_timeout_seconds} s",
+    )
+
+
+async def _whole_body(
+    receive: Receive, bounds: Bounds
+) -> bytes | outcomes.Refusal:
+    parts = bytearray()
+    while True:
+        event = await receive()
+        if event["type"] != "http.request":
+            raise ClientLeft
+        parts += event.get("body", b"")
+        if len(parts) > bounds.max_body_bytes:
+            return _too_large(f"body above {bounds.max_body_bytes} B")
+        if not event.get("more_body", False):
+            return bytes(parts)
+
+
+async def respond(send: Send, response: Response) -> None:
+    """Sends a response."""
+    fields = (
+        ("content-type", response.content_type),
+        ("content-length", str(len(response.body))),
+        *response.headers,
+    )
+    await send(
+        {
+            "type": "http.response.start",
+            "status": response.status,
+            "headers": [(n.encode(), v.encode()) for n, v in fields],
+        }
+    )
+    await send({"type": "http.response.body", "body": response.body})
+
+
+def _too_large(detail: str) -> outcomes.Refusal:
+    return outcomes.Refusal(outcomes.RefusalReason.TOO_LARGE, detail)
--- /dev/null
+++ b/turmerichall/operators/instances.py
@@ -0,0 +1,133 @@
+"""Instances, the status of this one, and its health, over HTTP."""
+
+from typing import NamedTuple
+
+from turmerichall import errors
+from turmerichall import outcomes
+from turmerichall.operators import exchange
+from turmerichall.operators import operations
+from turmerichall.operators import replies
+from turmerichall.operators import services as services_module
+from turmerichall.settings import values
+from turmerichall.templates import template
+
+__all__ = ["add", "healthz", "metrics", "readyz", "remove", "status"]
+
+EXPOSITION_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class InstanceDocument(NamedTuple):
+    """An instance to add to the replicas.
+
+    Attributes:
+        name: Its name.
+        address: Where it listens for peers, `host:port`.
+    """
+
+    name: str
+    address: str
+
+    def findings(self) -> list[errors.Finding]:
+        """Checks the values and returns all faults."""
+        found = template.name_findings("name", self.name)
+        try:
+            values.address(self.address)
+        except ValueError as error:
+            found.append(errors.Finding("address", str(error)))
+        return found
+
+
+async def healthz(
+    _: services_module.Services, request: exchange.Request
+) -> exchange.Response:
+    """Tells that the process is alive; it does so until it ends."""
+    del request
+    return replies.found({"alive": True})
+
+
+async def readyz(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response:
+    """Tells whether the balancer may send requests."""
+    del request
+    refused = services.readiness()
+    if refused is None:
+        return replies.found({"ready": True})
+    return replies.refusal(refused, more={"ready": False})
+
+
+async def metrics(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response:
+    """Returns the metrics in the Prometheus text format."""
+    del request
+    text = services.counters.exposition()
+    return exchange.Response(200, text, content_type=EXPOSITION_TYPE)
+
+
+async def status(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response:
+    """Tells how this instance and the state that it holds are."""
+    del request
+    machine = services.machine
+    refused = services.readiness()
+    return replies.found(
+        {
+            "ready": refused is None,
+            "not_ready_because": refused.detail if refused else "",
+            "replica": services.replica.status(),
+            "applied_index": machine.applied_index,
+            "configuration_revision": machine.configuration.revision,
+            "grants": [machine.grants[zone] for zone in sorted(machine.grants)],
+            "jobs": len(machine.ledger.jobs),
+            "waiting_tasks": len(machine.ledger.waiting),
+            "live_tasks": sum(map(len, machine.ledger.live.values())),
+            "backend_servers": len(services.directory.entries),
+        }
+    )
+
+
+async def list_instances(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response:
+    """Lists the instances that this one knows, with their roles."""
+    del request
+    return replies.found({"replica": services.replica.status()})
+
+
+async def add(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response | outcomes.Refusal:
+    """Adds an instance to the replicas."""
+    operations.operation(request)
+    document = operations.decode_body(request, InstanceDocument)
+    outcome = await services.replica.change_members(
+        {document.name: document.address}, ()
+    )
+    return _members_reply(services, outcome, document.name, "added")
+
+
+async def remove(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response | outcomes.Refusal:
+    """Removes an instance from the replicas."""
+    operations.operation(request)
+    name = request.parameters["name"]
+    outcome = await services.replica.change_members({}, (name,))
+    return _members_reply(services, outcome, name, "removed")
+
+
+def _members_reply(
+    services: services_module.Services,
+    outcome: outcomes.Refusal | outcomes.Unknown | None,
+    name: str,
+    done: str,
+) -> exchange.Response | outcomes.Refusal:
+    if isinstance(outcome, outcomes.Refusal):
+        return outcome
+    if isinstance(outcome, outcomes.Unknown):
+        services.counters.unknown(services_module.PART, outcome.reason)
+        return replies.unknown(outcome)
+    services.log.info(f"instance {done}", instance_name=name)
+    return replies.found({"outcome": "ran", "instance": name, "change": done})
--- /dev/null
+++ b/turmerichall/operators/jobs.py
@@ -0,0 +1,162 @@
+"""Batch jobs over HTTP."""
+
+import hashlib
+from typing import Any, NamedTuple
+
+from turmerichall import errors
+from turmerichall import outcomes
+from turmerichall.jobs import job
+from turmerichall.operators import exchange
+from turmerichall.operators import operations
+from turmerichall.operators import reading
+from turmerichall.operators import replies
+from turmerichall.operators import services as services_module
+from turmerichall.state import change as changes
+from turmerichall.templates import template
+
+__all__ = ["JobDocument", "cancel", "explain", "list_jobs", "show", "submit"]
+
+JOB_ID_DIGITS = 12
+MAX_LISTED_JOBS = 1000
+
+
+class JobDocument(NamedTuple):
+    """A batch job to accept.
+
+    Attributes:
+        customer: Name of the customer.
+        template: Name of a batch template.
+        deadline_wall_seconds: When it must be finished, Unix time.
+        tasks: How many tasks.
+        job_id: Unique id; made from the operation id if empty.
+    """
+
+    customer: str
+    template: str
+    deadline_wall_seconds: float
+    tasks: int = 1
+    job_id: str = ""
+
+    def findings(self) -> list[errors.Finding]:
+        """Checks the values and returns all faults."""
+        found = template.name_findings("customer", self.customer)
+        found += template.name_findings("template", self.template)
+        if self.job_id:
+            found += template.name_findings("job_id", self.job_id)
+        if self.tasks < 1:
+            found.append(errors.Finding("tasks", "must be at least 1"))
+        if self.deadline_wall_seconds <= 0:
+            place = "deadline_wall_seconds"
+            found.append(errors.Finding(place, "must be above 0"))
+        return found
+
+
+def job_id_of(operation_id: str) -> str:
+    """Names a job after its operation, so that a resend names the same one.
+
+    Examples:
+        >>> job_id_of("a") == job_id_of("a") != job_id_of("b")
+        True
+    """
+    digest = hashlib.sha256(operation_id.encode()).hexdigest()
+    return f"job-{digest[:JOB_ID_DIGITS]}"
+
+
+async def submit(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response | outcomes.Refusal:
+    """Accepts a job."""
+    asked = operations.operation(request)
+    document: JobDocument = operations.decode_body(request, JobDocument)
+    job_id = document.job_id or job_id_of(asked.operation_id)
+    change = changes.AcceptJob(
+        asked,
+        job_id,
+        document.customer,
+        document.template,
+        document.tasks,
+        document.deadline_wall_seconds,
+    )
+    return await operations.submit(services, change, asked, job_id=job_id)
+
+
+async def cancel(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response | outcomes.Refusal:
+    """Cancels a job."""
+    asked = operations.operation(request)
+    job_id = request.parameters["name"]
+    change = changes.CancelJob(asked, job_id)
+    return await operations.submit(services, change, asked, job_id=job_id)
+
+
+async def list_jobs(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response | outcomes.Refusal:
+    """Lists the newest jobs, by `?state=` and `?customer=` if given."""
+    note = await reading.refresh(services, request)
+    if isinstance(note, outcomes.Refusal):
+        return note
+    state = request.query.get("state", "")
+    customer = request.query.get("customer", "")
+    items: list[dict[str, Any]] = []
+    for job_id in reversed(services.machine.ledger.jobs):
+        summary = _summary(services, job_id)
+        if state not in ("", summary["state"]):
+            continue
+        if customer not in ("", summary["customer"]):
+            continue
+        items.append(summary)
+        if len(items) == MAX_LISTED_JOBS:
+            break
+    return replies.found(reading.marked(note, {"items": items}))
+
+
+async def show(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response | outcomes.Refusal:
+    """Shows a job and its tasks."""
+    return await _one(services, request, explained=False)
+
+
+async def explain(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response | outcomes.Refusal:
+    """Shows what was decided about a job, in order, and where it is now."""
+    return await _one(services, request, explained=True)
+
+
+async def _one(
+    services: services_module.Services,
+    request: exchange.Request,
+    explained: bool,
+) -> exchange.Response | outcomes.Refusal:
+    note = await reading.refresh(services, request)
+    if isinstance(note, outcomes.Refusal):
+        return note
+    job_id = request.parameters["name"]
+    ledger = services.machine.ledger
+    if job_id not in ledger.jobs:
+        return outcomes.Refusal(
+            outcomes.RefusalReason.UNKNOWN_NAME,
+            f"job {job_id!r} does not exist",
+        )
+    item = _summary(services, job_id)
+    if explained:
+        item["decisions"] = ledger.decisions.get(job_id, [])
+    item["current"] = ledger.job_tasks(job_id)
+    return replies.found(reading.marked(note, {"item": item}))
+
+
+def _summary(services: services_module.Services, job_id: str) -> dict[str, Any]:
+    ledger = services.machine.ledger
+    held = ledger.jobs[job_id]
+    tasks = ledger.job_tasks(job_id)
+    states: dict[str, int] = {}
+    for task in tasks:
+        states[task.state.value] = states.get(task.state.value, 0) + 1
+    return {
+        **held._asdict(),
+        "state": job.job_state(held, tasks).value,
+        "task_states": states,
+    }
--- /dev/null
+++ b/turmerichall/operators/services.py
@@ -0,0 +1,81 @@
+"""What the operators' interface needs of the rest of a daemon."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+from turmerichall import outcomes
+from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import directory
+from turmerichall.operators import exchange
+from turmerichall.settings import settings
+from turmerichall.state import change as changes
+from turmerichall.state import machine as machines
+from turmerichall.telemetry import counters as metrics
+from turmerichall.telemetry import logs
+
+__all__ = ["Announcements", "Changes", "Replica", "Services"]
+
+PART = "operators"
+
+
+class Changes(Protocol):
+    """Has changes committed; `state.proposer.Proposer` is one."""
+
+    async def submit(
+        self, change: changes.Change
+    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
+        """Submits a change and awaits its result."""
+
+
+class Announcements(Protocol):
+    """Takes announcements of workers."""
+
+    async def announce(
+        self, told: announcement.Announcement
+    ) -> announcement.Reply:
+        """Takes an announcement and returns what the worker is to do."""
+
+
+class Replica(Protocol):
+    """The part of a replica that operators see."""
+
+    def status(self) -> Any:
+        """Returns its state as a `NamedTuple`."""
+
+    async def barrier(
+        self, timeout_seconds: float = 2.0
+    ) -> outcomes.Refusal | None:
+        """Waits until everything committed before the call is applied here."""
+
+    async def change_members(
+        self, add: dict[str, str], remove: tuple[str, ...]
+    ) -> outcomes.Refusal | outcomes.Unknown | None:
+        """Adds replicas, by name and address, and removes others."""
+
+
+class Services(NamedTuple):
+    """Everything that a handler may use.
+
+    Attributes:
+        machine: The replicated state.
+        changes: Has changes committed.
+        announcements: Takes announcements of workers.
+        directory: Backend servers as they are known here.
+        replica: Status, reads and membership.
+        readiness: Why the balancer should not send now, or None.
+        keys: Shared secrets.
+        counters: Metrics.
+        log: Log of this part.
+        bounds: Bounds on requests.
+    """
+
+    machine: machines.Machine
+    changes: Changes
+    announcements: Announcements
+    directory: directory.Directory
+    replica: Replica
+    readiness: Callable[[], outcomes.Refusal | None]
+    keys: settings.Keys
+    counters: metrics.Counters
+    log: logs.Log
+    bounds: exchange.Bounds = exchange.Bounds()
--- /dev/null
+++ b/turmerichall/operators/workers.py
@@ -0,0 +1,82 @@
+"""Announcements of workers over HTTP."""
+
+import math
+
+from turmerichall import documents
+from turmerichall import errors
+from turmerichall.backend_servers import announcement
+from turmerichall.operators import exchange
+from turmerichall.operators import replies
+from turmerichall.operators import services as services_module
+from turmerichall.settings import values
+from turmerichall.templates import template
+
+__all__ = ["MAX_REPORTS", "announce", "findings_of"]
+
+MAX_REPORTS = 1000
+MAX_TEXT_CHARACTERS = 500
+MAX_NUMBER = 2**48
+
+
+async def announce(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response:
+    """Takes an announcement and answers with renewals and commands."""
+    told = documents.decode(request.body, announcement.Announcement)
+    findings = findings_of(told)
+    if findings:
+        raise errors.InputError(findings)
+    return replies.found(await services.announcements.announce(told))
+
+
+def findings_of(told: announcement.Announcement) -> list[errors.Finding]:
+    """Checks the values of an announcement and returns all faults."""
+    found = template.name_findings("name", told.name)
+    found += template.name_findings("zone", told.zone)
+    found += template.name_findings("rack", told.rack)
+    try:
+        values.address(told.address)
+    except ValueError as error:
+        found.append(errors.Finding("address", str(error)))
+    numbers = {
+        "incarnation": told.incarnation,
+        "sequence": told.sequence,
+        "slots": told.slots,
+        "connections": told.connections,
+        "epoch": told.epoch,
+        **told.capacity._asdict(),
+    }
+    for field, number in numbers.items():
+        found += _number_findings(field, number)
+    if len(told.tasks) > MAX_REPORTS:
+        reason = f"expected at most {MAX_REPORTS}, not {len(told.tasks)}"
+        return found + [errors.Finding("tasks", reason)]
+    for number, report in enumerate(told.tasks):
+        found += _report_findings(f"tasks[{number}]", report)
+    return found
+
+
+def _report_findings(
+    place: str, report: announcement.TaskReport
+) -> list[errors.Finding]:
+    numbers = {
+        "attempt": report.attempt,
+        "slowdown": report.slowdown,
+        "measured_seconds_ago": report.measured_seconds_ago,
+        **report.usage._asdict(),
+    }
+    found = []
+    for field, number in numbers.items():
+        found += _number_findings(f"{place}.{field}", number)
+    for field in ("task_id", "checkpoint", "detail"):
+        if len(getattr(report, field)) > MAX_TEXT_CHARACTERS:
+            reason = f"expected at most {MAX_TEXT_CHARACTERS} characters"
+            found.append(errors.Finding(f"{place}.{field}", reason))
+    return found
+
+
+def _number_findings(place: str, number: float) -> list[errors.Finding]:
+    if math.isfinite(number) and 0 <= number <= MAX_NUMBER:
+        return []
+    reason = f"expected a number from 0 to {MAX_NUMBER}"
+    return [errors.Finding(place, reason)]
