Add quotas, turns, learnt sizes, interference, health and eviction

The first planner placed by free processors only. Placement now weighs expected slowdowns of pairs, learnt from late reports that are attributed to who ran beside the task when it was measured; throttles before it evicts; quarantines workers that fail what others finish; tells jobs that can never run the nearest size that would.

--- /dev/null
+++ b/turmerichall/placement/eviction.py
@@ -0,0 +1,301 @@
+"""Throttles, then evicts tasks that starve a service or exceed their share."""
+
+from typing import Protocol
+
+from turmerichall.placement import budget
+from turmerichall.placement import decisions
+from turmerichall.placement import fleet as fleets
+from turmerichall.placement import occupancy
+from turmerichall.placement import weights as weighing
+
+__all__ = ["Evictor", "NoEvictor", "PacedEvictor", "PromptEvictor", "lost_work"]
+
+THROTTLE_SHARE = 0.4
+# A measurement tells about an action only if taken this much later.
+SETTLE_SECONDS = 10.0
+PATIENCE_SECONDS = 30.0
+RELAX_SECONDS = 60.0
+# Throttles are lifted below this share of the margin.
+RELAX_RATIO = 0.6
+RESTART_SECONDS = 15.0
+CHECKPOINT_PERIOD_SECONDS = 300.0
+ALMOST_FINISHED_SECONDS = 45.0
+OVER_SHARE_RATIO = 1.25
+
+Decision = decisions.ThrottleDecision | decisions.EvictDecision
+
+
+class Evictor(Protocol):
+    """Decides which running tasks are throttled or evicted."""
+
+    def decide(self, now: float) -> list[Decision]:
+        """Returns what to do about troubled workers."""
+
+
+class NoEvictor:
+    """Leaves every task where it is."""
+
+    def decide(self, now: float) -> list[Decision]:
+        """Decides nothing."""
+        del now
+        return []
+
+
+class PromptEvictor:
+    """Evicts the largest batch task of a worker with a slow service, at once.
+
+    Attributes:
+        fleet: The workers.
+        margin: Slowdown above which a service is slow.
+    """
+
+    def __init__(self, fleet: fleets.Fleet, margin: float) -> None:
+        self.fleet = fleet
+        self.margin = margin
+
+    def decide(self, now: float) -> list[Decision]:
+        """Returns one eviction for each worker with a slow service."""
+        found: list[Decision] = []
+        for name in list(self.fleet.troubled):
+            del self.fleet.troubled[name]
+            known = self.fleet.workers.get(name)
+            if known is None or _is_evicting(known):
+                continue
+            slow = _slowest(known)
+            batch = _candidates(known)
+            leaving = known.view.leaving
+            if batch and leaving:
+                found += [evict(h, "worker is leaving", now) for h in batch]
+            elif batch and slow > self.margin:
+                largest = max(batch, key=lambda held: held.size.processors)
+                reason = f"largest beside a service slowed to {slow:.2f}"
+                found.append(evict(largest, reason, now))
+        return found
+
+
+class PacedEvictor:
+    """Throttles first, evicts what loses least, within a budget.
+
+    Attributes:
+        fleet: The workers.
+        weights: The margin of services.
+        budget: How many evictions may be decided.
+        acted_at: Last decision by worker; later measurements are awaited.
+    """
+
+    def __init__(self, fleet: fleets.Fleet, weights: weighing.Weights) -> None:
+        self.fleet = fleet
+        self.weights = weights
+        self.budget = budget.Budget()
+        self.acted_at: dict[str, float] = {}
+
+    def decide(self, now: float) -> list[Decision]:
+        """Returns the next step for each troubled worker."""
+        self.budget.refill(len(self.fleet.workers), now)
+        found: list[Decision] = []
+        for name in list(self.fleet.troubled):
+            known = self.fleet.workers.get(name)
+            if known is None or not known.held:
+                self.fleet.troubled.pop(name)
+                continue
+            if _is_evicting(known):
+                continue
+            made = self._step(known, now)
+            if made:
+                self.acted_at[name] = now
+                self.fleet.rankings.mark(name)
+            elif not any(held.throttle < 1 for held in known.held.values()):
+                self.fleet.troubled.pop(name, None)
+            found += made
+        return found
+
+    def _step(self, known: occupancy.Occupancy, now: float) -> list[Decision]:
+        if known.view.leaving:
+            return self._drain(known, now)
+        if known.free.memory_mb < 0:
+            return self._free_memory(known, now)
+        slow = _slowest(known, self.acted_at.get(known.view.name, -1e9))
+        if slow > self.weights.service_margin:
+            return self._relieve(known, slow, now)
+        if known.free.processors < 0:
+            return self._throttle_over_share(known, now)
+        if slow < 1 + RELAX_RATIO * (self.weights.service_margin - 1):
+            return self._relax(known, now)
+        return []
+
+    def _drain(self, known: occupancy.Occupancy, now: float) -> list[Decision]:
+        reason = "worker is leaving"
+        found: list[Decision] = []
+        for held in _candidates(known):
+            if self._remaining(held, now) > ALMOST_FINISHED_SECONDS:
+                found.append(evict(held, reason, now))
+        services = [held for held in known.held.values() if held.task.service]
+        for held in services:
+            if held.started_at is None or held.evicting_at is not None:
+                continue
+            if self.fleet.may_move(held.task, now):
+                self.fleet.note_moving(held.task, now)
+                found.append(evict(held, reason, now))
+        return found
+
+    def _free_memory(
+        self, known: occupancy.Occupancy, now: float
+    ) -> list[Decision]:
+        batch = _candidates(known)
+        if not batch:
+            return []
+        worst = max(batch, key=lambda held: (held.over_share, -now))
+        if worst.over_share <= 1.0:
+            worst = min(batch, key=lambda held: lost_work(held, now))
+        reason = "memory in use exceeds the worker"
+        if worst.over_share > 1.0:
+            reason += f"; uses {worst.over_share:.1f} times its share"
+        return [evict(worst, reason, now)]
+
+    def _relieve(
+        self, known: occupancy.Occupancy, slow: float, now: float
+    ) -> list[Decision]:
+        batch = _candidates(known)
+        blames = {held.task.task_id: self._blame(known, held) for held in batch}
+        batch = [held for held in batch if blames[held.task.task_id] > 0.01]
+        if not batch:
+            return []
+        worst = max(batch, key=lambda held: blames[held.task.task_id])
+        beside = f"beside a service slowed to {slow:.2f}"
+        if worst.throttle >= 1.0:
+            return [throttle(worst, THROTTLE_SHARE, beside, now)]
+        if now < worst.throttled_at + PATIENCE_SECONDS:
+            return []
+        eased = [held for held in batch if held.throttle >= 1.0]
+        if eased and slow < 1 + 2 * (self.weights.service_margin - 1):
+            worst = max(eased, key=lambda held: blames[held.task.task_id])
+            return [throttle(worst, THROTTLE_SHARE, beside, now)]
+        return self._evict_cheapest(batch, blames, beside, now)
+
+    def _evict_cheapest(
+        self,
+        batch: list[occupancy.Held],
+        blames: dict[str, float],
+        beside: str,
+        now: float,
+    ) -> list[Decision]:
+        lasting = [
+            held
+            for held in batch
+            if self._remaining(held, now) > ALMOST_FINISHED_SECONDS
+        ]
+        if not lasting or not self.budget.take():
+            return []
+        chosen = max(
+            lasting,
+            key=lambda held: blames[held.task.task_id] / lost_work(held, now),
+        )
+        lost = lost_work(chosen, now)
+        reason = f"throttling did not help {beside}; loses {lost:.0f} s at most"
+        return [evict(chosen, reason, now)]
+
+    def _throttle_over_share(
+        self, known: occupancy.Occupancy, now: float
+    ) -> list[Decision]:
+        over = [
+            held
+            for held in _candidates(known)
+            if held.over_share > OVER_SHARE_RATIO
+        ]
+        fresh = [held for held in over if held.throttle >= 1.0]
+        if fresh:
+            worst = max(fresh, key=lambda held: held.over_share)
+            share = max(0.05, 1.0 / worst.over_share)
+            reason = f"uses {worst.over_share:.1f} times its share"
+            return [throttle(worst, share, reason, now)]
+        late = [
+            held
+            for held in over
+            if now > held.throttled_at + PATIENCE_SECONDS
+            and held.measured_at > held.throttled_at + SETTLE_SECONDS
+        ]
+        if not late or not self.budget.take():
+            return []
+        worst = min(late, key=lambda held: lost_work(held, now))
+        reason = f"uses {worst.over_share:.1f} times its share when throttled"
+        return [evict(worst, reason, now)]
+
+    def _relax(self, known: occupancy.Occupancy, now: float) -> list[Decision]:
+        for held in _candidates(known):
+            if held.throttle >= 1.0:
+                continue
+            if now < held.throttled_at + RELAX_SECONDS:
+                continue
+            exceeds = held.over_share > OVER_SHARE_RATIO
+            if exceeds and known.free.processors < 1.0:
+                continue
+            reason = "services on the worker are within their margin"
+            return [throttle(held, 1.0, reason, now)]
+        return []
+
+    def _blame(self, known: occupancy.Occupancy, held: occupancy.Held) -> float:
+        """Returns the excess that a task is expected to add to services."""
+        share = held.use / known.view.capacity.processors
+        added = 0.0
+        for other in known.held.values():
+            if other.task.service and other.slowdown > 1.0:
+                pair = self.fleet.estimator.added(
+                    other.task.template, held.task.template
+                )
+                added += max(0.0, pair) * share + 0.1 * share
+        return added
+
+    def _remaining(self, held: occupancy.Held, now: float) -> float:
+        started = now if held.started_at is None else held.started_at
+        return self.fleet.run_seconds(held.task) - (now - started)
+
+
+def lost_work(held: occupancy.Held, now: float) -> float:
+    """Returns the seconds of work that an eviction may lose, at most."""
+    started = now if held.started_at is None else held.started_at
+    return min(now - started, CHECKPOINT_PERIOD_SECONDS) + RESTART_SECONDS
+
+
+def evict(
+    held: occupancy.Held, reason: str, now: float
+) -> decisions.EvictDecision:
+    """Marks a task as being evicted and returns the decision."""
+    held.evicting_at = now
+    return decisions.EvictDecision(held.task.task_id, held.worker, reason)
+
+
+def throttle(
+    held: occupancy.Held, share: float, reason: str, now: float
+) -> decisions.ThrottleDecision:
+    """Changes the throttle of a task and returns the decision."""
+    held.throttle = share
+    held.throttled_at = now
+    return decisions.ThrottleDecision(
+        held.task.task_id, held.worker, share, reason
+    )
+
+
+def _is_evicting(known: occupancy.Occupancy) -> bool:
+    return any(held.evicting_at is not None for held in known.held.values())
+
+
+def _candidates(known: occupancy.Occupancy) -> list[occupancy.Held]:
+    return [
+        held
+        for held in known.held.values()
+        if not held.task.service
+        and held.started_at is not None
+        and held.evicting_at is None
+    ]
+
+
+def _slowest(known: occupancy.Occupancy, since: float = -1e9) -> float:
+    """Returns the highest service slowdown measured well after `since`."""
+    return max(
+        (
+            held.slowdown
+            for held in known.held.values()
+            if held.task.service and held.measured_at > since + SETTLE_SECONDS
+        ),
+        default=0.0,
+    )
--- /dev/null
+++ b/turmerichall/placement/fits.py
@@ -0,0 +1,136 @@
+"""Tells jobs that can never run, with the nearest size that would."""
+
+from collections.abc import Iterable
+
+from turmerichall import outcomes
+from turmerichall import resources
+from turmerichall.placement import decisions
+from turmerichall.placement import views
+from turmerichall.placement import waiting
+
+__all__ = ["Misfits", "never_fits"]
+
+# Workers announce themselves again within this time after a start.
+SETTLE_SECONDS = 5.0
+
+
+class Misfits:
+    """Waiting tasks that no known worker can ever hold.
+
+    They stand aside from the queue until a larger worker becomes known.
+
+    Attributes:
+        tasks: The tasks by id.
+        checked: Findings by shape, as long as no worker becomes known.
+        first_now: Time of the first check; none is told before the workers
+            had time to announce themselves.
+    """
+
+    def __init__(self) -> None:
+        self.tasks: dict[str, views.TaskView] = {}
+        self.checked: dict[waiting.Shape, str | None] = {}
+        self.first_now: float | None = None
+
+    def reset(self) -> list[views.TaskView]:
+        """Forgets all findings and returns the tasks to queue again."""
+        again = list(self.tasks.values())
+        self.tasks.clear()
+        self.checked.clear()
+        return again
+
+    def sift(
+        self,
+        queue: waiting.WaitingTasks,
+        workers: Iterable[views.WorkerView],
+        now: float,
+    ) -> list[decisions.WaitDecision]:
+        """Moves tasks that can never run out of the queue.
+
+        Args:
+            queue: The waiting tasks.
+            workers: All known workers.
+            now: The caller's monotonic clock, in seconds.
+
+        Returns:
+            One decision for each job concerned.
+        """
+        if self.first_now is None:
+            self.first_now = now
+        if now < self.first_now + SETTLE_SECONDS:
+            return []
+        told: dict[str, decisions.WaitDecision] = {}
+        for bucket in list(queue.buckets.values()):
+            shape = bucket.key.shape
+            tasks = [task for _, task in bucket.live.values()]
+            if shape not in self.checked:
+                self.checked[shape] = never_fits(tasks[0], workers)
+            finding = self.checked[shape]
+            if finding is None:
+                continue
+            for task in tasks:
+                queue.drop(task.task_id)
+                self.tasks[task.task_id] = task
+                told.setdefault(
+                    views.job_of(task.task_id),
+                    decisions.WaitDecision(
+                        task.task_id,
+                        outcomes.RefusalReason.NEVER_FITS,
+                        finding,
+                    ),
+                )
+        return list(told.values())
+
+
+def never_fits(
+    task: views.TaskView, workers: Iterable[views.WorkerView]
+) -> str | None:
+    """Explains why no worker can ever hold a task.
+
+    Args:
+        task: The task, with its declared size.
+        workers: All known workers, busy or not.
+
+    Returns:
+        None if one can, or if no worker is known in its zones; otherwise what
+        is asked for, and the nearest size that a worker can hold.
+
+    Examples:
+        >>> from turmerichall.customers import customer
+        >>> room = resources.Resources(32, 125_000, 0)
+        >>> task = views.TaskView("j/0", "t", "c", "team",
+        ...     customer.Urgency.NORMAL, False, resources.Resources(40, 9))
+        >>> found = never_fits(task, [views.WorkerView("w", "r", "z", room)])
+        >>> found.split("; ")[1]
+        'the nearest that fits is 32 processors, 9 MiB on w'
+    """
+    nearest: tuple[float, str, resources.Resources] | None = None
+    for worker in workers:
+        if task.zones and worker.zone not in task.zones:
+            continue
+        if task.size.fits_in(worker.capacity):
+            return None
+        size = task.size.lower(worker.capacity)
+        kept = _kept_share(task.size, size)
+        if nearest is None or kept > nearest[0]:
+            nearest = (kept, worker.name, size)
+    if nearest is None:
+        return None
+    _, name, size = nearest
+    asked = _words(task.size)
+    return f"needs {asked}; the nearest that fits is {_words(size)} on {name}"
+
+
+def _kept_share(asked: resources.Resources, size: resources.Resources) -> float:
+    shares = [
+        kept / wanted
+        for kept, wanted in zip(size, asked, strict=True)
+        if wanted > 0
+    ]
+    return min(shares, default=0.0) + 0.01 * sum(shares)
+
+
+def _words(size: resources.Resources) -> str:
+    words = f"{size.processors:g} processors, {size.memory_mb} MiB"
+    if size.accelerators:
+        words += f", {size.accelerators} accelerators"
+    return words
--- /dev/null
+++ b/turmerichall/placement/health.py
@@ -0,0 +1,153 @@
+"""Workers that fail what they start, told apart from jobs that fail anywhere.
+
+A failure counts against the worker less, the more often the same job failed
+on other workers, and against the job less, the worse the worker is.
+"""
+
+import math
+
+from turmerichall.placement import views
+
+__all__ = ["Health", "Record"]
+
+SUSPECT_FAILURES = 3.0
+PROBE_AFTER_SECONDS = 60.0
+MAX_PROBE_AFTER_SECONDS = 1800.0
+FLAPS_COUNTED_SECONDS = 600.0
+MAX_FLAPS = 3
+STABLE_AFTER_SECONDS = 120.0
+MAX_JOBS = 4096
+
+
+class Record:
+    """What is known of one worker.
+
+    Attributes:
+        blame: Failures that count against the worker since its last success.
+        quarantined_until: When a task may be tried again; -inf if healthy.
+        probing: Task that is being tried, or empty.
+        probes: Failed tries in a row.
+        returns: Times at which it came back after an absence.
+    """
+
+    def __init__(self) -> None:
+        self.blame = 0.0
+        self.quarantined_until = -math.inf
+        self.probing = ""
+        self.probes = 0
+        self.returns: list[float] = []
+
+
+class Health:
+    """Judges workers and jobs by how attempts end.
+
+    Attributes:
+        workers: Records by worker name.
+        failed_on: Workers on which tasks of a job failed, by job.
+        succeeded: Jobs of which a task finished.
+        avoided: Workers that a task failed on, by task.
+    """
+
+    def __init__(self) -> None:
+        self.workers: dict[str, Record] = {}
+        self.failed_on: dict[str, dict[str, None]] = {}
+        self.succeeded: dict[str, None] = {}
+        self.avoided: dict[str, dict[str, None]] = {}
+
+    def of(self, worker: str) -> Record:
+        """Returns the record of a worker."""
+        found = self.workers.get(worker)
+        if found is None:
+            found = self.workers[worker] = Record()
+        return found
+
+    def note_success(self, worker: str, task_id: str) -> bool:
+        """Notes a finished attempt; returns whether a quarantine ended."""
+        record = self.of(worker)
+        was_quarantined = record.quarantined_until > -math.inf
+        record.blame = 0.0
+        record.probes = 0
+        record.probing = ""
+        record.quarantined_until = -math.inf
+        self.succeeded[views.job_of(task_id)] = None
+        self.avoided.pop(task_id, None)
+        _trim(self.succeeded)
+        return was_quarantined
+
+    def note_failure(self, worker: str, task_id: str, at: float) -> bool:
+        """Notes a failed attempt; returns whether a quarantine began."""
+        job = views.job_of(task_id)
+        elsewhere = [
+            name for name in self.failed_on.get(job, {}) if name != worker
+        ]
+        healthy = [name for name in elsewhere if self.of(name).blame < 1.5]
+        self.failed_on.setdefault(job, {})[worker] = None
+        _trim(self.failed_on)
+        self.avoided.setdefault(task_id, {})[worker] = None
+        _trim(self.avoided)
+        record = self.of(worker)
+        record.blame += 1.0 / (1 + len(healthy))
+        if job in self.succeeded and not healthy:
+            record.blame += 0.5
+        if record.probing == task_id or record.blame >= SUSPECT_FAILURES:
+            return self._quarantine(record, at)
+        return False
+
+    def _quarantine(self, record: Record, at: float) -> bool:
+        began = record.quarantined_until == -math.inf
+        wait = PROBE_AFTER_SECONDS * 2**record.probes
+        record.quarantined_until = at + min(wait, MAX_PROBE_AFTER_SECONDS)
+        record.probes += 1
+        record.probing = ""
+        return began
+
+    def note_return(self, worker: str, at: float) -> None:
+        """Notes that an absent worker came back."""
+        record = self.of(worker)
+        record.returns = [
+            then for then in record.returns if then > at - FLAPS_COUNTED_SECONDS
+        ]
+        record.returns.append(at)
+
+    def flaps(self, worker: str, now: float) -> bool:
+        """Tells whether a worker came and went too often to be relied on."""
+        record = self.workers.get(worker)
+        if record is None or len(record.returns) < MAX_FLAPS:
+            return False
+        return now < record.returns[-1] + STABLE_AFTER_SECONDS
+
+    def accepts(self, worker: str, task: views.TaskView, now: float) -> bool:
+        """Tells whether a worker may be given a task.
+
+        A quarantined worker is given one deferrable or normal batch task at a
+        time once its wait is over; a flapping one no service.
+        """
+        if worker in self.avoided.get(task.task_id, {}):
+            return False
+        record = self.workers.get(worker)
+        if record is None:
+            return True
+        if record.quarantined_until > -math.inf:
+            if now < record.quarantined_until or record.probing:
+                return False
+            return not task.service and not task.evicted
+        if task.service or task.failures:
+            return not self.flaps(worker, now)
+        return True
+
+    def note_placed(self, worker: str, task_id: str) -> None:
+        """Notes that a task was placed; it is a probe in a quarantine."""
+        record = self.workers.get(worker)
+        if record is not None and record.quarantined_until > -math.inf:
+            record.probing = task_id
+
+    def note_gone(self, worker: str, task_id: str) -> None:
+        """Notes that an attempt ended without telling about the worker."""
+        record = self.workers.get(worker)
+        if record is not None and record.probing == task_id:
+            record.probing = ""
+
+
+def _trim(kept: dict) -> None:
+    while len(kept) > MAX_JOBS:
+        del kept[next(iter(kept))]
--- /dev/null
+++ b/turmerichall/placement/interference.py
@@ -0,0 +1,189 @@
+"""Estimates how much slower a task runs beside given neighbours.
+
+Each estimator learns from measured situations, on excess slowdown: 0.0 is a
+task that runs as if alone.  The coefficients are kept as means with variances
+and updated one by one as in a Kalman filter with a diagonal covariance, so a
+prior is used as long as samples are few, and old samples lose their weight.
+"""
+
+import math
+from typing import NamedTuple, Protocol
+
+__all__ = [
+    "Estimate",
+    "Estimator",
+    "NoEstimator",
+    "PairEstimator",
+    "Situation",
+    "TemplateEstimator",
+]
+
+NOISE_VARIANCE = 0.04
+# Variance that a coefficient regains for each second without a sample.
+AGEING_PER_SECOND = 2e-5
+MAX_SURPRISE = 1.5
+
+
+class Situation(NamedTuple):
+    """A task among its neighbours.
+
+    Attributes:
+        victim: Template of the task.
+        load: Expected use of all tasks as a share of the processors.
+        neighbours: Template and share of the processors of each other kind.
+    """
+
+    victim: str
+    load: float
+    neighbours: tuple[tuple[str, float], ...]
+
+
+class Estimate(NamedTuple):
+    """Expected excess slowdown and the variance of that expectation."""
+
+    excess: float
+    variance: float
+
+    def upper(self, deviations: float) -> float:
+        """Returns the excess that is exceeded only rarely."""
+        return self.excess + deviations * math.sqrt(self.variance)
+
+
+class Estimator(Protocol):
+    """Learns and estimates excess slowdown."""
+
+    def learn(self, seen: Situation, excess: float, at: float) -> None:
+        """Takes in one measured situation."""
+
+    def estimate(self, asked: Situation) -> Estimate:
+        """Estimates the excess slowdown of a situation."""
+
+    def added(self, victim: str, neighbour: str) -> float:
+        """Returns the excess that one whole worker's use would add."""
+
+
+class Coefficient:
+    """A mean with its variance."""
+
+    __slots__ = ("at", "mean", "prior_variance", "variance")
+
+    def __init__(self, mean: float, variance: float, at: float = 0.0) -> None:
+        self.mean = mean
+        self.variance = variance
+        self.prior_variance = variance
+        self.at = at
+
+    def age(self, at: float) -> None:
+        """Regains variance for the time since the last sample."""
+        passed = at - self.at
+        if passed > 0:
+            grown = self.variance + AGEING_PER_SECOND * passed
+            self.variance = min(self.prior_variance, grown)
+            self.at = at
+
+
+class NoEstimator:
+    """Assumes that neighbours do not interfere."""
+
+    def learn(self, seen: Situation, excess: float, at: float) -> None:
+        """Takes in nothing."""
+
+    def estimate(self, asked: Situation) -> Estimate:
+        """Returns no slowdown."""
+        del asked
+        return Estimate(0.0, 0.0)
+
+    def added(self, victim: str, neighbour: str) -> float:
+        """Returns no slowdown."""
+        del victim, neighbour
+        return 0.0
+
+
+class TemplateEstimator:
+    """Gives each template one strength, whoever its neighbours are.
+
+    Attributes:
+        loads: What load adds, by template of the task that is slowed.
+        strengths: What a neighbour adds, by the neighbour's template.
+    """
+
+    def __init__(self) -> None:
+        self.loads: dict[str, Coefficient] = {}
+        self.strengths: dict[str, Coefficient] = {}
+
+    def terms(self, asked: Situation) -> list[tuple[Coefficient, float]]:
+        """Returns the coefficients of a situation and their factors."""
+        load = self.loads.get(asked.victim)
+        if load is None:
+            load = self.loads[asked.victim] = Coefficient(0.2, 0.09)
+        found = [(load, asked.load * asked.load)]
+        for template, share in asked.neighbours:
+            strength = self.strengths.get(template)
+            if strength is None:
+                strength = Coefficient(0.5, 0.5)
+                self.strengths[template] = strength
+            found.append((strength, share))
+        return found
+
+    def learn(self, seen: Situation, excess: float, at: float) -> None:
+        """Takes in one measured situation."""
+        terms = self.terms(seen)
+        expected = 0.0
+        variance = NOISE_VARIANCE
+        for coefficient, factor in terms:
+            coefficient.age(at)
+            expected += coefficient.mean * factor
+            variance += coefficient.variance * factor * factor
+        surprise = excess - expected
+        surprise = max(-MAX_SURPRISE, min(MAX_SURPRISE, surprise))
+        for coefficient, factor in terms:
+            gain = coefficient.variance * factor / variance
+            coefficient.mean += gain * surprise
+            coefficient.variance -= gain * factor * coefficient.variance
+
+    def estimate(self, asked: Situation) -> Estimate:
+        """Estimates the excess slowdown of a situation."""
+        excess = 0.0
+        variance = 0.0
+        for coefficient, factor in self.terms(asked):
+            excess += coefficient.mean * factor
+            variance += coefficient.variance * factor * factor
+        return Estimate(max(0.0, excess), variance)
+
+    def added(self, victim: str, neighbour: str) -> float:
+        """Returns the excess that one whole worker's use would add."""
+        del victim
+        strength = self.strengths.get(neighbour)
+        return 0.5 if strength is None else strength.mean
+
+
+class PairEstimator(TemplateEstimator):
+    """Adds to each template's strength what is particular to a pair.
+
+    A pair starts at no difference from the template's strength and departs
+    from it only as far as samples of the pair support.
+
+    Attributes:
+        pairs: Differences by template of the slowed task and the neighbour.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pairs: dict[tuple[str, str], Coefficient] = {}
+
+    def terms(self, asked: Situation) -> list[tuple[Coefficient, float]]:
+        """Returns the coefficients of a situation and their factors."""
+        found = super().terms(asked)
+        for template, share in asked.neighbours:
+            key = (asked.victim, template)
+            pair = self.pairs.get(key)
+            if pair is None:
+                pair = self.pairs[key] = Coefficient(0.0, 0.5)
+            found.append((pair, share))
+        return found
+
+    def added(self, victim: str, neighbour: str) -> float:
+        """Returns the excess that one whole worker's use would add."""
+        found = super().added(victim, neighbour)
+        pair = self.pairs.get((victim, neighbour))
+        return found if pair is None else found + pair.mean
--- a/turmerichall/placement/planner.py
+++ b/turmerichall/placement/planner.py
@@ -8,9 +8,14 @@
 
 from turmerichall import outcomes
 from turmerichall import resources
-from turmerichall.customers import customer as customers
 from turmerichall.placement import decisions
+from turmerichall.placement import finish
+from turmerichall.placement import fits
 from turmerichall.placement import occupancy
+from turmerichall.placement import policy as policies
+from turmerichall.placement import quotas
+from turmerichall.placement import room
+from turmerichall.placement import turns
 from turmerichall.placement import views
 from turmerichall.placement import waiting
 from turmerichall.placement import weights as weighing
@@ -20,12 +25,6 @@
 
 MAX_STARTS = 64
 
-_URGENCY_RANK = {
-    customers.Urgency.URGENT: 0,
-    customers.Urgency.NORMAL: 1,
-    customers.Urgency.DEFERRABLE: 2,
-}
-
 
 class Planner:
     """Decides placement for the workers that it is told of.
@@ -34,62 +33,86 @@
     noted, an eviction until the worker's end of it is noted.
 
     Attributes:
-        weights: What a placement is judged by.
-        workers: Occupancy by worker name.
+        policy: The mechanisms that decide.
+        fleet: The workers, what they hold and what was learnt.
         waiting: The waiting tasks.
-        worker_of: Worker that holds each held task.
+        quotas: What teams hold and may hold.
+        room: Makes room for work that must not wait.
+        finish: Estimates when jobs finish.
+        resubmitted: Tasks that wait again once their end is noted.
+        misfits: Waiting tasks that can never run.
+        told: Job and reason last told about a bucket of waiting tasks.
+        now: Latest time that was heard of.
     """
 
-    def __init__(self, weights: weighing.Weights) -> None:
-        self.weights = weights
-        self.workers: dict[str, occupancy.Occupancy] = {}
+    def __init__(
+        self,
+        weights: weighing.Weights = weighing.BALANCED,
+        policy: policies.Policy | None = None,
+    ) -> None:
+        self.policy = policy or policies.named(policies.CURRENT, weights)
+        self.fleet = self.policy.fleet
         self.waiting = waiting.WaitingTasks()
-        self.worker_of: dict[str, str] = {}
-        self.quotas: dict[str, resources.Resources] = {}
+        self.quotas = quotas.Quotas()
+        self.room = room.RoomMaker(self.fleet, self.quotas)
+        self.finish = finish.FinishEstimator(self.fleet, self.waiting)
         self.resubmitted: dict[str, views.TaskView] = {}
-        self.told: dict[waiting.BucketKey, outcomes.RefusalReason] = {}
+        self.misfits = fits.Misfits()
+        self.told: dict[waiting.BucketKey, tuple[str, str]] = {}
+        self.now = 0.0
 
     def put_worker(self, view: views.WorkerView) -> None:
         """Adds a worker or takes over its new announcement."""
-        known = self.workers.get(view.name)
-        if known is None:
-            self.workers[view.name] = occupancy.Occupancy(view)
-        else:
-            known.update(view)
+        known = self.fleet.workers.get(view.name)
+        before = None if known is None else known.view.capacity
+        self.fleet.put_worker(view, self.now)
+        if before != view.capacity:
+            self._sum_capacity()
+            for task in self.misfits.reset():
+                self.waiting.put(task)
 
     def drop_worker(self, name: str) -> None:
         """Stops using a worker; what it holds counts until its end is noted."""
-        known = self.workers.get(name)
-        if known is None:
-            return
-        known.present = False
-        if not known.held:
-            del self.workers[name]
+        self.fleet.drop_worker(name)
+        self._sum_capacity()
 
     def put_waiting(self, task: views.TaskView) -> None:
         """Adds a waiting task; one still held waits from its end on."""
-        if task.task_id in self.worker_of:
+        if task.task_id in self.fleet.worker_of:
             self.resubmitted[task.task_id] = task
             return
+        self.misfits.tasks.pop(task.task_id, None)
         self.waiting.put(task)
 
     def drop_waiting(self, task_id: str) -> None:
         """Forgets a waiting task, at a cost that is flat in their number."""
         self.resubmitted.pop(task_id, None)
-        self.waiting.drop(task_id)
+        self.misfits.tasks.pop(task_id, None)
+        task = self.waiting.drop(task_id)
+        if task is not None and task.service:
+            self.fleet.note_settled(task)
 
     def put_running(self, task: views.TaskView, worker: str, at: float) -> None:
-        """Takes over a task that was started before this planner was made."""
-        self.waiting.drop(task.task_id)
-        held = occupancy.Held(task, worker, task.size, at, started_at=at)
-        self._occupancy(worker).hold(held)
-        self.worker_of[task.task_id] = worker
+        """Takes over a task that was started before this planner was made.
+
+        Args:
+            task: The task; its attempt is the one that runs.
+            worker: Worker that runs it.
+            at: When it was started, as far as known.
+        """
+        if task.task_id in self.fleet.worker_of:
+            return
+        self.drop_waiting(task.task_id)
+        held = self.fleet.hold(task, worker, task.attempt, at)
+        self._count(held, 1)
+        self.fleet.note_started(held, at)
 
     def note_started(self, task_id: str, worker: str, at: float) -> None:
         """Notes that a start was carried out."""
-        held = self._held(task_id, worker)
-        if held is not None and held.started_at is None:
-            self.workers[worker].hold(held._replace(started_at=at))
+        self.now = max(self.now, at)
+        held = self.fleet.held(task_id, worker)
+        if held is not None:
+            self.fleet.note_started(held, at)
 
     def note_ended(
         self, task_id: str, worker: str, ending: changes.Ending, at: float
@@ -104,28 +127,29 @@
             ending: How it ended; `REFUSED` if the start was not carried out.
             at: When it ended.
         """
-        del ending, at
-        if self._held(task_id, worker) is None:
+        self.now = max(self.now, at)
+        held = self.fleet.release(task_id, worker, at)
+        if held is None:
             return
-        known = self.workers[worker]
-        known.release(task_id)
-        del self.worker_of[task_id]
-        if not known.present and not known.held:
-            del self.workers[worker]
+        self._count(held, -1)
+        self._judge(held, ending, at)
         again = self.resubmitted.pop(task_id, None)
         if again is not None:
             self.waiting.put(again)
 
     def set_quota(self, team: str, limit: resources.Resources | None) -> None:
         """Sets what the batch work of a team may hold; None for no limit."""
-        if limit is None:
-            self.quotas.pop(team, None)
-        else:
-            self.quotas[team] = limit
+        self.quotas.set_limit(team, limit)
 
     def put_usage(self, report: views.UsageReport) -> None:
         """Takes in a measurement, which may be late or out of order."""
-        del report
+        self.fleet.put_usage(report, max(self.now, report.measured_at))
+
+    def estimate_finish(
+        self, job_id: str, now: float
+    ) -> decisions.FinishEstimate:
+        """Estimates when the last task of a job finishes."""
+        return self.finish.estimate(job_id, now)
 
     def plan(
         self, now: float, wall_now: float, max_starts: int = MAX_STARTS
@@ -140,93 +164,205 @@
         Returns:
             The decisions, which the planner regards as under way from now on.
         """
-        del wall_now
+        self.now = max(self.now, now)
+        throttles = []
+        evictions = []
+        for decision in self.policy.evictor.decide(now):
+            if isinstance(decision, decisions.ThrottleDecision):
+                throttles.append(decision)
+            else:
+                evictions.append(decision)
+        known_workers = list(self.fleet.workers)
+        self.fleet.rankings.sweep(known_workers, now)
         starts: list[decisions.StartDecision] = []
-        waits: list[decisions.WaitDecision] = []
-        heap = self._heads()
+        views_of_workers = [w.view for w in self.fleet.workers.values()]
+        waits = self.misfits.sift(self.waiting, views_of_workers, now)
+        headroom = self._headroom()
+        heap = self._heads(wall_now)
         while heap and len(starts) < max_starts:
-            _, key = heapq.heappop(heap)
+            found, key = heapq.heappop(heap)
             bucket = self.waiting.buckets[key]
             task = bucket.head()
-            if task is None:
+            assert task is not None
+            size = self.fleet.size_of(task)
+            current = turns.turn(task, size, self.fleet, self.quotas, wall_now)
+            if current > found:
+                heapq.heappush(heap, (current, key))
                 continue
-            chosen = self._choose(task)
-            if chosen is None:
-                waits += self._tell(key, task)
+            chosen = self._choose(task, size, now, headroom)
+            if isinstance(chosen, outcomes.Refusal):
+                waits += self._tell(key, task, chosen)
+                evictions += self._make_room(task, current, chosen, now)
                 continue
             starts.append(self._start(task, chosen, now))
+            if not task.service:
+                headroom -= size.processors
             self.told.pop(key, None)
             if bucket.live:
-                heapq.heappush(heap, (_rank(bucket), key))
-        return decisions.Plan(tuple(starts), waits=tuple(waits))
-
-    def _heads(self) -> list[tuple[tuple[int, float], waiting.BucketKey]]:
-        heads = [
-            (_rank(bucket), key) for key, bucket in self.waiting.buckets.items()
-        ]
+                heapq.heappush(heap, (current, key))
+        self._forget_told()
+        return decisions.Plan(
+            tuple(starts), tuple(throttles), tuple(evictions), tuple(waits)
+        )
+
+    def _heads(
+        self, wall_now: float
+    ) -> list[tuple[turns.Turn, waiting.BucketKey]]:
+        heads = []
+        for key, bucket in self.waiting.buckets.items():
+            task = bucket.head()
+            assert task is not None
+            size = self.fleet.size_of(task)
+            found = turns.turn(task, size, self.fleet, self.quotas, wall_now)
+            heads.append((found, key))
         heapq.heapify(heads)
         return heads
 
-    def _choose(self, task: views.TaskView) -> occupancy.Occupancy | None:
-        best = None
-        for known in self.workers.values():
-            if not _allowed(task, known) or not known.has_room(task.size):
-                continue
-            if best is None or known.free.processors > best.free.processors:
-                best = known
-        return best
+    def _choose(
+        self,
+        task: views.TaskView,
+        size: resources.Resources,
+        now: float,
+        headroom: float,
+    ) -> occupancy.Occupancy | outcomes.Refusal:
+        if not task.service:
+            refused = self.quotas.refuse(task.team, size)
+            if refused is not None:
+                return refused
+            if size.processors > headroom:
+                return outcomes.Refusal(
+                    outcomes.RefusalReason.NO_CAPACITY,
+                    "what is free is kept for services of a lost worker",
+                )
+
+        def cost_of(name: str) -> float | None:
+            known = self.fleet.workers.get(name)
+            if known is None or not _may_use(task, known):
+                return None
+            if not known.has_room(size):
+                return None
+            return self.policy.scoring.cost(task, known, now)
+
+        ranking = self.fleet.rankings.of(
+            waiting.Shape.of(task), list(self.fleet.workers)
+        )
+        refused_by_health = False
+        for name in ranking.cheapest(cost_of):
+            if self._accepts(name, task, now):
+                return self.fleet.workers[name]
+            refused_by_health = True
+        if refused_by_health:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.QUARANTINED,
+                "workers with room are quarantined or failed this task",
+            )
+        return outcomes.Refusal(
+            outcomes.RefusalReason.NO_CAPACITY, "no worker has room now"
+        )
+
+    def _accepts(self, name: str, task: views.TaskView, now: float) -> bool:
+        if not self.policy.watches_health:
+            return True
+        return self.fleet.health.accepts(name, task, now)
 
     def _start(
         self, task: views.TaskView, chosen: occupancy.Occupancy, now: float
     ) -> decisions.StartDecision:
         name = chosen.view.name
-        reason = f"most free processors ({chosen.free.processors:g})"
+        reason = self.policy.scoring.reason(task, chosen, now)
         self.waiting.drop(task.task_id)
-        chosen.hold(occupancy.Held(task, name, task.size, now))
-        self.worker_of[task.task_id] = name
+        held = self.fleet.hold(task, name, task.attempt + 1, now)
+        self._count(held, 1)
         return decisions.StartDecision(task.task_id, name, reason)
 
+    def _make_room(
+        self,
+        task: views.TaskView,
+        current: turns.Turn,
+        refused: outcomes.Refusal,
+        now: float,
+    ) -> list[decisions.EvictDecision]:
+        if not self.policy.makes_room:
+            return []
+        if refused.reason != outcomes.RefusalReason.NO_CAPACITY:
+            return []
+        if current.line > turns.Line.AT_RISK:
+            return []
+        return self.room.make(task, now)
+
+    def _headroom(self) -> float:
+        """Returns the processors that batch tasks may take in this step.
+
+        What the services of any one worker hold is kept free in sum, so that
+        they find room at once when it is lost.
+        """
+        if not self.policy.makes_room:
+            return float("inf")
+        free = 0.0
+        largest = 0.0
+        for known in self.fleet.workers.values():
+            if known.takes_work():
+                free += max(0.0, known.free.processors)
+            largest = max(largest, known.service_processors)
+        return free - largest
+
     def _tell(
-        self, key: waiting.BucketKey, task: views.TaskView
+        self,
+        key: waiting.BucketKey,
+        task: views.TaskView,
+        refused: outcomes.Refusal,
     ) -> list[decisions.WaitDecision]:
-        reason = outcomes.RefusalReason.NO_CAPACITY
-        detail = "no worker has room now"
-        if not any(self._could_fit(task, w) for w in self.workers.values()):
-            reason = outcomes.RefusalReason.NEVER_FITS
-            detail = "larger than any worker that it may use"
-        if self.told.get(key) == reason:
+        news = (views.job_of(task.task_id), refused.reason.value)
+        if self.told.get(key) == news:
             return []
-        self.told[key] = reason
-        return [decisions.WaitDecision(task.task_id, reason, detail)]
-
-    def _could_fit(
-        self, task: views.TaskView, known: occupancy.Occupancy
-    ) -> bool:
-        in_zone = not task.zones or known.view.zone in task.zones
-        return in_zone and task.size.fits_in(known.view.capacity)
+        self.told[key] = news
+        return [
+            decisions.WaitDecision(task.task_id, refused.reason, refused.detail)
+        ]
 
-    def _held(self, task_id: str, worker: str) -> occupancy.Held | None:
-        known = self.workers.get(worker)
-        return None if known is None else known.held.get(task_id)
+    def _forget_told(self) -> None:
+        if len(self.told) > 2 * len(self.waiting.buckets) + 100:
+            self.told = {
+                key: news
+                for key, news in self.told.items()
+                if key in self.waiting.buckets
+            }
 
-    def _occupancy(self, worker: str) -> occupancy.Occupancy:
-        if worker not in self.workers:
-            unknown = views.WorkerView(worker, "", "", resources.NOTHING)
-            self.workers[worker] = occupancy.Occupancy(unknown)
-            self.workers[worker].present = False
-        return self.workers[worker]
+    def _judge(
+        self, held: occupancy.Held, ending: changes.Ending, at: float
+    ) -> None:
+        task = held.task
+        record = self.fleet.health
+        if ending == changes.Ending.FAILED:
+            record.note_failure(held.worker, task.task_id, at)
+        elif ending == changes.Ending.FINISHED:
+            if record.note_success(held.worker, task.task_id):
+                self.fleet.rankings.mark(held.worker)
+        else:
+            record.note_gone(held.worker, task.task_id)
+        started = held.started_at
+        if ending != changes.Ending.FINISHED or started is None:
+            return
+        if not task.checkpoint and task.run_seconds > 0:
+            ratio = (at - started) / task.run_seconds
+            self.fleet.learnt.of(task.template).finish(ratio)
 
+    def _count(self, held: occupancy.Held, sign: int) -> None:
+        if held.task.service:
+            return
+        if sign > 0:
+            self.quotas.add(held.task.team, held.task.size)
+        else:
+            self.quotas.subtract(held.task.team, held.task.size)
 
-def _rank(bucket: waiting.Bucket) -> tuple[int, float]:
-    """Returns the turn of a bucket: services, then urgency and deadline."""
-    task = bucket.head()
-    assert task is not None
-    if task.service:
-        return (-1, 0.0)
-    return (_URGENCY_RANK[task.urgency], task.deadline_wall_seconds)
+    def _sum_capacity(self) -> None:
+        total = resources.NOTHING
+        for known in self.fleet.workers.values():
+            total = total.plus(known.view.capacity)
+        self.quotas.total = total
 
 
-def _allowed(task: views.TaskView, known: occupancy.Occupancy) -> bool:
+def _may_use(task: views.TaskView, known: occupancy.Occupancy) -> bool:
     if not known.takes_work():
         return False
     return not task.zones or known.view.zone in task.zones
--- /dev/null
+++ b/turmerichall/placement/ranking.py
@@ -0,0 +1,123 @@
+"""Orders of workers by cost, brought up to date only where something changed.
+
+A choice rescores the workers that changed since the shape was last asked for,
+not all of them; the cheapest is checked again before it is given out, since
+estimates also change without a change of the worker.
+"""
+
+from collections.abc import Callable, Iterator
+
+import sortedcontainers
+
+from turmerichall.placement import waiting
+
+__all__ = ["Ranking", "Rankings"]
+
+MAX_RANKINGS = 256
+STALE_CHECKS = 8
+TOLERANCE = 0.02
+SWEEP_SECONDS = 10.0
+
+CostOf = Callable[[str], float | None]
+
+
+class Ranking:
+    """Workers that a shape fits on, by cost.
+
+    Attributes:
+        costs: Cost by worker; one that does not fit is missing.
+        order: Costs and workers, cheapest first.
+        changed: Workers that changed since their cost was found.
+    """
+
+    def __init__(self, workers: list[str]) -> None:
+        self.costs: dict[str, float] = {}
+        self.order = sortedcontainers.SortedList()
+        self.changed: dict[str, None] = dict.fromkeys(workers)
+
+    def cheapest(self, cost_of: CostOf) -> Iterator[str]:
+        """Yields workers from the cheapest on.
+
+        Args:
+            cost_of: Finds the cost of a worker; None if the shape does not
+                fit.
+        """
+        self.refresh(cost_of)
+        checks = STALE_CHECKS
+        position = 0
+        while position < len(self.order):
+            cost, name = self.order[position]
+            if checks > 0:
+                checks -= 1
+                fresh = self._rescore(name, cost_of)
+                if fresh is None or fresh > cost + TOLERANCE:
+                    continue
+            yield name
+            position += 1
+
+    def refresh(self, cost_of: CostOf) -> None:
+        """Finds the costs of changed workers."""
+        changed = self.changed
+        self.changed = {}
+        for name in changed:
+            self._rescore(name, cost_of)
+
+    def _rescore(self, name: str, cost_of: CostOf) -> float | None:
+        before = self.costs.pop(name, None)
+        if before is not None:
+            self.order.remove((before, name))
+        cost = cost_of(name)
+        if cost is not None:
+            self.costs[name] = cost
+            self.order.add((cost, name))
+        return cost
+
+
+class Rankings:
+    """Rankings by shape.
+
+    Attributes:
+        shapes: The rankings, the one asked for longest ago first.
+        swept_at: When workers were last marked by `sweep`.
+        position: Worker that `sweep` marked last.
+    """
+
+    def __init__(self) -> None:
+        self.shapes: dict[waiting.Shape, Ranking] = {}
+        self.swept_at = 0.0
+        self.position = -1
+
+    def mark(self, worker: str) -> None:
+        """Notes that a worker changed."""
+        for ranking in self.shapes.values():
+            ranking.changed[worker] = None
+
+    def sweep(self, workers: list[str], now: float) -> None:
+        """Marks a part of the workers, so that no cost grows old.
+
+        Args:
+            workers: All workers.
+            now: The caller's monotonic clock, in seconds.
+        """
+        due = len(workers) * (now - self.swept_at) / SWEEP_SECONDS
+        if due < 1:
+            return
+        self.swept_at = now
+        for _ in range(min(int(due), len(workers))):
+            self.position = (self.position + 1) % len(workers)
+            self.mark(workers[self.position])
+
+    def of(self, shape: waiting.Shape, workers: list[str]) -> Ranking:
+        """Returns the ranking of a shape.
+
+        Args:
+            shape: The shape.
+            workers: All workers, for a shape not asked for before.
+        """
+        found = self.shapes.pop(shape, None)
+        if found is None:
+            found = Ranking(workers)
+        self.shapes[shape] = found
+        while len(self.shapes) > MAX_RANKINGS:
+            del self.shapes[next(iter(self.shapes))]
+        return found
--- /dev/null
+++ b/turmerichall/placement/scoring.py
@@ -0,0 +1,194 @@
+"""What it costs to place a task on a worker; the cheapest is chosen."""
+
+from typing import Protocol
+
+from turmerichall.placement import fleet as fleets
+from turmerichall.placement import occupancy
+from turmerichall.placement import views
+from turmerichall.placement import weights as weighing
+
+__all__ = ["BestFit", "FirstFit", "InterferenceScoring", "MostFree", "Scoring"]
+
+SAME_WORKER_COST = 4.0
+SAME_RACK_COST = 1.0
+ACCELERATOR_COST = 1.0
+DRAIN_COST = 2.0
+SERVICE_DRAIN_SECONDS = 1800.0
+
+
+class Scoring(Protocol):
+    """A cost of placing a task on a worker that has room for it."""
+
+    def cost(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> float | None:
+        """Returns the cost, or None if the worker must not be chosen."""
+
+    def reason(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> str:
+        """Says why the worker was chosen, before the task is placed."""
+
+
+class FirstFit:
+    """Takes the first worker, in the order in which they became known."""
+
+    def __init__(self) -> None:
+        self.numbers: dict[str, int] = {}
+
+    def cost(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> float | None:
+        """Returns the worker's number."""
+        del task, now
+        return self.numbers.setdefault(known.view.name, len(self.numbers))
+
+    def reason(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> str:
+        """Says that it is the first."""
+        del task, known, now
+        return "first worker with room"
+
+
+class BestFit:
+    """Takes the worker that has the least processors left."""
+
+    def cost(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> float | None:
+        """Returns the share of processors left free."""
+        del task, now
+        return known.free.processors / known.view.capacity.processors
+
+    def reason(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> str:
+        """Says how much was free."""
+        del task, now
+        return f"least free processors ({known.free.processors:g})"
+
+
+class MostFree:
+    """Takes the worker that has the most processors left."""
+
+    def cost(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> float | None:
+        """Returns the processors in use."""
+        del task, now
+        return -known.free.processors
+
+    def reason(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> str:
+        """Says how much was free."""
+        del task, now
+        return f"most free processors ({known.free.processors:g})"
+
+
+class InterferenceScoring:
+    """Weighs expected slowdowns, spread, packing and the coming drain.
+
+    Attributes:
+        weights: What slowdowns of services and batch tasks cost.
+        fleet: The workers and what was learnt.
+    """
+
+    def __init__(self, weights: weighing.Weights, fleet: fleets.Fleet) -> None:
+        self.weights = weights
+        self.fleet = fleet
+
+    def cost(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> float | None:
+        """Returns the cost, or None where a service's margin would be spent."""
+        slowdown = self._slowdown_cost(task, known, now)
+        if slowdown is None:
+            return None
+        cost = slowdown + self._packing_cost(known)
+        cost += self._drain_cost(task, known, now)
+        if task.service:
+            cost += self._spread_cost(task, known)
+        elif not task.size.accelerators:
+            cost += ACCELERATOR_COST * min(1, known.free.accelerators)
+        return cost
+
+    def reason(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> str:
+        """Says how much the task is expected to be slowed there."""
+        del now
+        own = self._own_excess(task, known)
+        racks = self.fleet.spread.get((task.customer, task.template), {})
+        reason = f"expected slowdown {1 + own:.2f}, load {known.load():.2f}"
+        if task.service:
+            same = racks.get(known.view.rack, 0)
+            reason += f", {same} of the service in rack {known.view.rack}"
+        return reason
+
+    def _slowdown_cost(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> float | None:
+        capacity = known.view.capacity.processors
+        share = self.fleet.use_of(task) / capacity
+        load = known.load()
+        load_step = (load + share) ** 2 - load**2
+        margin = self.weights.service_margin - 1.0
+        excess = self.fleet.excess_on(known, now)
+        estimator = self.fleet.estimator
+        cost = 0.0
+        for held in known.held.values():
+            victim = held.task.template
+            added = share * estimator.added(victim, task.template)
+            added = max(0.0, added) + 0.2 * load_step
+            before = excess.get(victim, 0.0)
+            if not held.task.service:
+                cost += self.weights.throughput * added
+                continue
+            if not task.service:
+                if excess.get(victim + "+", 0.0) + added > margin:
+                    return None
+            squares = (before + added) ** 2 - before**2
+            cost += self.weights.latency * (squares + 0.2 * added)
+        own = self._own_excess(task, known)
+        if task.service:
+            return cost + self.weights.latency * (own * own + 0.2 * own)
+        return cost + self.weights.throughput * own
+
+    def _own_excess(
+        self, task: views.TaskView, known: occupancy.Occupancy
+    ) -> float:
+        use = self.fleet.use_of(task)
+        pressing = dict(known.pressing)
+        pressing[task.template] = pressing.get(task.template, 0.0) + use
+        capacity = known.view.capacity.processors
+        asked = fleets.situation(task.template, use, pressing, capacity)
+        return self.fleet.estimator.estimate(asked).excess
+
+    def _packing_cost(self, known: occupancy.Occupancy) -> float:
+        capacity = known.view.capacity.processors
+        return self.weights.packing * known.free.processors / capacity
+
+    def _drain_cost(
+        self, task: views.TaskView, known: occupancy.Occupancy, now: float
+    ) -> float:
+        left = known.view.leaves_at - now
+        needed = SERVICE_DRAIN_SECONDS
+        if not task.service:
+            needed = 1.2 * self.fleet.run_seconds(task)
+        if left >= needed:
+            return 0.0
+        return DRAIN_COST * (1.0 - max(0.0, left) / needed)
+
+    def _spread_cost(
+        self, task: views.TaskView, known: occupancy.Occupancy
+    ) -> float:
+        group = (task.customer, task.template)
+        racks = self.fleet.spread.get(group, {})
+        same_worker = sum(
+            (held.task.customer, held.task.template) == group
+            for held in known.held.values()
+        )
+        cost = SAME_RACK_COST * racks.get(known.view.rack, 0)
+        return cost + SAME_WORKER_COST * same_worker
--- a/turmerichall/resources.py
+++ b/turmerichall/resources.py
@@ -48,5 +48,21 @@
             self.accelerators - other.accelerators,
         )
 
+    def lower(self, other: "Resources") -> "Resources":
+        """Takes the lower of each amount."""
+        return Resources(
+            min(self.processors, other.processors),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
+    def higher(self, other: "Resources") -> "Resources":
+        """Takes the higher of each amount."""
+        return Resources(
+            max(self.processors, other.processors),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
 
 NOTHING = Resources()
