Add the command line

fire calls a method before it complains about an unknown flag, so a method returns a command that runs only once every argument was understood. fire would also read a name such as 007 as a number and open a pager: arguments stay text and help is printed.

A change keeps one operation id over all tries and instances.

--- /dev/null
+++ b/turmerichall/cli.py
@@ -0,0 +1,180 @@
+"""The operators' command line, `turmerichall`."""
+
+import getpass
+import os
+import pathlib
+import sys
+from typing import Any, TextIO
+import uuid
+
+import fire
+
+from turmerichall import errors
+from turmerichall.command_line import backend_servers
+from turmerichall.command_line import commands
+from turmerichall.command_line import configuration
+from turmerichall.command_line import instances
+from turmerichall.command_line import jobs
+from turmerichall.command_line import requests
+from turmerichall.command_line import session as sessions
+from turmerichall.command_line import settings_files
+from turmerichall.settings import values
+
+__all__ = ["main", "run", "turmerichall"]
+
+SERVERS_VARIABLE = "TURMERICHALL_SERVERS"
+CALLERS_VARIABLE = "TURMERICHALL_CALLERS"
+KEY_VARIABLE = "TURMERICHALL_KEY"
+KEY_FILE_VARIABLE = "TURMERICHALL_KEY_FILE"
+
+
+def turmerichall(
+    *,
+    server: str = "",
+    callers: str = "",
+    key_file: str = "",
+    operator: str = "",
+    operation_id: str = "",
+    format: str = "table",  # pylint: disable=redefined-builtin
+    timeout: str = "10 s",
+) -> dict[str, Any]:
+    """Drives turmerichall.
+
+    Commands:
+      template        publish, revise, list, show
+      customer        set, show, list
+      quota           set, list
+      job             submit, status, list, cancel, explain
+      backend-server  list, drain, resume, start, stop
+      instance        list, add, remove
+      requests        send
+      config          check
+      status
+
+    `turmerichall NOUN VERB --help` tells the arguments of a command.
+
+    Exit codes: 0 done; 1 refused or findings, nothing was changed; 2 wrong
+    usage; 3 conflict with another version; 4 unreachable or unknown outcome.
+
+    The operators' key is read from $TURMERICHALL_KEY or from the file that
+    --key-file or $TURMERICHALL_KEY_FILE names, never from an argument.
+
+    Args:
+        server: Operators' addresses, `host:port,host:port`, tried in order;
+            $TURMERICHALL_SERVERS if not given.
+        callers: Callers' addresses, for `requests send`;
+            $TURMERICHALL_CALLERS if not given.
+        key_file: File that holds the operators' key.
+        operator: Name under which changes are recorded; your user name if not
+            given.
+        operation_id: Id of the change, to resend one whose outcome is unknown.
+        format: `table` or `json`.
+        timeout: How long an instance may take to answer, such as `10 s`.
+    """
+    environment = os.environ
+    form = commands.value("--format", format, values.choice("table", "json"))
+    options = commands.Options(
+        _addresses("--server", server or environment.get(SERVERS_VARIABLE, "")),
+        _addresses(
+            "--callers", callers or environment.get(CALLERS_VARIABLE, "")
+        ),
+        _key(key_file),
+        commands.value("--operator", operator or _user(), values.name),
+        commands.value(
+            "--operation-id", operation_id or str(uuid.uuid4()), values.name
+        ),
+        form,
+        commands.value("--timeout", timeout, values.duration),
+    )
+    session = sessions.Session(options)
+
+    def status() -> commands.Command:
+        """Shows how the answering instance and the state that it holds are."""
+        return session.reading("/v1/status")
+
+    return {
+        "template": configuration.Templates(session),
+        "customer": configuration.Customers(session),
+        "quota": configuration.Quotas(session),
+        "job": jobs.Jobs(session),
+        "backend-server": backend_servers.BackendServers(session),
+        "instance": instances.Instances(session),
+        "requests": requests.Requests(options),
+        "config": settings_files.SettingsFiles(form),
+        "status": status,
+    }
+
+
+def _addresses(flag: str, text: str) -> tuple[str, ...]:
+    return tuple(
+        commands.value(flag, item, values.port_address)
+        for item in text.replace(",", " ").split()
+    )
+
+
+def _key(key_file: str) -> str:
+    path = key_file or os.environ.get(KEY_FILE_VARIABLE, "")
+    if not path:
+        return os.environ.get(KEY_VARIABLE, "")
+    try:
+        return pathlib.Path(path).read_text(encoding="ascii").strip()
+    except (OSError, ValueError) as error:
+        reason = f"can't be read: {error}"
+        raise errors.InputError(
+            [errors.Finding("--key-file", reason)]
+        ) from error
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "operator"
+
+
+def run(arguments: list[str]) -> int:
+    """Runs one command and returns its exit code.
+
+    Args:
+        arguments: Arguments of the command line.
+
+    Returns:
+        The exit code.
+    """
+    # `fire` shows help in a pager, which is another process, and would read
+    # a name such as `007` as a number.
+    fire.core.Display = _display
+    fire.core.parser.DefaultParseValue = str
+    try:
+        made = fire.Fire(
+            turmerichall, arguments, "turmerichall", serialize=_shown
+        )
+        if not isinstance(made, commands.Command):
+            return commands.ExitCode.USAGE
+        return made.run()
+    except errors.InputError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        return commands.ExitCode.USAGE
+    except fire.core.FireExit as exit_request:
+        return int(exit_request.code)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return commands.ExitCode.REFUSED
+
+
+def _shown(result: Any) -> Any:
+    return None if isinstance(result, commands.Command) else result
+
+
+def _display(lines: list[str], out: TextIO) -> None:
+    print("\n".join(lines), file=out)
+
+
+def main() -> None:
+    """Entry point of `turmerichall`."""
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/turmerichall/command_line/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command line, one module for each noun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/command_line/tests/test_cli.py
@@ -0,0 +1,220 @@
+"""Tests of the command line against a real listener."""
+
+from collections.abc import Iterator
+import functools
+import json
+import pathlib
+import threading
+from typing import Any
+
+import pytest
+import trio
+
+from turmerichall import cli
+from turmerichall import outcomes
+from turmerichall import web_server
+from turmerichall.operators.tests import fake_daemon
+from turmerichall.telemetry import counters
+
+PUBLISH = ("--kind", "batch", "--processors", "1", "--memory-mb", "100")
+
+
+class Listener:
+    """A daemon's interface for operators on a real port, in a thread.
+
+    Attributes:
+        daemon: What is behind the interface.
+        losing: Whether answers are lost after the request was carried out.
+        address: Where it listens.
+    """
+
+    def __init__(self, daemon: fake_daemon.FakeDaemon):
+        self.daemon = daemon
+        self.losing = False
+        self.address = ""
+        self._app = daemon.application(counters.Counters())
+        self._listening = threading.Event()
+        self._token: trio.lowlevel.TrioToken
+        self._stop: trio.Event
+        self._thread = threading.Thread(target=trio.run, args=(self._run,))
+
+    def __enter__(self) -> "Listener":
+        self._thread.start()
+        assert self._listening.wait(30)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        trio.from_thread.run_sync(self._stop.set, trio_token=self._token)
+        self._thread.join(30)
+
+    async def _run(self) -> None:
+        self._stop = trio.Event()
+        self._token = trio.lowlevel.current_trio_token()
+        async with trio.open_nursery() as nursery:
+            serve = functools.partial(
+                web_server.serve, self._serve, "127.0.0.1:0", self._stop, 0.1
+            )
+            self.address = await nursery.start(serve)
+            self._listening.set()
+
+    async def _serve(self, scope: Any, receive: Any, send: Any) -> None:
+        async def lose(_: object) -> None:
+            await trio.sleep_forever()
+
+        losing = self.losing and scope["type"] == "http"
+        await self._app(scope, receive, lose if losing else send)
+
+
+@pytest.fixture(name="listener")
+def _listener(monkeypatch: pytest.MonkeyPatch) -> Iterator[Listener]:
+    with Listener(fake_daemon.FakeDaemon()) as listener:
+        monkeypatch.setenv("TURMERICHALL_SERVERS", listener.address)
+        monkeypatch.setenv("TURMERICHALL_KEY", fake_daemon.KEYS.operators)
+        yield listener
+
+
+def _run(*arguments: str) -> int:
+    return int(cli.run(list(arguments)))
+
+
+class TestChanges:
+
+    def test_publish_revise_and_conflict(
+        self, listener: Listener, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        del listener
+        assert _run("template", "publish", "007", *PUBLISH) == 0
+        revise = ("template", "revise", "007", "--base-version", "1")
+        given = ("--run-seconds", "5", "--operator", "ann")
+        assert _run(*revise, *given) == 0
+        assert _run(*revise, "--run-seconds", "9") == 3
+        assert "version 2 was set by ann" in capsys.readouterr().err
+        assert _run("template", "show", "007", "--format", "json") == 0
+        item = json.loads(capsys.readouterr().out)["item"]
+        assert item["body"]["name"] == "007"
+        assert item["body"]["run_seconds"] == 5
+        assert item["body"]["size"]["memory_mb"] == 100
+
+    def test_whole_set(
+        self, listener: Listener, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        del listener
+        customer = ("--team", "t", "--zones", "z1,z2", "--services", "s=2")
+        job = ("--customer", "c", "--template", "r", "--job-id", "j1")
+        for command in (
+            ("template", "publish", "r", *PUBLISH),
+            ("customer", "set", "c", *customer),
+            ("customer", "set", "c", "--base-version", "1", "--zones", "z3"),
+            ("quota", "set", "t", "--processors", "9", "--memory-mb", "99"),
+            ("job", "submit", *job, "--deadline", "2 h"),
+            ("job", "cancel", "j1"),
+            ("backend-server", "drain", "w1"),
+            ("instance", "add", "i4", "127.0.0.1:5"),
+            ("instance", "remove", "i4"),
+            ("template", "list"),
+            ("customer", "show", "c"),
+            ("quota", "list"),
+            ("job", "list", "--state", "cancelled"),
+            ("job", "status", "j1"),
+            ("backend-server", "list"),
+            ("instance", "list"),
+            ("status",),
+        ):
+            assert _run(*command) == 0, command
+        capsys.readouterr()
+        assert _run("job", "explain", "j1") == 0
+        shown = capsys.readouterr().out
+        assert shown.index("accepted") < shown.index("cancelled")
+
+    def test_lost_answer_is_resent_as_the_same_change(
+        self, listener: Listener, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        with Listener(listener.daemon) as losing:
+            losing.losing = True
+            servers = f"{losing.address},{listener.address}"
+            options = ("--server", servers, "--timeout", "500 ms")
+            assert _run("template", "publish", "r", *PUBLISH, *options) == 0
+        assert "version   1" in capsys.readouterr().out
+        assert listener.daemon.machine.applied_index == 2
+        assert listener.daemon.machine.configuration.revision == 1
+
+    def test_instance_without_a_quorum_is_passed_over(
+        self, listener: Listener
+    ) -> None:
+        cut_off = fake_daemon.FakeDaemon()
+        cut_off.outcome = outcomes.Refusal(outcomes.RefusalReason.NO_QUORUM)
+        with Listener(cut_off) as other:
+            servers = f"127.0.0.1:1,{other.address},{listener.address}"
+            options = ("--server", servers)
+            assert _run("template", "publish", "r", *PUBLISH, *options) == 0
+
+    def test_stale_reads_are_marked(
+        self, listener: Listener, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        refused = outcomes.Refusal(outcomes.RefusalReason.NO_QUORUM)
+        listener.daemon.barrier_refusal = refused
+        assert _run("template", "list") == 0
+        assert "may be out of date" in capsys.readouterr().err
+
+
+class TestExitCodes:
+
+    @pytest.mark.parametrize(
+        ("arguments", "code", "message"),
+        [
+            (("template", "show", "x"), 1, "unknown_name"),
+            (("template", "show", "a/b"), 2, "is not a name"),
+            (("template", "revise", "x", "--base-version", "1"), 1, "refused"),
+            (("template", "publish", "x"), 2, "Missing required flags"),
+            (("template", "publish", "x", *PUBLISH, "--bogus"), 2, "--bogus"),
+            (("template", "publish", "x", *PUBLISH, "y"), 2, "arg: y"),
+            (("template",), 2, ""),
+            (("nothing",), 2, "Cannot find key"),
+            (("job", "list", "--state", "odd"), 2, "--state: expected"),
+            (("customer", "set", "c"), 2, "--zones: is required"),
+            (("status", "--server", "localhost:1"), 2, "--server: expected"),
+            (("status", "--server", "127.0.0.1:1"), 4, "nothing was sent"),
+            (("status", "--key-file", "/nothing"), 2, "can't be read"),
+            (("config", "check", "/nothing.ini"), 1, "can't be read"),
+        ],
+    )
+    def test_code_and_message(
+        self,
+        listener: Listener,
+        capsys: pytest.CaptureFixture[str],
+        arguments: tuple[str, ...],
+        code: int,
+        message: str,
+    ) -> None:
+        assert _run(*arguments) == code
+        assert message in capsys.readouterr().err
+        assert not listener.daemon.machine.applied_index
+
+    def test_unknown_outcome(
+        self, listener: Listener, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        listener.daemon.outcome = outcomes.Unknown(
+            outcomes.UnknownReason.LEADER_LOST
+        )
+        options = ("--operation-id", "op1")
+        assert _run("template", "publish", "r", *PUBLISH, *options) == 4
+        assert "--operation-id op1" in capsys.readouterr().err
+
+    def test_wrong_key(
+        self, listener: Listener, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        del listener
+        monkeypatch.setenv("TURMERICHALL_KEY", "wrong")
+        assert _run("status") == 1
+
+    def test_key_file(
+        self,
+        listener: Listener,
+        monkeypatch: pytest.MonkeyPatch,
+        tmp_path: pathlib.Path,
+    ) -> None:
+        del listener
+        monkeypatch.delenv("TURMERICHALL_KEY")
+        file = tmp_path / "key"
+        file.write_text(fake_daemon.KEYS.operators + "\n")
+        assert _run("status", "--key-file", str(file)) == 0
--- /dev/null
+++ b/turmerichall/operators/tests/fake_daemon.py
@@ -0,0 +1,90 @@
+"""A fake of everything behind the operators' interface."""
+
+from typing import NamedTuple
+
+from turmerichall import outcomes
+from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import directory
+from turmerichall.operators import application
+from turmerichall.operators import exchange
+from turmerichall.settings import settings
+from turmerichall.state import change as changes
+from turmerichall.state import machine
+from turmerichall.telemetry import counters
+from turmerichall.telemetry import logs
+
+__all__ = ["FakeDaemon", "KEYS"]
+
+KEYS = settings.Keys("cluster-key-of-tests", "operators-key", "workers-key")
+
+
+class FakeStatus(NamedTuple):
+    """Status of the fake replica."""
+
+    role: str = "leader"
+
+
+class FakeDaemon:
+    """Applies changes at once; refuses or loses them when told to."""
+
+    def __init__(self) -> None:
+        self.machine = machine.Machine()
+        self.outcome: outcomes.Refusal | outcomes.Unknown | None = None
+        self.barrier_refusal: outcomes.Refusal | None = None
+        self.readiness: outcomes.Refusal | None = None
+        self.told: list[announcement.Announcement] = []
+        self.members: list[tuple[dict[str, str], tuple[str, ...]]] = []
+
+    async def submit(
+        self, change: changes.Change
+    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
+        """Applies a change."""
+        if isinstance(self.outcome, outcomes.Refusal):
+            return self.outcome
+        index = self.machine.applied_index + 1
+        data = self.machine.apply(index, changes.encode(change))
+        return self.outcome or changes.decode_result(data)
+
+    async def announce(
+        self, told: announcement.Announcement
+    ) -> announcement.Reply:
+        """Takes an announcement."""
+        self.told.append(told)
+        return announcement.Reply(True, epoch=3)
+
+    def status(self) -> FakeStatus:
+        """Returns a status."""
+        return FakeStatus()
+
+    async def barrier(
+        self, timeout_seconds: float = 2.0
+    ) -> outcomes.Refusal | None:
+        """Answers as the test wants."""
+        assert timeout_seconds > 0
+        return self.barrier_refusal
+
+    async def change_members(
+        self, add: dict[str, str], remove: tuple[str, ...]
+    ) -> outcomes.Refusal | outcomes.Unknown | None:
+        """Notes the change."""
+        self.members.append((add, remove))
+        return self.outcome
+
+    def application(
+        self,
+        counted: counters.Counters,
+        bounds: exchange.Bounds = exchange.Bounds(),
+    ) -> application.Application:
+        """Returns the application on top of this daemon."""
+        return application.Application(
+            machine=self.machine,
+            changes=self,
+            announcements=self,
+            directory=directory.Directory(self.machine.configuration),
+            replica=self,
+            readiness=lambda: self.readiness,
+            keys=KEYS,
+            counters=counted,
+            log=logs.Log("operators"),
+            bounds=bounds,
+        )
--- a/turmerichall/operators/tests/test_application.py
+++ b/turmerichall/operators/tests/test_application.py
@@ -11,16 +11,11 @@
 from turmerichall import outcomes
 from turmerichall import resources
 from turmerichall.backend_servers import announcement
-from turmerichall.backend_servers import directory
 from turmerichall.operators import application
 from turmerichall.operators import exchange
-from turmerichall.settings import settings
-from turmerichall.state import change as changes
-from turmerichall.state import machine
+from turmerichall.operators.tests import fake_daemon
 from turmerichall.telemetry import counters
-from turmerichall.telemetry import logs
 
-KEYS = settings.Keys("cluster-key-of-tests", "operators-key", "workers-key")
 OPERATOR = {"authorization": "Bearer operators-key"}
 WORKER = {"authorization": "Bearer workers-key"}
 SIZE = {"processors": 1, "memory_mb": 100}
@@ -39,59 +34,6 @@
 )
 
 
-class FakeStatus(NamedTuple):
-    """Status of the fake replica."""
-
-    role: str = "leader"
-
-
-class FakeDaemon:
-    """Applies changes at once; refuses or loses them when told to."""
-
-    def __init__(self) -> None:
-        self.machine = machine.Machine()
-        self.outcome: outcomes.Refusal | outcomes.Unknown | None = None
-        self.barrier_refusal: outcomes.Refusal | None = None
-        self.readiness: outcomes.Refusal | None = None
-        self.told: list[announcement.Announcement] = []
-        self.members: list[tuple[dict[str, str], tuple[str, ...]]] = []
-
-    async def submit(
-        self, change: changes.Change
-    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
-        """Applies a change."""
-        if isinstance(self.outcome, outcomes.Refusal):
-            return self.outcome
-        index = self.machine.applied_index + 1
-        data = self.machine.apply(index, changes.encode(change))
-        return self.outcome or changes.decode_result(data)
-
-    async def announce(
-        self, told: announcement.Announcement
-    ) -> announcement.Reply:
-        """Takes an announcement."""
-        self.told.append(told)
-        return announcement.Reply(True, epoch=3)
-
-    def status(self) -> FakeStatus:
-        """Returns a status."""
-        return FakeStatus()
-
-    async def barrier(
-        self, timeout_seconds: float = 2.0
-    ) -> outcomes.Refusal | None:
-        """Answers as the test wants."""
-        assert timeout_seconds > 0
-        return self.barrier_refusal
-
-    async def change_members(
-        self, add: dict[str, str], remove: tuple[str, ...]
-    ) -> outcomes.Refusal | outcomes.Unknown | None:
-        """Notes the change."""
-        self.members.append((add, remove))
-        return self.outcome
-
-
 class Answer(NamedTuple):
     """A response as a client sees it."""
 
@@ -104,20 +46,10 @@
     """Calls an application in this process."""
 
     def __init__(self) -> None:
-        self.daemon = FakeDaemon()
+        self.daemon = fake_daemon.FakeDaemon()
         self.counters = counters.Counters()
-        self.app = application.Application(
-            machine=self.daemon.machine,
-            changes=self.daemon,
-            announcements=self.daemon,
-            directory=directory.Directory(self.daemon.machine.configuration),
-            replica=self.daemon,
-            readiness=lambda: self.daemon.readiness,
-            keys=KEYS,
-            counters=self.counters,
-            log=logs.Log("operators"),
-            bounds=exchange.Bounds(max_body_bytes=4000),
-        )
+        bounds = exchange.Bounds(max_body_bytes=4000)
+        self.app = self.daemon.application(self.counters, bounds)
         self.operations = 0
 
     async def call(
