Let the proxy tell connections apart by the process that opened them

All processes of a test share one loopback address, so a cut between zones needs the origin of each connection: the proxy looks the socket up in the kernel's table. Stand-in workers can reach the authority by another address, so that this link stands behind a proxy as well.

--- a/turmerichall/tests/standins/proxy.py
+++ b/turmerichall/tests/standins/proxy.py
@@ -10,6 +10,7 @@
 import functools
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import fire
@@ -50,14 +51,16 @@
 
     Attributes:
         client: Stream to the client.
+        origin: Name of the process at the client's end, or empty.
         target: Stream to the target, once it is connected.
         silenced: Whether it never delivers anything any more.
         carried: Bytes carried towards the client.
         scope: Cancelled to end the connection.
     """
 
-    def __init__(self, client: trio.SocketStream):
+    def __init__(self, client: trio.SocketStream, origin: str = ""):
         self.client = client
+        self.origin = origin
         self.target: trio.SocketStream | None = None
         self.silenced = False
         self.carried = 0
@@ -79,15 +82,24 @@
     Attributes:
         target: `host:port` to forward to.
         address: `host:port` it listens at, once it runs.
+        origin_of: Names the process at the client's end, given the ports of
+            the client and of the proxy.
         faults: Faults that are on.
+        faults_from: Faults of connections of one origin, in their place.
         connections: Open connections.
         most_open: Most connections that were open at once.
     """
 
-    def __init__(self, target: str):
+    def __init__(
+        self,
+        target: str,
+        origin_of: Callable[[int, int], str] = lambda _, __: "",
+    ):
         self.target = target
+        self.origin_of = origin_of
         self.address = ""
         self.faults = LinkFaults()
+        self.faults_from: dict[str, LinkFaults] = {}
         self.connections: set[Connection] = set()
         self.most_open = 0
         self._changed = trio.Event()
@@ -97,11 +109,20 @@
         self.faults = faults
         if faults.refuse:
             self.reset_open()
+        self._note_change()
+
+    def set_from(self, faults: dict[str, LinkFaults]) -> None:
+        """Switches the faults of connections by their origin."""
+        self.faults_from = faults
+        self._note_change()
+
+    def _note_change(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
     def heal(self) -> None:
         """Switches all faults off; silenced connections stay silent."""
+        self.faults_from = {}
         self.set(LinkFaults())
 
     def reset_open(self) -> None:
@@ -145,7 +166,9 @@
         scope.cancel()
 
     async def _carry(self, client: trio.SocketStream) -> None:
-        connection = Connection(client)
+        client_port = client.socket.getpeername()[1]
+        own_port = client.socket.getsockname()[1]
+        connection = Connection(client, self.origin_of(client_port, own_port))
         self.connections.add(connection)
         self.most_open = max(self.most_open, len(self.connections))
         try:
@@ -193,13 +216,14 @@
     async def _pass(self, connection: Connection, to_client: bool) -> None:
         if self.faults.delay_seconds:
             await trio.sleep(self.faults.delay_seconds)
-        while connection.silenced or self._stalls(to_client):
+        while connection.silenced or self._stalls(connection, to_client):
             await self._changed.wait()
 
-    def _stalls(self, to_client: bool) -> bool:
+    def _stalls(self, connection: Connection, to_client: bool) -> bool:
+        faults = self.faults_from.get(connection.origin, self.faults)
         if to_client:
-            return self.faults.stall_to_client
-        return self.faults.stall_to_target
+            return faults.stall_to_client
+        return faults.stall_to_target
 
     def _before_reset(self, connection: Connection, data: bytes) -> bytes:
         limit = self.faults.reset_after_bytes
--- a/turmerichall/tests/standins/tests/test_proxy.py
+++ b/turmerichall/tests/standins/tests/test_proxy.py
@@ -1,11 +1,14 @@
 """Tests of the proxy that injects faults."""
 
 import contextlib
+import functools
+import os
 from collections.abc import AsyncIterator
 
 import pytest
 import trio
 
+from turmerichall.tests.standins import origins
 from turmerichall.tests.standins import proxy
 
 PATIENCE_SECONDS = 20.0
@@ -121,6 +124,14 @@
             nursery.cancel_scope.cancel()
         assert seen == [b"heard"]
 
+    async def test_faults_of_one_origin(self, link: proxy.Proxy) -> None:
+        pids = {"other": os.getppid(), "own": os.getpid()}
+        link.origin_of = functools.partial(origins.process_of, pids=pids)
+        link.set_from({"own": proxy.STALLED})
+        assert await stays_silent(await connect(link), b"a")
+        link.set_from({"other": proxy.STALLED})
+        assert await echoes(await connect(link), b"b")
+
     async def test_reset_after_bytes(self, link: proxy.Proxy) -> None:
         link.set(proxy.LinkFaults(reset_after_bytes=5))
         stream = await connect(link)
--- a/turmerichall/tests/standins/worker.py
+++ b/turmerichall/tests/standins/worker.py
@@ -52,6 +52,7 @@
         key: Key of the announcements.
         trail: File of the audit trail, or empty.
         capacity: What it offers.
+        via: Where to connect instead, by address that an instance tells.
         slots: Requests that it runs at once.
         connections: Connections that it says it accepts.
         speed: Run time that a task does in one second.
@@ -67,6 +68,7 @@
     key: str
     trail: str
     capacity: resources.Resources
+    via: dict[str, str]
     slots: int = 8
     connections: int = 64
     speed: float = 1.0
@@ -175,8 +177,10 @@
             self.authority = ""
             self._next_entry += 1
             return False
-        if reply.authority_address and reply.authority_address != target:
-            self.authority = reply.authority_address
+        told = reply.authority_address
+        authority = self.settings.via.get(told, told)
+        if authority and authority != target:
+            self.authority = authority
             self.app.changed.set()
         return True
 
@@ -270,8 +274,9 @@
     speed: float = 1.0,
     advertise: str = "",
     shown: str = "{}",
+    via: str = "{}",
 ) -> None:
-    """Runs a stand-in worker; `shown` is a JSON object of faults."""
+    """Runs a stand-in worker; `shown` and `via` are JSON objects."""
     if isinstance(entries, (tuple, list)):
         entries = ",".join(entries)
     worker = Worker(
@@ -284,20 +289,23 @@
             str(key),
             ledger,
             resources.Resources(processors, memory_mb, accelerators),
+            documents.decode(_json(via), dict[str, str]),
             slots,
             connections,
             speed,
             advertise,
-            documents.decode(
-                msgspec.json.encode(shown)
-                if isinstance(shown, dict)
-                else str(shown).encode(),
-                faults.Faults,
-            ),
+            documents.decode(_json(shown), faults.Faults),
         )
     )
     trio.run(worker.run)
 
 
+def _json(given: object) -> bytes:
+    """Undoes that `fire` reads an argument that is a JSON object."""
+    if isinstance(given, dict):
+        return msgspec.json.encode(given)
+    return str(given).encode()
+
+
 if __name__ == "__main__":
     sys.exit(fire.Fire(main))
