Add the log on disk and the agreement on one order of changes

Cause: configuration, jobs and grants must survive lost instances. Ruled out: founding by a majority of the first members, because two lost disks would found a second cluster; all of them must answer with an empty disk. In-place truncation of a torn tail, because after a failed sync a file may read differently than it will after the next crash; the log is rewritten at each start.

--- /dev/null
+++ b/turmerichall/agreement/applying.py
@@ -0,0 +1,119 @@
+"""Applies committed entries in order and answers those who wait for them."""
+
+import trio
+import xxhash
+
+from turmerichall import errors
+from turmerichall.agreement import message
+from turmerichall.agreement import shared as agreement_shared
+
+__all__ = ["Applying", "Waiter"]
+
+ENTRIES_BETWEEN_CHECKPOINTS = 64
+
+
+class Waiter:
+    """Waits for the entry that a leader appended in a term.
+
+    Attributes:
+        term: Term of the entry.
+        done: Set once the fate of the entry is known.
+        result: The machine's result; None if another entry took its place.
+    """
+
+    def __init__(self, term: int):
+        self.term = term
+        self.done = trio.Event()
+        self.result: bytes | None = None
+
+
+class Applying:
+    """Applies entries to the machine.
+
+    Attributes:
+        shared: State of the replica.
+        waiters: By index, those who wait for an entry.
+    """
+
+    def __init__(self, shared: agreement_shared.Shared):
+        self.shared = shared
+        self.waiters: dict[int, list[Waiter]] = {}
+
+    async def run(self) -> None:
+        """Applies what is committed until cancelled."""
+        shared = self.shared
+        while True:
+            await shared.commit_moved.until(
+                lambda: shared.commit > shared.applied
+            )
+            last = min(
+                shared.commit, shared.applied + ENTRIES_BETWEEN_CHECKPOINTS
+            )
+            while shared.applied < last:
+                self.apply_entry(shared.kept.get(shared.applied + 1))
+            shared.applied_moved.notify()
+            await trio.lowlevel.checkpoint()
+
+    async def run_saving_commit(self) -> None:
+        """Records the known commit soon after it moved.
+
+        A replica that restarts without a quorum can serve its state at once
+        if it knows that it never served a newer one.
+
+        Raises:
+            StorageError: The journal failed.
+        """
+        shared = self.shared
+        kept = shared.kept
+        while True:
+            await shared.commit_moved.until(lambda: shared.commit > kept.commit)
+            await trio.sleep(shared.timing.commit_save_seconds)
+            kept.save_commit(shared.commit)
+
+    def apply_entry(self, entry: message.Entry) -> None:
+        """Applies the entry that follows the last applied one.
+
+        Raises:
+            CorruptLogError: The entry does not follow.
+        """
+        shared = self.shared
+        if entry.position != shared.applied + 1:
+            raise errors.CorruptLogError(
+                f"entry {entry.position} applied after {shared.applied}"
+            )
+        result = b""
+        if entry.kind == message.EntryKind.CHANGE:
+            result = shared.machine.apply(entry.position, entry.data)
+        shared.applied = entry.position
+        shared.digest = next_digest(shared.digest, entry, result)
+        for waiter in self.waiters.pop(entry.position, []):
+            if waiter.term == entry.term:
+                waiter.result = result
+            waiter.done.set()
+
+    def wait_for(self, index: int, term: int) -> Waiter:
+        """Registers interest in an entry that was just appended."""
+        waiter = Waiter(term)
+        self.waiters.setdefault(index, []).append(waiter)
+        return waiter
+
+    def forget(self, index: int, waiter: Waiter) -> None:
+        """Gives up waiting."""
+        waiting = self.waiters.get(index)
+        if waiting and waiter in waiting:
+            waiting.remove(waiter)
+            if not waiting:
+                del self.waiters[index]
+
+
+def next_digest(digest: int, entry: message.Entry, result: bytes) -> int:
+    """Returns the digest of everything applied, with one entry more.
+
+    Examples:
+        >>> entry = message.Entry(1, 1, message.EntryKind.CHANGE, b"x")
+        >>> next_digest(0, entry, b"a") == next_digest(0, entry, b"b")
+        False
+    """
+    hashed = xxhash.xxh3_64(entry.data, seed=digest)
+    hashed.update(result)
+    return int(hashed.intdigest())
--- /dev/null
+++ b/turmerichall/agreement/membership.py
@@ -0,0 +1,284 @@
+"""Founding of a cluster, and the steps by which its members change.
+
+A cluster is founded once, when every one of its first members has an empty
+disk.  From then on a replica comes in as a learner, and counts only once it
+has caught up.
+"""
+
+import functools
+import hashlib
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.agreement import member
+from turmerichall.agreement import message
+from turmerichall.agreement import replication
+from turmerichall.agreement import shared as agreement_shared
+from turmerichall.agreement import snapshots
+
+__all__ = ["Membership"]
+
+CAUGHT_UP_ENTRIES = 100
+FOUNDING_TERM = 1
+FOUNDING_INDEX = 1
+
+
+class Membership:
+    """Takes replicas in and out.
+
+    Attributes:
+        shared: State of the replica.
+        replication: Appends entries while leading.
+        snapshots: Holds the founding snapshot.
+        bootstrap: Addresses of the first members by name.
+    """
+
+    def __init__(
+        self,
+        shared: agreement_shared.Shared,
+        replicating: replication.Replication,
+        own_snapshots: snapshots.Snapshots,
+        bootstrap: dict[str, str],
+    ):
+        self.shared = shared
+        self.replication = replicating
+        self.snapshots = own_snapshots
+        self.bootstrap = bootstrap
+        self._changing = trio.Lock()
+
+    async def run(self) -> None:
+        """Enters a cluster, then takes the steps that a leader must take.
+
+        Raises:
+            StorageError: The data folder failed.
+        """
+        shared = self.shared
+        period = shared.timing.heartbeat_seconds
+        while not shared.members:
+            if not await self._found_or_join():
+                await trio.sleep(period * shared.rng.uniform(0.5, 1.0))
+        while True:
+            member.learn_addresses(shared.network, shared.members)
+            if shared.role == agreement_shared.Role.LEADER:
+                await self._take_step()
+            await shared.work.until(
+                functools.partial(shared.members_differ, shared.members),
+                trio.current_time() + period / 2,
+            )
+
+    async def _found_or_join(self) -> bool:
+        names = set(self.bootstrap) | set(self.shared.network.addresses)
+        names.discard(self.shared.name)
+        answers: dict[str, message.Identified | None] = {}
+        async with trio.open_nursery() as nursery:
+            for name in sorted(names):
+                nursery.start_soon(self._identify, name, answers)
+        found = [answer for answer in answers.values() if answer is not None]
+        if any(answer.cluster for answer in found):
+            await self._ask_to_join(found)
+            return False
+        first = min(self.bootstrap, default="") == self.shared.name
+        identities = {self.shared.name: self.shared.identity}
+        for name, answer in answers.items():
+            if answer is not None and answer.identity:
+                identities[name] = answer.identity
+        if not first or not set(self.bootstrap) <= set(identities):
+            return False
+        await self._found(identities)
+        return True
+
+    async def _identify(
+        self, name: str, answers: dict[str, message.Identified | None]
+    ) -> None:
+        shared = self.shared
+        answer = await shared.network.call(
+            name, "identify", b"", shared.timing.call_seconds
+        )
+        answers[name] = (
+            None
+            if isinstance(answer, outcomes.Refusal)
+            else message.decode(answer, message.Identified)
+        )
+
+    async def _found(self, identities: dict[str, str]) -> None:
+        shared = self.shared
+        members = tuple(
+            member.Member(name, identities[name], address)
+            for name, address in sorted(self.bootstrap.items())
+        )
+        joined = "".join(each.identity for each in members)
+        cluster = hashlib.sha256(joined.encode()).hexdigest()[:16]
+        image = message.Image(
+            cluster,
+            FOUNDING_INDEX,
+            FOUNDING_TERM,
+            members,
+            0,
+            shared.machine.snapshot(),
+        )
+        shared.saw_term(FOUNDING_TERM)
+        await self.snapshots.found(image)
+        shared.log.info("founded the cluster", members=sorted(self.bootstrap))
+        shared.elect_now = True
+        shared.founded.notify()
+
+    async def _ask_to_join(self, found: list[message.Identified]) -> None:
+        shared = self.shared
+        join = message.Join(shared.name, shared.identity, shared.address)
+        for leader in sorted({answer.leader for answer in found} - {""}):
+            await shared.network.call(
+                leader,
+                "join",
+                message.encode(join),
+                shared.timing.call_seconds,
+            )
+
+    async def on_identify(self, _: str, __: bytes) -> bytes:
+        """Tells who this replica is."""
+        shared = self.shared
+        return message.encode(
+            message.Identified(shared.identity, shared.cluster, shared.leader)
+        )
+
+    async def on_join(self, _: str, body: bytes) -> bytes:
+        """Takes in the new disk of an instance that is a member."""
+        shared = self.shared
+        join = message.decode(body, message.Join)
+        if shared.role != agreement_shared.Role.LEADER:
+            refusal = shared.refuse(
+                outcomes.RefusalReason.NOT_LEADER, "not the leader"
+            )
+            return message.encode(refusal)
+        if not member.named(shared.members, join.name):
+            detail = f"{join.name} is no member; an operator must add it"
+            refusal = shared.refuse(outcomes.RefusalReason.UNKNOWN_NAME, detail)
+            return message.encode(refusal)
+        return message.encode(await self._add(join))
+
+    async def _add(self, join: message.Join) -> message.Outcome:
+        members = self.shared.members
+        if member.find(members, join.identity) is not None:
+            return message.Outcome(message.OutcomeKind.RESULT)
+        learner = member.Member(
+            join.name, join.identity, join.address, voter=False
+        )
+        return await self._commit(members, members + (learner,))
+
+    async def _take_step(self) -> None:
+        shared = self.shared
+        members = shared.members
+        now = trio.current_time()
+        caught_up = set()
+        for learner in member.learners(members):
+            known = shared.progress.get(learner.identity)
+            if known is None:
+                continue
+            near = known.match >= shared.kept.last_index - CAUGHT_UP_ENTRIES
+            recent = now - known.acked_sent_at < shared.timing.election_seconds
+            if known.match > 0 and near and recent:
+                caught_up.add(learner.identity)
+        step = member.next_step(members, frozenset(caught_up))
+        if step is not None:
+            await self._commit(members, step)
+
+    async def _commit(
+        self, before: member.Members, after: member.Members
+    ) -> message.Outcome:
+        """Takes one step from the members it was decided on."""
+        shared = self.shared
+        async with self._changing:
+            ready = (
+                shared.role == agreement_shared.Role.LEADER
+                and shared.commit >= self.replication.term_start
+                and shared.commit >= shared.kept.members_index
+                and shared.members == before
+            )
+            if not ready:
+                return shared.refuse(
+                    outcomes.RefusalReason.NOT_LEADER,
+                    "another change of members is under way",
+                )
+            data = message.encode_members(after)
+            term = shared.term
+            index = self.replication.add_entry(message.EntryKind.MEMBERS, data)
+            names = [f"{each.name}:{each.identity[:8]}" for each in after]
+            shared.log.info("members change", index=index, members=names)
+            deadline = trio.current_time() + shared.timing.election_seconds
+            await shared.commit_moved.until(
+                lambda: shared.commit >= index or shared.term != term, deadline
+            )
+            if shared.commit < index or shared.term != term:
+                return message.Outcome(
+                    message.OutcomeKind.UNKNOWN,
+                    reason=outcomes.UnknownReason.LEADER_LOST.value,
+                    detail="the step was sent and not yet confirmed",
+                )
+        if member.find(after, shared.identity) is None:
+            shared.step_down()
+        return message.Outcome(message.OutcomeKind.RESULT, index)
+
+    async def change(self, asked: message.ChangeMembers) -> message.Outcome:
+        """Carries out an operator's change as the leader."""
+        if asked.action == message.MemberAction.REMOVE:
+            return await self._remove(asked.name)
+        shared = self.shared
+        if asked.name != shared.name:
+            addresses = {**shared.network.addresses, asked.name: asked.address}
+            shared.network.set_addresses(addresses)
+        answers: dict[str, message.Identified | None] = {}
+        deadline = trio.current_time() + asked.timeout_seconds
+        while trio.current_time() < deadline:
+            await self._identify(asked.name, answers)
+            answer = answers[asked.name]
+            if answer is not None:
+                return await self._add_identified(asked, answer)
+            await trio.sleep(replication.RETRY_SECONDS)
+        return shared.refuse(
+            outcomes.RefusalReason.UNREACHABLE, f"{asked.name} does not answer"
+        )
+
+    async def _add_identified(
+        self, asked: message.ChangeMembers, answer: message.Identified
+    ) -> message.Outcome:
+        shared = self.shared
+        if not answer.identity:
+            return shared.refuse(
+                outcomes.RefusalReason.WRONG_STATE, f"{asked.name} has no disk"
+            )
+        if answer.cluster not in ("", shared.cluster):
+            return shared.refuse(
+                outcomes.RefusalReason.WRONG_STATE,
+                f"{asked.name} belongs to another cluster",
+            )
+        join = message.Join(asked.name, answer.identity, asked.address)
+        return await self._add(join)
+
+    async def _remove(self, name: str) -> message.Outcome:
+        shared = self.shared
+        members = shared.members
+        removed = member.named(members, name)
+        if not removed:
+            return shared.refuse(
+                outcomes.RefusalReason.UNKNOWN_NAME, f"{name} is no member"
+            )
+        after = member.without(members, removed[0].identity)
+        if not self._has_live_majority(after):
+            return shared.refuse(
+                outcomes.RefusalReason.NO_QUORUM,
+                f"too few of the others answer to remove {name}",
+            )
+        return await self._commit(members, after)
+
+    def _has_live_majority(self, members: member.Members) -> bool:
+        shared = self.shared
+        recent = trio.current_time() - shared.timing.election_seconds
+        voters = member.voters(members)
+        live = 0
+        for voter in voters:
+            known = shared.progress.get(voter.identity)
+            if voter.identity == shared.identity:
+                live += 1
+            elif known is not None and known.acked_sent_at > recent:
+                live += 1
+        return live > len(voters) // 2
--- /dev/null
+++ b/turmerichall/agreement/proposing.py
@@ -0,0 +1,273 @@
+"""Carries out changes and barriers, here or at the leader."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import trio
+
+from turmerichall import errors
+from turmerichall import outcomes
+from turmerichall.agreement import applying
+from turmerichall.agreement import membership
+from turmerichall.agreement import message
+from turmerichall.agreement import replication
+from turmerichall.agreement import shared as agreement_shared
+
+__all__ = ["Proposing", "to_result"]
+
+T = TypeVar("T")
+
+RETRY_SECONDS = 0.1
+
+
+class Proposing:
+    """Brings what callers ask for to the leader.
+
+    Attributes:
+        shared: State of the replica.
+        applying: Tells the results of entries.
+        replication: Appends entries while leading.
+        membership: Changes members while leading.
+        waiting: Changes that wait for their result here.
+    """
+
+    def __init__(
+        self,
+        shared: agreement_shared.Shared,
+        own_applying: applying.Applying,
+        replicating: replication.Replication,
+        own_membership: membership.Membership,
+    ):
+        self.shared = shared
+        self.applying = own_applying
+        self.replication = replicating
+        self.membership = own_membership
+        self.waiting = 0
+
+    async def propose(
+        self, change: bytes, timeout_seconds: float
+    ) -> message.Outcome:
+        """Carries out a change; see `Replica.propose`."""
+        asked = message.Propose(change, timeout_seconds)
+        outcome = await self._at_leader(
+            "propose", asked, self._propose_here, timeout_seconds
+        )
+        if outcome.kind == message.OutcomeKind.RESULT:
+            await self._wait_applied(outcome.position, timeout_seconds)
+        return outcome
+
+    async def barrier(self, timeout_seconds: float) -> message.Outcome:
+        """Waits until all that was committed before is applied."""
+        started = trio.current_time()
+        asked = message.Asked(timeout_seconds)
+        outcome = await self._at_leader(
+            "barrier", asked, self._barrier_here, timeout_seconds
+        )
+        if outcome.kind != message.OutcomeKind.RESULT:
+            return outcome
+        rest = timeout_seconds - (trio.current_time() - started)
+        if await self._wait_applied(outcome.position, rest):
+            return outcome
+        return self.shared.refuse(
+            outcomes.RefusalReason.TIMEOUT, "this instance is behind"
+        )
+
+    async def change_members(
+        self, asked: message.ChangeMembers
+    ) -> message.Outcome:
+        """Changes the members; see `Replica.change_members`."""
+        return await self._at_leader(
+            "change_members",
+            asked,
+            self._change_members_here,
+            asked.timeout_seconds,
+        )
+
+    async def _wait_applied(self, index: int, seconds: float) -> bool:
+        shared = self.shared
+        return await shared.applied_moved.until(
+            lambda: shared.applied >= index, trio.current_time() + seconds
+        )
+
+    async def _at_leader(
+        self,
+        kind: str,
+        asked: T,
+        here: Callable[[T], Awaitable[message.Outcome]],
+        timeout_seconds: float,
+    ) -> message.Outcome:
+        """Does something at the leader, wherever that is.
+
+        A refusal means that nothing was appended.  As long as an election may
+        be under way, a leader is waited for; an instance that is cut off
+        refuses at once.
+        """
+        shared = self.shared
+        deadline = trio.current_time() + timeout_seconds
+        while True:
+            outcome = shared.refuse(
+                outcomes.RefusalReason.NO_QUORUM, "no leader is known"
+            )
+            if shared.role == agreement_shared.Role.LEADER:
+                outcome = await self._here(here, asked)
+            elif shared.leader and shared.leader != shared.name:
+                outcome = await self._call_leader(kind, asked, deadline)
+            if not _may_retry(outcome):
+                return outcome
+            now = trio.current_time()
+            if now >= deadline or self._cut_off():
+                return outcome
+            await shared.role_changed.wait(min(RETRY_SECONDS, deadline - now))
+
+    async def _here(
+        self, here: Callable[[T], Awaitable[message.Outcome]], asked: T
+    ) -> message.Outcome:
+        try:
+            return await here(asked)
+        except errors.StorageError as error:
+            return self.shared.refuse(
+                outcomes.RefusalReason.STOPPED, str(error)
+            )
+
+    def _cut_off(self) -> bool:
+        timing = self.shared.timing
+        patience = 2 * (
+            timing.election_seconds + timing.election_jitter_seconds
+        )
+        age = trio.current_time() - self.shared.started_at
+        return min(self.shared.seconds_since_quorum(), age) > patience
+
+    async def _call_leader(
+        self, kind: str, asked: Any, deadline: float
+    ) -> message.Outcome:
+        shared = self.shared
+        rest = max(deadline - trio.current_time(), 0.0)
+        leader = shared.leader
+        answer = await shared.network.call(
+            leader, kind, message.encode(asked), rest
+        )
+        if not isinstance(answer, outcomes.Refusal):
+            outcome = message.decode(answer, message.Outcome)
+            if _may_retry(outcome) and shared.leader == leader:
+                shared.leader = outcome.leader
+            return outcome
+        if answer.reason == outcomes.RefusalReason.TIMEOUT:
+            return message.Outcome(
+                message.OutcomeKind.UNKNOWN,
+                reason=outcomes.UnknownReason.LEADER_LOST.value,
+                detail=f"leader {leader} gave no answer: {answer.detail}",
+            )
+        return shared.refuse(
+            outcomes.RefusalReason.NO_QUORUM,
+            f"leader {leader} was not asked: {answer.detail}",
+        )
+
+    async def _propose_here(self, asked: message.Propose) -> message.Outcome:
+        shared = self.shared
+        if shared.role != agreement_shared.Role.LEADER:
+            return self._not_leader()
+        if self.waiting >= shared.timing.max_proposals:
+            return shared.refuse(
+                outcomes.RefusalReason.OVERLOADED,
+                f"{self.waiting} changes wait already",
+            )
+        term = shared.term
+        index = self.replication.add_entry(
+            message.EntryKind.CHANGE, asked.change
+        )
+        waiter = self.applying.wait_for(index, term)
+        self.waiting += 1
+        try:
+            with trio.move_on_after(asked.timeout_seconds):
+                await waiter.done.wait()
+        finally:
+            self.waiting -= 1
+            self.applying.forget(index, waiter)
+        if not waiter.done.is_set():
+            return message.Outcome(
+                message.OutcomeKind.UNKNOWN,
+                reason=outcomes.UnknownReason.LEADER_LOST.value,
+                detail="appended, but not known to be committed",
+            )
+        if waiter.result is None:
+            return shared.refuse(
+                outcomes.RefusalReason.NO_QUORUM,
+                "another leader's change took its place",
+            )
+        return message.Outcome(message.OutcomeKind.RESULT, index, waiter.result)
+
+    async def _barrier_here(self, asked: message.Asked) -> message.Outcome:
+        shared = self.shared
+        deadline = trio.current_time() + asked.timeout_seconds
+        term = shared.term
+        if shared.role != agreement_shared.Role.LEADER:
+            return self._not_leader()
+        # Until an entry of its own term is committed, a leader may not know
+        # of all committed entries.
+        start = self.replication.term_start
+        await shared.commit_moved.until(
+            lambda: shared.commit >= start or shared.term != term, deadline
+        )
+        if shared.commit < start or shared.term != term:
+            return self._not_leader()
+        index = shared.commit
+        if not await self.replication.confirm(deadline):
+            return shared.refuse(
+                outcomes.RefusalReason.NO_QUORUM, "no majority answered"
+            )
+        return message.Outcome(message.OutcomeKind.RESULT, index)
+
+    async def _change_members_here(
+        self, asked: message.ChangeMembers
+    ) -> message.Outcome:
+        if self.shared.role != agreement_shared.Role.LEADER:
+            return self._not_leader()
+        return await self.membership.change(asked)
+
+    def _not_leader(self) -> message.Outcome:
+        return self.shared.refuse(
+            outcomes.RefusalReason.NOT_LEADER, "not the leader"
+        )
+
+    async def on_propose(self, _: str, body: bytes) -> bytes:
+        """Carries out a change that another instance passed on."""
+        asked = message.decode(body, message.Propose)
+        return message.encode(await self._propose_here(asked))
+
+    async def on_barrier(self, _: str, body: bytes) -> bytes:
+        """Tells another instance up to where it must apply."""
+        asked = message.decode(body, message.Asked)
+        return message.encode(await self._barrier_here(asked))
+
+    async def on_change_members(self, _: str, body: bytes) -> bytes:
+        """Changes members for another instance."""
+        asked = message.decode(body, message.ChangeMembers)
+        return message.encode(await self._change_members_here(asked))
+
+
+def _may_retry(outcome: message.Outcome) -> bool:
+    return outcome.kind == message.OutcomeKind.REFUSAL and outcome.reason in (
+        outcomes.RefusalReason.NOT_LEADER.value,
+        outcomes.RefusalReason.NO_QUORUM.value,
+    )
+
+
+def to_result(
+    outcome: message.Outcome,
+) -> bytes | outcomes.Refusal | outcomes.Unknown:
+    """Turns an outcome into the value that callers receive.
+
+    Examples:
+        >>> to_result(message.Outcome(message.OutcomeKind.RESULT, 1, b"r"))
+        b'r'
+    """
+    if outcome.kind == message.OutcomeKind.RESULT:
+        return outcome.result
+    if outcome.kind == message.OutcomeKind.UNKNOWN:
+        reason = outcomes.UnknownReason(outcome.reason)
+        return outcomes.Unknown(reason, outcome.detail)
+    return outcomes.Refusal(
+        outcomes.RefusalReason(outcome.reason),
+        outcome.detail,
+        outcome.retry_after_seconds,
+    )
--- /dev/null
+++ b/turmerichall/agreement/replica.py
@@ -0,0 +1,317 @@
+"""A replica of the state: the part of agreement that other parts use."""
+
+import pathlib
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import trio
+
+from turmerichall import errors
+from turmerichall import outcomes
+from turmerichall.agreement import appending
+from turmerichall.agreement import applying
+from turmerichall.agreement import election
+from turmerichall.agreement import entry_log
+from turmerichall.agreement import following
+from turmerichall.agreement import member
+from turmerichall.agreement import membership
+from turmerichall.agreement import message
+from turmerichall.agreement import proposing
+from turmerichall.agreement import replication
+from turmerichall.agreement import shared as agreement_shared
+from turmerichall.agreement import snapshots
+from turmerichall.peers import link
+from turmerichall.storage import data_folder
+from turmerichall.storage import files as storage_files
+from turmerichall.storage import journal
+from turmerichall.telemetry import logs
+
+__all__ = ["Replica", "ReplicaStatus"]
+
+Handler = Callable[[str, bytes], Awaitable[bytes | None]]
+
+
+class ReplicaStatus(NamedTuple):
+    """What a replica knows of itself and of the cluster.
+
+    Attributes:
+        name: Name of the instance.
+        identity: Identity of its disk; empty without one.
+        role: Follower, candidate, leader or observer.
+        leader: Name of the leader, or empty.
+        term: The newest term seen.
+        commit: Index known to be committed.
+        applied: Index up to which the state is applied.
+        members: The voters.
+        learners: Replicas that are not caught up yet.
+        stopped: Why the replica takes part no more; empty while it does.
+        seconds_since_quorum: How long ago a quorum was in contact.
+        recovered: Whether the state is at least as new as any that this
+            instance had before it was started.
+    """
+
+    name: str
+    identity: str
+    role: agreement_shared.Role
+    leader: str
+    term: int
+    commit: int
+    applied: int
+    members: member.Members
+    learners: member.Members
+    stopped: str
+    seconds_since_quorum: float
+    recovered: bool
+
+
+class Replica:
+    """Keeps the machine of this instance equal to that of the others.
+
+    Attributes:
+        shared: State that the tasks of the replica share.
+        files: The data folder; None without a disk.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path | None,
+        network: agreement_shared.Network,
+        machine: agreement_shared.Machine,
+        bootstrap_members: dict[str, str] | None = None,
+        log: link.Log | None = None,
+        timing: agreement_shared.Timing = agreement_shared.Timing(),
+        files: storage_files.Files | None = None,
+        rng: random.Random | None = None,
+        max_batch_records: int = journal.NO_LIMIT,
+    ):
+        """Makes a replica; `run` starts it.
+
+        Args:
+            name: Name of the instance.
+            folder: The data folder; None without a disk.
+            network: Connections to the other instances.
+            machine: What committed changes are applied to.
+            bootstrap_members: Addresses by name of the first members.  They
+                found the cluster once all of them have an empty disk.
+            log: Where to write.
+            timing: Periods and limits.
+            files: Used in place of `folder`, if given.
+            rng: Source of random waits.
+            max_batch_records: Most records that one sync covers.
+        """
+        self.files = files
+        if files is None and folder is not None:
+            self.files = storage_files.DiskFiles(folder)
+        self.max_batch_records = max_batch_records
+        self.shared = agreement_shared.Shared(
+            name,
+            network,
+            machine,
+            log or logs.Log("agreement"),
+            timing,
+            rng or random.Random(),
+        )
+        self._bootstrap = dict(bootstrap_members or {})
+        self._applying = applying.Applying(self.shared)
+        self._snapshots = snapshots.Snapshots(self.shared)
+        self._replication = replication.Replication(self.shared)
+        self._membership = membership.Membership(
+            self.shared, self._replication, self._snapshots, self._bootstrap
+        )
+        self._proposing = proposing.Proposing(
+            self.shared, self._applying, self._replication, self._membership
+        )
+
+    async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Takes part until cancelled.
+
+        When the disk fails, the replica stops to vote and to acknowledge; the
+        state goes on as without a disk.
+
+        Args:
+            task_status: Started when the state on the disk is loaded.
+        """
+        shared = self.shared
+        shared.started_at = trio.current_time()
+        shared.address = shared.network.listen_address
+        shared.address = self._bootstrap.get(shared.name, shared.address)
+        self._register("identify", self._membership.on_identify)
+        loaded = False
+        try:
+            if self.files is not None:
+                await self._load(self.files)
+                loaded = True
+                await self._take_part(task_status)
+        except* errors.StorageError as group:
+            self._stop(_first(group))
+        finally:
+            if self.files is not None:
+                self.files.unlock()
+        shared.role = agreement_shared.Role.OBSERVER
+        shared.followed_term = shared.term
+        if not loaded:
+            shared.recovered_at = agreement_shared.NOT_RECOVERED
+            task_status.started()
+        await following.Following(shared, self._applying, self._snapshots).run()
+
+    async def _load(self, files: storage_files.Files) -> None:
+        """Loads the data folder and applies what is known to be committed."""
+        shared = self.shared
+
+        def load() -> message.Image | None:
+            shared.folder = data_folder.DataFolder.open(
+                files, self.max_batch_records
+            )
+            shared.entries = entry_log.EntryLog(shared.folder.journal)
+            image = self._snapshots.load()
+            shared.entries.load(image)
+            return image
+
+        image = await files.perform(load)
+        if image is not None:
+            snapshots.apply_image(shared, image)
+        shared.move_commit(shared.kept.commit)
+        shared.recovered_at = shared.kept.last_index
+        shared.kept.rewrite()
+        while shared.applied < shared.commit:
+            self._applying.apply_entry(shared.kept.get(shared.applied + 1))
+        shared.role = agreement_shared.Role.FOLLOWER
+
+    async def _take_part(self, task_status: Any) -> None:
+        shared = self.shared
+        electing = election.Election(shared, self._replication)
+        taking = appending.Appending(shared, self._snapshots)
+        serving = following.Serving(shared)
+        self._register("vote", electing.on_vote)
+        self._register("append", taking.on_append)
+        self._register("snapshot_part", self._snapshots.on_part)
+        self._register("follow", serving.on_follow)
+        self._register("join", self._membership.on_join)
+        self._register("propose", self._proposing.on_propose)
+        self._register("barrier", self._proposing.on_barrier)
+        self._register("change_members", self._proposing.on_change_members)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(shared.kept.journal.run)
+            nursery.start_soon(self._applying.run)
+            nursery.start_soon(self._applying.run_saving_commit)
+            nursery.start_soon(self._snapshots.run_taking)
+            nursery.start_soon(self._snapshots.run_fetching)
+            nursery.start_soon(electing.run)
+            nursery.start_soon(self._membership.run)
+            task_status.started()
+
+    def _register(self, kind: str, handler: Handler) -> None:
+        async def guarded(sender: str, body: bytes) -> bytes | None:
+            if self.shared.stopped:
+                raise errors.StorageError(self.shared.stopped)
+            return await handler(sender, body)
+
+        self.shared.network.handle(kind, guarded)
+
+    def _stop(self, error: BaseException) -> None:
+        shared = self.shared
+        shared.stopped = str(error)
+        shared.step_down()
+        shared.log.error("replica stopped", reason=shared.stopped)
+
+    async def propose(
+        self, change: bytes, timeout_seconds: float = 5.0
+    ) -> bytes | outcomes.Refusal | outcomes.Unknown:
+        """Carries out a change through the leader.
+
+        Args:
+            change: What the machine is to apply.
+            timeout_seconds: How long to wait for the result.
+
+        Returns:
+            The machine's result, which is applied here too unless this
+            instance is behind.  After a refusal the change was not and will
+            not be applied; after `Unknown` it may be.
+        """
+        outcome = await self._proposing.propose(change, timeout_seconds)
+        return proposing.to_result(outcome)
+
+    async def barrier(
+        self, timeout_seconds: float = 2.0
+    ) -> outcomes.Refusal | None:
+        """Waits until the state here holds all that was committed before.
+
+        Args:
+            timeout_seconds: How long to wait.
+
+        Returns:
+            None, or a refusal if the state may be older.
+        """
+        outcome = await self._proposing.barrier(timeout_seconds)
+        result = proposing.to_result(outcome)
+        if isinstance(result, outcomes.Unknown):
+            return outcomes.Refusal(
+                outcomes.RefusalReason.NO_QUORUM,
+                result.detail,
+                self.shared.timing.heartbeat_seconds,
+            )
+        return result if isinstance(result, outcomes.Refusal) else None
+
+    async def change_members(
+        self,
+        action: message.MemberAction,
+        name: str,
+        address: str = "",
+        timeout_seconds: float = 10.0,
+    ) -> member.Members | outcomes.Refusal | outcomes.Unknown:
+        """Adds or removes a replica, as one step through the log.
+
+        An added one is a learner first and votes once it has caught up.  To
+        replace a lost disk nothing need be asked for: the instance comes
+        back with a new identity and takes the place of its old one.
+
+        Args:
+            action: Whether to add or to remove.
+            name: Name of the instance.
+            address: Where it accepts connections, host:port; to add only.
+            timeout_seconds: How long to wait.
+
+        Returns:
+            The members after the step.
+        """
+        asked = message.ChangeMembers(action, name, address, timeout_seconds)
+        outcome = await self._proposing.change_members(asked)
+        result = proposing.to_result(outcome)
+        return self.shared.members if isinstance(result, bytes) else result
+
+    async def wait_applied(self, index: int) -> None:
+        """Waits until the state here holds everything up to an index."""
+        shared = self.shared
+        await shared.applied_moved.until(lambda: shared.applied >= index)
+
+    def seconds_since_quorum(self) -> float:
+        """Returns how long ago a quorum was last known to be in contact."""
+        return self.shared.seconds_since_quorum()
+
+    def status(self) -> ReplicaStatus:
+        """Returns what this replica knows of itself and of the cluster."""
+        shared = self.shared
+        return ReplicaStatus(
+            shared.name,
+            shared.identity,
+            shared.role,
+            shared.leader,
+            shared.term,
+            shared.commit,
+            shared.applied,
+            member.voters(shared.members),
+            member.learners(shared.members),
+            shared.stopped,
+            shared.seconds_since_quorum(),
+            shared.recovered,
+        )
+
+
+def _first(group: BaseExceptionGroup[Any]) -> BaseException:
+    """Returns the first plain exception of a group of groups."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- /dev/null
+++ b/turmerichall/agreement/tests/cluster.py
@@ -0,0 +1,321 @@
+"""Several replicas in one process, with faults, for tests."""
+
+import errno
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import trio
+
+from turmerichall import errors
+from turmerichall import outcomes
+from turmerichall.agreement import message
+from turmerichall.agreement import replica
+from turmerichall.agreement import shared as agreement_shared
+
+T = TypeVar("T")
+Handler = Callable[[str, bytes], Awaitable[bytes | None]]
+
+SYNC_SECONDS = 0.002
+MAX_DELAY_SECONDS = 0.004
+
+
+class MemoryFiles:
+    """A data folder in memory that can fail.
+
+    Attributes:
+        content: What survives a crash.
+        full: Whether the disk is full; half of a record is still written.
+        sync_fails: Whether syncs fail; nothing written is durable then.
+    """
+
+    def __init__(self) -> None:
+        self.content: dict[str, bytes] = {}
+        self.full = False
+        self.sync_fails = False
+        self.locked = False
+
+    def lock(self) -> None:
+        if self.locked:
+            raise errors.StorageError("another process holds the data folder")
+        self.locked = True
+
+    def unlock(self) -> None:
+        self.locked = False
+
+    def read(self, name: str) -> bytes | None:
+        return self.content.get(name)
+
+    def read_range(self, name: str, offset: int, size: int) -> bytes:
+        return self.content[name][offset : offset + size]
+
+    def append(self, name: str, data: bytes) -> None:
+        if self.sync_fails:
+            raise OSError(errno.EIO, "input/output error")
+        if self.full:
+            data = data[: len(data) // 2]
+        self.content[name] = self.content.get(name, b"") + data
+        if self.full:
+            raise OSError(errno.ENOSPC, "no space left")
+
+    def replace(self, name: str, data: bytes) -> None:
+        if self.full:
+            raise OSError(errno.ENOSPC, "no space left")
+        if self.sync_fails:
+            raise OSError(errno.EIO, "input/output error")
+        self.content[name] = data
+
+    async def perform(self, work: Callable[[], T]) -> T:
+        await trio.sleep(SYNC_SECONDS)
+        return work()
+
+
+class Hub:
+    """Carries messages between instances, and loses some.
+
+    Attributes:
+        cut: Directions (from, to) in which nothing arrives.
+        networks: Networks of the instances that run.
+    """
+
+    def __init__(self, nursery: trio.Nursery, rng: random.Random):
+        self.nursery = nursery
+        self.rng = rng
+        self.cut: set[tuple[str, str]] = set()
+        self.networks: dict[str, "MemoryNetwork"] = {}
+
+    def isolate(self, name: str, others: set[str]) -> None:
+        """Cuts an instance off from others in both directions."""
+        for other in others - {name}:
+            self.cut |= {(name, other), (other, name)}
+
+    def heal(self) -> None:
+        self.cut.clear()
+
+
+class MemoryNetwork:
+    """Stands for `peers.network.Network`."""
+
+    def __init__(self, name: str, hub: Hub, addresses: dict[str, str]):
+        self.name = name
+        self.hub = hub
+        self.addresses = addresses
+        self.listen_address = f"{name}:1"
+        self.handlers: dict[str, Handler] = {}
+
+    def handle(self, kind: str, handler: Handler) -> None:
+        self.handlers[kind] = handler
+
+    def set_addresses(self, addresses: dict[str, str]) -> None:
+        self.addresses = addresses
+
+    async def call(
+        self, instance: str, kind: str, body: bytes, timeout_seconds: float
+    ) -> bytes | outcomes.Refusal:
+        hub = self.hub
+        if hub.networks.get(self.name) is not self:
+            await trio.sleep_forever()
+        if instance not in hub.networks:
+            await trio.sleep(0.001)
+            return outcomes.Refusal(outcomes.RefusalReason.UNREACHABLE)
+        answers: list[bytes | outcomes.Refusal] = []
+        done = trio.Event()
+
+        async def carry() -> None:
+            await trio.sleep(hub.rng.uniform(0, MAX_DELAY_SECONDS))
+            target = hub.networks.get(instance)
+            if target is None or (self.name, instance) in hub.cut:
+                return
+            answer = await target.serve(self.name, kind, body)
+            await trio.sleep(hub.rng.uniform(0, MAX_DELAY_SECONDS))
+            same = hub.networks.get(instance) is target
+            if same and (instance, self.name) not in hub.cut:
+                answers.append(answer)
+                done.set()
+
+        hub.nursery.start_soon(carry)
+        with trio.move_on_after(timeout_seconds):
+            await done.wait()
+        if answers:
+            return answers[0]
+        return outcomes.Refusal(outcomes.RefusalReason.TIMEOUT)
+
+    async def serve(
+        self, sender: str, kind: str, body: bytes
+    ) -> bytes | outcomes.Refusal:
+        handler = self.handlers.get(kind)
+        if handler is None:
+            return outcomes.Refusal(outcomes.RefusalReason.UNKNOWN_NAME)
+        try:
+            return await handler(sender, body) or b""
+        except errors.StorageError as error:
+            reason = outcomes.RefusalReason.STOPPED
+            return outcomes.Refusal(reason, str(error))
+
+
+class KeyValues:
+    """A machine of `key=value` changes that counts what it applied."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, str] = {}
+        self.applied: list[str] = []
+
+    def apply(self, index: int, data: bytes) -> bytes:
+        key, _, value = data.decode().partition("=")
+        self.values[key] = value
+        self.applied.append(data.decode())
+        return str(index).encode()
+
+    def snapshot(self) -> bytes:
+        return "\n".join(self.applied).encode()
+
+    def restore(self, data: bytes) -> None:
+        self.applied = data.decode().split("\n") if data else []
+        self.values = dict(
+            (line.split("=")[0], line.split("=")[1]) for line in self.applied
+        )
+
+
+class Quiet:
+    """A log that keeps nothing."""
+
+    def info(self, message: str, **fields: object) -> None:
+        """Keeps nothing."""
+
+    warning = info
+    error = info
+
+
+class Cluster:
+    """Instances that can be started, stopped, cut off and wiped.
+
+    Attributes:
+        names: First members.
+        files: Data folders by name.
+        replicas: Replicas that run, by name.
+        machines: Their machines.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        size: int = 3,
+        seed: int = 1,
+        timing: agreement_shared.Timing = agreement_shared.Timing(),
+        machine: Callable[[], agreement_shared.Machine] = KeyValues,
+    ):
+        self.nursery = nursery
+        self.rng = random.Random(seed)
+        self.hub = Hub(nursery, self.rng)
+        self.timing = timing
+        self.new_machine = machine
+        self.names = [chr(ord("a") + number) for number in range(size)]
+        self.addresses = {name: f"{name}:1" for name in self.names}
+        self.files: dict[str, MemoryFiles] = {}
+        self.replicas: dict[str, replica.Replica] = {}
+        self.machines: dict[str, agreement_shared.Machine] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    async def start(self, name: str, disk: bool = True) -> replica.Replica:
+        """Starts an instance on the folder that it had, if any."""
+        files = self.files.setdefault(name, MemoryFiles()) if disk else None
+        addresses = dict(self.addresses)
+        addresses.pop(name, None)
+        network = MemoryNetwork(name, self.hub, addresses)
+        machine = self.new_machine()
+        made = replica.Replica(
+            name,
+            None,
+            network,
+            machine,
+            self.addresses if name in self.names else {},
+            Quiet(),
+            self.timing,
+            files,
+            random.Random(self.rng.random()),
+        )
+        self.hub.networks[name] = network
+        self.machines[name] = machine
+        self.replicas[name] = made
+        scope = trio.CancelScope()
+        self._scopes[name] = scope
+
+        async def run(*, task_status: trio.TaskStatus[None]) -> None:  # type: ignore[name-defined]
+            with scope:
+                await made.run(task_status=task_status)
+
+        await self.nursery.start(run)
+        return made
+
+    async def start_all(self) -> None:
+        for name in self.names:
+            await self.start(name)
+
+    def kill(self, name: str) -> None:
+        """Ends an instance at once; what it did not sync is lost."""
+        self._scopes.pop(name).cancel()
+        del self.hub.networks[name]
+        del self.replicas[name]
+        if name in self.files:
+            survived = MemoryFiles()
+            survived.content = dict(self.files[name].content)
+            self.files[name] = survived
+
+    def wipe(self, name: str) -> None:
+        """Loses the disk of an instance that does not run."""
+        self.files[name] = MemoryFiles()
+
+    def leaders(self) -> list[str]:
+        """Names of the replicas that take themselves for the leader."""
+        return [
+            name
+            for name, each in self.replicas.items()
+            if each.status().role == agreement_shared.Role.LEADER
+        ]
+
+    async def until(
+        self, condition: Callable[[], bool], seconds: float = 60.0
+    ) -> None:
+        """Waits for a condition, in mocked time."""
+        with trio.fail_after(seconds):
+            while not condition():
+                await trio.sleep(0.01)
+
+    async def leader(self, among: set[str] | None = None) -> str:
+        """Waits for a leader that the rest knows of."""
+        names = among or set(self.replicas)
+
+        def agreed() -> bool:
+            found = {self.replicas[name].status().leader for name in names}
+            return len(found) == 1 and found <= set(self.leaders())
+
+        await self.until(agreed)
+        return self.replicas[min(names)].status().leader
+
+    async def put(self, name: str, change: str) -> bytes:
+        """Proposes through an instance until it is accepted."""
+        with trio.fail_after(60):
+            while True:
+                result = await self.replicas[name].propose(change.encode())
+                if isinstance(result, bytes):
+                    return result
+                await trio.sleep(0.1)
+
+    def values(self, name: str) -> dict[str, str]:
+        machine = self.machines[name]
+        assert isinstance(machine, KeyValues)
+        return machine.values
+
+    async def settled(self, change: str, names: set[str] | None = None) -> None:
+        """Waits until a change is applied on all instances that run."""
+        key, _, value = change.partition("=")
+        await self.until(
+            lambda: all(
+                self.values(name).get(key) == value
+                for name in names or set(self.replicas)
+            )
+        )
+
+
+ADD = message.MemberAction.ADD
+REMOVE = message.MemberAction.REMOVE
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -246,6 +246,8 @@
                 )
         except (msgspec.DecodeError, errors.InputError) as error:
             self._refuse(frame, outcomes.RefusalReason.MALFORMED, str(error))
+        except errors.StorageError as error:
+            self._refuse(frame, outcomes.RefusalReason.STOPPED, str(error))
         finally:
             self.running -= 1
 
--- /dev/null
+++ b/turmerichall/storage/files.py
@@ -0,0 +1,156 @@
+"""Files of the data folder, written so that they survive a crash."""
+
+import errno
+import fcntl
+import os
+import pathlib
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+import trio
+
+from turmerichall import errors
+
+__all__ = ["DiskFiles", "Files", "failure"]
+
+T = TypeVar("T")
+
+LOCK_NAME = "lock"
+
+
+class Files(Protocol):
+    """What the log and the snapshots need of a folder.
+
+    All but `perform` block; call them inside `perform`.
+    """
+
+    def lock(self) -> None:
+        """Takes the folder for this process."""
+
+    def unlock(self) -> None:
+        """Closes all files and gives the folder back."""
+
+    def read(self, name: str) -> bytes | None:
+        """Returns the content of a file; None if there is none."""
+
+    def read_range(self, name: str, offset: int, size: int) -> bytes:
+        """Returns a part of a file."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Adds to a file and syncs it."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replaces a file so that a crash leaves the old or the new one."""
+
+    async def perform(self, work: Callable[[], T]) -> T:
+        """Runs blocking work without holding up other tasks."""
+
+
+def failure(action: str, error: OSError) -> errors.StorageError:
+    """Describes a failed operation on the data folder.
+
+    Examples:
+        >>> str(failure("append", OSError(errno.ENOSPC, "No space")))
+        'append failed: the disk is full'
+    """
+    if error.errno in (errno.ENOSPC, errno.EDQUOT):
+        return errors.StorageError(f"{action} failed: the disk is full")
+    return errors.StorageError(f"{action} failed: {error}")
+
+
+class DiskFiles:
+    """A folder on a disk.
+
+    Attributes:
+        folder: The data folder.
+        appending: Open descriptors of files that were appended to.
+    """
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.appending: dict[str, int] = {}
+        self._lock: int | None = None
+
+    def lock(self) -> None:
+        """See `Files`.
+
+        Raises:
+            StorageError: Another process holds the folder.
+        """
+        self.folder.mkdir(parents=True, exist_ok=True)
+        descriptor = os.open(
+            self.folder / LOCK_NAME, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+        )
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as held:
+            os.close(descriptor)
+            raise errors.StorageError(
+                f"another process holds the data folder {self.folder}"
+            ) from held
+        self._lock = descriptor
+
+    def unlock(self) -> None:
+        """See `Files`."""
+        for descriptor in self.appending.values():
+            os.close(descriptor)
+        self.appending.clear()
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
+
+    def read(self, name: str) -> bytes | None:
+        """See `Files`."""
+        try:
+            return (self.folder / name).read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def read_range(self, name: str, offset: int, size: int) -> bytes:
+        """See `Files`."""
+        with open(self.folder / name, "rb") as file:
+            file.seek(offset)
+            return file.read(size)
+
+    def append(self, name: str, data: bytes) -> None:
+        """See `Files`."""
+        descriptor = self.appending.get(name)
+        if descriptor is None:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
+            descriptor = os.open(self.folder / name, flags)
+            self.appending[name] = descriptor
+        _write_all(descriptor, data)
+        os.fsync(descriptor)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """See `Files`."""
+        beside = self.folder / f"{name}.new"
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+        descriptor = os.open(beside, flags)
+        try:
+            _write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        os.replace(beside, self.folder / name)
+        self._sync_folder()
+        replaced = self.appending.pop(name, None)
+        if replaced is not None:
+            os.close(replaced)
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    async def perform(self, work: Callable[[], T]) -> T:
+        """See `Files`."""
+        return await trio.to_thread.run_sync(work)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(descriptor, rest) :]
