Add admission, routing, shares, loans, claims and retries to the gateway

Thin parts joined into one path: a request takes a slot by urgency, a claim if it is not idempotent, and attempts within the retry budget. Limits of a worker hold in sum because each instance's part is a function of worker and member list; live instances lend idle halves for a bounded term. The upkeep runs from the HTTP server's lifespan.

The fault table of one exchange found that an answer without a marked end would pass as whole, and that a request refused at its second attempt would have been told 'not run' though the first may have run; both are covered.

--- /dev/null
+++ b/turmerichall/gateway/admission.py
@@ -0,0 +1,278 @@
+"""Which request gets the next slot, and which is refused at once."""
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.customers import customer as customers
+from turmerichall.gateway import concurrency
+from turmerichall.gateway import limits as limits_module
+from turmerichall.gateway import pool as pools
+from turmerichall.gateway import request as requests
+
+__all__ = ["Admission", "Chooser"]
+
+ORDER = (
+    customers.Urgency.URGENT,
+    customers.Urgency.NORMAL,
+    customers.Urgency.DEFERRABLE,
+)
+RATE_WEIGHT = 0.05
+LEAST_RETRY_AFTER_SECONDS = 1.0
+
+# Chooses a slot for a request.  None: all suitable slots are filled.
+Chooser = Callable[
+    [requests.Request, frozenset[str]], pools.Slot | outcomes.Refusal | None
+]
+
+
+class Waiting:
+    """A request that waits for a slot.
+
+    Attributes:
+        request: The request.
+        tried: Backend servers to avoid.
+        result: The slot or refusal, once there is one.
+        woken: Set together with `result`.
+    """
+
+    def __init__(self, request: requests.Request, tried: frozenset[str]):
+        self.request = request
+        self.tried = tried
+        self.result: pools.Slot | outcomes.Refusal | None = None
+        self.woken = trio.Event()
+
+    def end(self, result: pools.Slot | outcomes.Refusal) -> None:
+        """Wakes the request with what came of its wait."""
+        self.result = result
+        self.woken.set()
+
+
+class Line(NamedTuple):
+    """The waiting requests of one urgency.
+
+    Attributes:
+        by_customer: Waiting requests of each customer, who take turns.
+    """
+
+    by_customer: OrderedDict[str, deque[Waiting]]
+
+    def __len__(self) -> int:
+        return sum(map(len, self.by_customer.values()))
+
+    def in_turn(self) -> Iterator[Waiting]:
+        """Yields the first of each customer, then the second, and so on."""
+        lines = [list(line) for line in self.by_customer.values()]
+        for place in range(max(map(len, lines), default=0)):
+            for line in lines:
+                if place < len(line):
+                    yield line[place]
+
+    def add(self, waiting: Waiting) -> None:
+        """Adds a request at the end of its customer's line."""
+        name = waiting.request.customer
+        self.by_customer.setdefault(name, deque()).append(waiting)
+
+    def remove(self, waiting: Waiting) -> None:
+        """Takes a request out; its customer then goes behind the others."""
+        name = waiting.request.customer
+        line = self.by_customer[name]
+        line.remove(waiting)
+        if line:
+            self.by_customer.move_to_end(name)
+        else:
+            del self.by_customer[name]
+
+
+class Admission:
+    """Hands out slots by urgency, with customers of one urgency in turn.
+
+    Attributes:
+        choose: Chooses a slot for a request.
+        concurrency: The adaptive limit.
+        in_flight: Requests that hold a slot.
+        lines: Waiting requests by urgency.
+        waiting: How many there are.
+        of_customer: Requests of each customer, waiting or in flight.
+        service_seconds: Running mean of how long a request holds its slot.
+        starved: Set when a request begins to wait.
+    """
+
+    def __init__(self, choose: Chooser, limits: limits_module.Limits):
+        self.choose = choose
+        self.limits = limits
+        self.concurrency = concurrency.Concurrency(limits.concurrency)
+        self.in_flight = 0
+        self.lines = {urgency: Line(OrderedDict()) for urgency in ORDER}
+        self.waiting = 0
+        self.of_customer: Counter[str] = Counter()
+        self.service_seconds = 0.0
+        self.starved = trio.Event()
+
+    def enter(self, request: requests.Request) -> outcomes.Refusal | None:
+        """Counts a request in, unless its customer has too many."""
+        if self.of_customer[request.customer] >= request.max_requests:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.CUSTOMER_LIMIT,
+                f"customer {request.customer} has {request.max_requests}"
+                " requests in flight here",
+                LEAST_RETRY_AFTER_SECONDS,
+            )
+        self.of_customer[request.customer] += 1
+        return None
+
+    def leave(self, request: requests.Request) -> None:
+        """Counts a request out."""
+        self.of_customer[request.customer] -= 1
+        if not self.of_customer[request.customer]:
+            del self.of_customer[request.customer]
+
+    async def slot(
+        self, request: requests.Request, tried: frozenset[str] = frozenset()
+    ) -> pools.Slot | outcomes.Refusal:
+        """Takes a slot, after waiting for one if that can still help.
+
+        Args:
+            request: The request.
+            tried: Backend servers to avoid if others run the service.
+
+        Returns:
+            The slot, or why there is none.
+        """
+        if not self.waiting or self._goes_first(request):
+            found = self._take(request, tried)
+            if found is not None:
+                return found
+        refusal = self._refuse_at_once(request)
+        if refusal is not None:
+            return refusal
+        return await self._wait(Waiting(request, tried))
+
+    def _goes_first(self, request: requests.Request) -> bool:
+        ahead = ORDER[: ORDER.index(request.urgency) + 1]
+        return not any(self.lines[urgency].by_customer for urgency in ahead)
+
+    def _take(
+        self, request: requests.Request, tried: frozenset[str]
+    ) -> pools.Slot | outcomes.Refusal | None:
+        if self.in_flight >= self.concurrency.limit:
+            return None
+        found = self.choose(request, tried)
+        if isinstance(found, pools.Slot):
+            self.in_flight += 1
+        return found
+
+    def release(self, held_seconds: float) -> None:
+        """Notes that a request freed its slot, and hands it on."""
+        self.in_flight -= 1
+        self.service_seconds += (
+            held_seconds - self.service_seconds
+        ) * RATE_WEIGHT
+        self.hand_out()
+
+    def hand_out(self) -> None:
+        """Gives free slots to those who wait."""
+        if not self.waiting:
+            return
+        without_room: set[tuple[str, str]] = set()
+        for urgency in ORDER:
+            for waiting in list(self.lines[urgency].in_turn()):
+                request = waiting.request
+                key = (request.customer, request.service)
+                if key in without_room:
+                    continue
+                found = self._take(request, waiting.tried)
+                if found is None:
+                    without_room.add(key)
+                    continue
+                self._remove(waiting)
+                waiting.end(found)
+
+    async def _wait(self, waiting: Waiting) -> pools.Slot | outcomes.Refusal:
+        request = waiting.request
+        self.lines[request.urgency].add(waiting)
+        self.waiting += 1
+        self.starved.set()
+        now = trio.current_time()
+        until = min(request.deadline, now + self.limits.queue_seconds)
+        try:
+            with trio.move_on_at(until):
+                await waiting.woken.wait()
+        except trio.Cancelled:
+            if isinstance(waiting.result, pools.Slot):
+                waiting.result.pool.release(waiting.result)
+                self.release(0.0)
+            raise
+        finally:
+            if waiting.result is None:
+                self._remove(waiting)
+        if waiting.result is not None:
+            return waiting.result
+        return outcomes.Refusal(
+            outcomes.RefusalReason.OVERLOADED,
+            "no slot became free in time",
+            max(LEAST_RETRY_AFTER_SECONDS, self._wait_seconds(request)),
+        )
+
+    def waiting_services(self) -> set[tuple[str, str]]:
+        """Returns customer and service of the requests that wait."""
+        return {
+            (waiting.request.customer, waiting.request.service)
+            for line in self.lines.values()
+            for waiting in line.in_turn()
+        }
+
+    def _remove(self, waiting: Waiting) -> None:
+        self.lines[waiting.request.urgency].remove(waiting)
+        self.waiting -= 1
+
+    def _wait_seconds(self, request: requests.Request) -> float:
+        """Returns how long a request would wait behind those before it."""
+        ahead = 0
+        for urgency in ORDER:
+            ahead += len(self.lines[urgency])
+            if urgency == request.urgency:
+                break
+        return ahead * self.service_seconds / max(1, self.in_flight)
+
+    def _refuse_at_once(
+        self, request: requests.Request
+    ) -> outcomes.Refusal | None:
+        expected = self._wait_seconds(request)
+        remaining = request.remaining_seconds(trio.current_time())
+        retry_after = max(LEAST_RETRY_AFTER_SECONDS, expected)
+        if expected > min(remaining, self.limits.queue_seconds):
+            return outcomes.Refusal(
+                outcomes.RefusalReason.OVERLOADED,
+                f"the wait for a slot would be {expected:.1f} s",
+                retry_after,
+            )
+        if self.waiting < self.limits.queue_requests:
+            return None
+        if self._displace(request.urgency):
+            return None
+        return outcomes.Refusal(
+            outcomes.RefusalReason.OVERLOADED,
+            f"{self.waiting} requests wait for a slot",
+            retry_after,
+        )
+
+    def _displace(self, urgency: customers.Urgency) -> bool:
+        """Refuses the last waiting request that is less urgent, if any."""
+        for lower in reversed(ORDER[ORDER.index(urgency) + 1 :]):
+            line = self.lines[lower]
+            if line.by_customer:
+                *_, last = line.in_turn()
+                self._remove(last)
+                last.end(
+                    outcomes.Refusal(
+                        outcomes.RefusalReason.OVERLOADED,
+                        "more urgent requests took the place in the queue",
+                        LEAST_RETRY_AFTER_SECONDS,
+                    )
+                )
+                return True
+        return False
--- a/turmerichall/gateway/answers.py
+++ b/turmerichall/gateway/answers.py
@@ -6,6 +6,8 @@
 
 from turmerichall import documents
 from turmerichall import outcomes
+from turmerichall.gateway import claims
+from turmerichall.gateway import keeper
 
 __all__ = [
     "Document",
@@ -35,11 +37,11 @@
     outcomes.RefusalReason.UNKNOWN_CUSTOMER: 404,
     outcomes.RefusalReason.UNKNOWN_SERVICE: 404,
     outcomes.RefusalReason.CUSTOMER_LIMIT: 429,
-    outcomes.RefusalReason.DUPLICATE_REQUEST: 409,
     outcomes.RefusalReason.DEADLINE: 504,
 }
 REFUSED_STATUS = 503
 UNKNOWN_STATUS = 502
+DUPLICATE_STATUS = 409
 
 
 class Document(NamedTuple):
@@ -61,31 +63,51 @@
 
 
 def document(
-    ended: outcomes.Refusal | outcomes.Unknown, request_id: bytes
+    ended: outcomes.Refusal | outcomes.Unknown | claims.Duplicate,
+    request_id: bytes,
 ) -> Document:
     """Returns the document of a request that got no answer.
 
+    A refusal that rests on an earlier request with the same id, or on not
+    knowing whether there was one, doesn't say that the request was not run.
+
     Examples:
         >>> ended = outcomes.Refusal(outcomes.RefusalReason.DRAINING)
         >>> document(ended, b"r1").outcome
         <Outcome.NOT_RUN: 'not-run'>
     """
     known = request_id.decode("latin-1")
+    if isinstance(ended, claims.Duplicate):
+        return _duplicate(ended, known)
     if isinstance(ended, outcomes.Unknown):
         return Document(
             Outcome.UNKNOWN, ended.reason, ended.detail, known, None
         )
+    outcome = Outcome.NOT_RUN
+    if ended.reason == outcomes.RefusalReason.NOT_PROVABLY_SAFE:
+        outcome = Outcome.UNKNOWN
+    return Document(
+        outcome, ended.reason, ended.detail, known, ended.retry_after_seconds
+    )
+
+
+def _duplicate(ended: claims.Duplicate, request_id: str) -> Document:
+    ran = ended.state == keeper.State.RAN
     return Document(
-        Outcome.NOT_RUN,
-        ended.reason,
-        ended.detail,
-        known,
-        ended.retry_after_seconds,
+        Outcome.RAN if ran else Outcome.UNKNOWN,
+        outcomes.RefusalReason.DUPLICATE_REQUEST,
+        f"a request with this id was taken before: {ended.state}",
+        request_id,
+        None,
     )
 
 
-def status(ended: outcomes.Refusal | outcomes.Unknown) -> int:
+def status(
+    ended: outcomes.Refusal | outcomes.Unknown | claims.Duplicate,
+) -> int:
     """Returns the HTTP status of a request that got no answer."""
+    if isinstance(ended, claims.Duplicate):
+        return DUPLICATE_STATUS
     if isinstance(ended, outcomes.Unknown):
         return UNKNOWN_STATUS
     return STATUS.get(ended.reason, REFUSED_STATUS)
--- a/turmerichall/gateway/application.py
+++ b/turmerichall/gateway/application.py
@@ -1,6 +1,9 @@
 """The ASGI application that callers talk to."""
 
-from collections.abc import Awaitable, Callable, Mapping
+import contextlib
+import random
+import time
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any, Protocol
 
 import trio
@@ -8,22 +11,31 @@
 from turmerichall import outcomes
 from turmerichall.backend_servers import directory as directories
 from turmerichall.gateway import answers
+from turmerichall.gateway import claims as claiming
 from turmerichall.gateway import dispatcher as dispatchers
-from turmerichall.gateway import exchange
+from turmerichall.gateway import exchange as exchanges
+from turmerichall.gateway import fleet as fleets
 from turmerichall.gateway import limits as limits_module
+from turmerichall.gateway import loans as lending
+from turmerichall.gateway import peer_calls
+from turmerichall.gateway import pool as pools
 from turmerichall.gateway import request as requests
+from turmerichall.gateway import selection
+from turmerichall.gateway import shares as sharing
+from turmerichall.gateway import watch as watching
 from turmerichall.state import configuration as configurations
 
 __all__ = ["Application", "Members"]
 
 PART = "gateway"
 DRAIN_RETRY_SECONDS = 1.0
+MEMBERS_PERIOD_SECONDS = 0.5
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
-# Zone of each entry instance by name.
-Members = Callable[[], Mapping[str, str]]
+# Entry instances: the zone of each by name, or names if zones don't matter.
+Members = Callable[[], Mapping[str, str] | Iterable[str]]
 
 
 class Counters(Protocol):
@@ -58,24 +70,6 @@
     configuration: configurations.Configuration
 
 
-class Network(Protocol):
-    """Calls to other entry instances; `peers.network.Network` is one."""
-
-    name: str
-
-    def handle(
-        self,
-        kind: str,
-        handler: Callable[[str, bytes], Awaitable[bytes | None]],
-    ) -> None:
-        """Registers the handler of a kind of message."""
-
-    async def call(
-        self, instance: str, kind: str, body: bytes, timeout_seconds: float
-    ) -> bytes | outcomes.Refusal:
-        """Calls a handler on another instance."""
-
-
 class Application:
     """Serves callers' requests on one entry instance.
 
@@ -90,7 +84,7 @@
         zone: str,
         directory: directories.Directory,
         machine: Machine,
-        network: Network,
+        network: peer_calls.Network,
         members: Members,
         counters: Counters,
         log: Log,
@@ -99,20 +93,37 @@
         self.name = name
         self.zone = zone
         self.machine = machine
-        self.network = network
         self.members = members
         self.counters = counters
         self.log = log
         self.limits = limits
-        self.dispatcher = dispatchers.Dispatcher(zone, directory, limits)
         self.in_flight = 0
         self.draining = False
+        generator = random.Random()
+        self.shares = sharing.Shares(name, zones_of(members()))
+        self.claims = claiming.Claims(
+            name, network, zones_of(members()), time.time
+        )
+        self.loans = lending.Loans(network, self._find, self._is_idle)
+        self.fleet = fleets.Fleet(
+            directory,
+            self.shares,
+            selection.from_name(limits.routing, zone, generator),
+            limits,
+            self.loans.has_settled,
+        )
+        self.dispatcher = dispatchers.Dispatcher(
+            self.fleet, self.claims, limits, self._note_retry, generator
+        )
+        self.watch = watching.Watch(
+            self.dispatcher, self.claims, self.loans, self.shares, limits
+        )
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await self._lifespan(receive, send)
         elif scope["type"] == "http":
             await self._serve(scope, receive, send)
 
@@ -120,6 +131,34 @@
         """Refuses new requests from now on; those in flight go on."""
         self.draining = True
 
+    async def _lifespan(self, receive: Receive, send: Send) -> None:
+        """Runs the upkeep from startup to shutdown of the HTTP server."""
+        await receive()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.watch.run)
+            nursery.start_soon(self._follow_members)
+            await send({"type": "lifespan.startup.complete"})
+            await receive()
+            nursery.cancel_scope.cancel()
+        await send({"type": "lifespan.shutdown.complete"})
+
+    async def _follow_members(self) -> None:
+        while True:
+            members = zones_of(self.members())
+            now = trio.current_time()
+            self.shares.update(members, now)
+            self.claims.update(members, now)
+            await trio.sleep(MEMBERS_PERIOD_SECONDS)
+
+    def _find(self, name: str, incarnation: int) -> pools.Pool | None:
+        return self.fleet.find(name, incarnation)
+
+    def _is_idle(self) -> bool:
+        return not self.dispatcher.admission.waiting
+
+    def _note_retry(self, reason: outcomes.RetryReason) -> None:
+        self.counters.retried(PART, reason)
+
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         self.in_flight += 1
         try:
@@ -165,24 +204,32 @@
 
     async def _answer(self, request: requests.Request, send: Send) -> None:
         ended = await self.dispatcher.run(request)
-        if isinstance(ended, exchange.Answer):
+        if isinstance(ended, exchanges.Exchange):
             try:
-                await _pass_on(ended, request, send)
+                await _pass_on(ended, send)
             finally:
-                await self.dispatcher.close(ended)
+                self.dispatcher.close(ended)
         else:
             await self._tell(ended, request.request_id, send)
 
+    def _count(
+        self, ended: outcomes.Refusal | outcomes.Unknown | claiming.Duplicate
+    ) -> None:
+        if isinstance(ended, claiming.Duplicate):
+            reason = outcomes.RefusalReason.DUPLICATE_REQUEST
+            self.counters.refused(PART, reason)
+        elif isinstance(ended, outcomes.Unknown):
+            self.counters.unknown(PART, ended.reason)
+        else:
+            self.counters.refused(PART, ended.reason)
+
     async def _tell(
         self,
-        ended: outcomes.Refusal | outcomes.Unknown,
+        ended: outcomes.Refusal | outcomes.Unknown | claiming.Duplicate,
         request_id: bytes,
         send: Send,
     ) -> None:
-        if isinstance(ended, outcomes.Unknown):
-            self.counters.unknown(PART, ended.reason)
-        else:
-            self.counters.refused(PART, ended.reason)
+        self._count(ended)
         said = answers.document(ended, request_id)
         body = answers.encode(said)
         headers = answers.headers(said, body)
@@ -195,15 +242,19 @@
                 "headers": headers,
             }
         )
-        await send({"type": "http.response.body", "body": body})
+        await send(_body(body))
 
 
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
+def zones_of(members: Mapping[str, str] | Iterable[str]) -> dict[str, str]:
+    """Returns the zone of each entry instance, empty where none was given.
+
+    Examples:
+        >>> zones_of(["a", "b"])
+        {'a': '', 'b': ''}
+    """
+    if isinstance(members, Mapping):
+        return dict(members)
+    return dict.fromkeys(members, "")
 
 
 def _sent_id(scope: Scope) -> bytes:
@@ -239,27 +290,30 @@
     cancel_scope.cancel()
 
 
-async def _pass_on(
-    answer: exchange.Answer, request: requests.Request, send: Send
-) -> None:
+async def _pass_on(exchange: exchanges.Exchange, send: Send) -> None:
     """Streams an answer; leaves it without an end if it was truncated."""
     headers = [
-        *answer.headers,
+        *exchange.headers,
         (answers.OUTCOME, answers.Outcome.RAN.encode()),
-        (requests.REQUEST_ID, request.request_id),
+        (requests.REQUEST_ID, exchange.request.request_id),
     ]
     await send(
         {
             "type": "http.response.start",
-            "status": answer.status,
+            "status": exchange.status,
             "headers": headers,
         }
     )
     try:
-        async for part in answer.body():
-            await send(
-                {"type": "http.response.body", "body": part, "more_body": True}
-            )
-    except exchange.BROKEN:
-        return
-    await send({"type": "http.response.body", "body": b""})
+        with exchange.renew_scope():
+            async with contextlib.aclosing(exchange.body()) as parts:
+                async for part in parts:
+                    await send(_body(part, more_body=True))
+    except exchanges.BROKEN:
+        pass
+    if exchange.whole:
+        await send(_body(b""))
+
+
+def _body(part: bytes, more_body: bool = False) -> dict[str, Any]:
+    return {"type": "http.response.body", "body": part, "more_body": more_body}
--- a/turmerichall/gateway/backend_stream.py
+++ b/turmerichall/gateway/backend_stream.py
@@ -12,7 +12,7 @@
 
 
 class BackendStream(httpcore.AsyncNetworkStream):
-    """A byte stream that knows what left on it and when it was last heard.
+    """A byte stream that knows what left on it and how long it is quiet.
 
     The parts of a request are gathered and written at the next read, so that
     a small request leaves in one segment.
@@ -20,13 +20,13 @@
     Attributes:
         stream: The transport.
         used: Whether any byte of the current request may have left.
-        heard_at: When the last byte arrived, trio time.
+        reading_since: When the read under way began, trio time; None without.
     """
 
     def __init__(self, stream: trio.abc.Stream):
         self.stream = stream
         self.used = False
-        self.heard_at = trio.current_time()
+        self.reading_since: float | None = None
         self._gathered: list[bytes] = []
         self._gathered_bytes = 0
 
@@ -49,9 +49,11 @@
         """Reads what has arrived, after writing what was gathered."""
         if self._gathered:
             await self.flush()
-        data = await self.stream.receive_some(max_bytes)
-        self.heard_at = trio.current_time()
-        return bytes(data)
+        self.reading_since = trio.current_time()
+        try:
+            return bytes(await self.stream.receive_some(max_bytes))
+        finally:
+            self.reading_since = None
 
     def close(self) -> None:
         """Closes the transport at once."""
--- /dev/null
+++ b/turmerichall/gateway/claims.py
@@ -0,0 +1,331 @@
+"""Claims that let a request id run at most once over all entry instances.
+
+Before a request that is not idempotent leaves for a backend server, a majority
+of its keepers must have granted the claim of its id.  The keepers are three
+entry instances that a hash of the id chooses, of different zones if possible;
+two majorities share a keeper, and a keeper grants one claim of an id.
+"""
+
+import itertools
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+import msgspec
+import trio
+import xxhash
+
+from turmerichall import outcomes
+from turmerichall.gateway import keeper as keepers
+from turmerichall.gateway import peer_calls
+from turmerichall.gateway import request_id
+
+__all__ = ["Claim", "Claims", "Duplicate", "choose_keepers"]
+
+KEEPERS = 3
+CALL_SECONDS = 0.5
+# After a change of the list of entry instances, claims need a majority by the
+# list before as well, for this long.
+HANDOVER_SECONDS = 20.0
+RETRY_AFTER_SECONDS = keepers.SKEW_SECONDS
+
+CLAIM = "gateway.claim"
+SETTLE = "gateway.settle"
+
+_SETTLED_BY_ANOTHER = frozenset(
+    {keepers.State.IN_PROGRESS, keepers.State.RAN, keepers.State.UNKNOWN}
+)
+
+
+class Claim(NamedTuple):
+    """A claim of a request id.
+
+    Attributes:
+        text: The request id.
+        token: Names this claim among all of the id.
+        lists: Digests of the lists of entry instances that it goes by.
+    """
+
+    text: str
+    token: str
+    lists: tuple[int, ...]
+
+
+class Duplicate(NamedTuple):
+    """A request whose id was claimed before.
+
+    Attributes:
+        state: What is known of the earlier request.
+    """
+
+    state: keepers.State
+
+
+class Settlement(NamedTuple):
+    """What came of a claimed request.
+
+    Attributes:
+        text: The request id.
+        token: The claim.
+        state: The outcome; None if it was provably not run.
+    """
+
+    text: str
+    token: str
+    state: keepers.State | None
+
+
+class Claims:
+    """Makes claims of one entry instance, and keeps those of others.
+
+    Attributes:
+        name: Name of the instance.
+        keeper: Its memory.
+        members: Zone of each entry instance by name.
+        before: The list before, while it is handed over; otherwise empty.
+        before_until: When the handover ends, trio time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        network: peer_calls.Network,
+        members: Mapping[str, str],
+        wall_clock: Callable[[], float],
+    ):
+        self.name = name
+        self.network = network
+        self.wall_clock = wall_clock
+        self.keeper = keepers.Keeper(wall_clock())
+        self.members = dict(members)
+        self.before: dict[str, str] = {}
+        self.before_until = 0.0
+        self.tokens = itertools.count()
+        self.start = f"{name}.{wall_clock():.6f}"
+        self.unsettled: dict[str, list[Settlement]] = {}
+        network.handle(CLAIM, self._handle_claim)
+        network.handle(SETTLE, self._handle_settle)
+
+    def update(self, members: Mapping[str, str], now: float) -> None:
+        """Takes the list of entry instances in; call it often."""
+        if members != self.members:
+            self.before = self.members
+            self.before_until = now + HANDOVER_SECONDS
+            self.members = dict(members)
+            self.keeper.vouches_from = self.wall_clock() + keepers.SKEW_SECONDS
+        elif self.before and now >= self.before_until:
+            self.before = {}
+
+    async def make(self, text: str) -> Claim | Duplicate | outcomes.Refusal:
+        """Claims a request id.
+
+        Args:
+            text: The request id.
+
+        Returns:
+            The claim, which must be settled; or why the request must not run.
+        """
+        groups = self._groups(text)
+        if isinstance(groups, outcomes.Refusal):
+            return groups
+        token = f"{self.start}.{next(self.tokens)}"
+        claim = Claim(text, token, self._digests())
+        grants: dict[str, keepers.Grant] = {}
+        await self._ask(self._nearest_majorities(groups), claim, grants)
+        if not _granted(groups, grants):
+            rest = {name for group in groups for name in group} - set(grants)
+            await self._ask(rest, claim, grants)
+        if _granted(groups, grants):
+            return claim
+        self.settle(claim, None)
+        return _refusal(grants)
+
+    def settle(self, claim: Claim, state: keepers.State | None) -> None:
+        """Tells the keepers what came of a claimed request.
+
+        Args:
+            claim: The claim.
+            state: The outcome; None if the request was provably not run, which
+                lets the caller send it again.
+        """
+        groups = self._groups(claim.text)
+        if isinstance(groups, outcomes.Refusal):
+            return
+        settlement = Settlement(claim.text, claim.token, state)
+        for name in {name for group in groups for name in group}:
+            if name == self.name:
+                self._settle_here(settlement)
+            else:
+                self.unsettled.setdefault(name, []).append(settlement)
+        if state is None:
+            self.flush()
+
+    def flush(self) -> None:
+        """Sends the settlements that were gathered."""
+        for name, settlements in self.unsettled.items():
+            body = msgspec.msgpack.encode(settlements)
+            self.network.send(name, SETTLE, body)
+        self.unsettled.clear()
+
+    def _groups(self, text: str) -> list[list[str]] | outcomes.Refusal:
+        read = request_id.read(text)
+        if read is None:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.MALFORMED,
+                "the id of a request that is not idempotent must be a UUID of"
+                " version 7",
+            )
+        lists = [self.members, self.before] if self.before else [self.members]
+        groups = [choose_keepers(text, read.zone, each) for each in lists]
+        if not all(groups):
+            return outcomes.Refusal(
+                outcomes.RefusalReason.MALFORMED,
+                f"no entry instance is in zone {read.zone}",
+            )
+        return groups
+
+    def _nearest_majorities(self, groups: list[list[str]]) -> set[str]:
+        zone = self.members.get(self.name, "")
+        chosen: set[str] = set()
+        for group in groups:
+            nearest = sorted(
+                group,
+                key=lambda name: (
+                    name != self.name,
+                    self.members.get(name) != zone,
+                ),
+            )
+            chosen.update(nearest[: len(group) // 2 + 1])
+        return chosen
+
+    async def _ask(
+        self,
+        names: Iterable[str],
+        claim: Claim,
+        grants: dict[str, keepers.Grant],
+    ) -> None:
+        remote = [name for name in names if name != self.name]
+        if self.name in names:
+            grants[self.name] = self._grant(claim)
+        if len(remote) == 1:
+            await self._ask_one(remote[0], claim, grants)
+        elif remote:
+            async with trio.open_nursery() as nursery:
+                for name in remote:
+                    nursery.start_soon(self._ask_one, name, claim, grants)
+
+    async def _ask_one(
+        self, name: str, claim: Claim, grants: dict[str, keepers.Grant]
+    ) -> None:
+        answer = await self.network.call(
+            name, CLAIM, msgspec.msgpack.encode(claim), CALL_SECONDS
+        )
+        if isinstance(answer, outcomes.Refusal):
+            detail = f"{name}: {answer.reason}"
+            grants[name] = keepers.Grant(keepers.State.ABSTAINED, detail)
+        else:
+            grants[name] = msgspec.msgpack.decode(answer, type=keepers.Grant)
+
+    def _grant(self, claim: Claim) -> keepers.Grant:
+        if not set(claim.lists) & set(self._digests()):
+            return keepers.Grant(
+                keepers.State.ABSTAINED,
+                f"{self.name} has another list of entry instances",
+            )
+        return self.keeper.claim(claim.text, claim.token, self.wall_clock())
+
+    def _digests(self) -> tuple[int, ...]:
+        lists = (self.members, self.before) if self.before else (self.members,)
+        return tuple(_digest(each) for each in lists)
+
+    async def _handle_claim(self, sender: str, body: bytes) -> bytes:
+        del sender
+        claim = msgspec.msgpack.decode(body, type=Claim)
+        return msgspec.msgpack.encode(self._grant(claim))
+
+    async def _handle_settle(self, sender: str, body: bytes) -> None:
+        del sender
+        for settlement in msgspec.msgpack.decode(body, type=list[Settlement]):
+            self._settle_here(settlement)
+
+    def _settle_here(self, settled: Settlement) -> None:
+        if settled.state is None:
+            self.keeper.release(settled.text, settled.token)
+        else:
+            self.keeper.settle(settled.text, settled.token, settled.state)
+
+
+def choose_keepers(
+    text: str, zone: str, members: Mapping[str, str]
+) -> list[str]:
+    """Chooses the keepers of a request id.
+
+    Args:
+        text: The request id.
+        zone: Zone that the keepers must be of; empty for different zones.
+        members: Zone of each entry instance by name.
+
+    Returns:
+        At most three names: the first by a hash of id and name, other zones
+        first.  Empty if the zone has no entry instance.
+
+    Examples:
+        >>> members = {"a": "z1", "b": "z2", "c": "z3", "d": "z3"}
+        >>> sorted(members[name] for name in choose_keepers("r", "", members))
+        ['z1', 'z2', 'z3']
+        >>> sorted(choose_keepers("r", "z3", members))
+        ['c', 'd']
+    """
+    names = [name for name in members if zone in ("", members[name])]
+    names.sort(key=lambda name: (_rank(text, name), name))
+    chosen: list[str] = []
+    for name in names:
+        if members[name] not in [members[other] for other in chosen]:
+            chosen.append(name)
+    chosen += [name for name in names if name not in chosen]
+    return chosen[:KEEPERS]
+
+
+def _rank(text: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{text}\0{name}".encode())
+
+
+def _granted(
+    groups: list[list[str]], grants: Mapping[str, keepers.Grant]
+) -> bool:
+    for group in groups:
+        granted = sum(
+            name in grants and grants[name].state == keepers.State.GRANTED
+            for name in group
+        )
+        if granted * 2 <= len(group):
+            return False
+    return True
+
+
+def _refusal(
+    grants: Mapping[str, keepers.Grant],
+) -> Duplicate | outcomes.Refusal:
+    known = [
+        grant.state
+        for grant in grants.values()
+        if grant.state in _SETTLED_BY_ANOTHER
+    ]
+    if known:
+        settled = [
+            state for state in known if state != keepers.State.IN_PROGRESS
+        ]
+        return Duplicate(settled[0] if settled else known[0])
+    details = sorted(
+        {grant.detail for grant in grants.values() if grant.detail}
+    )
+    return outcomes.Refusal(
+        outcomes.RefusalReason.NOT_PROVABLY_SAFE,
+        "no majority of the id's keepers can vouch that it was not run: "
+        + "; ".join(details),
+        RETRY_AFTER_SECONDS,
+    )
+
+
+def _digest(members: Mapping[str, str]) -> int:
+    listed = ",".join(f"{name}={members[name]}" for name in sorted(members))
+    return xxhash.xxh3_64_intdigest(listed.encode())
--- a/turmerichall/gateway/exchange.py
+++ b/turmerichall/gateway/exchange.py
@@ -1,6 +1,8 @@
 """One attempt to run a request at one backend server."""
 
-from collections.abc import AsyncIterator
+import contextlib
+from collections.abc import AsyncGenerator
+from typing import Any
 
 import h11
 import httpcore
@@ -10,7 +12,7 @@
 from turmerichall.gateway import pool as pools
 from turmerichall.gateway import request as requests
 
-__all__ = ["Answer", "Ended", "NOT_RUN", "begin"]
+__all__ = ["BROKEN", "Ended", "Exchange", "NOT_RUN"]
 
 NOT_RUN = b"turmerichall-not-run"
 NOT_FORWARDED = frozenset(
@@ -36,158 +38,205 @@
     h11.ProtocolError,
 )
 
-Headers = list[tuple[bytes, bytes]]
 
-
-class Answer:
-    """An answer whose head has arrived and whose body is being read.
+class Exchange:
+    """A request on its way at a backend server, and its answer.
 
     Attributes:
-        status: HTTP status.
-        headers: Headers to pass on to the caller.
-        whole: Whether the body arrived to its end.
+        slot: The slot that it fills.
+        pool: The backend server's pool.
+        request: The request.
+        began_at: When it began, trio time.
+        first_byte_at: When the head of the answer had arrived; 0.0 before.
+        connection: The connection in use; None before it is there.
+        scope: Cancelled when the exchange is given up from outside.
+        silent: Whether it was given up because its connection is silent.
+        status: HTTP status of the answer.
+        headers: Headers of the answer to pass on to the caller.
+        whole: Whether the body of the answer arrived to its end.
     """
 
-    def __init__(
-        self,
-        pool: pools.Pool,
-        connection: pools.Connection,
-        response: httpcore.Response,
-    ):
-        self.pool = pool
+    def __init__(self, slot: pools.Slot, request: requests.Request):
+        self.slot = slot
+        self.pool = slot.pool
+        self.request = request
+        self.began_at = trio.current_time()
+        self.first_byte_at = 0.0
+        self.connection: pools.Connection | None = None
+        self.scope = trio.CancelScope(deadline=request.deadline)
+        self.silent = False
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.whole = False
+        self._response: httpcore.Response | None = None
+
+    def quiet_seconds(self, now: float) -> float:
+        """Returns how long nothing has arrived that is waited for."""
+        if self.connection is None:
+            return 0.0
+        since = self.connection.stream.reading_since
+        return 0.0 if since is None else now - since
+
+    def give_up_as_silent(self) -> None:
+        """Ends the exchange because its connection is silent."""
+        self.silent = True
+        self.scope.cancel()
+
+    async def begin(self) -> "Ended":
+        """Sends the request and reads the head of the answer.
+
+        Returns:
+            This exchange, which then must be closed; a refusal, if the request
+            was provably not run; or an unknown outcome.
+        """
+        ended: Ended | None = None
+        try:
+            with self.scope:
+                ended = await self._begin()
+            if ended is None:
+                ended = self._given_up()
+        finally:
+            if ended is not self:
+                self.close()
+        assert ended is not None
+        return ended
+
+    async def _begin(self) -> "Ended":
+        connection = await self.pool.take()
+        if isinstance(connection, outcomes.Refusal):
+            return connection
         self.connection = connection
-        self.response = response
+        connection.stream.used = False
+        try:
+            response = await connection.http.handle_async_request(self._head())
+        except BROKEN as error:
+            return self._broken(error)
+        self.first_byte_at = trio.current_time()
+        self._response = response
+        return await self._checked(response)
+
+    def _head(self) -> httpcore.Request:
+        request = self.request
+        remaining = request.remaining_seconds(trio.current_time())
+        target = f"/v1/services/{request.customer}/{request.service}"
+        url = httpcore.URL(
+            scheme=b"http",
+            host=self.pool.origin.host,
+            port=self.pool.port,
+            target=target.encode(),
+        )
+        milliseconds = max(1, int(remaining * 1000))
+        headers = [
+            (b"Host", self.pool.authority),
+            (b"Content-Length", b"%d" % len(request.body)),
+            (b"Turmerichall-Request-Id", request.request_id),
+            (b"Turmerichall-Deadline-Ms", b"%d" % milliseconds),
+            (
+                b"Turmerichall-Idempotent",
+                b"true" if request.idempotent else b"false",
+            ),
+            *request.headers,
+        ]
+        return httpcore.Request(
+            b"POST", url, headers=headers, content=request.body
+        )
+
+    def _broken(self, error: Exception) -> outcomes.Refusal | outcomes.Unknown:
+        assert self.connection is not None
+        if not self.connection.stream.used:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.CONNECT_FAILED,
+                f"the connection to {self.pool.told.name} closed before use",
+                1.0,
+            )
+        return outcomes.Unknown(
+            outcomes.UnknownReason.CONNECTION_LOST,
+            f"the connection to {self.pool.told.name} broke: {error!r}",
+        )
+
+    def _given_up(self) -> outcomes.Refusal | outcomes.Unknown:
+        if self.connection is None or not self.connection.stream.used:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.DEADLINE,
+                "the deadline passed before the request was sent",
+            )
+        if self.silent:
+            return outcomes.Unknown(
+                outcomes.UnknownReason.SILENT,
+                f"the connection to {self.pool.told.name} fell silent",
+            )
+        return outcomes.Unknown(
+            outcomes.UnknownReason.DEADLINE,
+            f"{self.pool.told.name} did not answer by the deadline",
+        )
+
+    async def _checked(self, response: httpcore.Response) -> "Ended":
+        fields = {name.lower(): value for name, value in response.headers}
+        if fields.get(requests.REQUEST_ID) != self.request.request_id:
+            return outcomes.Unknown(
+                outcomes.UnknownReason.WRONG_REQUEST_ID,
+                f"{self.pool.told.name} answered another request",
+            )
+        if response.status == 503 and fields.get(NOT_RUN) == b"true":
+            return await self._not_run(fields)
+        if not _end_is_marked(response.status, fields):
+            return outcomes.Unknown(
+                outcomes.UnknownReason.TRUNCATED,
+                f"{self.pool.told.name} did not mark the end of its answer",
+            )
         self.status = response.status
         self.headers = [
             item
             for item in response.headers
             if item[0].lower() not in NOT_FORWARDED
         ]
-        self.whole = False
+        return self
+
+    async def _not_run(self, fields: dict[bytes, bytes]) -> outcomes.Refusal:
+        try:
+            async with contextlib.aclosing(self.body()) as parts:
+                async for _ in parts:
+                    pass
+        except BROKEN:
+            pass
+        retry_after = fields.get(b"retry-after", b"")
+        return outcomes.Refusal(
+            outcomes.RefusalReason.BACKEND_SERVER_REFUSED,
+            f"{self.pool.told.name} did not run the request",
+            float(retry_after) if retry_after.isdigit() else 1.0,
+        )
 
-    async def body(self) -> AsyncIterator[bytes]:
+    def renew_scope(self) -> trio.CancelScope:
+        """Returns a scope to read the body in, which ends at the deadline."""
+        self.scope = trio.CancelScope(deadline=self.request.deadline)
+        return self.scope
+
+    async def body(self) -> AsyncGenerator[bytes, None]:
         """Yields the body; `whole` is set only if its end arrived."""
-        assert not isinstance(self.response.stream, bytes)
-        async for part in self.response.stream:  # type: ignore[union-attr]
-            yield part
+        assert self._response is not None
+        stream: Any = self._response.stream
+        async with contextlib.aclosing(aiter(stream)) as parts:
+            async for part in parts:
+                yield part
+        await stream.aclose()
         self.whole = True
 
-    async def close(self) -> None:
-        """Gives the connection back, or closes it if the body was not read."""
-        if self.whole:
-            await self.response.stream.aclose()  # type: ignore[union-attr]
-            self.pool.put_back(self.connection)
+    def close(self) -> None:
+        """Frees the slot; the connection is kept if all of it was read."""
+        connection = self.connection
+        if connection is not None:
+            self.connection = None
+            if self.whole:
+                self.pool.put_back(connection)
+            else:
+                self.pool.discard(connection, self.silent)
+        if self.silent:
+            self.pool.release(self.slot, self.request.deadline)
         else:
-            self.pool.discard(self.connection)
-
+            self.pool.release(self.slot)
 
-Ended = Answer | outcomes.Refusal | outcomes.Unknown
 
-
-async def begin(pool: pools.Pool, request: requests.Request) -> Ended:
-    """Sends a request and reads the head of the answer.
-
-    Args:
-        pool: Where to send it; the caller of this function holds a slot.
-        request: The request.
-
-    Returns:
-        The answer, which must be closed; a refusal, if the request was
-        provably not run; or an unknown outcome.
-    """
-    connection = await pool.take()
-    if isinstance(connection, outcomes.Refusal):
-        return connection
-    connection.stream.used = False
-    try:
-        response = await connection.http.handle_async_request(
-            _head(pool, request)
-        )
-    except BROKEN as error:
-        pool.discard(connection)
-        return _broken(connection, pool, error)
-    except BaseException:
-        pool.discard(connection)
-        raise
-    return await _checked(pool, connection, request, response)
-
-
-def _head(pool: pools.Pool, request: requests.Request) -> httpcore.Request:
-    remaining = request.remaining_seconds(trio.current_time())
-    url = httpcore.URL(
-        scheme=b"http",
-        host=pool.origin.host,
-        port=pool.port,
-        target=f"/v1/services/{request.customer}/{request.service}".encode(),
-    )
-    headers = [
-        (b"Host", pool.authority),
-        (b"Content-Length", b"%d" % len(request.body)),
-        (b"Turmerichall-Request-Id", request.request_id),
-        (b"Turmerichall-Deadline-Ms", b"%d" % max(1, int(remaining * 1000))),
-    ]
-    headers.extend(request.headers)
-    return httpcore.Request(b"POST", url, headers=headers, content=request.body)
-
-
-def _broken(
-    connection: pools.Connection, pool: pools.Pool, error: Exception
-) -> outcomes.Refusal | outcomes.Unknown:
-    if not connection.stream.used:
-        return outcomes.Refusal(
-            outcomes.RefusalReason.CONNECT_FAILED,
-            f"the connection to {pool.told.name} was closed before use",
-        )
-    return outcomes.Unknown(
-        outcomes.UnknownReason.CONNECTION_LOST,
-        f"the connection to {pool.told.name} broke: {error!r}",
-    )
-
-
-async def _checked(
-    pool: pools.Pool,
-    connection: pools.Connection,
-    request: requests.Request,
-    response: httpcore.Response,
-) -> Ended:
-    fields = {name.lower(): value for name, value in response.headers}
-    if fields.get(requests.REQUEST_ID) != request.request_id:
-        pool.discard(connection)
-        return outcomes.Unknown(
-            outcomes.UnknownReason.WRONG_REQUEST_ID,
-            f"{pool.told.name} answered another request",
-        )
-    if response.status == 503 and fields.get(NOT_RUN) == b"true":
-        return await _not_run(pool, connection, response, fields)
-    if not _end_is_marked(response.status, fields):
-        pool.discard(connection)
-        return outcomes.Unknown(
-            outcomes.UnknownReason.TRUNCATED,
-            f"{pool.told.name} did not mark the end of its answer",
-        )
-    return Answer(pool, connection, response)
-
-
-async def _not_run(
-    pool: pools.Pool,
-    connection: pools.Connection,
-    response: httpcore.Response,
-    fields: dict[bytes, bytes],
-) -> outcomes.Refusal:
-    answer = Answer(pool, connection, response)
-    try:
-        async for _ in answer.body():
-            pass
-    except BROKEN:
-        pass
-    finally:
-        await answer.close()
-    retry_after = fields.get(b"retry-after", b"")
-    return outcomes.Refusal(
-        outcomes.RefusalReason.BACKEND_SERVER_REFUSED,
-        f"{pool.told.name} did not run the request",
-        float(retry_after) if retry_after.isdigit() else None,
-    )
+Ended = Exchange | outcomes.Refusal | outcomes.Unknown
 
 
 def _end_is_marked(status: int, fields: dict[bytes, bytes]) -> bool:
--- /dev/null
+++ b/turmerichall/gateway/fleet.py
@@ -0,0 +1,180 @@
+"""The pools of all backend servers, and the slot for each request."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import directory as directories
+from turmerichall.gateway import health as healths
+from turmerichall.gateway import limits as limits_module
+from turmerichall.gateway import loans as lending
+from turmerichall.gateway import pool as pools
+from turmerichall.gateway import request as requests
+from turmerichall.gateway import selection
+from turmerichall.gateway import shares as sharing
+
+__all__ = ["Fleet"]
+
+NO_SERVER_RETRY_SECONDS = 1.0
+# A request that is not idempotent tries an ejected server only this much
+# later than one that can be sent again if the server still fails.
+PROBE_ONCE_AFTER_SECONDS = 5.0
+
+
+class Fleet:
+    """Backend servers as this instance uses them.
+
+    Attributes:
+        directory: What is known of backend servers.
+        shares: This instance's parts of their limits.
+        selector: Chooses among those with room.
+        pools: Pool of each backend server by name.
+        has_settled: Tells whether slots lent before a restart are back.
+    """
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        shares: sharing.Shares,
+        selector: selection.Selector,
+        limits: limits_module.Limits,
+        has_settled: Callable[[], bool] = lambda: True,
+    ):
+        self.directory = directory
+        self.shares = shares
+        self.selector = selector
+        self.limits = limits
+        self.has_settled = has_settled
+        self.pools: dict[str, pools.Pool] = {}
+
+    def choose(
+        self, request: requests.Request, tried: frozenset[str]
+    ) -> pools.Slot | outcomes.Refusal | None:
+        """Chooses a backend server and takes a slot there.
+
+        Args:
+            request: The request.
+            tried: Servers to avoid if others run the service.
+
+        Returns:
+            The slot; None if all suitable slots are filled; or a refusal if no
+            server runs the service.
+        """
+        now = trio.current_time()
+        serving = self.serving(request.customer, request.service, now)
+        if not serving:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.NO_BACKEND_SERVER,
+                f"no backend server runs {request.service} of"
+                f" {request.customer}",
+                NO_SERVER_RETRY_SECONDS,
+            )
+        healths.eject_worst([pool.health for pool in serving], now)
+        roomy = _without(tried, serving, request.deadline, now)
+        probed = _to_probe(roomy, request, now)
+        if probed is not None:
+            probed.health.probing = True
+            return probed.take_slot(request.deadline, now)
+        usable = [pool for pool in roomy if not pool.health.ejected]
+        if not usable:
+            return None
+        chosen = self.selector.choose(usable, now)
+        return chosen.take_slot(request.deadline, now)
+
+    def serving(
+        self, customer: str, service: str, now: float
+    ) -> list[pools.Pool]:
+        """Returns the pools of the servers that take new work of a service."""
+        told = self.directory.serving(customer, service, now)
+        return [self.pool(each) for each in told]
+
+    def pool(self, told: announcement.Announcement) -> pools.Pool:
+        """Returns the pool of a backend server, with its current parts."""
+        known = self.pools.get(told.name)
+        if known is None or not _same_server(known.told, told):
+            known = self._replace(known, told)
+        if known.share_revision != self._share_revision():
+            self._set_parts(known)
+        return known
+
+    def find(self, name: str, incarnation: int) -> pools.Pool | None:
+        """Returns a pool by name; incarnation 0 stands for any."""
+        known = self.pools.get(name)
+        if known is None and name in self.directory.entries:
+            known = self.pool(self.directory.entries[name].told)
+        if known is None or incarnation in (0, known.told.incarnation):
+            return known
+        return None
+
+    def _replace(
+        self, before: pools.Pool | None, told: announcement.Announcement
+    ) -> pools.Pool:
+        made = pools.Pool(told, self.limits)
+        if before is not None:
+            before.discard_idle(float("inf"))
+            made.lent = before.lent
+        self.pools[told.name] = made
+        return made
+
+    def _share_revision(self) -> int:
+        return self.shares.revision * 2 + int(self.has_settled())
+
+    def _set_parts(self, pool: pools.Pool) -> None:
+        told = pool.told
+        slots = self.shares.part(told.name, told.zone, told.slots)
+        if not self.has_settled() and len(self.shares.members) > 1:
+            slots -= lending.lendable(slots)
+        pool.slots = slots
+        pool.connections = self.shares.part(
+            told.name, told.zone, told.connections
+        )
+        pool.share_revision = self._share_revision()
+        pool.trim()
+
+    def sweep(self, now: float) -> None:
+        """Closes connections that are idle too long or lead to leavers."""
+        for name, pool in list(self.pools.items()):
+            if self.directory.takes_new_work(name, now):
+                pool.discard_idle(now - self.limits.idle_seconds)
+            else:
+                pool.discard_idle(float("inf"))
+            if name not in self.directory.entries and not pool.held:
+                del self.pools[name]
+
+
+def _same_server(
+    one: announcement.Announcement, other: announcement.Announcement
+) -> bool:
+    return (one.incarnation, one.address, one.slots, one.connections) == (
+        other.incarnation,
+        other.address,
+        other.slots,
+        other.connections,
+    )
+
+
+def _without(
+    tried: frozenset[str],
+    serving: Sequence[pools.Pool],
+    deadline: float,
+    now: float,
+) -> list[pools.Pool]:
+    """Returns pools with room, those tried before only if all were tried."""
+    fresh = [pool for pool in serving if pool.told.name not in tried]
+    return [
+        pool
+        for pool in fresh or serving
+        if pool.health.full_until <= now and pool.has_room(deadline, now)
+    ]
+
+
+def _to_probe(
+    roomy: Iterable[pools.Pool], request: requests.Request, now: float
+) -> pools.Pool | None:
+    later = 0.0 if request.idempotent else PROBE_ONCE_AFTER_SECONDS
+    for pool in roomy:
+        if pool.health.may_probe(now - later):
+            return pool
+    return None
--- a/turmerichall/gateway/limits.py
+++ b/turmerichall/gateway/limits.py
@@ -18,14 +18,13 @@
         idle_seconds: How long a connection is kept without use.
         caller_stall_seconds: How long a caller may take no byte of its answer.
         queue_requests: Requests that may wait for a slot.
+        queue_seconds: How long a request may wait for a slot.
         concurrency: Requests in flight at most; the adaptive limit starts and
             stays below it.
         retry_ratio: Retries allowed for each first attempt.
         attempts: Attempts of one request at most.
         routing: Name of the selector: `least_loaded`, `round_robin` or
             `random`.
-        hedging: Whether slow idempotent requests of urgent customers are
-            sent a second time.
     """
 
     body_bytes: int = 1_048_576
@@ -36,8 +35,8 @@
     idle_seconds: float = 3.0
     caller_stall_seconds: float = 20.0
     queue_requests: int = 256
+    queue_seconds: float = 1.0
     concurrency: int = 256
     retry_ratio: float = 0.1
     attempts: int = 3
     routing: str = "least_loaded"
-    hedging: bool = False
--- a/turmerichall/gateway/tests/conftest.py
+++ b/turmerichall/gateway/tests/conftest.py
@@ -22,6 +22,8 @@
 from turmerichall.telemetry import logs
 from turmerichall.templates import template
 
+LIMIT_SECONDS = 20.0
+
 Script = Callable[["Exchange"], Awaitable[None]]
 
 
@@ -189,6 +191,7 @@
             logs.Log("gateway"),
             limits,
         )
+        self.application.claims.keeper.vouches_from = 0.0
         self.url = ""
 
     def hear(self, backend: Backend, **changed: Any) -> None:
@@ -246,6 +249,12 @@
         self.nursery = nursery
         self.pool = pool
 
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Waits until a condition holds."""
+        with trio.fail_after(LIMIT_SECONDS):
+            while not holds():
+                await trio.sleep(0.005)
+
     async def backend(self, name: str, script: Script = ran) -> Backend:
         """Starts a backend server."""
         made = Backend(name, script)
