--- a/turmerichall/command_line/instances.py
+++ b/turmerichall/command_line/instances.py
@@ -14,8 +14,9 @@
         self._session = session
 
     def list(self) -> commands.Command:
-        """Lists the instances that the answering one knows."""
-        return self._session.reading("/v1/instances")
+        """Lists them, as the answering instance knows them."""
+        view = sessions.View(("name", "role", "address", "identity"), dict)
+        return self._session.list("/v1/instances", view)
 
     def add(self, name: str, address: str) -> commands.Command:
         """Adds an instance to those that hold the state.
--- a/turmerichall/operators/instances.py
+++ b/turmerichall/operators/instances.py
@@ -4,14 +4,25 @@
 
 from turmerichall import errors
 from turmerichall import outcomes
+from turmerichall.agreement import member
+from turmerichall.agreement import message
 from turmerichall.operators import exchange
 from turmerichall.operators import operations
+from turmerichall.operators import reading
 from turmerichall.operators import replies
 from turmerichall.operators import services as services_module
 from turmerichall.settings import values
 from turmerichall.templates import template
 
-__all__ = ["add", "healthz", "metrics", "readyz", "remove", "status"]
+__all__ = [
+    "add",
+    "healthz",
+    "list_instances",
+    "metrics",
+    "readyz",
+    "remove",
+    "status",
+]
 
 EXPOSITION_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -91,9 +102,28 @@
 async def list_instances(
     services: services_module.Services, request: exchange.Request
 ) -> exchange.Response:
-    """Lists the instances that this one knows, with their roles."""
+    """Lists the replicas, as this instance knows them."""
     del request
-    return replies.found({"replica": services.replica.status()})
+    status_now = services.replica.status()
+    members = (*status_now.members, *status_now.learners)
+    return replies.found(
+        {
+            "fresh": False,
+            "stale": reading.LOCAL_NOTE,
+            "leader": status_now.leader,
+            "items": [_item(found, status_now.leader) for found in members],
+        }
+    )
+
+
+def _item(found: member.Member, leader: str) -> dict[str, str]:
+    role = "voter" if found.voter else "learner"
+    return {
+        "name": found.name,
+        "role": "leader" if found.name == leader else role,
+        "address": found.address,
+        "identity": found.identity,
+    }
 
 
 async def add(
@@ -101,11 +131,11 @@
 ) -> exchange.Response | outcomes.Refusal:
     """Adds an instance to the replicas."""
     operations.operation(request)
+    document: InstanceDocument
     document = operations.decode_body(request, InstanceDocument)
-    outcome = await services.replica.change_members(
-        {document.name: document.address}, ()
+    return await _change(
+        services, message.MemberAction.ADD, document.name, document.address
     )
-    return _members_reply(services, outcome, document.name, "added")
 
 
 async def remove(
@@ -114,20 +144,28 @@
     """Removes an instance from the replicas."""
     operations.operation(request)
     name = request.parameters["name"]
-    outcome = await services.replica.change_members({}, (name,))
-    return _members_reply(services, outcome, name, "removed")
+    return await _change(services, message.MemberAction.REMOVE, name)
 
 
-def _members_reply(
+async def _change(
     services: services_module.Services,
-    outcome: outcomes.Refusal | outcomes.Unknown | None,
+    action: message.MemberAction,
     name: str,
-    done: str,
+    address: str = "",
 ) -> exchange.Response | outcomes.Refusal:
+    outcome = await services.replica.change_members(action, name, address)
     if isinstance(outcome, outcomes.Refusal):
         return outcome
     if isinstance(outcome, outcomes.Unknown):
         services.counters.unknown(services_module.PART, outcome.reason)
         return replies.unknown(outcome)
-    services.log.info(f"instance {done}", instance_name=name)
-    return replies.found({"outcome": "ran", "instance": name, "change": done})
+    services.log.info(
+        "members changed", action=action.value, instance_name=name
+    )
+    return replies.found(
+        {
+            "outcome": "ran",
+            "instance": name,
+            "members": sorted({found.name for found in outcome}),
+        }
+    )
--- a/turmerichall/operators/services.py
+++ b/turmerichall/operators/services.py
@@ -1,9 +1,11 @@
 """What the operators' interface needs of the rest of a daemon."""
 
 from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol
+from typing import NamedTuple, Protocol
 
 from turmerichall import outcomes
+from turmerichall.agreement import member
+from turmerichall.agreement import message
 from turmerichall.backend_servers import announcement
 from turmerichall.backend_servers import directory
 from turmerichall.operators import exchange
@@ -13,7 +15,7 @@
 from turmerichall.telemetry import counters as metrics
 from turmerichall.telemetry import logs
 
-__all__ = ["Announcements", "Changes", "Replica", "Services"]
+__all__ = ["Announcements", "Changes", "Replica", "ReplicaStatus", "Services"]
 
 PART = "operators"
 
@@ -36,10 +38,26 @@
         """Takes an announcement and returns what the worker is to do."""
 
 
+class ReplicaStatus(Protocol):
+    """What operators are shown of a replica, besides its whole status."""
+
+    @property
+    def leader(self) -> str:
+        """Name of the leader, or empty."""
+
+    @property
+    def members(self) -> member.Members:
+        """The voters."""
+
+    @property
+    def learners(self) -> member.Members:
+        """Replicas that are not caught up yet."""
+
+
 class Replica(Protocol):
     """The part of a replica that operators see."""
 
-    def status(self) -> Any:
+    def status(self) -> ReplicaStatus:
         """Returns its state as a `NamedTuple`."""
 
     async def barrier(
@@ -48,9 +66,13 @@
         """Waits until everything committed before the call is applied here."""
 
     async def change_members(
-        self, add: dict[str, str], remove: tuple[str, ...]
-    ) -> outcomes.Refusal | outcomes.Unknown | None:
-        """Adds replicas, by name and address, and removes others."""
+        self,
+        action: message.MemberAction,
+        name: str,
+        address: str = "",
+        timeout_seconds: float = 10.0,
+    ) -> member.Members | outcomes.Refusal | outcomes.Unknown:
+        """Adds a replica or removes one, and returns the members after it."""
 
 
 class Services(NamedTuple):
