--- a/turmerichall/tests/local_cluster.py
+++ b/turmerichall/tests/local_cluster.py
@@ -159,7 +159,7 @@
             while await _status(f"http://{address}/readyz") != 200:
                 await trio.sleep(POLL_SECONDS)
 
-    def signal(self, name: str, number: signal.Signals) -> None:
+    def send_signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process."""
         self.processes[name].send_signal(number)
 
