--- a/turmerichall/tests/standins/caller.py
+++ b/turmerichall/tests/standins/caller.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from turmerichall.gateway import request_id as request_ids
 from turmerichall.tests.standins import trail
 
 __all__ = ["Answer", "Caller", "Load"]
@@ -60,7 +61,7 @@
     """Sends requests at a steady rate until told to stop.
 
     Attributes:
-        name: Name of the caller, part of the ids of its requests.
+        name: Name of the caller.
         load: What it sends.
         record: The audit trail.
         outcomes: Count of final outcomes.
@@ -74,7 +75,6 @@
         self.outcomes: dict[str, int] = {}
         self.stopped = False
         self._random = random.Random(seed)
-        self._numbers = itertools.count()
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
 
     async def run(self) -> None:
@@ -87,7 +87,7 @@
 
     async def send_one(self) -> Answer:
         """Sends one request, and again while its fate is open."""
-        request_id = f"{self.name}-{next(self._numbers)}"
+        request_id = request_ids.make()
         once = self._random.random() < self.load.non_idempotent_ratio
         gateways = list(self.load.gateways)
         self._random.shuffle(gateways)
