--- a/turmerichall/operators/application.py
+++ b/turmerichall/operators/application.py
@@ -8,6 +8,7 @@
 from turmerichall import outcomes
 from turmerichall.backend_servers import directory as directories
 from turmerichall.operators import exchange
+from turmerichall.operators import gauges
 from turmerichall.operators import replies
 from turmerichall.operators import routes
 from turmerichall.operators import services as services_module
@@ -58,6 +59,7 @@
             bounds,
         )
         self.in_flight = 0
+        gauges.register(self.services)
 
     async def __call__(
         self, scope: Any, receive: exchange.Receive, send: exchange.Send
--- /dev/null
+++ b/turmerichall/operators/gauges.py
@@ -0,0 +1,70 @@
+"""Gauges of the state that a daemon holds."""
+
+import math
+
+import trio
+
+from turmerichall.operators import services as services_module
+
+__all__ = ["register"]
+
+
+def register(services: services_module.Services) -> None:
+    """Adds gauges of the replicated state and of the directory.
+
+    Args:
+        services: What the gauges read.
+    """
+    gauge = services.counters.gauge
+    machine = services.machine
+    gauge(
+        "ready",
+        "1 if the balancer may send requests here.",
+        lambda: float(services.readiness() is None),
+    )
+    gauge(
+        "applied_index",
+        "Position of the last change that is applied here.",
+        lambda: machine.applied_index,
+    )
+    gauge(
+        "configuration_revision",
+        "Revision of the configuration in force here.",
+        lambda: machine.configuration.revision,
+    )
+    gauge(
+        "quorum_seconds",
+        "How long ago a quorum was in contact, in seconds; -1 if never.",
+        lambda: _finite(services.replica.status().seconds_since_quorum),
+    )
+    gauge(
+        "waiting_tasks",
+        "Batch tasks that wait to be placed.",
+        lambda: len(machine.ledger.waiting),
+    )
+    gauge(
+        "live_tasks",
+        "Tasks that hold a lease.",
+        lambda: sum(map(len, machine.ledger.live.values())),
+    )
+    gauge(
+        "grant_epoch",
+        "Epoch of the placing authority, by zone.",
+        lambda: {zone: held.epoch for zone, held in machine.grants.items()},
+    )
+    gauge(
+        "backend_servers",
+        "Backend servers known here, by whether they take new work.",
+        lambda: _backend_servers(services),
+    )
+
+
+def _finite(seconds: float) -> float:
+    return seconds if math.isfinite(seconds) else -1.0
+
+
+def _backend_servers(services: services_module.Services) -> dict[str, float]:
+    now = trio.current_time()
+    known = services.directory
+    taking = sum(known.takes_new_work(name, now) for name in known.entries)
+    return {"taking": taking, "not_taking": len(known.entries) - taking}
--- a/turmerichall/operators/operations.py
+++ b/turmerichall/operators/operations.py
@@ -81,7 +81,9 @@
     services.log.info(
         f"change {status}", change=change, version=outcome.version, **fields
     )
-    if outcome.status != changes.Status.APPLIED and outcome.reason:
+    if outcome.status == changes.Status.APPLIED:
+        services.counters.event("changes_applied")
+    elif outcome.reason:
         reason = outcomes.RefusalReason(outcome.reason)
         services.counters.refused(services_module.PART, reason)
 
--- a/turmerichall/operators/services.py
+++ b/turmerichall/operators/services.py
@@ -45,6 +45,10 @@
     def leader(self) -> str:
         """Name of the leader, or empty."""
 
+    @property
+    def seconds_since_quorum(self) -> float:
+        """How long ago a quorum was in contact."""
+
     @property
     def members(self) -> member.Members:
         """The voters."""
--- a/turmerichall/operators/tests/fake_daemon.py
+++ b/turmerichall/operators/tests/fake_daemon.py
@@ -24,6 +24,7 @@
     """Status of the fake replica."""
 
     leader: str = "i1"
+    seconds_since_quorum: float = 0.0
     members: member.Members = ()
     learners: member.Members = ()
 
--- a/turmerichall/operators/workers.py
+++ b/turmerichall/operators/workers.py
@@ -26,6 +26,7 @@
     findings = findings_of(told)
     if findings:
         raise errors.InputError(findings)
+    services.counters.event("announcements")
     return replies.found(await services.announcements.announce(told))
 
 
--- a/turmerichall/telemetry/counters.py
+++ b/turmerichall/telemetry/counters.py
@@ -42,7 +42,8 @@
     """Counters, gauges and histograms of one daemon.
 
     Attributes:
-        registry: What the Prometheus text is made from.
+        registry: What the Prometheus text is made from; it also holds the
+            processor time and memory of the process.
         meter: Makes further instruments.
 
     Examples:
@@ -61,6 +62,7 @@
             scope_info_enabled=False,
             registry=self.registry,
         )
+        prometheus_client.ProcessCollector(registry=self.registry)
         self._provider = sdk_metrics.MeterProvider([reader])
         self.meter = self._provider.get_meter("turmerichall")
         self._reasons: dict[str, Counter[tuple[str, str]]] = {}
