Add the placement benchmark and quicken the planner

A plan asked the same questions again: a team's share for each bucket, and room for each bucket of a shape found full. The wait of a quarantine overflowed after many failed probes (seen in bad_workers); its doublings are bounded.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 	$(BIN)/pyink --check --quiet turmerichall
 	$(BIN)/pylint --score=n turmerichall
 	$(BIN)/mypy
+
+bench-placement: venv
+	$(BIN)/python -m turmerichall.benchmarks.placement
--- /dev/null
+++ b/turmerichall/benchmarks/placement.py
@@ -0,0 +1,104 @@
+"""Compares placement policies side by side: `make bench-placement`.
+
+Examples of use:
+
+    python -m turmerichall.benchmarks.placement
+    python -m turmerichall.benchmarks.placement --fleet=ikengwu --seeds=7
+"""
+
+import gc
+from collections.abc import Sequence
+
+import fire
+import tabulate
+
+from turmerichall.benchmarks import placement_result as results
+from turmerichall.benchmarks import placement_run as runs
+from turmerichall.benchmarks import placement_scenarios as scenarios
+from turmerichall.placement import planner as planners
+from turmerichall.placement import policy as policies
+from turmerichall.placement import weights as weighing
+
+__all__ = ["compare", "main", "run_one"]
+
+TUNING_SEEDS = (1, 2)
+FINAL_SEEDS = (101, 102, 103)
+_FLEET_WEIGHTS = {
+    "ikengwu": weighing.THROUGHPUT,
+    "blue_mountain": weighing.TAIL_LATENCY,
+    "large": weighing.BALANCED,
+}
+
+
+def run_one(
+    scenario_name: str,
+    fleet: str,
+    policy_name: str,
+    seed: int,
+    weights: weighing.Weights | None = None,
+) -> results.Measured:
+    """Runs one policy through one scenario."""
+    scenario = scenarios.make(scenario_name, fleet, seed)
+    weights = weights or _FLEET_WEIGHTS[fleet]
+    policy = policies.named(policy_name, weights)
+    planner = planners.Planner(weights, policy)
+    return runs.Run(scenario, planner, seed).run()
+
+
+def compare(
+    scenario_name: str,
+    fleet: str,
+    seeds: Sequence[int],
+    policy_names: Sequence[str],
+    weights: weighing.Weights | None = None,
+) -> list[list[object]]:
+    """Runs all policies through a scenario; returns mean values over seeds."""
+    rows: list[list[object]] = []
+    for policy_name in policy_names:
+        measured = []
+        for seed in seeds:
+            one = run_one(scenario_name, fleet, policy_name, seed, weights)
+            measured.append(one.row())
+            gc.collect()
+        means = [sum(column) / len(seeds) for column in zip(*measured)]
+        rows.append([scenario_name, policy_name, *means])
+    return rows
+
+
+def main(
+    fleet: str = "",
+    scenario: str = "",
+    policy: str = "",
+    seeds: int | tuple[int, ...] = FINAL_SEEDS,
+    weights: str = "",
+) -> None:
+    """Prints one table for each fleet.
+
+    Args:
+        fleet: One fleet; all small ones if empty.
+        scenario: One scenario; all if empty.
+        policy: One policy; all if empty.
+        seeds: Seeds to take means over.
+        weights: Named weights; those of the fleet if empty.
+    """
+    chosen_seeds = (seeds,) if isinstance(seeds, int) else tuple(seeds)
+    fleets = (fleet,) if fleet else ("ikengwu", "blue_mountain")
+    names = (scenario,) if scenario else scenarios.NAMES
+    policy_names = (policy,) if policy else policies.NAMES
+    chosen_weights = weighing.named(weights) if weights else None
+    for fleet_name in fleets:
+        rows: list[list[object]] = []
+        for name in names:
+            rows += compare(
+                name, fleet_name, chosen_seeds, policy_names, chosen_weights
+            )
+        print(f"fleet {fleet_name}, seeds {chosen_seeds}")
+        headers = ("scenario", "policy", *results.COLUMNS)
+        print(
+            tabulate.tabulate(rows, headers, tablefmt="github", floatfmt=".4g")
+        )
+        print(flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/turmerichall/placement/finish.py
+++ b/turmerichall/placement/finish.py
@@ -47,21 +47,15 @@
         return decisions.FinishEstimate(job_id, last, error * (last - now))
 
     def _waiting_end(self, job_id: str, now: float) -> float:
-        own = [
-            task
-            for bucket in self.waiting.buckets.values()
-            for _, task in bucket.live.values()
-            if views.job_of(task.task_id) == job_id
-        ]
+        own = list(self.waiting.jobs.get(job_id, {}).values())
         if not own:
             return now
         deadline = max(task.deadline_wall_seconds for task in own)
-        ahead = sum(
-            self._work(task)
-            for bucket in self.waiting.buckets.values()
-            for _, task in bucket.live.values()
-            if task.deadline_wall_seconds <= deadline
-        )
+        ahead = 0.0
+        for bucket in self.waiting.buckets.values():
+            head = bucket.head()
+            if head is not None and head.deadline_wall_seconds <= deadline:
+                ahead += len(bucket.live) * self._work(head)
         running = sum(
             self._work(held.task) / 2
             for known in self.fleet.workers.values()
--- a/turmerichall/placement/fits.py
+++ b/turmerichall/placement/fits.py
@@ -12,6 +12,7 @@
 
 # Workers announce themselves again within this time after a start.
 SETTLE_SECONDS = 5.0
+MAX_CHECKED = 4096
 
 
 class Misfits:
@@ -58,15 +59,19 @@
             self.first_now = now
         if now < self.first_now + SETTLE_SECONDS:
             return []
+        if len(self.checked) > MAX_CHECKED:
+            self.checked.clear()
         told: dict[str, decisions.WaitDecision] = {}
         for bucket in list(queue.buckets.values()):
             shape = bucket.key.shape
-            tasks = [task for _, task in bucket.live.values()]
             if shape not in self.checked:
-                self.checked[shape] = never_fits(tasks[0], workers)
+                head = bucket.head()
+                assert head is not None
+                self.checked[shape] = never_fits(head, workers)
             finding = self.checked[shape]
             if finding is None:
                 continue
+            tasks = [task for _, task in bucket.live.values()]
             for task in tasks:
                 queue.drop(task.task_id)
                 self.tasks[task.task_id] = task
--- a/turmerichall/placement/health.py
+++ b/turmerichall/placement/health.py
@@ -13,6 +13,7 @@
 SUSPECT_FAILURES = 3.0
 PROBE_AFTER_SECONDS = 60.0
 MAX_PROBE_AFTER_SECONDS = 1800.0
+MAX_PROBE_DOUBLINGS = 5
 FLAPS_COUNTED_SECONDS = 600.0
 MAX_FLAPS = 3
 STABLE_AFTER_SECONDS = 120.0
@@ -95,7 +96,8 @@
 
     def _quarantine(self, record: Record, at: float) -> bool:
         began = record.quarantined_until == -math.inf
-        wait = PROBE_AFTER_SECONDS * 2**record.probes
+        doublings = min(record.probes, MAX_PROBE_DOUBLINGS)
+        wait = PROBE_AFTER_SECONDS * 2**doublings
         record.quarantined_until = at + min(wait, MAX_PROBE_AFTER_SECONDS)
         record.probes += 1
         record.probing = ""
--- a/turmerichall/placement/planner.py
+++ b/turmerichall/placement/planner.py
@@ -178,6 +178,7 @@
         views_of_workers = [w.view for w in self.fleet.workers.values()]
         waits = self.misfits.sift(self.waiting, views_of_workers, now)
         headroom = self._headroom()
+        full: dict[waiting.Shape, outcomes.Refusal] = {}
         heap = self._heads(wall_now)
         while heap and len(starts) < max_starts:
             found, key = heapq.heappop(heap)
@@ -189,8 +190,12 @@
             if current > found:
                 heapq.heappush(heap, (current, key))
                 continue
-            chosen = self._choose(task, size, now, headroom)
+            chosen = full.get(key.shape) or self._choose(
+                task, size, now, headroom
+            )
             if isinstance(chosen, outcomes.Refusal):
+                if chosen.reason == outcomes.RefusalReason.NO_CAPACITY:
+                    full[key.shape] = chosen
                 waits += self._tell(key, task, chosen)
                 evictions += self._make_room(task, current, chosen, now)
                 continue
@@ -357,6 +362,7 @@
 
     def _sum_capacity(self) -> None:
         total = resources.NOTHING
+        self.quotas.shares.clear()
         for known in self.fleet.workers.values():
             total = total.plus(known.view.capacity)
         self.quotas.total = total
--- a/turmerichall/placement/waiting.py
+++ b/turmerichall/placement/waiting.py
@@ -80,11 +80,13 @@
     Attributes:
         buckets: Buckets that hold tasks, by key.
         bucket_of: Bucket of each waiting task.
+        jobs: Waiting tasks by job.
     """
 
     def __init__(self) -> None:
         self.buckets: dict[BucketKey, Bucket] = {}
         self.bucket_of: dict[str, Bucket] = {}
+        self.jobs: dict[str, dict[str, views.TaskView]] = {}
         self.sequence = itertools.count()
 
     def __len__(self) -> int:
@@ -102,6 +104,8 @@
             bucket = self.buckets[key] = Bucket(key)
         bucket.push(task, next(self.sequence))
         self.bucket_of[task.task_id] = bucket
+        job = views.job_of(task.task_id)
+        self.jobs.setdefault(job, {})[task.task_id] = task
 
     def drop(self, task_id: str) -> views.TaskView | None:
         """Removes a task and returns it, or None if it does not wait."""
@@ -111,4 +115,9 @@
         _, task = bucket.live.pop(task_id)
         if not bucket.live:
             del self.buckets[bucket.key]
+        job = views.job_of(task_id)
+        of_job = self.jobs[job]
+        del of_job[task_id]
+        if not of_job:
+            del self.jobs[job]
         return task
