--- a/turmerichall/gateway/tests/test_exchange.py
+++ b/turmerichall/gateway/tests/test_exchange.py
@@ -192,7 +192,9 @@
     ) -> None:
         first = await world.backend("w1", _closes)
         second = await world.backend("w2", _refuses)
-        caller = await world.caller(first, second, routing="round_robin")
+        caller = await world.caller(
+            first, second, routing="round_robin", attempts=2
+        )
         for _ in range(4):
             answer = await caller.send(turmerichall_idempotent="true")
             document = msgspec.json.decode(answer.content)
