Fuzz the operators' documents and bound customers' services

Documents with values replaced by edge cases must get a typed answer and change nothing unless accepted. With unbounded integers the test fails with an OverflowError of the log's codec; with the bound it passes. A customer could also ask for billions of tasks, which the placing loop would walk through: services, their tasks and zones are bounded now.

--- a/turmerichall/customers/customer.py
+++ b/turmerichall/customers/customer.py
@@ -7,7 +7,12 @@
 from turmerichall import resources
 from turmerichall.templates import template
 
-__all__ = ["Customer", "Quota", "Urgency"]
+__all__ = ["Customer", "MAX_SERVICE_TASKS", "Quota", "Urgency"]
+
+# Tasks of one service in one zone for one customer.
+MAX_SERVICE_TASKS = 1000
+MAX_ZONES = 32
+MAX_SERVICES = 100
 
 
 class Urgency(enum.StrEnum):
@@ -45,13 +50,17 @@
             found.append(
                 errors.Finding("customer.zones", "name at least one zone")
             )
+        if len(self.zones) > MAX_ZONES or len(self.services) > MAX_SERVICES:
+            reason = f"at most {MAX_ZONES} zones and {MAX_SERVICES} services"
+            found.append(errors.Finding("customer", reason))
         for zone in self.zones:
             found += template.name_findings("customer.zones", zone)
         for service, tasks in self.services.items():
             place = f"customer.services.{service}"
             found += template.name_findings(place, service)
-            if tasks < 0:
-                found.append(errors.Finding(place, "must not be negative"))
+            if not 0 <= tasks <= MAX_SERVICE_TASKS:
+                reason = f"must be 0 to {MAX_SERVICE_TASKS}"
+                found.append(errors.Finding(place, reason))
         if self.max_requests < 1:
             found.append(
                 errors.Finding("customer.max_requests", "must be at least 1")
--- a/turmerichall/operators/jobs.py
+++ b/turmerichall/operators/jobs.py
@@ -18,6 +18,7 @@
 
 JOB_ID_DIGITS = 12
 MAX_LISTED_JOBS = 1000
+MAX_WALL_SECONDS = 1e11
 
 
 class JobDocument(NamedTuple):
@@ -45,9 +46,10 @@
             found += template.name_findings("job_id", self.job_id)
         if self.tasks < 1:
             found.append(errors.Finding("tasks", "must be at least 1"))
-        if self.deadline_wall_seconds <= 0:
+        if not 0 < self.deadline_wall_seconds <= MAX_WALL_SECONDS:
             place = "deadline_wall_seconds"
-            found.append(errors.Finding(place, "must be above 0"))
+            reason = f"must be above 0 and at most {MAX_WALL_SECONDS:g}"
+            found.append(errors.Finding(place, reason))
         return found
 
 
--- /dev/null
+++ b/turmerichall/operators/tests/test_any_document.py
@@ -0,0 +1,149 @@
+"""Fuzz tests: no document makes the interface fail or half apply a change."""
+
+import copy
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import trio
+
+from turmerichall.operators import exchange
+from turmerichall.operators.tests import fake_daemon
+from turmerichall.state import machine as machines
+from turmerichall.telemetry import counters
+
+_SIZE = {"processors": 1.5, "memory_mb": 100, "accelerators": 0}
+_TASK = {"task_id": "j1/0", "attempt": 1, "state": "running", "usage": _SIZE}
+_VALID: dict[tuple[str, str], Any] = {
+    ("PUT", "/v1/templates/r"): {
+        "base_version": 0,
+        "body": {"name": "r", "kind": "batch", "size": _SIZE},
+    },
+    ("PUT", "/v1/customers/c"): {
+        "base_version": 0,
+        "body": {
+            "name": "c",
+            "team": "t",
+            "urgency": "normal",
+            "zones": ["z1"],
+            "services": {"s": 1},
+        },
+    },
+    ("PUT", "/v1/quotas/t"): {
+        "base_version": 0,
+        "body": {"team": "t", "limit": _SIZE},
+    },
+    ("POST", "/v1/jobs"): {
+        "customer": "c",
+        "template": "r",
+        "tasks": 2,
+        "deadline_wall_seconds": 9.0,
+    },
+    ("POST", "/v1/backend-servers/w1/drain"): {"base_version": 0},
+    ("POST", "/v1/instances"): {"name": "i4", "address": "127.0.0.1:5"},
+    ("POST", "/v1/workers/announce"): {
+        "name": "w1",
+        "incarnation": 1,
+        "sequence": 1,
+        "zone": "z1",
+        "rack": "r1",
+        "address": "127.0.0.1:9",
+        "capacity": _SIZE,
+        "tasks": [_TASK],
+    },
+}
+_EDGES = strategies.sampled_from([-1, 0, 2**53, 2**64, -(2**70), 1e308, 0.5])
+_SCALARS = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(max_size=20),
+    strategies.sampled_from(["", "a/b", "é", "\u0000", "-1", "x" * 600]),
+)
+_JSON = strategies.recursive(
+    _SCALARS,
+    lambda inner: strategies.lists(inner, max_size=3)
+    | strategies.dictionaries(strategies.text(max_size=8), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+def _places(document: Any) -> list[tuple[Any, Any]]:
+    """Returns every container of a document with each of its keys."""
+    found: list[tuple[Any, Any]] = []
+    keys = document if isinstance(document, dict) else range(len(document))
+    for key in keys:
+        found.append((document, key))
+        if isinstance(document[key], (dict, list)):
+            found += _places(document[key])
+    return found
+
+
+@strategies.composite
+def _requests(draw: strategies.DrawFn) -> tuple[str, str, bytes]:
+    """Draws a valid document with some values replaced, or any bytes."""
+    method, path = draw(strategies.sampled_from(sorted(_VALID)))
+    if draw(strategies.integers(0, 9)) == 0:
+        return method, path, draw(strategies.binary(max_size=60))
+    document = copy.deepcopy(_VALID[method, path])
+    for _ in range(draw(strategies.integers(0, 2))):
+        places = _places(document)
+        container, key = places[draw(strategies.integers(0, len(places) - 1))]
+        kind = draw(strategies.sampled_from(["edge", "edge", "any", "none"]))
+        if kind == "none" and isinstance(container, dict):
+            del container[key]
+        else:
+            container[key] = draw(_EDGES if kind == "edge" else _JSON)
+        if not document:
+            break
+    return method, path, msgspec.json.encode(document)
+
+
+async def _status(
+    daemon: fake_daemon.FakeDaemon, method: str, path: str, body: bytes
+) -> int:
+    key = "workers-key" if "workers" in path else "operators-key"
+    statuses: list[int] = []
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": body}
+
+    async def send(event: dict[str, Any]) -> None:
+        if "status" in event:
+            statuses.append(event["status"])
+
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "raw_path": path.encode(),
+        "query_string": b"",
+        "headers": [
+            (b"authorization", f"Bearer {key}".encode()),
+            (b"turmerichall-operation-id", b"op1"),
+        ],
+    }
+    app = daemon.application(counters.Counters(), exchange.Bounds())
+    await app(scope, receive, send)
+    return statuses[0]
+
+
+class TestAnyDocument:
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+    @hypothesis.given(_requests())
+    def test_typed_answer_and_no_half_change(
+        self, request: tuple[str, str, bytes]
+    ) -> None:
+        daemon = fake_daemon.FakeDaemon()
+        status = trio.run(_status, daemon, *request)
+        assert status in (200, 400, 404, 409)
+        if status != 200:
+            assert not daemon.machine.configuration.revision
+            assert not daemon.machine.ledger.jobs
+            assert not daemon.told and not daemon.members
+        restored = machines.Machine()
+        restored.restore(daemon.machine.snapshot())
+        assert restored.snapshot() == daemon.machine.snapshot()
--- a/turmerichall/operators/tests/test_application.py
+++ b/turmerichall/operators/tests/test_application.py
@@ -148,6 +148,24 @@
         }
         assert not client.daemon.machine.applied_index
 
+    @pytest.mark.parametrize(
+        ("field", "value", "place"),
+        [
+            ("services", {"s": 10**9}, "customer.services.s"),
+            ("services", {"s": -1}, "customer.services.s"),
+            ("services", {f"s{n}": 1 for n in range(101)}, "customer"),
+            ("zones", [], "customer.zones"),
+            ("zones", [f"z{n}" for n in range(33)], "customer"),
+            ("max_requests", 0, "customer.max_requests"),
+        ],
+    )
+    async def test_findings_of_a_customer(
+        self, client: Client, field: str, value: Any, place: str
+    ) -> None:
+        body = CUSTOMER | {field: value}
+        answer = await client.put("/v1/customers/c", body)
+        assert answer.document["findings"][0]["place"] == place
+
     async def test_unknown_outcome(self, client: Client) -> None:
         lost = outcomes.Unknown(outcomes.UnknownReason.LEADER_LOST)
         client.daemon.outcome = lost
