--- a/turmerichall/operators/exchange.py
+++ b/turmerichall/operators/exchange.py
@@ -8,6 +8,7 @@
 import trio
 
 from turmerichall import outcomes
+from turmerichall.settings import settings
 
 __all__ = [
     "Bounds",
@@ -47,6 +48,15 @@
     max_path_bytes: int = 2048
     body_timeout_seconds: float = 10.0
 
+    @classmethod
+    def from_config(cls, config: settings.Settings) -> "Bounds":
+        """Returns the bounds that the settings ask for."""
+        return cls(
+            max_header_count=config.limits.max_header_count,
+            max_header_bytes=config.limits.max_header_bytes,
+            body_timeout_seconds=config.timing.slow_sender_timeout_seconds,
+        )
+
 
 class Request(NamedTuple):
     """A whole request.
--- a/turmerichall/settings/reader.py
+++ b/turmerichall/settings/reader.py
@@ -78,7 +78,6 @@
         settings.Limits,
         {
             "max_request_bytes": Key("max_request_bytes", values.size),
-            "max_answer_bytes": Key("max_answer_bytes", values.size),
             "max_requests_in_flight": Key(
                 "max_requests_in_flight", values.count
             ),
@@ -88,7 +87,6 @@
                 "default_deadline_seconds", values.duration
             ),
             "max_deadline": Key("max_deadline_seconds", values.duration),
-            "max_connections": Key("max_connections", values.count),
             "max_header_count": Key("max_header_count", values.count),
             "max_header_bytes": Key("max_header_bytes", values.size),
         },
@@ -104,7 +102,6 @@
     "timing": Schema(
         settings.Timing,
         {
-            "change_timeout": Key("change_timeout_seconds", values.duration),
             "slow_sender_timeout": Key(
                 "slow_sender_timeout_seconds", values.duration
             ),
--- a/turmerichall/settings/settings.py
+++ b/turmerichall/settings/settings.py
@@ -81,25 +81,21 @@
 
     Attributes:
         max_request_bytes: Size of the body of one request.
-        max_answer_bytes: Size of the body of one answer.
         max_requests_in_flight: Requests that are being routed or run at once.
         queue_length: Requests that wait for a backend server at once.
         retry_ratio: Retries allowed for each request in the long run.
         default_deadline_seconds: Deadline of a request that names none.
         max_deadline_seconds: Longest deadline that a request may name.
-        max_connections: Connections of callers at once.
-        max_header_count: Header fields of one request.
-        max_header_bytes: Size of the header fields of one request in sum.
+        max_header_count: Header fields of an operator's or worker's request.
+        max_header_bytes: Size of those header fields in sum.
     """
 
     max_request_bytes: int = 4 * 1024**2
-    max_answer_bytes: int = 16 * 1024**2
     max_requests_in_flight: int = 256
     queue_length: int = 128
     retry_ratio: float = 0.1
     default_deadline_seconds: float = 10.0
     max_deadline_seconds: float = 60.0
-    max_connections: int = 512
     max_header_count: int = 64
     max_header_bytes: int = 16 * 1024
 
@@ -118,14 +114,13 @@
     """How long this instance waits.
 
     Attributes:
-        change_timeout_seconds: For a change of the replicated state.
-        slow_sender_timeout_seconds: For the whole body of a request.
+        slow_sender_timeout_seconds: For the whole body of an operator's or
+            worker's request.
         drain_notice_seconds: Between `/readyz` saying no and closing the
             listeners.
         drain_limit_seconds: For requests in flight when it stops.
     """
 
-    change_timeout_seconds: float = 5.0
     slow_sender_timeout_seconds: float = 10.0
     drain_notice_seconds: float = 3.0
     drain_limit_seconds: float = 60.0
