Find silent connections and end their requests

A server that doesn't know the request frees the slot; one that doesn't answer at all leaves it counted until the deadline. Holding it in both cases was tried first: a whole silent pool then stalled its server's other requests for the rest of their deadlines.

--- a/turmerichall/gateway/exchange.py
+++ b/turmerichall/gateway/exchange.py
@@ -51,6 +51,7 @@
         connection: The connection in use; None before it is there.
         scope: Cancelled when the exchange is given up from outside.
         silent: Whether it was given up because its connection is silent.
+        may_run: Whether the server may go on running it after the end.
         status: HTTP status of the answer.
         headers: Headers of the answer to pass on to the caller.
         whole: Whether the body of the answer arrived to its end.
@@ -65,6 +66,7 @@
         self.connection: pools.Connection | None = None
         self.scope = trio.CancelScope(deadline=request.deadline)
         self.silent = False
+        self.may_run = False
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.whole = False
@@ -77,9 +79,15 @@
         since = self.connection.stream.reading_since
         return 0.0 if since is None else now - since
 
-    def give_up_as_silent(self) -> None:
-        """Ends the exchange because its connection is silent."""
+    def give_up_as_silent(self, may_run: bool) -> None:
+        """Ends the exchange because its connection is silent.
+
+        Args:
+            may_run: Whether the backend server may still run the request; its
+                slot then counts as filled until the deadline.
+        """
         self.silent = True
+        self.may_run = may_run
         self.scope.cancel()
 
     async def begin(self) -> "Ended":
@@ -230,7 +238,7 @@
                 self.pool.put_back(connection)
             else:
                 self.pool.discard(connection, self.silent)
-        if self.silent:
+        if self.may_run:
             self.pool.release(self.slot, self.request.deadline)
         else:
             self.pool.release(self.slot)
--- a/turmerichall/gateway/probe.py
+++ b/turmerichall/gateway/probe.py
@@ -1,5 +1,7 @@
 """Asks a backend server whether it still runs a request."""
 
+import enum
+
 import httpcore
 import trio
 
@@ -8,13 +10,22 @@
 from turmerichall.gateway import pool as pools
 from turmerichall.gateway import request as requests
 
-__all__ = ["runs_there"]
+__all__ = ["Finding", "ask"]
 
 ANSWER_SECONDS = 1.0
 OK = 200
 
 
-async def runs_there(pool: pools.Pool, request: requests.Request) -> bool:
+class Finding(enum.Enum):
+    """What was found out about a request."""
+
+    RUNS = enum.auto()
+    ABSENT = enum.auto()
+    NO_ANSWER = enum.auto()
+    NOT_ASKED = enum.auto()
+
+
+async def ask(pool: pools.Pool, request: requests.Request) -> Finding:
     """Asks over a new connection whether a request runs.
 
     Args:
@@ -22,26 +33,28 @@
         request: The request.
 
     Returns:
-        True if the server says so, or if there is no connection to ask over
-        because this instance's part of them is in use.
+        What the server says; `NOT_ASKED` if all connections of this instance's
+        part are in use.
     """
     pool.discard_idle(trio.current_time())
     connection = await pool.open()
     if isinstance(connection, outcomes.Refusal):
-        return connection.reason == outcomes.RefusalReason.OVERLOADED
+        if connection.reason == outcomes.RefusalReason.OVERLOADED:
+            return Finding.NOT_ASKED
+        return Finding.NO_ANSWER
     try:
         with trio.move_on_after(ANSWER_SECONDS):
             return await _ask(pool, connection, request)
-        return False
+        return Finding.NO_ANSWER
     except exchanges.BROKEN:
-        return False
+        return Finding.NO_ANSWER
     finally:
         pool.discard(connection)
 
 
 async def _ask(
     pool: pools.Pool, connection: pools.Connection, request: requests.Request
-) -> bool:
+) -> Finding:
     target = b"/v1/requests/" + request.request_id
     url = httpcore.URL(
         scheme=b"http", host=pool.origin.host, port=pool.port, target=target
@@ -49,4 +62,4 @@
     headers = [(b"Host", pool.authority)]
     asked = httpcore.Request(b"GET", url, headers=headers)
     response = await connection.http.handle_async_request(asked)
-    return response.status == OK
+    return Finding.RUNS if response.status == OK else Finding.ABSENT
--- a/turmerichall/gateway/tests/conftest.py
+++ b/turmerichall/gateway/tests/conftest.py
@@ -83,6 +83,8 @@
         name: Name of the worker.
         address: Where it listens, host:port.
         request_ids: Ids of all requests that arrived.
+        running: Ids of requests that it says are running when asked.
+        accepts: Whether new connections get anything.
         connections: Connections open now.
         most_connections: Most connections that were open at once.
     """
@@ -92,6 +94,8 @@
         self.script = script
         self.address = ""
         self.request_ids: list[bytes] = []
+        self.running: set[bytes] = set()
+        self.accepts = True
         self.connections = 0
         self.most_connections = 0
 
@@ -103,6 +107,8 @@
         await trio.serve_listeners(self._serve, listeners)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
+        if not self.accepts:
+            await trio.sleep_forever()
         self.connections += 1
         self.most_connections = max(self.most_connections, self.connections)
         try:
@@ -128,6 +134,13 @@
             fields[key.lower()] = value
         while len(body) < int(fields.get(b"content-length", b"0")):
             body += await stream.receive_some()
+        if head.startswith(b"GET /v1/requests/"):
+            asked = head.split(b" ")[1].removeprefix(b"/v1/requests/")
+            status = b"200 OK" if asked in self.running else b"404 Unknown"
+            await stream.send_all(
+                b"HTTP/1.1 %b\r\ncontent-length: 0\r\n\r\n" % status
+            )
+            return True
         request_id = fields[b"turmerichall-request-id"]
         self.request_ids.append(request_id)
         number = len(self.request_ids) - 1
--- a/turmerichall/gateway/watch.py
+++ b/turmerichall/gateway/watch.py
@@ -96,12 +96,14 @@
     async def ask(self, exchange: exchanges.Exchange) -> None:
         """Asks the backend server about a quiet exchange."""
         asked_at = trio.current_time()
-        runs = await probe.runs_there(exchange.pool, exchange.request)
-        if runs or exchange not in self.dispatcher.running:
+        found = await probe.ask(exchange.pool, exchange.request)
+        if found in (probe.Finding.RUNS, probe.Finding.NOT_ASKED):
+            return
+        if exchange not in self.dispatcher.running:
             return
         if exchange.quiet_seconds(trio.current_time()) == 0.0:
             return
-        exchange.give_up_as_silent()
+        exchange.give_up_as_silent(found == probe.Finding.NO_ANSWER)
         exchange.pool.discard_idle(asked_at)
 
     async def borrow_when_starved(self) -> None:
