Keep services on few workers so that the others are free for batch work

Cause: services stood on 24 of 24 workers (ikengwu), so each batch task was bounded by some service's margin, and noisy ones found no place. Services now weigh the free share of a worker; racks and a bound of 12 % of a service on one worker keep a loss small. A first try counted that bound from the tasks placed so far, which spread the first ones out again (18 workers); it is counted from those wanted (12 workers).

--- a/turmerichall/placement/fleet.py
+++ b/turmerichall/placement/fleet.py
@@ -30,6 +30,7 @@
             evicted, oldest first.
         spread: Service tasks by customer and template, then by rack.
         learns_sizes: Whether learnt sizes are used.
+        wanted: Service tasks that wait or run, by customer and template.
         moving: Service tasks between places, with the time of the last step,
             by customer and template.
     """
@@ -46,6 +47,7 @@
         self.troubled: dict[str, None] = {}
         self.spread: dict[tuple[str, str], dict[str, int]] = {}
         self.learns_sizes = learns_sizes
+        self.wanted: dict[tuple[str, str], dict[str, None]] = {}
         self.moving: dict[tuple[str, str], dict[str, float]] = {}
         self.excess: dict[str, tuple[int, float, dict[str, float]]] = {}
 
@@ -107,6 +109,7 @@
         self.health.note_placed(worker, task.task_id)
         if task.service:
             self._count_service(task, known, 1)
+            self.note_wanted(task)
             self.note_moving(task, now)
         self.rankings.mark(worker)
         return held
@@ -118,6 +121,17 @@
             self.workers[held.worker].record(at)
             self.note_settled(held.task)
 
+    def note_wanted(self, task: views.TaskView) -> None:
+        """Notes that a service task waits or runs."""
+        group = (task.customer, task.template)
+        self.wanted.setdefault(group, {})[task.task_id] = None
+
+    def note_unwanted(self, task: views.TaskView) -> None:
+        """Notes that a service task neither waits nor runs any more."""
+        group = (task.customer, task.template)
+        self.wanted.get(group, {}).pop(task.task_id, None)
+        self.note_settled(task)
+
     def note_moving(self, task: views.TaskView, now: float) -> None:
         """Notes that a service task is between two places."""
         group = (task.customer, task.template)
--- a/turmerichall/placement/planner.py
+++ b/turmerichall/placement/planner.py
@@ -82,6 +82,8 @@
             self.resubmitted[task.task_id] = task
             return
         self.misfits.tasks.pop(task.task_id, None)
+        if task.service:
+            self.fleet.note_wanted(task)
         self.waiting.put(task)
 
     def drop_waiting(self, task_id: str) -> None:
@@ -90,7 +92,7 @@
         self.misfits.tasks.pop(task_id, None)
         task = self.waiting.drop(task_id)
         if task is not None and task.service:
-            self.fleet.note_settled(task)
+            self.fleet.note_unwanted(task)
 
     def put_running(self, task: views.TaskView, worker: str, at: float) -> None:
         """Takes over a task that was started before this planner was made.
@@ -136,6 +138,8 @@
         again = self.resubmitted.pop(task_id, None)
         if again is not None:
             self.waiting.put(again)
+        elif held.task.service and ending == changes.Ending.CANCELLED:
+            self.fleet.note_unwanted(held.task)
 
     def set_quota(self, team: str, limit: resources.Resources | None) -> None:
         """Sets what the batch work of a team may hold; None for no limit."""
--- a/turmerichall/placement/scoring.py
+++ b/turmerichall/placement/scoring.py
@@ -9,8 +9,10 @@
 
 __all__ = ["BestFit", "FirstFit", "InterferenceScoring", "MostFree", "Scoring"]
 
-SAME_WORKER_COST = 4.0
-SAME_RACK_COST = 1.0
+RACK_COST = 4.0
+# Above this share of a service on one worker its loss would be felt.
+MAX_WORKER_SHARE = 0.12
+CROWDED_COST = 2.0
 ACCELERATOR_COST = 1.0
 DRAIN_COST = 2.0
 SERVICE_DRAIN_SECONDS = 1800.0
@@ -106,7 +108,10 @@
         slowdown = self._slowdown_cost(task, known, now)
         if slowdown is None:
             return None
-        cost = slowdown + self._packing_cost(known)
+        packing = self.weights.packing
+        if task.service:
+            packing = self.weights.service_packing
+        cost = slowdown + packing * _free_share(known)
         cost += self._drain_cost(task, known, now)
         if task.service:
             cost += self._spread_cost(task, known)
@@ -166,10 +171,6 @@
         asked = fleets.situation(task.template, use, pressing, capacity)
         return self.fleet.estimator.estimate(asked).excess
 
-    def _packing_cost(self, known: occupancy.Occupancy) -> float:
-        capacity = known.view.capacity.processors
-        return self.weights.packing * known.free.processors / capacity
-
     def _drain_cost(
         self, task: views.TaskView, known: occupancy.Occupancy, now: float
     ) -> float:
@@ -184,11 +185,20 @@
     def _spread_cost(
         self, task: views.TaskView, known: occupancy.Occupancy
     ) -> float:
+        """Weighs what the loss of the rack or the worker would take along."""
         group = (task.customer, task.template)
         racks = self.fleet.spread.get(group, {})
-        same_worker = sum(
+        in_all = len(self.fleet.wanted.get(group, ()))
+        in_rack = 1 + racks.get(known.view.rack, 0)
+        on_worker = 1 + sum(
             (held.task.customer, held.task.template) == group
             for held in known.held.values()
         )
-        cost = SAME_RACK_COST * racks.get(known.view.rack, 0)
-        return cost + SAME_WORKER_COST * same_worker
+        cost = RACK_COST * in_rack / max(1, in_all)
+        if on_worker > max(1.0, MAX_WORKER_SHARE * in_all):
+            cost += CROWDED_COST * on_worker
+        return cost
+
+
+def _free_share(known: occupancy.Occupancy) -> float:
+    return known.free.processors / known.view.capacity.processors
--- a/turmerichall/placement/weights.py
+++ b/turmerichall/placement/weights.py
@@ -13,6 +13,8 @@
         throughput: Cost of one unit of expected slowdown of a batch task.
         packing: Cost of the processors that stay free on the chosen worker,
             as a share of its capacity.
+        service_packing: The same for services; it keeps them on few workers,
+            beside which the others are free for batch work.
         service_margin: Slowdown of a service above which no batch task is
             added to its worker.
     """
@@ -20,6 +22,7 @@
     latency: float = 4.0
     throughput: float = 2.0
     packing: float = 0.2
+    service_packing: float = 6.0
     service_margin: float = 1.5
 
 
