--- a/turmerichall/cli.py
+++ b/turmerichall/cli.py
@@ -90,7 +90,7 @@
 
     def status() -> commands.Command:
         """Shows how the answering instance and the state that it holds are."""
-        return session.reading("/v1/status")
+        return instances.status(session)
 
     return {
         "template": configuration.Templates(session),
--- a/turmerichall/command_line/instances.py
+++ b/turmerichall/command_line/instances.py
@@ -1,10 +1,15 @@
 """Commands about instances."""
 
+from typing import Any
+
 from turmerichall.command_line import commands
+from turmerichall.command_line import output
 from turmerichall.command_line import session as sessions
 from turmerichall.settings import values
 
-__all__ = ["Instances"]
+__all__ = ["Instances", "status"]
+
+_STATUS = ("name", "role", "leader", "term", "commit", "applied", "stopped")
 
 
 class Instances:
@@ -39,3 +44,23 @@
         """
         part = commands.value("NAME", name, values.name)
         return self._session.changing("DELETE", f"/v1/instances/{part}")
+
+
+def status(session: sessions.Session) -> commands.Command:
+    """Returns the command that shows the status of one instance."""
+    return session.reading("/v1/status", _show_status)
+
+
+def _show_status(document: dict[str, Any]) -> None:
+    replica = document.pop("replica")
+    grants = document.pop("grants")
+    shown = {name: replica.get(name) for name in _STATUS if replica.get(name)}
+    for group in ("members", "learners"):
+        names = [member["name"] for member in replica.get(group, [])]
+        shown[group] = names
+    seconds = replica.get("seconds_since_quorum", 0)
+    shown["quorum_seconds_ago"] = round(seconds, 1) if seconds else seconds
+    output.show(shown | document)
+    if grants:
+        print()
+        output.show_rows(grants, ("zone", "holder", "epoch", "renewal"))
--- a/turmerichall/command_line/jobs.py
+++ b/turmerichall/command_line/jobs.py
@@ -88,7 +88,8 @@
             query["state"] = commands.value("--state", state, chosen)
         if customer:
             query["customer"] = customer
-        path = f"/v1/jobs?{urllib.parse.urlencode(query)}"
+        encoded = urllib.parse.urlencode(query)
+        path = f"/v1/jobs?{encoded}" if encoded else "/v1/jobs"
         return self._session.list(path, sessions.View(_COLUMNS, _row))
 
     def cancel(self, job_id: str) -> commands.Command:
