Report what instances answered before what could not be reached

With one instance cut off from the quorum and another stopped, a change ended as unreachable, exit code 4, although the first had refused it. The weightiest outcome counts now: unknown, then refused, then unreachable.

--- a/turmerichall/command_line/client.py
+++ b/turmerichall/command_line/client.py
@@ -73,20 +73,20 @@
         return self._send(method, path, body)
 
     def _send(self, method: str, target: str, body: bytes) -> Outcome:
-        last: Outcome = Unreachable(
-            "no instance was named; give --server or $TURMERICHALL_SERVERS"
-        )
-        uncertain: Outcome | None = None
+        seen: list[Outcome] = [
+            Unreachable(
+                "no instance was named; give --server or $TURMERICHALL_SERVERS"
+            )
+        ]
         for number in range(ROUNDS):
             if number:
                 time.sleep(PAUSE_SECONDS)
             for server in self.options.servers:
-                last = self._send_once(server, method, target, body)
-                if _is_final(last):
-                    return last
-                if _is_uncertain(last):
-                    uncertain = last
-        return uncertain or last
+                outcome = self._send_once(server, method, target, body)
+                if _is_final(outcome):
+                    return outcome
+                seen.append(outcome)
+        return max(reversed(seen), key=_weight)
 
     def _send_once(
         self, server: str, method: str, target: str, body: bytes
@@ -161,7 +161,11 @@
     return isinstance(outcome, Answer) and outcome.status not in _TRY_NEXT
 
 
-def _is_uncertain(outcome: Outcome) -> bool:
-    if isinstance(outcome, Answer):
-        return outcome.status == _UNKNOWN_STATUS
-    return isinstance(outcome, Lost)
+def _weight(outcome: Outcome) -> int:
+    """Tells which of several outcomes stands for the whole command."""
+    if isinstance(outcome, Unreachable):
+        return 0
+    if isinstance(outcome, Lost) or outcome.status == _UNKNOWN_STATUS:
+        # What may have been run is never reported as refused.
+        return 2
+    return 1
--- a/turmerichall/command_line/tests/test_cli.py
+++ b/turmerichall/command_line/tests/test_cli.py
@@ -148,6 +148,34 @@
             options = ("--server", servers)
             assert _run("template", "publish", "r", *PUBLISH, *options) == 0
 
+    @pytest.mark.parametrize(
+        ("outcome", "code", "message"),
+        [
+            (
+                outcomes.Refusal(outcomes.RefusalReason.NO_QUORUM),
+                1,
+                "refused (no_quorum)",
+            ),
+            (
+                outcomes.Unknown(outcomes.UnknownReason.LEADER_LOST),
+                4,
+                "unknown outcome",
+            ),
+        ],
+    )
+    def test_an_answer_counts_more_than_an_unreachable_instance(
+        self,
+        listener: Listener,
+        capsys: pytest.CaptureFixture[str],
+        outcome: outcomes.Refusal | outcomes.Unknown,
+        code: int,
+        message: str,
+    ) -> None:
+        listener.daemon.outcome = outcome
+        options = ("--server", f"{listener.address},127.0.0.1:1")
+        assert _run("template", "publish", "r", *PUBLISH, *options) == code
+        assert message in capsys.readouterr().err
+
     def test_stale_reads_are_marked(
         self, listener: Listener, capsys: pytest.CaptureFixture[str]
     ) -> None:
