--- /dev/null
+++ b/turmerichall/benchmarks/requests_load.py
@@ -0,0 +1,206 @@
+"""Load on one server, measured by its callers."""
+
+import itertools
+import random
+from typing import NamedTuple
+
+import hdrh.histogram
+import httpcore
+import trio
+
+from turmerichall.gateway import request_id
+
+__all__ = ["Measured", "Stream", "closed_loop", "open_loop"]
+
+HIGHEST_MICROSECONDS = 60_000_000
+CALLER_CONNECTIONS = 400
+
+
+class Stream(NamedTuple):
+    """Requests of one kind.
+
+    Attributes:
+        path: Path that they are sent to.
+        body: Their body.
+        idempotent: Whether they may be run more than once.
+        deadline_seconds: Their deadline.
+    """
+
+    path: str
+    body: bytes = b"x" * 100
+    idempotent: bool = True
+    deadline_seconds: float = 10.0
+
+    def headers(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers of a new request."""
+        made = [
+            (b"Host", b"gateway"),
+            (b"Content-Length", b"%d" % len(self.body)),
+            (b"Turmerichall-Request-Id", request_id.make().encode()),
+            (
+                b"Turmerichall-Deadline-Ms",
+                b"%d" % (self.deadline_seconds * 1000),
+            ),
+        ]
+        value = b"true" if self.idempotent else b"false"
+        made.append((b"Turmerichall-Idempotent", value))
+        return made
+
+
+class Measured:
+    """What callers saw.
+
+    Attributes:
+        answered: Latencies of answers with status 200, in microseconds.
+        refused: Latencies of other answers, in microseconds.
+        broken: Requests without an answer.
+        seconds: How long it was measured.
+    """
+
+    def __init__(self) -> None:
+        self.answered = _histogram()
+        self.refused = _histogram()
+        self.broken = 0
+        self.seconds = 0.0
+
+    def note(self, status: int, seconds: float) -> None:
+        """Adds a request."""
+        kind = self.answered if status == 200 else self.refused
+        kind.record_value(max(1, int(seconds * 1e6)))
+
+    def milliseconds(self, percentile: float) -> float:
+        """Returns a percentile of the latency of answers."""
+        value = self.answered.get_value_at_percentile(percentile)
+        return float(value) / 1000
+
+    @property
+    def requests_per_second(self) -> float:
+        """Answers with status 200 in a second."""
+        return float(self.answered.total_count) / self.seconds
+
+
+def _histogram() -> hdrh.histogram.HdrHistogram:
+    return hdrh.histogram.HdrHistogram(1, HIGHEST_MICROSECONDS, 3)
+
+
+async def closed_loop(
+    address: str,
+    stream: Stream,
+    connections: int,
+    seconds: float,
+    warm_up_seconds: float = 1.0,
+) -> Measured:
+    """Sends one request after the other on each of some connections.
+
+    Args:
+        address: The server, host:port.
+        stream: What to send.
+        connections: How many connections send at once.
+        seconds: How long to measure.
+        warm_up_seconds: How long to send before.
+
+    Returns:
+        What was measured.
+    """
+    measured = Measured()
+    begin = trio.current_time() + warm_up_seconds
+    end = begin + seconds
+    async with trio.open_nursery() as nursery:
+        for _ in range(connections):
+            nursery.start_soon(
+                _one_by_one, address, stream, begin, end, measured
+            )
+    measured.seconds = seconds
+    return measured
+
+
+async def _one_by_one(
+    address: str, stream: Stream, begin: float, end: float, measured: Measured
+) -> None:
+    host, _, port = address.rpartition(":")
+    url = httpcore.URL(
+        scheme="http", host=host, port=int(port), target=stream.path
+    )
+    origin = httpcore.Origin(b"http", host.encode(), int(port))
+    connection = httpcore.AsyncHTTPConnection(origin)
+    while trio.current_time() < end:
+        sent_at = trio.current_time()
+        request = httpcore.Request(
+            "POST", url, headers=stream.headers(), content=stream.body
+        )
+        answer = await connection.handle_async_request(request)
+        await answer.aread()
+        await answer.aclose()
+        if connection.is_closed():
+            connection = httpcore.AsyncHTTPConnection(origin)
+        if sent_at >= begin:
+            measured.note(answer.status, trio.current_time() - sent_at)
+    await connection.aclose()
+
+
+async def open_loop(
+    address: str,
+    stream: Stream,
+    requests_per_second: float,
+    seconds: float,
+    seed: int,
+    warm_up_seconds: float = 2.0,
+) -> Measured:
+    """Sends requests at random moments, whether or not answers come.
+
+    Args:
+        address: The server, host:port.
+        stream: What to send.
+        requests_per_second: Mean rate.
+        seconds: How long to measure.
+        seed: Seed of the moments.
+        warm_up_seconds: How long to send before.
+
+    Returns:
+        What was measured.
+    """
+    generator = random.Random(seed)
+    measured = Measured()
+    begin = trio.current_time() + warm_up_seconds
+    due = trio.current_time()
+    async with httpcore.AsyncConnectionPool(
+        max_connections=CALLER_CONNECTIONS,
+        max_keepalive_connections=CALLER_CONNECTIONS,
+        keepalive_expiry=4.0,
+    ) as pool:
+        async with trio.open_nursery() as nursery:
+            for _ in itertools.count():
+                due += generator.expovariate(requests_per_second)
+                if due >= begin + seconds:
+                    break
+                await trio.sleep_until(due)
+                note = measured if due >= begin else None
+                nursery.start_soon(_send_once, pool, address, stream, due, note)
+    measured.seconds = seconds
+    return measured
+
+
+async def _send_once(
+    pool: httpcore.AsyncConnectionPool,
+    address: str,
+    stream: Stream,
+    due: float,
+    measured: Measured | None,
+) -> None:
+    status = 0
+    try:
+        answer = await pool.request(
+            "POST",
+            f"http://{address}{stream.path}",
+            headers=stream.headers(),
+            content=stream.body,
+        )
+        status = answer.status
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        pass
+    if measured is None:
+        return
+    if status:
+        measured.note(status, trio.current_time() - due)
+    else:
+        measured.broken += 1
