--- a/turmerichall/command_line/client.py
+++ b/turmerichall/command_line/client.py
@@ -86,7 +86,8 @@
                 if _is_final(outcome):
                     return outcome
                 seen.append(outcome)
-        return max(reversed(seen), key=_weight)
+        weightiest: Outcome = max(reversed(seen), key=_weight)
+        return weightiest
 
     def _send_once(
         self, server: str, method: str, target: str, body: bytes
