--- a/turmerichall/placement/eviction.py
+++ b/turmerichall/placement/eviction.py
@@ -16,7 +16,9 @@
 PATIENCE_SECONDS = 30.0
 RELAX_SECONDS = 60.0
 # Throttles are lifted below this share of the margin.
-RELAX_RATIO = 0.6
+RELAX_RATIO = 0.85
+# A service is slow above this share of the margin; measurements are noisy.
+ACT_RATIO = 1.25
 RESTART_SECONDS = 15.0
 CHECKPOINT_PERIOD_SECONDS = 300.0
 ALMOST_FINISHED_SECONDS = 45.0
@@ -115,11 +117,12 @@
         if known.free.memory_mb < 0:
             return self._free_memory(known, now)
         slow = _slowest(known, self.acted_at.get(known.view.name, -1e9))
-        if slow > self.weights.service_margin:
+        margin = self.weights.service_margin - 1
+        if slow > 1 + ACT_RATIO * margin:
             return self._relieve(known, slow, now)
         if known.free.processors < 0:
             return self._throttle_over_share(known, now)
-        if slow < 1 + RELAX_RATIO * (self.weights.service_margin - 1):
+        if slow < 1 + RELAX_RATIO * margin:
             return self._relax(known, now)
         return []
 
