Give requests of the command line ids that carry their birth

A request that is not idempotent needs such an id. Exit codes follow the outcome that the gateway reports, and a request whose answer was lost is not sent again. Announcements are counted by whether they were taken.

The first log destination of a process is given what was logged before; the test of the prefix failed for that when another test had logged.

--- a/turmerichall/command_line/requests.py
+++ b/turmerichall/command_line/requests.py
@@ -3,13 +3,13 @@
 import pathlib
 import sys
 from typing import Any
-import uuid
 
 import httpcore
 
 from turmerichall.command_line import client as clients
 from turmerichall.command_line import commands
 from turmerichall.command_line import output
+from turmerichall.gateway import request_id as request_ids
 from turmerichall.settings import values
 
 __all__ = ["Requests"]
@@ -38,6 +38,7 @@
         idempotent: str = "",
         deadline: str = "10 s",
         request_id: str = "",
+        zone: str = "",
     ) -> commands.Command:
         """Sends one request and prints its outcome and answer.
 
@@ -51,10 +52,12 @@
             idempotent: `true` or `false`; as the template says if not given.
             deadline: How long the caller waits, such as `10 s`.
             request_id: Id of the request; a resend carries the same one.
+            zone: Zone whose instances keep the request from running twice; it
+                can then be served while that zone is cut off.
         """
         seconds = commands.value("--deadline", deadline, values.duration)
         headers = {
-            "Turmerichall-Request-Id": request_id or str(uuid.uuid4()),
+            "Turmerichall-Request-Id": request_id or request_ids.make(zone),
             "Turmerichall-Deadline-Ms": f"{seconds * 1000:g}",
         }
         if idempotent:
--- a/turmerichall/command_line/tests/test_cli.py
+++ b/turmerichall/command_line/tests/test_cli.py
@@ -7,12 +7,15 @@
 import threading
 from typing import Any
 
+import httpcore
 import pytest
 import trio
 
 from turmerichall import cli
 from turmerichall import outcomes
 from turmerichall import web_server
+from turmerichall.command_line import client
+from turmerichall.gateway import request_id
 from turmerichall.operators.tests import fake_daemon
 from turmerichall.telemetry import counters
 
@@ -246,3 +249,54 @@
         file = tmp_path / "key"
         file.write_text(fake_daemon.KEYS.operators + "\n")
         assert _run("status", "--key-file", str(file)) == 0
+
+
+class TestRequests:
+
+    @pytest.mark.parametrize(
+        ("outcome", "code"), [("ran", 0), ("not-run", 1), ("unknown", 4)]
+    )
+    def test_exit_code_follows_the_outcome(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        capsys: pytest.CaptureFixture[str],
+        outcome: str,
+        code: int,
+    ) -> None:
+        sent: list[dict[str, str]] = []
+
+        def exchange(
+            method: str, url: str, headers: dict[str, str], *_: object
+        ) -> httpcore.Response | client.Unreachable:
+            if url.startswith("http://127.0.0.1:1/"):
+                return client.Unreachable(url)
+            assert (method, url) == ("POST", "http://127.0.0.1:2/" + path)
+            sent.append(headers)
+            fields = [(b"Turmerichall-Outcome", outcome.encode())]
+            answer = httpcore.Response(200, headers=fields, content=b"answer")
+            answer.read()
+            return answer
+
+        path = "v1/requests/c/offers"
+        monkeypatch.setattr(client, "exchange", exchange)
+        callers = ("--callers", "127.0.0.1:1,127.0.0.1:2")
+        send = ("requests", "send", "offers", "--customer", "c")
+        assert _run(*send, *callers, "--idempotent", "false") == code
+        assert request_id.read(sent[0]["Turmerichall-Request-Id"])
+        assert sent[0]["Turmerichall-Idempotent"] == "false"
+        assert sent[0]["Turmerichall-Deadline-Ms"] == "10000"
+        assert f"outcome     {outcome}" in capsys.readouterr().out
+
+    def test_lost_answer_is_not_sent_again(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        tried: list[str] = []
+
+        def exchange(_: str, url: str, *__: object) -> client.Lost:
+            tried.append(url)
+            return client.Lost(url)
+
+        monkeypatch.setattr(client, "exchange", exchange)
+        callers = ("--callers", "127.0.0.1:1,127.0.0.1:2")
+        assert _run("requests", "send", "s", "--customer", "c", *callers) == 4
+        assert len(tried) == 1
--- a/turmerichall/operators/workers.py
+++ b/turmerichall/operators/workers.py
@@ -26,8 +26,12 @@
     findings = findings_of(told)
     if findings:
         raise errors.InputError(findings)
-    services.counters.event("announcements")
-    return replies.found(await services.announcements.announce(told))
+    reply = await services.announcements.announce(told)
+    if reply.accepted:
+        services.counters.event("announcements_taken")
+    else:
+        services.counters.event("announcements_refused")
+    return replies.found(reply)
 
 
 def findings_of(told: announcement.Announcement) -> list[errors.Finding]:
--- a/turmerichall/telemetry/tests/test_counters.py
+++ b/turmerichall/telemetry/tests/test_counters.py
@@ -71,7 +71,7 @@
     def test_two_daemons_in_a_process_count_apart(self) -> None:
         first = counters.Counters()
         second = counters.Counters()
-        first.event("announcements")
+        first.event("announcements_taken")
         first.observe_seconds("wait", 0.02)
         assert b"announcements" in first.exposition()
         assert b'wait_seconds_bucket{le="0.025"} 1.0' in first.exposition()
--- a/turmerichall/telemetry/tests/test_logs.py
+++ b/turmerichall/telemetry/tests/test_logs.py
@@ -12,6 +12,8 @@
 
 @pytest.fixture(name="stream")
 def _stream() -> Iterator[io.StringIO]:
+    # The first destination is given what was logged before there was any.
+    logs.configure(stream=io.StringIO())
     stream = io.StringIO()
     logs.configure(stream=stream, instance="i1")
     yield stream
