Give room to the task that it suits, and split the planner's step

A full fleet frees one room at a time, so the head of the queue had no choice of neighbours. Tasks that can wait are now passed over once where the cheapest worker costs more than is usual for their shape; room that is left goes to them in the same step, so none stays empty for it. The walk through the queue and the choice of a worker are modules of their own.

--- /dev/null
+++ b/turmerichall/placement/choice.py
@@ -0,0 +1,117 @@
+"""Chooses a worker for one task, or says why there is none."""
+
+from typing import NamedTuple
+
+from turmerichall import outcomes
+from turmerichall import resources
+from turmerichall.placement import decisions
+from turmerichall.placement import fleet as fleets
+from turmerichall.placement import occupancy
+from turmerichall.placement import policy as policies
+from turmerichall.placement import quotas as quotas_of_teams
+from turmerichall.placement import views
+from turmerichall.placement import waiting
+
+__all__ = ["Choice", "Chooser"]
+
+
+class Choice(NamedTuple):
+    """The cheapest worker for a task.
+
+    Attributes:
+        known: The worker.
+        good: Whether the cost is at most what is usual for the shape.
+    """
+
+    known: occupancy.Occupancy
+    good: bool
+
+
+class Chooser:
+    """Checks quota, headroom, capacity and health, and takes the cheapest.
+
+    Attributes:
+        policy: What a placement costs.
+        fleet: The workers.
+        quotas: What teams hold and may hold.
+    """
+
+    def __init__(
+        self, policy: policies.Policy, quotas: quotas_of_teams.Quotas
+    ) -> None:
+        self.policy = policy
+        self.fleet: fleets.Fleet = policy.fleet
+        self.quotas = quotas
+
+    def choose(
+        self,
+        task: views.TaskView,
+        size: resources.Resources,
+        now: float,
+        headroom: float,
+    ) -> Choice | outcomes.Refusal:
+        """Returns the cheapest worker that may be given a task.
+
+        Args:
+            task: The task.
+            size: What it counts for.
+            now: The caller's monotonic clock, in seconds.
+            headroom: Processors that batch tasks may still take.
+        """
+        if not task.service:
+            refused = self.quotas.refuse(task.team, size)
+            if refused is not None:
+                return refused
+            if size.processors > headroom:
+                return outcomes.Refusal(
+                    outcomes.RefusalReason.NO_CAPACITY,
+                    "what is free is kept for services of a lost worker",
+                )
+
+        def cost_of(name: str) -> float | None:
+            known = self.fleet.workers.get(name)
+            if known is None or not _may_use(task, known):
+                return None
+            if not known.has_room(size):
+                return None
+            return self.policy.scoring.cost(task, known, now)
+
+        ranking = self.fleet.rankings.of(
+            waiting.Shape.of(task), list(self.fleet.workers)
+        )
+        refused_by_health = False
+        for name in ranking.cheapest(cost_of):
+            if self._accepts(name, task, now):
+                good = ranking.is_good(ranking.costs[name])
+                return Choice(self.fleet.workers[name], good)
+            refused_by_health = True
+        if refused_by_health:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.QUARANTINED,
+                "workers with room are quarantined or failed this task",
+            )
+        return outcomes.Refusal(
+            outcomes.RefusalReason.NO_CAPACITY, "no worker has room now"
+        )
+
+    def place(
+        self, task: views.TaskView, chosen: Choice, now: float
+    ) -> decisions.StartDecision:
+        """Counts a task against the chosen worker from now on."""
+        name = chosen.known.view.name
+        reason = self.policy.scoring.reason(task, chosen.known, now)
+        self.fleet.hold(task, name, task.attempt + 1, now)
+        if not task.service:
+            self.quotas.add(task.team, task.size)
+        return decisions.StartDecision(task.task_id, name, reason)
+
+    def _accepts(self, name: str, task: views.TaskView, now: float) -> bool:
+        if not self.policy.watches_health:
+            return True
+        return self.fleet.health.accepts(name, task, now)
+
+
+def _may_use(task: views.TaskView, known: occupancy.Occupancy) -> bool:
+    if not known.takes_work():
+        return False
+    return not task.zones or known.view.zone in task.zones
--- a/turmerichall/placement/planner.py
+++ b/turmerichall/placement/planner.py
@@ -4,10 +4,9 @@
 daemon and the benchmark run the same code.
 """
 
-import heapq
-
 from turmerichall import outcomes
 from turmerichall import resources
+from turmerichall.placement import choice
 from turmerichall.placement import decisions
 from turmerichall.placement import finish
 from turmerichall.placement import fits
@@ -15,6 +14,7 @@
 from turmerichall.placement import policy as policies
 from turmerichall.placement import quotas
 from turmerichall.placement import room
+from turmerichall.placement import step as steps
 from turmerichall.placement import turns
 from turmerichall.placement import views
 from turmerichall.placement import waiting
@@ -37,6 +37,7 @@
         fleet: The workers, what they hold and what was learnt.
         waiting: The waiting tasks.
         quotas: What teams hold and may hold.
+        chooser: Chooses workers.
         room: Makes room for work that must not wait.
         finish: Estimates when jobs finish.
         resubmitted: Tasks that wait again once their end is noted.
@@ -54,6 +55,7 @@
         self.fleet = self.policy.fleet
         self.waiting = waiting.WaitingTasks()
         self.quotas = quotas.Quotas()
+        self.chooser = choice.Chooser(self.policy, self.quotas)
         self.room = room.RoomMaker(self.fleet, self.quotas)
         self.finish = finish.FinishEstimator(self.fleet, self.waiting)
         self.resubmitted: dict[str, views.TaskView] = {}
@@ -178,126 +180,30 @@
                 evictions.append(decision)
         known_workers = list(self.fleet.workers)
         self.fleet.rankings.sweep(known_workers, now)
-        starts: list[decisions.StartDecision] = []
         views_of_workers = [w.view for w in self.fleet.workers.values()]
         waits = self.misfits.sift(self.waiting, views_of_workers, now)
-        headroom = self._headroom()
-        full: dict[waiting.Shape, outcomes.Refusal] = {}
-        heap = self._heads(wall_now)
-        while heap and len(starts) < max_starts:
-            found, key = heapq.heappop(heap)
-            bucket = self.waiting.buckets[key]
-            task = bucket.head()
-            assert task is not None
-            size = self.fleet.size_of(task)
-            current = turns.turn(task, size, self.fleet, self.quotas, wall_now)
-            if current > found:
-                heapq.heappush(heap, (current, key))
-                continue
-            chosen = full.get(key.shape) or self._choose(
-                task, size, now, headroom
-            )
-            if isinstance(chosen, outcomes.Refusal):
-                if chosen.reason == outcomes.RefusalReason.NO_CAPACITY:
-                    full[key.shape] = chosen
-                waits += self._tell(key, task, chosen)
-                evictions += self._make_room(task, current, chosen, now)
-                continue
-            starts.append(self._start(task, chosen, now))
-            if not task.service:
-                headroom -= size.processors
-            self.told.pop(key, None)
-            if bucket.live:
-                heapq.heappush(heap, (current, key))
+        step = steps.Step(
+            self.waiting, self.chooser, now, wall_now, self._headroom()
+        )
+        step.run(max_starts)
+        for refused in step.refused:
+            waits += self._tell(refused)
+            evictions += self._make_room(refused, now)
         self._forget_told()
         return decisions.Plan(
-            tuple(starts), tuple(throttles), tuple(evictions), tuple(waits)
-        )
-
-    def _heads(
-        self, wall_now: float
-    ) -> list[tuple[turns.Turn, waiting.BucketKey]]:
-        heads = []
-        for key, bucket in self.waiting.buckets.items():
-            task = bucket.head()
-            assert task is not None
-            size = self.fleet.size_of(task)
-            found = turns.turn(task, size, self.fleet, self.quotas, wall_now)
-            heads.append((found, key))
-        heapq.heapify(heads)
-        return heads
-
-    def _choose(
-        self,
-        task: views.TaskView,
-        size: resources.Resources,
-        now: float,
-        headroom: float,
-    ) -> occupancy.Occupancy | outcomes.Refusal:
-        if not task.service:
-            refused = self.quotas.refuse(task.team, size)
-            if refused is not None:
-                return refused
-            if size.processors > headroom:
-                return outcomes.Refusal(
-                    outcomes.RefusalReason.NO_CAPACITY,
-                    "what is free is kept for services of a lost worker",
-                )
-
-        def cost_of(name: str) -> float | None:
-            known = self.fleet.workers.get(name)
-            if known is None or not _may_use(task, known):
-                return None
-            if not known.has_room(size):
-                return None
-            return self.policy.scoring.cost(task, known, now)
-
-        ranking = self.fleet.rankings.of(
-            waiting.Shape.of(task), list(self.fleet.workers)
-        )
-        refused_by_health = False
-        for name in ranking.cheapest(cost_of):
-            if self._accepts(name, task, now):
-                return self.fleet.workers[name]
-            refused_by_health = True
-        if refused_by_health:
-            return outcomes.Refusal(
-                outcomes.RefusalReason.QUARANTINED,
-                "workers with room are quarantined or failed this task",
-            )
-        return outcomes.Refusal(
-            outcomes.RefusalReason.NO_CAPACITY, "no worker has room now"
+            tuple(step.starts), tuple(throttles), tuple(evictions), tuple(waits)
         )
 
-    def _accepts(self, name: str, task: views.TaskView, now: float) -> bool:
-        if not self.policy.watches_health:
-            return True
-        return self.fleet.health.accepts(name, task, now)
-
-    def _start(
-        self, task: views.TaskView, chosen: occupancy.Occupancy, now: float
-    ) -> decisions.StartDecision:
-        name = chosen.view.name
-        reason = self.policy.scoring.reason(task, chosen, now)
-        self.waiting.drop(task.task_id)
-        held = self.fleet.hold(task, name, task.attempt + 1, now)
-        self._count(held, 1)
-        return decisions.StartDecision(task.task_id, name, reason)
-
     def _make_room(
-        self,
-        task: views.TaskView,
-        current: turns.Turn,
-        refused: outcomes.Refusal,
-        now: float,
+        self, refused: steps.Refused, now: float
     ) -> list[decisions.EvictDecision]:
         if not self.policy.makes_room:
             return []
-        if refused.reason != outcomes.RefusalReason.NO_CAPACITY:
+        if refused.refusal.reason != outcomes.RefusalReason.NO_CAPACITY:
             return []
-        if current.line > turns.Line.AT_RISK:
+        if refused.turn.line > turns.Line.AT_RISK:
             return []
-        return self.room.make(task, now)
+        return self.room.make(refused.task, now)
 
     def _headroom(self) -> float:
         """Returns the processors that batch tasks may take in this step.
@@ -315,19 +221,15 @@
             largest = max(largest, known.service_processors)
         return free - largest
 
-    def _tell(
-        self,
-        key: waiting.BucketKey,
-        task: views.TaskView,
-        refused: outcomes.Refusal,
-    ) -> list[decisions.WaitDecision]:
-        news = (views.job_of(task.task_id), refused.reason.value)
-        if self.told.get(key) == news:
+    def _tell(self, refused: steps.Refused) -> list[decisions.WaitDecision]:
+        task_id = refused.task.task_id
+        reason = refused.refusal.reason
+        news = (views.job_of(task_id), reason.value)
+        if self.told.get(refused.key) == news:
             return []
-        self.told[key] = news
-        return [
-            decisions.WaitDecision(task.task_id, refused.reason, refused.detail)
-        ]
+        self.told[refused.key] = news
+        detail = refused.refusal.detail
+        return [decisions.WaitDecision(task_id, reason, detail)]
 
     def _forget_told(self) -> None:
         if len(self.told) > 2 * len(self.waiting.buckets) + 100:
@@ -370,9 +272,3 @@
         for known in self.fleet.workers.values():
             total = total.plus(known.view.capacity)
         self.quotas.total = total
-
-
-def _may_use(task: views.TaskView, known: occupancy.Occupancy) -> bool:
-    if not known.takes_work():
-        return False
-    return not task.zones or known.view.zone in task.zones
--- a/turmerichall/placement/ranking.py
+++ b/turmerichall/placement/ranking.py
@@ -16,6 +16,7 @@
 MAX_RANKINGS = 256
 STALE_CHECKS = 8
 TOLERANCE = 0.02
+USUAL_SMOOTHING = 0.05
 SWEEP_SECONDS = 10.0
 
 CostOf = Callable[[str], float | None]
@@ -28,12 +29,14 @@
         costs: Cost by worker; one that does not fit is missing.
         order: Costs and workers, cheapest first.
         changed: Workers that changed since their cost was found.
+        usual: Smoothed cost of the cheapest worker; None before the first.
     """
 
     def __init__(self, workers: list[str]) -> None:
         self.costs: dict[str, float] = {}
         self.order = sortedcontainers.SortedList()
         self.changed: dict[str, None] = dict.fromkeys(workers)
+        self.usual: float | None = None
 
     def cheapest(self, cost_of: CostOf) -> Iterator[str]:
         """Yields workers from the cheapest on.
@@ -55,6 +58,14 @@
             yield name
             position += 1
 
+    def is_good(self, cost: float) -> bool:
+        """Tells whether a cheapest cost is at most what is usual."""
+        if self.usual is None:
+            self.usual = cost
+        good = cost <= self.usual + TOLERANCE
+        self.usual += USUAL_SMOOTHING * (cost - self.usual)
+        return good
+
     def refresh(self, cost_of: CostOf) -> None:
         """Finds the costs of changed workers."""
         changed = self.changed
--- a/turmerichall/placement/weights.py
+++ b/turmerichall/placement/weights.py
@@ -28,7 +28,7 @@
 
 BALANCED = Weights()
 THROUGHPUT = Weights(latency=2.0, throughput=4.0, service_margin=1.8)
-TAIL_LATENCY = Weights(latency=8.0, throughput=1.0, service_margin=1.3)
+TAIL_LATENCY = Weights(latency=8.0, throughput=1.0, service_margin=1.4)
 
 _NAMED = {
     "balanced": BALANCED,
