--- a/turmerichall/placement/scoring.py
+++ b/turmerichall/placement/scoring.py
@@ -13,6 +13,8 @@
 # Above this share of a service on one worker its loss would be felt.
 MAX_WORKER_SHARE = 0.12
 CROWDED_COST = 2.0
+# Brings shares of a worker's processors to the scale of whole tasks.
+WORK_FACTOR = 10.0
 ACCELERATOR_COST = 1.0
 DRAIN_COST = 2.0
 SERVICE_DRAIN_SECONDS = 1800.0
@@ -149,7 +151,8 @@
             added = max(0.0, added) + 0.2 * load_step
             before = excess.get(victim, 0.0)
             if not held.task.service:
-                cost += self.weights.throughput * added
+                lost = added * held.use / capacity
+                cost += self.weights.throughput * WORK_FACTOR * lost
                 continue
             if not task.service:
                 if excess.get(victim + "+", 0.0) + added > margin:
@@ -159,7 +162,7 @@
         own = self._own_excess(task, known)
         if task.service:
             return cost + self.weights.latency * (own * own + 0.2 * own)
-        return cost + self.weights.throughput * own
+        return cost + self.weights.throughput * WORK_FACTOR * own * share
 
     def _own_excess(
         self, task: views.TaskView, known: occupancy.Occupancy
