Bound the work and the log lines that one request can cause

A list of jobs went through all of them in one step of the event loop, which holds up heartbeats meanwhile. It works in steps of 2,000 tasks now, and a job is shown with at most 1,000 of its tasks.

Refused requests are logged at most 20 times a second, with the number left out, so that nobody without a key can fill a disk; they are all counted.

--- a/turmerichall/operators/application.py
+++ b/turmerichall/operators/application.py
@@ -22,6 +22,7 @@
 
 PART = services_module.PART
 MAX_REQUESTS_IN_FLIGHT = 512
+MAX_REFUSED_LOGGED_PER_SECOND = 20
 OVERLOAD_RETRY_SECONDS = 1.0
 
 
@@ -59,6 +60,7 @@
             bounds,
         )
         self.in_flight = 0
+        self._refused_log = logs.Sparse(log, MAX_REFUSED_LOGGED_PER_SECOND)
         gauges.register(self.services)
 
     async def __call__(
@@ -78,7 +80,7 @@
             response = await self._answer(scope, receive)
             await exchange.respond(send, response)
         except exchange.ClientLeft:
-            self.services.log.info("client left before its request was whole")
+            self._refused_log.info("client left before its request was whole")
         finally:
             self.in_flight -= 1
 
@@ -105,7 +107,7 @@
         findings: list[errors.Finding] | None = None,
     ) -> exchange.Response:
         self.services.counters.refused(PART, refused.reason)
-        self.services.log.info(
+        self._refused_log.info(
             "request refused",
             reason=refused.reason.value,
             detail=refused.detail,
--- a/turmerichall/operators/jobs.py
+++ b/turmerichall/operators/jobs.py
@@ -3,6 +3,8 @@
 import hashlib
 from typing import Any, NamedTuple
 
+import trio
+
 from turmerichall import errors
 from turmerichall import outcomes
 from turmerichall.jobs import job
@@ -18,6 +20,8 @@
 
 JOB_ID_DIGITS = 12
 MAX_LISTED_JOBS = 1000
+MAX_SHOWN_TASKS = 1000
+TASKS_PER_STEP = 2000
 MAX_WALL_SECONDS = 1e11
 
 
@@ -99,19 +103,38 @@
     note = await reading.refresh(services, request)
     if isinstance(note, outcomes.Refusal):
         return note
-    state = request.query.get("state", "")
-    customer = request.query.get("customer", "")
+    items = await _matching(
+        services,
+        request.query.get("state", ""),
+        request.query.get("customer", ""),
+    )
+    return replies.found(reading.marked(note, {"items": items}))
+
+
+async def _matching(
+    services: services_module.Services, state: str, customer: str
+) -> list[dict[str, Any]]:
+    """Returns the newest jobs that match, in small steps of work."""
+    ledger = services.machine.ledger
     items: list[dict[str, Any]] = []
-    for job_id in reversed(services.machine.ledger.jobs):
-        summary = _summary(services, job_id)
-        if state not in ("", summary["state"]):
-            continue
-        if customer not in ("", summary["customer"]):
+    tasks = 0
+    for job_id in list(reversed(ledger.jobs)):
+        held = ledger.jobs.get(job_id)
+        if held is None or customer not in ("", held.customer):
             continue
-        items.append(summary)
+        tasks += held.tasks
+        if tasks > TASKS_PER_STEP:
+            # Lets the other tasks of the daemon run; jobs may go meanwhile.
+            await trio.lowlevel.checkpoint()
+            tasks = 0
+            if job_id not in ledger.jobs:
+                continue
+        summary = _summary(services, job_id)
+        if state in ("", summary["state"]):
+            items.append(summary)
         if len(items) == MAX_LISTED_JOBS:
             break
-    return replies.found(reading.marked(note, {"items": items}))
+    return items
 
 
 async def show(
@@ -146,7 +169,8 @@
     item = _summary(services, job_id)
     if explained:
         item["decisions"] = ledger.decisions.get(job_id, [])
-    item["current"] = ledger.job_tasks(job_id)
+    # `task_states` counts all of them.
+    item["current"] = ledger.job_tasks(job_id)[:MAX_SHOWN_TASKS]
     return replies.found(reading.marked(note, {"item": item}))
 
 
--- a/turmerichall/telemetry/logs.py
+++ b/turmerichall/telemetry/logs.py
@@ -5,14 +5,16 @@
 through.
 """
 
+from collections.abc import Callable
 import contextlib
 import enum
 import sys
+import time
 from typing import IO
 
 import eliot
 
-__all__ = ["Level", "Log", "configure"]
+__all__ = ["Level", "Log", "Sparse", "configure"]
 
 
 class Level(enum.IntEnum):
@@ -79,6 +81,46 @@
         )
 
 
+class Sparse:
+    """A log that writes a bounded number of messages a second.
+
+    For messages that others can cause at will, such as refused requests.  The
+    next message that is written tells how many were left out.
+
+    Attributes:
+        log: Where the messages go.
+        per_second: Messages a second at most.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        per_second: int,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.log = log
+        self.per_second = per_second
+        self._clock = clock
+        self._second = -1
+        self._written = 0
+        self._left_out = 0
+
+    def info(self, message: str, **fields: object) -> None:
+        """Writes a message about ordinary work, if the bound allows."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second = second
+            self._written = 0
+        if self._written >= self.per_second:
+            self._left_out += 1
+            return
+        self._written += 1
+        if self._left_out:
+            fields["left_out"] = self._left_out
+            self._left_out = 0
+        self.log.info(message, **fields)
+
+
 def configure(
     level: Level = Level.INFO,
     path: str | None = None,
--- a/turmerichall/telemetry/tests/test_logs.py
+++ b/turmerichall/telemetry/tests/test_logs.py
@@ -48,3 +48,17 @@
         logs.Log("gateway").info("request routed")
         assert not stream.getvalue()
         assert "request routed" in path.read_text()
+
+
+class TestSparse:
+
+    def test_left_out_messages_are_told(self, stream: io.StringIO) -> None:
+        now = 1.0
+        sparse = logs.Sparse(logs.Log("operators"), 2, clock=lambda: now)
+        for _ in range(5):
+            sparse.info("request refused")
+        now = 2.0
+        sparse.info("request refused")
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        assert len(lines) == 3
+        assert lines[2]["left_out"] == 3
