--- a/turmerichall/operators/tests/test_any_document.py
+++ b/turmerichall/operators/tests/test_any_document.py
@@ -102,9 +102,18 @@
 
 
 async def _status(
-    daemon: fake_daemon.FakeDaemon, method: str, path: str, body: bytes
+    daemon: fake_daemon.FakeDaemon,
+    method: str,
+    path: str,
+    body: bytes,
+    query: bytes = b"",
+    headers: list[tuple[bytes, bytes]] | None = None,
 ) -> int:
     key = "workers-key" if "workers" in path else "operators-key"
+    fields = [
+        (b"authorization", f"Bearer {key}".encode()),
+        (b"turmerichall-operation-id", b"op1"),
+    ]
     statuses: list[int] = []
 
     async def receive() -> dict[str, Any]:
@@ -118,12 +127,9 @@
         "type": "http",
         "method": method,
         "path": path,
-        "raw_path": path.encode(),
-        "query_string": b"",
-        "headers": [
-            (b"authorization", f"Bearer {key}".encode()),
-            (b"turmerichall-operation-id", b"op1"),
-        ],
+        "raw_path": path.encode("utf-8", "surrogatepass"),
+        "query_string": query,
+        "headers": fields if headers is None else headers,
     }
     app = daemon.application(counters.Counters(), exchange.Bounds())
     await app(scope, receive, send)
@@ -147,3 +153,37 @@
         restored = machines.Machine()
         restored.restore(daemon.machine.snapshot())
         assert restored.snapshot() == daemon.machine.snapshot()
+
+
+class TestAnyHead:
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(
+        strategies.sampled_from(["GET", "PUT", "POST", "DELETE", "", "é"]),
+        strategies.sampled_from(sorted(path for _, path in _VALID))
+        | strategies.text(max_size=40),
+        strategies.binary(max_size=40)
+        | strategies.sampled_from([b"fresh=true", b"fresh=%ff", b"state=&&="]),
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    [b"authorization", b"turmerichall-operation-id", b"x"]
+                ),
+                strategies.binary(max_size=30)
+                | strategies.just(b"Bearer operators-key"),
+            ),
+            max_size=4,
+        ),
+    )
+    def test_typed_answer_and_no_change(
+        self,
+        method: str,
+        path: str,
+        query: bytes,
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        daemon = fake_daemon.FakeDaemon()
+        status = trio.run(_status, daemon, method, path, b"", query, headers)
+        assert status in (200, 400, 401, 404)
+        if not path.endswith("/drain"):
+            assert not daemon.machine.applied_index
