--- /dev/null
+++ b/turmerichall/tests/harness.py
@@ -0,0 +1,251 @@
+"""What a test of failures waits for and audits in a faulty cluster."""
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+
+from turmerichall.tests import audit
+from turmerichall.tests import faulty_cluster
+from turmerichall.tests import load as loads
+from turmerichall.tests import local_cluster
+from turmerichall.tests.standins import caller
+from turmerichall.tests.standins import trail
+
+__all__ = ["Harness", "PATIENCE_SECONDS"]
+
+PATIENCE_SECONDS = 150.0
+POLL_SECONDS = 0.2
+MAX_CONNECTIONS = 64
+
+
+class Harness(faulty_cluster.FaultyCluster):
+    """A faulty cluster, conditions to wait for and the audit."""
+
+    async def wait(
+        self, what: str, condition: Callable[[], Awaitable[bool]]
+    ) -> None:
+        """Waits until a condition holds."""
+        with trio.move_on_after(PATIENCE_SECONDS):
+            while not await condition():
+                await trio.sleep(POLL_SECONDS)
+            return
+        raise AssertionError(
+            f"waited {PATIENCE_SECONDS} s in vain until {what}"
+        )
+
+    async def wait_served(self, count: int, *via: str) -> None:
+        """Waits until so many more requests ran, through given gateways."""
+        gateways = {self.instances[name].callers for name in via}
+        path = self.folder / "caller.trail"
+
+        def ran() -> int:
+            return sum(
+                record.event == "answered"
+                and record.fields["outcome"] == caller.RAN
+                and (not gateways or record.fields["gateway"] in gateways)
+                for record in trail.read(path)
+            )
+
+        before = ran()
+
+        async def enough() -> bool:
+            return ran() >= before + count
+
+        await self.wait(f"{count} more requests ran via {via}", enough)
+
+    async def wait_accepted(self, count: int = 1) -> None:
+        """Waits until so many more changes of configuration are accepted."""
+        before = self.load.accepted_version
+
+        async def accepted() -> bool:
+            return self.load.accepted_version >= before + count
+
+        await self.wait("a change is accepted", accepted)
+
+    async def wait_alike(self) -> None:
+        """Waits until every daemon shows what is accepted now, or later."""
+        wanted = self.load.accepted_version
+
+        async def alike() -> bool:
+            held = [
+                await self.load.observe(instance)
+                for instance in self.instances.values()
+            ]
+            return min(held) >= wanted
+
+        await self.wait(f"version {wanted} shows everywhere", alike)
+
+    async def status(self, name: str) -> dict[str, Any]:
+        """Returns the status that a daemon shows, or nothing."""
+        address = self.instances[name].operators
+        return await self.load.operator.read(address, "/v1/status") or {}
+
+    async def grant(self, zone: str) -> tuple[str, int]:
+        """Returns holder and highest epoch of a zone's grant, as known."""
+        best = ("", 0)
+        for name in self.instances:
+            if not self.is_up(name):
+                continue
+            with trio.move_on_after(1.0):
+                for grant in (await self.status(name)).get("grants", []):
+                    if grant["zone"] == zone and grant["epoch"] > best[1]:
+                        best = (grant["holder"], grant["epoch"])
+        return best
+
+    async def wait_taken_over(self, zone: str, epoch: int) -> None:
+        """Waits until a zone's grant has a later epoch."""
+
+        async def taken() -> bool:
+            return (await self.grant(zone))[1] > epoch
+
+        await self.wait(f"the grant of {zone} passes epoch {epoch}", taken)
+
+    def just_started_on(self, worker: str) -> list[audit.Run]:
+        """Returns runs of batch tasks that started a moment ago."""
+        since = time.monotonic() - loads.RUN_SECONDS / 4
+        return [
+            run
+            for run in audit.runs_of(self.trail_of(worker))
+            if run.start > since and not run.task.startswith("svc:")
+        ]
+
+    async def wait_started_on(self, worker: str) -> audit.Run:
+        """Waits until a worker starts a batch task, and returns that run."""
+
+        async def started() -> bool:
+            return bool(self.just_started_on(worker))
+
+        await self.wait(f"a task starts on {worker}", started)
+        return self.just_started_on(worker)[-1]
+
+    async def wait_moved(self, run: audit.Run) -> None:
+        """Waits until a later attempt of a task was started somewhere."""
+
+        async def moved() -> bool:
+            return any(
+                later.task == run.task and later.attempt > run.attempt
+                for name in self.worker_names()
+                for later in audit.runs_of(self.trail_of(name))
+            )
+
+        await self.wait(f"{run.task} moves on from {run.worker}", moved)
+
+    async def wait_finished(self, job_id: str) -> None:
+        """Waits until a job has finished."""
+
+        async def finished() -> bool:
+            return (await self.load.jobs()).get(job_id) == "finished"
+
+        await self.wait(f"{job_id} has finished", finished)
+
+    async def wait_leader(self) -> str:
+        """Waits until a daemon that is up leads, and returns its name."""
+        leaders: list[str] = []
+
+        async def led() -> bool:
+            for name in self.instances:
+                if self.is_up(name):
+                    shown = (await self.status(name)).get("replica", {})
+                    if shown.get("role") == "leader":
+                        leaders.append(name)
+            return bool(leaders)
+
+        await self.wait("a replica leads", led)
+        return leaders[0]
+
+    async def wait_voters(self, count: int) -> None:
+        """Waits until the leader counts so many voters and no learner."""
+
+        async def counted() -> bool:
+            for name in self.instances:
+                shown = (await self.status(name)).get("replica", {})
+                if shown.get("role") == "leader":
+                    voters = len(shown["members"])
+                    return voters == count and not shown["learners"]
+            return False
+
+        await self.wait(f"{count} replicas vote", counted)
+
+    async def set_intention(self, worker: str, verb: str) -> None:
+        """Has an operator drain or resume a backend server."""
+        path = f"/v1/backend-servers/{worker}/{verb}"
+        reply = await self.load.operator.change("POST", path)
+        assert reply.status == 200, reply
+
+    async def wait_takes_work(self, worker: str, takes: bool = True) -> None:
+        """Waits until all daemons give a worker new work, or none does."""
+
+        async def agreed() -> bool:
+            for instance in self.instances.values():
+                shown = await self.load.operator.read(
+                    instance.operators, "/v1/backend-servers"
+                )
+                items = {} if shown is None else shown["items"]
+                if not any(
+                    item["name"] == worker and item["takes_new_work"] == takes
+                    for item in items
+                ):
+                    return False
+            return True
+
+        await self.wait(f"{worker} takes work: {takes}", agreed)
+
+    async def switch_faults(self, worker: str, shown: dict[str, Any]) -> None:
+        """Switches the faults of a stand-in worker."""
+        key = local_cluster.WORKERS_KEY
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request(
+                "POST",
+                f"http://{self.workers[worker]}/v1/faults",
+                headers=[("Authorization", f"Bearer {key}")],
+                content=msgspec.json.encode(shown),
+            )
+        assert response.status == 200, response.content
+
+    def cut_off_requests(self) -> set[str]:
+        """Returns ids of requests whose answer never came or came in part."""
+        return {
+            record.fields["request"]
+            for record in self.trail_of("caller")
+            if record.event == "answered"
+            and record.fields["outcome"] == caller.UNKNOWN
+        }
+
+    def worker_names(self) -> list[str]:
+        """Returns the names of all workers that ever ran."""
+        return [path.stem for path in sorted(self.folder.glob("w*.trail"))]
+
+    def trail_of(self, name: str) -> list[trail.Record]:
+        """Reads the trail of a worker or of the caller."""
+        return trail.read(self.folder / f"{name}.trail")
+
+    async def settle(self) -> None:
+        """Waits until every accepted job has finished."""
+        self.load.busy = False
+        await self.wait("all jobs have finished", self._all_finished)
+        await self.wait_alike()
+        self.load.busy = True
+
+    async def _all_finished(self) -> bool:
+        return not audit.jobs_lost(
+            self.load.accepted_jobs, await self.load.jobs()
+        )
+
+    async def audit(self) -> list[str]:
+        """Waits until all is quiet, and returns every violation."""
+        await self.settle()
+        found = audit.audit(
+            map(self.trail_of, self.worker_names()), [self.trail_of("caller")]
+        )
+        found += audit.jobs_lost(
+            self.load.accepted_jobs, await self.load.jobs()
+        )
+        found += audit.versions_reverted(self.load.observed)
+        for name, made in self.proxies.items():
+            if name.startswith("worker:") and made.most_open > MAX_CONNECTIONS:
+                found.append(f"{name} had {made.most_open} connections")
+        return found
--- a/turmerichall/tests/standins/caller.py
+++ b/turmerichall/tests/standins/caller.py
@@ -65,6 +65,7 @@
         load: What it sends.
         record: The audit trail.
         outcomes: Count of final outcomes.
+        ready: Gateways that the balancer sends to; all if it is empty.
         stopped: Whether it sends no more.
     """
 
@@ -73,6 +74,7 @@
         self.load = load
         self.record = record
         self.outcomes: dict[str, int] = {}
+        self.ready: frozenset[str] = frozenset()
         self.stopped = False
         self._random = random.Random(seed)
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
@@ -89,7 +91,7 @@
         """Sends one request, and again while its fate is open."""
         request_id = request_ids.make()
         once = self._random.random() < self.load.non_idempotent_ratio
-        gateways = list(self.load.gateways)
+        gateways = sorted(self.ready or self.load.gateways)
         self._random.shuffle(gateways)
         answer = Answer(UNKNOWN)
         for gateway in itertools.islice(
--- /dev/null
+++ b/turmerichall/tests/test_scenarios.py
@@ -0,0 +1,31 @@
+"""Runs the table of scenarios against real processes and audits each."""
+
+import pathlib
+
+import pytest
+import trio
+
+from turmerichall.tests import harness as harnesses
+from turmerichall.tests import scenarios
+
+
+class TestScenarios:
+    """Every scenario of a group, one after the other, each audited."""
+
+    @pytest.mark.parametrize("group", scenarios.GROUPS)
+    async def test_nothing_is_violated(
+        self, group: str, tmp_path: pathlib.Path
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            harness = harnesses.Harness(tmp_path, nursery)
+            try:
+                await harness.start()
+                for scenario in scenarios.SCENARIOS:
+                    if scenario.group == group:
+                        await scenario.run(harness)
+                        harness.heal()
+                        found = await harness.audit()
+                        assert not found, (scenario.name, found)
+            finally:
+                harness.kill_all()
+                nursery.cancel_scope.cancel()
