Let batch tasks finish on a leaving worker before they are evicted

A leaving worker's batch tasks were evicted at once although the worker stays for a while; those that end within 60 s may now.

--- a/turmerichall/placement/eviction.py
+++ b/turmerichall/placement/eviction.py
@@ -22,6 +22,8 @@
 RESTART_SECONDS = 15.0
 CHECKPOINT_PERIOD_SECONDS = 300.0
 ALMOST_FINISHED_SECONDS = 45.0
+# Batch tasks on a leaving worker may finish within this time.
+DRAIN_GRACE_SECONDS = 60.0
 OVER_SHARE_RATIO = 1.25
 
 Decision = decisions.ThrottleDecision | decisions.EvictDecision
@@ -82,6 +84,7 @@
         fleet: The workers.
         weights: The margin of services.
         budget: How many evictions may be decided.
+        leaving_since: When each leaving worker began to leave.
         acted_at: Last decision by worker; later measurements are awaited.
     """
 
@@ -90,6 +93,7 @@
         self.weights = weights
         self.budget = budget.Budget()
         self.acted_at: dict[str, float] = {}
+        self.leaving_since: dict[str, float] = {}
 
     def decide(self, now: float) -> list[Decision]:
         """Returns the next step for each troubled worker."""
@@ -99,14 +103,16 @@
             known = self.fleet.workers.get(name)
             if known is None or not known.held:
                 self.fleet.troubled.pop(name)
+                self.leaving_since.pop(name, None)
                 continue
-            if _is_evicting(known):
+            if _is_evicting(known) and not known.view.leaving:
                 continue
             made = self._step(known, now)
             if made:
                 self.acted_at[name] = now
                 self.fleet.rankings.mark(name)
-            elif not any(held.throttle < 1 for held in known.held.values()):
+            elif not _stays_troubled(known):
+                self.leaving_since.pop(name, None)
                 self.fleet.troubled.pop(name, None)
             found += made
         return found
@@ -129,8 +135,10 @@
     def _drain(self, known: occupancy.Occupancy, now: float) -> list[Decision]:
         reason = "worker is leaving"
         found: list[Decision] = []
+        since = self.leaving_since.setdefault(known.view.name, now)
         for held in _candidates(known):
-            if self._remaining(held, now) > ALMOST_FINISHED_SECONDS:
+            lasts = self._remaining(held, now) > DRAIN_GRACE_SECONDS
+            if lasts and now >= since + DRAIN_GRACE_SECONDS:
                 found.append(evict(held, reason, now))
         services = [held for held in known.held.values() if held.task.service]
         for held in services:
@@ -282,6 +290,12 @@
     return any(held.evicting_at is not None for held in known.held.values())
 
 
+def _stays_troubled(known: occupancy.Occupancy) -> bool:
+    if known.view.leaving:
+        return True
+    return any(held.throttle < 1 for held in known.held.values())
+
+
 def _candidates(known: occupancy.Occupancy) -> list[occupancy.Held]:
     return [
         held
