--- a/turmerichall/placement/scoring.py
+++ b/turmerichall/placement/scoring.py
@@ -15,6 +15,9 @@
 CROWDED_COST = 2.0
 # Brings shares of a worker's processors to the scale of whole tasks.
 WORK_FACTOR = 10.0
+# A task is not added where its neighbours lose more than this share of what
+# it gains.
+MAX_LOST_SHARE = 0.5
 ACCELERATOR_COST = 1.0
 DRAIN_COST = 2.0
 SERVICE_DRAIN_SECONDS = 1800.0
@@ -145,14 +148,14 @@
         excess = self.fleet.excess_on(known, now)
         estimator = self.fleet.estimator
         cost = 0.0
+        lost_work = 0.0
         for held in known.held.values():
             victim = held.task.template
             added = share * estimator.added(victim, task.template)
             added = max(0.0, added) + 0.2 * load_step
             before = excess.get(victim, 0.0)
             if not held.task.service:
-                lost = added * held.use / capacity
-                cost += self.weights.throughput * WORK_FACTOR * lost
+                lost_work += added * held.use / capacity / (1 + before) ** 2
                 continue
             if not task.service:
                 if excess.get(victim + "+", 0.0) + added > margin:
@@ -162,7 +165,10 @@
         own = self._own_excess(task, known)
         if task.service:
             return cost + self.weights.latency * (own * own + 0.2 * own)
-        return cost + self.weights.throughput * WORK_FACTOR * own * share
+        if lost_work > MAX_LOST_SHARE * share / (1 + own):
+            return None
+        lost_work += own * share
+        return cost + self.weights.throughput * WORK_FACTOR * lost_work
 
     def _own_excess(
         self, task: views.TaskView, known: occupancy.Occupancy
