Join the parts into a daemon; list entry instances in the state

Cause: shares, claims and the address of a zone's authority need one list of entry instances, with their zones, that is the same everywhere. Change: each daemon registers itself in the replicated state; the daemon joins peers, agreement, placing, gateway and operators; a local cluster of processes. Seen: three daemons and six stand-in workers ready 1.4 s after their start, each zone with its authority, each backend server listed.

--- a/turmerichall/backend_servers/dissemination.py
+++ b/turmerichall/backend_servers/dissemination.py
@@ -54,12 +54,15 @@
         version: Version of the table after this part.
         heard: Announcements to take in, cut down to what routing reads.
         lost: Names of backend servers that the sender hears no longer.
+        operators_address: Where the sender takes announcements; with a whole
+            table only.
     """
 
     run: int
     version: int
     heard: tuple[announcement.Announcement, ...] = ()
     lost: tuple[str, ...] = ()
+    operators_address: str = ""
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -76,6 +79,8 @@
         version: Version of this instance's own table.
         own: Names of the backend servers that this instance hears from.
         versions: Run and version of each other instance's table, as known.
+        operators_address: Where this instance takes announcements.
+        operators_addresses: Where the other instances take them, by name.
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         directory: directories.Directory,
         links: Links,
         run_id: int,
+        operators_address: str = "",
     ):
         self.directory = directory
         self.links = links
@@ -90,6 +96,8 @@
         self.version = 0
         self.own: set[str] = set()
         self.versions: dict[str, tuple[int, int]] = {}
+        self.operators_address = operators_address
+        self.operators_addresses: dict[str, str] = {}
         links.handle(CHANGED, self._on_changed)
         links.handle(HEARTBEAT, self._on_heartbeat)
         links.handle(TABLE, self._on_table)
@@ -166,7 +174,13 @@
             known = self.directory.entries.get(name)
             if known is not None and not known.via:
                 heard.append(cut_down(known.told))
-        return _ENCODER.encode(Batch(self.run_id, self.version, tuple(heard)))
+        batch = Batch(
+            self.run_id,
+            self.version,
+            tuple(heard),
+            operators_address=self.operators_address,
+        )
+        return _ENCODER.encode(batch)
 
     async def _pull(self, sender: str) -> None:
         answer = await self.links.call(
@@ -175,6 +189,7 @@
         if isinstance(answer, outcomes.Refusal):
             return
         batch = _DECODER.decode(answer)
+        self.operators_addresses[sender] = batch.operators_address
         named = {told.name for told in batch.heard}
         for name, known in list(self.directory.entries.items()):
             if known.via == sender and name not in named:
--- /dev/null
+++ b/turmerichall/daemon.py
@@ -0,0 +1,283 @@
+"""The daemon of one entry instance.
+
+    turmerichalld FILE.ini
+
+It stops politely on SIGTERM: `/readyz` says no first, then the listeners
+close, and requests in flight are finished.  A second SIGTERM, or SIGINT, ends
+it at once.
+"""
+
+import pathlib
+import signal
+import sys
+import time
+
+import fire
+import trio
+
+from turmerichall import errors
+from turmerichall import readiness
+from turmerichall import web_server
+from turmerichall.agreement import replica as replicas
+from turmerichall.backend_servers import directory as directories
+from turmerichall.backend_servers import dissemination as disseminating
+from turmerichall.gateway import application as gateways
+from turmerichall.gateway import limits as gateway_limits
+from turmerichall.gateway import server as gateway_server
+from turmerichall.instances import instance as instances
+from turmerichall.instances import registration as registering
+from turmerichall.operators import application as operating
+from turmerichall.operators import exchange as operator_exchange
+from turmerichall.peers import network as networks
+from turmerichall.placement import planner as planners
+from turmerichall.placement import weights
+from turmerichall.settings import reader
+from turmerichall.settings import settings as settings_module
+from turmerichall.state import machine as machines
+from turmerichall.state import proposer as proposers
+from turmerichall.telemetry import counters as counting
+from turmerichall.telemetry import logs
+from turmerichall.zones import announcements as announcing
+from turmerichall.zones import grant_holder
+from turmerichall.zones import handover as handovers
+from turmerichall.zones import placing as placings
+from turmerichall.zones import worker_client
+
+__all__ = ["Daemon", "main"]
+
+EXIT_SETTINGS = 1
+EXIT_STORAGE = 3
+
+_PRESETS = {
+    "batch-throughput": weights.THROUGHPUT,
+    "tail-latency": weights.TAIL_LATENCY,
+}
+
+
+class _Intentions:
+    """Reads intentions from the configuration, whichever is in force."""
+
+    def __init__(self, machine: machines.Machine):
+        self.machine = machine
+
+    def intention(self, backend_server: str) -> machines.changes.Intention:
+        """Returns what operators want of a backend server."""
+        return self.machine.configuration.intention(backend_server)
+
+
+class Daemon:
+    """Every part of one entry instance, and how they are joined.
+
+    Attributes:
+        settings: The settings.
+        machine: The replicated state.
+        network: Connections to the other instances.
+        replica: This instance's part in agreement.
+        gateway: Serves callers.
+        operators: Serves operators and workers.
+        placing: Decides for the zone while this instance holds its grant.
+        stop: Closes the listeners once it is set.
+    """
+
+    def __init__(self, settings: settings_module.Settings):
+        self.settings = settings
+        self.log = logs.Log("daemon")
+        self.counters = counting.Counters()
+        self.machine = machines.Machine()
+        self.stop = trio.Event()
+        name = settings.instance.name
+        self.network = networks.Network(
+            name,
+            settings.keys.cluster.encode(),
+            {seed.name: seed.address for seed in settings.peers.seeds},
+            logs.Log("peers"),
+        )
+        self.replica = self._make_replica()
+        self.proposer = proposers.Proposer(self.replica)
+        self.registration = registering.Registration(
+            self._own_entry(), self.machine, self.proposer, self.network
+        )
+        self.directory = directories.Directory(_Intentions(self.machine))
+        self.dissemination = disseminating.Dissemination(
+            self.directory,
+            self.network,
+            time.time_ns(),
+            settings.listen.operators,
+        )
+        self.holder = grant_holder.GrantHolder(
+            settings.instance.zone, name, self.machine, self.proposer
+        )
+        self.placing = placings.Placing(
+            self.machine,
+            self.holder,
+            self.proposer,
+            worker_client.WorkerClient(settings.keys.workers),
+            self._make_planner,
+        )
+        self.handover = handovers.Handover(self.placing, self.network)
+        self.readiness = readiness.Readiness(self.replica)
+        self.gateway = self._make_gateway()
+        self.operators = self._make_operators()
+
+    @classmethod
+    def from_config(cls, settings: settings_module.Settings) -> "Daemon":
+        """Joins the parts as the settings say."""
+        return cls(settings)
+
+    def _own_entry(self) -> instances.Instance:
+        own = self.settings.instance
+        listen = self.settings.listen
+        return instances.Instance(
+            own.name,
+            own.region,
+            own.zone,
+            listen.callers,
+            listen.operators,
+            listen.peers,
+            bool(own.data_folder),
+        )
+
+    def _make_planner(self) -> planners.Planner:
+        return planners.Planner(_PRESETS[self.settings.placement.preset])
+
+    def _make_replica(self) -> replicas.Replica:
+        settings = self.settings
+        members = {settings.instance.name: settings.listen.peers}
+        for seed in settings.peers.seeds:
+            members[seed.name] = seed.address
+        folder = settings.instance.data_folder
+        return replicas.Replica(
+            name=settings.instance.name,
+            folder=pathlib.Path(folder) if folder else None,
+            network=self.network,
+            machine=self.machine,
+            bootstrap_members=members if settings.peers.bootstrap else {},
+            log=logs.Log("agreement"),
+        )
+
+    def _make_gateway(self) -> gateways.Application:
+        limits = self.settings.limits
+        return gateways.Application(
+            self.settings.instance.name,
+            self.settings.instance.zone,
+            self.directory,
+            self.machine,
+            self.network,
+            self.registration.zones,
+            self.counters,
+            logs.Log("gateway"),
+            gateway_limits.Limits(
+                body_bytes=limits.max_request_bytes,
+                deadline_seconds=limits.default_deadline_seconds,
+                max_deadline_seconds=limits.max_deadline_seconds,
+                queue_requests=limits.queue_length,
+                concurrency=limits.max_requests_in_flight,
+                retry_ratio=limits.retry_ratio,
+            ),
+        )
+
+    def _make_operators(self) -> operating.Application:
+        announcements = announcing.Announcements(
+            self.settings.instance.name,
+            self.machine,
+            self.dissemination,
+            self.placing,
+        )
+        return operating.Application(
+            machine=self.machine,
+            changes=self.proposer,
+            announcements=announcements,
+            directory=self.directory,
+            replica=self.replica,
+            readiness=self.readiness,
+            keys=self.settings.keys,
+            counters=self.counters,
+            log=logs.Log("operators"),
+            bounds=operator_exchange.Bounds.from_config(self.settings),
+        )
+
+    async def run(self) -> None:
+        """Serves until a signal stops it."""
+        listen = self.settings.listen
+        limit = self.settings.timing.drain_limit_seconds
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._await_signals, nursery.cancel_scope)
+            await nursery.start(self.network.run, listen.peers)
+            await nursery.start(self.replica.run)
+            nursery.start_soon(self.registration.run)
+            nursery.start_soon(self.dissemination.run)
+            nursery.start_soon(self.holder.run)
+            nursery.start_soon(self.placing.run)
+            nursery.start_soon(self.handover.run)
+            async with trio.open_nursery() as servers:
+                await servers.start(
+                    web_server.serve,
+                    self.operators,
+                    listen.operators,
+                    self.stop,
+                    limit,
+                )
+                await servers.start(
+                    gateway_server.serve,
+                    self.gateway,
+                    listen.callers,
+                    self.stop,
+                    limit,
+                )
+                self.log.info("serving", callers=listen.callers)
+            nursery.cancel_scope.cancel()
+        self.log.info("stopped")
+
+    async def _await_signals(self, scope: trio.CancelScope) -> None:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as received:
+            async for number in received:
+                if number == signal.SIGINT or self.readiness.draining:
+                    scope.cancel()
+                    return
+                await self._drain()
+
+    async def _drain(self) -> None:
+        self.log.info("draining")
+        self.readiness.draining = True
+        await trio.sleep(self.settings.timing.drain_notice_seconds)
+        self.gateway.drain()
+        self.stop.set()
+
+
+async def _serve(settings: settings_module.Settings) -> None:
+    await Daemon.from_config(settings).run()
+
+
+def serve(settings_file: str) -> None:
+    """Runs the daemon of one entry instance.
+
+    Args:
+        settings_file: The INI file; see docs/SETTINGS.md.
+    """
+    try:
+        settings = reader.load(settings_file)
+    except errors.SettingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    logs.configure(
+        logs.Level[settings.logs.level.upper()],
+        settings.logs.file or None,
+        instance=settings.instance.name,
+    )
+    try:
+        trio.run(_serve, settings)
+    except errors.StorageError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_STORAGE)
+
+
+def main() -> None:
+    """Entry point of `turmerichalld`."""
+    fire.Fire(serve, name="turmerichalld")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/turmerichall/instances/__init__.py
@@ -0,0 +1,3 @@
+"""Entry instances as the replicated state lists them."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/instances/registration.py
@@ -0,0 +1,86 @@
+"""Has this instance listed, and learns the addresses of the others."""
+
+from typing import Protocol
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.instances import instance
+from turmerichall.state import change as changes
+from turmerichall.state import machine as machines
+from turmerichall.telemetry import logs
+
+__all__ = ["Registration"]
+
+CHECK_SECONDS = 1.0
+
+
+class Changes(Protocol):
+    """Submits changes; `state.proposer.Proposer` is one."""
+
+    async def submit(
+        self, change: changes.Change
+    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
+        """Submits a change and awaits its result."""
+
+
+class Addresses(Protocol):
+    """The connections to the other instances."""
+
+    addresses: dict[str, str]
+
+    def set_addresses(self, addresses: dict[str, str]) -> None:
+        """Replaces the addresses of the other instances."""
+
+
+class Registration:
+    """Keeps the replicated list of instances true for this one.
+
+    Attributes:
+        own: This instance.
+        machine: The replicated state.
+        changes: Submits changes.
+        network: Connections to the other instances.
+    """
+
+    def __init__(
+        self,
+        own: instance.Instance,
+        machine: machines.Machine,
+        submitter: Changes,
+        network: Addresses,
+    ):
+        self.own = own
+        self.machine = machine
+        self.changes = submitter
+        self.network = network
+        self.log = logs.Log("instances")
+
+    def zones(self) -> dict[str, str]:
+        """Returns the zone of every listed instance, this one included."""
+        listed = {
+            name: entry.zone for name, entry in self.machine.instances.items()
+        }
+        listed.setdefault(self.own.name, self.own.zone)
+        return listed
+
+    async def run(self) -> None:
+        """Registers whenever the list does not say what is true."""
+        while True:
+            self._learn_addresses()
+            if self.machine.instances.get(self.own.name) != self.own:
+                await self._register()
+            await trio.sleep(CHECK_SECONDS)
+
+    async def _register(self) -> None:
+        result = await self.changes.submit(changes.RegisterInstance(self.own))
+        if isinstance(result, changes.Result):
+            self.log.info("registered", zone=self.own.zone)
+
+    def _learn_addresses(self) -> None:
+        known = dict(self.network.addresses)
+        for name, entry in self.machine.instances.items():
+            if name != self.own.name:
+                known[name] = entry.peers
+        if known != self.network.addresses:
+            self.network.set_addresses(known)
--- /dev/null
+++ b/turmerichall/readiness.py
@@ -0,0 +1,59 @@
+"""Whether the balancer may send requests to this instance."""
+
+from typing import Protocol
+
+from turmerichall import outcomes
+
+__all__ = ["Readiness", "ReplicaState", "StatusSource"]
+
+
+class ReplicaState(Protocol):
+    """What readiness reads of the replica's status."""
+
+    @property
+    def applied(self) -> int:
+        """Position of the last applied change."""
+
+    @property
+    def stopped(self) -> str:
+        """Why the replica stopped, or empty."""
+
+
+class StatusSource(Protocol):
+    """Gives the replica's status."""
+
+    def status(self) -> ReplicaState:
+        """Returns the status now."""
+
+
+class Readiness:
+    """Answers `/readyz`.
+
+    An instance that is cut off from the quorum stays ready: it serves with
+    the last accepted configuration.  One that never had any, is draining, or
+    whose replica stopped, is not.
+
+    Attributes:
+        replica: Gives the replica's status.
+        draining: Whether the daemon is about to stop.
+    """
+
+    def __init__(self, replica: StatusSource):
+        self.replica = replica
+        self.draining = False
+
+    def __call__(self) -> outcomes.Refusal | None:
+        """Returns None if requests may be sent here, or why not."""
+        if self.draining:
+            return _refusal(outcomes.RefusalReason.DRAINING, "stopping")
+        status = self.replica.status()
+        if status.stopped:
+            return _refusal(outcomes.RefusalReason.STOPPED, status.stopped)
+        if status.applied == 0:
+            detail = "no configuration was received yet"
+            return _refusal(outcomes.RefusalReason.NO_QUORUM, detail)
+        return None
+
+
+def _refusal(reason: outcomes.RefusalReason, detail: str) -> outcomes.Refusal:
+    return outcomes.Refusal(reason, detail, retry_after_seconds=1.0)
--- a/turmerichall/state/change.py
+++ b/turmerichall/state/change.py
@@ -12,6 +12,7 @@
 
 from turmerichall import errors
 from turmerichall.customers import customer
+from turmerichall.instances import instance
 from turmerichall.templates import template
 
 __all__ = [
@@ -20,8 +21,10 @@
     "Change",
     "EndTasks",
     "EvictTasks",
+    "ForgetInstance",
     "PublishTemplate",
     "RecordDecisions",
+    "RegisterInstance",
     "RenewGrant",
     "Result",
     "SetCustomer",
@@ -251,6 +254,19 @@
     notes: list[Note]
 
 
+class RegisterInstance(NamedTuple):
+    """Lists an entry instance, or corrects what is listed of it."""
+
+    body: instance.Instance
+
+
+class ForgetInstance(NamedTuple):
+    """Takes an entry instance that is gone for good off the list."""
+
+    operation: Operation
+    name: str
+
+
 class Status(enum.StrEnum):
     """Whether a change was applied."""
 
@@ -294,6 +310,8 @@
     | EndTasks
     | EvictTasks
     | RecordDecisions
+    | RegisterInstance
+    | ForgetInstance
 )
 
 # The kinds are part of the format of the log: never renumber them.
@@ -310,6 +328,8 @@
     10: EndTasks,
     11: EvictTasks,
     12: RecordDecisions,
+    13: RegisterInstance,
+    14: ForgetInstance,
 }
 _KIND_OF = {change_type: kind for kind, change_type in _KINDS.items()}
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/state/machine.py
+++ b/turmerichall/state/machine.py
@@ -11,6 +11,8 @@
 import msgspec
 import trio
 
+from turmerichall import outcomes
+from turmerichall.instances import instance
 from turmerichall.jobs import job
 from turmerichall.state import change as changes
 from turmerichall.state import configuration
@@ -34,6 +36,7 @@
     decisions: dict[str, list[job.Decision]]
     grants: dict[str, authority.Grant]
     operations: list[tuple[str, changes.Result]]
+    instances: dict[str, instance.Instance]
 
 
 class Machine:
@@ -44,6 +47,7 @@
         configuration: Templates, customers, quotas and intentions.
         ledger: Jobs, tasks and recorded decisions.
         grants: Current grant of each zone.
+        instances: Entry instances by name.
         operations: Results of past operations by id, oldest first.
         watchers: Called after each applied change, in order.
         restores: How often a snapshot replaced the whole state.
@@ -54,6 +58,7 @@
         self.configuration = configuration.Configuration()
         self.ledger = ledger.Ledger()
         self.grants: dict[str, authority.Grant] = {}
+        self.instances: dict[str, instance.Instance] = {}
         self.operations: OrderedDict[str, changes.Result] = OrderedDict()
         self.watchers: list[Watcher] = []
         self.restores = 0
@@ -113,6 +118,8 @@
             changes.EndTasks: self._end_tasks,
             changes.EvictTasks: self._evict_tasks,
             changes.RecordDecisions: self._record_decisions,
+            changes.RegisterInstance: self._register_instance,
+            changes.ForgetInstance: self._forget_instance,
         }
 
     def _publish_template(
@@ -217,6 +224,23 @@
         stale = self._stale(change.zone, change.epoch)
         return stale or self.ledger.record_notes(index, change)
 
+    def _register_instance(
+        self, _: int, change: changes.RegisterInstance
+    ) -> changes.Result:
+        self.instances[change.body.name] = change.body
+        return changes.Result(changes.Status.APPLIED, 1)
+
+    def _forget_instance(
+        self, _: int, change: changes.ForgetInstance
+    ) -> changes.Result:
+        if self.instances.pop(change.name, None) is None:
+            return changes.Result(
+                changes.Status.REFUSED,
+                reason=outcomes.RefusalReason.UNKNOWN_NAME,
+                detail=f"instance {change.name!r} is not listed",
+            )
+        return changes.Result(changes.Status.APPLIED, 1)
+
     def _stale(self, zone: str, epoch: int) -> changes.Result | None:
         current = self.grant(zone)
         if epoch == current.epoch:
@@ -225,7 +249,7 @@
             changes.Status.REFUSED,
             current.epoch,
             current.holder,
-            "stale_epoch",
+            outcomes.RefusalReason.STALE_EPOCH,
             f"zone {zone} is at epoch {current.epoch}, not {epoch}",
         )
 
@@ -248,6 +272,7 @@
             self.ledger.decisions,
             self.grants,
             list(self.operations.items()),
+            self.instances,
         )
         return msgspec.msgpack.encode(image)
 
@@ -266,3 +291,4 @@
         self._applied.set()
         self._applied = trio.Event()
         self.operations = OrderedDict(image.operations)
+        self.instances = image.instances
--- a/turmerichall/tests/local_cluster.py
+++ b/turmerichall/tests/local_cluster.py
@@ -64,8 +64,12 @@
         self.instances = {}
         for number, zone in enumerate(zones, 1):
             name = f"i{number}"
-            addresses = [f"127.0.0.1:{next(ports)}" for _ in range(3)]
-            self.instances[name] = Instance(name, zone, *addresses)
+            callers, operators, peers = (
+                f"127.0.0.1:{next(ports)}" for _ in range(3)
+            )
+            self.instances[name] = Instance(
+                name, zone, callers, operators, peers
+            )
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.workers: dict[str, str] = {}
 
--- a/turmerichall/zones/placing.py
+++ b/turmerichall/zones/placing.py
@@ -369,6 +369,7 @@
         assert self.feed is not None and self.book is not None
         asked = []
         for start in starts:
+            self.feed.start_decided(start.task_id, start.worker)
             record = self.book.records.get(start.worker)
             known = self.machine.ledger.tasks.get(start.task_id)
             attempt = known.attempt + 1 if known is not None else 1
--- a/turmerichall/zones/planner_feed.py
+++ b/turmerichall/zones/planner_feed.py
@@ -27,6 +27,8 @@
         restores: Restores of the machine when the feed was made.
         dirty: Tasks that changed since the planner was last told.
         held: Worker and attempt of each task that the planner counts as held.
+        decided: Worker of each start that the planner decided and that is
+            not recorded yet.
         deferred: Tasks that another zone tries first, by when to put them in.
         services: Service tasks that the planner was asked to start.
     """
@@ -44,6 +46,7 @@
         self.restores = machine.restores
         self.dirty: dict[str, None] = {}
         self.held: dict[str, tuple[str, int]] = {}
+        self.decided: dict[str, str] = {}
         self.deferred: list[tuple[float, str]] = []
         self.services: set[str] = set()
         for task in machine.ledger.live_in(zone):
@@ -126,7 +129,7 @@
             return
         worker = task.held.worker
         self.held[task.task_id] = (worker, task.attempt)
-        if self.planner.worker_of.get(task.task_id) == worker:
+        if self.decided.pop(task.task_id, "") == worker:
             self.planner.note_started(task.task_id, worker, now)
             return
         view = task_views.task_view(self.machine, task)
@@ -166,8 +169,13 @@
                 self.planner.put_waiting(view)
         self.services = names
 
+    def start_decided(self, name: str, worker: str) -> None:
+        """Notes that the planner counts a start as under way."""
+        self.decided[name] = worker
+
     def start_failed(self, name: str, worker: str, now: float) -> None:
         """Notes that a decided start was not recorded."""
+        self.decided.pop(name, None)
         if name in self.held:
             return
         self.planner.note_ended(name, worker, changes.Ending.REFUSED, now)
--- /dev/null
+++ b/turmerichall/zones/tests/test_placing.py
@@ -0,0 +1,337 @@
+"""Tests of the placing authority with fakes and a mock clock."""
+
+from typing import NamedTuple
+
+import pytest
+import trio
+import trio.testing
+
+from turmerichall import outcomes
+from turmerichall import resources
+from turmerichall.backend_servers import announcement
+from turmerichall.customers import customer
+from turmerichall.jobs import job
+from turmerichall.leases import lease
+from turmerichall.placement import planner
+from turmerichall.placement import weights
+from turmerichall.state import change as changes
+from turmerichall.state import machine as machines
+from turmerichall.templates import template
+from turmerichall.zones import authority
+from turmerichall.zones import grant_holder
+from turmerichall.zones import placing
+from turmerichall.zones import worker_client
+
+ROOM = resources.Resources(8, 8000)
+TERM = lease.ended_after_seconds(lease.LEASE_SECONDS)
+
+
+class _Log:
+    """Applies changes at once, unless it is cut off from its quorum."""
+
+    def __init__(self, machine: machines.Machine):
+        self.machine = machine
+        self.cut_off = False
+
+    async def submit(
+        self, change: changes.Change
+    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
+        await trio.lowlevel.checkpoint()
+        if self.cut_off:
+            return outcomes.Refusal(outcomes.RefusalReason.NO_QUORUM)
+        return self.apply(change)
+
+    def apply(self, change: changes.Change) -> changes.Result:
+        index = self.machine.applied_index + 1
+        data = self.machine.apply(index, changes.encode(change))
+        return changes.decode_result(data)
+
+
+class _Sender:
+    """Keeps the commands that workers were sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, announcement.Command]] = []
+        self.accept = True
+
+    async def send(
+        self, address: str, commands: list[announcement.Command]
+    ) -> list[worker_client.Answer] | outcomes.Refusal | outcomes.Unknown:
+        await trio.lowlevel.checkpoint()
+        self.sent += [(address, command) for command in commands]
+        return [
+            worker_client.Answer(c.task_id, c.attempt, self.accept, "full")
+            for c in commands
+        ]
+
+
+class _Zone(NamedTuple):
+    """One authority with its fakes."""
+
+    machine: machines.Machine
+    log: _Log
+    sender: _Sender
+    holder: grant_holder.GrantHolder
+    placing: placing.Placing
+
+    async def settle(self, rounds: int = 4) -> None:
+        """Lets the authority take its next steps."""
+        for _ in range(rounds):
+            self.placing.wake()
+            await trio.sleep(placing.STEP_SECONDS)
+
+    def announce(
+        self,
+        sequence: int,
+        *tasks: announcement.TaskReport,
+        worker: str = "w1",
+        incarnation: int = 1,
+        epoch: int = 1,
+    ) -> announcement.Reply:
+        """Sends an announcement of a worker and returns the reply."""
+        told = announcement.Announcement(
+            worker, incarnation, sequence, "z1", "r1", f"{worker}:1", ROOM
+        )
+        reply = self.placing.announce(told._replace(tasks=tasks, epoch=epoch))
+        assert reply is not None
+        return reply
+
+    def task(self, number: int = 0) -> job.Task:
+        """Returns a task of job `j1`."""
+        return self.machine.ledger.tasks[f"j1/{number}"]
+
+
+def _operation(name: str) -> changes.Operation:
+    return changes.Operation(name, "ann", 1.0)
+
+
+def _machine() -> tuple[machines.Machine, _Log]:
+    machine = machines.Machine()
+    log = _Log(machine)
+    size = resources.Resources(2, 1000)
+    batch = template.Template("roster", template.Kind.BATCH, size)
+    service = template.Template("offers", template.Kind.SERVICE, size)
+    owner = customer.Customer(
+        "c", "team", customer.Urgency.URGENT, ("z1",), {"offers": 1}
+    )
+    log.apply(changes.PublishTemplate(_operation("1"), 0, batch))
+    log.apply(changes.PublishTemplate(_operation("2"), 0, service))
+    log.apply(changes.SetCustomer(_operation("3"), 0, owner))
+    return machine, log
+
+
+def _submit(log: _Log, tasks: int = 1) -> None:
+    asked = changes.AcceptJob(_operation("j"), "j1", "c", "roster", tasks, 9e9)
+    log.apply(asked)
+
+
+def _zone(machine: machines.Machine, log: _Log, name: str = "i1") -> _Zone:
+    sender = _Sender()
+    holder = grant_holder.GrantHolder("z1", name, machine, log)
+    made = placing.Placing(
+        machine,
+        holder,
+        log,
+        sender,
+        lambda: planner.Planner(weights.BALANCED),
+    )
+    return _Zone(machine, log, sender, holder, made)
+
+
+@pytest.fixture(name="zone")
+async def _running_zone(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> _Zone:
+    del autojump_clock
+    made = _zone(*_machine())
+    nursery.start_soon(made.holder.run)
+    nursery.start_soon(made.placing.run)
+    await made.settle()
+    return made
+
+
+def _running(attempt: int = 1, name: str = "j1/0") -> announcement.TaskReport:
+    state = announcement.ReportedState.RUNNING
+    return announcement.TaskReport(name, attempt, state)
+
+
+async def _keep(zone: _Zone, seconds: float, worker: str) -> None:
+    """Lets time pass while another worker goes on announcing."""
+    until = trio.current_time() + seconds
+    sequence = 1000
+    while trio.current_time() < until:
+        sequence += 1
+        zone.announce(sequence, worker=worker)
+        await zone.settle(2)
+
+
+class TestStart:
+
+    async def test_waiting_task_is_sent_to_a_worker_with_its_lease(
+        self, zone: _Zone
+    ) -> None:
+        _submit(zone.log)
+        zone.announce(5)
+        await zone.settle()
+        sent = {c.task_id: (a, c) for a, c in zone.sender.sent}
+        address, command = sent["j1/0"]
+        assert address == "w1:1"
+        assert command.kind == announcement.CommandKind.START
+        assert (command.epoch, command.anchor) == (1, 5)
+        assert zone.task().state == job.TaskState.RUNNING
+        assert "svc:c/offers/z1/0" in sent
+
+    async def test_refused_start_waits_again(self, zone: _Zone) -> None:
+        zone.sender.accept = False
+        _submit(zone.log)
+        zone.announce(1)
+        await zone.settle(1)
+        zone.sender.accept = True
+        await zone.settle()
+        assert zone.task().attempt >= 2
+        assert zone.task().failures == 0
+
+    async def test_unreported_start_is_sent_again_as_the_same_attempt(
+        self, zone: _Zone
+    ) -> None:
+        _submit(zone.log)
+        zone.announce(1)
+        await zone.settle()
+        zone.announce(2)
+        await zone.settle()
+        sent = [c for _, c in zone.sender.sent if c.task_id == "j1/0"]
+        assert [c.attempt for c in sent] == [1, 1]
+        assert sent[-1].anchor == 2
+
+    async def test_no_start_without_a_quorum(self, zone: _Zone) -> None:
+        zone.announce(1)
+        zone.log.cut_off = True
+        await trio.sleep(authority.TERM_SECONDS + 1)
+        _submit(zone.log)
+        zone.announce(2)
+        await zone.settle()
+        assert zone.task().state == job.TaskState.WAITING
+
+
+class TestLeaseEnd:
+
+    async def test_silent_worker_keeps_its_task_until_the_lease_ended(
+        self, zone: _Zone
+    ) -> None:
+        _submit(zone.log)
+        zone.announce(1)
+        await zone.settle()
+        zone.announce(2, _running())
+        heard_at = trio.current_time()
+        await _keep(zone, TERM - 3, "w2")
+        assert zone.task().held is not None
+        assert zone.task().attempt == 1
+        await _keep(zone, 6, "w2")
+        held = zone.task().held
+        assert zone.task().attempt == 2
+        assert held is not None and held.worker == "w2"
+        assert trio.current_time() - heard_at > lease.LEASE_SECONDS
+
+    async def test_restarted_worker_lost_its_tasks_at_once(
+        self, zone: _Zone
+    ) -> None:
+        _submit(zone.log)
+        zone.announce(1)
+        await zone.settle()
+        zone.announce(1, incarnation=2)
+        await zone.settle()
+        assert zone.task().attempt == 2
+
+    async def test_ended_attempt_is_recorded_then_acknowledged(
+        self, zone: _Zone
+    ) -> None:
+        _submit(zone.log)
+        zone.announce(1)
+        await zone.settle()
+        done = _running()._replace(state=announcement.ReportedState.FINISHED)
+        assert zone.announce(2, done).acknowledged == ()
+        await zone.settle()
+        assert zone.task().state == job.TaskState.FINISHED
+        assert zone.announce(3, done).acknowledged == ("j1/0#1",)
+
+    async def test_attempt_that_is_not_current_is_stopped(
+        self, zone: _Zone
+    ) -> None:
+        _submit(zone.log)
+        reply = zone.announce(1, _running(attempt=7))
+        assert [c.kind for c in reply.commands] == [
+            announcement.CommandKind.STOP
+        ]
+        assert reply.renewed == ()
+
+    async def test_cut_off_holder_renews_batch_for_the_hold_only(
+        self, zone: _Zone
+    ) -> None:
+        _submit(zone.log)
+        zone.announce(1)
+        await zone.settle()
+        service = _running(name="svc:c/offers/z1/0")
+        zone.log.cut_off = True
+        await trio.sleep(authority.CUT_OFF_HOLD_SECONDS - 20)
+        assert "j1/0#1" in zone.announce(2, _running(), service).renewed
+        await trio.sleep(25)
+        renewed = zone.announce(3, _running(), service).renewed
+        assert renewed == ("svc:c/offers/z1/0#1",)
+
+
+async def _taken_over(
+    zone: _Zone, nursery: trio.Nursery, unsure: bool
+) -> _Zone:
+    """Has another instance take the grant from one that is cut off."""
+    _submit(zone.log)
+    zone.announce(1)
+    await zone.settle()
+    zone.announce(2, _running())
+    zone.log.cut_off = True
+    second = _zone(zone.machine, _Log(zone.machine), "i2")
+    nursery.start_soon(second.holder.run)
+    nursery.start_soon(second.placing.run)
+    with trio.fail_after(60):
+        while not second.holder.holds():
+            await trio.sleep(0.5)
+    if not unsure:
+        second.placing.note_stopped("i1")
+    return second
+
+
+class TestTakeover:
+
+    @pytest.mark.parametrize(
+        "unsure, wait_seconds",
+        [(False, TERM), (True, authority.CUT_OFF_HOLD_SECONDS + TERM)],
+    )
+    async def test_tasks_of_a_silent_worker_wait_for_the_earlier_holder(
+        self,
+        zone: _Zone,
+        nursery: trio.Nursery,
+        unsure: bool,
+        wait_seconds: float,
+    ) -> None:
+        second = await _taken_over(zone, nursery, unsure)
+        await _keep(second, wait_seconds - 4, "w2")
+        assert second.task().attempt == 1
+        await _keep(second, 20, "w2")
+        assert second.task().attempt == 2
+
+    async def test_worker_that_comes_over_keeps_its_task(
+        self, zone: _Zone, nursery: trio.Nursery
+    ) -> None:
+        second = await _taken_over(zone, nursery, True)
+        reply = second.announce(3, _running())
+        assert (reply.epoch, reply.renewed) == (2, ("j1/0#1",))
+        assert not zone.holder.holds()
+
+    async def test_service_held_by_an_earlier_holder_is_never_started_twice(
+        self, zone: _Zone, nursery: trio.Nursery
+    ) -> None:
+        second = await _taken_over(zone, nursery, True)
+        hold = authority.CUT_OFF_HOLD_SECONDS + 2 * TERM
+        await _keep(second, hold, "w2")
+        tasks = second.machine.ledger.tasks
+        assert tasks["svc:c/offers/z1/0"].attempt == 1
+        assert tasks["svc:c/offers/z1/1"].held is not None
