Take ports of local clusters below those of outgoing connections

Cause: a daemon failed to start with 'address already in use' in one of three trials; its port had gone to an outgoing connection between the probe and the start, because both came from the ephemeral range. Waiting for readiness now fails at once when the process has ended.

--- a/turmerichall/tests/faulty_cluster.py
+++ b/turmerichall/tests/faulty_cluster.py
@@ -81,7 +81,7 @@
         seeds = ", ".join(
             f"{name}@{self.proxies[f'peers:{name}'].address}"
             for name, held in self.instances.items()
-            if held.disk or name == instance.name
+            if held.disk or not instance.disk
         )
         bootstraps = instance.disk and instance.name not in self.rejoining
         lines = []
--- a/turmerichall/tests/local_cluster.py
+++ b/turmerichall/tests/local_cluster.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,7 @@
 START_SECONDS = 60.0
 STOP_SECONDS = 60.0
 POLL_SECONDS = 0.1
+PORTS = (10_000, 32_000)
 
 
 class Instance(NamedTuple):
@@ -161,6 +163,7 @@
         address = self.instances[name].operators
         with trio.fail_after(START_SECONDS):
             while await _status(f"http://{address}/readyz") != 200:
+                assert self.processes[name].poll() is None, f"{name} ended"
                 await trio.sleep(POLL_SECONDS)
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
@@ -217,15 +220,23 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Returns ports that were free a moment ago.
+
+    They lie below those that the system gives to outgoing connections, so
+    that none of these takes one before it is listened on.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as one:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 async def _status(url: str) -> int:
