--- a/turmerichall/agreement/following.py
+++ b/turmerichall/agreement/following.py
@@ -55,7 +55,6 @@
                 entries,
                 snapshot,
                 shared.seconds_since_quorum(),
-                shared.recovered,
             )
         )
 
@@ -132,9 +131,6 @@
         age = trio.current_time() - shared.heard_at + shared.heard_quorum_age
         if reply.quorum_age_seconds < age:
             shared.heard_from(reply.leader, reply.quorum_age_seconds)
-        current = reply.quorum_age_seconds < shared.timing.election_seconds
-        if current and not shared.recovered:
-            shared.recovered_at = reply.commit
 
     async def _fetch(self) -> bool:
         shared = self.shared
--- a/turmerichall/agreement/message.py
+++ b/turmerichall/agreement/message.py
@@ -212,7 +212,6 @@
         entries: Committed entries that follow `after`.
         snapshot: Whether a snapshot must be fetched first.
         quorum_age_seconds: How long ago the replica last heard of a quorum.
-        recovered: Whether the replica has all that it once applied.
     """
 
     leader: str
@@ -222,7 +221,6 @@
     entries: tuple[Entry, ...]
     snapshot: bool
     quorum_age_seconds: float
-    recovered: bool
 
 
 class Propose(NamedTuple):
--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -154,7 +154,10 @@
         if not loaded:
             shared.recovered_at = agreement_shared.NOT_RECOVERED
             task_status.started()
-        await following.Following(shared, self._applying, self._snapshots).run()
+        stream = following.Following(shared, self._applying, self._snapshots)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._recover)
+            nursery.start_soon(stream.run)
 
     async def _load(self, files: storage_files.Files) -> None:
         """Loads the data folder and applies what is known to be committed."""
@@ -173,7 +176,8 @@
         if image is not None:
             snapshots.apply_image(shared, image)
         shared.move_commit(shared.kept.commit)
-        shared.recovered_at = shared.kept.last_index
+        if image is not None:
+            shared.recovered_at = shared.kept.last_index
         shared.kept.rewrite()
         while shared.applied < shared.commit:
             self._applying.apply_entry(shared.kept.get(shared.applied + 1))
@@ -200,8 +204,23 @@
             nursery.start_soon(self._snapshots.run_fetching)
             nursery.start_soon(electing.run)
             nursery.start_soon(self._membership.run)
+            nursery.start_soon(self._recover)
             task_status.started()
 
+    async def _recover(self) -> None:
+        """Without a memory of its own, asks the leader how far to go.
+
+        Raises:
+            StorageError: The journal failed.
+        """
+        shared = self.shared
+        while shared.recovered_at == agreement_shared.NOT_RECOVERED:
+            outcome = await self._proposing.barrier(shared.timing.call_seconds)
+            if outcome.kind == message.OutcomeKind.RESULT:
+                shared.recovered_at = outcome.position
+            else:
+                await trio.sleep(shared.timing.heartbeat_seconds / 4)
+
     def _register(self, kind: str, handler: Handler) -> None:
         async def guarded(sender: str, body: bytes) -> bytes | None:
             if self.shared.stopped:
