List backend servers as routing sees them

An entry that another instance passed on was shown with the age of its last change, 45 s for one that is live; it is the age of the last word from the instance that vouches for it now, and that instance is shown. The number of leases comes from the replicated state instead of an announcement that is cut down on the way.

Setting an intention without a version goes by the current one after a barrier, not by what this instance happened to have applied.

--- a/turmerichall/cli.py
+++ b/turmerichall/cli.py
@@ -3,6 +3,7 @@
 import getpass
 import os
 import pathlib
+import signal
 import sys
 from typing import Any, TextIO
 import uuid
@@ -173,6 +174,8 @@
 
 def main() -> None:
     """Entry point of `turmerichall`."""
+    # A closed pipe, as in `turmerichall job list | head`, ends the command.
+    signal.signal(signal.SIGPIPE, signal.SIG_DFL)
     sys.exit(run(sys.argv[1:]))
 
 
--- a/turmerichall/command_line/backend_servers.py
+++ b/turmerichall/command_line/backend_servers.py
@@ -13,8 +13,9 @@
     "address",
     "intention",
     "takes_new_work",
-    "tasks",
+    "leases",
     "heard_seconds_ago",
+    "via",
     "version",
 )
 
@@ -50,7 +51,7 @@
         return self._set(name, "resume", base_version)
 
     def start(self, name: str, *, base_version: str = "") -> commands.Command:
-        """Takes a stopped backend server into service.
+        """Gives a stopped backend server new work again.
 
         Args:
             name: Name of the backend server.
@@ -59,7 +60,7 @@
         return self._set(name, "start", base_version)
 
     def stop(self, name: str, *, base_version: str = "") -> commands.Command:
-        """Takes a backend server out of service: its batch tasks move.
+        """Marks a backend server as stopped: no new work until `start`.
 
         Args:
             name: Name of the backend server.
--- a/turmerichall/operators/backend_servers.py
+++ b/turmerichall/operators/backend_servers.py
@@ -61,6 +61,7 @@
         "version": wanted.version if wanted else 0,
         "set_by": wanted.operator if wanted else "",
         "takes_new_work": services.directory.takes_new_work(name, now),
+        "leases": len(services.machine.ledger.live.get(name, {})),
     }
     known = services.directory.entries.get(name)
     if known is None:
@@ -73,9 +74,9 @@
         "rack": told.rack,
         "address": told.address,
         "capacity": told.capacity,
-        "tasks": len(told.tasks),
         "leaving": told.leaving,
-        "heard_seconds_ago": round(now - known.heard_at, 3),
+        "heard_seconds_ago": round(now - services.directory.heard_at(known), 1),
+        "via": known.via,
     }
 
 
@@ -92,6 +93,9 @@
             document = operations.decode_body(request, IntentionDocument)
         base_version = document.base_version
         if base_version is None:
+            refused = await services.replica.barrier()
+            if refused is not None:
+                return refused
             current = services.machine.configuration.intentions.get(name)
             base_version = current.version if current else 0
         change = changes.SetIntention(asked, base_version, name, intention)
--- a/turmerichall/operators/tests/test_application.py
+++ b/turmerichall/operators/tests/test_application.py
@@ -228,6 +228,24 @@
         listed = await client.call("GET", "/v1/backend-servers")
         assert listed.document["items"][0]["version"] == 2
 
+    async def test_no_quorum(self, client: Client) -> None:
+        client.daemon.barrier_refusal = outcomes.Refusal(
+            outcomes.RefusalReason.NO_QUORUM
+        )
+        answer = await client.call("POST", "/v1/backend-servers/w1/drain")
+        assert (answer.status, answer.document["error"]) == (503, "no_quorum")
+
+    async def test_what_is_listed(self, client: Client) -> None:
+        told = announcement.Announcement(
+            "w1", 1, 1, "z1", "r1", "127.0.0.1:9", resources.Resources(8, 1000)
+        )
+        known = client.app.services.directory
+        known.hear(told, trio.current_time(), "i2")
+        listed = await client.call("GET", "/v1/backend-servers")
+        item = listed.document["items"][0]
+        assert (item["via"], item["takes_new_work"]) == ("i2", True)
+        assert item["capacity"]["memory_mb"] == 1000
+
     async def test_stale_base_version(self, client: Client) -> None:
         await client.call("POST", "/v1/backend-servers/w1/drain")
         answer = await client.call(
