Put evictions for borrowed room under a budget

Cause: work at risk of its deadline displaced what other teams had borrowed, each time that it found no room. Urgent work and services stay free of the budget.

--- a/turmerichall/placement/room.py
+++ b/turmerichall/placement/room.py
@@ -2,6 +2,7 @@
 
 from turmerichall import resources
 from turmerichall.customers import customer as customers
+from turmerichall.placement import budget
 from turmerichall.placement import decisions
 from turmerichall.placement import eviction
 from turmerichall.placement import fleet as fleets
@@ -25,6 +26,7 @@
     Attributes:
         fleet: The workers.
         quotas: What teams hold.
+        budget: Evictions for the sake of batch work that is not urgent.
         pending: When room was last made, by task.
     """
 
@@ -34,6 +36,7 @@
         self.fleet = fleet
         self.quotas = quotas
         self.pending: dict[str, float] = {}
+        self.budget = budget.Budget()
 
     def make(
         self, task: views.TaskView, now: float
@@ -58,6 +61,9 @@
             if victims and lost < best_lost:
                 best, best_lost = victims, lost
         self.pending[task.task_id] = now
+        self.budget.refill(len(self.fleet.workers), now)
+        if best and not _must_run(task) and not self.budget.take():
+            return []
         reason = f"makes room for {task.task_id}"
         return [eviction.evict(held, reason, now) for held in best]
 
@@ -109,6 +115,10 @@
         )
 
 
+def _must_run(task: views.TaskView) -> bool:
+    return task.service or task.urgency == customers.Urgency.URGENT
+
+
 def _free_soon(known: occupancy.Occupancy) -> resources.Resources:
     """Returns the free capacity once all evictions under way have ended."""
     free = known.free
