List entry instances from the replicated state, and remove them from it

The list showed replicas only. Removing an instance takes it out of the replicas, if it is one, and off the list; a resend finds the first step done and gets the answer of the second.

--- a/turmerichall/command_line/instances.py
+++ b/turmerichall/command_line/instances.py
@@ -9,18 +9,19 @@
 
 __all__ = ["Instances", "status"]
 
+_COLUMNS = ("name", "role", "region", "zone", "callers", "operators", "peers")
 _STATUS = ("name", "role", "leader", "term", "commit", "applied", "stopped")
 
 
 class Instances:
-    """Instances that hold the replicated state."""
+    """Entry instances, and which of them hold the replicated state."""
 
     def __init__(self, session: sessions.Session):
         self._session = session
 
     def list(self) -> commands.Command:
-        """Lists them, as the answering instance knows them."""
-        view = sessions.View(("name", "role", "address", "identity"), dict)
+        """Lists entry instances, with and without a disk."""
+        view = sessions.View(_COLUMNS, dict)
         return self._session.list("/v1/instances", view)
 
     def add(self, name: str, address: str) -> commands.Command:
@@ -37,7 +38,7 @@
         return self._session.changing("POST", "/v1/instances", document)
 
     def remove(self, name: str) -> commands.Command:
-        """Removes an instance from those that hold the state.
+        """Removes an instance that was stopped for good.
 
         Args:
             name: Its name.
--- a/turmerichall/operators/instances.py
+++ b/turmerichall/operators/instances.py
@@ -1,10 +1,9 @@
 """Instances, the status of this one, and its health, over HTTP."""
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from turmerichall import errors
 from turmerichall import outcomes
-from turmerichall.agreement import member
 from turmerichall.agreement import message
 from turmerichall.operators import exchange
 from turmerichall.operators import operations
@@ -12,6 +11,7 @@
 from turmerichall.operators import replies
 from turmerichall.operators import services as services_module
 from turmerichall.settings import values
+from turmerichall.state import change as changes
 from turmerichall.templates import template
 
 __all__ = [
@@ -101,29 +101,29 @@
 
 async def list_instances(
     services: services_module.Services, request: exchange.Request
-) -> exchange.Response:
-    """Lists the replicas, as this instance knows them."""
-    del request
-    status_now = services.replica.status()
-    members = (*status_now.members, *status_now.learners)
-    return replies.found(
-        {
-            "fresh": False,
-            "stale": reading.LOCAL_NOTE,
-            "leader": status_now.leader,
-            "items": [_item(found, status_now.leader) for found in members],
-        }
-    )
-
-
-def _item(found: member.Member, leader: str) -> dict[str, str]:
-    role = "voter" if found.voter else "learner"
-    return {
-        "name": found.name,
-        "role": "leader" if found.name == leader else role,
-        "address": found.address,
-        "identity": found.identity,
-    }
+) -> exchange.Response | outcomes.Refusal:
+    """Lists entry instances, and their roles as this one knows them."""
+    note = await reading.refresh(services, request)
+    if isinstance(note, outcomes.Refusal):
+        return note
+    roles = _roles(services.replica.status())
+    listed = services.machine.instances
+    items = []
+    for name in sorted(listed.keys() | roles.keys()):
+        item: dict[str, Any] = {"name": name}
+        if name in listed:
+            item |= listed[name]._asdict()
+        items.append(item | {"role": roles.get(name, "observer")})
+    return replies.found(reading.marked(note, {"items": items}))
+
+
+def _roles(status_now: services_module.ReplicaStatus) -> dict[str, str]:
+    roles = {found.name: "learner" for found in status_now.learners}
+    for found in status_now.members:
+        roles[found.name] = "voter"
+    if status_now.leader:
+        roles[status_now.leader] = "leader"
+    return roles
 
 
 async def add(
@@ -141,10 +141,17 @@
 async def remove(
     services: services_module.Services, request: exchange.Request
 ) -> exchange.Response | outcomes.Refusal:
-    """Removes an instance from the replicas."""
-    operations.operation(request)
+    """Removes an instance from the replicas and from the list of instances."""
+    asked = operations.operation(request)
     name = request.parameters["name"]
-    return await _change(services, message.MemberAction.REMOVE, name)
+    if name in _roles(services.replica.status()):
+        reply = await _change(services, message.MemberAction.REMOVE, name)
+        if isinstance(reply, outcomes.Refusal) or reply.status != 200:
+            return reply
+        if name not in services.machine.instances:
+            return reply
+    change = changes.ForgetInstance(asked, name)
+    return await operations.submit(services, change, asked, instance_name=name)
 
 
 async def _change(
@@ -165,7 +172,7 @@
     return replies.found(
         {
             "outcome": "ran",
-            "instance": name,
+            "instance_name": name,
             "members": sorted({found.name for found in outcome}),
         }
     )
