--- a/turmerichall/zones/tests/test_placing.py
+++ b/turmerichall/zones/tests/test_placing.py
@@ -168,7 +168,7 @@
 class TestStart:
 
     async def test_waiting_task_is_sent_to_a_worker_with_its_lease(
-        self, zone: _Zone
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         _submit(zone.log)
         zone.announce(5)
@@ -181,7 +181,9 @@
         assert zone.task().state == job.TaskState.RUNNING
         assert "svc:c/offers/z1/0" in sent
 
-    async def test_refused_start_waits_again(self, zone: _Zone) -> None:
+    async def test_refused_start_waits_again(
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
+    ) -> None:
         zone.sender.accept = False
         _submit(zone.log)
         zone.announce(1)
@@ -192,7 +194,7 @@
         assert zone.task().failures == 0
 
     async def test_unreported_start_is_sent_again_as_the_same_attempt(
-        self, zone: _Zone
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         _submit(zone.log)
         zone.announce(1)
@@ -203,7 +205,9 @@
         assert [c.attempt for c in sent] == [1, 1]
         assert sent[-1].anchor == 2
 
-    async def test_no_start_without_a_quorum(self, zone: _Zone) -> None:
+    async def test_no_start_without_a_quorum(
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
+    ) -> None:
         zone.announce(1)
         zone.log.cut_off = True
         await trio.sleep(authority.TERM_SECONDS + 1)
@@ -216,7 +220,7 @@
 class TestLeaseEnd:
 
     async def test_silent_worker_keeps_its_task_until_the_lease_ended(
-        self, zone: _Zone
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         _submit(zone.log)
         zone.announce(1)
@@ -233,7 +237,7 @@
         assert trio.current_time() - heard_at > lease.LEASE_SECONDS
 
     async def test_restarted_worker_lost_its_tasks_at_once(
-        self, zone: _Zone
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         _submit(zone.log)
         zone.announce(1)
@@ -243,7 +247,7 @@
         assert zone.task().attempt == 2
 
     async def test_ended_attempt_is_recorded_then_acknowledged(
-        self, zone: _Zone
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         _submit(zone.log)
         zone.announce(1)
@@ -255,7 +259,7 @@
         assert zone.announce(3, done).acknowledged == ("j1/0#1",)
 
     async def test_attempt_that_is_not_current_is_stopped(
-        self, zone: _Zone
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         _submit(zone.log)
         reply = zone.announce(1, _running(attempt=7))
@@ -265,7 +269,7 @@
         assert reply.renewed == ()
 
     async def test_cut_off_holder_renews_batch_for_the_hold_only(
-        self, zone: _Zone
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         _submit(zone.log)
         zone.announce(1)
@@ -307,6 +311,7 @@
     )
     async def test_tasks_of_a_silent_worker_wait_for_the_earlier_holder(
         self,
+        autojump_clock: trio.testing.MockClock,
         zone: _Zone,
         nursery: trio.Nursery,
         unsure: bool,
@@ -319,7 +324,10 @@
         assert second.task().attempt == 2
 
     async def test_worker_that_comes_over_keeps_its_task(
-        self, zone: _Zone, nursery: trio.Nursery
+        self,
+        zone: _Zone,
+        autojump_clock: trio.testing.MockClock,
+        nursery: trio.Nursery,
     ) -> None:
         second = await _taken_over(zone, nursery, True)
         reply = second.announce(3, _running())
@@ -327,7 +335,10 @@
         assert not zone.holder.holds()
 
     async def test_service_held_by_an_earlier_holder_is_never_started_twice(
-        self, zone: _Zone, nursery: trio.Nursery
+        self,
+        zone: _Zone,
+        autojump_clock: trio.testing.MockClock,
+        nursery: trio.Nursery,
     ) -> None:
         second = await _taken_over(zone, nursery, True)
         hold = authority.CUT_OFF_HOLD_SECONDS + 2 * TERM
