--- a/turmerichall/demo.py
+++ b/turmerichall/demo.py
@@ -7,6 +7,7 @@
 each did what it should.
 """
 
+import functools
 import pathlib
 import signal
 import sys
@@ -100,7 +101,7 @@
         for instance in self.cluster.instances.values():
             await self.until(
                 f"a request through {instance.name}",
-                lambda address=instance.callers: self._answered(address),
+                functools.partial(self._answered, instance.callers),
             )
             self.say(f"a request through {instance.name} was answered")
 
@@ -165,7 +166,7 @@
             address = self.cluster.instances[name].callers
             await self.until(
                 f"a request through {name}",
-                lambda address=address: self._answered(address),
+                functools.partial(self._answered, address),
             )
         self.say("the other two go on serving")
 
