--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -132,52 +132,70 @@
 
         Args:
             task_status: Started when the state on the disk is loaded.
+
+        Raises:
+            StorageError: The data folder is held by another process, has
+                another format or can't be opened.
         """
         shared = self.shared
         shared.started_at = trio.current_time()
         shared.address = shared.network.listen_address
         shared.address = self._bootstrap.get(shared.name, shared.address)
         self._register("identify", self._membership.on_identify)
+        if self.files is None:
+            task_status.started()
+        else:
+            try:
+                await self._run_with_disk(self.files, task_status)
+            finally:
+                self.files.unlock()
+        stream = following.Following(shared, self._applying, self._snapshots)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._recover)
+            nursery.start_soon(stream.run)
+
+    async def _run_with_disk(
+        self, files: storage_files.Files, task_status: Any
+    ) -> None:
+        """Takes part until the disk fails."""
+        shared = self.shared
+        shared.folder = await files.perform(
+            lambda: data_folder.DataFolder.open(files, self.max_batch_records)
+        )
         loaded = False
         try:
-            if self.files is not None:
-                await self._load(self.files)
-                loaded = True
-                await self._take_part(task_status)
+            await self._load(shared.folder)
+            loaded = True
+            await self._take_part(task_status)
         except* errors.StorageError as group:
             self._stop(_first(group))
-        finally:
-            if self.files is not None:
-                self.files.unlock()
-        shared.role = agreement_shared.Role.OBSERVER
-        shared.followed_term = shared.term
         if not loaded:
             shared.recovered_at = agreement_shared.NOT_RECOVERED
             task_status.started()
-        stream = following.Following(shared, self._applying, self._snapshots)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._recover)
-            nursery.start_soon(stream.run)
-
-    async def _load(self, files: storage_files.Files) -> None:
+        try:
+            await shared.folder.mark_incomplete()
+        except errors.StorageError as error:
+            # After a restart the disk would bring back an older state than
+            # one that is followed from here on.
+            shared.log.error("state stays as it is", reason=str(error))
+            await trio.sleep_forever()
+
+    async def _load(self, folder: data_folder.DataFolder) -> None:
         """Loads the data folder and applies what is known to be committed."""
         shared = self.shared
+        shared.entries = entry_log.EntryLog(folder.journal)
 
-        def load() -> message.Image | None:
-            shared.folder = data_folder.DataFolder.open(
-                files, self.max_batch_records
-            )
-            shared.entries = entry_log.EntryLog(shared.folder.journal)
+        def load() -> tuple[message.Image | None, bool]:
             image = self._snapshots.load()
-            shared.entries.load(image)
-            return image
+            shared.kept.load(image)
+            return image, folder.is_complete()
 
-        image = await files.perform(load)
+        image, complete = await folder.files.perform(load)
         if image is not None:
             snapshots.apply_image(shared, image)
-        shared.move_commit(shared.kept.commit)
-        if image is not None:
+        if complete:
             shared.recovered_at = shared.kept.last_index
+        shared.move_commit(shared.kept.commit)
         shared.kept.rewrite()
         while shared.applied < shared.commit:
             self._applying.apply_entry(shared.kept.get(shared.applied + 1))
@@ -220,6 +238,9 @@
                 shared.recovered_at = outcome.position
             else:
                 await trio.sleep(shared.timing.heartbeat_seconds / 4)
+        await self.wait_applied(shared.recovered_at)
+        if shared.role != agreement_shared.Role.OBSERVER and shared.folder:
+            await shared.folder.mark_complete()
 
     def _register(self, kind: str, handler: Handler) -> None:
         async def guarded(sender: str, body: bytes) -> bytes | None:
@@ -233,6 +254,9 @@
         shared = self.shared
         shared.stopped = str(error)
         shared.step_down()
+        shared.followed_term = shared.term
+        shared.followed_members = shared.members
+        shared.role = agreement_shared.Role.OBSERVER
         shared.log.error("replica stopped", reason=shared.stopped)
 
     async def propose(
--- a/turmerichall/storage/data_folder.py
+++ b/turmerichall/storage/data_folder.py
@@ -17,6 +17,8 @@
 FORMAT_NAME = "format"
 IDENTITY_NAME = "identity"
 SNAPSHOT_NAME = "snapshot"
+# Stands for: this instance never served a state newer than its log.
+COMPLETE_NAME = "complete"
 
 
 class DataFolder:
@@ -106,6 +108,36 @@
             raise storage_files.failure("writing snapshot", error) from error
         self.snapshot_bytes = len(framed)
 
+    def is_complete(self) -> bool:
+        """Tells whether the log holds all that was ever applied; blocks."""
+        return self.files.read(COMPLETE_NAME) is not None
+
+    async def mark_complete(self) -> None:
+        """Records that the log holds all that was ever applied.
+
+        Raises:
+            StorageError: It could not be recorded.
+        """
+        try:
+            await self.files.perform(
+                lambda: self.files.replace(COMPLETE_NAME, b"")
+            )
+        except OSError as error:
+            raise storage_files.failure("marking", error) from error
+
+    async def mark_incomplete(self) -> None:
+        """Records that more than the log holds may be applied from now on.
+
+        This takes no space, so it works on a full disk.
+
+        Raises:
+            StorageError: It could not be recorded.
+        """
+        try:
+            await self.files.perform(lambda: self.files.remove(COMPLETE_NAME))
+        except OSError as error:
+            raise storage_files.failure("marking", error) from error
+
     async def read_snapshot_part(self, offset: int, size: int) -> bytes:
         """Reads a part of the snapshot file, checksum included.
 
--- a/turmerichall/storage/files.py
+++ b/turmerichall/storage/files.py
@@ -42,6 +42,9 @@
     def replace(self, name: str, data: bytes) -> None:
         """Replaces a file so that a crash leaves the old or the new one."""
 
+    def remove(self, name: str) -> None:
+        """Removes a file so that a crash does not bring it back."""
+
     async def perform(self, work: Callable[[], T]) -> T:
         """Runs blocking work without holding up other tasks."""
 
@@ -138,6 +141,11 @@
         if replaced is not None:
             os.close(replaced)
 
+    def remove(self, name: str) -> None:
+        """See `Files`."""
+        (self.folder / name).unlink(missing_ok=True)
+        self._sync_folder()
+
     def _sync_folder(self) -> None:
         descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
         try:
--- a/turmerichall/storage/tests/memory_files.py
+++ b/turmerichall/storage/tests/memory_files.py
@@ -58,6 +58,11 @@
             raise OSError(errno.EIO, "input/output error")
         self.content[name] = data
 
+    def remove(self, name: str) -> None:
+        if self.sync_fails:
+            raise OSError(errno.EIO, "input/output error")
+        self.content.pop(name, None)
+
     async def perform(self, work: Callable[[], T]) -> T:
         await trio.sleep(SYNC_SECONDS)
         return work()
