--- /dev/null
+++ b/turmerichall/operators/tests/in_process.py
@@ -0,0 +1,99 @@
+"""A client that calls the operators' application in this process."""
+
+from typing import Any, NamedTuple
+
+import msgspec
+import trio
+
+from turmerichall.operators import exchange
+from turmerichall.operators.tests import fake_daemon
+from turmerichall.telemetry import counters
+
+__all__ = ["Answer", "Client", "OPERATOR", "WORKER"]
+
+OPERATOR = {"authorization": "Bearer operators-key"}
+WORKER = {"authorization": "Bearer workers-key"}
+
+
+class Answer(NamedTuple):
+    """A response as a client sees it."""
+
+    status: int
+    document: Any
+    headers: dict[str, str]
+
+
+class Client:
+    """Calls an application on top of a fake daemon."""
+
+    def __init__(self) -> None:
+        self.daemon = fake_daemon.FakeDaemon()
+        self.counters = counters.Counters()
+        bounds = exchange.Bounds(max_body_bytes=4000)
+        self.app = self.daemon.application(self.counters, bounds)
+        self.operations = 0
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        stalls: bool = False,
+    ) -> Answer:
+        """Sends a request; with `stalls` its body never ends."""
+        path, _, query = target.partition("?")
+        self.operations += 1
+        fields = {"turmerichall-operation-id": f"op{self.operations}"}
+        fields |= OPERATOR if headers is None else headers
+        data = body if isinstance(body, bytes) else b""
+        if body is not None and not isinstance(body, bytes):
+            data = msgspec.json.encode(body)
+        encoded = [(n.encode(), v.encode()) for n, v in fields.items()]
+        return await self.send(
+            method, path, query.encode(), encoded, data, stalls
+        )
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        query: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        stalls: bool = False,
+    ) -> Answer:
+        """Sends a request as it is given."""
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "raw_path": path.encode("utf-8", "surrogatepass"),
+            "query_string": query,
+            "headers": headers,
+        }
+        events = [{"type": "http.request", "body": body, "more_body": stalls}]
+        sent: list[dict[str, Any]] = []
+
+        async def receive() -> dict[str, Any]:
+            if not events:
+                await trio.sleep_forever()
+            return events.pop()
+
+        async def note(event: dict[str, Any]) -> None:
+            sent.append(event)
+
+        await self.app(scope, receive, note)
+        answered = {n.decode(): v.decode() for n, v in sent[0]["headers"]}
+        text = sent[1]["body"]
+        if answered["content-type"] == "application/json":
+            text = msgspec.json.decode(text)
+        return Answer(sent[0]["status"], text, answered)
+
+    async def put(
+        self, path: str, body: Any, base_version: int = 0, **headers: str
+    ) -> Answer:
+        """Sets an entry."""
+        document = {"base_version": base_version, "body": body}
+        fields = OPERATOR | {k.replace("_", "-"): v for k, v in headers.items()}
+        return await self.call("PUT", path, document, fields)
--- a/turmerichall/operators/tests/test_any_document.py
+++ b/turmerichall/operators/tests/test_any_document.py
@@ -8,10 +8,8 @@
 import msgspec
 import trio
 
-from turmerichall.operators import exchange
-from turmerichall.operators.tests import fake_daemon
+from turmerichall.operators.tests import in_process
 from turmerichall.state import machine as machines
-from turmerichall.telemetry import counters
 
 _SIZE = {"processors": 1.5, "memory_mb": 100, "accelerators": 0}
 _TASK = {"task_id": "j1/0", "attempt": 1, "state": "running", "usage": _SIZE}
@@ -101,41 +99,6 @@
     return method, path, msgspec.json.encode(document)
 
 
-async def _status(
-    daemon: fake_daemon.FakeDaemon,
-    method: str,
-    path: str,
-    body: bytes,
-    query: bytes = b"",
-    headers: list[tuple[bytes, bytes]] | None = None,
-) -> int:
-    key = "workers-key" if "workers" in path else "operators-key"
-    fields = [
-        (b"authorization", f"Bearer {key}".encode()),
-        (b"turmerichall-operation-id", b"op1"),
-    ]
-    statuses: list[int] = []
-
-    async def receive() -> dict[str, Any]:
-        return {"type": "http.request", "body": body}
-
-    async def send(event: dict[str, Any]) -> None:
-        if "status" in event:
-            statuses.append(event["status"])
-
-    scope = {
-        "type": "http",
-        "method": method,
-        "path": path,
-        "raw_path": path.encode("utf-8", "surrogatepass"),
-        "query_string": query,
-        "headers": fields if headers is None else headers,
-    }
-    app = daemon.application(counters.Counters(), exchange.Bounds())
-    await app(scope, receive, send)
-    return statuses[0]
-
-
 class TestAnyDocument:
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
@@ -143,8 +106,12 @@
     def test_typed_answer_and_no_half_change(
         self, request: tuple[str, str, bytes]
     ) -> None:
-        daemon = fake_daemon.FakeDaemon()
-        status = trio.run(_status, daemon, *request)
+        method, path, body = request
+        client = in_process.Client()
+        daemon = client.daemon
+        workers = "workers" in path
+        key = in_process.WORKER if workers else in_process.OPERATOR
+        status = trio.run(client.call, method, path, body, key).status
         assert status in (200, 400, 404, 409)
         if status != 200:
             assert not daemon.machine.configuration.revision
@@ -182,8 +149,9 @@
         query: bytes,
         headers: list[tuple[bytes, bytes]],
     ) -> None:
-        daemon = fake_daemon.FakeDaemon()
-        status = trio.run(_status, daemon, method, path, b"", query, headers)
-        assert status in (200, 400, 401, 404)
+        client = in_process.Client()
+        daemon = client.daemon
+        answer = trio.run(client.send, method, path, query, headers, b"")
+        assert answer.status in (200, 400, 401, 404)
         if not path.endswith("/drain"):
             assert not daemon.machine.applied_index
--- /dev/null
+++ b/turmerichall/operators/tests/test_bad_requests.py
@@ -0,0 +1,228 @@
+"""Contract tests with fault cases: requests that change nothing."""
+
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from turmerichall import documents
+from turmerichall import resources
+from turmerichall.backend_servers import announcement
+from turmerichall.operators import application
+from turmerichall.operators.tests import in_process
+
+ANNOUNCEMENT = documents.to_plain(
+    announcement.Announcement(
+        "w1", 1, 1, "z1", "r1", "127.0.0.1:9", resources.Resources(8, 1000)
+    )
+)
+
+
+@pytest.fixture(name="client")
+def _client() -> in_process.Client:
+    return in_process.Client()
+
+
+class TestWorkers:
+
+    async def test_announce(self, client: in_process.Client) -> None:
+        path = "/v1/workers/announce"
+        answer = await client.call(
+            "POST", path, ANNOUNCEMENT, in_process.WORKER
+        )
+        assert (answer.status, answer.document["epoch"]) == (200, 3)
+        assert documents.to_plain(client.daemon.told[0]) == ANNOUNCEMENT
+
+    @pytest.mark.parametrize(
+        ("field", "value", "place"),
+        [
+            ("name", "a/b", "name"),
+            ("address", "nowhere", "address"),
+            ("sequence", -1, "sequence"),
+            ("epoch", 2**50, "epoch"),
+            ("epoch", 2**70, "body"),
+            ("slots", "8", "body"),
+            ("capacity", {"processors": -1}, "processors"),
+            ("tasks", [{"task_id": "t"}], "body"),
+            (
+                "tasks",
+                [{"task_id": "t" * 501, "attempt": 1, "state": "running"}],
+                "tasks[0].task_id",
+            ),
+        ],
+    )
+    async def test_findings(
+        self, client: in_process.Client, field: str, value: Any, place: str
+    ) -> None:
+        body = ANNOUNCEMENT | {field: value}
+        answer = await client.call(
+            "POST", "/v1/workers/announce", body, in_process.WORKER
+        )
+        assert answer.status == 400
+        assert answer.document["findings"][0]["place"] == place
+        assert not client.daemon.told
+
+
+class TestBadRequests:
+
+    @pytest.mark.parametrize(
+        ("method", "path", "body", "headers", "status", "error"),
+        [
+            ("GET", "/nothing", None, in_process.OPERATOR, 404, "unknown_name"),
+            ("POST", "/v1/status", None, in_process.OPERATOR, 400, "malformed"),
+            ("GET", "/v1/status", None, {}, 401, "unauthorized"),
+            ("GET", "/v1/status", None, in_process.WORKER, 401, "unauthorized"),
+            (
+                "GET",
+                "/v1/status",
+                None,
+                {"authorization": "Bearer é"},
+                401,
+                "unauthorized",
+            ),
+            (
+                "POST",
+                "/v1/workers/announce",
+                {},
+                in_process.OPERATOR,
+                401,
+                "unauthorized",
+            ),
+            (
+                "PUT",
+                "/v1/templates/r",
+                b"{",
+                in_process.OPERATOR,
+                400,
+                "malformed",
+            ),
+            (
+                "PUT",
+                "/v1/templates/r",
+                b"\xff",
+                in_process.OPERATOR,
+                400,
+                "malformed",
+            ),
+            (
+                "PUT",
+                "/v1/templates/r",
+                [],
+                in_process.OPERATOR,
+                400,
+                "malformed",
+            ),
+            (
+                "PUT",
+                "/v1/templates/r",
+                {"x": 1},
+                in_process.OPERATOR,
+                400,
+                "malformed",
+            ),
+            (
+                "POST",
+                "/v1/jobs",
+                {"tasks": "1"},
+                in_process.OPERATOR,
+                400,
+                "malformed",
+            ),
+            ("GET", "/v1/jobs/..", None, in_process.OPERATOR, 400, "malformed"),
+            (
+                "GET",
+                "/v1/jobs/j",
+                None,
+                in_process.OPERATOR,
+                404,
+                "unknown_name",
+            ),
+            (
+                "GET",
+                "/v1/jobs/a b",
+                None,
+                in_process.OPERATOR,
+                400,
+                "malformed",
+            ),
+            (
+                "GET",
+                "/v1/jobs?fresh=1",
+                None,
+                in_process.OPERATOR,
+                400,
+                "malformed",
+            ),
+            (
+                "GET",
+                "/" + "p" * 3000,
+                None,
+                in_process.OPERATOR,
+                413,
+                "too_large",
+            ),
+            (
+                "POST",
+                "/v1/jobs",
+                b"x" * 4001,
+                in_process.OPERATOR,
+                413,
+                "too_large",
+            ),
+            (
+                "GET",
+                "/v1/status",
+                None,
+                in_process.OPERATOR | {"x": "y" * 20000},
+                413,
+                "too_large",
+            ),
+            (
+                "GET",
+                "/v1/status",
+                None,
+                in_process.OPERATOR | {f"x{n}": "" for n in range(70)},
+                413,
+                "too_large",
+            ),
+            (
+                "POST",
+                "/v1/jobs",
+                {"customer": "c"},
+                in_process.OPERATOR | {"turmerichall-operation-id": ""},
+                400,
+                "malformed",
+            ),
+        ],
+    )
+    async def test_typed_error(
+        self,
+        client: in_process.Client,
+        method: str,
+        path: str,
+        body: Any,
+        headers: dict[str, str],
+        status: int,
+        error: str,
+    ) -> None:
+        answer = await client.call(method, path, body, headers)
+        assert (answer.status, answer.document["error"]) == (status, error)
+        assert answer.document["outcome"] == "not run"
+        assert not client.daemon.machine.applied_index
+        counted = client.counters.count_of("refusals", "operators", error)
+        assert counted == 1
+
+    async def test_slow_sender(
+        self, client: in_process.Client, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        del autojump_clock
+        answer = await client.call("POST", "/v1/jobs", b"{", stalls=True)
+        assert (answer.status, answer.document["error"]) == (408, "timeout")
+
+    async def test_overload(self, client: in_process.Client) -> None:
+        client.app.in_flight = application.MAX_REQUESTS_IN_FLIGHT
+        answer = await client.call("GET", "/v1/status")
+        assert (answer.status, answer.headers["retry-after"]) == (503, "1")
+        alive = await client.call("GET", "/healthz")
+        assert alive.status == 200
