Give an instance no part of a worker before it is listed

Cause: while a restarted instance replays the log it listed only itself, and so took the whole of every worker's limits; a joining one took its part at once, though others may not have heard of it. Now an unlisted instance has no part, the first list after a start gives the old part back without a wait (it was nobody else's), and a joining one waits. The daemon asks callers to close connections at the start of its notice instead of at its end.

--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -163,7 +163,7 @@
             self.directory,
             self.machine,
             self.network,
-            self.registration.zones,
+            self._listed_zones,
             self.counters,
             logs.Log("gateway"),
             gateway_limits.Limits(
@@ -176,6 +176,15 @@
             ),
         )
 
+    def _listed_zones(self) -> dict[str, str]:
+        """Returns the zone of each listed instance; empty before the replay.
+
+        This one is not added: an instance that is not listed, or doesn't know
+        the list yet, has no part of the workers' limits.
+        """
+        listed = self.machine.instances
+        return {name: entry.zone for name, entry in listed.items()}
+
     def _make_operators(self) -> operating.Application:
         announcements = announcing.Announcements(
             self.settings.instance.name,
@@ -241,8 +250,8 @@
     async def _drain(self) -> None:
         self.log.info("draining")
         self.readiness.draining = True
-        await trio.sleep(self.settings.timing.drain_notice_seconds)
         self.gateway.drain()
+        await trio.sleep(self.settings.timing.drain_notice_seconds)
         self.stop.set()
 
 
--- a/turmerichall/gateway/claims.py
+++ b/turmerichall/gateway/claims.py
@@ -107,7 +107,9 @@
 
     def update(self, members: Mapping[str, str], now: float) -> None:
         """Takes the list of entry instances in; call it often."""
-        if members != self.members:
+        if members and not self.members:
+            self.members = dict(members)
+        elif members != self.members:
             self.before = self.members
             self.before_until = now + HANDOVER_SECONDS
             self.members = dict(members)
@@ -174,6 +176,12 @@
                 "the id of a request that is not idempotent must be a UUID of"
                 " version 7",
             )
+        if not self.members:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.NOT_PROVABLY_SAFE,
+                f"{self.name} does not know the entry instances yet",
+                RETRY_AFTER_SECONDS,
+            )
         lists = [self.members, self.before] if self.before else [self.members]
         groups = [choose_keepers(text, read.zone, each) for each in lists]
         if not all(groups):
--- a/turmerichall/gateway/shares.py
+++ b/turmerichall/gateway/shares.py
@@ -96,6 +96,9 @@
             now: Current time, trio clock.
         """
         if members != self.members:
+            if not self.members and self.name in members:
+                self._adopt(members)
+                return
             if now >= self.gains_at:
                 self.before = self.members
             self.members = dict(members)
@@ -105,6 +108,15 @@
             self.before = self.members
             self.revision += 1
 
+    def _adopt(self, members: Mapping[str, str]) -> None:
+        """Takes the first list after a start, which has this instance.
+
+        Its part was its own before the start, and nobody else's since.
+        """
+        self.members = dict(members)
+        self.before = self.members
+        self.revision += 1
+
     def part(self, worker: str, zone: str, limit: int) -> int:
         """Returns what this instance may use of a worker's limit now.
 
--- a/turmerichall/gateway/tests/test_shares.py
+++ b/turmerichall/gateway/tests/test_shares.py
@@ -59,6 +59,22 @@
         gainer.update(MEMBERS, 100.0 + shares.GAIN_AFTER_SECONDS)
         assert gainer.part("w", "z3", 64) == new["i8"]
 
+    def test_restarted_instance_has_its_part_with_the_first_list(self) -> None:
+        restarted = shares.Shares("i0", {})
+        assert restarted.part("w", "z1", 64) == 0
+        restarted.update(MEMBERS, 100.0)
+        whole = shares.parts("w", "z1", 64, MEMBERS)
+        assert restarted.part("w", "z1", 64) == whole["i0"]
+
+    def test_joining_instance_waits_for_its_part(self) -> None:
+        fewer = {name: MEMBERS[name] for name in list(MEMBERS)[1:]}
+        joining = shares.Shares("i0", {})
+        joining.update(fewer, 100.0)
+        joining.update(MEMBERS, 101.0)
+        assert joining.part("w", "z1", 64) == 0
+        joining.update(MEMBERS, 101.0 + shares.GAIN_AFTER_SECONDS)
+        assert joining.part("w", "z1", 64) > 0
+
     def test_waiting_outlasts_a_loan(self) -> None:
         lapsed = lease.ended_after_seconds(loans.LOAN_SECONDS)
         assert shares.GAIN_AFTER_SECONDS > lapsed + 3.0
