--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,14 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: venv demo test check format bench-placement bench-requests bench-state bench-wire
+.PHONY: venv demo test check format bench-placement bench-requests bench-state bench-wire bench-capacity
 
 venv: $(VENV)/.ready
 
 $(VENV)/.ready: requirements.lock requirements-dev.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet -r requirements-dev.lock
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	$(BIN)/pip install -qq -r requirements-dev.lock
+	$(BIN)/pip install -qq --no-deps --no-build-isolation -e .
 	touch $@
 
 demo: venv
@@ -29,3 +29,6 @@
 
 bench-placement: venv
 	$(BIN)/python -m turmerichall.benchmarks.placement
+
+bench-capacity: venv
+	$(BIN)/python -m turmerichall.benchmarks.capacity --write docs/CAPACITY.md
