--- a/turmerichall/cli.py
+++ b/turmerichall/cli.py
@@ -21,7 +21,7 @@
 from turmerichall.command_line import settings_files
 from turmerichall.settings import values
 
-__all__ = ["main", "run", "turmerichall"]
+__all__ = ["main", "run", "turmerichall", "understand"]
 
 SERVERS_VARIABLE = "TURMERICHALL_SERVERS"
 CALLERS_VARIABLE = "TURMERICHALL_CALLERS"
@@ -133,26 +133,39 @@
         return "operator"
 
 
-def run(arguments: list[str]) -> int:
-    """Runs one command and returns its exit code.
+def understand(arguments: list[str]) -> commands.Command | None:
+    """Reads a command line without running anything.
 
     Args:
         arguments: Arguments of the command line.
 
     Returns:
-        The exit code.
+        The command; None if the arguments name none, or ask for help.
+
+    Raises:
+        InputError: The value of a flag is not what is expected.
+        FireExit: The arguments are not understood.
     """
     # `fire` shows help in a pager, which is another process, and would read
     # a name such as `007` as a number.
     fire.core.Display = _display
     fire.core.parser.DefaultParseValue = str
+    made = fire.Fire(turmerichall, arguments, "turmerichall", serialize=_shown)
+    return made if isinstance(made, commands.Command) else None
+
+
+def run(arguments: list[str]) -> int:
+    """Runs one command and returns its exit code.
+
+    Args:
+        arguments: Arguments of the command line.
+
+    Returns:
+        The exit code.
+    """
     try:
-        made = fire.Fire(
-            turmerichall, arguments, "turmerichall", serialize=_shown
-        )
-        if not isinstance(made, commands.Command):
-            return commands.ExitCode.USAGE
-        return made.run()
+        command = understand(arguments)
+        return commands.ExitCode.USAGE if command is None else command.run()
     except errors.InputError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
