--- a/turmerichall/settings/tests/test_reader.py
+++ b/turmerichall/settings/tests/test_reader.py
@@ -122,6 +122,11 @@
                 "seeds = a@10.0.0.1:1, a@10.0.0.2:1",
                 "d.ini:13 [peers] seeds: expected each name once",
             ),
+            (
+                "bootstrap = true",
+                "seeds = a@10.0.0.1:0",
+                "d.ini:13 [peers] seeds: expected a port above 0",
+            ),
             (
                 "workers = workers-key-of-tests",
                 "workers = hunter2",
@@ -189,3 +194,32 @@
                 reader.parse(tried, "d.ini")
             except errors.SettingsError as error:
                 assert error.findings
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(
+        strategies.sampled_from(
+            [
+                (section, key)
+                for section, schema in reader.SECTIONS.items()
+                for key in schema.keys
+            ]
+        ),
+        strategies.text(max_size=30)
+        | strategies.from_regex(r"[0-9.]{1,9} ?[a-zA-Z]{0,3}", fullmatch=True)
+        | strategies.from_regex(r"\[?[0-9a-f:.%]{2,20}\]?:[0-9]{1,6}"),
+    )
+    def test_any_value_is_read_or_found(
+        self, place: tuple[str, str], text: str
+    ) -> None:
+        section, key = place
+        lines = MINIMAL.splitlines()
+        kept = [line for line in lines if not line.startswith(f"{key} =")]
+        if f"[{section}]" not in kept:
+            kept.append(f"[{section}]")
+        kept.insert(kept.index(f"[{section}]") + 1, f"{key} = {text}")
+        try:
+            found = reader.parse("\n".join(kept), "d.ini")
+        except errors.SettingsError as error:
+            assert error.findings
+        else:
+            assert isinstance(hash(found), int)
--- a/turmerichall/settings/values.py
+++ b/turmerichall/settings/values.py
@@ -223,6 +223,8 @@
         instance, at_sign, where = item.partition("@")
         if not at_sign:
             raise ValueError(f"expected name@host:port, not {item!r}")
+        if where.endswith(":0"):
+            raise ValueError(f"expected a port above 0, not {item!r}")
         found.append(Seed(name(instance), address(where)))
     names = [seed.name for seed in found]
     for seed in found:
