Wait for an election before a command gives up

A change right after the leader was killed ended with no_quorum after 1 s, and an election takes longer. Instances that answer are asked for up to 5 s now; if none can be reached at all, the command ends after 0.5 s.

--- a/turmerichall/command_line/client.py
+++ b/turmerichall/command_line/client.py
@@ -16,8 +16,11 @@
 __all__ = ["Answer", "Client", "Lost", "Unreachable"]
 
 CONNECT_TIMEOUT_SECONDS = 2.0
-ROUNDS = 3
+# Long enough for an election of another leader.
+ROUNDS = 10
 PAUSE_SECONDS = 0.5
+# Instances that all refuse connections are not coming back in an election.
+UNREACHABLE_ROUNDS = 2
 # Another instance may do better: no quorum here, or not known what happened.
 _TRY_NEXT = (502, 503, 504)
 _UNKNOWN_STATUS = 504
@@ -86,6 +89,8 @@
                 if _is_final(outcome):
                     return outcome
                 seen.append(outcome)
+            if number + 1 >= UNREACHABLE_ROUNDS and not any(map(_weight, seen)):
+                break
         weightiest: Outcome = max(reversed(seen), key=_weight)
         return weightiest
 
--- a/turmerichall/command_line/tests/test_cli.py
+++ b/turmerichall/command_line/tests/test_cli.py
@@ -73,6 +73,7 @@
     with Listener(fake_daemon.FakeDaemon()) as listener:
         monkeypatch.setenv("TURMERICHALL_SERVERS", listener.address)
         monkeypatch.setenv("TURMERICHALL_KEY", fake_daemon.KEYS.operators)
+        monkeypatch.setattr(client, "PAUSE_SECONDS", 0.01)
         yield listener
 
 
@@ -151,6 +152,21 @@
             options = ("--server", servers)
             assert _run("template", "publish", "r", *PUBLISH, *options) == 0
 
+    def test_an_election_is_waited_for(
+        self, listener: Listener, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        daemon = listener.daemon
+        daemon.outcome = outcomes.Refusal(outcomes.RefusalReason.NO_QUORUM)
+        pauses: list[float] = []
+
+        def pause(seconds: float) -> None:
+            pauses.append(seconds)
+            if len(pauses) == client.ROUNDS - 1:
+                daemon.outcome = None
+
+        monkeypatch.setattr(client.time, "sleep", pause)
+        assert _run("template", "publish", "r", *PUBLISH) == 0
+
     @pytest.mark.parametrize(
         ("outcome", "code", "message"),
         [
