Run many random histories by a command; ask again to be taken in

Ruled out: a fault of elections, the others had a leader and went on. Change: a replica that is no member and hears no leader asks again.

--- a/turmerichall/agreement/membership.py
+++ b/turmerichall/agreement/membership.py
@@ -62,11 +62,21 @@
             member.learn_addresses(shared.network, shared.members)
             if shared.role == agreement_shared.Role.LEADER:
                 await self._take_step()
+            elif self._is_forgotten():
+                await self._found_or_join()
+                await trio.sleep(period)
             await shared.work.until(
                 functools.partial(shared.members_differ, shared.members),
                 trio.current_time() + period / 2,
             )
 
+    def _is_forgotten(self) -> bool:
+        """Tells whether a step that took this disk in may have been lost."""
+        shared = self.shared
+        own = member.find(shared.members, shared.identity)
+        silence = trio.current_time() - shared.heard_at
+        return own is None and silence > shared.timing.election_seconds
+
     async def _found_or_join(self) -> bool:
         names = set(self.bootstrap) | set(self.shared.network.addresses)
         names.discard(self.shared.name)
@@ -79,6 +89,7 @@
             await self._ask_to_join(found)
             return False
         first = min(self.bootstrap, default="") == self.shared.name
+        first = first and not self.shared.cluster
         identities = {self.shared.name: self.shared.identity}
         for name, answer in answers.items():
             if answer is not None and answer.identity:
--- a/turmerichall/agreement/replication.py
+++ b/turmerichall/agreement/replication.py
@@ -74,10 +74,10 @@
                 for other in shared.members
                 if other.identity != shared.identity
             }
-            for identity in set(scopes) - set(members):
+            for identity in [each for each in scopes if each not in members]:
                 scopes.pop(identity).cancel()
                 shared.progress.pop(identity, None)
-            for identity in set(members) - set(scopes):
+            for identity in [each for each in members if each not in scopes]:
                 scopes[identity] = trio.CancelScope()
                 now = trio.current_time()
                 shared.progress[identity] = agreement_shared.Progress(
--- a/turmerichall/agreement/tests/test_membership.py
+++ b/turmerichall/agreement/tests/test_membership.py
@@ -162,6 +162,27 @@
             assert len(made.values(name)) == 101
         nursery.cancel_scope.cancel()
 
+    async def test_disk_whose_joining_was_lost_asks_again(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        made, leader = await _started(nursery, size=5)
+        await made.put(leader, "k=1")
+        await made.settled("k=1")
+        lost, *rest = _others(made, leader)
+        old = _voters(made, leader)[lost]
+        made.kill(lost)
+        made.wipe(lost)
+        for name in (leader, lost):
+            made.hub.isolate(name, set(rest))
+        again = await made.start(lost)
+        await made.until(lambda: again.status().members != ())
+        new = await made.leader(set(rest))
+        await made.put(new, "k=2")
+        made.hub.heal()
+        await _replaced(made, lost, old)
+        await made.settled("k=2")
+        nursery.cancel_scope.cancel()
+
     async def test_five_members_lose_two_disks_at_once(
         self, nursery: trio.Nursery, autojump_clock: Clock
     ) -> None:
--- /dev/null
+++ b/turmerichall/benchmarks/history.py
@@ -0,0 +1,53 @@
+"""Runs many random histories of operations and faults.
+
+python -m turmerichall.benchmarks.history --seeds 100
+"""
+
+import multiprocessing
+import time
+
+import fire
+
+from turmerichall.agreement.tests import history_run
+
+__all__ = ["main"]
+
+
+def _run(arguments: tuple[int, int]) -> history_run.Report:
+    seed, steps = arguments
+    return history_run.run(seed, steps)
+
+
+def main(
+    seeds: int = 100, steps: int = 500, first: int = 1000, processes: int = 4
+) -> None:
+    """Prints what was found, and fails if anything was.
+
+    Args:
+        seeds: How many histories.
+        steps: Operations and faults in each.
+        first: The first seed; those below 1000 are left to the tests.
+        processes: How many histories to run at once.
+    """
+    started = time.monotonic()
+    work = [(first + number, steps) for number in range(seeds)]
+    with multiprocessing.Pool(processes) as pool:
+        reports = pool.map(_run, work, chunksize=1)
+    faulty = [report for report in reports if report.findings]
+    for report in faulty:
+        print(f"seed {report.seed}: {report.findings[:5]}")
+    calls = sum(report.calls for report in reports)
+    attempts = sum(report.attempts for report in reports)
+    faults = sum(report.faults for report in reports)
+    seconds = time.monotonic() - started
+    print(
+        f"{seeds} seeds from {first}, {seeds * steps} steps, {calls} calls,"
+        f" {attempts} attempts, {faults} faults, {len(faulty)} with findings,"
+        f" {seconds:.0f} s"
+    )
+    if faulty:
+        raise SystemExit(1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
