--- a/turmerichall/placement/interference.py
+++ b/turmerichall/placement/interference.py
@@ -22,6 +22,10 @@
 # Variance that a coefficient regains for each second without a sample.
 AGEING_PER_SECOND = 2e-5
 MAX_SURPRISE = 1.5
+PRIOR_STRENGTH = 0.5
+PRIOR_VARIANCE = 0.5
+PRIOR_LOAD = 0.2
+PRIOR_LOAD_VARIANCE = 0.09
 
 
 class Situation(NamedTuple):
@@ -61,6 +65,9 @@
     def added(self, victim: str, neighbour: str) -> float:
         """Returns the excess that one whole worker's use would add."""
 
+    def surely_added(self, victim: str, neighbour: str) -> float:
+        """Returns the part of `added` that samples leave little doubt of."""
+
 
 class Coefficient:
     """A mean with its variance."""
@@ -98,6 +105,11 @@
         del victim, neighbour
         return 0.0
 
+    def surely_added(self, victim: str, neighbour: str) -> float:
+        """Returns no slowdown."""
+        del victim, neighbour
+        return 0.0
+
 
 class TemplateEstimator:
     """Gives each template one strength, whoever its neighbours are.
@@ -115,12 +127,14 @@
         """Returns the coefficients of a situation and their factors."""
         load = self.loads.get(asked.victim)
         if load is None:
-            load = self.loads[asked.victim] = Coefficient(0.2, 0.09)
+            load = self.loads[asked.victim] = Coefficient(
+                PRIOR_LOAD, PRIOR_LOAD_VARIANCE
+            )
         found = [(load, asked.load * asked.load)]
         for template, share in asked.neighbours:
             strength = self.strengths.get(template)
             if strength is None:
-                strength = Coefficient(0.5, 0.5)
+                strength = Coefficient(PRIOR_STRENGTH, PRIOR_VARIANCE)
                 self.strengths[template] = strength
             found.append((strength, share))
         return found
@@ -154,7 +168,15 @@
         """Returns the excess that one whole worker's use would add."""
         del victim
         strength = self.strengths.get(neighbour)
-        return 0.5 if strength is None else strength.mean
+        return PRIOR_STRENGTH if strength is None else strength.mean
+
+    def surely_added(self, victim: str, neighbour: str) -> float:
+        """Returns the part of `added` that samples leave little doubt of."""
+        del victim
+        strength = self.strengths.get(neighbour)
+        if strength is None:
+            return 0.0
+        return max(0.0, strength.mean - math.sqrt(strength.variance))
 
 
 class PairEstimator(TemplateEstimator):
@@ -178,7 +200,7 @@
             key = (asked.victim, template)
             pair = self.pairs.get(key)
             if pair is None:
-                pair = self.pairs[key] = Coefficient(0.0, 0.5)
+                pair = self.pairs[key] = Coefficient(0.0, PRIOR_VARIANCE)
             found.append((pair, share))
         return found
 
@@ -187,3 +209,12 @@
         found = super().added(victim, neighbour)
         pair = self.pairs.get((victim, neighbour))
         return found if pair is None else found + pair.mean
+
+    def surely_added(self, victim: str, neighbour: str) -> float:
+        """Returns the part of `added` that samples leave little doubt of."""
+        strength = self.strengths.get(neighbour)
+        pair = self.pairs.get((victim, neighbour))
+        if strength is None or pair is None:
+            return 0.0
+        deviation = math.sqrt(strength.variance + pair.variance)
+        return max(0.0, strength.mean + pair.mean - deviation)
--- a/turmerichall/placement/scoring.py
+++ b/turmerichall/placement/scoring.py
@@ -15,8 +15,8 @@
 CROWDED_COST = 2.0
 # Brings shares of a worker's processors to the scale of whole tasks.
 WORK_FACTOR = 10.0
-# A task is not added where its neighbours lose more than this share of what
-# it gains.
+# A task is not added where its neighbours surely lose more than this share of
+# what it gains.
 MAX_LOST_SHARE = 0.5
 ACCELERATOR_COST = 1.0
 DRAIN_COST = 2.0
@@ -149,13 +149,17 @@
         estimator = self.fleet.estimator
         cost = 0.0
         lost_work = 0.0
+        surely_lost = 0.0
         for held in known.held.values():
             victim = held.task.template
             added = share * estimator.added(victim, task.template)
             added = max(0.0, added) + 0.2 * load_step
             before = excess.get(victim, 0.0)
             if not held.task.service:
-                lost_work += added * held.use / capacity / (1 + before) ** 2
+                weight = held.use / capacity / (1 + before) ** 2
+                lost_work += added * weight
+                sure = estimator.surely_added(victim, task.template)
+                surely_lost += share * sure * weight
                 continue
             if not task.service:
                 if excess.get(victim + "+", 0.0) + added > margin:
@@ -165,7 +169,7 @@
         own = self._own_excess(task, known)
         if task.service:
             return cost + self.weights.latency * (own * own + 0.2 * own)
-        if lost_work > MAX_LOST_SHARE * share / (1 + own):
+        if surely_lost > MAX_LOST_SHARE * share / (1 + own):
             return None
         lost_work += own * share
         return cost + self.weights.throughput * WORK_FACTOR * lost_work
