Keep the addresses that settings name

Cause: agreement set the addresses of members as bootstrapped, registration set those that the list shows; where the two differ (through a proxy, or another interface) each undid the other every second, and every connection between daemons closed with it: 1231 closed connections on one daemon in 130 s of the rolling upgrade, and 59 requests refused since their keepers were unreachable.

Change: an address that the settings name is kept; the list adds the others.

--- a/turmerichall/instances/registration.py
+++ b/turmerichall/instances/registration.py
@@ -41,6 +41,7 @@
         machine: The replicated state.
         changes: Submits changes.
         network: Connections to the other instances.
+        named: Instances whose addresses the settings name; they keep those.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self.machine = machine
         self.changes = submitter
         self.network = network
+        self.named = frozenset(network.addresses)
         self.log = logs.Log("instances")
 
     def zones(self) -> dict[str, str]:
@@ -67,7 +69,7 @@
     async def run(self) -> None:
         """Registers whenever the list does not say what is true."""
         while True:
-            self._learn_addresses()
+            self.learn_addresses()
             if self.machine.instances.get(self.own.name) != self.own:
                 await self._register()
             await trio.sleep(CHECK_SECONDS)
@@ -77,10 +79,11 @@
         if isinstance(result, changes.Result):
             self.log.info("registered", zone=self.own.zone)
 
-    def _learn_addresses(self) -> None:
+    def learn_addresses(self) -> None:
+        """Takes in the listed addresses of instances that settings omit."""
         known = dict(self.network.addresses)
         for name, entry in self.machine.instances.items():
-            if name != self.own.name:
+            if name != self.own.name and name not in self.named:
                 known[name] = entry.peers
         if known != self.network.addresses:
             self.network.set_addresses(known)
