--- a/turmerichall/tests/standins/worker.py
+++ b/turmerichall/tests/standins/worker.py
@@ -107,6 +107,7 @@
         self.authority = ""
         self._pool = httpcore.AsyncConnectionPool(max_connections=8)
         self._next_entry = 0
+        self._last_answer: tuple[str, bool, int, str] | None = None
 
     async def run(self) -> None:
         """Runs until SIGTERM has been obeyed."""
@@ -173,6 +174,7 @@
         """Announces once, to the authority or else to the next entry."""
         target = self.authority or self._entry()
         reply = await self._exchange(target)
+        self._note_answer(target, reply)
         if reply is None or not reply.accepted:
             self.authority = ""
             self._next_entry += 1
@@ -184,6 +186,23 @@
             self.app.changed.set()
         return True
 
+    def _note_answer(
+        self, target: str, reply: announcement.Reply | None
+    ) -> None:
+        """Records who answers announcements, when that changes."""
+        told = reply or announcement.Reply(False, detail="no answer")
+        answer = (target, told.accepted, told.epoch, told.detail)
+        if answer != self._last_answer:
+            self._last_answer = answer
+            self.record.write(
+                "announcement_answered",
+                target=target,
+                accepted=told.accepted,
+                epoch=told.epoch,
+                detail=told.detail,
+                authority=told.authority_address,
+            )
+
     def _entry(self) -> str:
         entries = self.settings.entries
         return entries[self._next_entry % len(entries)]
