Let a learner ask again too when no leader is heard

Ruled out: asking as a voter; a voter campaigns. Change: whoever does not vote and hears no leader asks again.

--- a/turmerichall/agreement/membership.py
+++ b/turmerichall/agreement/membership.py
@@ -75,7 +75,8 @@
         shared = self.shared
         own = member.find(shared.members, shared.identity)
         silence = trio.current_time() - shared.heard_at
-        return own is None and silence > shared.timing.election_seconds
+        counts = own is not None and own.voter
+        return not counts and silence > shared.timing.election_seconds
 
     async def _found_or_join(self) -> bool:
         names = set(self.bootstrap) | set(self.shared.network.addresses)
