--- a/turmerichall/gateway/application.py
+++ b/turmerichall/gateway/application.py
@@ -25,10 +25,12 @@
 from turmerichall.gateway import shares as sharing
 from turmerichall.gateway import watch as watching
 from turmerichall.state import configuration as configurations
+from turmerichall.telemetry import logs
 
 __all__ = ["Application", "Members"]
 
 PART = "gateway"
+MAX_LOGGED_PER_SECOND = 100
 CLOSE = (b"connection", b"close")
 MEMBERS_PERIOD_SECONDS = 0.5
 
@@ -97,6 +99,8 @@
         self.members = members
         self.counters = counters
         self.log = log
+        # Refusing is cheap, so refusals may come faster than a log takes them.
+        self.unanswered_log = logs.Sparse(log, MAX_LOGGED_PER_SECOND)
         self.limits = limits
         self.in_flight = 0
         self.draining = False
@@ -222,6 +226,7 @@
                 await self._pass_on(ended, send)
             finally:
                 self.dispatcher.close(ended)
+                self._log_answer(ended)
         else:
             await self._tell(ended, request.request_id, send)
 
@@ -251,6 +256,18 @@
         if exchange.whole:
             await send(_body(b""))
 
+    def _log_answer(self, exchange: exchanges.Exchange) -> None:
+        request = exchange.request
+        self.log.info(
+            "request answered" if exchange.whole else "answer cut off",
+            request_id=request.request_id.decode("latin-1"),
+            customer=request.customer,
+            service=request.service,
+            backend_server=exchange.pool.told.name,
+            status=exchange.status,
+            seconds=round(trio.current_time() - exchange.began_at, 4),
+        )
+
     def _count(
         self, ended: outcomes.Refusal | outcomes.Unknown | claiming.Duplicate
     ) -> None:
@@ -270,6 +287,13 @@
     ) -> None:
         self._count(ended)
         said = answers.document(ended, request_id)
+        self.unanswered_log.info(
+            "request not answered",
+            request_id=said.request_id,
+            outcome=said.outcome.value,
+            reason=said.reason,
+            detail=said.detail,
+        )
         body = answers.encode(said)
         headers = answers.headers(said, body)
         if self.draining:
--- a/turmerichall/gateway/fleet.py
+++ b/turmerichall/gateway/fleet.py
@@ -18,6 +18,8 @@
 __all__ = ["Fleet"]
 
 NO_SERVER_RETRY_SECONDS = 1.0
+# An instance that has just started may not have heard of all servers yet.
+DISCOVERY_SECONDS = 3.0
 # A request that is not idempotent tries an ejected server only this much
 # later than one that can be sent again if the server still fails.
 PROBE_ONCE_AFTER_SECONDS = 5.0
@@ -31,6 +33,7 @@
         shares: This instance's parts of their limits.
         selector: Chooses among those with room.
         pools: Pool of each backend server by name.
+        discovered_at: Until when requests wait for servers to be heard of.
         has_settled: Tells whether slots lent before a restart are back.
     """
 
@@ -48,6 +51,7 @@
         self.limits = limits
         self.has_settled = has_settled
         self.pools: dict[str, pools.Pool] = {}
+        self.discovered_at = trio.current_time() + DISCOVERY_SECONDS
 
     def choose(
         self, request: requests.Request, tried: frozenset[str]
@@ -59,11 +63,13 @@
             tried: Servers to avoid if others run the service.
 
         Returns:
-            The slot; None if all suitable slots are filled; or a refusal if no
-            server runs the service.
+            The slot; None if all suitable slots are filled, or no server may
+            have been heard of yet; or a refusal if none runs the service.
         """
         now = trio.current_time()
         serving = self.serving(request.customer, request.service, now)
+        if not serving and now < self.discovered_at:
+            return None
         if not serving:
             return outcomes.Refusal(
                 outcomes.RefusalReason.NO_BACKEND_SERVER,
--- a/turmerichall/gateway/tests/test_application.py
+++ b/turmerichall/gateway/tests/test_application.py
@@ -28,6 +28,36 @@
         assert backend.request_ids == [b"r1"]
 
 
+class TestStart:
+
+    async def test_request_waits_until_servers_are_heard_of(
+        self, world: Any
+    ) -> None:
+        backend = await world.backend("w1")
+        caller = await world.caller()
+        answers: list[Any] = []
+
+        async def send() -> None:
+            answers.append(await caller.send(turmerichall_idempotent="true"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            admission = caller.gateway.application.dispatcher.admission
+            await world.until(lambda: admission.waiting == 1)
+            caller.gateway.hear(backend)
+        assert answers[0].status == 200
+
+    async def test_later_a_missing_server_is_told_at_once(
+        self, world: Any
+    ) -> None:
+        caller = await world.caller()
+        caller.gateway.application.fleet.discovered_at = 0.0
+        answer = await caller.send(turmerichall_idempotent="true")
+        document = msgspec.json.decode(answer.content)
+        assert document["reason"] == "no_backend_server"
+        assert dict(answer.headers)[b"retry-after"] == b"1"
+
+
 class TestRefusedHead:
 
     @pytest.mark.parametrize(
