--- a/turmerichall/telemetry/logs.py
+++ b/turmerichall/telemetry/logs.py
@@ -10,7 +10,7 @@
 import enum
 import sys
 import time
-from typing import IO
+from typing import IO, Protocol
 
 import eliot
 
@@ -81,6 +81,13 @@
         )
 
 
+class Sink(Protocol):
+    """Where `Sparse` writes; a `Log` is one."""
+
+    def info(self, message: str, **fields: object) -> None:
+        """Writes a message about ordinary work."""
+
+
 class Sparse:
     """A log that writes a bounded number of messages a second.
 
@@ -94,7 +101,7 @@
 
     def __init__(
         self,
-        log: Log,
+        log: Sink,
         per_second: int,
         clock: Callable[[], float] = time.monotonic,
     ):
