--- a/turmerichall/placement/eviction.py
+++ b/turmerichall/placement/eviction.py
@@ -253,7 +253,7 @@
                 pair = self.fleet.estimator.added(
                     other.task.template, held.task.template
                 )
-                added += max(0.0, pair) * share + 0.1 * share
+                added += pair.mean * share + 0.1 * share
         return added
 
     def _remaining(self, held: occupancy.Held, now: float) -> float:
--- a/turmerichall/placement/interference.py
+++ b/turmerichall/placement/interference.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple, Protocol
 
 __all__ = [
+    "Added",
     "Estimate",
     "Estimator",
     "NoEstimator",
@@ -53,6 +54,21 @@
         return self.excess + deviations * math.sqrt(self.variance)
 
 
+class Added(NamedTuple):
+    """Excess slowdown that a neighbour adds per whole worker that it uses.
+
+    Attributes:
+        mean: The expected excess.
+        sure: The part of it that samples leave little doubt of.
+    """
+
+    mean: float
+    sure: float
+
+
+UNKNOWN = Added(PRIOR_STRENGTH, 0.0)
+
+
 class Estimator(Protocol):
     """Learns and estimates excess slowdown."""
 
@@ -62,12 +78,9 @@
     def estimate(self, asked: Situation) -> Estimate:
         """Estimates the excess slowdown of a situation."""
 
-    def added(self, victim: str, neighbour: str) -> float:
+    def added(self, victim: str, neighbour: str) -> Added:
         """Returns the excess that one whole worker's use would add."""
 
-    def surely_added(self, victim: str, neighbour: str) -> float:
-        """Returns the part of `added` that samples leave little doubt of."""
-
 
 class Coefficient:
     """A mean with its variance."""
@@ -100,15 +113,10 @@
         del asked
         return Estimate(0.0, 0.0)
 
-    def added(self, victim: str, neighbour: str) -> float:
+    def added(self, victim: str, neighbour: str) -> Added:
         """Returns no slowdown."""
         del victim, neighbour
-        return 0.0
-
-    def surely_added(self, victim: str, neighbour: str) -> float:
-        """Returns no slowdown."""
-        del victim, neighbour
-        return 0.0
+        return Added(0.0, 0.0)
 
 
 class TemplateEstimator:
@@ -164,19 +172,13 @@
             variance += coefficient.variance * factor * factor
         return Estimate(max(0.0, excess), variance)
 
-    def added(self, victim: str, neighbour: str) -> float:
+    def added(self, victim: str, neighbour: str) -> Added:
         """Returns the excess that one whole worker's use would add."""
         del victim
         strength = self.strengths.get(neighbour)
-        return PRIOR_STRENGTH if strength is None else strength.mean
-
-    def surely_added(self, victim: str, neighbour: str) -> float:
-        """Returns the part of `added` that samples leave little doubt of."""
-        del victim
-        strength = self.strengths.get(neighbour)
         if strength is None:
-            return 0.0
-        return max(0.0, strength.mean - math.sqrt(strength.variance))
+            return UNKNOWN
+        return _added(strength.mean, strength.variance)
 
 
 class PairEstimator(TemplateEstimator):
@@ -204,17 +206,15 @@
             found.append((pair, share))
         return found
 
-    def added(self, victim: str, neighbour: str) -> float:
+    def added(self, victim: str, neighbour: str) -> Added:
         """Returns the excess that one whole worker's use would add."""
-        found = super().added(victim, neighbour)
         pair = self.pairs.get((victim, neighbour))
-        return found if pair is None else found + pair.mean
+        if pair is None:
+            return super().added(victim, neighbour)
+        strength = self.strengths[neighbour]
+        mean = strength.mean + pair.mean
+        return _added(mean, strength.variance + pair.variance)
 
-    def surely_added(self, victim: str, neighbour: str) -> float:
-        """Returns the part of `added` that samples leave little doubt of."""
-        strength = self.strengths.get(neighbour)
-        pair = self.pairs.get((victim, neighbour))
-        if strength is None or pair is None:
-            return 0.0
-        deviation = math.sqrt(strength.variance + pair.variance)
-        return max(0.0, strength.mean + pair.mean - deviation)
+
+def _added(mean: float, variance: float) -> Added:
+    return Added(max(0.0, mean), max(0.0, mean - math.sqrt(variance)))
--- a/turmerichall/placement/occupancy.py
+++ b/turmerichall/placement/occupancy.py
@@ -82,7 +82,7 @@
         held: What it holds, by task id.
         free: Capacity less everything held.
         pressing: Processors that its tasks are expected to use, by template.
-        services: Service tasks that it holds.
+        services: Number of service tasks that it holds, by template.
         service_processors: Processors held by service tasks.
         past: Who ran there and when, for late reports.
         version: Grows with each change.
@@ -94,7 +94,7 @@
         self.held: dict[str, Held] = {}
         self.free = view.capacity
         self.pressing: dict[str, float] = {}
-        self.services = 0
+        self.services: dict[str, int] = {}
         self.service_processors = 0.0
         self.past = history.History()
         self.version = 0
@@ -165,5 +165,9 @@
         else:
             self.pressing.pop(template, None)
         if held.task.service:
-            self.services += sign
+            count = self.services.get(template, 0) + sign
+            if count:
+                self.services[template] = count
+            else:
+                del self.services[template]
             self.service_processors += sign * held.size.processors
--- a/turmerichall/placement/scoring.py
+++ b/turmerichall/placement/scoring.py
@@ -13,6 +13,8 @@
 # Above this share of a service on one worker its loss would be felt.
 MAX_WORKER_SHARE = 0.12
 CROWDED_COST = 2.0
+# Excess slowdown expected of a step of the squared load.
+LOAD_FACTOR = 0.2
 # Brings shares of a worker's processors to the scale of whole tasks.
 WORK_FACTOR = 10.0
 # A task is not added where its neighbours surely lose more than this share of
@@ -150,22 +152,22 @@
         cost = 0.0
         lost_work = 0.0
         surely_lost = 0.0
-        for held in known.held.values():
-            victim = held.task.template
-            added = share * estimator.added(victim, task.template)
-            added = max(0.0, added) + 0.2 * load_step
+        load_cost = LOAD_FACTOR * load_step
+        for victim, use in known.pressing.items():
+            effect = estimator.added(victim, task.template)
+            added = share * effect.mean + load_cost
             before = excess.get(victim, 0.0)
-            if not held.task.service:
-                weight = held.use / capacity / (1 + before) ** 2
+            count = known.services.get(victim, 0)
+            if not count:
+                weight = use / capacity / (1 + before) ** 2
                 lost_work += added * weight
-                sure = estimator.surely_added(victim, task.template)
-                surely_lost += share * sure * weight
+                surely_lost += share * effect.sure * weight
                 continue
             if not task.service:
                 if excess.get(victim + "+", 0.0) + added > margin:
                     return None
             squares = (before + added) ** 2 - before**2
-            cost += self.weights.latency * (squares + 0.2 * added)
+            cost += self.weights.latency * count * (squares + 0.2 * added)
         own = self._own_excess(task, known)
         if task.service:
             return cost + self.weights.latency * (own * own + 0.2 * own)
