Give a task up for failures on several workers only; let tasks stop in time

Change: failures count by different workers, 3 of them, or 12 in all; the authority adds 2 s in which a worker stops a task, part of the workers' contract. The end of what earlier holders may renew is kept with the epoch. Ruled out for the first: waiting for quarantine alone, which a fleet of few workers may refuse.

--- a/turmerichall/jobs/job.py
+++ b/turmerichall/jobs/job.py
@@ -8,6 +8,8 @@
 __all__ = ["Decision", "Job", "JobState", "Task", "TaskState", "task_id"]
 
 MAX_DECISIONS_PER_JOB = 60
+MAX_FAILED_WORKERS = 3
+MAX_FAILURES = 12
 
 
 class TaskState(enum.StrEnum):
@@ -62,6 +64,7 @@
         held: The lease, while running or evicting.
         checkpoint: Last checkpoint that the worker reported, or empty.
         failures: Attempts that ended in failure.
+        failed_on: Different workers that an attempt failed on.
     """
 
     task_id: str
@@ -72,6 +75,26 @@
     held: lease.Lease | None = None
     checkpoint: str = ""
     failures: int = 0
+    failed_on: tuple[str, ...] = ()
+
+    def with_failure(self) -> "Task":
+        """Returns the task with one failure more, on its present worker."""
+        workers = dict.fromkeys(self.failed_on)
+        if self.held is not None:
+            workers[self.held.worker] = None
+        return self._replace(
+            failures=self.failures + 1, failed_on=tuple(workers)
+        )
+
+    def is_given_up(self) -> bool:
+        """Tells whether the failures show that the task itself is at fault.
+
+        A worker may fail everything that it starts, so failures on one worker
+        count once, unless there are very many.
+        """
+        if self.failures >= MAX_FAILURES:
+            return True
+        return len(self.failed_on) >= MAX_FAILED_WORKERS
 
 
 class Job(NamedTuple):
--- a/turmerichall/leases/lease.py
+++ b/turmerichall/leases/lease.py
@@ -11,11 +11,15 @@
 __all__ = [
     "DRIFT_RATIO",
     "LEASE_SECONDS",
+    "STOP_SECONDS",
     "Lease",
     "ended_after_seconds",
+    "task_ended_after_seconds",
 ]
 
 LEASE_SECONDS = 15.0
+# A worker has stopped a task at most this long after its lease ran out.
+STOP_SECONDS = 2.0
 # Two clocks that measure the same duration differ by at most this ratio.
 DRIFT_RATIO = 0.01
 
@@ -50,3 +54,13 @@
         True
     """
     return lease_seconds * (1 + DRIFT_RATIO) / (1 - DRIFT_RATIO)
+
+
+def task_ended_after_seconds() -> float:
+    """Returns how long after the last anchor a task has provably stopped.
+
+    Examples:
+        >>> task_ended_after_seconds() > LEASE_SECONDS + STOP_SECONDS
+        True
+    """
+    return ended_after_seconds(LEASE_SECONDS + STOP_SECONDS)
--- a/turmerichall/state/ledger.py
+++ b/turmerichall/state/ledger.py
@@ -7,7 +7,6 @@
 
 __all__ = ["Ledger"]
 
-MAX_FAILURES = 3
 MAX_ENDED_JOBS = 20_000
 
 _LIVE = (job.TaskState.RUNNING, job.TaskState.EVICTING)
@@ -194,20 +193,17 @@
         )
 
     def _end_one(self, task: job.Task, end: changes.End) -> None:
-        failed = end.ending == changes.Ending.FAILED
-        failures = task.failures + 1 if failed else task.failures
+        if end.ending == changes.Ending.FAILED:
+            task = task.with_failure()
         self.put(
             task._replace(
-                state=self._state_after(task, end, failures),
+                state=self._state_after(task, end),
                 held=None,
                 checkpoint=end.checkpoint or task.checkpoint,
-                failures=failures,
             )
         )
 
-    def _state_after(
-        self, task: job.Task, end: changes.End, failures: int
-    ) -> job.TaskState:
+    def _state_after(self, task: job.Task, end: changes.End) -> job.TaskState:
         held = self.jobs.get(job_of(task.task_id))
         if held is None:
             return job.TaskState.WAITING
@@ -215,7 +211,7 @@
             return job.TaskState.FINISHED
         if held.cancelled or end.ending == changes.Ending.CANCELLED:
             return job.TaskState.CANCELLED
-        if failures >= MAX_FAILURES:
+        if task.is_given_up():
             return job.TaskState.FAILED
         return job.TaskState.WAITING
 
--- a/turmerichall/state/tests/test_machine.py
+++ b/turmerichall/state/tests/test_machine.py
@@ -88,6 +88,21 @@
         assert task.checkpoint == "half"
         assert _apply(made, _end(1, changes.Ending.FINISHED)).refused
 
+    def test_failures_on_one_worker_do_not_end_a_task(self) -> None:
+        made = _with_job()
+        for attempt in range(1, 6):
+            _apply(made, _start(attempt))
+            _apply(made, _end(attempt, changes.Ending.FAILED))
+        assert made.ledger.tasks["j1/0"].state == job.TaskState.WAITING
+
+    def test_failures_on_different_workers_end_it(self) -> None:
+        made = _with_job()
+        for attempt in range(1, 4):
+            start = changes.Start("j1/0", attempt, f"w{attempt}", 1)
+            _apply(made, changes.StartTasks("z1", 1, 2.0, [start]))
+            _apply(made, _end(attempt, changes.Ending.FAILED))
+        assert made.ledger.tasks["j1/0"].state == job.TaskState.FAILED
+
     def test_snapshot_keeps_everything(self) -> None:
         made = _with_job()
         _apply(made, _start(1))
--- a/turmerichall/zones/placing.py
+++ b/turmerichall/zones/placing.py
@@ -243,6 +243,9 @@
         took_at = self.holder.took_at
         if self.book is None or self.book.epoch != self.holder.held_epoch:
             self.book = worker_book.WorkerBook(self.holder.held_epoch, took_at)
+            hold = lease.ended_after_seconds(authority.CUT_OFF_HOLD_SECONDS)
+            waits = bool(self.holder.earlier_holders())
+            self.earlier_end_at = took_at + hold if waits else took_at
         self.feed = planner_feed.PlannerFeed(
             self.machine, self.zone, self.make_planner(), trio.current_time()
         )
@@ -252,9 +255,6 @@
             self.feed.planner.put_worker(view)
         self.ends = {}
         self.throttles = {}
-        hold = lease.ended_after_seconds(authority.CUT_OFF_HOLD_SECONDS)
-        waits = bool(self.holder.earlier_holders())
-        self.earlier_end_at = took_at + hold if waits else took_at
 
     def _stand_down(self) -> None:
         self.book = None
@@ -341,11 +341,10 @@
     def _lease_end(self, task: job.Task, worker: str) -> float:
         assert self.book is not None
         earlier = self.earlier_end_at
-        if not self.holder.earlier_holders():
-            earlier = min(earlier, trio.current_time())
-        elif not self.machine.ledger.is_batch(task):
+        if self.holder.earlier_holders():
             # An earlier holder may renew leases of services without limit.
-            earlier = math.inf
+            if not self.machine.ledger.is_batch(task):
+                earlier = math.inf
         return self.book.leases_end_at(worker, earlier)
 
     def note_stopped(self, holder: str) -> None:
--- a/turmerichall/zones/tests/test_placing.py
+++ b/turmerichall/zones/tests/test_placing.py
@@ -23,7 +23,7 @@
 from turmerichall.zones import worker_client
 
 ROOM = resources.Resources(8, 8000)
-TERM = lease.ended_after_seconds(lease.LEASE_SECONDS)
+TERM = lease.task_ended_after_seconds()
 
 
 class _Log:
--- a/turmerichall/zones/worker_book.py
+++ b/turmerichall/zones/worker_book.py
@@ -49,7 +49,7 @@
         """
         before = self.records.get(told.name)
         if before is not None and _moved(before.told, told):
-            term = lease.ended_after_seconds(lease.LEASE_SECONDS)
+            term = lease.task_ended_after_seconds()
             self.replaced[told.name] = before.received_at + term
         confirmed = told.epoch >= self.epoch
         self.records[told.name] = WorkerRecord(told, now, confirmed)
@@ -64,7 +64,7 @@
         Returns:
             A time of the trio clock; infinity if it can't be told.
         """
-        term = lease.ended_after_seconds(lease.LEASE_SECONDS)
+        term = lease.task_ended_after_seconds()
         record = self.records.get(worker)
         if record is None:
             return max(self.took_at, earlier_end_at) + term
