Await the body of a small answer before passing its head on

An answer of a stated length up to 64 KiB is now awaited whole: cut off, it is an unknown outcome and may be retried; and the slot is free before a slow caller has taken the answer. Larger and chunked answers stream as before.

--- a/turmerichall/gateway/application.py
+++ b/turmerichall/gateway/application.py
@@ -246,6 +246,9 @@
                 "headers": headers,
             }
         )
+        if exchange.small_body is not None:
+            await send(_body(exchange.small_body))
+            return
         try:
             with exchange.renew_scope():
                 async with contextlib.aclosing(exchange.body()) as parts:
--- a/turmerichall/gateway/dispatcher.py
+++ b/turmerichall/gateway/dispatcher.py
@@ -163,6 +163,8 @@
                 slot.pool.health.probing = False
                 self.admission.release(trio.current_time() - exchange.began_at)
         self._learn(exchange, ended)
+        if isinstance(ended, exchanges.Exchange) and ended.whole:
+            self._end(ended)
         return ended
 
     def _learn(
@@ -202,6 +204,9 @@
         self.admission.leave(exchange.request)
 
     def _end(self, exchange: exchanges.Exchange) -> None:
+        """Frees the slot, at the latest when the caller has the answer."""
+        if exchange not in self.running:
+            return
         self.running.discard(exchange)
         exchange.close()
         self.admission.release(trio.current_time() - exchange.began_at)
--- a/turmerichall/gateway/exchange.py
+++ b/turmerichall/gateway/exchange.py
@@ -1,6 +1,7 @@
 """One attempt to run a request at one backend server."""
 
 import contextlib
+import math
 from collections.abc import AsyncGenerator
 from typing import Any
 
@@ -28,6 +29,8 @@
         NOT_RUN,
     }
 )
+# An answer up to this size is awaited before its head is passed on.
+SMALL_ANSWER_BYTES = 65_536
 BODILESS_STATUSES = frozenset({204, 304})
 BROKEN = (
     OSError,
@@ -55,6 +58,7 @@
         status: HTTP status of the answer.
         headers: Headers of the answer to pass on to the caller.
         whole: Whether the body of the answer arrived to its end.
+        small_body: The whole body, if it was small enough to await.
     """
 
     def __init__(self, slot: pools.Slot, request: requests.Request):
@@ -70,6 +74,8 @@
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.whole = False
+        self.small_body: bytes | None = None
+        self._closed = False
         self._response: httpcore.Response | None = None
 
     def quiet_seconds(self, now: float) -> float:
@@ -95,7 +101,8 @@
 
         Returns:
             This exchange, which then must be closed; a refusal, if the request
-            was provably not run; or an unknown outcome.
+            was provably not run; or an unknown outcome.  The body of a small
+            answer has arrived by then, so that one cut off is no answer.
         """
         ended: Ended | None = None
         try:
@@ -198,6 +205,22 @@
             for item in response.headers
             if item[0].lower() not in NOT_FORWARDED
         ]
+        if _length(response.status, fields) <= SMALL_ANSWER_BYTES:
+            return await self._await_body()
+        return self
+
+    async def _await_body(self) -> "Ended":
+        parts = []
+        try:
+            async with contextlib.aclosing(self.body()) as body:
+                async for part in body:
+                    parts.append(part)
+        except BROKEN as error:
+            return outcomes.Unknown(
+                outcomes.UnknownReason.TRUNCATED,
+                f"the answer of {self.pool.told.name} was cut off: {error!r}",
+            )
+        self.small_body = b"".join(parts)
         return self
 
     async def _not_run(self, fields: dict[bytes, bytes]) -> outcomes.Refusal:
@@ -231,6 +254,9 @@
 
     def close(self) -> None:
         """Frees the slot; the connection is kept if all of it was read."""
+        if self._closed:
+            return
+        self._closed = True
         connection = self.connection
         if connection is not None:
             self.connection = None
@@ -247,6 +273,14 @@
 Ended = Exchange | outcomes.Refusal | outcomes.Unknown
 
 
+def _length(status: int, fields: dict[bytes, bytes]) -> float:
+    """Returns the length of a body; infinity if the head doesn't tell."""
+    if status in BODILESS_STATUSES:
+        return 0
+    text = fields.get(b"content-length", b"")
+    return int(text) if text.isdigit() else math.inf
+
+
 def _end_is_marked(status: int, fields: dict[bytes, bytes]) -> bool:
     return (
         b"content-length" in fields
--- a/turmerichall/gateway/tests/test_watch.py
+++ b/turmerichall/gateway/tests/test_watch.py
@@ -110,7 +110,7 @@
     ) -> None:
         async def stalls(exchange: Any) -> None:
             await exchange.stream.send_all(
-                b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n"
+                b"HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n"
                 b"turmerichall-request-id: %b\r\n\r\nhalf" % exchange.request_id
             )
             await trio.sleep_forever()
