Log starts and ends of tasks with the id of their job

Only the accepting instance logged a job's id. Now the zone's authority logs each start, eviction and end, so that a job can be followed; what is applied again after a restart is left out by its age.

--- a/turmerichall/operators/application.py
+++ b/turmerichall/operators/application.py
@@ -12,6 +12,7 @@
 from turmerichall.operators import replies
 from turmerichall.operators import routes
 from turmerichall.operators import services as services_module
+from turmerichall.operators import work_log
 from turmerichall.settings import settings
 from turmerichall.state import machine as machines
 from turmerichall.telemetry import counters as metrics
@@ -32,6 +33,7 @@
     Attributes:
         services: What the handlers use.
         in_flight: Requests that are being answered.
+        work_log: Logs what becomes of jobs.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self.in_flight = 0
         self._refused_log = logs.Sparse(log, MAX_REFUSED_LOGGED_PER_SECOND)
         gauges.register(self.services)
+        self.work_log = work_log.WorkLog(machine, lambda: replica.status().name)
 
     async def __call__(
         self, scope: Any, receive: exchange.Receive, send: exchange.Send
--- a/turmerichall/operators/services.py
+++ b/turmerichall/operators/services.py
@@ -41,6 +41,10 @@
 class ReplicaStatus(Protocol):
     """What operators are shown of a replica, besides its whole status."""
 
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+
     @property
     def leader(self) -> str:
         """Name of the leader, or empty."""
--- a/turmerichall/operators/tests/fake_daemon.py
+++ b/turmerichall/operators/tests/fake_daemon.py
@@ -23,6 +23,7 @@
 class FakeStatus(NamedTuple):
     """Status of the fake replica."""
 
+    name: str = "i1"
     leader: str = "i1"
     seconds_since_quorum: float = 0.0
     members: member.Members = ()
--- /dev/null
+++ b/turmerichall/operators/work_log.py
@@ -0,0 +1,93 @@
+"""Logs what becomes of jobs, with the id that follows them.
+
+Only the placing authority of a zone logs the starts and ends there, so that
+each stands in the log of one instance.  Changes that are applied once more
+after a restart are old, and left out.
+"""
+
+from collections.abc import Callable
+import time
+
+from turmerichall.state import change as changes
+from turmerichall.state import ledger
+from turmerichall.state import machine as machines
+from turmerichall.telemetry import logs
+
+__all__ = ["WorkLog"]
+
+MAX_AGE_SECONDS = 30.0
+
+_ZonedChange = changes.StartTasks | changes.EndTasks | changes.EvictTasks
+
+
+class WorkLog:
+    """Watches the replicated state and logs starts and ends of tasks.
+
+    Attributes:
+        machine: The replicated state.
+        own_name: Returns the name of this instance.
+        log: Where to write.
+    """
+
+    def __init__(self, machine: machines.Machine, own_name: Callable[[], str]):
+        self.machine = machine
+        self.own_name = own_name
+        self.log = logs.Log("jobs")
+        machine.watchers.append(self.note)
+
+    def note(self, change: changes.Change, result: changes.Result) -> None:
+        """Logs an applied change, if it is this instance's to log."""
+        if not isinstance(change, _ZonedChange):
+            return
+        if result.status != changes.Status.APPLIED:
+            return
+        if self.machine.grant(change.zone).holder != self.own_name():
+            return
+        if time.time() - change.wall_seconds > MAX_AGE_SECONDS:
+            return
+        if isinstance(change, changes.StartTasks):
+            self._note_starts(change, result)
+        elif isinstance(change, changes.EndTasks):
+            self._note_ends(change, result)
+        else:
+            self._note_evictions(change, result)
+
+    def _note_starts(
+        self, change: changes.StartTasks, result: changes.Result
+    ) -> None:
+        for start in change.starts:
+            if start.task_id not in result.refused:
+                self.log.info(
+                    "task started",
+                    job_id=ledger.job_of(start.task_id),
+                    task=start.task_id,
+                    attempt=start.attempt,
+                    worker=start.worker,
+                )
+
+    def _note_ends(
+        self, change: changes.EndTasks, result: changes.Result
+    ) -> None:
+        for end in change.ends:
+            if end.task_id not in result.refused:
+                self.log.info(
+                    "task ended",
+                    job_id=ledger.job_of(end.task_id),
+                    task=end.task_id,
+                    attempt=end.attempt,
+                    ending=end.ending.value,
+                    reason=end.reason,
+                )
+
+    def _note_evictions(
+        self, change: changes.EvictTasks, result: changes.Result
+    ) -> None:
+        for eviction in change.evictions:
+            if eviction.task_id not in result.refused:
+                self.log.info(
+                    "task is being evicted",
+                    job_id=ledger.job_of(eviction.task_id),
+                    task=eviction.task_id,
+                    attempt=eviction.attempt,
+                    reason=eviction.reason,
+                )
