--- a/turmerichall/placement/scoring.py
+++ b/turmerichall/placement/scoring.py
@@ -11,7 +11,7 @@
 
 RACK_COST = 4.0
 # Above this share of a service on one worker its loss would be felt.
-MAX_WORKER_SHARE = 0.12
+MAX_WORKER_SHARE = 0.16
 CROWDED_COST = 2.0
 # Excess slowdown expected of a step of the squared load.
 LOAD_FACTOR = 0.2
