Keep room beside accelerators, bound learnt sizes by the worker, add tests

A learnt size larger than a worker could never be placed, and a held one drove the free memory below zero for good; it now counts as the whole worker. A task that failed on every worker with room waited for ever; it is tried again there if no other has room. Free accelerators keep what their tasks were seen to need beside them, up to half a worker.

Tests of eviction, room, drain, health, quotas and learnt sizes.

--- a/turmerichall/benchmarks/placement_run.py
+++ b/turmerichall/benchmarks/placement_run.py
@@ -22,6 +22,8 @@
 MAX_LAG_SECONDS = 60.0
 LEASE_END_SECONDS = 16.0
 MAX_FAILURES = 3
+# 440 starts a second.
+MAX_STARTS = 880
 
 
 class Run:
@@ -198,7 +200,7 @@
 
     def _plan(self, now: float) -> None:
         began = time.perf_counter()
-        plan = self.planner.plan(now, now)
+        plan = self.planner.plan(now, now, MAX_STARTS)
         self.seen.planned(time.perf_counter() - began, plan)
         for start in plan.starts:
             self.attempts[start.task_id] = 1 + self.attempts.get(
--- a/turmerichall/placement/choice.py
+++ b/turmerichall/placement/choice.py
@@ -72,7 +72,7 @@
             known = self.fleet.workers.get(name)
             if known is None or not _may_use(task, known):
                 return None
-            if not known.has_room(size):
+            if not self._has_room(task, known):
                 return None
             return self.policy.scoring.cost(task, known, now)
 
@@ -80,20 +80,42 @@
             waiting.Shape.of(task), list(self.fleet.workers)
         )
         refused_by_health = False
+        failed_on: str | None = None
         for name in ranking.cheapest(cost_of):
-            if self._accepts(name, task, now):
+            if not self._accepts(name, task, now):
+                refused_by_health = True
+            elif self._avoids(name, task):
+                failed_on = failed_on or name
+            else:
                 good = ranking.is_good(ranking.costs[name])
                 return Choice(self.fleet.workers[name], good)
-            refused_by_health = True
+        if failed_on is not None and not refused_by_health:
+            return Choice(self.fleet.workers[failed_on], False)
         if refused_by_health:
             return outcomes.Refusal(
                 outcomes.RefusalReason.QUARANTINED,
-                "workers with room are quarantined or failed this task",
+                "workers with room are quarantined",
             )
         return outcomes.Refusal(
             outcomes.RefusalReason.NO_CAPACITY, "no worker has room now"
         )
 
+    def _avoids(self, name: str, task: views.TaskView) -> bool:
+        if not self.policy.watches_health:
+            return False
+        return self.fleet.health.avoids(name, task.task_id)
+
+    def _has_room(
+        self, task: views.TaskView, known: occupancy.Occupancy
+    ) -> bool:
+        size = self.fleet.size_on(task, known)
+        if not known.has_room(size):
+            return False
+        if size.accelerators:
+            return True
+        kept = self.fleet.kept_for_accelerators(known)
+        return kept == resources.NOTHING or size.plus(kept).fits_in(known.free)
+
     def place(
         self, task: views.TaskView, chosen: Choice, now: float
     ) -> decisions.StartDecision:
--- a/turmerichall/placement/fleet.py
+++ b/turmerichall/placement/fleet.py
@@ -14,6 +14,8 @@
 EXCESS_KEPT_SECONDS = 10.0
 # A service task that takes longer to move does not hold up others.
 MOVE_SECONDS = 60.0
+# Share of a worker that is kept for tasks with accelerators, at most.
+MAX_KEPT_SHARE = 0.5
 
 
 class Fleet:
@@ -30,6 +32,8 @@
             evicted, oldest first.
         spread: Service tasks by customer and template, then by rack.
         learns_sizes: Whether learnt sizes are used.
+        per_accelerator: Most that a task was seen to need beside each of its
+            accelerators.
         wanted: Service tasks that wait or run, by customer and template.
         moving: Service tasks between places, with the time of the last step,
             by customer and template.
@@ -47,6 +51,7 @@
         self.troubled: dict[str, None] = {}
         self.spread: dict[tuple[str, str], dict[str, int]] = {}
         self.learns_sizes = learns_sizes
+        self.per_accelerator = resources.NOTHING
         self.wanted: dict[tuple[str, str], dict[str, None]] = {}
         self.moving: dict[tuple[str, str], dict[str, float]] = {}
         self.excess: dict[str, tuple[int, float, dict[str, float]]] = {}
@@ -84,6 +89,46 @@
             return task.size
         return self.learnt.size(task.template, task.size)
 
+    def size_on(
+        self, task: views.TaskView, known: occupancy.Occupancy
+    ) -> resources.Resources:
+        """Returns what a task counts for on a worker.
+
+        A learnt size larger than the worker counts as all of it, so that the
+        task can run there alone.
+        """
+        learnt = self.size_of(task).lower(known.view.capacity)
+        return task.size.higher(learnt)
+
+    def note_accelerated(self, task: views.TaskView) -> None:
+        """Notes what a task needs beside each of its accelerators."""
+        count = task.size.accelerators
+        if count:
+            processors = task.size.processors / count
+            memory_mb = task.size.memory_mb // count
+            needed = resources.Resources(processors, memory_mb)
+            self.per_accelerator = self.per_accelerator.higher(needed)
+
+    def kept_for_accelerators(
+        self, known: occupancy.Occupancy
+    ) -> resources.Resources:
+        """Returns what other tasks must leave free beside accelerators."""
+        count = max(0, known.free.accelerators)
+        if not count:
+            return resources.NOTHING
+        share = MAX_KEPT_SHARE
+        needed = self.per_accelerator
+        return resources.Resources(
+            min(
+                needed.processors * count,
+                known.view.capacity.processors * share,
+            ),
+            min(
+                needed.memory_mb * count,
+                int(known.view.capacity.memory_mb * share),
+            ),
+        )
+
     def use_of(self, task: views.TaskView) -> float:
         """Returns the processors that a task is expected to use."""
         if not self.learns_sizes:
@@ -101,7 +146,7 @@
     ) -> occupancy.Held:
         """Counts a task against a worker from now on."""
         known = self._known(worker)
-        size = self.size_of(task)
+        size = self.size_on(task, known)
         use = self.use_of(task)
         held = occupancy.Held(task, worker, attempt, size, use, now)
         known.hold(held)
@@ -204,7 +249,8 @@
         held: occupancy.Held,
         usage: resources.Resources,
     ) -> None:
-        size = self.size_of(held.task).higher(usage)
+        size = self.size_on(held.task, known)
+        size = size.higher(usage.lower(known.view.capacity))
         use = self.use_of(held.task) * held.throttle
         changed = abs(size.processors - held.size.processors) > 0.05
         changed = changed or size.memory_mb != held.size.memory_mb
--- a/turmerichall/placement/health.py
+++ b/turmerichall/placement/health.py
@@ -124,8 +124,6 @@
         A quarantined worker is given one deferrable or normal batch task at a
         time once its wait is over; a flapping one no service.
         """
-        if worker in self.avoided.get(task.task_id, {}):
-            return False
         record = self.workers.get(worker)
         if record is None:
             return True
@@ -137,6 +135,10 @@
             return not self.flaps(worker, now)
         return True
 
+    def avoids(self, worker: str, task_id: str) -> bool:
+        """Tells whether a task failed on a worker before."""
+        return worker in self.avoided.get(task_id, {})
+
     def note_placed(self, worker: str, task_id: str) -> None:
         """Notes that a task was placed; it is a probe in a quarantine."""
         record = self.workers.get(worker)
--- a/turmerichall/placement/planner.py
+++ b/turmerichall/placement/planner.py
@@ -84,6 +84,7 @@
             self.resubmitted[task.task_id] = task
             return
         self.misfits.tasks.pop(task.task_id, None)
+        self.fleet.note_accelerated(task)
         if task.service:
             self.fleet.note_wanted(task)
         self.waiting.put(task)
--- a/turmerichall/placement/room.py
+++ b/turmerichall/placement/room.py
@@ -84,7 +84,7 @@
             return []
         if not self.fleet.health.accepts(known.view.name, task, now):
             return []
-        size = self.fleet.size_of(task)
+        size = self.fleet.size_on(task, known)
         free = _free_soon(known)
         chosen: list[occupancy.Held] = []
         yielding = [
--- /dev/null
+++ b/turmerichall/placement/tests/test_eviction.py
@@ -0,0 +1,170 @@
+"""Tests of throttling, eviction and making room."""
+
+import pytest
+
+from turmerichall import resources
+from turmerichall.customers import customer as customers
+from turmerichall.placement import planner
+from turmerichall.placement import views
+from turmerichall.placement import weights
+from turmerichall.state import change as changes
+
+ROOM = resources.Resources(8, 8000, 0)
+
+
+def _task(
+    name: str,
+    template: str,
+    service: bool = False,
+    processors: float = 2.0,
+    urgency: customers.Urgency = customers.Urgency.NORMAL,
+) -> views.TaskView:
+    size = resources.Resources(processors, 1000)
+    return views.TaskView(
+        name, template, "c", "team", urgency, service, size, 1000.0
+    )
+
+
+def _shared() -> planner.Planner:
+    """Returns a planner with a service and a batch task on one worker."""
+    made = planner.Planner(weights.BALANCED)
+    made.put_worker(views.WorkerView("w0", "r0", "z1", ROOM))
+    made.put_running(_task("svc:c/s/z1/0", "s", service=True), "w0", 0.0)
+    made.put_running(_task("j/0", "noisy"), "w0", 0.0)
+    return made
+
+
+def _report(
+    made: planner.Planner,
+    task_id: str,
+    at: float,
+    slowdown: float = 1.0,
+    processors: float = 2.0,
+    memory_mb: int = 1000,
+) -> None:
+    usage = resources.Resources(processors, memory_mb)
+    made.put_usage(views.UsageReport("w0", task_id, 0, usage, slowdown, at))
+
+
+class TestSlowService:
+    """A neighbour is throttled, and evicted only if that did not help."""
+
+    def test_throttled_then_evicted(self) -> None:
+        made = _shared()
+        _report(made, "svc:c/s/z1/0", 5.0, slowdown=4.0)
+        first = made.plan(10.0, 10.0)
+        assert [t.task_id for t in first.throttles] == ["j/0"]
+        assert not first.evictions
+        _report(made, "svc:c/s/z1/0", 60.0, slowdown=4.0)
+        second = made.plan(70.0, 70.0)
+        assert [e.task_id for e in second.evictions] == ["j/0"]
+        assert "did not help" in second.evictions[0].reason
+
+    def test_measurement_from_before_the_throttle_is_not_counted(self) -> None:
+        made = _shared()
+        _report(made, "svc:c/s/z1/0", 5.0, slowdown=4.0)
+        assert made.plan(10.0, 10.0).throttles
+        _report(made, "svc:c/s/z1/0", 9.0, slowdown=4.0)
+        assert not made.plan(70.0, 70.0).evictions
+
+    def test_throttle_is_lifted_when_the_service_is_well(self) -> None:
+        made = _shared()
+        _report(made, "svc:c/s/z1/0", 5.0, slowdown=4.0)
+        made.plan(10.0, 10.0)
+        for at in range(60, 160, 10):
+            _report(made, "svc:c/s/z1/0", float(at), slowdown=1.0)
+        lifted = made.plan(170.0, 170.0).throttles
+        assert [(t.task_id, t.share) for t in lifted] == [("j/0", 1.0)]
+
+    def test_waves_stay_within_the_budget(self) -> None:
+        made = planner.Planner(weights.BALANCED)
+        for number in range(8):
+            name = f"w{number}"
+            made.put_worker(views.WorkerView(name, "r0", "z1", ROOM))
+            service = _task(f"svc:c/s/z1/{number}", "s", service=True)
+            made.put_running(service, name, 0.0)
+            made.put_running(_task(f"j/{number}", "noisy"), name, 0.0)
+        evicted = 0
+        for now in range(10, 400, 20):
+            for number in range(8):
+                usage = resources.Resources(2.0, 1000)
+                made.put_usage(
+                    views.UsageReport(
+                        f"w{number}",
+                        f"svc:c/s/z1/{number}",
+                        0,
+                        usage,
+                        4.0,
+                        now - 1.0,
+                    )
+                )
+            evicted += len(made.plan(float(now), float(now)).evictions)
+        assert evicted <= 2 + 8 * 400 / 1800
+
+
+class TestOverShare:
+    """A task that uses more than its share does not starve others."""
+
+    def test_memory_is_freed_at_once(self) -> None:
+        made = _shared()
+        _report(made, "j/0", 5.0, memory_mb=7900)
+        evictions = made.plan(6.0, 6.0).evictions
+        assert [e.task_id for e in evictions] == ["j/0"]
+
+    def test_processors_are_throttled_to_the_share(self) -> None:
+        made = _shared()
+        _report(made, "j/0", 5.0, processors=7.5)
+        throttles = made.plan(6.0, 6.0).throttles
+        assert throttles[0].task_id == "j/0"
+        assert throttles[0].share == pytest.approx(2.0 / 7.5)
+
+
+class TestRoom:
+    """Services and urgent work displace batch tasks; others wait."""
+
+    @pytest.mark.parametrize(
+        ("service", "urgency", "evicted"),
+        [
+            (True, customers.Urgency.URGENT, 1),
+            (False, customers.Urgency.URGENT, 1),
+            (False, customers.Urgency.NORMAL, 0),
+        ],
+    )
+    def test_displaces(
+        self, service: bool, urgency: customers.Urgency, evicted: int
+    ) -> None:
+        made = planner.Planner(weights.BALANCED)
+        made.put_worker(views.WorkerView("w0", "r0", "z1", ROOM))
+        for number in range(2):
+            running = _task(f"j/{number}", "batch", processors=4.0)
+            made.put_running(running, "w0", 0.0)
+        waiting = _task("new/0", "new", service, 3.0, urgency)
+        made.put_waiting(waiting)
+        assert len(made.plan(10.0, 10.0).evictions) == evicted
+        assert not made.plan(11.0, 11.0).evictions
+
+    def test_evicted_task_resumes_before_others(self) -> None:
+        made = planner.Planner(weights.BALANCED)
+        made.put_worker(views.WorkerView("w0", "r0", "z1", ROOM))
+        made.put_running(_task("old/0", "batch", processors=8.0), "w0", 0.0)
+        made.put_waiting(_task("other/0", "batch", processors=8.0))
+        again = _task("old/0", "batch", processors=8.0)
+        made.put_waiting(again._replace(attempt=1, evicted=True))
+        made.note_ended("old/0", "w0", changes.Ending.EVICTED, 5.0)
+        starts = made.plan(6.0, 6.0).starts
+        assert [s.task_id for s in starts] == ["old/0"]
+
+
+class TestDrain:
+    """A leaving worker gives up its tasks, services one by one."""
+
+    def test_moves_one_task_of_a_service_at_a_time(self) -> None:
+        made = planner.Planner(weights.BALANCED)
+        view = views.WorkerView("w0", "r0", "z1", ROOM)
+        made.put_worker(view)
+        for number in range(3):
+            service = _task(f"svc:c/s/z1/{number}", "s", service=True)
+            made.put_running(service, "w0", 0.0)
+        made.put_worker(view._replace(leaving=True))
+        assert len(made.plan(1.0, 1.0).evictions) == 1
+        assert not made.plan(2.0, 2.0).evictions
--- a/turmerichall/placement/tests/test_planner.py
+++ b/turmerichall/placement/tests/test_planner.py
@@ -77,3 +77,79 @@
         large = resources.Resources(16, 8000, 0)
         made.put_worker(views.WorkerView("large", "r0", "z1", large))
         assert made.plan(10.0, 10.0).starts[0].worker == "large"
+
+
+class TestFailedTask:
+    """A task that failed goes to another worker, if there is one."""
+
+    def test_goes_elsewhere(self) -> None:
+        made = _planner(2)
+        made.put_waiting(_task("j/0"))
+        failed_on = made.plan(0.0, 0.0).starts[0].worker
+        made.note_ended("j/0", failed_on, changes.Ending.FAILED, 5.0)
+        made.put_waiting(_task("j/0"))
+        assert made.plan(6.0, 6.0).starts[0].worker != failed_on
+
+    def test_is_tried_again_where_no_other_has_room(self) -> None:
+        made = _planner(1)
+        made.put_waiting(_task("j/0"))
+        made.plan(0.0, 0.0)
+        made.note_ended("j/0", "w0", changes.Ending.FAILED, 5.0)
+        made.put_waiting(_task("j/0"))
+        assert made.plan(6.0, 6.0).starts[0].worker == "w0"
+
+
+class TestAccelerators:
+    """Room beside accelerators is kept for tasks that need them."""
+
+    def test_room_is_kept(self) -> None:
+        made = planner.Planner(weights.BALANCED)
+        capacity = resources.Resources(8, 8000, 1)
+        made.put_worker(views.WorkerView("w0", "r0", "z1", capacity))
+        size = resources.Resources(4, 100, 1)
+        made.put_waiting(_task("acc/0")._replace(size=size))
+        made.put_waiting(_task("acc/1")._replace(size=size))
+        made.plan(0.0, 0.0)
+        made.note_ended("acc/0", "w0", changes.Ending.FINISHED, 1.0)
+        made.drop_waiting("acc/1")
+        made.put_waiting(_task("plain/0", 3))
+        made.put_waiting(_task("plain/1", 3))
+        assert len(made.plan(2.0, 2.0).starts) == 1
+
+
+class TestQuotas:
+    """A team borrows what others leave, and goes last for it."""
+
+    def test_team_within_quota_goes_first(self) -> None:
+        made = _planner()
+        made.set_quota("team", resources.Resources(2, 8000))
+        made.set_quota("other", resources.Resources(8, 8000))
+        made.put_waiting(_task("borrows/0"))
+        for number in range(2):
+            task = _task(f"within/{number}")._replace(team="other")
+            made.put_waiting(task)
+        starts = [s.task_id for s in made.plan(0.0, 0.0).starts]
+        assert starts == ["within/0", "within/1"]
+
+    def test_borrowing_is_bounded(self) -> None:
+        made = _planner(4)
+        made.set_quota("team", resources.Resources(4, 8000))
+        for number in range(5):
+            made.put_waiting(_task(f"j/{number}"))
+        plan = made.plan(0.0, 0.0)
+        assert len(plan.starts) == 2
+        assert plan.waits[0].reason == outcomes.RefusalReason.OVER_QUOTA
+
+
+class TestLearntSizes:
+    """A template that uses more than it declares is given more room."""
+
+    def test_learnt_size_bounds_the_choice(self) -> None:
+        made = _planner(1)
+        made.put_running(_task("old/0", 1), "w0", 0.0)
+        for at in range(1, 9):
+            usage = resources.Resources(6.0, 100)
+            report = views.UsageReport("w0", "old/0", 0, usage, 0.0, float(at))
+            made.put_usage(report)
+        made.put_waiting(_task("new/0", 3))
+        assert not made.plan(10.0, 10.0).starts
