--- a/turmerichall/gateway/application.py
+++ b/turmerichall/gateway/application.py
@@ -18,6 +18,7 @@
 from turmerichall.gateway import fleet as fleets
 from turmerichall.gateway import limits as limits_module
 from turmerichall.gateway import loans as lending
+from turmerichall.gateway import observation as observing
 from turmerichall.gateway import peer_calls
 from turmerichall.gateway import pool as pools
 from turmerichall.gateway import request as requests
@@ -25,12 +26,9 @@
 from turmerichall.gateway import shares as sharing
 from turmerichall.gateway import watch as watching
 from turmerichall.state import configuration as configurations
-from turmerichall.telemetry import logs
 
 __all__ = ["Application", "Members"]
 
-PART = "gateway"
-MAX_LOGGED_PER_SECOND = 100
 CLOSE = (b"connection", b"close")
 MEMBERS_PERIOD_SECONDS = 0.5
 
@@ -41,32 +39,6 @@
 Members = Callable[[], Mapping[str, str] | Iterable[str]]
 
 
-class Counters(Protocol):
-    """What the gateway counts; `telemetry.counters.Counters` is one."""
-
-    def refused(self, part: str, reason: outcomes.RefusalReason) -> None:
-        """Counts a refusal."""
-
-    def retried(self, part: str, reason: outcomes.RetryReason) -> None:
-        """Counts a retry."""
-
-    def unknown(self, part: str, reason: outcomes.UnknownReason) -> None:
-        """Counts an unknown outcome."""
-
-    def event(self, name: str, times: int = 1) -> None:
-        """Counts an event."""
-
-
-class Log(Protocol):
-    """Where the gateway logs; `telemetry.logs.Log` is one."""
-
-    def info(self, message: str, **fields: object) -> None:
-        """Writes a message about ordinary work."""
-
-    def warning(self, message: str, **fields: object) -> None:
-        """Writes a message that an operator may have to act on."""
-
-
 class Machine(Protocol):
     """Holder of the configuration; a restore of a snapshot replaces it."""
 
@@ -89,18 +61,15 @@
         machine: Machine,
         network: peer_calls.Network,
         members: Members,
-        counters: Counters,
-        log: Log,
+        counters: observing.Counters,
+        log: observing.Log,
         limits: limits_module.Limits = limits_module.Limits(),
     ):
         self.name = name
         self.zone = zone
         self.machine = machine
         self.members = members
-        self.counters = counters
-        self.log = log
-        # Refusing is cheap, so refusals may come faster than a log takes them.
-        self.unanswered_log = logs.Sparse(log, MAX_LOGGED_PER_SECOND)
+        self.observation = observing.Observation(counters, log)
         self.limits = limits
         self.in_flight = 0
         self.draining = False
@@ -116,12 +85,41 @@
             selection.from_name(limits.routing, zone, generator),
             limits,
             self.loans.has_settled,
+            self.observation.ejected,
         )
         self.dispatcher = dispatchers.Dispatcher(
-            self.fleet, self.claims, limits, self._note_retry, generator
+            self.fleet,
+            self.claims,
+            limits,
+            self.observation.retried,
+            generator,
         )
         self.watch = watching.Watch(
-            self.dispatcher, self.claims, self.loans, self.shares, limits
+            self.dispatcher,
+            self.claims,
+            self.loans,
+            self.shares,
+            limits,
+            self.observation,
+        )
+        self._add_gauges(counters)
+
+    def _add_gauges(self, counters: observing.Counters) -> None:
+        admission = self.dispatcher.admission
+        counters.gauge(
+            "requests_in_flight",
+            "Requests of callers whose answer is not complete.",
+            lambda: self.in_flight,
+        )
+        counters.gauge(
+            "requests_waiting",
+            "Requests that wait for a slot.",
+            lambda: admission.waiting,
+        )
+        counters.gauge(
+            "concurrency_limit",
+            "Requests that may hold a slot at once, by the adaptive limit.",
+            lambda: admission.concurrency.limit,
         )
 
     async def __call__(
@@ -165,9 +163,6 @@
     def _is_idle(self) -> bool:
         return not self.dispatcher.admission.waiting
 
-    def _note_retry(self, reason: outcomes.RetryReason) -> None:
-        self.counters.retried(PART, reason)
-
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         self.in_flight += 1
         try:
@@ -226,7 +221,7 @@
                 await self._pass_on(ended, send)
             finally:
                 self.dispatcher.close(ended)
-                self._log_answer(ended)
+                self.observation.answered(ended)
         else:
             await self._tell(ended, request.request_id, send)
 
@@ -259,44 +254,14 @@
         if exchange.whole:
             await send(_body(b""))
 
-    def _log_answer(self, exchange: exchanges.Exchange) -> None:
-        request = exchange.request
-        self.log.info(
-            "request answered" if exchange.whole else "answer cut off",
-            request_id=request.request_id.decode("latin-1"),
-            customer=request.customer,
-            service=request.service,
-            backend_server=exchange.pool.told.name,
-            status=exchange.status,
-            seconds=round(trio.current_time() - exchange.began_at, 4),
-        )
-
-    def _count(
-        self, ended: outcomes.Refusal | outcomes.Unknown | claiming.Duplicate
-    ) -> None:
-        if isinstance(ended, claiming.Duplicate):
-            reason = outcomes.RefusalReason.DUPLICATE_REQUEST
-            self.counters.refused(PART, reason)
-        elif isinstance(ended, outcomes.Unknown):
-            self.counters.unknown(PART, ended.reason)
-        else:
-            self.counters.refused(PART, ended.reason)
-
     async def _tell(
         self,
         ended: outcomes.Refusal | outcomes.Unknown | claiming.Duplicate,
         request_id: bytes,
         send: Send,
     ) -> None:
-        self._count(ended)
         said = answers.document(ended, request_id)
-        self.unanswered_log.info(
-            "request not answered",
-            request_id=said.request_id,
-            outcome=said.outcome.value,
-            reason=said.reason,
-            detail=said.detail,
-        )
+        self.observation.unanswered(ended, said)
         body = answers.encode(said)
         headers = answers.headers(said, body)
         if self.draining:
--- a/turmerichall/gateway/fleet.py
+++ b/turmerichall/gateway/fleet.py
@@ -35,6 +35,8 @@
         pools: Pool of each backend server by name.
         discovered_at: Until when requests wait for servers to be heard of.
         has_settled: Tells whether slots lent before a restart are back.
+        note_ejection: Called with the name of an ejected server and for how
+            many seconds.
     """
 
     def __init__(
@@ -43,13 +45,15 @@
         shares: sharing.Shares,
         selector: selection.Selector,
         limits: limits_module.Limits,
-        has_settled: Callable[[], bool] = lambda: True,
+        has_settled: Callable[[], bool],
+        note_ejection: Callable[[str, float], None],
     ):
         self.directory = directory
         self.shares = shares
         self.selector = selector
         self.limits = limits
         self.has_settled = has_settled
+        self.note_ejection = note_ejection
         self.pools: dict[str, pools.Pool] = {}
         self.discovered_at = trio.current_time() + DISCOVERY_SECONDS
 
@@ -77,7 +81,7 @@
                 f" {request.customer}",
                 NO_SERVER_RETRY_SECONDS,
             )
-        healths.eject_worst([pool.health for pool in serving], now)
+        self._eject_worst(serving, now)
         roomy = _without(tried, serving, request.deadline, now)
         probed = _to_probe(roomy, request, now)
         if probed is not None:
@@ -89,6 +93,13 @@
         chosen = self.selector.choose(usable, now)
         return chosen.take_slot(request.deadline, now)
 
+    def _eject_worst(self, serving: list[pools.Pool], now: float) -> None:
+        ejected = healths.eject_worst([pool.health for pool in serving], now)
+        for pool in serving if ejected else ():
+            if pool.health in ejected:
+                seconds = pool.health.ejected_until - now
+                self.note_ejection(pool.told.name, seconds)
+
     def serving(
         self, customer: str, service: str, now: float
     ) -> list[pools.Pool]:
--- a/turmerichall/gateway/health.py
+++ b/turmerichall/gateway/health.py
@@ -107,18 +107,23 @@
         return self.ejected and not self.probing and now >= self.ejected_until
 
 
-def eject_worst(healths: list[Health], now: float) -> None:
+def eject_worst(healths: list[Health], now: float) -> list[Health]:
     """Ejects the worst servers of a service as far as the floor allows.
 
     Args:
         healths: The health of each server of the service.
         now: Current time, trio clock.
+
+    Returns:
+        Those that were ejected now.
     """
     bad = [health for health in healths if health.deserves_ejection()]
     if not bad:
-        return
+        return []
     out = sum(health.ejected for health in healths)
     most_out = int(len(healths) * (1.0 - MIN_SERVERS_IN_USE_RATIO))
     bad.sort(key=lambda health: health.errors, reverse=True)
-    for health in bad[: max(0, most_out - out)]:
+    ejected = bad[: max(0, most_out - out)]
+    for health in ejected:
         health.eject(now)
+    return ejected
--- a/turmerichall/gateway/watch.py
+++ b/turmerichall/gateway/watch.py
@@ -13,6 +13,7 @@
 from turmerichall.gateway import exchange as exchanges
 from turmerichall.gateway import limits as limits_module
 from turmerichall.gateway import loans as lending
+from turmerichall.gateway import observation as observing
 from turmerichall.gateway import probe
 from turmerichall.gateway import shares as sharing
 
@@ -32,6 +33,7 @@
         claims: Whose settlements are sent.
         loans: Lends and borrows slots.
         shares: Parts of the workers' limits.
+        observation: Counts and logs what is found.
         asked: When each quiet exchange was last asked about, trio time.
     """
 
@@ -42,12 +44,14 @@
         loans: lending.Loans,
         shares: sharing.Shares,
         limits: limits_module.Limits,
+        observation: observing.Observation,
     ):
         self.dispatcher = dispatcher
         self.claims = claims
         self.loans = loans
         self.shares = shares
         self.limits = limits
+        self.observation = observation
         self.asked: dict[exchanges.Exchange, float] = {}
 
     async def run(self) -> None:
@@ -105,6 +109,9 @@
             return
         exchange.give_up_as_silent(found == probe.Finding.NO_ANSWER)
         exchange.pool.discard_idle(asked_at)
+        self.observation.silent(
+            exchange.request.request_id, exchange.pool.told.name
+        )
 
     async def borrow_when_starved(self) -> None:
         """Borrows slots whenever a request has to wait, until cancelled."""
@@ -125,5 +132,7 @@
             if not admission.waiting:
                 return
             lenders = self.shares.others(pool.told)
-            if await self.loans.borrow(pool, lenders, admission.waiting):
+            lent = await self.loans.borrow(pool, lenders, admission.waiting)
+            if lent:
+                self.observation.borrowed(lent)
                 admission.hand_out()
