Test what the probes say at start, in drain and in isolation

Alive in every case; ready while serving and while cut off from the quorum. With any of the checks of readiness taken out, or with one that looks at the quorum, one to two of the six cases fail.

--- a/turmerichall/operators/tests/fake_daemon.py
+++ b/turmerichall/operators/tests/fake_daemon.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from turmerichall import outcomes
+from turmerichall import readiness
 from turmerichall.agreement import member
 from turmerichall.agreement import message
 from turmerichall.backend_servers import announcement
@@ -26,6 +27,8 @@
     name: str = "i1"
     leader: str = "i1"
     seconds_since_quorum: float = 0.0
+    applied: int = 1
+    stopped: str = ""
     members: member.Members = ()
     learners: member.Members = ()
 
@@ -37,9 +40,10 @@
         self.machine = machine.Machine()
         self.outcome: outcomes.Refusal | outcomes.Unknown | None = None
         self.barrier_refusal: outcomes.Refusal | None = None
-        self.readiness: outcomes.Refusal | None = None
+        self.readiness = readiness.Readiness(self)
         self.told: list[announcement.Announcement] = []
         self.members: member.Members = ()
+        self.shown = FakeStatus()
 
     async def submit(
         self, change: changes.Change
@@ -60,7 +64,7 @@
 
     def status(self) -> FakeStatus:
         """Returns a status."""
-        return FakeStatus(members=self.members)
+        return self.shown._replace(members=self.members)
 
     async def barrier(
         self, timeout_seconds: float = 2.0
@@ -98,7 +102,7 @@
             announcements=self,
             directory=directory.Directory(self.machine.configuration),
             replica=self,
-            readiness=lambda: self.readiness,
+            readiness=self.readiness,
             keys=KEYS,
             counters=counted,
             log=logs.Log("operators"),
--- a/turmerichall/operators/tests/test_application.py
+++ b/turmerichall/operators/tests/test_application.py
@@ -212,19 +212,35 @@
 
 class TestHealth:
 
-    async def test_alive_while_not_ready(
-        self, client: in_process.Client
+    @pytest.mark.parametrize(
+        ("shown", "draining", "status", "error"),
+        [
+            ({"applied": 0}, False, 503, "no_quorum"),
+            ({}, False, 200, None),
+            # Cut off for long: it serves with the last configuration.
+            ({"seconds_since_quorum": 999.0, "leader": ""}, False, 200, None),
+            ({"stopped": "the disk failed"}, False, 503, "stopped"),
+            ({}, True, 503, "draining"),
+            ({"applied": 0}, True, 503, "draining"),
+        ],
+        ids=["start", "serving", "cut off", "stopped", "drain", "drain early"],
+    )
+    async def test_alive_and_ready(
+        self,
+        client: in_process.Client,
+        shown: dict[str, Any],
+        draining: bool,
+        status: int,
+        error: str | None,
     ) -> None:
-        client.daemon.readiness = outcomes.Refusal(
-            outcomes.RefusalReason.DRAINING, "stopping"
-        )
+        daemon = client.daemon
+        daemon.shown = daemon.shown._replace(**shown)
+        daemon.readiness.draining = draining
         alive = await client.call("GET", "/healthz", headers={})
         ready = await client.call("GET", "/readyz", headers={})
-        assert (alive.status, ready.status) == (200, 503)
-        assert ready.headers["retry-after"] == "1"
-        client.daemon.readiness = None
-        ready = await client.call("GET", "/readyz", headers={})
-        assert ready.status == 200
+        assert (alive.status, ready.status) == (200, status)
+        assert ready.document.get("error") == error
+        assert ready.headers.get("retry-after") == ("1" if error else None)
 
     async def test_metrics(self, client: in_process.Client) -> None:
         await client.call("GET", "/v1/status", headers={})
