--- a/turmerichall/placement/weights.py
+++ b/turmerichall/placement/weights.py
@@ -27,7 +27,7 @@
 
 
 BALANCED = Weights()
-THROUGHPUT = Weights(latency=2.0, throughput=4.0, service_margin=1.8)
+THROUGHPUT = Weights(latency=2.0, throughput=4.0, service_margin=1.7)
 TAIL_LATENCY = Weights(latency=8.0, throughput=1.0, service_margin=1.4)
 
 _NAMED = {
