--- a/turmerichall/operators/tests/fake_daemon.py
+++ b/turmerichall/operators/tests/fake_daemon.py
@@ -29,6 +29,7 @@
     seconds_since_quorum: float = 0.0
     applied: int = 1
     stopped: str = ""
+    recovered: bool = True
     members: member.Members = ()
     learners: member.Members = ()
 
