Hold readiness back until a restarted instance is as new as before

Cause: a killed instance that came back answered /readyz with 200 at once and showed version 8 of a customer after it had shown 9: its log held the change, but it had not yet learnt that it was committed (scenario kill_leader_twice, 5 of 10 trials). Readiness now waits for the replica's 'recovered', for 10 s at most, so that an instance that is restarted in a cut-off zone serves again. The observer of the scenarios reads what an instance shows while it is ready. Ruled out: a lost change; every trial ended at the accepted version.

--- a/turmerichall/readiness.py
+++ b/turmerichall/readiness.py
@@ -1,10 +1,21 @@
 """Whether the balancer may send requests to this instance."""
 
+import math
 from typing import Protocol
 
+import trio
+
 from turmerichall import outcomes
 
-__all__ = ["Readiness", "ReplicaState", "StatusSource"]
+__all__ = [
+    "RECOVERY_SECONDS",
+    "Readiness",
+    "ReplicaState",
+    "StatusSource",
+]
+
+# How long a restarted instance waits to be as new as before it was stopped.
+RECOVERY_SECONDS = 10.0
 
 
 class ReplicaState(Protocol):
@@ -18,6 +29,10 @@
     def stopped(self) -> str:
         """Why the replica stopped, or empty."""
 
+    @property
+    def recovered(self) -> bool:
+        """Whether the state is at least as new as before a restart."""
+
 
 class StatusSource(Protocol):
     """Gives the replica's status."""
@@ -31,7 +46,9 @@
 
     An instance that is cut off from the quorum stays ready: it serves with
     the last accepted configuration.  One that never had any, is draining, or
-    whose replica stopped, is not.
+    whose replica stopped, is not.  One that was restarted waits until its
+    configuration is as new as what it showed before, but not for ever: it may
+    be cut off.
 
     Attributes:
         replica: Gives the replica's status.
@@ -41,6 +58,7 @@
     def __init__(self, replica: StatusSource):
         self.replica = replica
         self.draining = False
+        self._wait_until = math.inf
 
     def __call__(self) -> outcomes.Refusal | None:
         """Returns None if requests may be sent here, or why not."""
@@ -52,8 +70,16 @@
         if status.applied == 0:
             detail = "no configuration was received yet"
             return _refusal(outcomes.RefusalReason.NO_QUORUM, detail)
+        if not status.recovered and self._waits():
+            detail = "the configuration may be older than before the restart"
+            return _refusal(outcomes.RefusalReason.NO_QUORUM, detail)
         return None
 
+    def _waits(self) -> bool:
+        now = trio.current_time()
+        self._wait_until = min(self._wait_until, now + RECOVERY_SECONDS)
+        return now < self._wait_until
+
 
 def _refusal(reason: outcomes.RefusalReason, detail: str) -> outcomes.Refusal:
     return outcomes.Refusal(reason, detail, retry_after_seconds=1.0)
--- a/turmerichall/tests/load.py
+++ b/turmerichall/tests/load.py
@@ -185,6 +185,10 @@
         return 0
 
     async def _observe(self, instance: local_cluster.Instance) -> int:
+        # What an instance holds is in force once it says that it is ready.
+        ready = await self.operator.send(instance.operators, "GET", "/readyz")
+        if ready.status != 200:
+            return 0
         shown = await self.operator.read(instance.operators, CUSTOMER_PATH)
         if shown is None:
             return 0
