Let a start that the log accepted elsewhere replace a planned one

A start decided here and then found running on another worker was ignored, so capacity stayed held on one worker and was not counted on the other. TestTakenOver failed before.

--- a/turmerichall/placement/planner.py
+++ b/turmerichall/placement/planner.py
@@ -98,15 +98,22 @@
             self.fleet.note_unwanted(task)
 
     def put_running(self, task: views.TaskView, worker: str, at: float) -> None:
-        """Takes over a task that was started before this planner was made.
+        """Takes over a task that was not started by this planner.
+
+        It replaces a start of the same task that this planner decided and
+        that is not noted as ended.
 
         Args:
             task: The task; its attempt is the one that runs.
             worker: Worker that runs it.
             at: When it was started, as far as known.
         """
-        if task.task_id in self.fleet.worker_of:
+        before = self.fleet.worker_of.get(task.task_id)
+        if before == worker:
+            self.note_started(task.task_id, worker, at)
             return
+        if before is not None:
+            self.note_ended(task.task_id, before, changes.Ending.REFUSED, at)
         self.drop_waiting(task.task_id)
         held = self.fleet.hold(task, worker, task.attempt, at)
         self._count(held, 1)
--- a/turmerichall/placement/tests/test_planner.py
+++ b/turmerichall/placement/tests/test_planner.py
@@ -55,6 +55,19 @@
         assert not made.plan(1.0, 1.0).starts
 
 
+class TestTakenOver:
+    """What the replicated state says goes before what was decided."""
+
+    def test_start_elsewhere_replaces_the_own_one(self) -> None:
+        made = _planner(2)
+        made.put_waiting(_task("j/0", 8))
+        mine = made.plan(0.0, 0.0).starts[0].worker
+        other = "w1" if mine == "w0" else "w0"
+        made.put_running(_task("j/0", 8), other, 1.0)
+        made.put_waiting(_task("j/1", 8))
+        assert made.plan(2.0, 2.0).starts[0].worker == mine
+
+
 class TestNeverFits:
     """A task that can never run is told so once and blocks nobody."""
 
