--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -40,6 +40,7 @@
 from turmerichall.zones import announcements as announcing
 from turmerichall.zones import grant_holder
 from turmerichall.zones import handover as handovers
+from turmerichall.zones import lost_zones as losing
 from turmerichall.zones import placing as placings
 from turmerichall.zones import worker_client
 
@@ -47,6 +48,7 @@
 
 EXIT_SETTINGS = 1
 EXIT_STORAGE = 3
+HEARD_SECONDS = 5.0
 
 _PRESETS = {
     "batch-throughput": weights.THROUGHPUT,
@@ -115,6 +117,9 @@
             self._make_planner,
         )
         self.handover = handovers.Handover(self.placing, self.network)
+        self.lost_zones = losing.LostZones(
+            self.holder, self.machine, self.proposer
+        )
         self.readiness = readiness.Readiness(self.replica)
         self.gateway = self._make_gateway()
         self.operators = self._make_operators()
@@ -218,6 +223,7 @@
             nursery.start_soon(self.holder.run)
             nursery.start_soon(self.placing.run)
             nursery.start_soon(self.handover.run)
+            nursery.start_soon(self.lost_zones.run)
             async with trio.open_nursery() as servers:
                 await servers.start(
                     web_server.serve,
@@ -247,6 +253,17 @@
                     return
                 await self._drain()
 
+    def _has_successor(self) -> bool:
+        """Tells whether another instance of the zone can place at once."""
+        now = trio.current_time()
+        own = self.settings.instance
+        return any(
+            entry.zone == own.zone
+            and name != own.name
+            and now - self.network.last_heard(name) < HEARD_SECONDS
+            for name, entry in self.machine.instances.items()
+        )
+
     async def _drain(self) -> None:
         self.log.info("draining")
         self.readiness.draining = True
--- a/turmerichall/state/change.py
+++ b/turmerichall/state/change.py
@@ -25,6 +25,7 @@
     "PublishTemplate",
     "RecordDecisions",
     "RegisterInstance",
+    "ReleaseGrant",
     "RenewGrant",
     "Result",
     "SetCustomer",
@@ -151,6 +152,14 @@
     confirmed: tuple[str, ...] = ()
 
 
+class ReleaseGrant(NamedTuple):
+    """Gives the grant of a zone back: its holder renews no leases any more."""
+
+    zone: str
+    holder: str
+    epoch: int
+
+
 class Start(NamedTuple):
     """One task to start.
 
@@ -312,6 +321,7 @@
     | RecordDecisions
     | RegisterInstance
     | ForgetInstance
+    | ReleaseGrant
 )
 
 # The kinds are part of the format of the log: never renumber them.
@@ -330,6 +340,7 @@
     12: RecordDecisions,
     13: RegisterInstance,
     14: ForgetInstance,
+    15: ReleaseGrant,
 }
 _KIND_OF = {change_type: kind for kind, change_type in _KINDS.items()}
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/state/machine.py
+++ b/turmerichall/state/machine.py
@@ -114,6 +114,7 @@
             changes.CancelJob: self._cancel_job,
             changes.TakeGrant: self._take_grant,
             changes.RenewGrant: self._renew_grant,
+            changes.ReleaseGrant: self._release_grant,
             changes.StartTasks: self._start_tasks,
             changes.EndTasks: self._end_tasks,
             changes.EvictTasks: self._evict_tasks,
@@ -191,15 +192,33 @@
     def _renew_grant(
         self, _: int, change: changes.RenewGrant
     ) -> changes.Result:
-        current = self.grant(change.zone)
-        if (current.holder, current.epoch) != (change.holder, change.epoch):
-            return changes.Result(
-                changes.Status.CONFLICT, current.epoch, current.holder
-            )
-        renewed = current.renewed(change.confirmed)
+        lost = self._not_held(change)
+        if lost is not None:
+            return lost
+        renewed = self.grant(change.zone).renewed(change.confirmed)
         self.grants[change.zone] = renewed
         return changes.Result(changes.Status.APPLIED, renewed.epoch)
 
+    def _release_grant(
+        self, _: int, change: changes.ReleaseGrant
+    ) -> changes.Result:
+        lost = self._not_held(change)
+        if lost is not None:
+            return lost
+        released = self.grant(change.zone).released()
+        self.grants[change.zone] = released
+        return changes.Result(changes.Status.APPLIED, released.epoch)
+
+    def _not_held(
+        self, change: changes.RenewGrant | changes.ReleaseGrant
+    ) -> changes.Result | None:
+        current = self.grant(change.zone)
+        if (current.holder, current.epoch) == (change.holder, change.epoch):
+            return None
+        return changes.Result(
+            changes.Status.CONFLICT, current.epoch, current.holder
+        )
+
     def _start_tasks(
         self, index: int, change: changes.StartTasks
     ) -> changes.Result:
--- a/turmerichall/zones/authority.py
+++ b/turmerichall/zones/authority.py
@@ -39,6 +39,10 @@
         earlier.pop("", None)
         return Grant(self.zone, holder, self.epoch + 1, 0, tuple(earlier))
 
+    def released(self) -> "Grant":
+        """Returns the grant after its holder gave it back."""
+        return self._replace(holder="", renewal=self.renewal + 1)
+
     def renewed(self, confirmed: tuple[str, ...]) -> "Grant":
         """Returns the grant after a renewal.
 
--- a/turmerichall/zones/grant_holder.py
+++ b/turmerichall/zones/grant_holder.py
@@ -11,7 +11,7 @@
 from turmerichall.telemetry import logs
 from turmerichall.zones import authority
 
-__all__ = ["Changes", "GrantHolder"]
+__all__ = ["Changes", "GrantHolder", "is_applied"]
 
 OBSERVE_SECONDS = 0.5
 
@@ -39,6 +39,7 @@
         confirmed: Earlier holders that have stopped, to be recorded.
         seen: The grant as last observed.
         seen_at: When that was first observed, trio time.
+        leaving: Whether this instance takes no grant any more.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.confirmed: set[str] = set()
         self.seen = authority.no_grant(zone)
         self.seen_at = -math.inf
+        self.leaving = False
         self.log = logs.Log("placement")
 
     def holds(self) -> bool:
@@ -95,7 +97,9 @@
             self.seen_at = trio.current_time()
 
     def _free(self, after_seconds: float) -> bool:
-        if self.seen.epoch == 0 or self.seen.holder == self.name:
+        if self.leaving:
+            return False
+        if self.seen.holder in ("", self.name):
             return True
         return trio.current_time() - self.seen_at > after_seconds
 
@@ -110,7 +114,7 @@
         result = await self.proposer.submit(
             changes.TakeGrant(self.zone, self.name, seen.epoch, seen.renewal)
         )
-        if not _applied(result):
+        if not is_applied(result):
             return False
         assert isinstance(result, changes.Result)
         self.held_epoch = result.version
@@ -125,6 +129,18 @@
         if self.held_epoch < epoch:
             self.held_epoch = 0
 
+    async def release(self) -> None:
+        """Gives the grant back, so that another instance takes it at once."""
+        self.leaving = True
+        if not self.holds():
+            return
+        epoch = self.held_epoch
+        self.held_epoch = 0
+        await self.proposer.submit(
+            changes.ReleaseGrant(self.zone, self.name, epoch)
+        )
+        self.log.info("released the grant", zone=self.zone, epoch=epoch)
+
     def earlier_holders(self) -> list[str]:
         """Returns the earlier holders that may still renew leases."""
         unconfirmed = self.machine.grant(self.zone).unconfirmed
@@ -136,7 +152,7 @@
             self.zone, self.name, self.held_epoch, tuple(self.confirmed)
         )
         result = await self.proposer.submit(renewal)
-        if _applied(result):
+        if is_applied(result):
             self.renewed_at = sent_at
         elif isinstance(result, changes.Result):
             self.log.warning(
@@ -145,9 +161,10 @@
             self.held_epoch = 0
 
 
-def _applied(
+def is_applied(
     result: changes.Result | outcomes.Refusal | outcomes.Unknown,
 ) -> bool:
+    """Tells whether a submitted change was applied."""
     if not isinstance(result, changes.Result):
         return False
     return result.status == changes.Status.APPLIED
--- /dev/null
+++ b/turmerichall/zones/lost_zones.py
@@ -0,0 +1,111 @@
+"""Has the batch tasks of a lost zone restarted elsewhere.
+
+A zone that is cut off keeps its batch tasks for `CUT_OFF_HOLD_SECONDS`; its
+workers stop them when their leases run out after that.  Only then does an
+authority of another zone take the lost zone's grant, which fences whoever
+held it, and record the tasks as lost.  Service tasks stay with their zone.
+"""
+
+import time
+
+import trio
+
+from turmerichall.leases import lease
+from turmerichall.state import change as changes
+from turmerichall.state import machine as machines
+from turmerichall.telemetry import logs
+from turmerichall.zones import authority
+from turmerichall.zones import grant_holder
+
+__all__ = ["LostZones", "lost_after_seconds"]
+
+CHECK_SECONDS = 5.0
+MAX_ENDS_PER_CHANGE = 256
+
+
+def lost_after_seconds() -> float:
+    """Returns how long a grant must stay unrenewed until its zone is lost.
+
+    It covers the term of the grant, the hold of a cut-off authority and the
+    last leases that it renewed.
+
+    Examples:
+        >>> lost_after_seconds() > authority.CUT_OFF_HOLD_SECONDS
+        True
+    """
+    hold = lease.ended_after_seconds(authority.CUT_OFF_HOLD_SECONDS)
+    stopped = lease.task_ended_after_seconds()
+    return authority.takeover_after_seconds() + hold + stopped
+
+
+class LostZones:
+    """Watches the grants of the other zones.
+
+    Attributes:
+        holder: This instance's part in its own zone's grant; only an
+            authority acts for lost zones.
+        machine: The replicated state.
+        proposer: Submits changes.
+        seen: Grants of other zones as last seen, and when each changed.
+    """
+
+    def __init__(
+        self,
+        holder: grant_holder.GrantHolder,
+        machine: machines.Machine,
+        proposer: grant_holder.Changes,
+    ):
+        self.holder = holder
+        self.machine = machine
+        self.proposer = proposer
+        self.seen: dict[str, tuple[authority.Grant, float]] = {}
+        self.log = logs.Log("placement")
+
+    async def run(self) -> None:
+        """Watches for ever."""
+        while True:
+            await self.step()
+            await trio.sleep(CHECK_SECONDS)
+
+    async def step(self) -> None:
+        """Looks at each zone once."""
+        now = trio.current_time()
+        for zone, grant in list(self.machine.grants.items()):
+            known = self.seen.get(zone)
+            if known is None or known[0] != grant:
+                self.seen[zone] = (grant, now)
+            elif now - known[1] > lost_after_seconds():
+                await self._restart_elsewhere(grant)
+
+    async def _restart_elsewhere(self, grant: authority.Grant) -> None:
+        now = trio.current_time()
+        if grant.zone == self.holder.zone or not self.holder.may_start(now):
+            return
+        if not self._batch_tasks(grant.zone):
+            return
+        taken = await self.proposer.submit(
+            changes.TakeGrant(
+                grant.zone, self.holder.name, grant.epoch, grant.renewal
+            )
+        )
+        if not grant_holder.is_applied(taken):
+            return
+        assert isinstance(taken, changes.Result)
+        await self.machine.wait_applied(taken.position)
+        ends = self._batch_tasks(grant.zone)
+        self.log.warning("a zone is lost", zone=grant.zone, tasks=len(ends))
+        for first in range(0, len(ends), MAX_ENDS_PER_CHANGE):
+            part = ends[first : first + MAX_ENDS_PER_CHANGE]
+            await self.proposer.submit(
+                changes.EndTasks(grant.zone, taken.version, time.time(), part)
+            )
+
+    def _batch_tasks(self, zone: str) -> list[changes.End]:
+        reason = f"zone {zone} is lost; its leases have ended"
+        return [
+            changes.End(
+                task.task_id, task.attempt, changes.Ending.LOST, reason=reason
+            )
+            for task in self.machine.ledger.live_in(zone)
+            if self.machine.ledger.is_batch(task)
+        ]
