--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 	$(BIN)/pylint --score=n turmerichall
 	$(BIN)/mypy
 
+bench-requests: venv
+	$(BIN)/python -m turmerichall.benchmarks.requests
+
 bench-placement: venv
 	$(BIN)/python -m turmerichall.benchmarks.placement
 
--- a/turmerichall/benchmarks/requests.py
+++ b/turmerichall/benchmarks/requests.py
@@ -20,6 +20,7 @@
 import trio
 
 from turmerichall.benchmarks import requests_load as load
+from turmerichall.benchmarks import requests_upgrade as upgrade
 
 __all__ = ["main"]
 
@@ -228,6 +229,12 @@
     return _table("slow servers|routing|p50 ms|p99 ms|answered/s", rows)
 
 
+def rolling_upgrade() -> str:
+    """Measures requests while all daemons and workers are upgraded."""
+    rows = [list(phase) for phase in trio.run(upgrade.run)]
+    return _table("phase|requests|p50 ms|p99 ms|refused|unknown|doubled", rows)
+
+
 def _table(titles: str, rows: Sequence[Sequence[object]]) -> str:
     return tabulate.tabulate(
         rows, headers=titles.split("|"), tablefmt="github", floatfmt=".2f"
@@ -240,7 +247,8 @@
     Args:
         seconds: How long each measurement takes.
         rounds: How often each hop is measured.
-        only: `overhead`, `overload` or `slow_server`; all by default.
+        only: `overhead`, `overload`, `slow_server` or `rolling_upgrade`; all
+            by default.
     """
     print(f"{platform.machine()}, {os.cpu_count()} cores, load", end=" ")
     print(", ".join(f"{each:.1f}" for each in os.getloadavg()))
@@ -248,6 +256,7 @@
         "overhead": lambda: overhead(seconds, rounds),
         "overload": lambda: overload(seconds * 3),
         "slow_server": lambda: slow_server(seconds * 3),
+        "rolling_upgrade": rolling_upgrade,
     }
     for name, part in parts.items():
         if only in ("", name):
--- a/turmerichall/benchmarks/requests_servers.py
+++ b/turmerichall/benchmarks/requests_servers.py
@@ -6,6 +6,7 @@
 
 import functools
 import itertools
+import os
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -184,6 +185,7 @@
 
 
 async def _gateway(backends: list[str], slots: int, routing: str) -> None:
+    logs.configure(path=os.devnull)
     machine = _machine()
     directory = directories.Directory(machine.configuration)
     app = application.Application(
--- a/turmerichall/gateway/claims.py
+++ b/turmerichall/gateway/claims.py
@@ -83,6 +83,8 @@
         members: Zone of each entry instance by name.
         before: The list before, while it is handed over; otherwise empty.
         before_until: When the handover ends, trio time.
+        keepers_of: Keepers of each claim that is not settled, by its token.
+        unsettled: Settlements to send, by keeper.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self.before_until = 0.0
         self.tokens = itertools.count()
         self.start = f"{name}.{wall_clock():.6f}"
+        self.keepers_of: dict[str, set[str]] = {}
         self.unsettled: dict[str, list[Settlement]] = {}
         network.handle(CLAIM, self._handle_claim)
         network.handle(SETTLE, self._handle_settle)
@@ -130,12 +133,13 @@
         if isinstance(groups, outcomes.Refusal):
             return groups
         token = f"{self.start}.{next(self.tokens)}"
+        names = {name for group in groups for name in group}
+        self.keepers_of[token] = names
         claim = Claim(text, token, self._digests())
         grants: dict[str, keepers.Grant] = {}
         await self._ask(self._nearest_majorities(groups), claim, grants)
         if not _granted(groups, grants):
-            rest = {name for group in groups for name in group} - set(grants)
-            await self._ask(rest, claim, grants)
+            await self._ask(names - set(grants), claim, grants)
         if _granted(groups, grants):
             return claim
         self.settle(claim, None)
@@ -149,11 +153,8 @@
             state: The outcome; None if the request was provably not run, which
                 lets the caller send it again.
         """
-        groups = self._groups(claim.text)
-        if isinstance(groups, outcomes.Refusal):
-            return
         settlement = Settlement(claim.text, claim.token, state)
-        for name in {name for group in groups for name in group}:
+        for name in self.keepers_of.pop(claim.token):
             if name == self.name:
                 self._settle_here(settlement)
             else:
