--- a/turmerichall/operators/application.py
+++ b/turmerichall/operators/application.py
@@ -64,7 +64,9 @@
         self.in_flight = 0
         self._refused_log = logs.Sparse(log, MAX_REFUSED_LOGGED_PER_SECOND)
         gauges.register(self.services)
-        self.work_log = work_log.WorkLog(machine, lambda: replica.status().name)
+        self.work_log = work_log.WorkLog(
+            machine, lambda: replica.status().name, counters
+        )
 
     async def __call__(
         self, scope: Any, receive: exchange.Receive, send: exchange.Send
--- a/turmerichall/operators/tests/test_work_log.py
+++ b/turmerichall/operators/tests/test_work_log.py
@@ -12,6 +12,7 @@
 from turmerichall.operators import work_log
 from turmerichall.state import change as changes
 from turmerichall.state import machine
+from turmerichall.telemetry import counters
 from turmerichall.telemetry import logs
 from turmerichall.templates import template
 
@@ -26,22 +27,25 @@
     logs.configure(stream=io.StringIO())
 
 
-def _run(holder: str, wall_seconds: float) -> None:
+def _run(holder: str, wall_seconds: float) -> counters.Counters:
     """Runs a job of two tasks on a state that i1 watches."""
     made = machine.Machine()
-    work_log.WorkLog(made, lambda: "i1")
+    counted = counters.Counters()
+    work_log.WorkLog(made, lambda: "i1", counted)
     operation = changes.Operation
     size = resources.Resources(1, 1)
     body = template.Template("r", template.Kind.BATCH, size)
     whom = customer.Customer("c", "t", customer.Urgency.NORMAL, ("z1",), {})
     starts = [changes.Start(f"j1/{n}", 1, "w1", 1) for n in (0, 1, 7)]
     evictions = [changes.Eviction("j1/0", 1, "noisy")]
+    notes = [changes.Note("j1/0", "waits", "no_capacity: no worker has room")]
     ends = [changes.End("j1/1", 1, changes.Ending.FAILED, reason="broke")]
     applied: list[changes.Change] = [
         changes.PublishTemplate(operation("1", "a", 1.0), 0, body),
         changes.SetCustomer(operation("2", "a", 1.0), 0, whom),
         changes.AcceptJob(operation("3", "a", 1.0), "j1", "c", "r", 2, 9.0),
         changes.TakeGrant("z1", holder, 0, 0),
+        changes.RecordDecisions("z1", 1, wall_seconds, notes),
         changes.StartTasks("z1", 1, wall_seconds, starts),
         changes.StartTasks("z1", 0, wall_seconds, starts),
         changes.EvictTasks("z1", 1, wall_seconds, evictions),
@@ -49,12 +53,16 @@
     ]
     for index, change in enumerate(applied, 1):
         made.apply(index, changes.encode(change))
+    return counted
 
 
 class TestWorkLog:
 
     def test_each_step_is_logged_once(self, stream: io.StringIO) -> None:
-        _run("i1", time.time())
+        counted = _run("i1", time.time())
+        assert counted.event_count("tasks_started") == 2
+        assert counted.event_count("tasks_failed") == 1
+        assert counted.count_of("refusals", "placement", "no_capacity") == 1
         lines = [json.loads(line) for line in stream.getvalue().splitlines()]
         assert {line["job_id"] for line in lines} == {"j1"}
         assert [(line["message"], line["task"]) for line in lines] == [
@@ -70,5 +78,6 @@
     def test_others_and_old_steps_are_left_out(
         self, stream: io.StringIO, holder: str, age_seconds: float
     ) -> None:
-        _run(holder, time.time() - age_seconds)
+        counted = _run(holder, time.time() - age_seconds)
         assert not stream.getvalue()
+        assert not counted.event_count("tasks_started")
--- a/turmerichall/operators/work_log.py
+++ b/turmerichall/operators/work_log.py
@@ -1,23 +1,31 @@
-"""Logs what becomes of jobs, with the id that follows them.
+"""Logs and counts what becomes of tasks, with the id of their job.
 
-Only the placing authority of a zone logs the starts and ends there, so that
-each stands in the log of one instance.  Changes that are applied once more
+Only the placing authority of a zone does so for the starts and ends there, so
+that each is told by one instance.  Changes that are applied once more
 after a restart are old, and left out.
 """
 
 from collections.abc import Callable
 import time
 
+from turmerichall import outcomes
 from turmerichall.state import change as changes
 from turmerichall.state import ledger
 from turmerichall.state import machine as machines
+from turmerichall.telemetry import counters as metrics
 from turmerichall.telemetry import logs
 
 __all__ = ["WorkLog"]
 
 MAX_AGE_SECONDS = 30.0
+_REASONS = frozenset(reason.value for reason in outcomes.RefusalReason)
 
-_ZonedChange = changes.StartTasks | changes.EndTasks | changes.EvictTasks
+_ZonedChange = (
+    changes.StartTasks
+    | changes.EndTasks
+    | changes.EvictTasks
+    | changes.RecordDecisions
+)
 
 
 class WorkLog:
@@ -26,17 +34,24 @@
     Attributes:
         machine: The replicated state.
         own_name: Returns the name of this instance.
+        counters: Counts what is told.
         log: Where to write.
     """
 
-    def __init__(self, machine: machines.Machine, own_name: Callable[[], str]):
+    def __init__(
+        self,
+        machine: machines.Machine,
+        own_name: Callable[[], str],
+        counters: metrics.Counters,
+    ):
         self.machine = machine
         self.own_name = own_name
+        self.counters = counters
         self.log = logs.Log("jobs")
         machine.watchers.append(self.note)
 
     def note(self, change: changes.Change, result: changes.Result) -> None:
-        """Logs an applied change, if it is this instance's to log."""
+        """Tells of an applied change, if it is this instance's to tell."""
         if not isinstance(change, _ZonedChange):
             return
         if result.status != changes.Status.APPLIED:
@@ -49,14 +64,17 @@
             self._note_starts(change, result)
         elif isinstance(change, changes.EndTasks):
             self._note_ends(change, result)
-        else:
+        elif isinstance(change, changes.EvictTasks):
             self._note_evictions(change, result)
+        else:
+            self._note_decisions(change)
 
     def _note_starts(
         self, change: changes.StartTasks, result: changes.Result
     ) -> None:
         for start in change.starts:
             if start.task_id not in result.refused:
+                self.counters.event("tasks_started")
                 self.log.info(
                     "task started",
                     job_id=ledger.job_of(start.task_id),
@@ -70,6 +88,7 @@
     ) -> None:
         for end in change.ends:
             if end.task_id not in result.refused:
+                self._count_end(end.ending)
                 self.log.info(
                     "task ended",
                     job_id=ledger.job_of(end.task_id),
@@ -91,3 +110,26 @@
                     attempt=eviction.attempt,
                     reason=eviction.reason,
                 )
+
+    def _note_decisions(self, change: changes.RecordDecisions) -> None:
+        for note in change.notes:
+            # A task that waits is told of as `reason: detail`.
+            reason = note.reason.partition(":")[0]
+            if note.what == "waits" and reason in _REASONS:
+                counted = outcomes.RefusalReason(reason)
+                self.counters.refused("placement", counted)
+
+    def _count_end(self, ending: changes.Ending) -> None:
+        match ending:
+            case changes.Ending.FINISHED:
+                self.counters.event("tasks_finished")
+            case changes.Ending.FAILED:
+                self.counters.event("tasks_failed")
+            case changes.Ending.EVICTED:
+                self.counters.event("tasks_evicted")
+            case changes.Ending.LOST:
+                self.counters.event("tasks_lost")
+            case changes.Ending.CANCELLED:
+                self.counters.event("tasks_cancelled")
+            case changes.Ending.REFUSED:
+                self.counters.event("tasks_refused")
--- a/turmerichall/telemetry/tests/test_counters.py
+++ b/turmerichall/telemetry/tests/test_counters.py
@@ -68,6 +68,12 @@
             f"turmerichall_{name}" for name in named
         )
 
+    def test_each_histogram_has_one_row(self) -> None:
+        named = _names_in_code("observe_seconds")
+        assert sorted(_rows("Histograms")) == sorted(
+            f"turmerichall_{name}_seconds" for name in named
+        )
+
     def test_two_daemons_in_a_process_count_apart(self) -> None:
         first = counters.Counters()
         second = counters.Counters()
