--- a/turmerichall/zones/tests/test_placing.py
+++ b/turmerichall/zones/tests/test_placing.py
@@ -334,6 +334,17 @@
         assert (reply.epoch, reply.renewed) == (2, ("j1/0#1",))
         assert not zone.holder.holds()
 
+    async def test_worker_that_has_not_seen_the_epoch_may_still_be_renewed(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        zone: _Zone,
+        nursery: trio.Nursery,
+    ) -> None:
+        second = await _taken_over(zone, nursery, True)
+        second.announce(3, _running(), epoch=1)
+        await _keep(second, 2 * TERM, "w2")
+        assert second.task().attempt == 1
+
     async def test_service_held_by_an_earlier_holder_is_never_started_twice(
         self,
         zone: _Zone,
@@ -344,5 +355,6 @@
         hold = authority.CUT_OFF_HOLD_SECONDS + 2 * TERM
         await _keep(second, hold, "w2")
         tasks = second.machine.ledger.tasks
-        assert tasks["svc:c/offers/z1/0"].attempt == 1
+        first = tasks["svc:c/offers/z1/0"]
+        assert first.held is not None and first.attempt == 1
         assert tasks["svc:c/offers/z1/1"].held is not None
