--- a/turmerichall/placement/tests/test_eviction.py
+++ b/turmerichall/placement/tests/test_eviction.py
@@ -147,7 +147,7 @@
         made = planner.Planner(weights.BALANCED)
         made.put_worker(views.WorkerView("w0", "r0", "z1", ROOM))
         made.put_running(_task("old/0", "batch", processors=8.0), "w0", 0.0)
-        made.put_waiting(_task("other/0", "batch", processors=8.0))
+        made.put_waiting(_task("a/0", "another", processors=8.0))
         again = _task("old/0", "batch", processors=8.0)
         made.put_waiting(again._replace(attempt=1, evicted=True))
         made.note_ended("old/0", "w0", changes.Ending.EVICTED, 5.0)
--- a/turmerichall/placement/tests/test_health.py
+++ b/turmerichall/placement/tests/test_health.py
@@ -30,10 +30,9 @@
 
     def test_bad_job_blames_no_worker(self) -> None:
         made = health.Health()
-        for number in range(12):
-            made.note_failure(f"w{number}", f"bad/{number}", float(number))
-        for number in range(12):
-            made.note_failure(f"w{number}", f"bad/{number}", 50.0 + number)
+        for failure in range(48):
+            worker = f"w{failure % 12}"
+            made.note_failure(worker, f"bad/{failure}", float(failure))
         blamed = [n for n in range(12) if _quarantined(made, f"w{n}", 99.0)]
         assert not blamed
 
