--- a/turmerichall/benchmarks/placement.py
+++ b/turmerichall/benchmarks/placement.py
@@ -26,6 +26,7 @@
 _FLEET_WEIGHTS = {
     "ikengwu": weighing.THROUGHPUT,
     "blue_mountain": weighing.TAIL_LATENCY,
+    "small": weighing.BALANCED,
     "large": weighing.BALANCED,
 }
 
--- a/turmerichall/benchmarks/placement_scenarios.py
+++ b/turmerichall/benchmarks/placement_scenarios.py
@@ -47,6 +47,7 @@
     "blue_mountain": FleetSize(
         33, resources.Resources(64, 250_000), 11, 3, 3600.0
     ),
+    "small": FleetSize(6, resources.Resources(16, 60_000), 1, 3, 1200.0),
     "large": FleetSize(790, resources.Resources(64, 250_000), 16, 10, 900.0),
 }
 
--- /dev/null
+++ b/turmerichall/benchmarks/tests/test_placement.py
@@ -0,0 +1,53 @@
+"""Tests of the placement benchmark on a small fleet."""
+
+import pytest
+
+from turmerichall import resources
+from turmerichall.benchmarks import placement
+from turmerichall.benchmarks import placement_result
+from turmerichall.benchmarks import placement_scenarios
+from turmerichall.benchmarks import placement_workers
+from turmerichall.placement import policy
+
+_TIMED = {"plan p99 ms", "starts/s"}
+
+
+class TestScenarios:
+    """Whatever goes wrong, no capacity is oversold and no task doubled."""
+
+    @pytest.mark.parametrize("name", placement_scenarios.NAMES)
+    def test_nothing_is_oversold_or_doubled(self, name: str) -> None:
+        seen = placement.run_one(name, "small", policy.CURRENT, 5)
+        assert seen.violations == 0
+        assert seen.doubled == 0
+        assert seen.done > 0
+
+    def test_same_seed_gives_the_same_decisions(self) -> None:
+        rows = [
+            placement.run_one("zone_loss", "small", policy.CURRENT, 5).row()
+            for _ in range(2)
+        ]
+        compared = [
+            [
+                value
+                for column, value in zip(
+                    placement_result.COLUMNS, row, strict=True
+                )
+                if column not in _TIMED
+            ]
+            for row in rows
+        ]
+        assert compared[0] == compared[1]
+
+
+class TestFakeWorker:
+    """The fake worker tells when it is given too much."""
+
+    def test_start_beyond_capacity_is_noticed(self) -> None:
+        scenario = placement_scenarios.make("steady_day", "small", 5)
+        truth = scenario.truth.templates["offers"]
+        view = scenario.workers[0]._replace(capacity=resources.Resources(2, 9))
+        worker = placement_workers.FakeWorker(view, scenario.truth)
+        task = scenario.events[0].tasks[0]
+        running = placement_workers.RunningTask(task, truth, 1, 0.0)
+        assert not worker.start(running, 0.0)
