--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: venv demo test check format bench-placement bench-requests bench-state bench-wire bench-capacity
+.PHONY: venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
 
 venv: $(VENV)/.ready
 
@@ -35,3 +35,12 @@
 
 bench-capacity: venv
 	$(BIN)/python -m turmerichall.benchmarks.capacity --write docs/CAPACITY.md
+
+bench-state: venv
+	$(BIN)/python -m turmerichall.benchmarks.state
+
+bench-wire: venv
+	$(BIN)/python -m turmerichall.benchmarks.wire
+
+bench-history: venv
+	$(BIN)/python -m turmerichall.benchmarks.history --seeds 100
--- a/turmerichall/benchmarks/state.py
+++ b/turmerichall/benchmarks/state.py
@@ -199,6 +199,7 @@
                 await nursery.start(replica.run)
                 seconds = time.perf_counter() - began
                 if machine.applied_index == 0:
+                    assert await replica.barrier(20.0) is None
                     async with trio.open_nursery() as writing:
                         for number in range(entries):
                             writing.start_soon(
@@ -206,6 +207,7 @@
                             )
                     await trio.sleep(2 * timing.commit_save_seconds)
                 nursery.cancel_scope.cancel()
+        assert machine.applied_index >= entries
         began = time.perf_counter()
         machine.snapshot()
         return seconds * 1000, (time.perf_counter() - began) * 1000
