--- a/turmerichall/benchmarks/placement.py
+++ b/turmerichall/benchmarks/placement.py
@@ -7,7 +7,7 @@
 """
 
 import gc
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import fire
 import tabulate
@@ -15,6 +15,7 @@
 from turmerichall.benchmarks import placement_result as results
 from turmerichall.benchmarks import placement_run as runs
 from turmerichall.benchmarks import placement_scenarios as scenarios
+from turmerichall.placement import interference
 from turmerichall.placement import planner as planners
 from turmerichall.placement import policy as policies
 from turmerichall.placement import weights as weighing
@@ -23,6 +24,11 @@
 
 TUNING_SEEDS = (1, 2)
 FINAL_SEEDS = (101, 102, 103)
+ESTIMATORS: dict[str, Callable[[], interference.Estimator]] = {
+    "none": interference.NoEstimator,
+    "template": interference.TemplateEstimator,
+    "pair": interference.PairEstimator,
+}
 _FLEET_WEIGHTS = {
     "ikengwu": weighing.THROUGHPUT,
     "blue_mountain": weighing.TAIL_LATENCY,
@@ -37,11 +43,22 @@
     policy_name: str,
     seed: int,
     weights: weighing.Weights | None = None,
+    estimator: str = "",
 ) -> results.Measured:
-    """Runs one policy through one scenario."""
+    """Runs one policy through one scenario.
+
+    Args:
+        scenario_name: Name of the scenario.
+        fleet: Name of the fleet.
+        policy_name: Name of the policy.
+        seed: Seed of the scenario.
+        weights: Weights in place of those of the fleet.
+        estimator: One of `ESTIMATORS` in place of the policy's own.
+    """
     scenario = scenarios.make(scenario_name, fleet, seed)
     weights = weights or _FLEET_WEIGHTS[fleet]
-    policy = policies.named(policy_name, weights)
+    made = ESTIMATORS[estimator]() if estimator else None
+    policy = policies.named(policy_name, weights, made)
     planner = planners.Planner(weights, policy)
     return runs.Run(scenario, planner, seed).run()
 
@@ -52,13 +69,16 @@
     seeds: Sequence[int],
     policy_names: Sequence[str],
     weights: weighing.Weights | None = None,
+    estimator: str = "",
 ) -> list[list[object]]:
     """Runs all policies through a scenario; returns mean values over seeds."""
     rows: list[list[object]] = []
     for policy_name in policy_names:
         measured = []
         for seed in seeds:
-            one = run_one(scenario_name, fleet, policy_name, seed, weights)
+            one = run_one(
+                scenario_name, fleet, policy_name, seed, weights, estimator
+            )
             measured.append(one.row())
             gc.collect()
         means = [sum(column) / len(seeds) for column in zip(*measured)]
@@ -72,6 +92,7 @@
     policy: str = "",
     seeds: int | tuple[int, ...] = FINAL_SEEDS,
     weights: str = "",
+    estimator: str = "",
 ) -> None:
     """Prints one table for each fleet.
 
@@ -81,6 +102,7 @@
         policy: One policy; all if empty.
         seeds: Seeds to take means over.
         weights: Named weights; those of the fleet if empty.
+        estimator: Estimator of the current policy; its own if empty.
     """
     chosen_seeds = (seeds,) if isinstance(seeds, int) else tuple(seeds)
     fleets = (fleet,) if fleet else ("ikengwu", "blue_mountain")
@@ -91,7 +113,12 @@
         rows: list[list[object]] = []
         for name in names:
             rows += compare(
-                name, fleet_name, chosen_seeds, policy_names, chosen_weights
+                name,
+                fleet_name,
+                chosen_seeds,
+                policy_names,
+                chosen_weights,
+                estimator,
             )
         print(f"fleet {fleet_name}, seeds {chosen_seeds}")
         headers = ("scenario", "policy", *results.COLUMNS)
