--- a/turmerichall/placement/choice.py
+++ b/turmerichall/placement/choice.py
@@ -4,6 +4,7 @@
 
 from turmerichall import outcomes
 from turmerichall import resources
+from turmerichall.customers import customer as customers
 from turmerichall.placement import decisions
 from turmerichall.placement import fleet as fleets
 from turmerichall.placement import occupancy
@@ -62,7 +63,8 @@
             refused = self.quotas.refuse(task.team, size)
             if refused is not None:
                 return refused
-            if size.processors > headroom:
+            urgent = task.urgency == customers.Urgency.URGENT
+            if size.processors > headroom and not urgent:
                 return outcomes.Refusal(
                     outcomes.RefusalReason.NO_CAPACITY,
                     "what is free is kept for services of a lost worker",
--- a/turmerichall/placement/tests/test_planner.py
+++ b/turmerichall/placement/tests/test_planner.py
@@ -11,8 +11,9 @@
 ROOM = resources.Resources(8, 8000, 0)
 
 
-def _planner(workers: int = 1) -> planner.Planner:
-    made = planner.Planner(weights.BALANCED)
+def _planner(workers: int = 1, margin: float = 1.5) -> planner.Planner:
+    chosen = weights.BALANCED._replace(service_margin=margin)
+    made = planner.Planner(chosen)
     for number in range(workers):
         made.put_worker(views.WorkerView(f"w{number}", "r0", "z1", ROOM))
     return made
@@ -112,6 +113,22 @@
         assert made.plan(6.0, 6.0).starts[0].worker == "w0"
 
 
+class TestHeadroom:
+    """What the services of a worker hold is kept free for their move."""
+
+    def test_only_urgent_work_may_take_it(self) -> None:
+        made = _planner(2, margin=9.0)
+        service = _task("svc:c/s/z1/0")._replace(service=True)
+        made.put_running(service, "w0", 0.0)
+        for number in range(4):
+            made.put_waiting(_task(f"j/{number}"))
+        assert len(made.plan(0.0, 0.0).starts) == 2
+        urgent = customers.Urgency.URGENT
+        made.put_waiting(_task("urgent/0")._replace(urgency=urgent))
+        starts = made.plan(1.0, 1.0).starts
+        assert [s.task_id for s in starts] == ["urgent/0"]
+
+
 class TestAccelerators:
     """Room beside accelerators is kept for tasks that need them."""
 
