End a caller's request whose body does not arrive by its deadline

Cause: nothing bounded the wait for a body, so a slow caller held its connection for ever, and enough of them all connections. It gets a typed answer, 408 `timeout`, not run, at its deadline now. The test waited for 30 s in vain before, and passes in 0.6 s.

--- a/turmerichall/gateway/answers.py
+++ b/turmerichall/gateway/answers.py
@@ -33,6 +33,7 @@
 
 STATUS = {
     outcomes.RefusalReason.MALFORMED: 400,
+    outcomes.RefusalReason.TIMEOUT: 408,
     outcomes.RefusalReason.TOO_LARGE: 413,
     outcomes.RefusalReason.UNKNOWN_CUSTOMER: 404,
     outcomes.RefusalReason.UNKNOWN_SERVICE: 404,
--- a/turmerichall/gateway/application.py
+++ b/turmerichall/gateway/application.py
@@ -193,7 +193,12 @@
         )
         if isinstance(request, outcomes.Refusal):
             return request
-        return await _with_body(request, receive, self.limits.body_bytes)
+        with trio.move_on_at(request.deadline):
+            return await _with_body(request, receive, self.limits.body_bytes)
+        return outcomes.Refusal(
+            outcomes.RefusalReason.TIMEOUT,
+            "the body did not arrive before the deadline",
+        )
 
     async def _answer_unless_left(
         self,
