Work out what control needs at the size aimed at

A command measures slopes in one process and of three daemons, and fills docs/CAPACITY.md: for each role its state, processor time, memory, traffic and disk, what the limits leave over, and what breaks first.

--- /dev/null
+++ b/turmerichall/benchmarks/capacity.py
@@ -0,0 +1,75 @@
+"""Prints the figures of docs/CAPACITY.md from slopes measured now.
+
+    python -m turmerichall.benchmarks.capacity [--write docs/CAPACITY.md]
+
+With `--write`, the tables between the page's markers are replaced.
+"""
+
+import pathlib
+
+import fire
+import trio
+
+from turmerichall.benchmarks import capacity_model
+from turmerichall.benchmarks import live
+from turmerichall.benchmarks import slopes
+
+__all__ = ["main", "page_with"]
+
+BEGIN = "<!-- figures: make bench-capacity -->"
+END = "<!-- end of figures -->"
+
+
+def slope_table(measured: list[slopes.Slope]) -> str:
+    """Returns the measured slopes as a table.
+
+    Examples:
+        >>> print(slope_table([slopes.Slope("k", 2e-6, "s", "a call")]))
+        | Slope | Measured | What it costs |
+        | --- | ---: | --- |
+        | `k` | 2 µs | a call |
+    """
+    lines = ["| Slope | Measured | What it costs |", "| --- | ---: | --- |"]
+    for slope in measured:
+        shown = capacity_model.shown(slope.value, slope.unit)
+        lines.append(f"| `{slope.key}` | {shown} | {slope.what} |")
+    return "\n".join(lines)
+
+
+def tables(measured: list[slopes.Slope]) -> str:
+    """Returns every table of the page."""
+    model = capacity_model.Model.from_slopes(measured)
+    parts = [slope_table(measured)]
+    for role in model.roles():
+        parts.append(capacity_model.role_table(role))
+    parts.append(capacity_model.summary_table(model.roles()))
+    parts.append(capacity_model.breaking_table(model.breaking_points()))
+    return "\n\n".join(parts)
+
+
+def page_with(page: str, figures: str) -> str:
+    """Returns a page with the part between the markers replaced.
+
+    Examples:
+        >>> page_with(f"a {BEGIN} old {END} z", "new").split()[-1]
+        'z'
+    """
+    before, _, rest = page.partition(BEGIN)
+    _, _, after = rest.partition(END)
+    return f"{before}{BEGIN}\n\n{figures}\n\n{END}{after}"
+
+
+def main(write: str = "") -> None:
+    """Measures, and prints the tables or writes them into a page."""
+    figures = tables([*slopes.measure(), *trio.run(live.measure)])
+    if not write:
+        print(figures)
+        return
+    path = pathlib.Path(write)
+    path.write_text(
+        page_with(path.read_text(encoding="utf-8"), figures), encoding="utf-8"
+    )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/turmerichall/benchmarks/capacity_model.py
@@ -0,0 +1,439 @@
+"""Works out what each role needs at the size that the design aims at."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from turmerichall.agreement import shared as agreement
+from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import dissemination
+from turmerichall.benchmarks import slopes
+from turmerichall.state import ledger
+from turmerichall.zones import authority
+from turmerichall.zones import placing
+
+__all__ = ["Line", "Model", "Role", "shown"]
+
+WORKERS = 790
+JOBS_A_DAY = 9_700
+STARTS_A_SECOND = 440.0
+SERVICE_TASKS = 3_000
+BATCH_TASKS = 5_900
+CHANGES_A_DAY = 2_200
+ZONES = 10
+INSTANCES_A_ZONE = 2
+REPLICAS = 5
+# Messages in which the leader sends the log to one instance at the peak.
+LOG_MESSAGES_A_SECOND = 50.0
+# The size names no run time; ten minutes for a batch task.
+RUN_SECONDS = 600.0
+SECONDS_A_DAY = 86_400.0
+# Service tasks that start, stop or move, and workers that come and go.
+ROUTING_CHANGES_A_DAY = 10_000
+
+CORE_LIMIT = 0.028
+MEMORY_LIMIT = 256 * 1024**2
+TRAFFIC_LIMIT = 4096.0
+INSTANCE_LIMIT = 8
+
+
+class Line(NamedTuple):
+    """One line of what a role needs.
+
+    Attributes:
+        what: What needs it.
+        processor: Share of a core.
+        memory: Bytes.
+        traffic: Bytes a second, in and out.
+        carried_by: The mechanism that carries it.
+    """
+
+    what: str
+    processor: float
+    memory: float
+    traffic: float
+    carried_by: str
+
+
+class Role(NamedTuple):
+    """A role and all that it needs.
+
+    Attributes:
+        name: Name of the role.
+        state: What it holds.
+        lines: What needs what.
+        disk: Bytes on disk.
+    """
+
+    name: str
+    state: str
+    lines: tuple[Line, ...]
+    disk: float = 0.0
+
+    def total(self) -> Line:
+        """Returns the sum of all lines."""
+        return Line(
+            self.name,
+            sum(line.processor for line in self.lines),
+            sum(line.memory for line in self.lines),
+            sum(line.traffic for line in self.lines),
+            "",
+        )
+
+
+class Breaking(NamedTuple):
+    """A limit and the size at which it is reached.
+
+    Attributes:
+        what: The limit.
+        unit: What the size counts.
+        size: The size at which it is reached.
+        wanted: The size that the design aims at.
+    """
+
+    what: str
+    unit: str
+    size: float
+    wanted: float
+
+
+class Model:
+    """Needs of each role, from measured slopes.
+
+    Attributes:
+        costs: Slopes by key.
+    """
+
+    def __init__(self, costs: dict[str, float]):
+        self.costs = costs
+        self.instances = ZONES * INSTANCES_A_ZONE
+        self.starts_a_day = BATCH_TASKS / RUN_SECONDS * SECONDS_A_DAY
+        self.tasks_a_job = self.starts_a_day / JOBS_A_DAY
+        # Ended jobs are kept up to a number of jobs, with all their tasks.
+        self.kept_tasks = ledger.MAX_ENDED_JOBS * self.tasks_a_job
+
+    @classmethod
+    def from_slopes(cls, measured: list[slopes.Slope]) -> "Model":
+        """Makes the model of measured slopes."""
+        return cls({slope.key: slope.value for slope in measured})
+
+    def roles(self) -> list[Role]:
+        """Returns every role with its needs."""
+        return [
+            self.entry_instance(),
+            self.replica(),
+            self.placing_authority(),
+            self.worker(),
+            self.command(),
+        ]
+
+    def _log_bytes(self) -> float:
+        """Returns bytes a second that the log grows by at the peak."""
+        costs = self.costs
+        per_task = costs["start_bytes"] + costs["end_bytes"]
+        renewals = ZONES / authority.RENEWAL_PERIOD_SECONDS
+        return (
+            STARTS_A_SECOND * per_task
+            + renewals * costs["renewal_bytes"]
+            + CHANGES_A_DAY / SECONDS_A_DAY * costs["change_bytes"]
+        )
+
+    def _apply(self) -> float:
+        """Returns the share of a core that applying the log takes."""
+        costs = self.costs
+        renewals = ZONES / authority.RENEWAL_PERIOD_SECONDS
+        return (
+            STARTS_A_SECOND * (costs["apply_start"] + costs["apply_end"])
+            + renewals * costs["apply_renewal"]
+            + CHANGES_A_DAY / SECONDS_A_DAY * costs["apply_change"]
+        )
+
+    def entry_instance(self) -> Role:
+        """Returns the needs of an entry instance without a disk."""
+        costs = self.costs
+        beats = (self.instances - 1) / dissemination.HEARTBEAT_SECONDS
+        routing = ROUTING_CHANGES_A_DAY / SECONDS_A_DAY
+        return Role(
+            "Entry instance without a disk",
+            "the whole replicated state, the directory of backend servers",
+            (
+                Line(
+                    "the daemon itself, idle",
+                    costs["idle_daemon"],
+                    costs["daemon_memory"],
+                    0.0,
+                    "one process, one trio task for each connection and peer",
+                ),
+                Line(
+                    "the log, followed and applied",
+                    self._apply()
+                    + LOG_MESSAGES_A_SECOND * costs["peer_message"],
+                    self.kept_tasks * costs["ended_task_memory"]
+                    + (BATCH_TASKS + SERVICE_TASKS) * costs["task_memory"],
+                    self._log_bytes(),
+                    "batched starts and ends, follow stream",
+                ),
+                Line(
+                    "the directory",
+                    routing * costs["directory_hear"],
+                    WORKERS * costs["server_memory"],
+                    routing * costs["changed_bytes"],
+                    "changes at once, else only the version of the table",
+                ),
+                Line(
+                    "heartbeats of the directory",
+                    2 * beats * costs["peer_message"],
+                    0.0,
+                    2 * beats * costs["heartbeat_bytes"],
+                    "one small message a second to each instance",
+                ),
+            ),
+        )
+
+    def replica(self) -> Role:
+        """Returns the needs of the leading replica."""
+        entry = self.entry_instance()
+        others = self.instances - 1
+        beats = 2 * others / agreement.Timing().heartbeat_seconds
+        fan_out = Line(
+            "the log, sent to every other instance",
+            others * LOG_MESSAGES_A_SECOND * self.costs["peer_message"],
+            0.0,
+            others * self._log_bytes() + beats * self.costs["heartbeat_bytes"],
+            "one stream to each instance, entries batched",
+        )
+        size = self.kept_tasks * self.costs["snapshot_bytes"]
+        snapshot = Line(
+            "a snapshot, encoded whole in memory",
+            0.0,
+            size,
+            0.0,
+            "snapshot after a bounded number of entries",
+        )
+        return Role(
+            "Replica with a disk, leading",
+            entry.state + ", the log since the last snapshot",
+            (*entry.lines, fan_out, snapshot),
+            disk=2 * size,
+        )
+
+    def placing_authority(self) -> Role:
+        """Returns what the grant of one zone adds to an entry instance."""
+        costs = self.costs
+        workers = WORKERS / ZONES
+        heard = workers / announcement.ANNOUNCE_PERIOD_SECONDS
+        size = costs["announcement_bytes"] + costs["reply_bytes"]
+        starts = STARTS_A_SECOND / ZONES
+        return Role(
+            "Placing authority, added to an entry instance",
+            "its zone's workers, the planner's views of its tasks",
+            (
+                Line(
+                    "announcements of its workers",
+                    heard * costs["announcement_http"],
+                    workers * costs["server_memory"],
+                    heard * size,
+                    "one announcement renews every lease of a worker",
+                ),
+                Line(
+                    "steps of the planner",
+                    costs["placing_step"] / placing.STEP_SECONDS,
+                    0.0,
+                    0.0,
+                    "one step for many starts",
+                ),
+                Line(
+                    "starts sent to workers",
+                    starts * costs["reply_write"],
+                    0.0,
+                    starts * costs["reply_bytes"],
+                    "starts of one step to one worker in one request",
+                ),
+            ),
+        )
+
+    def worker(self) -> Role:
+        """Returns what control takes of a worker's own resources."""
+        costs = self.costs
+        a_second = 1 / announcement.ANNOUNCE_PERIOD_SECONDS
+        size = costs["announcement_bytes"] + costs["reply_bytes"]
+        return Role(
+            "Worker's share",
+            "its leases, send times of its last announcements",
+            (
+                Line(
+                    "announcements and replies",
+                    a_second * costs["announcement_http"],
+                    costs["server_memory"],
+                    a_second * size,
+                    "one announcement for all tasks; its processor time is"
+                    " taken to be that of the other end",
+                ),
+            ),
+        )
+
+    def command(self) -> Role:
+        """Returns the needs of operators' commands."""
+        costs = self.costs
+        return Role(
+            "Operator's command",
+            "nothing between commands",
+            (
+                Line(
+                    "changes of a day, one process each",
+                    CHANGES_A_DAY / SECONDS_A_DAY * costs["command"],
+                    costs["command_memory"],
+                    CHANGES_A_DAY / SECONDS_A_DAY * 2 * costs["change_bytes"],
+                    "one request with an operation id",
+                ),
+            ),
+        )
+
+    def breaking_points(self) -> list[Breaking]:
+        """Returns the size at which each limit is reached, least first."""
+        costs = self.costs
+        entry = self.entry_instance().total()
+        log = self.entry_instance().lines[1]
+        authority_total = self.placing_authority().total()
+        spare = CORE_LIMIT - costs["idle_daemon"]
+        room = MEMORY_LIMIT - costs["daemon_memory"]
+        found = [
+            Breaking(
+                "traffic of an entry instance that follows the log",
+                "starts a second",
+                STARTS_A_SECOND * TRAFFIC_LIMIT / entry.traffic,
+                STARTS_A_SECOND,
+            ),
+            Breaking(
+                "traffic of the leading replica",
+                "starts a second",
+                STARTS_A_SECOND
+                * TRAFFIC_LIMIT
+                / self.replica().total().traffic,
+                STARTS_A_SECOND,
+            ),
+            Breaking(
+                "processor of an entry instance that applies the log",
+                "starts a second",
+                max(0.0, STARTS_A_SECOND * spare / log.processor),
+                STARTS_A_SECOND,
+            ),
+            Breaking(
+                "memory for ended tasks that are kept",
+                "tasks kept",
+                room / costs["ended_task_memory"],
+                self.kept_tasks,
+            ),
+            Breaking(
+                "processor of a placing authority",
+                "workers in its zone",
+                max(0.0, WORKERS / ZONES * spare / authority_total.processor),
+                WORKERS / ZONES,
+            ),
+            Breaking(
+                "traffic of a placing authority",
+                "workers in its zone",
+                WORKERS / ZONES * TRAFFIC_LIMIT / authority_total.traffic,
+                WORKERS / ZONES,
+            ),
+            Breaking(
+                "traffic of a worker",
+                "tasks on it",
+                (BATCH_TASKS + SERVICE_TASKS)
+                / WORKERS
+                * TRAFFIC_LIMIT
+                / self.worker().total().traffic,
+                (BATCH_TASKS + SERVICE_TASKS) / WORKERS,
+            ),
+            Breaking(
+                "instances",
+                "zones with two entry instances each",
+                INSTANCE_LIMIT / INSTANCES_A_ZONE,
+                ZONES,
+            ),
+        ]
+        return sorted(found, key=lambda point: point.size / point.wanted)
+
+
+def shown(value: float, unit: str) -> str:
+    """Formats a cost with three digits and a fitting unit.
+
+    Examples:
+        >>> shown(0.00042, "s"), shown(2048, "B"), shown(0.5, "s/s")
+        ('420 µs', '2.05 KB', '50 % of a core')
+    """
+    if unit == "s/s":
+        return f"{value * 100:.3g} % of a core"
+    steps: tuple[tuple[float, str], ...] = (
+        (1e6, "MB"),
+        (1e3, "KB"),
+        (1.0, "B"),
+    )
+    if unit == "s":
+        steps = ((1.0, "s"), (1e-3, "ms"), (1e-6, "µs"), (1e-9, "ns"))
+    for size, name in steps:
+        if value >= size:
+            return f"{value / size:.3g} {name}"
+    return f"{value:.3g} {unit}"
+
+
+def _left(value: float, limit: float, show: Callable[[float], str]) -> str:
+    if value <= limit:
+        return f"{show(limit - value)} left"
+    return f"**over, {value / limit:.3g} times**"
+
+
+def _share(value: float) -> str:
+    return f"{value * 100:.2g} %"
+
+
+def _bytes(value: float) -> str:
+    return shown(value, "B") if value else "0"
+
+
+def role_table(role: Role) -> str:
+    """Returns the lines of a role and their sum as a table."""
+    lines = [
+        f"**{role.name}.** State: {role.state}.",
+        "",
+        "| What | Processor | Memory | Traffic a second | Carried by |",
+        "| --- | ---: | ---: | ---: | --- |",
+    ]
+    for line in (*role.lines, role.total()):
+        name = "sum" if line.what == role.name else line.what
+        lines.append(
+            f"| {name} | {_share(line.processor)} | {_bytes(line.memory)} |"
+            f" {_bytes(line.traffic)} | {line.carried_by} |"
+        )
+    if role.disk:
+        lines += ["", f"Disk: {_bytes(role.disk)} for two snapshots."]
+    return "\n".join(lines)
+
+
+def summary_table(roles: list[Role]) -> str:
+    """Returns what each limit leaves over, as a table."""
+    lines = [
+        "| Role | of 2.8 % of a core | of 256 MB | of 4 KB/s |",
+        "| --- | ---: | ---: | ---: |",
+    ]
+    for role in roles:
+        total = role.total()
+        lines.append(
+            f"| {role.name} | {_left(total.processor, CORE_LIMIT, _share)} |"
+            f" {_left(total.memory, MEMORY_LIMIT, _bytes)} |"
+            f" {_left(total.traffic, TRAFFIC_LIMIT, _bytes)} |"
+        )
+    return "\n".join(lines)
+
+
+def breaking_table(points: list[Breaking]) -> str:
+    """Returns what breaks first, and at what size, as a table."""
+    lines = [
+        "| Limit | Reached at | Wanted |",
+        "| --- | ---: | ---: |",
+    ]
+    for point in points:
+        lines.append(
+            f"| {point.what} | {point.size:.3g} {point.unit} |"
+            f" {point.wanted:.3g} |"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/turmerichall/benchmarks/populations.py
@@ -0,0 +1,261 @@
+"""Fills the parts of control with work of a given size, for benchmarks."""
+
+from typing import NamedTuple
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall import resources
+from turmerichall.backend_servers import announcement
+from turmerichall.customers import customer
+from turmerichall.leases import lease
+from turmerichall.placement import planner
+from turmerichall.placement import weights
+from turmerichall.state import change as changes
+from turmerichall.state import machine as machines
+from turmerichall.templates import template
+from turmerichall.zones import grant_holder
+from turmerichall.zones import placing as placings
+from turmerichall.zones import worker_client
+
+__all__ = ["Zone", "announced", "authority", "machine"]
+
+ZONE = "z1"
+ZONE_WORKERS = 79
+ZONE_WAITING = 200
+SERVICES_PER_WORKER = 4
+BATCH_PER_WORKER = 8
+WORKER_ROOM = resources.Resources(32, 125_000)
+BATCH_SIZE = resources.Resources(3, 8_000)
+SERVICE_SIZE = resources.Resources(2, 8_000)
+INCARNATION = 1_796_330_282_394
+
+
+class Direct:
+    """Applies changes at once, in place of a log and its quorum."""
+
+    def __init__(self, held: machines.Machine):
+        self.machine = held
+
+    async def submit(
+        self, change: changes.Change
+    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
+        """Applies a change."""
+        await trio.lowlevel.checkpoint()
+        return self.apply(change)
+
+    def apply(self, change: changes.Change) -> changes.Result:
+        """Applies a change."""
+        index = self.machine.applied_index + 1
+        data = self.machine.apply(index, changes.encode(change))
+        return changes.decode_result(data)
+
+
+class Silent:
+    """Takes every command, in place of workers."""
+
+    async def send(
+        self, _: str, commands: list[announcement.Command]
+    ) -> list[worker_client.Answer] | outcomes.Refusal | outcomes.Unknown:
+        """Accepts commands."""
+        await trio.lowlevel.checkpoint()
+        return [
+            worker_client.Answer(command.task_id, command.attempt, True, "")
+            for command in commands
+        ]
+
+
+class Zone(NamedTuple):
+    """An authority whose workers all run their full share.
+
+    Attributes:
+        placing: The authority.
+        machine: The replicated state.
+    """
+
+    placing: placings.Placing
+    machine: machines.Machine
+
+    def announce_next(self, number: int) -> None:
+        """Has the next worker in turn announce itself."""
+        told = announced(number % ZONE_WORKERS, number + 1)
+        reply = self.placing.announce(told)
+        assert reply is not None
+        assert len(reply.renewed) == len(told.tasks)
+
+
+def operation(name: str) -> changes.Operation:
+    """Returns an operation with a realistic id."""
+    return changes.Operation(f"01956c1e-{name:>27}", "operator-01", 1.8e9)
+
+
+def service_name(worker: int, number: int) -> str:
+    """Names a service task of a worker."""
+    return f"svc:customer-01/offers/{ZONE}/{worker * 10 + number}"
+
+
+def batch_name(worker: int, number: int) -> str:
+    """Names a batch task of a worker."""
+    return f"job-20261203-running/{worker * BATCH_PER_WORKER + number}"
+
+
+def reports(worker: int) -> tuple[announcement.TaskReport, ...]:
+    """Returns what a full worker reports of its tasks."""
+    running = announcement.ReportedState.RUNNING
+    services = tuple(
+        announcement.TaskReport(
+            service_name(worker, number), 1, running, SERVICE_SIZE, 1.08, 1.5
+        )
+        for number in range(SERVICES_PER_WORKER)
+    )
+    batch = tuple(
+        announcement.TaskReport(
+            batch_name(worker, number), 1, running, BATCH_SIZE, 1.2, 1.5, "0.42"
+        )
+        for number in range(BATCH_PER_WORKER)
+    )
+    return services + batch
+
+
+def announced(worker: int, sequence: int) -> announcement.Announcement:
+    """Returns an announcement of a full worker."""
+    return announcement.Announcement(
+        f"worker-{worker:04}",
+        INCARNATION,
+        sequence,
+        ZONE,
+        f"{ZONE}-rack-{worker % 4}",
+        f"10.1.2.{worker % 250}:7200",
+        WORKER_ROOM,
+        tasks=reports(worker),
+        epoch=1,
+    )
+
+
+def reply_to(told: announcement.Announcement) -> announcement.Reply:
+    """Returns a reply that renews every lease."""
+    names = tuple(
+        announcement.attempt_name(report.task_id, report.attempt)
+        for report in told.tasks
+    )
+    term = lease.LEASE_SECONDS
+    return announcement.Reply(True, epoch=1, renewed=names, lease_seconds=term)
+
+
+def configured() -> machines.Machine:
+    """Returns a replicated state with one customer and its templates."""
+    made = machines.Machine()
+    log = Direct(made)
+    batch = template.Template("roster", template.Kind.BATCH, BATCH_SIZE)
+    service = template.Template("offers", template.Kind.SERVICE, SERVICE_SIZE)
+    log.apply(changes.PublishTemplate(operation("1"), 0, batch))
+    log.apply(changes.PublishTemplate(operation("2"), 0, service))
+    log.apply(customer_change())
+    log.apply(changes.TakeGrant(ZONE, "entry-01", 0, 0))
+    return made
+
+
+def customer_change() -> changes.SetCustomer:
+    """Returns a change of a customer's parameters."""
+    owner = customer.Customer(
+        "customer-01",
+        "team-01",
+        customer.Urgency.URGENT,
+        (ZONE, "z2", "z3"),
+        {"offers": ZONE_WORKERS * SERVICES_PER_WORKER},
+    )
+    return changes.SetCustomer(operation("customer"), 0, owner)
+
+
+def intention(number: int) -> changes.SetIntention:
+    """Returns a change of what operators want of a backend server."""
+    return changes.SetIntention(
+        operation(f"intention-{number}"),
+        0,
+        f"worker-{number:06}",
+        changes.Intention.DRAINING,
+    )
+
+
+def renewal() -> changes.RenewGrant:
+    """Returns a renewal of the zone's grant."""
+    return changes.RenewGrant(ZONE, "entry-01", 1)
+
+
+def accept(job_id: str, tasks: int) -> changes.AcceptJob:
+    """Returns the acceptance of a job."""
+    return changes.AcceptJob(
+        operation(job_id), job_id, "customer-01", "roster", tasks, 1.8e9
+    )
+
+
+def machine(jobs: int, tasks_per_job: int) -> machines.Machine:
+    """Returns a replicated state with waiting jobs."""
+    made = configured()
+    log = Direct(made)
+    for number in range(jobs):
+        log.apply(accept(f"job-20261203-{number:06}", tasks_per_job))
+    return made
+
+
+def ended(jobs: int, tasks_per_job: int) -> machines.Machine:
+    """Returns a replicated state whose jobs have all finished."""
+    made = machine(jobs, tasks_per_job)
+    log = Direct(made)
+    names = list(made.ledger.waiting)
+    for at in range(0, len(names), 64):
+        batch = names[at : at + 64]
+        log.apply(start(batch))
+        log.apply(end(batch))
+    return made
+
+
+def start(names: list[str]) -> changes.StartTasks:
+    """Returns the first starts of tasks, on workers in turn."""
+    starts = [
+        changes.Start(
+            name,
+            1,
+            f"worker-{number % ZONE_WORKERS:04}",
+            INCARNATION,
+            "most room left",
+        )
+        for number, name in enumerate(names)
+    ]
+    return changes.StartTasks(ZONE, 1, 1.8e9, starts)
+
+
+def end(names: list[str]) -> changes.EndTasks:
+    """Returns the ends of first attempts of tasks."""
+    ends = [
+        changes.End(
+            name, 1, changes.Ending.FINISHED, "1.0", "worker reported finished"
+        )
+        for name in names
+    ]
+    return changes.EndTasks(ZONE, 1, 1.8e9, ends)
+
+
+def authority() -> Zone:
+    """Returns an authority of a zone with full workers and a queue."""
+    made = configured()
+    log = Direct(made)
+    log.apply(accept("job-20261203-running", ZONE_WORKERS * BATCH_PER_WORKER))
+    for worker in range(ZONE_WORKERS):
+        names = [service_name(worker, n) for n in range(SERVICES_PER_WORKER)]
+        names += [batch_name(worker, n) for n in range(BATCH_PER_WORKER)]
+        where = f"worker-{worker:04}"
+        starts = [changes.Start(name, 1, where, INCARNATION) for name in names]
+        log.apply(changes.StartTasks(ZONE, 1, 1.8e9, starts))
+    log.apply(accept("job-20261203-waiting", ZONE_WAITING))
+    holder = grant_holder.GrantHolder(ZONE, "entry-01", made, log)
+    holder.held_epoch = 1
+    holder.took_at = trio.current_time() - 60.0
+    holder.renewed_at = trio.current_time() + 3600.0
+    placing = placings.Placing(
+        made, holder, log, Silent(), lambda: planner.Planner(weights.BALANCED)
+    )
+    zone = Zone(placing, made)
+    for worker in range(ZONE_WORKERS):
+        placing.announce(announced(worker, 1))
+    return zone
--- /dev/null
+++ b/turmerichall/benchmarks/slopes.py
@@ -0,0 +1,330 @@
+"""Measures what each piece of control work costs, in one process.
+
+Processor times are medians over rounds of a loop; memory is what the
+allocator holds for a number of objects, divided by that number.
+"""
+
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+import trio
+
+from turmerichall import documents
+from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import directory
+from turmerichall.backend_servers import dissemination
+from turmerichall.benchmarks import populations
+from turmerichall.operators import workers
+from turmerichall.peers import network
+from turmerichall.state import change as changes
+from turmerichall.state import machine as machines
+
+__all__ = ["Slope", "measure"]
+
+ROUNDS = 5
+STARTS_PER_CHANGE = 16
+MESSAGES = 1000
+MESSAGE_BYTES = 2000
+
+
+class Slope(NamedTuple):
+    """One measured cost.
+
+    Attributes:
+        key: Short name, used by the capacity model.
+        value: The cost.
+        unit: Its unit.
+        what: What it is the cost of.
+    """
+
+    key: str
+    value: float
+    unit: str
+    what: str
+
+
+def processor_seconds(call: Callable[[int], object], repeats: int) -> float:
+    """Returns the median processor time of one call, in seconds.
+
+    Args:
+        call: Called with a number that grows with each call.
+        repeats: Calls in one round.
+    """
+    rounds = []
+    number = 0
+    for _ in range(ROUNDS):
+        started = time.process_time()
+        for _ in range(repeats):
+            number += 1
+            call(number)
+        rounds.append((time.process_time() - started) / repeats)
+    return statistics.median(rounds)
+
+
+def held_bytes(make: Callable[[], object]) -> float:
+    """Returns how many bytes stay allocated for what `make` returns."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    made = make()
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    del made
+    return float(held)
+
+
+def measure() -> list[Slope]:
+    """Measures every slope of the capacity model that needs no cluster."""
+    return [
+        *_announcements(),
+        *trio.run(_authority),
+        *_changes(),
+        *_dissemination(),
+        trio.run(_peers),
+        *_memory(),
+        *_snapshot(),
+    ]
+
+
+def _announcements() -> list[Slope]:
+    told = populations.announced(0, 1)
+    body = documents.encode(told)
+    reply = documents.encode(populations.reply_to(told))
+
+    def read(_: int) -> None:
+        decoded = documents.decode(body, announcement.Announcement)
+        workers.findings_of(decoded)
+
+    def write(_: int) -> None:
+        documents.encode(populations.reply_to(told))
+
+    return [
+        Slope(
+            "announcement_read",
+            processor_seconds(read, 300),
+            "s",
+            "decode and check one announcement",
+        ),
+        Slope(
+            "reply_write",
+            processor_seconds(write, 300),
+            "s",
+            "encode one reply",
+        ),
+        Slope("announcement_bytes", len(body), "B", "one announcement"),
+        Slope("reply_bytes", len(reply), "B", "one reply to it"),
+    ]
+
+
+async def _authority() -> list[Slope]:
+    zone = populations.authority()
+    takes = processor_seconds(zone.announce_next, 400)
+    started = time.process_time()
+    steps = 20
+    for _ in range(steps):
+        await zone.placing.step()
+    step = (time.process_time() - started) / steps
+    return [
+        Slope(
+            "announcement_take",
+            takes,
+            "s",
+            "take one announcement in as authority",
+        ),
+        Slope(
+            "placing_step",
+            step,
+            "s",
+            f"one step of an authority with {populations.ZONE_WORKERS}"
+            f" workers and {populations.ZONE_WAITING} waiting tasks that find"
+            " no room",
+        ),
+    ]
+
+
+def _changes() -> list[Slope]:
+    machine = populations.machine(jobs=200, tasks_per_job=100)
+    names = list(machine.ledger.waiting)
+    width = STARTS_PER_CHANGE
+    batches = [names[at : at + width] for at in range(0, len(names), width)]
+    starts = [changes.encode(populations.start(batch)) for batch in batches]
+    ends = [changes.encode(populations.end(batch)) for batch in batches]
+    repeats = len(batches) // ROUNDS
+
+    def apply_of(encoded: list[bytes]) -> float:
+        def apply(number: int) -> None:
+            machine.apply(machine.applied_index + 1, encoded[number - 1])
+
+        return processor_seconds(apply, repeats) / STARTS_PER_CHANGE
+
+    def intend(number: int) -> None:
+        machine.apply(
+            machine.applied_index + 1,
+            changes.encode(populations.intention(number)),
+        )
+
+    def renew(_: int) -> None:
+        machine.apply(
+            machine.applied_index + 1, changes.encode(populations.renewal())
+        )
+
+    per = f"one of {STARTS_PER_CHANGE} in a change"
+    return [
+        Slope("apply_start", apply_of(starts), "s", f"apply a start, {per}"),
+        Slope("apply_end", apply_of(ends), "s", f"apply an end, {per}"),
+        Slope(
+            "start_bytes",
+            len(starts[0]) / STARTS_PER_CHANGE,
+            "B",
+            f"a start in the log, {per}",
+        ),
+        Slope(
+            "end_bytes",
+            len(ends[0]) / STARTS_PER_CHANGE,
+            "B",
+            f"an end in the log, {per}",
+        ),
+        Slope(
+            "apply_change",
+            processor_seconds(intend, 300),
+            "s",
+            "encode and apply a change of configuration",
+        ),
+        Slope(
+            "apply_renewal",
+            processor_seconds(renew, 300),
+            "s",
+            "encode and apply a renewal of a grant",
+        ),
+        Slope(
+            "renewal_bytes",
+            len(changes.encode(populations.renewal())),
+            "B",
+            "a renewal of a grant in the log",
+        ),
+        Slope(
+            "change_bytes",
+            len(changes.encode(populations.customer_change())),
+            "B",
+            "a revision of a customer in the log",
+        ),
+    ]
+
+
+def _dissemination() -> list[Slope]:
+    told = populations.announced(0, 1)
+    run = time.time_ns()
+    changed = dissemination.Batch(run, 1, (dissemination.cut_down(told),))
+    beat = dissemination.Batch(run, 1)
+    known = directory.Directory(machines.Machine().configuration)
+
+    def hear(number: int) -> None:
+        known.hear(populations.announced(0, number), 0.0)
+
+    return [
+        Slope(
+            "changed_bytes",
+            len(msgspec.msgpack.encode(changed)),
+            "B",
+            "a change of one backend server, passed on",
+        ),
+        Slope(
+            "heartbeat_bytes",
+            len(msgspec.msgpack.encode(beat)),
+            "B",
+            "a heartbeat between two instances",
+        ),
+        Slope(
+            "directory_hear",
+            processor_seconds(hear, 300),
+            "s",
+            "make an announcement and take it into the directory",
+        ),
+    ]
+
+
+async def _peers() -> Slope:
+    """Measures one-way messages between two instances, both ends of them."""
+    body = b"x" * MESSAGE_BYTES
+    heard = 0
+
+    async def hear(_: str, __: bytes) -> None:
+        nonlocal heard
+        heard += 1
+
+    sender = network.Network("a", b"key")
+    receiver = network.Network("b", b"key")
+    receiver.handle("kind", hear)
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(receiver.run, "127.0.0.1:0")
+        sender.addresses = {"b": address}
+        await nursery.start(sender.run, "127.0.0.1:0")
+        started = 0.0
+        sent = 0
+        while heard < MESSAGES:
+            if sender.send("b", "kind", body):
+                started = started or time.process_time()
+                sent += 1
+            await trio.sleep(0.001)
+        used = (time.process_time() - started) / sent
+        nursery.cancel_scope.cancel()
+    return Slope(
+        "peer_message",
+        used / 2,
+        "s",
+        f"send or take a message of {MESSAGE_BYTES} bytes between instances",
+    )
+
+
+def _memory() -> list[Slope]:
+    jobs = 200
+    tasks = 20_000
+    waiting = held_bytes(
+        lambda: populations.machine(jobs=jobs, tasks_per_job=tasks // jobs)
+    )
+    single = held_bytes(lambda: populations.machine(jobs=jobs, tasks_per_job=1))
+    ended = held_bytes(lambda: populations.ended(jobs, tasks // jobs))
+    servers = 200
+
+    def fill() -> directory.Directory:
+        known = directory.Directory(machines.Machine().configuration)
+        for number in range(servers):
+            body = documents.encode(populations.announced(number, 1))
+            told = documents.decode(body, announcement.Announcement)
+            known.hear(told, 0.0)
+        return known
+
+    per_task = (waiting - single) / (tasks - jobs)
+    return [
+        Slope("task_memory", per_task, "B", "a waiting task in memory"),
+        Slope(
+            "ended_task_memory",
+            ended / tasks,
+            "B",
+            "an ended task with its decisions in memory",
+        ),
+        Slope("job_memory", single / jobs, "B", "a job of one task in memory"),
+        Slope(
+            "server_memory",
+            held_bytes(fill) / servers,
+            "B",
+            "a backend server in the directory",
+        ),
+    ]
+
+
+def _snapshot() -> list[Slope]:
+    tasks = 10_000
+    machine = populations.machine(jobs=100, tasks_per_job=tasks // 100)
+    size = len(machine.snapshot())
+    taken = processor_seconds(lambda _: machine.snapshot(), 2)
+    return [
+        Slope("snapshot_task", taken / tasks, "s", "a task in a snapshot"),
+        Slope("snapshot_bytes", size / tasks, "B", "a task in a snapshot"),
+    ]
--- /dev/null
+++ b/turmerichall/benchmarks/tests/test_capacity.py
@@ -0,0 +1,69 @@
+"""Tests of the capacity model and of the page that it fills."""
+
+import pathlib
+
+import pytest
+
+from turmerichall.benchmarks import capacity
+from turmerichall.benchmarks import capacity_model
+from turmerichall.benchmarks import slopes
+
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "CAPACITY.md"
+
+
+class Costs(dict[str, float]):
+    """Slopes that are all the same, but for some."""
+
+    def __missing__(self, key: str) -> float:
+        return 1e-6
+
+
+class TestModel:
+    """The arithmetic of the model."""
+
+    def test_log_traffic_follows_starts_and_ends(self) -> None:
+        costs = Costs(start_bytes=60.0, end_bytes=40.0)
+        entry = capacity_model.Model(costs).entry_instance()
+        assert entry.lines[1].traffic == pytest.approx(440 * 100, rel=1e-3)
+
+    def test_authority_pays_for_each_announcement(self) -> None:
+        costs = Costs(announcement_http=0.001)
+        line = capacity_model.Model(costs).placing_authority().lines[0]
+        assert line.processor == pytest.approx(79 / 2 * 0.001)
+
+    def test_sum_of_a_role(self) -> None:
+        line = capacity_model.Line("a", 0.1, 2.0, 3.0, "b")
+        total = capacity_model.Role("r", "s", (line, line)).total()
+        assert total[1:4] == (0.2, 4.0, 6.0)
+
+    def test_what_breaks_first_stands_first(self) -> None:
+        points = capacity_model.Model(Costs()).breaking_points()
+        ratios = [point.size / point.wanted for point in points]
+        assert ratios == sorted(ratios)
+
+
+class TestPage:
+    """The page that the command fills."""
+
+    def test_holds_every_table(self) -> None:
+        page = PAGE.read_text(encoding="utf-8")
+        for role in capacity_model.Model(Costs()).roles():
+            assert f"**{role.name}.**" in page
+            for line in role.lines:
+                assert f"| {line.what} |" in page
+
+    def test_replaces_only_what_is_between_the_markers(self) -> None:
+        page = f"before {capacity.BEGIN} old {capacity.END} after"
+        shown = capacity.page_with(page, "new")
+        assert shown.startswith("before ") and shown.endswith(" after")
+        assert "new" in shown and "old" not in shown
+
+    def test_shows_a_limit_that_is_passed(self) -> None:
+        line = capacity_model.Line("a", 0.056, 0.0, 0.0, "b")
+        role = capacity_model.Role("r", "s", (line,))
+        assert "**over, 2 times**" in capacity_model.summary_table([role])
+
+    def test_slopes_are_costs_per_call(self) -> None:
+        calls: list[int] = []
+        slopes.processor_seconds(calls.append, 3)
+        assert len(calls) == 3 * slopes.ROUNDS
