--- a/turmerichall/gateway/server.py
+++ b/turmerichall/gateway/server.py
@@ -28,6 +28,7 @@
     stop: trio.Event,
     drain_limit_seconds: float,
     limits: limits_module.Limits = DEFAULT_LIMITS,
+    keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
     *,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -39,10 +40,12 @@
         stop: Closes the listener and idle connections once it is set.
         drain_limit_seconds: How long requests in flight may take from then on.
         limits: Bounds of the request path.
+        keep_alive_seconds: How long a connection may be idle, which bounds
+            the time for the head of a request too.
         task_status: Started with the `host:port` that is listened on.
     """
     wrapped = hypercorn.app_wrappers.ASGIWrapper(app)
-    config = _config()
+    config = _config(keep_alive_seconds)
     lifespan = hypercorn.trio.lifespan.Lifespan(wrapped, config, {})
     async with trio.open_nursery() as nursery:
         await nursery.start(lifespan.handle_lifespan)
@@ -120,11 +123,11 @@
             self.open -= 1
 
 
-def _config() -> hypercorn.Config:
+def _config(keep_alive_seconds: float) -> hypercorn.Config:
     config = hypercorn.Config()
     config.accesslog = None
     config.errorlog = _LOGGER
-    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.keep_alive_timeout = keep_alive_seconds
     config.include_server_header = False
     config.include_date_header = False
     return config
--- a/turmerichall/gateway/tests/conftest.py
+++ b/turmerichall/gateway/tests/conftest.py
@@ -177,13 +177,16 @@
         stop: Ends serving once it is set.
         directory: What it knows of backend servers.
         counters: What it counted.
+        network: Connections to the other instances.
     """
 
     def __init__(
         self,
         limits: limits_module.Limits,
-        urgency: customers.Urgency = customers.Urgency.URGENT,
+        name: str = "i1",
+        members: tuple[str, ...] = ("i1",),
     ):
+        urgency = customers.Urgency.URGENT
         machine = machines.Machine()
         size = resources.Resources(1, 1)
         machine.configuration.templates["s"] = configuration.Versioned(
@@ -195,13 +198,14 @@
         )
         self.directory = directories.Directory(machine.configuration)
         self.counters = counters.Counters()
+        self.network = network.Network(name, b"key")
         self.application = application.Application(
-            "i1",
+            name,
             "z1",
             self.directory,
             machine,
-            network.Network("i1", b"key"),
-            lambda: {"i1": "z1"},
+            self.network,
+            lambda: dict.fromkeys(members, "z1"),
             self.counters,
             logs.Log("gateway"),
             limits,
@@ -288,6 +292,29 @@
             gateway.hear(backend)
         return Caller(gateway, self.pool)
 
+    async def callers(self, backend: Backend, *names: str) -> list[Caller]:
+        """Starts gateways that know each other; returns a caller of each."""
+        limits = limits_module.Limits()
+        gateways = [Gateway(limits, name, names) for name in names]
+        for gateway in gateways:
+            await self.nursery.start(gateway.network.run, "127.0.0.1:0")
+        addresses = {
+            gateway.network.name: gateway.network.listen_address
+            for gateway in gateways
+        }
+        for gateway in gateways:
+            gateway.network.set_addresses(addresses)
+            gateway.application.loans.lends_from = 0.0
+            await self.nursery.start(gateway.run)
+            gateway.hear(backend)
+        await self.until(lambda: all(map(_is_connected, gateways)))
+        return [Caller(gateway, self.pool) for gateway in gateways]
+
+
+def _is_connected(gateway: Gateway) -> bool:
+    links = gateway.network.links
+    return all(gateway.network.last_heard(name) > 0.0 for name in links)
+
 
 @pytest.fixture
 async def world() -> AsyncIterator[World]:
--- a/turmerichall/gateway/tests/test_application.py
+++ b/turmerichall/gateway/tests/test_application.py
@@ -8,6 +8,8 @@
 import trio
 import trio.testing
 
+from turmerichall.gateway import request_id
+
 
 class TestAnswer:
 
@@ -218,3 +220,53 @@
                 nursery.start_soon(send)
         assert running[1] == 8
         assert backend.most_connections <= 8
+
+
+class TestSeveralInstances:
+
+    async def test_busy_instance_borrows_and_the_sum_holds(
+        self, world: Any
+    ) -> None:
+        go_on = trio.Event()
+
+        async def holds(exchange: Any) -> None:
+            await go_on.wait()
+            await exchange.answer(exchange.body)
+
+        backend = await world.backend("w1", holds)
+        busy, idle = await world.callers(backend, "i1", "i2")
+        statuses: list[int] = []
+
+        async def send(caller: Any) -> None:
+            answer = await caller.send(
+                turmerichall_idempotent="true", turmerichall_deadline_ms="9000"
+            )
+            statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(6):
+                nursery.start_soon(send, busy)
+            await world.until(lambda: len(backend.request_ids) == 6)
+            for _ in range(4):
+                nursery.start_soon(send, idle)
+            await world.until(lambda: len(backend.request_ids) == 8)
+            await world.until(lambda: len(statuses) == 2)
+            assert len(backend.request_ids) == 8
+            go_on.set()
+        assert sorted(statuses) == [200] * 8 + [503] * 2
+        assert busy.gateway.counters.event_count("slots_borrowed") >= 2
+
+    async def test_resend_through_another_instance_runs_once(
+        self, world: Any
+    ) -> None:
+        backend = await world.backend("w1")
+        callers = await world.callers(backend, "i1", "i2", "i3")
+        for _ in range(5):
+            text = request_id.make()
+            answers = [
+                await caller.send(turmerichall_request_id=text)
+                for caller in callers
+            ]
+            statuses = [answer.status for answer in answers]
+            assert statuses == [200, 409, 409]
+        assert len(backend.request_ids) == 5
--- a/turmerichall/gateway/tests/test_slow_sender.py
+++ b/turmerichall/gateway/tests/test_slow_sender.py
@@ -19,7 +19,8 @@
         host, port = caller.gateway.url.removeprefix("http://").split(":")
         head = (
             b"POST /v1/requests/c/s HTTP/1.1\r\nhost: a\r\n"
-            b"turmerichall-idempotent: true\r\nturmerichall-deadline-ms: 200\r\n"
+            b"turmerichall-idempotent: true\r\n"
+            b"turmerichall-deadline-ms: 200\r\n"
             b"content-length: 10\r\n\r\n"
         )
         got = b""
