--- a/turmerichall/gateway/admission.py
+++ b/turmerichall/gateway/admission.py
@@ -1,9 +1,7 @@
 """Which request gets the next slot, and which is refused at once."""
 
-import math
-from collections import Counter, OrderedDict, deque
-from collections.abc import Callable, Iterator
-from typing import NamedTuple
+from collections import Counter, OrderedDict
+from collections.abc import Callable
 
 import trio
 
@@ -13,6 +11,7 @@
 from turmerichall.gateway import limits as limits_module
 from turmerichall.gateway import pool as pools
 from turmerichall.gateway import request as requests
+from turmerichall.gateway import waiting as lines
 
 __all__ = ["Admission", "Chooser"]
 
@@ -23,7 +22,6 @@
 )
 HOLD_WEIGHT = 0.05
 LEAST_RETRY_AFTER_SECONDS = 1.0
-RATE_WINDOW_SECONDS = 0.5
 # Share of the slots that a line is taken to get at least.
 LEAST_SHARE = 0.05
 
@@ -33,95 +31,6 @@
 ]
 
 
-class Waiting:
-    """A request that waits for a slot.
-
-    Attributes:
-        request: The request.
-        tried: Backend servers to avoid.
-        result: The slot or refusal, once there is one.
-        woken: Set together with `result`.
-    """
-
-    def __init__(self, request: requests.Request, tried: frozenset[str]):
-        self.request = request
-        self.tried = tried
-        self.result: pools.Slot | outcomes.Refusal | None = None
-        self.woken = trio.Event()
-
-    def end(self, result: pools.Slot | outcomes.Refusal) -> None:
-        """Wakes the request with what came of its wait."""
-        self.result = result
-        self.woken.set()
-
-
-class Line(NamedTuple):
-    """The waiting requests of one urgency.
-
-    Attributes:
-        by_customer: Waiting requests of each customer, who take turns.
-    """
-
-    by_customer: OrderedDict[str, deque[Waiting]]
-
-    def __len__(self) -> int:
-        return sum(map(len, self.by_customer.values()))
-
-    def in_turn(self) -> Iterator[Waiting]:
-        """Yields the first of each customer, then the second, and so on."""
-        lines = [list(line) for line in self.by_customer.values()]
-        for place in range(max(map(len, lines), default=0)):
-            for line in lines:
-                if place < len(line):
-                    yield line[place]
-
-    def add(self, waiting: Waiting) -> None:
-        """Adds a request at the end of its customer's line."""
-        name = waiting.request.customer
-        self.by_customer.setdefault(name, deque()).append(waiting)
-
-    def remove(self, waiting: Waiting) -> None:
-        """Takes a request out; its customer then goes behind the others."""
-        name = waiting.request.customer
-        line = self.by_customer[name]
-        line.remove(waiting)
-        if line:
-            self.by_customer.move_to_end(name)
-        else:
-            del self.by_customer[name]
-
-
-class Rate:
-    """How many slots a second the requests of one urgency take.
-
-    Attributes:
-        per_second: Rate over the last whole window.
-    """
-
-    def __init__(self) -> None:
-        self.per_second = 0.0
-        self._count = 0
-        self._began_at = -math.inf
-
-    def note(self, now: float) -> None:
-        """Adds a slot taken."""
-        self._roll(now)
-        self._count += 1
-
-    def read(self, now: float) -> float:
-        """Returns the rate, in slots a second."""
-        self._roll(now)
-        return self.per_second
-
-    def _roll(self, now: float) -> None:
-        passed = now - self._began_at
-        if passed >= RATE_WINDOW_SECONDS:
-            whole = passed < 2 * RATE_WINDOW_SECONDS
-            self.per_second = self._count / passed if whole else 0.0
-            self._count = 0
-            self._began_at = now
-
-
 class Admission:
     """Hands out slots by urgency, with customers of one urgency in turn.
 
@@ -146,12 +55,12 @@
         self.limits = limits
         self.concurrency = concurrency.Concurrency(limits.concurrency)
         self.in_flight = 0
-        self.lines = {urgency: Line(OrderedDict()) for urgency in ORDER}
+        self.lines = {urgency: lines.Line(OrderedDict()) for urgency in ORDER}
         self.waiting = 0
         self.of_customer: Counter[str] = Counter()
         self.service_seconds = 0.0
         self.starved = trio.Event()
-        self.rates = {urgency: Rate() for urgency in ORDER}
+        self.rates = {urgency: lines.Rate() for urgency in ORDER}
         self.empty_at = trio.current_time()
 
     def enter(self, request: requests.Request) -> outcomes.Refusal | None:
@@ -191,7 +100,7 @@
         refusal = self._refuse_at_once(request)
         if refusal is not None:
             return refusal
-        return await self._wait(Waiting(request, tried))
+        return await self._wait(lines.Waiting(request, tried))
 
     def _goes_first(self, request: requests.Request) -> bool:
         ahead = ORDER[: ORDER.index(request.urgency) + 1]
@@ -234,7 +143,9 @@
                 self._remove(waiting)
                 waiting.end(found)
 
-    async def _wait(self, waiting: Waiting) -> pools.Slot | outcomes.Refusal:
+    async def _wait(
+        self, waiting: lines.Waiting
+    ) -> pools.Slot | outcomes.Refusal:
         request = waiting.request
         self.lines[request.urgency].add(waiting)
         self.waiting += 1
@@ -268,7 +179,7 @@
             for waiting in line.in_turn()
         }
 
-    def _remove(self, waiting: Waiting) -> None:
+    def _remove(self, waiting: lines.Waiting) -> None:
         self.lines[waiting.request.urgency].remove(waiting)
         self.waiting -= 1
         if not self.waiting:
--- a/turmerichall/gateway/claims.py
+++ b/turmerichall/gateway/claims.py
@@ -12,16 +12,15 @@
 
 import msgspec
 import trio
-import xxhash
 
 from turmerichall import outcomes
 from turmerichall.gateway import keeper as keepers
+from turmerichall.gateway import keeper_groups
 from turmerichall.gateway import peer_calls
 from turmerichall.gateway import request_id
 
-__all__ = ["Claim", "Claims", "Duplicate", "choose_keepers"]
+__all__ = ["Claim", "Claims", "Duplicate"]
 
-KEEPERS = 3
 CALL_SECONDS = 0.5
 # After a change of the list of entry instances, claims need a majority by the
 # list before as well, for this long.
@@ -184,7 +183,10 @@
                 RETRY_AFTER_SECONDS,
             )
         lists = [self.members, self.before] if self.before else [self.members]
-        groups = [choose_keepers(text, read.zone, each) for each in lists]
+        groups = [
+            keeper_groups.choose_keepers(text, read.zone, each)
+            for each in lists
+        ]
         if not all(groups):
             return outcomes.Refusal(
                 outcomes.RefusalReason.MALFORMED,
@@ -244,7 +246,7 @@
 
     def _digests(self) -> tuple[int, ...]:
         lists = (self.members, self.before) if self.before else (self.members,)
-        return tuple(_digest(each) for each in lists)
+        return tuple(keeper_groups.digest(each) for each in lists)
 
     async def _handle_claim(self, sender: str, body: bytes) -> bytes:
         del sender
@@ -263,41 +265,6 @@
             self.keeper.settle(settled.text, settled.token, settled.state)
 
 
-def choose_keepers(
-    text: str, zone: str, members: Mapping[str, str]
-) -> list[str]:
-    """Chooses the keepers of a request id.
-
-    Args:
-        text: The request id.
-        zone: Zone that the keepers must be of; empty for different zones.
-        members: Zone of each entry instance by name.
-
-    Returns:
-        At most three names: the first by a hash of id and name, other zones
-        first.  Empty if the zone has no entry instance.
-
-    Examples:
-        >>> members = {"a": "z1", "b": "z2", "c": "z3", "d": "z3"}
-        >>> sorted(members[name] for name in choose_keepers("r", "", members))
-        ['z1', 'z2', 'z3']
-        >>> sorted(choose_keepers("r", "z3", members))
-        ['c', 'd']
-    """
-    names = [name for name in members if zone in ("", members[name])]
-    names.sort(key=lambda name: (_rank(text, name), name))
-    chosen: list[str] = []
-    for name in names:
-        if members[name] not in [members[other] for other in chosen]:
-            chosen.append(name)
-    chosen += [name for name in names if name not in chosen]
-    return chosen[:KEEPERS]
-
-
-def _rank(text: str, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{text}\0{name}".encode())
-
-
 def _granted(
     groups: list[list[str]], grants: Mapping[str, keepers.Grant]
 ) -> bool:
@@ -333,8 +300,3 @@
         + "; ".join(details),
         RETRY_AFTER_SECONDS,
     )
-
-
-def _digest(members: Mapping[str, str]) -> int:
-    listed = ",".join(f"{name}={members[name]}" for name in sorted(members))
-    return xxhash.xxh3_64_intdigest(listed.encode())
--- a/turmerichall/gateway/request.py
+++ b/turmerichall/gateway/request.py
@@ -4,6 +4,7 @@
 """
 
 import math
+import re
 import uuid
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -11,6 +12,7 @@
 from turmerichall import outcomes
 from turmerichall.customers import customer as customers
 from turmerichall.gateway import limits as limits_module
+from turmerichall.gateway import request_id
 from turmerichall.state import configuration as configurations
 
 __all__ = ["DEADLINE", "IDEMPOTENT", "REQUEST_ID", "Request", "read"]
@@ -19,7 +21,7 @@
 IDEMPOTENT = b"turmerichall-idempotent"
 DEADLINE = b"turmerichall-deadline-ms"
 FORWARDED = frozenset({b"accept", b"content-type", b"traceparent"})
-MAX_REQUEST_ID_BYTES = 128
+REQUEST_ID_FORM = re.compile(rb"[A-Za-z0-9._:@-]{1,128}")
 
 PATH_PREFIX = "/v1/requests/"
 
@@ -97,16 +99,16 @@
     idempotent = _idempotent(fields, template.body.idempotent)
     if isinstance(idempotent, outcomes.Refusal):
         return idempotent
-    request_id = _request_id(fields, idempotent)
-    if isinstance(request_id, outcomes.Refusal):
-        return request_id
+    named = _request_id(fields, idempotent)
+    if isinstance(named, outcomes.Refusal):
+        return named
     seconds = _deadline_seconds(fields, limits)
     if isinstance(seconds, outcomes.Refusal):
         return seconds
     return Request(
         customer_name,
         service,
-        request_id,
+        named,
         idempotent,
         known.body.urgency,
         known.body.max_requests,
@@ -136,12 +138,17 @@
         return _malformed(
             "a request that is not idempotent needs Turmerichall-Request-Id"
         )
-    if 1 <= len(value) <= MAX_REQUEST_ID_BYTES and value.isascii():
-        return value
-    return _malformed(
-        f"Turmerichall-Request-Id must be 1 to {MAX_REQUEST_ID_BYTES} ASCII"
-        " characters"
-    )
+    if not REQUEST_ID_FORM.fullmatch(value):
+        return _malformed(
+            "Turmerichall-Request-Id must be 1 to 128 letters, digits or"
+            " '.', '_', ':', '@', '-'"
+        )
+    if not idempotent and request_id.read(value.decode()) is None:
+        return _malformed(
+            "the id of a request that is not idempotent must be a UUID of"
+            " version 7"
+        )
+    return value
 
 
 def _deadline_seconds(
--- a/turmerichall/gateway/tests/test_application.py
+++ b/turmerichall/gateway/tests/test_application.py
@@ -69,6 +69,21 @@
             ("/v1/requests/c/x", {}, 404, "unknown_service"),
             ("/v1/requests/c", {}, 400, "malformed"),
             ("/v1/requests/c/s", {}, 400, "malformed"),
+            (
+                "/v1/requests/c/s",
+                {"turmerichall_request_id": "not-a-uuid"},
+                400,
+                "malformed",
+            ),
+            (
+                "/v1/requests/c/s",
+                {
+                    "turmerichall_request_id": "a b",
+                    "turmerichall_idempotent": "true",
+                },
+                400,
+                "malformed",
+            ),
             (
                 "/v1/requests/c/s",
                 {"turmerichall_idempotent": "maybe"},
--- a/turmerichall/gateway/tests/test_claims.py
+++ b/turmerichall/gateway/tests/test_claims.py
@@ -8,6 +8,7 @@
 from turmerichall import outcomes
 from turmerichall.gateway import claims
 from turmerichall.gateway import keeper
+from turmerichall.gateway import keeper_groups
 from turmerichall.gateway import request_id
 
 WALL = 1_000_000.0
@@ -105,7 +106,7 @@
 
 
 def _keepers(text: str, zone: str = "") -> list[str]:
-    return claims.choose_keepers(text, zone, ZONES)
+    return keeper_groups.choose_keepers(text, zone, ZONES)
 
 
 Fault = Callable[[Cluster, str], None]
