Serve operators and workers with the bounded listener of the callers

Cause: the operators' listener took any number of connections, and hypercorn's own server spends more processor time on a request. The listener of callers bounds connections and is cheaper; its idle time is a parameter now, 5 s for operators, which bounds the head of a request as before.

HTTP/2 is not served at this listener any more; nothing used it.

--- a/turmerichall/command_line/tests/test_cli.py
+++ b/turmerichall/command_line/tests/test_cli.py
@@ -13,9 +13,9 @@
 
 from turmerichall import cli
 from turmerichall import outcomes
-from turmerichall import web_server
 from turmerichall.command_line import client
 from turmerichall.gateway import request_id
+from turmerichall.gateway import server
 from turmerichall.operators.tests import fake_daemon
 from turmerichall.telemetry import counters
 
@@ -55,7 +55,7 @@
         self._token = trio.lowlevel.current_trio_token()
         async with trio.open_nursery() as nursery:
             serve = functools.partial(
-                web_server.serve, self._serve, "127.0.0.1:0", self._stop, 0.1
+                server.serve, self._serve, "127.0.0.1:0", self._stop, 0.1
             )
             self.address = await nursery.start(serve)
             self._listening.set()
--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -17,7 +17,6 @@
 
 from turmerichall import errors
 from turmerichall import readiness
-from turmerichall import web_server
 from turmerichall.agreement import replica as replicas
 from turmerichall.backend_servers import directory as directories
 from turmerichall.backend_servers import dissemination as disseminating
@@ -48,6 +47,8 @@
 
 EXIT_SETTINGS = 1
 EXIT_STORAGE = 3
+# Longer than the period of announcements, so that workers keep connections.
+OPERATORS_KEEP_ALIVE_SECONDS = 5.0
 HEARD_SECONDS = 5.0
 
 _PRESETS = {
@@ -226,11 +227,13 @@
             nursery.start_soon(self.lost_zones.run)
             async with trio.open_nursery() as servers:
                 await servers.start(
-                    web_server.serve,
+                    gateway_server.serve,
                     self.operators,
                     listen.operators,
                     self.stop,
                     limit,
+                    gateway_limits.Limits(),
+                    OPERATORS_KEEP_ALIVE_SECONDS,
                 )
                 await servers.start(
                     gateway_server.serve,
--- a/turmerichall/operators/tests/test_listener.py
+++ b/turmerichall/operators/tests/test_listener.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from turmerichall import web_server
+from turmerichall.gateway import server
 from turmerichall.operators import exchange
 from turmerichall.operators.tests import fake_daemon
 from turmerichall.telemetry import counters
@@ -71,7 +71,12 @@
         stop = trio.Event()
         async with trio.open_nursery() as nursery:
             serve = functools.partial(
-                web_server.serve, app, "127.0.0.1:0", stop, 0.1
+                server.serve,
+                app,
+                "127.0.0.1:0",
+                stop,
+                0.1,
+                keep_alive_seconds=1.0,
             )
             address = await nursery.start(serve)
             got = await _answer(address, sent)
