--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
+.PHONY: bench-in-force venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
 
 venv: $(VENV)/.ready
 
@@ -44,3 +44,6 @@
 
 bench-history: venv
 	$(BIN)/python -m turmerichall.benchmarks.history --seeds 100
+
+bench-in-force: venv
+	$(BIN)/python -m turmerichall.benchmarks.in_force
