Spend the services' margin only as far as the deadline needs it

The margin now shrinks to half as long as the waiting work fits well into the time until its deadline.

--- a/turmerichall/placement/planner.py
+++ b/turmerichall/placement/planner.py
@@ -14,6 +14,7 @@
 from turmerichall.placement import policy as policies
 from turmerichall.placement import quotas
 from turmerichall.placement import room
+from turmerichall.placement import slack
 from turmerichall.placement import step as steps
 from turmerichall.placement import turns
 from turmerichall.placement import views
@@ -190,6 +191,9 @@
         self.fleet.rankings.sweep(known_workers, now)
         views_of_workers = [w.view for w in self.fleet.workers.values()]
         waits = self.misfits.sift(self.waiting, views_of_workers, now)
+        self.fleet.margin_share = slack.margin_share(
+            self.waiting, self.fleet, wall_now
+        )
         step = steps.Step(
             self.waiting, self.chooser, now, wall_now, self._headroom()
         )
--- a/turmerichall/placement/scoring.py
+++ b/turmerichall/placement/scoring.py
@@ -147,6 +147,7 @@
         load = known.load()
         load_step = (load + share) ** 2 - load**2
         margin = self.weights.service_margin - 1.0
+        margin *= self.fleet.margin_share
         excess = self.fleet.excess_on(known, now)
         estimator = self.fleet.estimator
         cost = 0.0
--- /dev/null
+++ b/turmerichall/placement/slack.py
@@ -0,0 +1,48 @@
+"""How much of the services' margin waiting work needs to be done in time."""
+
+import math
+
+from turmerichall.placement import fleet as fleets
+from turmerichall.placement import waiting
+
+__all__ = ["margin_share"]
+
+MIN_MARGIN_SHARE = 0.5
+# Share of the processors that batch work gets done with, beside slowdowns.
+EFFICIENCY = 0.42
+MIN_SECONDS_LEFT = 60.0
+
+
+def margin_share(
+    queue: waiting.WaitingTasks, fleet: fleets.Fleet, wall_now: float
+) -> float:
+    """Returns the share of the margin that batch tasks may use up.
+
+    Work that has time until morning leaves services more room than work that
+    is late.
+
+    Args:
+        queue: The waiting tasks.
+        fleet: The workers.
+        wall_now: Unix time.
+
+    Returns:
+        From `MIN_MARGIN_SHARE` to 1.0.
+    """
+    work = 0.0
+    deadline = math.inf
+    for bucket in queue.buckets.values():
+        task = bucket.head()
+        if task is None or task.service:
+            continue
+        run_seconds = fleet.run_seconds(task)
+        work += len(bucket.live) * task.size.processors * run_seconds
+        deadline = min(deadline, task.deadline_wall_seconds)
+    processors = sum(
+        known.view.capacity.processors - known.service_processors
+        for known in fleet.workers.values()
+        if known.takes_work()
+    )
+    needed = work / max(EFFICIENCY * processors, 1.0)
+    left = max(MIN_SECONDS_LEFT, deadline - wall_now)
+    return max(MIN_MARGIN_SHARE, min(1.0, needed / left))
