Tell that a team may borrow beyond its quota

Seen on a local cluster: with a quota of 4 processors three tasks of 2 ran. It is the planner's rule, 1.5 times the quota while others leave room, and the pages said otherwise.

--- a/turmerichall/command_line/configuration.py
+++ b/turmerichall/command_line/configuration.py
@@ -241,6 +241,8 @@
     ) -> commands.Command:
         """Sets what the running batch tasks of a team may hold in sum.
 
+        It may borrow half as much again while other teams leave room.
+
         Args:
             team: Name of the team.
             processors: Processor cores.
