--- a/turmerichall/command_line/configuration.py
+++ b/turmerichall/command_line/configuration.py
@@ -241,7 +241,7 @@
     ) -> commands.Command:
         """Sets what the running batch tasks of a team may hold in sum.
 
-        It may borrow half as much again while other teams leave room.
+        It may borrow as much again while other teams leave room.
 
         Args:
             team: Name of the team.
