Kill and freeze replicas that run as processes

Change: three processes, SIGKILL of leader or follower during writes, and SIGSTOP of the leader for 3 s and for longer than a silent connection lasts, with reads that wait in its sockets until SIGCONT.

--- /dev/null
+++ b/turmerichall/agreement/tests/test_processes.py
@@ -0,0 +1,150 @@
+"""Tests of replicas as processes that are killed and frozen."""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+
+import pytest
+import trio
+
+from turmerichall import outcomes
+from turmerichall.agreement.tests import instance
+from turmerichall.benchmarks import state_cluster
+from turmerichall.peers import link
+from turmerichall.peers import network
+
+LIMIT_SECONDS = 60.0
+CALL_SECONDS = 5.0
+
+
+class _Processes:
+    """Three replicas as processes, and a client of them."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.addresses = state_cluster.free_addresses(state_cluster.NAMES)
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.client = network.Network("client", instance.KEY, self.addresses)
+
+    def start(self, name: str) -> None:
+        module = "turmerichall.agreement.tests.instance"
+        folder = str(self.folder / name)
+        addresses = json.dumps(self.addresses)
+        command = [sys.executable, "-m", module, name, folder, addresses]
+        self.running[name] = subprocess.Popen(command)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        self.running[name].send_signal(number)
+
+    def stop(self) -> None:
+        for process in self.running.values():
+            process.kill()
+            process.wait()
+
+    async def ask(self, name: str, kind: str, body: bytes = b"") -> bytes:
+        """Returns the answer, or nothing."""
+        answer = await self.client.call(name, kind, body, CALL_SECONDS)
+        return b"" if isinstance(answer, outcomes.Refusal) else answer
+
+    async def leader(self, among: list[str]) -> str:
+        """Waits for a leader among some instances."""
+        with trio.fail_after(LIMIT_SECONDS):
+            while True:
+                for name in among:
+                    found = (await self.ask(name, "leader")).decode()
+                    if found in among:
+                        return found
+                await trio.sleep(0.02)
+
+    async def put(self, name: str, change: bytes) -> None:
+        """Writes until it is accepted."""
+        with trio.fail_after(LIMIT_SECONDS):
+            while await self.ask(name, "put", change) != b"ok":
+                await trio.sleep(0.02)
+
+    async def read(self, name: str, key: bytes) -> bytes:
+        """Reads until there is an answer."""
+        with trio.fail_after(LIMIT_SECONDS):
+            while not (value := await self.ask(name, "read", key)):
+                await trio.sleep(0.02)
+        return value
+
+
+async def _started(made: _Processes, nursery: trio.Nursery) -> str:
+    await nursery.start(made.client.run, "127.0.0.1:0")
+    for name in state_cluster.NAMES:
+        made.start(name)
+    return await made.leader(list(state_cluster.NAMES))
+
+
+@pytest.fixture(name="processes")
+def fixture_processes(tmp_path: pathlib.Path):  # type: ignore[no-untyped-def]
+    """Gives processes that end with the test."""
+    made = _Processes(tmp_path)
+    yield made
+    made.stop()
+
+
+class TestKill:
+
+    @pytest.mark.parametrize("victim", ["leader", "follower"])
+    async def test_accepted_writes_survive(
+        self, processes: _Processes, nursery: trio.Nursery, victim: str
+    ) -> None:
+        leader = await _started(processes, nursery)
+        others = [name for name in state_cluster.NAMES if name != leader]
+        killed = leader if victim == "leader" else others[0]
+        accepted: list[int] = []
+
+        async def write(number: int) -> None:
+            change = f"k{number}=1".encode()
+            if await processes.ask(others[1], "put", change) == b"ok":
+                accepted.append(number)
+
+        async with trio.open_nursery() as writing:
+            for number in range(200):
+                writing.start_soon(write, number)
+                await trio.sleep(0.002)
+                if number == 100:
+                    processes.signal(killed, signal.SIGKILL)
+        processes.running[killed].wait()
+        processes.start(killed)
+        await processes.put(others[1], b"last=1")
+        for name in state_cluster.NAMES:
+            for number in accepted:
+                key = f"k{number}".encode()
+                assert await processes.read(name, key) == b"1"
+        assert accepted
+        nursery.cancel_scope.cancel()
+
+
+class TestFreeze:
+
+    @pytest.mark.parametrize("seconds", [3.0, link.SILENT_AFTER_SECONDS + 1.0])
+    async def test_frozen_leader_returns_without_a_stale_answer(
+        self, processes: _Processes, nursery: trio.Nursery, seconds: float
+    ) -> None:
+        old = await _started(processes, nursery)
+        rest = [name for name in state_cluster.NAMES if name != old]
+        await processes.put(old, b"k=old")
+        answers: list[bytes] = []
+        processes.signal(old, signal.SIGSTOP)
+        frozen_at = trio.current_time()
+        new = await processes.leader(rest)
+        await processes.put(new, b"k=new")
+
+        async def read() -> None:
+            # Waits in the frozen process's socket until it goes on.
+            answers.append(await processes.ask(old, "read", b"k"))
+
+        async with trio.open_nursery() as reading:
+            await trio.sleep_until(frozen_at + seconds)
+            for _ in range(20):
+                reading.start_soon(read)
+            await trio.sleep(0.05)
+            processes.signal(old, signal.SIGCONT)
+        assert set(answers) <= {b"", b"new"}
+        assert await processes.read(old, b"k") == b"new"
+        nursery.cancel_scope.cancel()
