Keep totals of jobs that ended long ago in place of their tasks

Weighed: dropping ended jobs altogether; operators could not tell the night's outcome. A file of ended jobs on disk; instances without one could not tell.

--- a/turmerichall/jobs/job.py
+++ b/turmerichall/jobs/job.py
@@ -1,11 +1,20 @@
 """A batch job, its tasks and the decisions recorded about them."""
 
 import enum
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from turmerichall.leases import lease
 
-__all__ = ["Decision", "Job", "JobState", "Task", "TaskState", "task_id"]
+__all__ = [
+    "Decision",
+    "Job",
+    "JobState",
+    "Task",
+    "TaskState",
+    "Totals",
+    "task_id",
+]
 
 MAX_DECISIONS_PER_JOB = 60
 MAX_FAILED_WORKERS = 3
@@ -129,17 +138,43 @@
     return f"{job_id}/{number}"
 
 
-def job_state(job: Job, tasks: list[Task]) -> JobState:
-    """Derives the state of a job from its tasks.
+class Totals(NamedTuple):
+    """How many tasks of a job are in each state.
+
+    Attributes:
+        states: Number of tasks by state; states without any are left out.
+        attempts: Starts of all tasks in sum.
+        failures: Failed attempts of all tasks in sum.
+    """
+
+    states: dict[TaskState, int]
+    attempts: int
+    failures: int
+
+    @classmethod
+    def of_tasks(cls, tasks: Iterable[Task]) -> "Totals":
+        """Counts tasks."""
+        states: dict[TaskState, int] = {}
+        attempts = 0
+        failures = 0
+        for task in tasks:
+            states[task.state] = states.get(task.state, 0) + 1
+            attempts += task.attempt
+            failures += task.failures
+        return cls(states, attempts, failures)
+
+
+def job_state(job: Job, totals: Totals) -> JobState:
+    """Derives the state of a job from those of its tasks.
 
     Args:
         job: The job.
-        tasks: All of its tasks.
+        totals: States of all of its tasks.
 
     Returns:
         The state to show to operators.
     """
-    states = {task.state for task in tasks}
+    states = totals.states
     if TaskState.RUNNING in states or TaskState.EVICTING in states:
         return JobState.RUNNING
     if job.cancelled:
--- a/turmerichall/operators/jobs.py
+++ b/turmerichall/operators/jobs.py
@@ -169,7 +169,7 @@
     item = _summary(services, job_id)
     if explained:
         item["decisions"] = ledger.decisions.get(job_id, [])
-    # `task_states` counts all of them.
+    # `task_states` counts all of them, also those of jobs that ended long ago.
     item["current"] = ledger.job_tasks(job_id)[:MAX_SHOWN_TASKS]
     return replies.found(reading.marked(note, {"item": item}))
 
@@ -177,12 +177,11 @@
 def _summary(services: services_module.Services, job_id: str) -> dict[str, Any]:
     ledger = services.machine.ledger
     held = ledger.jobs[job_id]
-    tasks = ledger.job_tasks(job_id)
-    states: dict[str, int] = {}
-    for task in tasks:
-        states[task.state.value] = states.get(task.state.value, 0) + 1
+    totals = ledger.job_totals(job_id)
     return {
         **held._asdict(),
-        "state": job.job_state(held, tasks).value,
-        "task_states": states,
+        "state": job.job_state(held, totals).value,
+        "task_states": {
+            state.value: count for state, count in totals.states.items()
+        },
     }
--- a/turmerichall/state/ledger.py
+++ b/turmerichall/state/ledger.py
@@ -1,13 +1,20 @@
 """Jobs, their tasks, the leases on them and the recorded decisions."""
 
+import itertools
+from typing import NamedTuple
+
 from turmerichall import outcomes
 from turmerichall.jobs import job
 from turmerichall.leases import lease
 from turmerichall.state import change as changes
 
-__all__ = ["Ledger"]
+__all__ = ["Image", "Ledger"]
 
+# Ended jobs of which each task is still told.
+MAX_DETAILED_JOBS = 200
+# Ended jobs of which the totals are told; about two days at 9,700 a day.
 MAX_ENDED_JOBS = 20_000
+DECISIONS_OF_ENDED_JOB = 6
 
 _LIVE = (job.TaskState.RUNNING, job.TaskState.EVICTING)
 _ENDED = (
@@ -17,6 +24,16 @@
 )
 
 
+class Image(NamedTuple):
+    """What a snapshot holds of the ledger."""
+
+    jobs: dict[str, job.Job]
+    tasks: dict[str, job.Task]
+    decisions: dict[str, list[job.Decision]]
+    totals: dict[str, job.Totals]
+    ended: list[str]
+
+
 class Ledger:
     """The aggregate of jobs and tasks.
 
@@ -27,6 +44,9 @@
         waiting: Ids of waiting batch tasks, in order of acceptance.
         live: Ids of running or evicting tasks, by worker.
         services: Ids of service tasks that were ever started.
+        open_tasks: How many tasks of each job have not ended.
+        ended: Ids of ended jobs, the first that ended first.
+        totals: What is kept of ended jobs whose tasks were dropped, by id.
     """
 
     def __init__(self) -> None:
@@ -36,25 +56,44 @@
         self.waiting: dict[str, None] = {}
         self.live: dict[str, dict[str, None]] = {}
         self.services: dict[str, None] = {}
+        self.open_tasks: dict[str, int] = {}
+        self.ended: dict[str, None] = {}
+        self.totals: dict[str, job.Totals] = {}
 
     @classmethod
-    def from_parts(
-        cls,
-        jobs: dict[str, job.Job],
-        tasks: dict[str, job.Task],
-        decisions: dict[str, list[job.Decision]],
-    ) -> "Ledger":
+    def from_image(cls, image: Image) -> "Ledger":
         """Rebuilds the ledger and its indexes from a snapshot."""
         made = cls()
-        made.jobs = jobs
-        made.decisions = decisions
-        for task in tasks.values():
-            made.put(task)
+        made.jobs = image.jobs
+        made.decisions = image.decisions
+        made.totals = image.totals
+        for held in image.jobs.values():
+            if held.job_id not in image.totals:
+                made.open_tasks[held.job_id] = held.tasks
+        for task in image.tasks.values():
+            made._put(task)
+        made.ended = dict.fromkeys(image.ended)
         return made
 
+    def image(self) -> Image:
+        """Returns what a snapshot holds."""
+        return Image(
+            self.jobs, self.tasks, self.decisions, self.totals, list(self.ended)
+        )
+
     def put(self, task: job.Task) -> None:
-        """Stores a task and keeps the indexes."""
+        """Stores a task, keeps the indexes and drops what ended long ago."""
+        self._put(task)
+        job_id = job_of(task.task_id)
+        if self.open_tasks.get(job_id) == 0 and job_id not in self.ended:
+            self.ended[job_id] = None
+            self._drop_old()
+
+    def _put(self, task: job.Task) -> None:
         before = self.tasks.get(task.task_id)
+        was_ended = before is not None and before.state in _ENDED
+        if task.state in _ENDED and not was_ended:
+            self.open_tasks[job_of(task.task_id)] -= 1
         if before is not None and before.held is not None:
             self.live[before.held.worker].pop(task.task_id, None)
         self.tasks[task.task_id] = task
@@ -73,13 +112,23 @@
         return job_of(task.task_id) in self.jobs
 
     def job_tasks(self, job_id: str) -> list[job.Task]:
-        """Returns all tasks of a batch job, in order."""
+        """Returns all tasks of a batch job, in order.
+
+        There are none for a job that ended long ago; see `job_totals`.
+        """
+        if job_id in self.totals:
+            return []
         held = self.jobs[job_id]
         return [
             self.tasks[job.task_id(job_id, number)]
             for number in range(held.tasks)
         ]
 
+    def job_totals(self, job_id: str) -> job.Totals:
+        """Returns how many tasks of a batch job are in each state."""
+        known = self.totals.get(job_id)
+        return known or job.Totals.of_tasks(self.job_tasks(job_id))
+
     def live_services(self, zone: str) -> list[job.Task]:
         """Returns the live service tasks of a zone."""
         return [
@@ -112,6 +161,7 @@
             asked.deadline_wall_seconds,
             asked.operation.wall_seconds,
         )
+        self.open_tasks[asked.job_id] = asked.tasks
         for number in range(asked.tasks):
             name = job.task_id(asked.job_id, number)
             self.put(job.Task(name, asked.template, asked.customer))
@@ -187,7 +237,6 @@
                 end.ending.value,
                 end.reason,
             )
-        self._forget_ended()
         return changes.Result(
             changes.Status.APPLIED, asked.epoch, refused=tuple(refused)
         )
@@ -260,17 +309,33 @@
             # The acceptance, which stands first, is kept.
             del history[1]
 
-    def _forget_ended(self) -> None:
-        """Drops the oldest ended jobs beyond `MAX_ENDED_JOBS`."""
-        if len(self.jobs) <= MAX_ENDED_JOBS:
-            return
-        for job_id in list(self.jobs)[: len(self.jobs) - MAX_ENDED_JOBS]:
-            tasks = self.job_tasks(job_id)
-            if all(task.state in _ENDED for task in tasks):
-                for task in tasks:
-                    del self.tasks[task.task_id]
-                del self.jobs[job_id]
-                self.decisions.pop(job_id, None)
+    def _drop_old(self) -> None:
+        """Drops the tasks of old ended jobs, and the oldest jobs whole."""
+        detailed = len(self.ended) - len(self.totals)
+        if detailed > MAX_DETAILED_JOBS:
+            self._drop_tasks(self._oldest_detailed())
+        if len(self.ended) > MAX_ENDED_JOBS:
+            self._drop_job(next(iter(self.ended)))
+
+    def _oldest_detailed(self) -> str:
+        # Jobs lose their tasks in the order in which they ended.
+        return next(itertools.islice(self.ended, len(self.totals), None))
+
+    def _drop_tasks(self, job_id: str) -> None:
+        tasks = self.job_tasks(job_id)
+        self.totals[job_id] = job.Totals.of_tasks(tasks)
+        for task in tasks:
+            del self.tasks[task.task_id]
+        del self.open_tasks[job_id]
+        history = self.decisions.get(job_id, [])
+        # The acceptance, which stands first, is kept.
+        del history[1 : 1 - DECISIONS_OF_ENDED_JOB]
+
+    def _drop_job(self, job_id: str) -> None:
+        del self.ended[job_id]
+        del self.totals[job_id]
+        del self.jobs[job_id]
+        self.decisions.pop(job_id, None)
 
 
 def job_of(task: str) -> str:
--- a/turmerichall/state/machine.py
+++ b/turmerichall/state/machine.py
@@ -13,7 +13,6 @@
 
 from turmerichall import outcomes
 from turmerichall.instances import instance
-from turmerichall.jobs import job
 from turmerichall.state import change as changes
 from turmerichall.state import configuration
 from turmerichall.state import ledger
@@ -31,9 +30,7 @@
 
     applied_index: int
     configuration: configuration.Image
-    jobs: dict[str, job.Job]
-    tasks: dict[str, job.Task]
-    decisions: dict[str, list[job.Decision]]
+    ledger: ledger.Image
     grants: dict[str, authority.Grant]
     operations: list[tuple[str, changes.Result]]
     instances: dict[str, instance.Instance]
@@ -286,9 +283,7 @@
         image = _Image(
             self.applied_index,
             self.configuration.image(),
-            self.ledger.jobs,
-            self.ledger.tasks,
-            self.ledger.decisions,
+            self.ledger.image(),
             self.grants,
             list(self.operations.items()),
             self.instances,
@@ -303,9 +298,7 @@
         self.configuration = configuration.Configuration.from_image(
             image.configuration
         )
-        self.ledger = ledger.Ledger.from_parts(
-            image.jobs, image.tasks, image.decisions
-        )
+        self.ledger = ledger.Ledger.from_image(image.ledger)
         self.grants = image.grants
         self._applied.set()
         self._applied = trio.Event()
--- a/turmerichall/state/tests/test_machine.py
+++ b/turmerichall/state/tests/test_machine.py
@@ -1,9 +1,12 @@
 """Tests of the machine that applies changes."""
 
+import pytest
+
 from turmerichall import resources
 from turmerichall.customers import customer
 from turmerichall.jobs import job
 from turmerichall.state import change as changes
+from turmerichall.state import ledger
 from turmerichall.state import machine
 from turmerichall.templates import template
 
@@ -111,3 +114,55 @@
         assert restored.snapshot() == made.snapshot()
         assert list(restored.ledger.waiting) == ["j1/1"]
         assert list(restored.ledger.live["w1"]) == ["j1/0"]
+
+
+def _finish_job(made: machine.Machine, job_id: str) -> None:
+    """Accepts a job of one task and runs it to its end."""
+    asked = changes.AcceptJob(_operation(job_id), job_id, "c", "r", 1, 9.0)
+    start = changes.Start(f"{job_id}/0", 1, "w1", 1)
+    end = changes.End(f"{job_id}/0", 1, changes.Ending.FINISHED)
+    _apply(made, asked)
+    _apply(made, changes.StartTasks("z1", 1, 2.0, [start]))
+    _apply(made, changes.EndTasks("z1", 1, 3.0, [end]))
+
+
+class TestEndedJobs:
+
+    def test_old_ones_keep_their_totals_and_no_tasks(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(ledger, "MAX_DETAILED_JOBS", 2)
+        made = _with_job()
+        for number in range(4):
+            _finish_job(made, f"e{number}")
+        kept = {name for name in made.ledger.tasks if name.startswith("e")}
+        assert kept == {"e2/0", "e3/0"}
+        totals = made.ledger.job_totals("e0")
+        assert totals.states == {job.TaskState.FINISHED: 1}
+        held = made.ledger.jobs["e0"]
+        assert job.job_state(held, totals) == job.JobState.FINISHED
+
+    def test_oldest_are_forgotten_and_running_ones_never(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(ledger, "MAX_DETAILED_JOBS", 1)
+        monkeypatch.setattr(ledger, "MAX_ENDED_JOBS", 3)
+        made = _with_job()
+        for number in range(6):
+            _finish_job(made, f"e{number}")
+        assert list(made.ledger.jobs) == ["j1", "e3", "e4", "e5"]
+
+    def test_restored_ones_are_dropped_in_the_same_order(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(ledger, "MAX_DETAILED_JOBS", 2)
+        monkeypatch.setattr(ledger, "MAX_ENDED_JOBS", 4)
+        made = _with_job()
+        for number in range(5):
+            _finish_job(made, f"e{number}")
+        restored = machine.Machine()
+        restored.restore(made.snapshot())
+        for number in range(5, 9):
+            _finish_job(made, f"e{number}")
+            _finish_job(restored, f"e{number}")
+        assert restored.snapshot() == made.snapshot()
