Free a stand-in worker's slot before its answer is sent

An entry instance may fill the slot again as soon as it has the answer; counting it until hypercorn was done with the connection would refuse such a request now and then.

--- a/turmerichall/tests/standins/application.py
+++ b/turmerichall/tests/standins/application.py
@@ -31,8 +31,8 @@
         held: Its attempts.
         record: The audit trail.
         faults: Faults that are on.
-        running: Ids of requests that run now.
-        running: Their ids.
+        running: Ids of requests that are not answered yet.
+        working: Those of them that fill a slot, until their answer is sent.
         leaving: Whether no new request is taken.
         changed: Set when an announcement is due.
     """
@@ -52,6 +52,7 @@
         self.record = record
         self.faults = faults.Faults()
         self.running: set[str] = set()
+        self.working: set[str] = set()
         self.leaving = False
         self.changed = trio.Event()
 
@@ -68,9 +69,6 @@
         path = scope["path"]
         if scope["method"] == "POST" and path.startswith("/v1/services/"):
             await self._serve(path, headers, body, send)
-        elif scope["method"] == "GET" and path.startswith("/v1/requests/"):
-            known = path.removeprefix("/v1/requests/") in self.running
-            await _answer(send, 200 if known else 404, b"{}")
         elif scope["method"] == "GET" and path.startswith("/v1/requests/"):
             running = path.removeprefix("/v1/requests/") in self.running
             await _answer(send, 200 if running else 404, b"{}")
@@ -131,7 +129,7 @@
             await _answer(send, 503, found, (NOT_RUN_HEADER, echoed))
             return
         self.running.add(request_id)
-        self.running.add(request_id)
+        self.working.add(request_id)
         self.record.write(
             "request_start",
             request=request_id,
@@ -143,7 +141,7 @@
             await self._run(request_id, body, send)
         finally:
             self.running.discard(request_id)
-            self.running.discard(request_id)
+            self.working.discard(request_id)
             self.record.write("request_end", request=request_id)
 
     def _refused_for(self, customer: str, service: str) -> str:
@@ -151,7 +149,7 @@
             return "the worker is leaving"
         if not self.held.serves(customer, service, trio.current_time()):
             return "the service does not run here"
-        if len(self.running) >= self.slots:
+        if len(self.working) >= self.slots:
             return "all slots are taken"
         return ""
 
@@ -160,6 +158,7 @@
         await trio.sleep(shown.slow_seconds)
         if shown.silent:
             await trio.sleep_forever()
+        self.working.discard(request_id)
         if shown.error:
             headers = ((REQUEST_ID_HEADER, request_id.encode()),)
             await _answer(send, 500, b"{}", headers)
