Clear entries of dropped tasks out of a bucket's heap

Entries of cancelled tasks with late deadlines never came up and gathered as long as the bucket had other tasks. The heap is rebuilt when more than half of it and 64 entries are stale, so a cancellation stays flat on average.

--- a/turmerichall/placement/waiting.py
+++ b/turmerichall/placement/waiting.py
@@ -15,6 +15,9 @@
 __all__ = ["Bucket", "Shape", "WaitingTasks"]
 
 
+MAX_DROPPED_ENTRIES = 64
+
+
 class Shape(NamedTuple):
     """What decides where a task may run."""
 
@@ -63,6 +66,18 @@
         )
         heapq.heappush(self.heap, entry)
 
+    def drop(self, task_id: str) -> views.TaskView:
+        """Removes a task; its entry stays until many have gathered."""
+        _, task = self.live.pop(task_id)
+        if len(self.heap) > 2 * len(self.live) + MAX_DROPPED_ENTRIES:
+            self.heap = [entry for entry in self.heap if self._is_live(entry)]
+            heapq.heapify(self.heap)
+        return task
+
+    def _is_live(self, entry: tuple[bool, float, float, int, str]) -> bool:
+        found = self.live.get(entry[-1])
+        return found is not None and found[0] == entry[-2]
+
     def head(self) -> views.TaskView | None:
         """Returns the task whose turn it is, or None if none waits."""
         while self.heap:
@@ -112,7 +127,7 @@
         bucket = self.bucket_of.pop(task_id, None)
         if bucket is None:
             return None
-        _, task = bucket.live.pop(task_id)
+        task = bucket.drop(task_id)
         if not bucket.live:
             del self.buckets[bucket.key]
         job = views.job_of(task_id)
