Keep a line for some servers from holding up requests for others

Cause: a request went behind every waiting request of its urgency, and its wait was reckoned by all of them, also when its own servers were idle. Now only those that may run on one of its servers are before it, and the time a slot is held is learnt for each service.

--- a/turmerichall/gateway/admission.py
+++ b/turmerichall/gateway/admission.py
@@ -1,7 +1,8 @@
 """Which request gets the next slot, and which is refused at once."""
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Protocol
 
 import trio
 
@@ -13,7 +14,7 @@
 from turmerichall.gateway import request as requests
 from turmerichall.gateway import waiting as lines
 
-__all__ = ["Admission", "Chooser"]
+__all__ = ["Admission", "Servers"]
 
 ORDER = (
     customers.Urgency.URGENT,
@@ -25,23 +26,35 @@
 # Share of the slots that a line is taken to get at least.
 LEAST_SHARE = 0.05
 
-# Chooses a slot for a request.  None: all suitable slots are filled.
-Chooser = Callable[
-    [requests.Request, frozenset[str]], pools.Slot | outcomes.Refusal | None
-]
+
+class Servers(Protocol):
+    """Backend servers that requests compete for; `fleet.Fleet` is one."""
+
+    def choose(
+        self, request: requests.Request, tried: frozenset[str]
+    ) -> pools.Slot | outcomes.Refusal | None:
+        """Takes a slot; None if all suitable ones are filled."""
+
+    def names_for(self, request: requests.Request) -> frozenset[str]:
+        """Returns the names of the servers that may run a request."""
+
+    def in_flight_at(self, names: Iterable[str]) -> int:
+        """Returns how many slots of this instance are filled at servers."""
 
 
 class Admission:
     """Hands out slots by urgency, with customers of one urgency in turn.
 
     Attributes:
-        choose: Chooses a slot for a request.
+        servers: Backend servers that requests compete for.
         concurrency: The adaptive limit.
         in_flight: Requests that hold a slot.
         lines: Waiting requests by urgency.
         waiting: How many there are.
         of_customer: Requests of each customer, waiting or in flight.
-        service_seconds: Running mean of how long a request holds its slot.
+        hold_seconds: Running mean of how long a request holds its slot, by
+            customer and service.
+        usual_hold_seconds: The same over all, for those not seen before.
         starved: Set when a request begins to wait.
         rates: Slots that requests of each urgency take.
         empty_at: When no request waited last, trio time.
@@ -50,15 +63,16 @@
         Controlled delay: K. Nichols and V. Jacobson, ACM Queue 10(5), 2012.
     """
 
-    def __init__(self, choose: Chooser, limits: limits_module.Limits):
-        self.choose = choose
+    def __init__(self, servers: Servers, limits: limits_module.Limits):
+        self.servers = servers
         self.limits = limits
         self.concurrency = concurrency.Concurrency(limits.concurrency)
         self.in_flight = 0
         self.lines = {urgency: lines.Line(OrderedDict()) for urgency in ORDER}
         self.waiting = 0
         self.of_customer: Counter[str] = Counter()
-        self.service_seconds = 0.0
+        self.hold_seconds: dict[tuple[str, str], float] = {}
+        self.usual_hold_seconds = 0.0
         self.starved = trio.Event()
         self.rates = {urgency: lines.Rate() for urgency in ORDER}
         self.empty_at = trio.current_time()
@@ -100,29 +114,40 @@
         refusal = self._refuse_at_once(request)
         if refusal is not None:
             return refusal
-        return await self._wait(lines.Waiting(request, tried))
+        names = self.servers.names_for(request)
+        return await self._wait(lines.Waiting(request, tried, names))
 
     def _goes_first(self, request: requests.Request) -> bool:
-        ahead = ORDER[: ORDER.index(request.urgency) + 1]
-        return not any(self.lines[urgency].by_customer for urgency in ahead)
+        names = self.servers.names_for(request)
+        return self._ahead(request.urgency, names) == 0
+
+    def _ahead(self, urgency: customers.Urgency, names: frozenset[str]) -> int:
+        """Counts the waiting requests that get a slot of some servers first."""
+        return sum(
+            not waiting.servers.isdisjoint(names)
+            for each in ORDER[: ORDER.index(urgency) + 1]
+            for waiting in self.lines[each].in_turn()
+        )
 
     def _take(
         self, request: requests.Request, tried: frozenset[str]
     ) -> pools.Slot | outcomes.Refusal | None:
         if self.in_flight >= self.concurrency.limit:
             return None
-        found = self.choose(request, tried)
+        found = self.servers.choose(request, tried)
         if isinstance(found, pools.Slot):
             self.in_flight += 1
             self.rates[request.urgency].note(trio.current_time())
         return found
 
-    def release(self, held_seconds: float) -> None:
+    def release(self, request: requests.Request, held_seconds: float) -> None:
         """Notes that a request freed its slot, and hands it on."""
         self.in_flight -= 1
-        self.service_seconds += (
-            held_seconds - self.service_seconds
-        ) * HOLD_WEIGHT
+        key = (request.customer, request.service)
+        mean = self.hold_seconds.get(key, held_seconds)
+        self.hold_seconds[key] = mean + (held_seconds - mean) * HOLD_WEIGHT
+        change = held_seconds - self.usual_hold_seconds
+        self.usual_hold_seconds += change * HOLD_WEIGHT
         self.hand_out()
 
     def hand_out(self) -> None:
@@ -158,7 +183,8 @@
         except trio.Cancelled:
             if isinstance(waiting.result, pools.Slot):
                 waiting.result.pool.release(waiting.result)
-                self.release(0.0)
+                self.in_flight -= 1
+                self.hand_out()
             raise
         finally:
             if waiting.result is None:
@@ -189,13 +215,18 @@
         """Returns how long a request would wait behind those before it.
 
         Slots become free at the rate at which requests end; more urgent
-        requests go on taking theirs.
+        requests go on taking theirs.  Requests for other servers don't count.
         """
         now = trio.current_time()
-        place = ORDER.index(request.urgency)
-        ahead = sum(len(self.lines[each]) for each in ORDER[: place + 1])
-        freed = max(1, self.in_flight) / max(self.service_seconds, 1e-6)
-        taken = sum(self.rates[each].read(now) for each in ORDER[:place])
+        names = self.servers.names_for(request)
+        ahead = self._ahead(request.urgency, names)
+        if not ahead:
+            return 0.0
+        key = (request.customer, request.service)
+        hold = self.hold_seconds.get(key, self.usual_hold_seconds)
+        freed = max(1, self.servers.in_flight_at(names)) / max(hold, 1e-6)
+        higher = ORDER[: ORDER.index(request.urgency)]
+        taken = sum(self.rates[each].read(now) for each in higher)
         return ahead / max(freed - taken, freed * LEAST_SHARE)
 
     def _most_wait_seconds(self) -> float:
--- a/turmerichall/gateway/dispatcher.py
+++ b/turmerichall/gateway/dispatcher.py
@@ -59,7 +59,7 @@
         self.limits = limits
         self.note_retry = note_retry
         self.random = generator
-        self.admission = admissions.Admission(fleet.choose, limits)
+        self.admission = admissions.Admission(fleet, limits)
         self.budget = retries.Budget(limits.retry_ratio)
         self.running: set[exchanges.Exchange] = set()
         self.mean_seconds: dict[tuple[str, str], float] = {}
@@ -102,7 +102,9 @@
             claim = await self.claims.make(request.request_id.decode())
         finally:
             if not isinstance(claim, claiming.Claim):
-                self._release(slot, taken_at)
+                slot.pool.release(slot)
+                held = trio.current_time() - taken_at
+                self.admission.release(request, held)
         if not isinstance(claim, claiming.Claim):
             return claim
         state: keeper.State | None = keeper.State.UNKNOWN
@@ -116,10 +118,6 @@
             self.claims.settle(claim, state)
         return ended
 
-    def _release(self, slot: pools.Slot, taken_at: float) -> None:
-        slot.pool.release(slot)
-        self.admission.release(trio.current_time() - taken_at)
-
     async def _attempts(
         self, request: requests.Request, slot: pools.Slot
     ) -> exchanges.Ended:
@@ -161,7 +159,8 @@
             if ended is not exchange:
                 self.running.discard(exchange)
                 slot.pool.health.probing = False
-                self.admission.release(trio.current_time() - exchange.began_at)
+                held = trio.current_time() - exchange.began_at
+                self.admission.release(request, held)
         self._learn(exchange, ended)
         if isinstance(ended, exchanges.Exchange) and ended.whole:
             self._end(ended)
@@ -209,7 +208,8 @@
             return
         self.running.discard(exchange)
         exchange.close()
-        self.admission.release(trio.current_time() - exchange.began_at)
+        held = trio.current_time() - exchange.began_at
+        self.admission.release(exchange.request, held)
 
 
 def _failed_answer(ended: exchanges.Exchange) -> outcomes.Unknown:
--- a/turmerichall/gateway/fleet.py
+++ b/turmerichall/gateway/fleet.py
@@ -107,6 +107,18 @@
         told = self.directory.serving(customer, service, now)
         return [self.pool(each) for each in told]
 
+    def names_for(self, request: requests.Request) -> frozenset[str]:
+        """Returns the names of the servers that may run a request."""
+        serving = self.directory.serving(
+            request.customer, request.service, trio.current_time()
+        )
+        return frozenset(told.name for told in serving)
+
+    def in_flight_at(self, names: Iterable[str]) -> int:
+        """Returns how many slots of this instance are filled at servers."""
+        held = [self.pools[name] for name in names if name in self.pools]
+        return sum(pool.in_flight + pool.borrowed_in_flight for pool in held)
+
     def pool(self, told: announcement.Announcement) -> pools.Pool:
         """Returns the pool of a backend server, with its current parts."""
         known = self.pools.get(told.name)
--- a/turmerichall/gateway/tests/test_admission.py
+++ b/turmerichall/gateway/tests/test_admission.py
@@ -1,6 +1,6 @@
 """Tests of who gets the next slot and who is refused at once."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import pytest
 import trio
@@ -45,7 +45,7 @@
         limits = limits_module.Limits(**changed)  # type: ignore[arg-type]
         self.pool = pools.Pool(told, limits)
         self.pool.slots = slots
-        self.admission = admission.Admission(self.choose, limits)
+        self.admission = admission.Admission(self, limits)
         self.order: list[str] = []
         self.refused: list[tuple[str, outcomes.Refusal]] = []
 
@@ -56,6 +56,15 @@
         del tried
         return self.pool.take_slot(request.deadline, trio.current_time())
 
+    def names_for(self, request: requests.Request) -> frozenset[str]:
+        """Returns the only server, or one that runs another service."""
+        return frozenset({"w" if request.service == "s" else "other"})
+
+    def in_flight_at(self, names: Iterable[str]) -> int:
+        """Returns how many slots are filled."""
+        del names
+        return self.pool.in_flight
+
     async def hold(self, request: requests.Request, seconds: float) -> None:
         """Takes a slot and holds it."""
         slot = await self.admission.slot(request)
@@ -67,7 +76,7 @@
             await trio.sleep(seconds)
         finally:
             self.pool.release(slot)
-            self.admission.release(seconds)
+            self.admission.release(request, seconds)
 
 
 class TestOrder:
@@ -96,6 +105,27 @@
         assert server.order == expected
 
 
+class TestOtherServers:
+
+    async def test_line_for_one_server_does_not_hold_up_another(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        del autojump_clock
+        server = _Server(1)
+        other = _Server(1)
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(server.hold, _request(), 0.1)
+                await trio.testing.wait_all_tasks_blocked()
+            server.pool = other.pool
+            begun = trio.current_time()
+            free = _request("else")._replace(service="elsewhere")
+            slot = await server.admission.slot(free)
+            assert isinstance(slot, pools.Slot)
+            assert trio.current_time() == begun
+            nursery.cancel_scope.cancel()
+
+
 class TestRefusal:
 
     async def test_long_wait_is_refused_at_once(
@@ -103,7 +133,7 @@
     ) -> None:
         del autojump_clock
         server = _Server(1)
-        server.admission.service_seconds = 0.5
+        server.admission.usual_hold_seconds = 0.5
         async with trio.open_nursery() as nursery:
             for name in "abcde":
                 nursery.start_soon(server.hold, _request(name), 0.5)
@@ -173,7 +203,7 @@
             if cancelled_first:
                 nursery.cancel_scope.cancel()
             server.pool.release(held)
-            server.admission.release(0.1)
+            server.admission.release(_request(), 0.1)
             nursery.cancel_scope.cancel()
         assert (server.pool.in_flight, server.admission.in_flight) == (0, 0)
 
--- a/turmerichall/gateway/waiting.py
+++ b/turmerichall/gateway/waiting.py
@@ -22,13 +22,20 @@
     Attributes:
         request: The request.
         tried: Backend servers to avoid.
+        servers: Backend servers that may run it.
         result: The slot or refusal, once there is one.
         woken: Set together with `result`.
     """
 
-    def __init__(self, request: requests.Request, tried: frozenset[str]):
+    def __init__(
+        self,
+        request: requests.Request,
+        tried: frozenset[str],
+        servers: frozenset[str],
+    ):
         self.request = request
         self.tried = tried
+        self.servers = servers
         self.result: pools.Slot | outcomes.Refusal | None = None
         self.woken = trio.Event()
 
