Tell the planner how an attempt ended, not what its task does next

Cause: the feed derived the end of an attempt from the state that the task was in afterwards. A task that failed and waits again is waiting, which was told as an eviction, so the planner never heard of the failure: it avoided no worker and quarantined none. Ruled out: the quarantine's rules (their tests fail when they are taken out) and the stand-in. The feed now passes on the recorded end.

--- a/turmerichall/zones/planner_feed.py
+++ b/turmerichall/zones/planner_feed.py
@@ -31,6 +31,7 @@
             not recorded yet.
         deferred: Tasks that another zone tries first, by when to put them in.
         services: Service tasks that the planner was asked to start.
+        ends: Last recorded end of each task in `dirty` that has one.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         self.decided: dict[str, str] = {}
         self.deferred: list[tuple[float, str]] = []
         self.services: set[str] = set()
+        self.ends: dict[str, changes.End] = {}
         for task in machine.ledger.live_in(zone):
             self._take_running(task, now)
         for name in machine.ledger.waiting:
@@ -61,6 +63,7 @@
             self._mark(start.task_id for start in change.starts)
         elif isinstance(change, changes.EndTasks):
             self._mark(end.task_id for end in change.ends)
+            self.ends.update({end.task_id: end for end in change.ends})
         elif isinstance(change, changes.EvictTasks):
             self._mark(eviction.task_id for eviction in change.evictions)
         elif isinstance(change, changes.AcceptJob | changes.CancelJob):
@@ -95,7 +98,8 @@
 
     def _take(self, name: str, now: float) -> None:
         task = self.machine.ledger.tasks.get(name)
-        self._release_if_ended(name, task, now)
+        end = self.ends.pop(name, None)
+        self._release_if_ended(name, task, end, now)
         if task is None:
             self.planner.drop_waiting(name)
         elif task.held is not None:
@@ -111,7 +115,11 @@
             self._take_waiting(task, now)
 
     def _release_if_ended(
-        self, name: str, task: job.Task | None, now: float
+        self,
+        name: str,
+        task: job.Task | None,
+        end: changes.End | None,
+        now: float,
     ) -> None:
         if name not in self.held:
             return
@@ -121,6 +129,8 @@
             return
         del self.held[name]
         ending = _ending_of(task)
+        if end is not None and end.attempt == attempt:
+            ending = end.ending
         self.planner.note_ended(name, worker, ending, now)
 
     def _take_running(self, task: job.Task, now: float) -> None:
