--- a/turmerichall/placement/interference.py
+++ b/turmerichall/placement/interference.py
@@ -189,11 +189,14 @@
 
     Attributes:
         pairs: Differences by template of the slowed task and the neighbour.
+        found: What `added` found since the last sample, by neighbour and
+            slowed template.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.pairs: dict[tuple[str, str], Coefficient] = {}
+        self.found: dict[str, dict[str, Added]] = {}
 
     def terms(self, asked: Situation) -> list[tuple[Coefficient, float]]:
         """Returns the coefficients of a situation and their factors."""
@@ -208,6 +211,19 @@
 
     def added(self, victim: str, neighbour: str) -> Added:
         """Returns the excess that one whole worker's use would add."""
+        of_neighbour = self.found.setdefault(neighbour, {})
+        effect = of_neighbour.get(victim)
+        if effect is None:
+            effect = of_neighbour[victim] = self._add(victim, neighbour)
+        return effect
+
+    def learn(self, seen: Situation, excess: float, at: float) -> None:
+        """Takes in one measured situation."""
+        super().learn(seen, excess, at)
+        for template, _ in seen.neighbours:
+            self.found.pop(template, None)
+
+    def _add(self, victim: str, neighbour: str) -> Added:
         pair = self.pairs.get((victim, neighbour))
         if pair is None:
             return super().added(victim, neighbour)
