Keep live backend servers known when an instance is restarted

Cause: an instance that came back answered with an empty table, and all others forgot the backend servers that had announced to it, until they announced again, up to 2 s later (the test failed: not known by b). Ruled out: keeping the table on disk; entry instances may have none. Change: entries of an earlier run of an instance stay until they are silent, vouched for by nobody; entries silent for 120 s are dropped.

--- a/turmerichall/backend_servers/directory.py
+++ b/turmerichall/backend_servers/directory.py
@@ -14,6 +14,9 @@
 __all__ = ["Directory", "Entry", "Intentions", "SILENT_AFTER_SECONDS"]
 
 SILENT_AFTER_SECONDS = 6.0
+FORGET_AFTER_SECONDS = 120.0
+# Stands for the origin of entries that no instance vouches for any more.
+NOBODY = "(nobody)"
 
 
 class Intentions(Protocol):
@@ -126,6 +129,18 @@
         if self.entries.pop(name, None) is not None:
             self.revision += 1
 
+    def disown(self, name: str) -> None:
+        """Keeps a backend server until it is silent, vouched for by nobody."""
+        known = self.entries[name]
+        heard_at = self.heard_at(known)
+        self.entries[name] = known._replace(heard_at=heard_at, via=NOBODY)
+
+    def forget_long_silent(self, now: float) -> None:
+        """Drops entries that nothing was heard of for very long."""
+        for name, known in list(self.entries.items()):
+            if now - self.heard_at(known) > FORGET_AFTER_SECONDS:
+                self.forget(name)
+
     def _index(self) -> None:
         self._by_service = {}
         for name in sorted(self.entries):
--- a/turmerichall/backend_servers/dissemination.py
+++ b/turmerichall/backend_servers/dissemination.py
@@ -151,6 +151,7 @@
                 lost.append(name)
                 self.own.discard(name)
                 self.directory.forget(name)
+        self.directory.forget_long_silent(now)
         if lost:
             self._pass_on((), tuple(lost))
 
@@ -190,10 +191,16 @@
             return
         batch = _DECODER.decode(answer)
         self.operators_addresses[sender] = batch.operators_address
+        run_before, _ = self.versions.get(sender, (batch.run, 0))
         named = {told.name for told in batch.heard}
         for name, known in list(self.directory.entries.items()):
-            if known.via == sender and name not in named:
+            if known.via != sender or name in named:
+                continue
+            if batch.run == run_before:
                 self.directory.forget(name)
+            else:
+                # The sender was restarted: its servers announce anew soon.
+                self.directory.disown(name)
         self._take(sender, batch)
 
     def _take(self, sender: str, batch: Batch) -> None:
