--- a/turmerichall/agreement/shared.py
+++ b/turmerichall/agreement/shared.py
@@ -185,7 +185,13 @@
         stopped: Why the replica takes part no more; empty while it does.
         progress: By identity, while leading.
         round: Grows by one with each barrier.
+        own_match: Last own entry that is durable, while leading.
+        leading: Ends the tasks of a leader when cancelled.
         followed_members: Members as told to an observer.
+        followed_term: Term as told to an observer.
+        commit_moved: Notified when `commit` grew; `applied_moved`,
+            `role_changed`, `acked` and `founded` likewise.
+        work: Notified when a leader may have something to send.
     """
 
     def __init__(
--- a/turmerichall/benchmarks/state_cluster.py
+++ b/turmerichall/benchmarks/state_cluster.py
@@ -117,11 +117,11 @@
     sent, writes = traffic.sent, traffic.writes
     applied = replica.status().applied
     role = replica.status().role
-    with trio.move_on_after(phase.seconds + 1.0):
+    with trio.move_on_after(phase.seconds):
         if role == agreement_shared.Role.LEADER and phase.changes_per_second:
             await _offer(replica, phase)
         await trio.sleep_forever()
-    seconds = phase.seconds + 1.0
+    seconds = phase.seconds
     return Spent(
         phase.name,
         name,
@@ -153,7 +153,7 @@
         for phase in job.phases:
             await trio.sleep(begins_at - time.time())
             spent.append(await _measure(replica, phase, traffic, job.name))
-            begins_at += phase.seconds + 1.0 + SETTLE_SECONDS
+            begins_at += phase.seconds + SETTLE_SECONDS
         await trio.sleep(SETTLE_SECONDS)
         nursery.cancel_scope.cancel()
     return spent
