--- a/turmerichall/state/tests/test_machine.py
+++ b/turmerichall/state/tests/test_machine.py
@@ -82,6 +82,13 @@
         assert result.reason == "stale_epoch"
         assert made.ledger.tasks["j1/0"].state == job.TaskState.WAITING
 
+    def test_stale_epoch_ends_nothing(self) -> None:
+        made = _with_job()
+        _apply(made, _start(1))
+        end = _end(1, changes.Ending.LOST)._replace(epoch=0)
+        assert _apply(made, end).reason == "stale_epoch"
+        assert made.ledger.tasks["j1/0"].state == job.TaskState.RUNNING
+
     def test_evicted_task_waits_with_its_checkpoint(self) -> None:
         made = _with_job()
         _apply(made, _start(1))
