Count refusals and new tries of peers and agreement

Cause: each refusal and retry reason needs a counter; these two parts had none. Change: an optional counters argument of Network and Replica; the status moved to a module of its own.

--- a/turmerichall/agreement/proposing.py
+++ b/turmerichall/agreement/proposing.py
@@ -119,6 +119,9 @@
             now = trio.current_time()
             if now >= deadline or self._cut_off():
                 return outcome
+            shared.counters.retried(
+                "agreement", outcomes.RetryReason.NOT_LEADER
+            )
             await shared.role_changed.wait(min(now + RETRY_SECONDS, deadline))
 
     async def _here(
--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -3,7 +3,7 @@
 import pathlib
 import random
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import trio
 
@@ -21,53 +21,18 @@
 from turmerichall.agreement import replication
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.agreement import snapshots
+from turmerichall.agreement import status
 from turmerichall.peers import link
 from turmerichall.storage import data_folder
 from turmerichall.storage import files as storage_files
 from turmerichall.storage import journal
 from turmerichall.telemetry import logs
 
-__all__ = ["Replica", "ReplicaStatus"]
+__all__ = ["Replica"]
 
 Handler = Callable[[str, bytes], Awaitable[bytes | None]]
 
 
-class ReplicaStatus(NamedTuple):
-    """What a replica knows of itself and of the cluster.
-
-    Attributes:
-        name: Name of the instance.
-        identity: Identity of its disk; empty without one.
-        role: Follower, candidate, leader or observer.
-        leader: Name of the leader, or empty.
-        term: The newest term seen.
-        commit: Index known to be committed.
-        applied: Index up to which the state is applied.
-        members: The voters.
-        learners: Replicas that are not caught up yet.
-        stopped: Why the replica takes part no more; empty while it does.
-        seconds_since_quorum: How long ago a quorum was in contact.
-        recovered: Whether the state is at least as new as any that this
-            instance had before it was started.
-        diverged_at: Index at which another replica was seen to have applied
-            something else; 0 if none was.
-    """
-
-    name: str
-    identity: str
-    role: agreement_shared.Role
-    leader: str
-    term: int
-    commit: int
-    applied: int
-    members: member.Members
-    learners: member.Members
-    stopped: str
-    seconds_since_quorum: float
-    recovered: bool
-    diverged_at: int = 0
-
-
 class Replica:
     """Keeps the machine of this instance equal to that of the others.
 
@@ -88,6 +53,7 @@
         files: storage_files.Files | None = None,
         rng: random.Random | None = None,
         max_batch_records: int = journal.NO_LIMIT,
+        counters: link.Counters | None = None,
     ):
         """Makes a replica; `run` starts it.
 
@@ -103,6 +69,7 @@
             files: Used in place of `folder`, if given.
             rng: Source of random waits.
             max_batch_records: Most records that one sync covers.
+            counters: Counts refusals, new tries and unknown effects.
         """
         self.files = files
         if files is None and folder is not None:
@@ -115,6 +82,7 @@
             log or logs.Log("agreement"),
             timing,
             rng or random.Random(),
+            counters,
         )
         self._bootstrap = dict(bootstrap_members or {})
         self._applying = applying.Applying(self.shared)
@@ -278,7 +246,17 @@
             not be applied; after `Unknown` it may be.
         """
         outcome = await self._proposing.propose(change, timeout_seconds)
-        return proposing.to_result(outcome)
+        return self._counted(outcome)
+
+    def _counted(
+        self, outcome: message.Outcome
+    ) -> bytes | outcomes.Refusal | outcomes.Unknown:
+        result = proposing.to_result(outcome)
+        if isinstance(result, outcomes.Refusal):
+            self.shared.counters.refused("agreement", result.reason)
+        elif isinstance(result, outcomes.Unknown):
+            self.shared.counters.unknown("agreement", result.reason)
+        return result
 
     async def barrier(
         self, timeout_seconds: float = 2.0
@@ -292,7 +270,7 @@
             None, or a refusal if the state may be older.
         """
         outcome = await self._proposing.barrier(timeout_seconds)
-        result = proposing.to_result(outcome)
+        result = self._counted(outcome)
         if isinstance(result, outcomes.Unknown):
             return outcomes.Refusal(
                 outcomes.RefusalReason.NO_QUORUM,
@@ -325,7 +303,7 @@
         """
         asked = message.ChangeMembers(action, name, address, timeout_seconds)
         outcome = await self._proposing.change_members(asked)
-        result = proposing.to_result(outcome)
+        result = self._counted(outcome)
         return self.shared.members if isinstance(result, bytes) else result
 
     async def hand_over(self, timeout_seconds: float = 2.0) -> bool:
@@ -355,10 +333,10 @@
         """Returns how long ago a quorum was last known to be in contact."""
         return self.shared.seconds_since_quorum()
 
-    def status(self) -> ReplicaStatus:
+    def status(self) -> status.ReplicaStatus:
         """Returns what this replica knows of itself and of the cluster."""
         shared = self.shared
-        return ReplicaStatus(
+        return status.ReplicaStatus(
             shared.name,
             shared.identity,
             shared.role,
--- a/turmerichall/agreement/shared.py
+++ b/turmerichall/agreement/shared.py
@@ -202,6 +202,7 @@
         log: link.Log,
         timing: Timing,
         rng: random.Random,
+        counters: link.Counters | None = None,
     ):
         self.name = name
         self.network = network
@@ -209,6 +210,7 @@
         self.log = log
         self.timing = timing
         self.rng = rng
+        self.counters = counters or link.NoCounters()
         self.address = ""
         self.folder: data_folder.DataFolder | None = None
         self.entries: entry_log.EntryLog | None = None
--- a/turmerichall/agreement/tests/test_failures.py
+++ b/turmerichall/agreement/tests/test_failures.py
@@ -8,6 +8,7 @@
 from turmerichall.agreement import message
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.agreement.tests import cluster
+from turmerichall.telemetry import counters
 
 Clock = trio.testing.MockClock
 SMALL = agreement_shared.Timing(
@@ -168,9 +169,12 @@
         made.hub.isolate(cut, set(made.names))
         await trio.sleep(MINUTES)
         before = trio.current_time()
+        counted = counters.Counters()
+        made.replicas[cut].shared.counters = counted
         result = await made.replicas[cut].propose(b"k=1", 60.0)
         assert isinstance(result, outcomes.Refusal)
         assert trio.current_time() - before < 5.0
+        assert counted.count_of("refusals", "agreement", "no_quorum") == 1
         nursery.cancel_scope.cancel()
 
     async def test_returning_minority_does_not_disturb(
--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -16,7 +16,14 @@
 from turmerichall.peers import envelope
 from turmerichall.peers import handshake
 
-__all__ = ["Link", "Log", "PING_AFTER_SECONDS", "SILENT_AFTER_SECONDS"]
+__all__ = [
+    "Counters",
+    "Link",
+    "Log",
+    "NoCounters",
+    "PING_AFTER_SECONDS",
+    "SILENT_AFTER_SECONDS",
+]
 
 CONNECT_SECONDS = 3.0
 PING_AFTER_SECONDS = 2.0
@@ -41,6 +48,32 @@
         """Writes what needs an operator."""
 
 
+class Counters(Protocol):
+    """Counts what was refused, tried again, or had an unknown effect."""
+
+    def refused(self, part: str, reason: outcomes.RefusalReason) -> None:
+        """Counts a refusal."""
+
+    def retried(self, part: str, reason: outcomes.RetryReason) -> None:
+        """Counts a new try."""
+
+    def unknown(self, part: str, reason: outcomes.UnknownReason) -> None:
+        """Counts an unknown effect."""
+
+
+class NoCounters:
+    """Counts nothing."""
+
+    def refused(self, part: str, reason: outcomes.RefusalReason) -> None:
+        """Counts nothing."""
+
+    def retried(self, part: str, reason: outcomes.RetryReason) -> None:
+        """Counts nothing."""
+
+    def unknown(self, part: str, reason: outcomes.UnknownReason) -> None:
+        """Counts nothing."""
+
+
 class _Pending:
     """A call that waits for its answer."""
 
@@ -75,6 +108,7 @@
         own_address: Callable[[], str],
         heard: Callable[[str], None],
         log: Log | None,
+        counters: Counters,
     ):
         self.own_name = own_name
         self.peer = peer
@@ -83,6 +117,7 @@
         self.own_address = own_address
         self.heard = heard
         self.log = log
+        self.counters = counters
         self.connected = False
         self.calls: dict[int, _Pending] = {}
         self.scope = trio.CancelScope()
@@ -154,6 +189,7 @@
             with trio.fail_after(CONNECT_SECONDS):
                 stream = await trio.open_tcp_stream(host, int(port))
         except (OSError, trio.TooSlowError):
+            self.counters.retried("peers", outcomes.RetryReason.CONNECT_FAILED)
             return False
         async with stream:
             connection = envelope.Connection(stream)
@@ -173,6 +209,7 @@
         return opened
 
     def _note_lost(self, opened: bool, reason: str) -> None:
+        self.counters.retried("peers", outcomes.RetryReason.CONNECTION_LOST)
         if self.log is None:
             return
         what = "was lost" if opened else "was not opened"
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -32,6 +32,7 @@
         listen_address: Where this instance accepts connections, host:port.
         links: Dialed connections by name of the other instance.
         handlers: Handlers by kind of message.
+        counters: Counts connections that failed or were lost.
     """
 
     def __init__(
@@ -40,11 +41,13 @@
         key: bytes,
         addresses: dict[str, str] | None = None,
         log: link.Log | None = None,
+        counters: link.Counters | None = None,
     ):
         self.name = name
         self.key = key
         self.addresses: dict[str, str] = dict(addresses or {})
         self.log = log
+        self.counters = counters or link.NoCounters()
         self.listen_address = ""
         self.links: dict[str, link.Link] = {}
         self.handlers: dict[str, Handler] = {}
@@ -158,6 +161,7 @@
             lambda: self.listen_address,
             self.note_heard,
             self.log,
+            self.counters,
         )
         self.links[name] = dialed
         self._nursery.start_soon(dialed.run)
--- a/turmerichall/peers/tests/test_network.py
+++ b/turmerichall/peers/tests/test_network.py
@@ -9,6 +9,7 @@
 from turmerichall.peers import envelope
 from turmerichall.peers import link
 from turmerichall.peers import network
+from turmerichall.telemetry import counters
 
 KEY = b"shared"
 CALL_SECONDS = 20.0
@@ -164,6 +165,17 @@
         assert refusal.reason == outcomes.RefusalReason.UNREACHABLE
         nursery.cancel_scope.cancel()
 
+    async def test_failed_connection_is_counted(
+        self, nursery: trio.Nursery
+    ) -> None:
+        counted = counters.Counters()
+        left = network.Network("a", KEY, {"b": "127.0.0.1:1"}, counters=counted)
+        await nursery.start(left.run, "127.0.0.1:0")
+        await _until(
+            lambda: counted.count_of("retries", "peers", "connect_failed") > 0
+        )
+        nursery.cancel_scope.cancel()
+
 
 class TestQueue:
 
