Throttle as many neighbours as a very slow service needs

Ruled out: the budget of evictions (3 to 4 left). Now those blamed most are throttled at once until the excess should be gone.

Still open: the service is placed there at all, with an expected slowdown near 4.

--- a/turmerichall/placement/eviction.py
+++ b/turmerichall/placement/eviction.py
@@ -171,18 +171,34 @@
         batch = [held for held in batch if blames[held.task.task_id] > 0.01]
         if not batch:
             return []
-        worst = max(batch, key=lambda held: blames[held.task.task_id])
         beside = f"beside a service slowed to {slow:.2f}"
-        if worst.throttle >= 1.0:
-            return [throttle(worst, THROTTLE_SHARE, beside, now)]
-        if now < worst.throttled_at + PATIENCE_SECONDS:
+        fresh = [held for held in batch if held.throttle >= 1.0]
+        if fresh:
+            return self._throttle_enough(fresh, blames, slow, now)
+        newest = max(held.throttled_at for held in batch)
+        if now < newest + PATIENCE_SECONDS:
             return []
-        eased = [held for held in batch if held.throttle >= 1.0]
-        if eased and slow < 1 + 2 * (self.weights.service_margin - 1):
-            worst = max(eased, key=lambda held: blames[held.task.task_id])
-            return [throttle(worst, THROTTLE_SHARE, beside, now)]
         return self._evict_cheapest(batch, blames, beside, now)
 
+    def _throttle_enough(
+        self,
+        fresh: list[occupancy.Held],
+        blames: dict[str, float],
+        slow: float,
+        now: float,
+    ) -> list[Decision]:
+        """Throttles those blamed most until the excess should be gone."""
+        reason = f"beside a service slowed to {slow:.2f}"
+        excess = slow - self.weights.service_margin
+        fresh.sort(key=lambda held: -blames[held.task.task_id])
+        found: list[Decision] = []
+        for held in fresh:
+            if excess <= 0:
+                break
+            excess -= (1.0 - THROTTLE_SHARE) * blames[held.task.task_id]
+            found.append(throttle(held, THROTTLE_SHARE, reason, now))
+        return found
+
     def _evict_cheapest(
         self,
         batch: list[occupancy.Held],
--- a/turmerichall/placement/tests/test_eviction.py
+++ b/turmerichall/placement/tests/test_eviction.py
@@ -60,6 +60,15 @@
         assert [e.task_id for e in second.evictions] == ["j/0"]
         assert "did not help" in second.evictions[0].reason
 
+    def test_all_are_throttled_beside_a_service_far_above_its_margin(
+        self,
+    ) -> None:
+        made = _shared()
+        made.put_running(_task("j/1", "noisy"), "w0", 0.0)
+        _report(made, "svc:c/s/z1/0", 5.0, slowdown=9.0)
+        throttled = [t.task_id for t in made.plan(10.0, 10.0).throttles]
+        assert sorted(throttled) == ["j/0", "j/1"]
+
     def test_measurement_from_before_the_throttle_is_not_counted(self) -> None:
         made = _shared()
         _report(made, "svc:c/s/z1/0", 5.0, slowdown=4.0)
