--- a/turmerichall/placement/planner.py
+++ b/turmerichall/placement/planner.py
@@ -152,6 +152,12 @@
         elif held.task.service and ending == changes.Ending.CANCELLED:
             self.fleet.note_unwanted(held.task)
 
+    def note_not_evicted(self, task_id: str, worker: str) -> None:
+        """Notes that a decided eviction was not carried out."""
+        held = self.fleet.held(task_id, worker)
+        if held is not None:
+            held.evicting_at = None
+
     def set_quota(self, team: str, limit: resources.Resources | None) -> None:
         """Sets what the batch work of a team may hold; None for no limit."""
         self.quotas.set_limit(team, limit)
--- a/turmerichall/placement/tests/test_eviction.py
+++ b/turmerichall/placement/tests/test_eviction.py
@@ -164,6 +164,18 @@
         assert [s.task_id for s in starts] == ["old/0"]
 
 
+class TestNotEvicted:
+    """An eviction that was not carried out may be decided again."""
+
+    def test_is_decided_again(self) -> None:
+        made = _shared()
+        _report(made, "j/0", 5.0, memory_mb=7900)
+        assert made.plan(6.0, 6.0).evictions
+        assert not made.plan(7.0, 7.0).evictions
+        made.note_not_evicted("j/0", "w0")
+        assert made.plan(8.0, 8.0).evictions
+
+
 class TestDrain:
     """A leaving worker gives up its tasks, services one by one."""
 
