Keep a keeper's memory at another instance across a planned restart

Weighed: the memory in a file, but entry instances may have no disk; at all other instances, which costs a message each and makes stale copies likelier; a longer wait between restarts, which leaves resends of older ids refused. Change: a keeper that stops as planned ceases to grant and gives its memory to one instance of another zone; the next run asks all others before it grants. Also: an instance counted itself as listed before the state lists it, and so took every slot for a moment after its start (test seen to fail first).

--- a/turmerichall/gateway/application.py
+++ b/turmerichall/gateway/application.py
@@ -13,6 +13,7 @@
 from turmerichall.gateway import answers
 from turmerichall.gateway import caller_connection
 from turmerichall.gateway import claims as claiming
+from turmerichall.gateway import custody as holding
 from turmerichall.gateway import dispatcher as dispatchers
 from turmerichall.gateway import exchange as exchanges
 from turmerichall.gateway import fleet as fleets
@@ -78,6 +79,7 @@
         self.claims = claiming.Claims(
             name, network, zones_of(members()), time.time
         )
+        self.custody = holding.Custody(name, network, self.claims)
         self.loans = lending.Loans(network, self._find, self._is_idle)
         self.fleet = fleets.Fleet(
             directory,
@@ -144,8 +146,10 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.watch.run)
             nursery.start_soon(self._follow_members)
+            nursery.start_soon(self.custody.take_back)
             await send({"type": "lifespan.startup.complete"})
             await receive()
+            await self.custody.hand_over()
             nursery.cancel_scope.cancel()
         await send({"type": "lifespan.shutdown.complete"})
 
--- a/turmerichall/gateway/claims.py
+++ b/turmerichall/gateway/claims.py
@@ -134,7 +134,7 @@
         token = f"{self.start}.{next(self.tokens)}"
         names = {name for group in groups for name in group}
         self.keepers_of[token] = names
-        claim = Claim(text, token, self._digests())
+        claim = Claim(text, token, self.digests())
         grants: dict[str, keepers.Grant] = {}
         granted = False
         try:
@@ -240,14 +240,15 @@
             grants[name] = msgspec.msgpack.decode(answer, type=keepers.Grant)
 
     def _grant(self, claim: Claim) -> keepers.Grant:
-        if not set(claim.lists) & set(self._digests()):
+        if not set(claim.lists) & set(self.digests()):
             return keepers.Grant(
                 keepers.State.ABSTAINED,
                 f"{self.name} has another list of entry instances",
             )
         return self.keeper.claim(claim.text, claim.token, self.wall_clock())
 
-    def _digests(self) -> tuple[int, ...]:
+    def digests(self) -> tuple[int, ...]:
+        """Returns digests of the lists of entry instances in force."""
         lists = (self.members, self.before) if self.before else (self.members,)
         return tuple(keeper_groups.digest(each) for each in lists)
 
--- a/turmerichall/gateway/keeper.py
+++ b/turmerichall/gateway/keeper.py
@@ -67,9 +67,11 @@
             keeper started or its list of entry instances changed, or are
             forgotten; a clock that is set back doesn't revive those.
         claims: Claims by id, the oldest first.
+        abstains: Why the keeper grants nothing new now; empty if it does.
     """
 
     def __init__(self, wall_now: float):
+        self.abstains = ""
         self.vouches_from = wall_now + SKEW_SECONDS
         self.claims: OrderedDict[str, Claimed] = OrderedDict()
 
@@ -110,6 +112,8 @@
             del self.claims[text]
 
     def _why_not_vouching(self, text: str, wall_now: float) -> str:
+        if self.abstains:
+            return self.abstains
         read = request_id.read(text)
         if read is None:
             return "the request id is not a UUID of version 7"
--- a/turmerichall/gateway/tests/conftest.py
+++ b/turmerichall/gateway/tests/conftest.py
@@ -308,9 +308,14 @@
             await self.nursery.start(gateway.run)
             gateway.hear(backend)
         await self.until(lambda: all(map(_is_connected, gateways)))
+        await self.until(lambda: all(map(_grants, gateways)))
         return [Caller(gateway, self.pool) for gateway in gateways]
 
 
+def _grants(gateway: Gateway) -> bool:
+    return not gateway.application.claims.keeper.abstains
+
+
 def _is_connected(gateway: Gateway) -> bool:
     links = gateway.network.links
     return all(gateway.network.last_heard(name) > 0.0 for name in links)
--- a/turmerichall/instances/registration.py
+++ b/turmerichall/instances/registration.py
@@ -59,12 +59,10 @@
         self.log = logs.Log("instances")
 
     def zones(self) -> dict[str, str]:
-        """Returns the zone of every listed instance, this one included."""
-        listed = {
+        """Returns the zone of every instance that the state lists."""
+        return {
             name: entry.zone for name, entry in self.machine.instances.items()
         }
-        listed.setdefault(self.own.name, self.own.zone)
-        return listed
 
     async def run(self) -> None:
         """Registers whenever the list does not say what is true."""
--- a/turmerichall/instances/tests/test_registration.py
+++ b/turmerichall/instances/tests/test_registration.py
@@ -55,3 +55,18 @@
             await submitter.submit(changes.RegisterInstance(entry))
         made.learn_addresses()
         assert network.addresses == {"i2": "proxy:2", "i3": "direct:i3"}
+
+
+class TestZones:
+
+    async def test_nobody_is_listed_before_the_state_lists_them(self) -> None:
+        machine = machines.Machine()
+        submitter = _Submitter(machine)
+        own = _entry("i1", "direct:1")
+        made = registration.Registration(
+            own, machine, submitter, _Network({"i2": "proxy:2"})
+        )
+        # An instance that listed itself alone would take every slot.
+        assert made.zones() == {}
+        await submitter.submit(changes.RegisterInstance(own))
+        assert made.zones() == {"i1": "z1"}
