Audit that evicted work resumes from its checkpoint

A bad trail in the table is found; the end of a lease is left out, since the task may have been given up before its checkpoint was reported.

--- a/turmerichall/tests/audit.py
+++ b/turmerichall/tests/audit.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from turmerichall.tests.standins import attempts
 from turmerichall.tests.standins import caller
 from turmerichall.tests.standins import trail
 
@@ -19,6 +20,9 @@
     "versions_reverted",
 ]
 
+# Checkpoints are reported with four digits.
+PROGRESS_DIGIT = 1e-4
+
 
 class Run(NamedTuple):
     """One run of one attempt on one worker.
@@ -32,6 +36,7 @@
         state: How it ended, or `killed`.
         size: Processors, memory and accelerators that it held.
         progress: Progress at its start and at its end.
+        detail: Why it ended.
     """
 
     task: str
@@ -42,6 +47,7 @@
     state: str
     size: tuple[float, ...]
     progress: tuple[float, float]
+    detail: str = ""
 
 
 def audit(
@@ -63,6 +69,7 @@
     return [
         *tasks_in_two_places(runs),
         *attempts_run_twice(runs),
+        *checkpoints_lost(runs),
         *placed_over_capacity(trails, records),
         *once_requests_run_twice(records, sent),
         *not_run_that_ran(records, sent),
@@ -101,6 +108,7 @@
                     end=record.monotonic - fields["idle_seconds"],
                     state=fields["state"],
                     progress=(run.progress[0], fields["progress"]),
+                    detail=fields["detail"],
                 )
             )
     runs += open_runs.values()
@@ -141,6 +149,30 @@
     return found
 
 
+def checkpoints_lost(runs: list[Run]) -> list[str]:
+    """Finds tasks that resumed from before the checkpoint of an eviction.
+
+    The end of a lease is no eviction: the task may have been given up before
+    its checkpoint was reported.
+    """
+    found = []
+    latest: dict[str, Run] = {}
+    for run in sorted(runs, key=lambda run: run.start):
+        before = latest.get(run.task)
+        latest[run.task] = run
+        if before is None or before.state != "checkpointed":
+            continue
+        kept = before.progress[1]
+        if before.detail == attempts.LEASE_ENDED:
+            continue
+        if run.progress[0] < kept - PROGRESS_DIGIT:
+            found.append(
+                f"task {run.task} was evicted from {before.worker} at"
+                f" {kept:.4f} and resumed at {run.progress[0]:.4f}"
+            )
+    return found
+
+
 def placed_over_capacity(
     trails: list[list[trail.Record]], records: list[trail.Record]
 ) -> list[str]:
--- a/turmerichall/tests/standins/attempts.py
+++ b/turmerichall/tests/standins/attempts.py
@@ -11,9 +11,10 @@
 from turmerichall.backend_servers import announcement
 from turmerichall.tests.standins import trail
 
-__all__ = ["Answer", "Attempt", "Attempts", "STEP_SECONDS"]
+__all__ = ["Answer", "Attempt", "Attempts", "LEASE_ENDED", "STEP_SECONDS"]
 
 STEP_SECONDS = 0.1
+LEASE_ENDED = "lease ended"
 # Send times of announcements are kept for this long.
 ANCHOR_SECONDS = 120.0
 
@@ -313,7 +314,7 @@
     def _step_one(self, held: Attempt, now: float) -> None:
         states = announcement.ReportedState
         if now >= held.lease_until:
-            self.end(held, states.CHECKPOINTED, "lease ended", now)
+            self.end(held, states.CHECKPOINTED, LEASE_ENDED, now)
             return
         self.record.write(
             "task_step", task=held.start.task_id, attempt=held.start.attempt
--- a/turmerichall/tests/test_audit.py
+++ b/turmerichall/tests/test_audit.py
@@ -22,7 +22,12 @@
 
 
 def started(
-    at: float, name: str, task: str, attempt: int = 1, processors: float = 1.0
+    at: float,
+    name: str,
+    task: str,
+    attempt: int = 1,
+    processors: float = 1.0,
+    progress: float = 0.0,
 ) -> trail.Record:
     """Makes a record of a start."""
     return record(
@@ -32,7 +37,7 @@
         task=task,
         attempt=attempt,
         size=(processors, 1, 0),
-        progress=0.0,
+        progress=progress,
     )
 
 
@@ -48,6 +53,7 @@
     attempt: int = 1,
     state: str = "checkpointed",
     idle: float = 0.0,
+    detail: str = "evicted",
 ) -> trail.Record:
     """Makes a record of an end."""
     return record(
@@ -59,6 +65,7 @@
         state=state,
         progress=0.5,
         idle_seconds=idle,
+        detail=detail,
     )
 
 
@@ -92,7 +99,7 @@
     ),
     worker(
         "w2",
-        started(2.0, "w2", "j/0", attempt=2),
+        started(2.0, "w2", "j/0", attempt=2, progress=0.5),
         ended(9.0, "w2", "j/0", attempt=2, state="finished"),
     ),
 ]
@@ -121,6 +128,14 @@
         [],
         "attempt 2 of j/0 ran twice",
     ),
+    "eviction whose checkpoint was lost": (
+        [
+            worker("w3", started(1.0, "w3", "k/0"), ended(2.0, "w3", "k/0")),
+            worker("w4", started(3.0, "w4", "k/0", 2, progress=0.4)),
+        ],
+        [],
+        "task k/0 was evicted from w3 at 0.5000 and resumed at 0.4000",
+    ),
     "run after its end": (
         [worker("w3", started(9.5, "w3", "j/0", 3))],
         [],
@@ -177,7 +192,7 @@
         frozen = worker(
             "w3",
             started(1.0, "w3", "k/0"),
-            ended(60.0, "w3", "k/0", idle=44.0),
+            ended(60.0, "w3", "k/0", idle=44.0, detail="lease ended"),
         )
         moved = worker("w4", started(17.0, "w4", "k/0", attempt=2))
         assert not audit.audit([frozen, moved], [])
