--- a/turmerichall/agreement/tests/cluster.py
+++ b/turmerichall/agreement/tests/cluster.py
@@ -7,7 +7,7 @@
 
 from turmerichall import errors
 from turmerichall import outcomes
-from turmerichall.agreement import message
+from turmerichall.agreement import message as messages
 from turmerichall.agreement import replica
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.storage.tests import memory_files
@@ -59,6 +59,7 @@
     async def call(
         self, instance: str, kind: str, body: bytes, timeout_seconds: float
     ) -> bytes | outcomes.Refusal:
+        """Carries a call and its answer, each with a delay."""
         hub = self.hub
         if hub.networks.get(self.name) is not self:
             # This instance was killed.
@@ -92,6 +93,7 @@
     async def serve(
         self, sender: str, kind: str, body: bytes
     ) -> bytes | outcomes.Refusal:
+        """Runs a handler as the real network does."""
         handler = self.handlers.get(kind)
         if handler is None:
             return outcomes.Refusal(outcomes.RefusalReason.UNKNOWN_NAME)
@@ -278,5 +280,5 @@
         )
 
 
-ADD = message.MemberAction.ADD
-REMOVE = message.MemberAction.REMOVE
+ADD = messages.MemberAction.ADD
+REMOVE = messages.MemberAction.REMOVE
--- a/turmerichall/agreement/tests/history_run.py
+++ b/turmerichall/agreement/tests/history_run.py
@@ -59,9 +59,9 @@
 class _Machine(machine.Machine):
     """Checks that all replicas apply the same."""
 
-    def __init__(self, run: "_Run"):
+    def __init__(self, history_run: "_Run"):
         super().__init__()
-        self.run = run
+        self.run = history_run
 
     def apply(self, index: int, data: bytes) -> bytes:
         result = super().apply(index, data)
@@ -106,6 +106,7 @@
     async def propose(
         self, name: str, change: changes.Change
     ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
+        """Proposes a change through an instance."""
         proposed = self.cluster.replicas[name].propose(changes.encode(change))
         result = await proposed
         if isinstance(result, bytes):
@@ -175,6 +176,7 @@
                     nursery.start_soon(self.revise, name, key)
 
     async def read(self, name: str, key: str) -> None:
+        """Reads behind a barrier."""
         began = trio.current_time()
         made = self.machine(name)
         if await self.cluster.replicas[name].barrier() is not None:
@@ -209,6 +211,7 @@
             await self.end_task(name, task, grant.epoch)
 
     async def start_task(self, name: str, task: job.Task, epoch: int) -> None:
+        """Starts a waiting task, and notes the attempt if it is granted."""
         worker = f"{name}-{self.new_id()}"
         start = changes.Start(task.task_id, task.attempt + 1, worker, 1)
         change = changes.StartTasks(ZONE, epoch, 1.0, [start])
@@ -226,6 +229,7 @@
             self.found.append(f"{attempt} began before the last one ended")
 
     async def end_task(self, name: str, task: job.Task, epoch: int) -> None:
+        """Evicts a running task with a checkpoint."""
         # The worker stops before its end is reported.
         self.running[task.task_id] = max(
             task.attempt, self.running.get(task.task_id, 0)
@@ -301,6 +305,7 @@
             await self.lose_disk(name, kind)
 
     def kill(self, name: str) -> None:
+        """Kills an instance, at times in the middle of a write."""
         self.cluster.kill(name)
         if name != OBSERVER and self.rng.random() < 0.3:
             torn = records.frame(b"x" * 64)[: self.rng.randrange(1, 70)]
@@ -308,6 +313,7 @@
             content["log"] = content.get("log", b"") + torn
 
     async def lose_disk(self, name: str, kind: str) -> None:
+        """Loses, damages or fails the disk of an instance."""
         made = self.cluster
         if kind == "disk":
             fault = self.rng.choice(["full", "sync_fails"])
@@ -323,6 +329,7 @@
         await made.start(name)
 
     async def replace_stopped(self) -> None:
+        """Gives instances whose disk failed an empty one."""
         made = self.cluster
         for name in list(made.replicas):
             if made.replicas[name].status().stopped:
--- a/turmerichall/agreement/tests/test_durability.py
+++ b/turmerichall/agreement/tests/test_durability.py
@@ -78,6 +78,13 @@
         made.hub.networks["x"] = self.network
 
     async def ask(self, candidate: str, term: int, behind: int = 0) -> bool:
+        """Returns whether the vote was granted.
+
+        Args:
+            candidate: Name and identity of the candidate.
+            term: Term to be elected for.
+            behind: How many entries the candidate lacks.
+        """
         shared = self.made.replicas[self.name].shared
         last_term, last_index = shared.last_entry()
         request = message.Vote(
--- a/turmerichall/agreement/tests/test_history.py
+++ b/turmerichall/agreement/tests/test_history.py
@@ -38,5 +38,5 @@
     )
     def test_fault_is_found(self, second: history.Call, fault: str) -> None:
         first = _call(history.Kind.WRITE, 1, 2, 1, 1.0)
-        assert history.findings([first]) == []
+        assert not history.findings([first])
         assert any(fault in line for line in history.findings([first, second]))
--- a/turmerichall/agreement/tests/test_processes.py
+++ b/turmerichall/agreement/tests/test_processes.py
@@ -29,11 +29,13 @@
         self.client = network.Network("client", instance.KEY, self.addresses)
 
     def start(self, name: str) -> None:
+        """Starts a replica on the folder that it had."""
         module = "turmerichall.agreement.tests.instance"
         folder = str(self.folder / name)
         addresses = json.dumps(self.addresses)
         command = [sys.executable, "-m", module, name, folder, addresses]
-        self.running[name] = subprocess.Popen(command)
+        process = subprocess.Popen(command)  # pylint: disable=consider-using-with
+        self.running[name] = process
 
     def signal(self, name: str, number: signal.Signals) -> None:
         self.running[name].send_signal(number)
--- a/turmerichall/agreement/tests/test_replica.py
+++ b/turmerichall/agreement/tests/test_replica.py
@@ -3,7 +3,6 @@
 import trio
 import trio.testing
 
-from turmerichall import outcomes
 from turmerichall.agreement.tests import cluster
 
 
--- a/turmerichall/peers/tests/test_network.py
+++ b/turmerichall/peers/tests/test_network.py
@@ -111,7 +111,7 @@
         left, right = await _pair(nursery)
 
         async def stuck(_: str, __: bytes) -> bytes:
-            await trio.sleep_forever()
+            await trio.sleep(2 * CALL_SECONDS)
             return b""
 
         right.handle("stuck", stuck)
@@ -198,6 +198,7 @@
         self.stalled: set[int] = set()
 
     async def serve(self, stream: trio.SocketStream) -> None:
+        """Passes one connection on, in both directions."""
         self.accepted += 1
         number = self.accepted
         host, _, port = self.target.rpartition(":")
--- a/turmerichall/storage/tests/memory_files.py
+++ b/turmerichall/storage/tests/memory_files.py
@@ -45,6 +45,7 @@
         return self.content[name][offset : offset + size]
 
     def append(self, name: str, data: bytes) -> None:
+        """Writes all, half on a full disk, or nothing if syncs fail."""
         if self.sync_fails:
             raise OSError(errno.EIO, "input/output error")
         if self.full:
