--- a/turmerichall/command_line/tests/test_pages.py
+++ b/turmerichall/command_line/tests/test_pages.py
@@ -1,4 +1,4 @@
-"""Tests that the pages name commands that exist."""
+"""Tests that the pages name commands and files that exist."""
 
 import pathlib
 import re
@@ -15,6 +15,7 @@
 )
 # In a code span, or alone on an indented line.
 COMMAND = re.compile(rf"(?:`|^ {{4}})turmerichall ((?:{NOUNS})\b[^`\n]*)", re.M)
+LINK = re.compile(r"\]\(([^)#:\s]+)(?:#[^)]*)?\)")
 # Words that a page leaves for the reader to fill in.
 GIVEN = {
     "FILE.ini": "d.ini",
@@ -39,3 +40,8 @@
         if words[-1] == "--server":
             words.append("127.0.0.1:1")
         assert cli.understand(words) is not None
+
+    @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+    def test_links_lead_to_files(self, page: pathlib.Path) -> None:
+        for target in LINK.findall(page.read_text(encoding="utf-8")):
+            assert (page.parent / target).exists(), target
