Put the next probe of an ejected server off when one fails

Cause: the mark of the probe was taken away before the failure was learnt, so an ejected server whose probes failed was probed by every idempotent request. Found by reading; the new test fails without the change.

--- a/turmerichall/gateway/dispatcher.py
+++ b/turmerichall/gateway/dispatcher.py
@@ -155,13 +155,13 @@
         ended: exchanges.Ended | None = None
         try:
             ended = await exchange.begin()
+            self._learn(exchange, ended)
         finally:
+            slot.pool.health.probing = False
             if ended is not exchange:
                 self.running.discard(exchange)
-                slot.pool.health.probing = False
                 held = trio.current_time() - exchange.began_at
                 self.admission.release(request, held)
-        self._learn(exchange, ended)
         if isinstance(ended, exchanges.Exchange) and ended.whole:
             self._end(ended)
         return ended
--- a/turmerichall/gateway/tests/test_exchange.py
+++ b/turmerichall/gateway/tests/test_exchange.py
@@ -245,6 +245,32 @@
         assert count == sent - requests
 
 
+class TestProbe:
+
+    @pytest.mark.parametrize("script", [_fails, _closes, _answers_another])
+    async def test_failed_probe_puts_the_next_one_off(
+        self, world: Any, script: Script
+    ) -> None:
+        backend = await world.backend("w1", script)
+        caller = await world.caller(backend, attempts=1)
+        await caller.send(turmerichall_idempotent="true")
+        health = caller.gateway.application.fleet.pools["w1"].health
+        health.eject(trio.current_time() - 10.0)
+        await caller.send(turmerichall_idempotent="true")
+        assert (health.ejections, health.probing) == (2, False)
+        assert not health.may_probe(trio.current_time())
+
+    async def test_probe_that_succeeds_brings_the_server_back(
+        self, world: Any
+    ) -> None:
+        caller = await world.caller(await world.backend("w1"))
+        await caller.send(turmerichall_idempotent="true")
+        health = caller.gateway.application.fleet.pools["w1"].health
+        health.eject(trio.current_time() - 10.0)
+        answer = await caller.send(turmerichall_idempotent="true")
+        assert (answer.status, health.ejected) == (200, False)
+
+
 class TestCancelWave:
 
     async def test_callers_that_leave_free_what_they_held(
