--- a/turmerichall/tests/harness.py
+++ b/turmerichall/tests/harness.py
@@ -26,6 +26,15 @@
 class Harness(faulty_cluster.FaultyCluster):
     """A faulty cluster, conditions to wait for and the audit."""
 
+    async def start(
+        self, workers_per_zone: int = faulty_cluster.WORKERS_PER_ZONE
+    ) -> None:
+        """Starts the cluster and waits until every instance serves."""
+        await super().start(workers_per_zone)
+        await self.wait_alike()
+        for name in self.instances:
+            await self.wait_served(1, name)
+
     async def wait(
         self, what: str, condition: Callable[[], Awaitable[bool]]
     ) -> None:
