Let a removed replica go on as an observer

Cause: a replica that an operator removed kept an old state for good. Ruled out: believing any leader that does not list it; only one whose last change of members is committed is believed, and only by a replica that was a member when it asked (a first try stopped one that was being added, which test_grow_and_shrink showed). Change: such a replica stops with that reason and follows by the stream.

--- a/turmerichall/agreement/membership.py
+++ b/turmerichall/agreement/membership.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from turmerichall import errors
 from turmerichall import outcomes
 from turmerichall.agreement import member
 from turmerichall.agreement import message
@@ -51,7 +52,7 @@
         """Enters a cluster, then takes the steps that a leader must take.
 
         Raises:
-            StorageError: The data folder failed.
+            StorageError: The data folder failed, or this replica was removed.
         """
         shared = self.shared
         period = shared.timing.heartbeat_seconds
@@ -138,13 +139,21 @@
     async def _ask_to_join(self, found: list[message.Identified]) -> None:
         shared = self.shared
         join = message.Join(shared.name, shared.identity, shared.address)
+        had_members = shared.members != ()
         for leader in sorted({answer.leader for answer in found} - {""}):
-            await shared.network.call(
+            answer = await shared.network.call(
                 leader,
                 "join",
                 message.encode(join),
                 shared.timing.call_seconds,
             )
+            if isinstance(answer, outcomes.Refusal):
+                continue
+            outcome = message.decode(answer, message.Outcome)
+            removed = outcomes.RefusalReason.UNKNOWN_NAME.value
+            forgotten = had_members and self._is_forgotten()
+            if forgotten and outcome.reason == removed:
+                raise errors.StorageError("an operator removed this replica")
 
     async def on_identify(self, _: str, __: bytes) -> bytes:
         """Tells who this replica is."""
@@ -162,12 +171,21 @@
                 outcomes.RefusalReason.NOT_LEADER, "not the leader"
             )
             return message.encode(refusal)
-        if not member.named(shared.members, join.name):
+        settled = shared.commit >= shared.kept.members_index
+        if settled and not member.named(shared.members, join.name):
             detail = f"{join.name} is no member; an operator must add it"
             refusal = shared.refuse(outcomes.RefusalReason.UNKNOWN_NAME, detail)
             return message.encode(refusal)
+        if not settled:
+            return message.encode(self._under_way())
         return message.encode(await self._add(join))
 
+    def _under_way(self) -> message.Outcome:
+        return self.shared.refuse(
+            outcomes.RefusalReason.NOT_LEADER,
+            "another change of members is under way",
+        )
+
     async def _add(self, join: message.Join) -> message.Outcome:
         members = self.shared.members
         if member.find(members, join.identity) is not None:
@@ -207,10 +225,7 @@
                 and shared.members == before
             )
             if not ready:
-                return shared.refuse(
-                    outcomes.RefusalReason.NOT_LEADER,
-                    "another change of members is under way",
-                )
+                return self._under_way()
             data = message.encode_members(after)
             term = shared.term
             index = self.replication.add_entry(message.EntryKind.MEMBERS, data)
--- a/turmerichall/agreement/tests/test_membership.py
+++ b/turmerichall/agreement/tests/test_membership.py
@@ -228,6 +228,20 @@
         assert len(made.values("e")) == 61
         nursery.cancel_scope.cancel()
 
+    async def test_removed_replica_goes_on_as_an_observer(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        made, leader = await _started(nursery)
+        removed = _others(made, leader)[0]
+        await made.replicas[leader].change_members(cluster.REMOVE, removed)
+        status = made.replicas[removed].status
+        await made.until(lambda: "removed" in status().stopped)
+        await made.put(leader, "k=1")
+        await made.settled("k=1")
+        assert status().role == agreement_shared.Role.OBSERVER
+        assert len(made.replicas[leader].status().members) == 2
+        nursery.cancel_scope.cancel()
+
     async def test_learners_do_not_count(
         self,
         nursery: trio.Nursery,
