--- a/turmerichall/benchmarks/slopes.py
+++ b/turmerichall/benchmarks/slopes.py
@@ -22,12 +22,14 @@
 from turmerichall.operators import workers
 from turmerichall.peers import network
 from turmerichall.state import change as changes
+from turmerichall.state import ledger
 from turmerichall.state import machine as machines
 
 __all__ = ["Slope", "measure"]
 
 ROUNDS = 5
 STARTS_PER_CHANGE = 16
+OLD_JOBS = 1000
 MESSAGES = 1000
 MESSAGE_BYTES = 2000
 
@@ -289,7 +291,10 @@
         lambda: populations.machine(jobs=jobs, tasks_per_job=tasks // jobs)
     )
     single = held_bytes(lambda: populations.machine(jobs=jobs, tasks_per_job=1))
-    ended = held_bytes(lambda: populations.ended(jobs, tasks // jobs))
+    detailed = ledger.MAX_DETAILED_JOBS
+    ended = held_bytes(lambda: populations.ended(detailed, 100))
+    few = held_bytes(lambda: populations.ended(detailed, 1))
+    older = held_bytes(lambda: populations.ended(detailed + OLD_JOBS, 1))
     servers = 200
 
     def fill() -> directory.Directory:
@@ -305,10 +310,16 @@
         Slope("task_memory", per_task, "B", "a waiting task in memory"),
         Slope(
             "ended_task_memory",
-            ended / tasks,
+            ended / detailed / 100,
             "B",
             "an ended task with its decisions in memory",
         ),
+        Slope(
+            "ended_job_memory",
+            (older - few) / OLD_JOBS,
+            "B",
+            "totals of a job that ended long ago in memory",
+        ),
         Slope("job_memory", single / jobs, "B", "a job of one task in memory"),
         Slope(
             "server_memory",
@@ -323,8 +334,17 @@
     tasks = 10_000
     machine = populations.machine(jobs=100, tasks_per_job=tasks // 100)
     size = len(machine.snapshot())
+    detailed = ledger.MAX_DETAILED_JOBS
+    few = len(populations.ended(detailed, 1).snapshot())
+    older = len(populations.ended(detailed + OLD_JOBS, 1).snapshot())
     taken = processor_seconds(lambda _: machine.snapshot(), 2)
     return [
         Slope("snapshot_task", taken / tasks, "s", "a task in a snapshot"),
         Slope("snapshot_bytes", size / tasks, "B", "a task in a snapshot"),
+        Slope(
+            "snapshot_job_bytes",
+            (older - few) / OLD_JOBS,
+            "B",
+            "totals of a job that ended long ago in a snapshot",
+        ),
     ]
