--- a/turmerichall/tests/standins/operator.py
+++ b/turmerichall/tests/standins/operator.py
@@ -9,6 +9,8 @@
 
 __all__ = ["Operator", "Reply"]
 
+# Numbers operators, so that two of one name never share an operation id.
+_OPERATORS = itertools.count()
 TIMEOUT_SECONDS = 8.0
 RETRY_SECONDS = 0.3
 
@@ -43,12 +45,13 @@
         self.name = name
         self.key = key
         self.servers = servers
+        self._number = next(_OPERATORS)
         self._numbers = itertools.count()
         self._next_server = 0
 
     def operation_id(self) -> str:
         """Returns a new operation id."""
-        return f"{self.name}-{next(self._numbers)}"
+        return f"{self.name}.{self._number}-{next(self._numbers)}"
 
     async def send(
         self,
