Make the test of a worker's slots wait until all are filled

It failed once in two runs on a machine under load: sixty callers of one process reached only 7 of 8 slots, because requests ended sooner than others came. They now hold their slots until all eight are filled; the bound is as strict, and the test still fails when a slot is given out without room.

--- a/turmerichall/gateway/tests/test_application.py
+++ b/turmerichall/gateway/tests/test_application.py
@@ -215,16 +215,22 @@
         self, world: Any
     ) -> None:
         running = [0, 0]
+        full = trio.Event()
 
         async def counts(exchange: Any) -> None:
             running[0] += 1
             running[1] = max(running)
+            if running[0] == 8:
+                full.set()
+            await full.wait()
             await trio.sleep(0.01)
             running[0] -= 1
             await exchange.answer(exchange.body)
 
         backend = await world.backend("w1", counts)
-        caller = await world.caller(backend)
+        caller = await world.caller(
+            backend, queue_seconds=20.0, standing_queue_seconds=20.0
+        )
 
         async def send() -> None:
             answer = await caller.send(turmerichall_idempotent="true")
