--- a/turmerichall/zones/tests/test_placing.py
+++ b/turmerichall/zones/tests/test_placing.py
@@ -217,6 +217,26 @@
         assert zone.task().state == job.TaskState.WAITING
 
 
+class TestStoppedBackendServer:
+
+    async def test_its_batch_is_evicted_at_once(
+        self, autojump_clock: trio.testing.MockClock, zone: _Zone
+    ) -> None:
+        _submit(zone.log)
+        zone.announce(1)
+        await zone.settle()
+        zone.announce(2, _running())
+        stop = changes.SetIntention(
+            _operation("s"), 0, "w1", changes.Intention.STOPPED
+        )
+        zone.log.apply(stop)
+        await zone.settle(2)
+        assert zone.task().state == job.TaskState.EVICTING
+        reply = zone.announce(3, _running())
+        kinds = [command.kind for command in reply.commands]
+        assert kinds == [announcement.CommandKind.EVICT]
+
+
 class TestLeaseEnd:
 
     async def test_silent_worker_keeps_its_task_until_the_lease_ended(
