--- a/turmerichall/backend_servers/dissemination.py
+++ b/turmerichall/backend_servers/dissemination.py
@@ -20,6 +20,7 @@
 
 HEARTBEAT_SECONDS = 1.0
 TABLE_TIMEOUT_SECONDS = 3.0
+AWAY_SECONDS = 2.5 * announcement.ANNOUNCE_PERIOD_SECONDS
 
 CHANGED = "backend_servers/changed"
 HEARTBEAT = "backend_servers/heartbeat"
@@ -104,16 +105,15 @@
 
     def hear(self, told: announcement.Announcement) -> outcomes.Refusal | None:
         """Takes in an announcement received here, and passes a change on."""
+        now = trio.current_time()
         before = self.directory.entries.get(told.name)
-        refusal = self.directory.hear(told, trio.current_time())
+        refusal = self.directory.hear(told, now)
         if refusal is not None:
             return refusal
         same = (
             before is not None
-            and not before.via
             and told.name in self.own
-            and directories.routing_part(before.told)
-            == directories.routing_part(told)
+            and _continues(before, told, now)
         )
         self.own.add(told.name)
         if not same:
@@ -153,6 +153,8 @@
                 self.directory.forget(name)
         self.directory.forget_long_silent(now)
         if lost:
+            # Another instance may hear from them, in a table known as it is.
+            self.versions.clear()
             self._pass_on((), tuple(lost))
 
     async def _on_changed(self, sender: str, body: bytes) -> None:
@@ -218,6 +220,20 @@
                 self.directory.forget(name)
 
 
+def _continues(
+    before: directories.Entry, told: announcement.Announcement, now: float
+) -> bool:
+    """Tells whether an announcement adds nothing to what was passed on.
+
+    A server that was away for a while may have been heard by another instance
+    meanwhile, so that it is passed on again.
+    """
+    if before.via or now - before.heard_at > AWAY_SECONDS:
+        return False
+    routing = directories.routing_part
+    return routing(before.told) == routing(told)
+
+
 def cut_down(
     told: announcement.Announcement,
 ) -> announcement.Announcement:
--- a/turmerichall/backend_servers/tests/test_dissemination.py
+++ b/turmerichall/backend_servers/tests/test_dissemination.py
@@ -226,6 +226,19 @@
         assert instances.known_by("c")
         assert not instances.known_by("a")
 
+    async def test_server_that_two_instances_heard_stays_known_to_both(
+        self, autojump_clock: trio.testing.MockClock, instances: _Instances
+    ) -> None:
+        await _announce_for(instances, "a", 4, 1)
+        instances.net.cut.add("a")
+        instances.parts["b"].hear(_told(10))
+        await trio.sleep(1)
+        instances.parts["a"].hear(_told(11))
+        instances.net.cut.clear()
+        await trio.sleep(3)
+        await _announce_for(instances, "b", 20, 20)
+        assert all(instances.known_by(name) for name in "abc")
+
     async def test_cut_off_instance_knows_all_again_after_the_cut(
         self, autojump_clock: trio.testing.MockClock, instances: _Instances
     ) -> None:
