--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -94,6 +94,7 @@
             settings.keys.cluster.encode(),
             {seed.name: seed.address for seed in settings.peers.seeds},
             logs.Log("peers"),
+            self.counters,
         )
         self.replica = self._make_replica()
         self.proposer = proposers.Proposer(self.replica)
@@ -159,6 +160,7 @@
             machine=self.machine,
             bootstrap_members=members if settings.peers.bootstrap else {},
             log=logs.Log("agreement"),
+            counters=self.counters,
         )
 
     def _make_gateway(self) -> gateways.Application:
@@ -169,7 +171,7 @@
             self.directory,
             self.machine,
             self.network,
-            self._listed_zones,
+            self.registration.zones,
             self.counters,
             logs.Log("gateway"),
             gateway_limits.Limits(
@@ -179,18 +181,10 @@
                 queue_requests=limits.queue_length,
                 concurrency=limits.max_requests_in_flight,
                 retry_ratio=limits.retry_ratio,
+                caller_connections=limits.max_connections,
             ),
         )
 
-    def _listed_zones(self) -> dict[str, str]:
-        """Returns the zone of each listed instance; empty before the replay.
-
-        This one is not added: an instance that is not listed, or doesn't know
-        the list yet, has no part of the workers' limits.
-        """
-        listed = self.machine.instances
-        return {name: entry.zone for name, entry in listed.items()}
-
     def _make_operators(self) -> operating.Application:
         announcements = announcing.Announcements(
             self.settings.instance.name,
@@ -241,6 +235,7 @@
                     listen.callers,
                     self.stop,
                     limit,
+                    self.gateway.limits,
                 )
                 self.log.info("serving", callers=listen.callers)
             nursery.cancel_scope.cancel()
--- a/turmerichall/readiness.py
+++ b/turmerichall/readiness.py
@@ -45,8 +45,10 @@
     """Answers `/readyz`.
 
     An instance that is cut off from the quorum stays ready: it serves with
-    the last accepted configuration.  One that never had any, is draining, or
-    whose replica stopped, is not.  One that was restarted waits until its
+    the last accepted configuration.  So does one whose disk failed: it follows
+    the others without a vote, and full disks on all instances must not take
+    all of them out.  One that never had any configuration, or is draining, is
+    not.  One that was restarted waits until its
     configuration is as new as what it showed before, but not for ever: it may
     be cut off.
 
@@ -65,7 +67,7 @@
         if self.draining:
             return _refusal(outcomes.RefusalReason.DRAINING, "stopping")
         status = self.replica.status()
-        if status.stopped:
+        if status.stopped and not status.recovered:
             return _refusal(outcomes.RefusalReason.STOPPED, status.stopped)
         if status.applied == 0:
             detail = "no configuration was received yet"
--- a/turmerichall/zones/execution.py
+++ b/turmerichall/zones/execution.py
@@ -155,6 +155,7 @@
         """Records evictions, and tells the workers."""
         change = changes.EvictTasks(self.zone, tenure.epoch, time.time(), asked)
         if not await self._submit(change):
+            self._note_not_evicted(tenure, asked)
             return
         by_worker: dict[str, list[announcement.Command]] = {}
         for eviction in asked:
@@ -167,6 +168,15 @@
             address = tenure.book.records[worker].told.address
             await self.sender.send(address, commands)
 
+    def _note_not_evicted(
+        self, tenure: tenures.Tenure, asked: list[changes.Eviction]
+    ) -> None:
+        for eviction in asked:
+            task = self.machine.ledger.tasks.get(eviction.task_id)
+            if task is not None and task.held is not None:
+                planner = tenure.feed.planner
+                planner.note_not_evicted(task.task_id, task.held.worker)
+
     def _evict_command(
         self, tenure: tenures.Tenure, name: str
     ) -> announcement.Command | None:
