--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -181,7 +181,6 @@
                 queue_requests=limits.queue_length,
                 concurrency=limits.max_requests_in_flight,
                 retry_ratio=limits.retry_ratio,
-                caller_connections=limits.max_connections,
             ),
         )
 
@@ -266,6 +265,9 @@
         self.log.info("draining")
         self.readiness.draining = True
         self.gateway.drain()
+        if self._has_successor():
+            await self.holder.release()
+        await self.replica.hand_over()
         await trio.sleep(self.settings.timing.drain_notice_seconds)
         self.stop.set()
 
