--- a/turmerichall/agreement/tests/cluster.py
+++ b/turmerichall/agreement/tests/cluster.py
@@ -196,7 +196,7 @@
         scope = trio.CancelScope()
         self._scopes[name] = scope
 
-        async def run(*, task_status: trio.TaskStatus[None]) -> None:  # type: ignore[name-defined]
+        async def run(*, task_status: trio.TaskStatus[None]) -> None:
             with scope:
                 await made.run(task_status=task_status)
 
--- a/turmerichall/agreement/tests/history_run.py
+++ b/turmerichall/agreement/tests/history_run.py
@@ -450,7 +450,7 @@
     """
     clock = trio.testing.MockClock(autojump_threshold=0)
     # The order in which trio runs tasks is random too.
-    trio_random = trio._core._run._r  # type: ignore[attr-defined]  # pylint: disable=protected-access
+    trio_random = trio._core._run._r  # pylint: disable=protected-access
     state = trio_random.getstate()
     trio_random.seed(seed)
     try:
--- a/turmerichall/gateway/caller_connection.py
+++ b/turmerichall/gateway/caller_connection.py
@@ -81,7 +81,7 @@
     def _make_protocol(
         self, group: hypercorn.trio.task_group.TaskGroup
     ) -> hypercorn.protocol.ProtocolWrapper:
-        socket = self.stream.socket  # type: ignore[attr-defined]
+        socket = self.stream.socket
         state: Any = {CONNECTION: self}
         return hypercorn.protocol.ProtocolWrapper(
             self.app,
--- a/turmerichall/gateway/tests/test_watch.py
+++ b/turmerichall/gateway/tests/test_watch.py
@@ -1,5 +1,6 @@
 """Tests of silent connections, which stay open and deliver nothing."""
 
+import functools
 from typing import Any
 
 import msgspec
@@ -51,9 +52,8 @@
                 "turmerichall_request_id": request_id.make(),
                 "turmerichall_idempotent": "true" if idempotent else "false",
             }
-            nursery.start_soon(
-                lambda headers=headers: _send(caller, answers, **headers)
-            )
+            send = functools.partial(_send, caller, answers, **headers)
+            nursery.start_soon(send)
     return answers
 
 
