Name the founders of a cluster; cut zones in the scenarios whole

Cause: founding needs every first member, so seeds could not name instances without a disk; the scenarios' replicas learnt those by their own addresses, and cuts of a zone leaked past the proxies. Change: founders is a setting, checked against the seeds; the scenarios name all instances as seeds, by their proxies. The plain server serves benchmarks only and stands with them.

--- a/turmerichall/web_server.py
+++ b/turmerichall/benchmarks/plain_server.py
@@ -1,4 +1,4 @@
-"""Serves an ASGI application with hypercorn."""
+"""Serves an ASGI application with hypercorn as it comes."""
 
 import functools
 import logging
@@ -52,6 +52,6 @@
 
 
 def _quiet_logger() -> logging.Logger:
-    logger = logging.getLogger("turmerichall.web_server")
+    logger = logging.getLogger("turmerichall.benchmarks.plain_server")
     logger.setLevel(logging.WARNING)
     return logger
--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -32,6 +32,7 @@
 from turmerichall.placement import weights
 from turmerichall.settings import reader
 from turmerichall.settings import settings as settings_module
+from turmerichall.settings import values
 from turmerichall.state import machine as machines
 from turmerichall.state import proposer as proposers
 from turmerichall.telemetry import counters as counting
@@ -149,16 +150,14 @@
 
     def _make_replica(self) -> replicas.Replica:
         settings = self.settings
-        members = {settings.instance.name: settings.listen.peers}
-        for seed in settings.peers.seeds:
-            members[seed.name] = seed.address
+        own = values.Seed(settings.instance.name, settings.listen.peers)
         folder = settings.instance.data_folder
         return replicas.Replica(
             name=settings.instance.name,
             folder=pathlib.Path(folder) if folder else None,
             network=self.network,
             machine=self.machine,
-            bootstrap_members=members if settings.peers.bootstrap else {},
+            bootstrap_members=settings.peers.founding(own),
             log=logs.Log("agreement"),
             counters=self.counters,
         )
--- a/turmerichall/settings/reader.py
+++ b/turmerichall/settings/reader.py
@@ -64,6 +64,7 @@
         {
             "seeds": Key("seeds", values.seeds),
             "bootstrap": Key("bootstrap", values.flag),
+            "founders": Key("founders", values.names),
         },
     ),
     "keys": Schema(
@@ -278,6 +279,17 @@
         line = _line(sections, "peers", "seeds")
         reason = "expected another instance to join by, or bootstrap = true"
         reading.find(line, "[peers] seeds", reason)
+    known = {instance.name, *(seed.name for seed in peers.seeds)}
+    unknown = [name for name in peers.founders if name not in known]
+    if unknown:
+        line = _line(sections, "peers", "founders")
+        reason = f"expected this instance or a seed, not {unknown[0]!r}"
+        reading.find(line, "[peers] founders", reason)
+    elif peers.founders and instance.name not in peers.founders:
+        line = _line(sections, "peers", "founders")
+        reason = f"expected {instance.name!r}, which bootstraps, among them"
+        if peers.bootstrap:
+            reading.find(line, "[peers] founders", reason)
 
 
 def _check_keys(
--- a/turmerichall/settings/settings.py
+++ b/turmerichall/settings/settings.py
@@ -52,11 +52,29 @@
 
     Attributes:
         seeds: Instances to join by.
-        bootstrap: Whether this instance and the seeds make a new cluster.
+        bootstrap: Whether this instance makes a new cluster with others.
+        founders: Names of the instances with a disk that make it; this one
+            and all seeds if there are none.
     """
 
     seeds: tuple[values.Seed, ...] = ()
     bootstrap: bool = False
+    founders: tuple[str, ...] = ()
+
+    def founding(self, own: values.Seed) -> dict[str, str]:
+        """Returns the addresses of the founders by name.
+
+        Args:
+            own: This instance.
+
+        Returns:
+            The founders; none if this instance founds nothing.
+        """
+        if not self.bootstrap:
+            return {}
+        known = {seed.name: seed.address for seed in (*self.seeds, own)}
+        chosen = self.founders or tuple(known)
+        return {name: known[name] for name in chosen}
 
 
 class Keys(NamedTuple):
--- a/turmerichall/settings/tests/test_reader.py
+++ b/turmerichall/settings/tests/test_reader.py
@@ -8,6 +8,7 @@
 
 from turmerichall import errors
 from turmerichall.settings import reader
+from turmerichall.settings import values
 
 MINIMAL = """\
 [instance]
@@ -87,6 +88,16 @@
                 "[pears]",
                 "d.ini:12 [pears]: unknown section; did you mean 'peers'?",
             ),
+            (
+                "bootstrap = true",
+                "bootstrap = true\nfounders = entry-1, entry-9",
+                "d.ini:14 [peers] founders: expected this instance or a seed",
+            ),
+            (
+                "bootstrap = true",
+                "bootstrap = true\nseeds = a@1.1.1.1:1\nfounders = a",
+                "d.ini:15 [peers] founders: expected 'entry-1', which",
+            ),
             (
                 "callers = 127.0.0.1:8400",
                 "callers = localhost:8400",
@@ -223,3 +234,22 @@
             assert error.findings
         else:
             assert isinstance(hash(found), int)
+
+
+class TestFounders:
+
+    @pytest.mark.parametrize(
+        ("more", "names"),
+        [
+            ("", {"entry-1", "a", "b"}),
+            ("founders = entry-1, a", {"entry-1", "a"}),
+        ],
+    )
+    def test_they_are_those_named_or_all(
+        self, more: str, names: set[str]
+    ) -> None:
+        seeds = "seeds = a@1.1.1.1:1, b@1.1.1.2:1"
+        text = MINIMAL.replace("[keys]", f"{seeds}\n{more}\n\n[keys]")
+        made = reader.parse(text, "d.ini")
+        own = values.Seed("entry-1", made.listen.peers)
+        assert set(made.peers.founding(own)) == names
--- a/turmerichall/settings/values.py
+++ b/turmerichall/settings/values.py
@@ -20,6 +20,7 @@
     "duration",
     "flag",
     "name",
+    "names",
     "path",
     "port_address",
     "ratio",
@@ -158,6 +159,16 @@
     return text
 
 
+def names(text: str) -> tuple[str, ...]:
+    """Reads a list of names, separated by commas or lines.
+
+    Examples:
+        >>> names("entry-1, entry-2")
+        ('entry-1', 'entry-2')
+    """
+    return tuple(name(item) for item in text.replace(",", " ").split())
+
+
 def path(text: str) -> str:
     """Reads a path.
 
@@ -226,9 +237,9 @@
         if where.endswith(":0"):
             raise ValueError(f"expected a port above 0, not {item!r}")
         found.append(Seed(name(instance), address(where)))
-    names = [seed.name for seed in found]
+    given = [seed.name for seed in found]
     for seed in found:
-        if names.count(seed.name) > 1:
+        if given.count(seed.name) > 1:
             raise ValueError(
                 f"expected each name once, not {seed.name!r} twice"
             )
--- a/turmerichall/tests/faulty_cluster.py
+++ b/turmerichall/tests/faulty_cluster.py
@@ -80,8 +80,10 @@
         path = super().write_settings(instance)
         seeds = ", ".join(
             f"{name}@{self.proxies[f'peers:{name}'].address}"
-            for name, held in self.instances.items()
-            if held.disk or not instance.disk
+            for name in self.instances
+        )
+        founders = ", ".join(
+            name for name, held in self.instances.items() if held.disk
         )
         bootstraps = instance.disk and instance.name not in self.rejoining
         lines = []
@@ -90,6 +92,7 @@
                 line = f"seeds = {seeds}"
             if line.startswith("bootstrap = "):
                 line = f"bootstrap = {str(bootstraps).lower()}"
+                line += f"\nfounders = {founders}"
             lines.append(line)
         path.write_text("\n".join(lines) + "\n")
         return path
