Tell others an address of its own; give test processes ports of their own

Cause of the failure in links (a change from inside the cut zone got a result): members' addresses in the log are the listeners' own, so replicas went past the proxies, and the leader in the cut zone still reached another one. Ruled out: a leader without a quorum that answers (its link to i1 was open). Change: peers is what others are told, peers_bind where connections arrive if something forwards them; the scenarios set both. Ports were random, and about 100 are in use at once: ranges claimed by each process take their place.

--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -209,7 +209,8 @@
         limit = self.settings.timing.drain_limit_seconds
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._await_signals, nursery.cancel_scope)
-            await nursery.start(self.network.run, listen.peers)
+            bind = listen.peers_bind or listen.peers
+            await nursery.start(self.network.run, bind, listen.peers)
             await nursery.start(self.replica.run)
             nursery.start_soon(self.registration.run)
             nursery.start_soon(self.dissemination.run)
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -29,7 +29,7 @@
     Attributes:
         name: Name of this instance.
         addresses: Addresses of the other instances, host:port, by name.
-        listen_address: Where this instance accepts connections, host:port.
+        listen_address: Where the others connect to, host:port.
         links: Dialed connections by name of the other instance.
         handlers: Handlers by kind of message.
         counters: Counts connections that failed or were lost.
@@ -128,6 +128,7 @@
     async def run(
         self,
         listen: str,
+        advertised: str = "",
         *,
         task_status: Any = trio.TASK_STATUS_IGNORED,
     ) -> None:
@@ -135,12 +136,13 @@
 
         Args:
             listen: Where to accept connections, host:port; port 0 takes any.
+            advertised: What the others are told, if it differs.
             task_status: Started with the address that is listened on.
         """
         host, _, port = listen.rpartition(":")
         listeners = await trio.open_tcp_listeners(int(port), host=host)
         bound = listeners[0].socket.getsockname()
-        self.listen_address = f"{bound[0]}:{bound[1]}"
+        self.listen_address = advertised or f"{bound[0]}:{bound[1]}"
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             try:
--- a/turmerichall/settings/reader.py
+++ b/turmerichall/settings/reader.py
@@ -57,6 +57,7 @@
             "callers": Key("callers", values.port_address),
             "operators": Key("operators", values.address),
             "peers": Key("peers", values.address),
+            "peers_bind": Key("peers_bind", values.port_address),
         },
     ),
     "peers": Schema(
@@ -255,7 +256,7 @@
         return
     seen: dict[str, str] = {}
     for key, where in listen._asdict().items():
-        first = seen.setdefault(where, key)
+        first = seen.setdefault(where, key) if where else key
         if first != key and not where.endswith(":0"):
             line = _line(sections, "listen", key)
             reason = f"expected an address of its own, not that of {first}"
--- a/turmerichall/settings/settings.py
+++ b/turmerichall/settings/settings.py
@@ -39,12 +39,15 @@
     Attributes:
         callers: For callers' requests, behind the balancer.
         operators: For operators and for workers' announcements.
-        peers: For other instances.
+        peers: For other instances, which are told it.
+        peers_bind: Where connections to `peers` arrive, if they are forwarded;
+            `peers` itself if empty.
     """
 
     callers: str
     operators: str
     peers: str
+    peers_bind: str = ""
 
 
 class Peers(NamedTuple):
--- a/turmerichall/tests/faulty_cluster.py
+++ b/turmerichall/tests/faulty_cluster.py
@@ -90,6 +90,9 @@
         for line in path.read_text().splitlines():
             if line.startswith("seeds = "):
                 line = f"seeds = {seeds}"
+            if line.startswith("peers = "):
+                told = self.proxies[f"peers:{instance.name}"].address
+                line = f"peers = {told}\npeers_bind = {instance.peers}"
             if line.startswith("bootstrap = "):
                 line = f"bootstrap = {str(bootstraps).lower()}"
                 line += f"\nfounders = {founders}"
--- a/turmerichall/tests/local_cluster.py
+++ b/turmerichall/tests/local_cluster.py
@@ -2,7 +2,6 @@
 
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -22,6 +21,7 @@
 STOP_SECONDS = 60.0
 POLL_SECONDS = 0.1
 PORTS = (10_000, 32_000)
+PORTS_IN_RANGE = 200
 
 
 class Instance(NamedTuple):
@@ -219,24 +219,62 @@
         return done.returncode, (done.stdout + done.stderr).decode()
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago.
+class _Ports:
+    """Ports that no other process on this machine gives out.
 
     They lie below those that the system gives to outgoing connections, so
-    that none of these takes one before it is listened on.
+    that none of these takes one before it is listened on.  The first port of a
+    range is held for the life of the process, which claims the others.
+
+    Attributes:
+        held: Sockets that hold the first ports of claimed ranges.
+        unused: Ports of the claimed range that were not given out.
     """
-    found: list[int] = []
-    while len(found) < count:
-        port = random.randrange(*PORTS)
-        with socket.socket() as one:
-            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                one.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in found:
-            found.append(port)
-    return found
+
+    def __init__(self) -> None:
+        self.held: list[socket.socket] = []
+        self.unused: list[int] = []
+
+    def take(self) -> int:
+        """Returns a port that was not given out before and is free."""
+        while True:
+            if not self.unused:
+                self._claim()
+            port = self.unused.pop()
+            holder = _bound(port)
+            if holder is not None:
+                holder.close()
+                return port
+
+    def _claim(self) -> None:
+        starts = list(range(*PORTS, PORTS_IN_RANGE))
+        first = os.getpid() % len(starts)
+        for start in starts[first:] + starts[:first]:
+            holder = _bound(start)
+            if holder is not None:
+                self.held.append(holder)
+                self.unused = list(range(start + 1, start + PORTS_IN_RANGE))
+                return
+        raise RuntimeError("every range of ports is claimed")
+
+
+_PORTS = _Ports()
+
+
+def _bound(port: int) -> socket.socket | None:
+    """Returns a socket that holds a port, or None if it is taken."""
+    made = socket.socket()
+    try:
+        made.bind(("127.0.0.1", port))
+    except OSError:
+        made.close()
+        return None
+    return made
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that are free and that nobody else is given."""
+    return [_PORTS.take() for _ in range(count)]
 
 
 async def _status(url: str) -> int:
