--- a/turmerichall/gateway/tests/test_processes.py
+++ b/turmerichall/gateway/tests/test_processes.py
@@ -17,6 +17,7 @@
 
 PATH = f"/v1/requests/{loads.CUSTOMER}/{loads.SERVICE}"
 WAVE = 60
+LARGE_BYTES = 4_000_000
 DEADLINE_MS = "4000"
 
 Harness = harnesses.Harness
@@ -97,6 +98,31 @@
     await harness.switch_faults("w1", {})
 
 
+async def _send_and_take_nothing(address: str) -> None:
+    """Sends a request for a large answer and reads no byte of it."""
+    host, _, port = address.rpartition(":")
+    head = (
+        f"POST {PATH} HTTP/1.1\r\nHost: {address}\r\n"
+        f"Turmerichall-Request-Id: {request_id.make()}\r\n"
+        "Turmerichall-Idempotent: true\r\n"
+        f"Content-Length: {LARGE_BYTES}\r\n\r\n"
+    )
+    stream = await trio.open_tcp_stream(host, int(port))
+    async with stream:
+        await stream.send_all(head.encode() + b"x" * LARGE_BYTES)
+        await trio.sleep_forever()
+
+
+async def slow_caller(harness: Harness) -> None:
+    """Callers take nothing of their answers; others are served."""
+    async with trio.open_nursery() as nursery:
+        for address in _callers(harness) * 3:
+            nursery.start_soon(_send_and_take_nothing, address)
+        await harness.wait_served(40)
+        nursery.cancel_scope.cancel()
+    await harness.wait_served(20)
+
+
 async def cancel_wave(harness: Harness) -> None:
     """Many callers leave while their requests run; others are served."""
     await _set_workers(harness, slow_seconds=1.0)
@@ -187,6 +213,7 @@
 FAULTS = (
     Fault(many_callers),
     Fault(slow_server),
+    Fault(slow_caller),
     Fault(reset_mid_request),
     Fault(reset_mid_answer),
     Fault(cancel_wave),
