--- a/turmerichall/outcomes.py
+++ b/turmerichall/outcomes.py
@@ -63,7 +63,6 @@
     TRUNCATED = "truncated"
     WRONG_REQUEST_ID = "wrong_request_id"
     LEADER_LOST = "leader_lost"
-    CALLER_LEFT = "caller_left"
 
 
 class RetryReason(enum.StrEnum):
@@ -74,9 +73,7 @@
     CONNECTION_LOST = "connection_lost"
     SILENT = "silent"
     SERVER_ERROR = "server_error"
-    HEDGE = "hedge"
     NOT_LEADER = "not_leader"
-    PEER_UNREACHABLE = "peer_unreachable"
 
 
 class Refusal(NamedTuple):
