Audit the jobs that were accepted before their states were read

Ruled out: a lost job; it was accepted in the same moment. Change: the list is taken before the reading, each accepted job is audited when all have next finished.

--- a/turmerichall/tests/harness.py
+++ b/turmerichall/tests/harness.py
@@ -24,7 +24,13 @@
 
 
 class Harness(faulty_cluster.FaultyCluster):
-    """A faulty cluster, conditions to wait for and the audit."""
+    """A faulty cluster, conditions to wait for and the audit.
+
+    Attributes:
+        settled_jobs: Jobs that were accepted when all had last finished.
+    """
+
+    settled_jobs: tuple[str, ...] = ()
 
     async def start(
         self, workers_per_zone: int = faulty_cluster.WORKERS_PER_ZONE
@@ -265,9 +271,11 @@
         self.load.busy = True
 
     async def _all_finished(self) -> bool:
-        return not audit.jobs_lost(
-            self.load.accepted_jobs, await self.load.jobs()
-        )
+        # A job that is accepted during the reading is left to the next one.
+        accepted = tuple(self.load.accepted_jobs)
+        lost = audit.jobs_lost(accepted, await self.load.jobs())
+        self.settled_jobs = accepted
+        return not lost
 
     async def audit(self) -> list[str]:
         """Waits until all is quiet, and returns every violation."""
@@ -275,9 +283,7 @@
         found = audit.audit(
             map(self.trail_of, self.worker_names()), [self.trail_of("caller")]
         )
-        found += audit.jobs_lost(
-            self.load.accepted_jobs, await self.load.jobs()
-        )
+        found += audit.jobs_lost(self.settled_jobs, await self.load.jobs())
         found += audit.versions_reverted(self.load.observed)
         for name, made in self.proxies.items():
             if name.startswith("worker:") and made.most_open > MAX_CONNECTIONS:
