Define who submits changes once

The same protocol stood in operators, instances and zones; it stands beside the Proposer that meets it now. Behaviour is unchanged.

--- a/turmerichall/instances/registration.py
+++ b/turmerichall/instances/registration.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from turmerichall import outcomes
 from turmerichall.instances import instance
 from turmerichall.state import change as changes
 from turmerichall.state import machine as machines
+from turmerichall.state import proposer
 from turmerichall.telemetry import logs
 
 __all__ = ["Registration"]
@@ -15,15 +15,6 @@
 CHECK_SECONDS = 1.0
 
 
-class Changes(Protocol):
-    """Submits changes; `state.proposer.Proposer` is one."""
-
-    async def submit(
-        self, change: changes.Change
-    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
-        """Submits a change and awaits its result."""
-
-
 class Addresses(Protocol):
     """The connections to the other instances."""
 
@@ -48,7 +39,7 @@
         self,
         own: instance.Instance,
         machine: machines.Machine,
-        submitter: Changes,
+        submitter: proposer.Changes,
         network: Addresses,
     ):
         self.own = own
--- a/turmerichall/operators/application.py
+++ b/turmerichall/operators/application.py
@@ -15,6 +15,7 @@
 from turmerichall.operators import work_log
 from turmerichall.settings import settings
 from turmerichall.state import machine as machines
+from turmerichall.state import proposer
 from turmerichall.telemetry import counters as metrics
 from turmerichall.telemetry import logs
 from turmerichall.templates import template
@@ -39,7 +40,7 @@
     def __init__(
         self,
         machine: machines.Machine,
-        changes: services_module.Changes,
+        changes: proposer.Changes,
         announcements: services_module.Announcements,
         directory: directories.Directory,
         replica: services_module.Replica,
--- a/turmerichall/operators/services.py
+++ b/turmerichall/operators/services.py
@@ -10,25 +10,16 @@
 from turmerichall.backend_servers import directory
 from turmerichall.operators import exchange
 from turmerichall.settings import settings
-from turmerichall.state import change as changes
 from turmerichall.state import machine as machines
+from turmerichall.state import proposer
 from turmerichall.telemetry import counters as metrics
 from turmerichall.telemetry import logs
 
-__all__ = ["Announcements", "Changes", "Replica", "ReplicaStatus", "Services"]
+__all__ = ["Announcements", "Replica", "ReplicaStatus", "Services"]
 
 PART = "operators"
 
 
-class Changes(Protocol):
-    """Has changes committed; `state.proposer.Proposer` is one."""
-
-    async def submit(
-        self, change: changes.Change
-    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
-        """Submits a change and awaits its result."""
-
-
 class Announcements(Protocol):
     """Takes announcements of workers."""
 
@@ -100,7 +91,7 @@
     """
 
     machine: machines.Machine
-    changes: Changes
+    changes: proposer.Changes
     announcements: Announcements
     directory: directory.Directory
     replica: Replica
--- a/turmerichall/state/proposer.py
+++ b/turmerichall/state/proposer.py
@@ -5,7 +5,16 @@
 from turmerichall import outcomes
 from turmerichall.state import change as changes
 
-__all__ = ["Log", "Proposer"]
+__all__ = ["Changes", "Log", "Proposer"]
+
+
+class Changes(Protocol):
+    """Submits changes; `Proposer` is one."""
+
+    async def submit(
+        self, change: changes.Change
+    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
+        """Submits a change and awaits its result."""
 
 
 class Log(Protocol):
--- a/turmerichall/zones/execution.py
+++ b/turmerichall/zones/execution.py
@@ -11,8 +11,8 @@
 from turmerichall.placement import decisions
 from turmerichall.state import change as changes
 from turmerichall.state import machine as machines
+from turmerichall.state import proposer as proposing
 from turmerichall.telemetry import logs
-from turmerichall.zones import grant_holder
 from turmerichall.zones import tenure as tenures
 from turmerichall.zones import worker_client
 
@@ -45,7 +45,7 @@
         self,
         zone: str,
         machine: machines.Machine,
-        proposer: grant_holder.Changes,
+        proposer: proposing.Changes,
         sender: Sender,
     ):
         self.zone = zone
--- a/turmerichall/zones/grant_holder.py
+++ b/turmerichall/zones/grant_holder.py
@@ -1,30 +1,21 @@
 """Takes, renews and gives up the grant of one availability zone."""
 
 import math
-from typing import Protocol
 
 import trio
 
 from turmerichall import outcomes
 from turmerichall.state import change as changes
 from turmerichall.state import machine as machines
+from turmerichall.state import proposer as proposing
 from turmerichall.telemetry import logs
 from turmerichall.zones import authority
 
-__all__ = ["Changes", "GrantHolder", "is_applied"]
+__all__ = ["GrantHolder", "is_applied"]
 
 OBSERVE_SECONDS = 0.5
 
 
-class Changes(Protocol):
-    """Submits changes; `state.proposer.Proposer` is one."""
-
-    async def submit(
-        self, change: changes.Change
-    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
-        """Submits a change and awaits its result."""
-
-
 class GrantHolder:
     """One instance's part in the grant of one zone.
 
@@ -47,7 +38,7 @@
         zone: str,
         name: str,
         machine: machines.Machine,
-        proposer: Changes,
+        proposer: proposing.Changes,
     ):
         self.zone = zone
         self.name = name
--- a/turmerichall/zones/lost_zones.py
+++ b/turmerichall/zones/lost_zones.py
@@ -13,6 +13,7 @@
 from turmerichall.leases import lease
 from turmerichall.state import change as changes
 from turmerichall.state import machine as machines
+from turmerichall.state import proposer as proposing
 from turmerichall.telemetry import logs
 from turmerichall.zones import authority
 from turmerichall.zones import grant_holder
@@ -53,7 +54,7 @@
         self,
         holder: grant_holder.GrantHolder,
         machine: machines.Machine,
-        proposer: grant_holder.Changes,
+        proposer: proposing.Changes,
     ):
         self.holder = holder
         self.machine = machine
--- a/turmerichall/zones/placing.py
+++ b/turmerichall/zones/placing.py
@@ -17,6 +17,7 @@
 from turmerichall.placement import planner as planners
 from turmerichall.state import change as changes
 from turmerichall.state import machine as machines
+from turmerichall.state import proposer as proposing
 from turmerichall.zones import execution as executing
 from turmerichall.zones import grant_holder
 from turmerichall.zones import replies
@@ -47,7 +48,7 @@
         self,
         machine: machines.Machine,
         holder: grant_holder.GrantHolder,
-        proposer: grant_holder.Changes,
+        proposer: proposing.Changes,
         sender: executing.Sender,
         make_planner: Callable[[], planners.Planner],
     ):
