Wait for changes in flight before a scenario builds on a version

A scenario stopped the load by a flag, and a change that the load had already sent was accepted after the scenario had read the version.

Ruled out: a resend that was taken for a new change (the conflict names another operator, and the resender's own change had not been accepted).

Change: the load holds a lock while a job or a change is in flight, and `paused` waits for both. Scenarios and the audit pause the load by it.

--- a/turmerichall/tests/harness.py
+++ b/turmerichall/tests/harness.py
@@ -265,10 +265,9 @@
 
     async def settle(self) -> None:
         """Waits until every accepted job has finished."""
-        self.load.busy = False
-        await self.wait("all jobs have finished", self._all_finished)
-        await self.wait_alike()
-        self.load.busy = True
+        async with self.load.paused():
+            await self.wait("all jobs have finished", self._all_finished)
+            await self.wait_alike()
 
     async def _all_finished(self) -> bool:
         # A job that is accepted during the reading is left to the next one.
--- a/turmerichall/tests/load.py
+++ b/turmerichall/tests/load.py
@@ -4,8 +4,9 @@
 the customer that each instance shows is observed.
 """
 
+import contextlib
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import trio
 
@@ -63,7 +64,8 @@
         accepted_jobs: Ids of jobs whose acceptance was answered.
         accepted_version: Highest version of the customer that was answered.
         observed: Instance, entry and version, in order of observation.
-        busy: Whether jobs and changes go on being sent.
+        submitting: Held while the load has a job in flight.
+        revising: Held while the load has a change in flight.
     """
 
     def __init__(
@@ -79,7 +81,8 @@
         self.accepted_jobs: list[str] = []
         self.accepted_version = 0
         self.observed: list[tuple[str, str, int]] = []
-        self.busy = True
+        self.submitting = trio.Lock()
+        self.revising = trio.Lock()
         self._observing = {name: trio.Lock() for name in instances}
 
     def new_operator(self, name: str, *via: str) -> operator.Operator:
@@ -109,10 +112,19 @@
             for instance in self.instances.values():
                 nursery.start_soon(self._observe_forever, instance)
 
+    @contextlib.asynccontextmanager
+    async def paused(self) -> AsyncIterator[None]:
+        """Waits until jobs and changes in flight are answered, sends no more.
+
+        A change that was sent before may be accepted any time until then.
+        """
+        async with self.submitting, self.revising:
+            yield
+
     async def _submit_forever(self) -> None:
         submitter = self.new_operator("submitter")
         while True:
-            if self.busy:
+            async with self.submitting:
                 await self.submit(submitter)
             await trio.sleep(JOB_PERIOD_SECONDS)
 
@@ -137,7 +149,7 @@
     async def _revise_forever(self) -> None:
         reviser = self.new_operator("reviser")
         while True:
-            if self.busy:
+            async with self.revising:
                 await self.revise(reviser)
             await trio.sleep(CHANGE_PERIOD_SECONDS)
 
--- a/turmerichall/tests/scenarios.py
+++ b/turmerichall/tests/scenarios.py
@@ -121,18 +121,17 @@
 
 async def operator_race(harness: Harness) -> None:
     """Two operators hold the same version; one wins, the other is told."""
-    harness.load.busy = False
-    await harness.wait_alike()
     racers = [
         harness.load.new_operator("race-1", "i1"),
         harness.load.new_operator("race-2", "i2"),
     ]
-    for _ in range(RACE_ROUNDS):
-        base = harness.load.accepted_version
-        statuses = await _race(racers, base)
-        assert sorted(statuses) == [200, 409], statuses
-        harness.load.accepted_version = base + 1
-    harness.load.busy = True
+    async with harness.load.paused():
+        await harness.wait_alike()
+        for _ in range(RACE_ROUNDS):
+            base = harness.load.accepted_version
+            statuses = await _race(racers, base)
+            assert sorted(statuses) == [200, 409], statuses
+            harness.load.accepted_version = base + 1
 
 
 async def _race(racers: list[operator.Operator], base: int) -> list[int]:
@@ -154,21 +153,19 @@
     """A change whose answer was lost is sent again through another."""
     sender = harness.load.new_operator("resender", "i1")
     again = harness.load.new_operator("resender", "i2")
-    harness.load.busy = False
-    await harness.wait_alike()
-    base = harness.load.accepted_version
-    document = {"base_version": base, "body": loads.customer(77)}
     operation_id = sender.operation_id()
-    with trio.move_on_after(0.01):
-        await sender.change("PUT", loads.CUSTOMER_PATH, document, operation_id)
-    for _ in range(2):
-        reply = await again.change(
-            "PUT", loads.CUSTOMER_PATH, document, operation_id
-        )
-        assert reply.status == 200, reply
-        assert reply.body["version"] == base + 1, reply
-    harness.load.accepted_version = base + 1
-    harness.load.busy = True
+    path = loads.CUSTOMER_PATH
+    async with harness.load.paused():
+        await harness.wait_alike()
+        base = harness.load.accepted_version
+        document = {"base_version": base, "body": loads.customer(77)}
+        with trio.move_on_after(0.01):
+            await sender.change("PUT", path, document, operation_id)
+        for _ in range(2):
+            reply = await again.change("PUT", path, document, operation_id)
+            assert reply.status == 200, reply
+            assert reply.body["version"] == base + 1, reply
+        harness.load.accepted_version = base + 1
 
 
 async def rolling_upgrade(harness: Harness) -> None:
