--- /dev/null
+++ b/turmerichall/tests/known_red.py
@@ -0,0 +1,89 @@
+"""Tests that fail for a real fault that is not mended yet.
+
+KNOWN-RED.txt at the root has a section for each, named by the test's id:
+
+    [turmerichall/agreement/tests/test_failures.py::TestCuts::test_one]
+    command = pytest turmerichall/agreement/tests/test_failures.py -k one
+    seed = 4
+    seen = the cut replica answered an old read
+    issue = 7
+
+`pytest` passes over just these and prints them; `--known-red` runs them too.
+"""
+
+import configparser
+from typing import NamedTuple
+
+from turmerichall import errors
+
+__all__ = ["Entry", "FIELDS", "parse"]
+
+FIELDS = ("command", "seed", "seen", "issue")
+
+
+class Entry(NamedTuple):
+    """A test that is known to fail.
+
+    Attributes:
+        test: Id of the test, as pytest prints it.
+        command: Command that shows the failure.
+        seed: Seed with which it fails, or "none".
+        seen: What was seen.
+        issue: Number of the issue that the fault belongs to.
+    """
+
+    test: str
+    command: str
+    seed: str
+    seen: str
+    issue: str
+
+    def __str__(self) -> str:
+        return f"{self.test}: {self.seen} (seed {self.seed}, #{self.issue})"
+
+
+def parse(text: str) -> list[Entry]:
+    """Reads the entries of KNOWN-RED.txt.
+
+    Args:
+        text: The whole file.
+
+    Returns:
+        One entry for each test.
+
+    Raises:
+        errors.InputError: The text is no such list, or an entry lacks a field.
+            All findings are reported together.
+
+    Examples:
+        >>> print(*parse('''
+        ... [a/test_b.py::TestC::test_d]
+        ... command = pytest a/test_b.py
+        ... seed = 4
+        ... seen = it waited for ever
+        ... issue = 7
+        ... '''))
+        a/test_b.py::TestC::test_d: it waited for ever (seed 4, #7)
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, "KNOWN-RED.txt")
+    except configparser.Error as error:
+        finding = errors.Finding("KNOWN-RED.txt", str(error))
+        raise errors.InputError([finding]) from error
+    findings = _missing(parser)
+    if findings:
+        raise errors.InputError(findings)
+    return [
+        Entry(test, *(parser[test][field] for field in FIELDS))
+        for test in parser.sections()
+    ]
+
+
+def _missing(parser: configparser.ConfigParser) -> list[errors.Finding]:
+    return [
+        errors.Finding(f"KNOWN-RED.txt [{test}] {field}", "is missing")
+        for test in parser.sections()
+        for field in FIELDS
+        if not parser[test].get(field)
+    ]
