Keep the parts of an idle instance current

Cause: an instance that sends no requests set its part of a worker only when it first made the pool. Asked for a loan, it found the pool as it was then: before its loans from before a restart had lapsed, so that it lent 1 slot of 6 for ever; or by an older list of instances, so that it lent, and kept connections open, beyond its part.

Ruled out: the borrower's pace (it asks each lender every 0.25 s) and the adaptive limit (256 throughout).

Change: a pool found for a loan has its parts set anew if they may have changed, and so has every pool ten times a second, which closes connections beyond it.

--- a/turmerichall/gateway/fleet.py
+++ b/turmerichall/gateway/fleet.py
@@ -124,8 +124,7 @@
         known = self.pools.get(told.name)
         if known is None or not _same_server(known.told, told):
             known = self._replace(known, told)
-        if known.share_revision != self._share_revision():
-            self._set_parts(known)
+        self._refresh(known)
         return known
 
     def find(self, name: str, incarnation: int) -> pools.Pool | None:
@@ -133,9 +132,10 @@
         known = self.pools.get(name)
         if known is None and name in self.directory.entries:
             known = self.pool(self.directory.entries[name].told)
-        if known is None or incarnation in (0, known.told.incarnation):
-            return known
-        return None
+        if known is None or incarnation not in (0, known.told.incarnation):
+            return None
+        self._refresh(known)
+        return known
 
     def _replace(
         self, before: pools.Pool | None, told: announcement.Announcement
@@ -150,6 +150,11 @@
     def _share_revision(self) -> int:
         return self.shares.revision * 2 + int(self.has_settled())
 
+    def _refresh(self, pool: pools.Pool) -> None:
+        """Sets the parts of a pool anew if they may have changed."""
+        if pool.share_revision != self._share_revision():
+            self._set_parts(pool)
+
     def _set_parts(self, pool: pools.Pool) -> None:
         told = pool.told
         slots = self.shares.part(told.name, told.zone, told.slots)
@@ -163,8 +168,9 @@
         pool.trim()
 
     def sweep(self, now: float) -> None:
-        """Closes connections that are idle too long or lead to leavers."""
+        """Closes connections beyond the part, idle too long or to leavers."""
         for name, pool in list(self.pools.items()):
+            self._refresh(pool)
             if self.directory.takes_new_work(name, now):
                 pool.discard_idle(now - self.limits.idle_seconds)
             else:
