Estimate the finish of a job by its last task

Waiting work was divided by processors that batch work does not get.

Change: running tasks end later by the error of their template if there are several, overdue ones take a tenth more, measured slowdown counts until a run has ended; what waits is done at the rate that batch work holds. The estimate tells apart when running and when waiting tasks end, and its margin covers both.

--- a/turmerichall/placement/decisions.py
+++ b/turmerichall/placement/decisions.py
@@ -79,11 +79,16 @@
         job_id: The job.
         at: Expected time, on the clock of `now`.
         margin_seconds: How far off the estimate may well be.
+        running_at: When the last of its running tasks ends; None if none runs.
+        waiting_at: When the last of its waiting tasks ends; None if none
+            waits here.
     """
 
     job_id: str
     at: float
     margin_seconds: float
+    running_at: float | None = None
+    waiting_at: float | None = None
 
 
 class Plan(NamedTuple):
--- a/turmerichall/placement/finish.py
+++ b/turmerichall/placement/finish.py
@@ -1,13 +1,21 @@
 """Estimates when jobs finish."""
 
+from turmerichall.customers import customer as customers
 from turmerichall.placement import decisions
 from turmerichall.placement import fleet as fleets
+from turmerichall.placement import occupancy
 from turmerichall.placement import views
 from turmerichall.placement import waiting
 
 __all__ = ["FinishEstimator"]
 
 MIN_MARGIN = 0.1
+UNKNOWN_MARGIN = 0.5
+WAITING_MARGIN = 0.6
+# A task that is over its expected run time takes this share of it more.
+OVERDUE_SHARE = 0.1
+# Batch work holds at least this share of what services leave, once it waits.
+MIN_RATE_SHARE = 0.25
 
 
 class FinishEstimator:
@@ -31,52 +39,111 @@
             job_id: The job, of which tasks run or wait.
             now: The caller's monotonic clock, in seconds.
         """
-        last = now
-        error = MIN_MARGIN
-        for known in self.fleet.workers.values():
-            for held in known.held.values():
-                if views.job_of(held.task.task_id) != job_id:
-                    continue
-                started = held.decided_at
-                if held.started_at is not None:
-                    started = held.started_at
-                end = started + self.fleet.run_seconds(held.task)
-                last = max(last, end)
-                error = max(error, self._error(held.task))
-        last = max(last, self._waiting_end(job_id, now))
-        return decisions.FinishEstimate(job_id, last, error * (last - now))
-
-    def _waiting_end(self, job_id: str, now: float) -> float:
+        running = self._running(job_id)
+        running_at = None
+        if running:
+            several = len(running) > 1
+            running_at = max(self._end(held, several, now) for held in running)
+        waiting_at = self._waiting_end(job_id, now)
+        last = max(now, running_at or now, waiting_at or now)
+        share = MIN_MARGIN if waiting_at is None else WAITING_MARGIN
+        margin = max(
+            [share * (last - now), *(self._margin(h.task) for h in running)]
+        )
+        return decisions.FinishEstimate(
+            job_id, last, margin, running_at, waiting_at
+        )
+
+    def _running(self, job_id: str) -> list[occupancy.Held]:
+        return [
+            held
+            for known in self.fleet.workers.values()
+            for held in known.held.values()
+            if views.job_of(held.task.task_id) == job_id
+        ]
+
+    def _end(self, held: occupancy.Held, several: bool, now: float) -> float:
+        """Estimates when a running task ends.
+
+        The last of several tasks is late by about the usual error.
+        """
+        seconds = self.fleet.run_seconds(held.task)
+        if not self._is_learnt(held.task):
+            seconds *= max(1.0, held.slowdown)
+        elif several:
+            seconds *= 1 + self._error(held.task)
+        started = held.decided_at
+        if held.started_at is not None:
+            started = held.started_at
+        return max(started + seconds, now + OVERDUE_SHARE * seconds)
+
+    def _waiting_end(self, job_id: str, now: float) -> float | None:
+        """Estimates when the last waiting task ends.
+
+        All that waits counts as before it: neither turns nor deadlines are
+        kept so strictly that counting by them comes closer.
+        """
         own = list(self.waiting.jobs.get(job_id, {}).values())
         if not own:
-            return now
-        deadline = max(task.deadline_wall_seconds for task in own)
-        ahead = 0.0
-        for bucket in self.waiting.buckets.values():
-            head = bucket.head()
-            if head is not None and head.deadline_wall_seconds <= deadline:
-                ahead += len(bucket.live) * self._work(head)
-        running = sum(
-            self._work(held.task) / 2
+            return None
+        ahead = sum(
+            len(bucket.live) * self._work_of(bucket)
+            for bucket in self.waiting.buckets.values()
+            if _goes_before(bucket, own[0])
+        )
+        if not _is_urgent(own[0]):
+            ahead += self._running_work(now)
+        longest = max(self.fleet.run_seconds(task) for task in own)
+        return now + ahead / self._rate() + longest / 2
+
+    def _work_of(self, bucket: waiting.Bucket) -> float:
+        head = bucket.head()
+        return 0.0 if head is None else self._work(head)
+
+    def _running_work(self, now: float) -> float:
+        """Returns what running batch tasks still do, in processor seconds."""
+        return sum(
+            held.task.size.processors * (self._end(held, False, now) - now)
             for known in self.fleet.workers.values()
             for held in known.held.values()
             if not held.task.service
         )
-        rate = max(self._batch_processors(), 1.0)
-        wait = (ahead + running) / rate
-        longest = max(self.fleet.run_seconds(task) for task in own)
-        return now + max(wait, longest)
+
+    def _rate(self) -> float:
+        """Returns the processors that do batch work while tasks wait."""
+        held = 0.0
+        possible = 0.0
+        for known in self.fleet.workers.values():
+            held += sum(
+                held.task.size.processors
+                for held in known.held.values()
+                if not held.task.service
+            )
+            if known.takes_work():
+                room = known.view.capacity.processors
+                possible += room - known.service_processors
+        return max(held, MIN_RATE_SHARE * possible, 1.0)
 
     def _work(self, task: views.TaskView) -> float:
         return task.size.processors * self.fleet.run_seconds(task)
 
-    def _batch_processors(self) -> float:
-        return sum(
-            known.view.capacity.processors - known.service_processors
-            for known in self.fleet.workers.values()
-            if known.takes_work()
-        )
+    def _is_learnt(self, task: views.TaskView) -> bool:
+        seen = self.fleet.learnt.templates.get(task.template)
+        return seen is not None and seen.runs > 0
+
+    def _margin(self, task: views.TaskView) -> float:
+        return self._error(task) * self.fleet.run_seconds(task)
 
     def _error(self, task: views.TaskView) -> float:
         seen = self.fleet.learnt.templates.get(task.template)
-        return 0.5 if seen is None else seen.run_error
+        return UNKNOWN_MARGIN if seen is None else seen.run_error
+
+
+def _is_urgent(task: views.TaskView) -> bool:
+    return task.urgency == customers.Urgency.URGENT
+
+
+def _goes_before(bucket: waiting.Bucket, task: views.TaskView) -> bool:
+    if not _is_urgent(task):
+        return True
+    return bucket.key.urgency == customers.Urgency.URGENT
