--- a/turmerichall/placement/tests/test_finish.py
+++ b/turmerichall/placement/tests/test_finish.py
@@ -1,5 +1,7 @@
 """Tests of estimated finish times."""
 
+from typing import Any
+
 import pytest
 
 from turmerichall import resources
@@ -13,7 +15,7 @@
 SIZE = resources.Resources(4, 100)
 
 
-def _task(name: str, **more: object) -> views.TaskView:
+def _task(name: str, **more: Any) -> views.TaskView:
     urgency = customers.Urgency.NORMAL
     made = views.TaskView(name, "t", "c", "team", urgency, False, SIZE, 100.0)
     return made._replace(**more)
