Use a dead instance's part of the slots; give it back safely

Cause: parts of the workers' slots and connections follow the list of instances, and a dead one stays on it. With two instances in a zone it took three of eight slots of each worker there with it until it was back or removed.

Ruled out: to remove it from the list, and leases of parts from the quorum (one that is cut off uses its part on, or a cut-off zone has no slots); to go beyond the parts and let workers refuse; to take a refused connection for a proof.

Change: the zone's authority notes an instance that was silent for 30 s as absent, in the log. Others use three quarters of its part 59.2 s later. An instance uses those of its own only up to 58 s after a moment at which nobody had been told of its absence: a barrier, or answers of every other instance of its zone, so that a zone cut off as a whole keeps its slots. One that comes back is returning first, for 59.2 s.

A zone that is cut off with one of its instances dead falls to a quarter of its slots; docs/design/requests.md says why.

--- a/turmerichall/command_line/instances.py
+++ b/turmerichall/command_line/instances.py
@@ -9,7 +9,10 @@
 
 __all__ = ["Instances", "status"]
 
-_COLUMNS = ("name", "role", "region", "zone", "callers", "operators", "peers")
+_COLUMNS = (
+    *("name", "role", "presence", "region", "zone"),
+    *("callers", "operators", "peers"),
+)
 _STATUS = ("name", "role", "leader", "term", "commit", "applied", "stopped")
 
 
--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -24,7 +24,9 @@
 from turmerichall.gateway import limits as gateway_limits
 from turmerichall.gateway import server as gateway_server
 from turmerichall.instances import instance as instances
+from turmerichall.instances import confirmation as confirming
 from turmerichall.instances import registration as registering
+from turmerichall.instances import silence as silences
 from turmerichall.operators import application as operating
 from turmerichall.operators import exchange as operator_exchange
 from turmerichall.peers import network as networks
@@ -123,6 +125,8 @@
         self.lost_zones = losing.LostZones(
             self.holder, self.machine, self.proposer
         )
+        self.silence = self._make_silence()
+        self.confirmation = self._make_confirmation()
         self.readiness = readiness.Readiness(self.replica)
         self.gateway = self._make_gateway()
         self.operators = self._make_operators()
@@ -162,6 +166,28 @@
             counters=self.counters,
         )
 
+    def _make_silence(self) -> silences.Silence:
+        own = self.settings.instance
+        return silences.Silence(
+            own.name,
+            own.zone,
+            self.holder.may_start,
+            self.machine,
+            self.network,
+            self.proposer,
+        )
+
+    def _make_confirmation(self) -> confirming.Confirmation:
+        own = self.settings.instance
+        return confirming.Confirmation(
+            own.name,
+            own.zone,
+            self.machine,
+            self.replica,
+            self.proposer,
+            self.network,
+        )
+
     def _make_gateway(self) -> gateways.Application:
         limits = self.settings.limits
         return gateways.Application(
@@ -181,6 +207,7 @@
                 concurrency=limits.max_requests_in_flight,
                 retry_ratio=limits.retry_ratio,
             ),
+            self.confirmation,
         )
 
     def _make_operators(self) -> operating.Application:
@@ -213,6 +240,8 @@
             await nursery.start(self.network.run, bind, listen.peers)
             await nursery.start(self.replica.run)
             nursery.start_soon(self.registration.run)
+            nursery.start_soon(self.silence.run)
+            nursery.start_soon(self.confirmation.run)
             nursery.start_soon(self.dissemination.run)
             nursery.start_soon(self.holder.run)
             nursery.start_soon(self.placing.run)
--- a/turmerichall/gateway/application.py
+++ b/turmerichall/gateway/application.py
@@ -26,6 +26,8 @@
 from turmerichall.gateway import selection
 from turmerichall.gateway import shares as sharing
 from turmerichall.gateway import watch as watching
+from turmerichall.instances import confirmation
+from turmerichall.instances import presence as presences
 from turmerichall.state import configuration as configurations
 
 __all__ = ["Application", "Members"]
@@ -41,9 +43,10 @@
 
 
 class Machine(Protocol):
-    """Holder of the configuration; a restore of a snapshot replaces it."""
+    """The replicated state; a restore of a snapshot replaces its parts."""
 
     configuration: configurations.Configuration
+    away: dict[str, presences.Presence]
 
 
 class Application:
@@ -65,6 +68,7 @@
         counters: observing.Counters,
         log: observing.Log,
         limits: limits_module.Limits = limits_module.Limits(),
+        proof: confirmation.Proof = confirmation.Standing(),
     ):
         self.name = name
         self.zone = zone
@@ -88,6 +92,7 @@
             limits,
             self.loans.has_settled,
             self.observation.ejected,
+            proof,
         )
         self.dispatcher = dispatchers.Dispatcher(
             self.fleet,
@@ -157,7 +162,7 @@
         while True:
             members = zones_of(self.members())
             now = trio.current_time()
-            self.shares.update(members, now)
+            self.shares.update(members, now, self.machine.away)
             self.claims.update(members, now)
             await trio.sleep(MEMBERS_PERIOD_SECONDS)
 
--- a/turmerichall/gateway/fleet.py
+++ b/turmerichall/gateway/fleet.py
@@ -14,6 +14,7 @@
 from turmerichall.gateway import request as requests
 from turmerichall.gateway import selection
 from turmerichall.gateway import shares as sharing
+from turmerichall.instances import confirmation
 
 __all__ = ["Fleet"]
 
@@ -37,6 +38,7 @@
         has_settled: Tells whether slots lent before a restart are back.
         note_ejection: Called with the name of an ejected server and for how
             many seconds.
+        proof: Until when the parts are this instance's.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         limits: limits_module.Limits,
         has_settled: Callable[[], bool],
         note_ejection: Callable[[str, float], None],
+        proof: confirmation.Proof = confirmation.Standing(),
     ):
         self.directory = directory
         self.shares = shares
@@ -54,6 +57,7 @@
         self.limits = limits
         self.has_settled = has_settled
         self.note_ejection = note_ejection
+        self.proof = proof
         self.pools: dict[str, pools.Pool] = {}
         self.discovered_at = trio.current_time() + DISCOVERY_SECONDS
 
@@ -140,7 +144,7 @@
     def _replace(
         self, before: pools.Pool | None, told: announcement.Announcement
     ) -> pools.Pool:
-        made = pools.Pool(told, self.limits)
+        made = pools.Pool(told, self.limits, self.proof)
         if before is not None:
             before.discard_idle(float("inf"))
             made.lent = before.lent
@@ -159,7 +163,9 @@
         told = pool.told
         slots = self.shares.part(told.name, told.zone, told.slots)
         if not self.has_settled() and len(self.shares.members) > 1:
-            slots -= lending.lendable(slots)
+            slots = slots._replace(
+                held=slots.held - lending.lendable(slots.held)
+            )
         pool.slots = slots
         pool.connections = self.shares.part(
             told.name, told.zone, told.connections
@@ -171,6 +177,7 @@
         """Closes connections beyond the part, idle too long or to leavers."""
         for name, pool in list(self.pools.items()):
             self._refresh(pool)
+            pool.trim()
             if self.directory.takes_new_work(name, now):
                 pool.discard_idle(now - self.limits.idle_seconds)
             else:
--- a/turmerichall/gateway/loans.py
+++ b/turmerichall/gateway/loans.py
@@ -116,9 +116,9 @@
 
     def _lend_from(self, pool: pools.Pool, count: int) -> list[int]:
         now = trio.current_time()
-        free = pool.own_free(now)
-        most = min(count, free, lendable(pool.slots) - len(pool.lent))
         until = now + lease.ended_after_seconds(LOAN_SECONDS)
+        free = pool.own_free(now, until)
+        most = min(count, free, lendable(pool.slots.held) - len(pool.lent))
         numbers = list(itertools.islice(self.numbers, max(0, most)))
         for number in numbers:
             pool.lent[number] = until
--- a/turmerichall/gateway/pool.py
+++ b/turmerichall/gateway/pool.py
@@ -12,6 +12,8 @@
 from turmerichall.gateway import backend_stream
 from turmerichall.gateway import health as healths
 from turmerichall.gateway import limits as limits_module
+from turmerichall.gateway import shares
+from turmerichall.instances import confirmation
 
 __all__ = ["Connection", "Loan", "Pool", "Slot"]
 
@@ -90,6 +92,7 @@
 
     Attributes:
         told: The announcement that the pool was made from.
+        proof: Until when the parts are this instance's.
         health: What was learnt about the server.
         host: Host of its address.
         port: Port of its address.
@@ -108,17 +111,21 @@
     """
 
     def __init__(
-        self, told: announcement.Announcement, limits: limits_module.Limits
+        self,
+        told: announcement.Announcement,
+        limits: limits_module.Limits,
+        proof: confirmation.Proof = confirmation.Standing(),
     ):
         self.told = told
+        self.proof = proof
         self.limits = limits
         self.health = healths.Health(trio.current_time())
         self.host, _, port = told.address.rpartition(":")
         self.port = int(port)
         self.authority = told.address.encode()
         self.origin = httpcore.Origin(b"http", self.host.encode(), self.port)
-        self.slots = 0
-        self.connections = 0
+        self.slots = shares.Part.whole(0)
+        self.connections = shares.Part.whole(0)
         self.share_revision = -1
         self.in_flight = 0
         self.borrowed_in_flight = 0
@@ -135,8 +142,16 @@
         load = self.in_flight + self.borrowed_in_flight + 1
         return load / self.health.weight(now)
 
-    def own_free(self, now: float) -> int:
-        """Returns how many own slots are free; may be negative."""
+    def own_free(self, now: float, until: float | None = None) -> int:
+        """Returns how many slots of the own part may be filled.
+
+        Args:
+            now: Current time, trio clock.
+            until: When they are free again, trio time; now if not given.
+
+        Returns:
+            The number; it may be negative.
+        """
         if self.lent:
             self.lent = {
                 number: until
@@ -145,17 +160,18 @@
             }
         self.held_slots = _still_held(self.held_slots, now)
         taken = self.in_flight + len(self.lent) + len(self.held_slots)
-        return self.slots - taken
+        end = now if until is None else until
+        return self.slots.usable(self.told.zone, self.proof, end) - taken
 
     def has_room(self, deadline: float, now: float) -> bool:
         """Tells whether a request with this deadline may start now."""
-        if self.own_free(now) > 0:
+        if self.own_free(now, deadline) > 0:
             return True
         return any(loan.until >= deadline for loan in self.loans)
 
     def take_slot(self, deadline: float, now: float) -> Slot | None:
         """Takes a slot that lasts until the deadline, or None."""
-        if self.own_free(now) > 0:
+        if self.own_free(now, deadline) > 0:
             self.in_flight += 1
             return Slot(self)
         for loan in self.loans:
@@ -185,8 +201,10 @@
 
     def most_connections(self) -> int:
         """Returns how many connections this instance may hold now."""
+        now = trio.current_time()
+        own = self.connections.usable(self.told.zone, self.proof, now)
         borrowed = len(self.loans) + self.borrowed_in_flight
-        return self.connections + borrowed - len(self.lent)
+        return own + borrowed - len(self.lent)
 
     async def take(self) -> Connection | outcomes.Refusal:
         """Takes an idle connection, or opens one.
--- a/turmerichall/gateway/tests/test_admission.py
+++ b/turmerichall/gateway/tests/test_admission.py
@@ -15,6 +15,7 @@
 from turmerichall.gateway import limits as limits_module
 from turmerichall.gateway import pool as pools
 from turmerichall.gateway import request as requests
+from turmerichall.gateway import shares
 
 URGENT = customers.Urgency.URGENT
 NORMAL = customers.Urgency.NORMAL
@@ -44,7 +45,7 @@
         )
         limits = limits_module.Limits(**changed)  # type: ignore[arg-type]
         self.pool = pools.Pool(told, limits)
-        self.pool.slots = slots
+        self.pool.slots = shares.Part.whole(slots)
         self.admission = admission.Admission(self, limits)
         self.order: list[str] = []
         self.refused: list[tuple[str, outcomes.Refusal]] = []
--- a/turmerichall/gateway/tests/test_fleet.py
+++ b/turmerichall/gateway/tests/test_fleet.py
@@ -40,7 +40,7 @@
         """Returns what another instance finds that may be lent from."""
         found = self.fleet.find("w", TOLD.incarnation)
         assert found
-        return found.slots
+        return found.slots.held
 
 
 class TestPartsOfIdleInstance:
--- a/turmerichall/gateway/tests/test_shares.py
+++ b/turmerichall/gateway/tests/test_shares.py
@@ -54,26 +54,26 @@
         for each in (loser, gainer):
             each.update(MEMBERS, 100.0)
         new = shares.parts("w", "z3", 64, MEMBERS)
-        assert loser.part("w", "z3", 64) == new["i0"]
-        assert gainer.part("w", "z3", 64) == 0
+        assert loser.part("w", "z3", 64).held == new["i0"]
+        assert gainer.part("w", "z3", 64).held == 0
         gainer.update(MEMBERS, 100.0 + shares.GAIN_AFTER_SECONDS)
-        assert gainer.part("w", "z3", 64) == new["i8"]
+        assert gainer.part("w", "z3", 64).held == new["i8"]
 
     def test_restarted_instance_has_its_part_with_the_first_list(self) -> None:
         restarted = shares.Shares("i0", {})
-        assert restarted.part("w", "z1", 64) == 0
+        assert restarted.part("w", "z1", 64).held == 0
         restarted.update(MEMBERS, 100.0)
         whole = shares.parts("w", "z1", 64, MEMBERS)
-        assert restarted.part("w", "z1", 64) == whole["i0"]
+        assert restarted.part("w", "z1", 64).held == whole["i0"]
 
     def test_joining_instance_waits_for_its_part(self) -> None:
         fewer = {name: MEMBERS[name] for name in list(MEMBERS)[1:]}
         joining = shares.Shares("i0", {})
         joining.update(fewer, 100.0)
         joining.update(MEMBERS, 101.0)
-        assert joining.part("w", "z1", 64) == 0
+        assert joining.part("w", "z1", 64).held == 0
         joining.update(MEMBERS, 101.0 + shares.GAIN_AFTER_SECONDS)
-        assert joining.part("w", "z1", 64) > 0
+        assert joining.part("w", "z1", 64).held > 0
 
     def test_waiting_outlasts_a_loan(self) -> None:
         lapsed = lease.ended_after_seconds(loans.LOAN_SECONDS)
@@ -117,8 +117,8 @@
         "w", 1, 1, "z1", "r", "127.0.0.1:1", resources.Resources(1, 1)
     )
     made = pools.Pool(told, limits_module.Limits())
-    made.slots = slots
-    made.connections = slots
+    made.slots = shares.Part.whole(slots)
+    made.connections = shares.Part.whole(slots)
     return made
 
 
--- /dev/null
+++ b/turmerichall/instances/presence.py
@@ -0,0 +1,37 @@
+"""Whether an entry instance is there, as the replicated state has it."""
+
+import enum
+
+__all__ = ["Presence", "may_follow"]
+
+
+class Presence(enum.StrEnum):
+    """What the others may take an instance for.
+
+    An instance that is absent uses little of its parts of the workers' limits,
+    and others use the rest.  Before it uses them again it is returning for a
+    while, in which the others stop.
+    """
+
+    PRESENT = "present"
+    ABSENT = "absent"
+    RETURNING = "returning"
+
+
+_FROM = {
+    Presence.ABSENT: (Presence.PRESENT, Presence.RETURNING),
+    Presence.RETURNING: (Presence.ABSENT,),
+    Presence.PRESENT: (Presence.RETURNING,),
+}
+
+
+def may_follow(before: Presence, after: Presence) -> bool:
+    """Tells whether one presence may be followed by another.
+
+    Examples:
+        >>> may_follow(Presence.ABSENT, Presence.PRESENT)
+        False
+        >>> may_follow(Presence.ABSENT, Presence.RETURNING)
+        True
+    """
+    return before in _FROM[after]
--- /dev/null
+++ b/turmerichall/instances/tests/test_silence.py
@@ -0,0 +1,91 @@
+"""Tests of how a zone's authority notes silent instances."""
+
+import trio
+import trio.testing
+
+from turmerichall.instances import instance
+from turmerichall.instances import presence as presences
+from turmerichall.instances import silence
+from turmerichall.state import change as changes
+from turmerichall.state import machine as machines
+
+STEP_SECONDS = 1.0
+
+
+class _Zone:
+    """An authority, i1, with i2 in its zone and i3 in another.
+
+    Attributes:
+        heard_at: When each other instance was last heard.
+    """
+
+    def __init__(self) -> None:
+        self.machine = machines.Machine()
+        self.heard_at: dict[str, float] = {}
+        self.is_authority = True
+        for name, zone in {"i1": "z1", "i2": "z1", "i3": "z2"}.items():
+            entry = instance.Instance(name, "r", zone, "", "", "", False)
+            self.apply(changes.RegisterInstance(entry))
+        self.silence = silence.Silence(
+            "i1", "z1", lambda _: self.is_authority, self.machine, self, self
+        )
+
+    def last_heard(self, name: str) -> float:
+        """Returns when an instance was heard."""
+        return self.heard_at.get(name, -float("inf"))
+
+    def apply(self, change: changes.Change) -> changes.Result:
+        """Applies a change."""
+        index = self.machine.applied_index + 1
+        data = self.machine.apply(index, changes.encode(change))
+        return changes.decode_result(data)
+
+    async def submit(self, change: changes.Change) -> changes.Result:
+        """Applies a change."""
+        return self.apply(change)
+
+    async def seconds_until_absent(self) -> float:
+        """Returns how long i2 is silent until it is noted as absent."""
+        for presence in (
+            presences.Presence.RETURNING,
+            presences.Presence.PRESENT,
+        ):
+            self.apply(changes.SetPresence("i2", presence, "i2"))
+        began_at = self.heard_at["i2"] = trio.current_time()
+        while not self.machine.away:
+            await trio.sleep(STEP_SECONDS)
+            await self.silence.step()
+        return trio.current_time() - began_at
+
+
+class TestSilence:
+
+    async def test_only_a_silent_one_of_the_own_zone_is_absent(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        zone = _Zone()
+        await zone.seconds_until_absent()
+        assert list(zone.machine.away) == ["i2"]
+
+    async def test_new_authority_waits_as_long(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        zone = _Zone()
+        zone.is_authority = False
+        await trio.sleep(silence.ABSENT_AFTER_SECONDS)
+        await zone.silence.step()
+        zone.is_authority = True
+        await zone.silence.step()
+        assert not zone.machine.away
+
+    async def test_waits_longer_for_one_that_comes_and_goes(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        zone = _Zone()
+        waits = [await zone.seconds_until_absent() for _ in range(7)]
+        bound = silence.ABSENT_AFTER_SECONDS * silence.MOST_DOUBLED
+        assert waits == sorted(waits)
+        assert waits[1] > 1.9 * waits[0]
+        assert waits[-1] == waits[-2] <= bound + STEP_SECONDS
+        await trio.sleep(silence.FORGIVEN_AFTER_SECONDS)
+        assert await zone.seconds_until_absent() <= waits[0]
--- a/turmerichall/operators/gauges.py
+++ b/turmerichall/operators/gauges.py
@@ -47,6 +47,11 @@
         "Tasks that hold a lease.",
         lambda: sum(map(len, machine.ledger.live.values())),
     )
+    gauge(
+        "away_instances",
+        "Entry instances that are absent or returning.",
+        lambda: len(machine.away),
+    )
     gauge(
         "grant_epoch",
         "Epoch of the placing authority, by zone.",
--- a/turmerichall/operators/instances.py
+++ b/turmerichall/operators/instances.py
@@ -113,6 +113,7 @@
         item: dict[str, Any] = {"name": name}
         if name in listed:
             item |= listed[name]._asdict()
+            item["presence"] = services.machine.presence(name)
         items.append(item | {"role": roles.get(name, "observer")})
     return replies.found(reading.marked(note, {"items": items}))
 
--- a/turmerichall/state/change.py
+++ b/turmerichall/state/change.py
@@ -13,6 +13,7 @@
 from turmerichall import errors
 from turmerichall.customers import customer
 from turmerichall.instances import instance
+from turmerichall.instances import presence as presences
 from turmerichall.state import packing
 from turmerichall.templates import template
 
@@ -277,6 +278,20 @@
     name: str
 
 
+class SetPresence(NamedTuple):
+    """Notes that an entry instance fell silent, or comes back.
+
+    Attributes:
+        name: Name of the instance.
+        presence: What it is from now on.
+        by: Name of the instance that noted it.
+    """
+
+    name: str
+    presence: presences.Presence
+    by: str
+
+
 class Status(enum.StrEnum):
     """Whether a change was applied."""
 
@@ -323,6 +338,7 @@
     | RegisterInstance
     | ForgetInstance
     | ReleaseGrant
+    | SetPresence
 )
 
 # The kinds are part of the format of the log: never renumber them.
@@ -342,6 +358,8 @@
     13: RegisterInstance,
     14: ForgetInstance,
     15: ReleaseGrant,
+    # 16 and 17 are batches, see below.
+    18: SetPresence,
 }
 _KIND_OF = {change_type: kind for kind, change_type in _KINDS.items()}
 # Several starts or ends; a single one is smaller as kind 9 or 10.
--- a/turmerichall/state/machine.py
+++ b/turmerichall/state/machine.py
@@ -13,6 +13,7 @@
 
 from turmerichall import outcomes
 from turmerichall.instances import instance
+from turmerichall.instances import presence as presences
 from turmerichall.state import change as changes
 from turmerichall.state import configuration
 from turmerichall.state import ledger
@@ -34,6 +35,7 @@
     grants: dict[str, authority.Grant]
     operations: list[tuple[str, changes.Result]]
     instances: dict[str, instance.Instance]
+    away: dict[str, presences.Presence] | None = None
 
 
 class Machine:
@@ -45,6 +47,7 @@
         ledger: Jobs, tasks and recorded decisions.
         grants: Current grant of each zone.
         instances: Entry instances by name.
+        away: Those of them that are not present, by name.
         operations: Results of past operations by id, oldest first.
         watchers: Called after each applied change, in order.
         restores: How often a snapshot replaced the whole state.
@@ -56,6 +59,7 @@
         self.ledger = ledger.Ledger()
         self.grants: dict[str, authority.Grant] = {}
         self.instances: dict[str, instance.Instance] = {}
+        self.away: dict[str, presences.Presence] = {}
         self.operations: OrderedDict[str, changes.Result] = OrderedDict()
         self.watchers: list[Watcher] = []
         self.restores = 0
@@ -118,6 +122,7 @@
             changes.RecordDecisions: self._record_decisions,
             changes.RegisterInstance: self._register_instance,
             changes.ForgetInstance: self._forget_instance,
+            changes.SetPresence: self._set_presence,
         }
 
     def _publish_template(
@@ -255,6 +260,27 @@
                 reason=outcomes.RefusalReason.UNKNOWN_NAME,
                 detail=f"instance {change.name!r} is not listed",
             )
+        self.away.pop(change.name, None)
+        return changes.Result(changes.Status.APPLIED, 1)
+
+    def presence(self, name: str) -> presences.Presence:
+        """Returns what an entry instance is taken for."""
+        return self.away.get(name, presences.Presence.PRESENT)
+
+    def _set_presence(
+        self, _: int, change: changes.SetPresence
+    ) -> changes.Result:
+        before = self.presence(change.name)
+        listed = change.name in self.instances
+        if not listed or not presences.may_follow(before, change.presence):
+            return changes.Result(
+                changes.Status.REFUSED,
+                reason=outcomes.RefusalReason.WRONG_STATE,
+                detail=f"instance {change.name!r} is {before.value}",
+            )
+        self.away[change.name] = change.presence
+        if change.presence == presences.Presence.PRESENT:
+            del self.away[change.name]
         return changes.Result(changes.Status.APPLIED, 1)
 
     def _stale(self, zone: str, epoch: int) -> changes.Result | None:
@@ -287,6 +313,7 @@
             self.grants,
             list(self.operations.items()),
             self.instances,
+            self.away,
         )
         return msgspec.msgpack.encode(image)
 
@@ -304,3 +331,4 @@
         self._applied = trio.Event()
         self.operations = OrderedDict(image.operations)
         self.instances = image.instances
+        self.away = image.away or {}
--- a/turmerichall/state/tests/test_machine.py
+++ b/turmerichall/state/tests/test_machine.py
@@ -4,6 +4,8 @@
 
 from turmerichall import resources
 from turmerichall.customers import customer
+from turmerichall.instances import instance
+from turmerichall.instances import presence as presences
 from turmerichall.jobs import job
 from turmerichall.state import change as changes
 from turmerichall.state import ledger
@@ -173,3 +175,38 @@
             _finish_job(made, f"e{number}")
             _finish_job(restored, f"e{number}")
         assert restored.snapshot() == made.snapshot()
+
+
+class TestPresence:
+
+    def test_returns_in_two_steps_and_survives_a_snapshot(self) -> None:
+        made = machine.Machine()
+        entry = instance.Instance("i1", "r", "z1", "", "", "", False)
+        _apply(made, changes.RegisterInstance(entry))
+        present, absent, returning = presences.Presence
+        for asked, held in [
+            (returning, present),
+            (absent, absent),
+            (present, absent),
+            (returning, returning),
+            (absent, absent),
+            (returning, returning),
+            (present, present),
+            (absent, absent),
+        ]:
+            _apply(made, changes.SetPresence("i1", asked, "i2"))
+            made.restore(made.snapshot())
+            assert made.presence("i1") == held
+
+    def test_forgotten_instance_is_not_absent_when_it_is_listed_anew(
+        self,
+    ) -> None:
+        made = machine.Machine()
+        entry = instance.Instance("i1", "r", "z1", "", "", "", False)
+        absent = changes.SetPresence("i1", presences.Presence.ABSENT, "i2")
+        assert _apply(made, absent).status == changes.Status.REFUSED
+        _apply(made, changes.RegisterInstance(entry))
+        _apply(made, absent)
+        _apply(made, changes.ForgetInstance(_operation("1"), "i1"))
+        _apply(made, changes.RegisterInstance(entry))
+        assert made.presence("i1") == presences.Presence.PRESENT
