Tell operators what only placing authorities know

Cause: expected finish, throttles, quarantines and evictions lived in the planner of a zone's authority, and nobody showed them. Each zone told a job never_fits on its own workers, also if another zone could run it or was cut off.

Ruled out: recording them in the replicated state (log for each measurement); showing the last known answer of an authority that can't be reached; refusing the submission of a job that fits nowhere, since a larger worker may come.

Change: - any instance asks the holder of the zone's grant by two new messages between daemons, and says why if it can't. `job status` shows the expected finish with its margin, or why it is not known, throttled tasks and evictions with reasons; `placement show` quarantined and flapping workers, since when, why and when a task is tried next, and the last evictions of a zone. - whether a task can ever run is judged over all its zones by the directory. The zone that tries the task first records it for all; `job submit` and `job status` tell it at once. - reads with fresh=false ask no other instance, as before.

Conclusion: a new authority begins with empty lists of quarantined workers.

--- a/turmerichall/benchmarks/populations.py
+++ b/turmerichall/benchmarks/populations.py
@@ -7,6 +7,7 @@
 from turmerichall import outcomes
 from turmerichall import resources
 from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import directory
 from turmerichall.customers import customer
 from turmerichall.leases import lease
 from turmerichall.placement import planner
@@ -14,6 +15,7 @@
 from turmerichall.state import change as changes
 from turmerichall.state import machine as machines
 from turmerichall.templates import template
+from turmerichall.zones import fitting
 from turmerichall.zones import grant_holder
 from turmerichall.zones import placing as placings
 from turmerichall.zones import worker_client
@@ -254,7 +256,12 @@
     holder.took_at = trio.current_time() - 60.0
     holder.renewed_at = trio.current_time() + 3600.0
     placing = placings.Placing(
-        made, holder, log, Silent(), lambda: planner.Planner(weights.BALANCED)
+        made,
+        holder,
+        log,
+        Silent(),
+        lambda: planner.Planner(weights.BALANCED),
+        fitting.Fitting(directory.Directory(made.configuration)),
     )
     zone = Zone(placing, made)
     for worker in range(ZONE_WORKERS):
--- a/turmerichall/cli.py
+++ b/turmerichall/cli.py
@@ -16,6 +16,7 @@
 from turmerichall.command_line import configuration
 from turmerichall.command_line import instances
 from turmerichall.command_line import jobs
+from turmerichall.command_line import placement
 from turmerichall.command_line import requests
 from turmerichall.command_line import session as sessions
 from turmerichall.command_line import settings_files
@@ -47,6 +48,7 @@
       quota           set, list
       job             submit, status, list, cancel, explain
       backend-server  list, drain, resume, start, stop
+      placement       show
       instance        list, add, remove
       requests        send
       config          check
@@ -99,6 +101,7 @@
         "quota": configuration.Quotas(session),
         "job": jobs.Jobs(session),
         "backend-server": backend_servers.BackendServers(session),
+        "placement": placement.Placement(session),
         "instance": instances.Instances(session),
         "requests": requests.Requests(options),
         "config": settings_files.SettingsFiles(form),
--- a/turmerichall/command_line/jobs.py
+++ b/turmerichall/command_line/jobs.py
@@ -116,27 +116,58 @@
 
 def _show_job(document: dict[str, Any]) -> None:
     item = document["item"]
-    output.show({name: _row(item)[name] for name in _COLUMNS})
+    row = _row(item)
+    output.show(
+        {name: row[name] for name in _COLUMNS}
+        | {"expected finish": _finish(item["finish"])}
+    )
     print()
-    _show_tasks(item["current"])
-
-
-def _show_tasks(tasks: list[dict[str, Any]]) -> None:
+    _show_tasks(item["current"], item["held"])
+    if item["evictions"]:
+        print()
+        _show_recorded(item["evictions"])
+
+
+def _finish(finish: dict[str, Any] | None) -> str:
+    if finish is None:
+        return "ended"
+    if "never_because" in finish:
+        return f"never: {finish['never_because']}"
+    if finish["wall_seconds"] is None:
+        return f"not known: {finish['unknown_because']}"
+    at = output.wall_time(finish["wall_seconds"])
+    return f"{at}, up to {finish['margin_seconds']:.0f} s sooner or later"
+
+
+def _show_tasks(
+    tasks: list[dict[str, Any]], held: list[dict[str, Any]]
+) -> None:
+    notes = {
+        task["task_id"]: f"{task['what']}: {task['reason']}" for task in held
+    }
     rows = [
-        {**task, "worker": (task["held"] or {}).get("worker", "-")}
+        {
+            **task,
+            "worker": (task["held"] or {}).get("worker", "-"),
+            "note": notes.get(task["task_id"], ""),
+        }
         for task in tasks
     ]
     columns = ("task_id", "state", "worker", "attempt", "failures")
-    output.show_rows(rows, (*columns, "checkpoint"))
+    output.show_rows(rows, (*columns, "checkpoint", "note"))
 
 
 def _show_decisions(document: dict[str, Any]) -> None:
     item = document["item"]
+    _show_recorded(item["decisions"])
+    print()
+    print(f"now: {item['state']}")
+    _show_tasks(item["current"], item["held"])
+
+
+def _show_recorded(decisions: list[dict[str, Any]]) -> None:
     rows = [
         {**made, "when": output.wall_time(made["wall_seconds"])}
-        for made in item["decisions"]
+        for made in decisions
     ]
     output.show_rows(rows, ("position", "when", "task", "what", "reason"))
-    print()
-    print(f"now: {item['state']}")
-    _show_tasks(item["current"])
--- a/turmerichall/command_line/tests/test_cli.py
+++ b/turmerichall/command_line/tests/test_cli.py
@@ -17,7 +17,10 @@
 from turmerichall.gateway import request_id
 from turmerichall.gateway import server
 from turmerichall.operators.tests import fake_daemon
+from turmerichall.placement import accounts
 from turmerichall.telemetry import counters
+from turmerichall.zones import inquiries
+from turmerichall.zones import tenure
 
 PUBLISH = ("--kind", "batch", "--processors", "1", "--memory-mb", "100")
 
@@ -120,6 +123,7 @@
             ("quota", "list"),
             ("job", "list", "--state", "cancelled"),
             ("job", "status", "j1"),
+            ("placement", "show"),
             ("backend-server", "list"),
             ("instance", "list"),
             ("status",),
@@ -130,6 +134,24 @@
         shown = capsys.readouterr().out
         assert shown.index("accepted") < shown.index("cancelled")
 
+    def test_placement_of_each_zone(
+        self, listener: Listener, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        worker = accounts.WorkerAccount(
+            "w7", "quarantined", 12.0, "3 attempts failed", 48.0
+        )
+        eviction = tenure.RecordedEviction(0.0, "j1/0", "w8", "makes room")
+        listener.daemon.zones["z1"] = inquiries.ZoneAccount(
+            "i1", 4, (worker,), (), (eviction,)
+        )
+        for zone, words in (
+            ("z1", ("w7", "48", "3 attempts failed", "makes room", "by i1")),
+            ("z2", ("zone z2: not known (unreachable)",)),
+        ):
+            assert _run("placement", "show", "--zone", zone) == 0
+            shown = capsys.readouterr().out
+            assert all(word in shown for word in words), shown
+
     def test_lost_answer_is_resent_as_the_same_change(
         self, listener: Listener, capsys: pytest.CaptureFixture[str]
     ) -> None:
--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -40,8 +40,10 @@
 from turmerichall.telemetry import counters as counting
 from turmerichall.telemetry import logs
 from turmerichall.zones import announcements as announcing
+from turmerichall.zones import fitting as fittings
 from turmerichall.zones import grant_holder
 from turmerichall.zones import handover as handovers
+from turmerichall.zones import inquiries as inquiring
 from turmerichall.zones import lost_zones as losing
 from turmerichall.zones import placing as placings
 from turmerichall.zones import worker_client
@@ -114,12 +116,17 @@
         self.holder = grant_holder.GrantHolder(
             settings.instance.zone, name, self.machine, self.proposer
         )
+        self.fitting = fittings.Fitting(self.directory)
         self.placing = placings.Placing(
             self.machine,
             self.holder,
             self.proposer,
             worker_client.WorkerClient(settings.keys.workers),
             self._make_planner,
+            self.fitting,
+        )
+        self.inquiries = inquiring.Inquiries(
+            name, self.machine, self.placing, self.network
         )
         self.handover = handovers.Handover(self.placing, self.network)
         self.lost_zones = losing.LostZones(
@@ -222,6 +229,8 @@
             changes=self.proposer,
             announcements=announcements,
             directory=self.directory,
+            inquiries=self.inquiries,
+            fitting=self.fitting,
             replica=self.replica,
             readiness=self.readiness,
             keys=self.settings.keys,
@@ -245,6 +254,7 @@
             nursery.start_soon(self.dissemination.run)
             nursery.start_soon(self.holder.run)
             nursery.start_soon(self.placing.run)
+            nursery.start_soon(self.fitting.run)
             nursery.start_soon(self.handover.run)
             nursery.start_soon(self.lost_zones.run)
             async with trio.open_nursery() as servers:
--- a/turmerichall/operators/application.py
+++ b/turmerichall/operators/application.py
@@ -19,6 +19,7 @@
 from turmerichall.telemetry import counters as metrics
 from turmerichall.telemetry import logs
 from turmerichall.templates import template
+from turmerichall.zones import fitting as fittings
 
 __all__ = ["Application"]
 
@@ -43,6 +44,8 @@
         changes: proposer.Changes,
         announcements: services_module.Announcements,
         directory: directories.Directory,
+        inquiries: services_module.Inquiries,
+        fitting: fittings.Fitting,
         replica: services_module.Replica,
         readiness: Callable[[], outcomes.Refusal | None],
         keys: settings.Keys,
@@ -55,6 +58,8 @@
             changes,
             announcements,
             directory,
+            inquiries,
+            fitting,
             replica,
             readiness,
             keys,
--- a/turmerichall/operators/jobs.py
+++ b/turmerichall/operators/jobs.py
@@ -10,6 +10,7 @@
 from turmerichall.jobs import job
 from turmerichall.operators import exchange
 from turmerichall.operators import operations
+from turmerichall.operators import outlook
 from turmerichall.operators import reading
 from turmerichall.operators import replies
 from turmerichall.operators import services as services_module
@@ -83,7 +84,14 @@
         document.tasks,
         document.deadline_wall_seconds,
     )
-    return await operations.submit(services, change, asked, job_id=job_id)
+    about = {"job_id": job_id}
+    first = job.Task(
+        job.task_id(job_id, 0), document.template, document.customer
+    )
+    misfit = outlook.never_fits(services, first)
+    if misfit:
+        about["never_fits"] = misfit
+    return await operations.submit(services, change, asked, **about)
 
 
 async def cancel(
@@ -167,6 +175,7 @@
             f"job {job_id!r} does not exist",
         )
     item = _summary(services, job_id)
+    item |= await outlook.of_job(services, job_id, reading.asks_others(request))
     if explained:
         item["decisions"] = ledger.decisions.get(job_id, [])
     # `task_states` counts all of them, also those of jobs that ended long ago.
--- a/turmerichall/operators/routes.py
+++ b/turmerichall/operators/routes.py
@@ -10,6 +10,7 @@
 from turmerichall.operators import exchange
 from turmerichall.operators import instances
 from turmerichall.operators import jobs
+from turmerichall.operators import placement
 from turmerichall.operators import services as services_module
 from turmerichall.operators import workers
 
@@ -62,6 +63,7 @@
     Route("GET", f"/v1/jobs/{NAME_PART}", jobs.show),
     Route("GET", f"/v1/jobs/{NAME_PART}/explain", jobs.explain),
     Route("POST", f"/v1/jobs/{NAME_PART}/cancel", jobs.cancel),
+    Route("GET", "/v1/placement", placement.show),
     Route("GET", _SERVERS, backend_servers.list_backend_servers),
     *(
         Route(
--- a/turmerichall/operators/services.py
+++ b/turmerichall/operators/services.py
@@ -9,13 +9,16 @@
 from turmerichall.backend_servers import announcement
 from turmerichall.backend_servers import directory
 from turmerichall.operators import exchange
+from turmerichall.placement import accounts
 from turmerichall.settings import settings
 from turmerichall.state import machine as machines
 from turmerichall.state import proposer
 from turmerichall.telemetry import counters as metrics
 from turmerichall.telemetry import logs
+from turmerichall.zones import fitting as fittings
+from turmerichall.zones import inquiries
 
-__all__ = ["Announcements", "Replica", "ReplicaStatus", "Services"]
+__all__ = ["Announcements", "Inquiries", "Replica", "ReplicaStatus", "Services"]
 
 PART = "operators"
 
@@ -29,6 +32,20 @@
         """Takes an announcement and returns what the worker is to do."""
 
 
+class Inquiries(Protocol):
+    """Asks the placing authorities; `inquiries.Inquiries` is one."""
+
+    async def job(
+        self, zone: str, job_id: str, asks: bool = True
+    ) -> accounts.JobAccount | outcomes.Refusal:
+        """Asks the authority of a zone about a job."""
+
+    async def zone(
+        self, zone: str, asks: bool = True
+    ) -> inquiries.ZoneAccount | outcomes.Refusal:
+        """Asks the authority of a zone about its workers and decisions."""
+
+
 class ReplicaStatus(Protocol):
     """What operators are shown of a replica, besides its whole status."""
 
@@ -82,6 +99,8 @@
         changes: Has changes committed.
         announcements: Takes announcements of workers.
         directory: Backend servers as they are known here.
+        inquiries: Asks the placing authorities.
+        fitting: Tells whether a task can ever run.
         replica: Status, reads and membership.
         readiness: Why the balancer should not send now, or None.
         keys: Shared secrets.
@@ -94,6 +113,8 @@
     changes: proposer.Changes
     announcements: Announcements
     directory: directory.Directory
+    inquiries: Inquiries
+    fitting: fittings.Fitting
     replica: Replica
     readiness: Callable[[], outcomes.Refusal | None]
     keys: settings.Keys
--- a/turmerichall/operators/tests/fake_daemon.py
+++ b/turmerichall/operators/tests/fake_daemon.py
@@ -10,11 +10,14 @@
 from turmerichall.backend_servers import directory
 from turmerichall.operators import application
 from turmerichall.operators import exchange
+from turmerichall.placement import accounts
 from turmerichall.settings import settings
 from turmerichall.state import change as changes
 from turmerichall.state import machine
 from turmerichall.telemetry import counters
 from turmerichall.telemetry import logs
+from turmerichall.zones import fitting
+from turmerichall.zones import inquiries
 
 __all__ = ["FakeDaemon", "KEYS"]
 
@@ -34,6 +37,11 @@
     learners: member.Members = ()
 
 
+def _cut_off(zone: str) -> outcomes.Refusal:
+    reason = outcomes.RefusalReason.UNREACHABLE
+    return outcomes.Refusal(reason, f"zone {zone} is cut off")
+
+
 class FakeDaemon:
     """Applies changes at once; refuses or loses them when told to."""
 
@@ -45,6 +53,10 @@
         self.told: list[announcement.Announcement] = []
         self.members: member.Members = ()
         self.shown = FakeStatus()
+        self.directory = directory.Directory(self.machine.configuration)
+        self.fitting = fitting.Fitting(self.directory)
+        self.jobs: dict[str, accounts.JobAccount] = {}
+        self.zones: dict[str, inquiries.ZoneAccount] = {}
 
     async def submit(
         self, change: changes.Change
@@ -63,6 +75,20 @@
         self.told.append(told)
         return announcement.Reply(True, epoch=3)
 
+    async def job(
+        self, zone: str, job_id: str, asks: bool = True
+    ) -> accounts.JobAccount | outcomes.Refusal:
+        """Tells what the test wants."""
+        assert job_id and asks
+        return self.jobs.get(zone) or _cut_off(zone)
+
+    async def zone(
+        self, zone: str, asks: bool = True
+    ) -> inquiries.ZoneAccount | outcomes.Refusal:
+        """Tells what the test wants."""
+        assert asks
+        return self.zones.get(zone) or _cut_off(zone)
+
     def status(self) -> FakeStatus:
         """Returns a status."""
         return self.shown._replace(members=self.members)
@@ -101,7 +127,9 @@
             machine=self.machine,
             changes=self,
             announcements=self,
-            directory=directory.Directory(self.machine.configuration),
+            directory=self.directory,
+            inquiries=self,
+            fitting=self.fitting,
             replica=self,
             readiness=self.readiness,
             keys=KEYS,
--- a/turmerichall/operators/tests/test_application.py
+++ b/turmerichall/operators/tests/test_application.py
@@ -1,5 +1,6 @@
 """Contract tests of the operators' and workers' HTTP interfaces."""
 
+import time
 from typing import Any
 
 import pytest
@@ -11,6 +12,7 @@
 from turmerichall.backend_servers import announcement
 from turmerichall.instances import instance
 from turmerichall.operators.tests import in_process
+from turmerichall.placement import accounts
 from turmerichall.state import change as changes
 
 SIZE = {"processors": 1, "memory_mb": 100}
@@ -140,6 +142,64 @@
         listed = await client.call("GET", "/v1/jobs?state=waiting")
         assert listed.document["items"] == []
 
+    async def test_status_tells_what_the_authorities_tell(
+        self, client: in_process.Client
+    ) -> None:
+        job_id = await self._job(client)
+        path = f"/v1/jobs/{job_id}?fresh=prefer"
+        shown = (await client.call("GET", path)).document["item"]
+        assert shown["finish"]["wall_seconds"] is None
+        assert "zone z1 is cut off" in shown["finish"]["unknown_because"]
+        assert client.counters.count_of("refusals", "operators", "unreachable")
+        throttled = accounts.HeldTask("t", "w", "throttled", 0.4, 9.0, "slow")
+        told = accounts.JobAccount(
+            None, accounts.TimeLeft(600.0, 60.0), (throttled,)
+        )
+        client.daemon.jobs["z1"] = told
+        shown = (await client.call("GET", path)).document["item"]
+        left = shown["finish"]["wall_seconds"] - time.time()
+        assert 300.0 < left <= 600.0
+        assert shown["finish"]["margin_seconds"] == 60.0
+        assert shown["held"][0]["reason"] == "slow"
+        await client.call("POST", f"/v1/jobs/{job_id}/cancel")
+        shown = (await client.call("GET", path)).document["item"]
+        assert shown["finish"] is None
+
+    async def test_never_fits_is_told_at_once(
+        self, client: in_process.Client
+    ) -> None:
+        room = resources.Resources(0.5, 100)
+        told = announcement.Announcement("w1", 1, 1, "z1", "r", "h:1", room)
+        now = trio.current_time()
+        client.daemon.directory.hear(told, now)
+        client.daemon.fitting.heard_since["z1"] = now - 60.0
+        await client.put("/v1/templates/r", TEMPLATE)
+        await client.put("/v1/customers/c", CUSTOMER)
+        body = {"customer": "c", "template": "r", "deadline_wall_seconds": 9}
+        answer = await client.call("POST", "/v1/jobs", body)
+        assert answer.status == 200
+        assert "fits is 0.5 processors" in answer.document["never_fits"]
+        path = f"/v1/jobs/{answer.document['job_id']}?fresh=prefer"
+        shown = (await client.call("GET", path)).document["item"]
+        assert "needs 1" in shown["finish"]["never_because"]
+
+    async def test_evictions_are_listed(
+        self, client: in_process.Client
+    ) -> None:
+        job_id = await self._job(client)
+        task = f"{job_id}/0"
+        for change in (
+            changes.TakeGrant("z1", "i1", 0, 0),
+            changes.StartTasks("z1", 1, 1.0, [changes.Start(task, 1, "w1", 1)]),
+            changes.EvictTasks(
+                "z1", 1, 2.0, [changes.Eviction(task, 1, "makes room")]
+            ),
+        ):
+            await client.daemon.submit(change)
+        shown = await client.call("GET", f"/v1/jobs/{job_id}?fresh=prefer")
+        (eviction,) = shown.document["item"]["evictions"]
+        assert (eviction["task"], eviction["reason"]) == (task, "makes room")
+
     async def test_unknown_customer(self, client: in_process.Client) -> None:
         body = {"customer": "d", "template": "r", "deadline_wall_seconds": 9}
         answer = await client.call("POST", "/v1/jobs", body)
--- a/turmerichall/placement/decisions.py
+++ b/turmerichall/placement/decisions.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "EvictDecision",
+    "ExpectedEnd",
     "FinishEstimate",
     "Plan",
     "StartDecision",
@@ -72,6 +73,18 @@
     detail: str
 
 
+class ExpectedEnd(NamedTuple):
+    """When the last of some tasks is expected to end.
+
+    Attributes:
+        at: Expected time, on the clock of `now`.
+        margin_seconds: How far off that may well be.
+    """
+
+    at: float
+    margin_seconds: float
+
+
 class FinishEstimate(NamedTuple):
     """When a job is expected to finish.
 
@@ -79,16 +92,15 @@
         job_id: The job.
         at: Expected time, on the clock of `now`.
         margin_seconds: How far off the estimate may well be.
-        running_at: When the last of its running tasks ends; None if none runs.
-        waiting_at: When the last of its waiting tasks ends; None if none
-            waits here.
+        running: End of its running tasks; None if none runs.
+        waiting: End of its waiting tasks; None if none waits here.
     """
 
     job_id: str
     at: float
     margin_seconds: float
-    running_at: float | None = None
-    waiting_at: float | None = None
+    running: ExpectedEnd | None = None
+    waiting: ExpectedEnd | None = None
 
 
 class Plan(NamedTuple):
--- a/turmerichall/placement/finish.py
+++ b/turmerichall/placement/finish.py
@@ -39,21 +39,27 @@
             job_id: The job, of which tasks run or wait.
             now: The caller's monotonic clock, in seconds.
         """
-        running = self._running(job_id)
-        running_at = None
-        if running:
-            several = len(running) > 1
-            running_at = max(self._end(held, several, now) for held in running)
-        waiting_at = self._waiting_end(job_id, now)
-        last = max(now, running_at or now, waiting_at or now)
-        share = MIN_MARGIN if waiting_at is None else WAITING_MARGIN
-        margin = max(
-            [share * (last - now), *(self._margin(h.task) for h in running)]
-        )
+        running = self._running_end(job_id, now)
+        waiting_end = self._waiting_end(job_id, now)
+        known = [end for end in (running, waiting_end) if end is not None]
+        at = max((end.at for end in known), default=now)
+        margin = max((end.margin_seconds for end in known), default=0.0)
         return decisions.FinishEstimate(
-            job_id, last, margin, running_at, waiting_at
+            job_id, at, margin, running, waiting_end
         )
 
+    def _running_end(
+        self, job_id: str, now: float
+    ) -> decisions.ExpectedEnd | None:
+        running = self._running(job_id)
+        if not running:
+            return None
+        several = len(running) > 1
+        at = max(self._end(held, several, now) for held in running)
+        margins = [self._margin(held.task) for held in running]
+        margin = max(MIN_MARGIN * (at - now), *margins)
+        return decisions.ExpectedEnd(at, margin)
+
     def _running(self, job_id: str) -> list[occupancy.Held]:
         return [
             held
@@ -77,7 +83,9 @@
             started = held.started_at
         return max(started + seconds, now + OVERDUE_SHARE * seconds)
 
-    def _waiting_end(self, job_id: str, now: float) -> float | None:
+    def _waiting_end(
+        self, job_id: str, now: float
+    ) -> decisions.ExpectedEnd | None:
         """Estimates when the last waiting task ends.
 
         All that waits counts as before it: neither turns nor deadlines are
@@ -94,7 +102,8 @@
         if not _is_urgent(own[0]):
             ahead += self._running_work(now)
         longest = max(self.fleet.run_seconds(task) for task in own)
-        return now + ahead / self._rate() + longest / 2
+        left = ahead / self._rate() + longest / 2
+        return decisions.ExpectedEnd(now + left, WAITING_MARGIN * left)
 
     def _work_of(self, bucket: waiting.Bucket) -> float:
         head = bucket.head()
--- a/turmerichall/placement/health.py
+++ b/turmerichall/placement/health.py
@@ -29,6 +29,9 @@
         probing: Task that is being tried, or empty.
         probes: Failed tries in a row.
         returns: Times at which it came back after an absence.
+        quarantined_at: When the quarantine began; -inf if healthy.
+        failures: Failed attempts since its last success.
+        failed_task: Task of the last of them, or empty.
     """
 
     def __init__(self) -> None:
@@ -37,6 +40,13 @@
         self.probing = ""
         self.probes = 0
         self.returns: list[float] = []
+        self.quarantined_at = -math.inf
+        self.failures = 0
+        self.failed_task = ""
+
+    def is_quarantined(self) -> bool:
+        """Tells whether it gets no work but a task that is tried."""
+        return self.quarantined_until > -math.inf
 
 
 class Health:
@@ -65,11 +75,13 @@
     def note_success(self, worker: str, task_id: str) -> bool:
         """Notes a finished attempt; returns whether a quarantine ended."""
         record = self.of(worker)
-        was_quarantined = record.quarantined_until > -math.inf
+        was_quarantined = record.is_quarantined()
         record.blame = 0.0
+        record.failures = 0
         record.probes = 0
         record.probing = ""
         record.quarantined_until = -math.inf
+        record.quarantined_at = -math.inf
         self.succeeded[views.job_of(task_id)] = None
         self.avoided.pop(task_id, None)
         _trim(self.succeeded)
@@ -87,6 +99,8 @@
         self.avoided.setdefault(task_id, {})[worker] = None
         _trim(self.avoided)
         record = self.of(worker)
+        record.failures += 1
+        record.failed_task = task_id
         record.blame += 1.0 / (1 + len(healthy))
         if job in self.succeeded and not healthy:
             record.blame += 0.5
@@ -95,7 +109,9 @@
         return False
 
     def _quarantine(self, record: Record, at: float) -> bool:
-        began = record.quarantined_until == -math.inf
+        began = not record.is_quarantined()
+        if began:
+            record.quarantined_at = at
         doublings = min(record.probes, MAX_PROBE_DOUBLINGS)
         wait = PROBE_AFTER_SECONDS * 2**doublings
         record.quarantined_until = at + min(wait, MAX_PROBE_AFTER_SECONDS)
@@ -127,7 +143,7 @@
         record = self.workers.get(worker)
         if record is None:
             return True
-        if record.quarantined_until > -math.inf:
+        if record.is_quarantined():
             if now < record.quarantined_until or record.probing:
                 return False
             return not task.service and not task.evicted
@@ -142,7 +158,7 @@
     def note_placed(self, worker: str, task_id: str) -> None:
         """Notes that a task was placed; it is a probe in a quarantine."""
         record = self.workers.get(worker)
-        if record is not None and record.quarantined_until > -math.inf:
+        if record is not None and record.is_quarantined():
             record.probing = task_id
 
     def note_gone(self, worker: str, task_id: str) -> None:
--- a/turmerichall/placement/occupancy.py
+++ b/turmerichall/placement/occupancy.py
@@ -23,6 +23,7 @@
         evicting_at: When its eviction was decided; None if it was not.
         throttle: Share of its processors that it keeps.
         throttled_at: When the throttle was last changed.
+        reason: Why it was throttled or is being evicted, or empty.
         slowdown: Smoothed measured slowdown; 0.0 before the first.
         over_share: Measured use over declared size, the larger of processors
             and memory; 0.0 before the first measurement.
@@ -48,6 +49,7 @@
         self.evicting_at: float | None = None
         self.throttle = 1.0
         self.throttled_at = decided_at
+        self.reason = ""
         self.slowdown = 0.0
         self.over_share = 0.0
         self.measured_at = -1.0
--- a/turmerichall/placement/planner.py
+++ b/turmerichall/placement/planner.py
@@ -192,6 +192,7 @@
         throttles = []
         evictions = []
         for decision in self.policy.evictor.decide(now):
+            self._note_reason(decision)
             if isinstance(decision, decisions.ThrottleDecision):
                 throttles.append(decision)
             else:
@@ -211,12 +212,21 @@
         step.run(max_starts)
         for refused in step.refused:
             waits += self._tell(refused)
-            evictions += self._make_room(refused, now)
+            for eviction in self._make_room(refused, now):
+                self._note_reason(eviction)
+                evictions.append(eviction)
         self._forget_told()
         return decisions.Plan(
             tuple(step.starts), tuple(throttles), tuple(evictions), tuple(waits)
         )
 
+    def _note_reason(
+        self, decision: decisions.ThrottleDecision | decisions.EvictDecision
+    ) -> None:
+        held = self.fleet.held(decision.task_id, decision.worker)
+        if held is not None:
+            held.reason = decision.reason
+
     def _make_room(
         self, refused: steps.Refused, now: float
     ) -> list[decisions.EvictDecision]:
--- a/turmerichall/placement/tests/test_eviction.py
+++ b/turmerichall/placement/tests/test_eviction.py
@@ -4,6 +4,7 @@
 
 from turmerichall import resources
 from turmerichall.customers import customer as customers
+from turmerichall.placement import accounts
 from turmerichall.placement import planner
 from turmerichall.placement import views
 from turmerichall.placement import weights
@@ -60,6 +61,20 @@
         assert [e.task_id for e in second.evictions] == ["j/0"]
         assert "did not help" in second.evictions[0].reason
 
+    def test_what_was_decided_is_told_with_its_reason(self) -> None:
+        made = _shared()
+        for at, what, words in (
+            (5.0, "throttled", "slowed to 4.00"),
+            (60.0, "evicting", "did not help"),
+        ):
+            _report(made, "svc:c/s/z1/0", at, slowdown=4.0)
+            made.plan(at + 10.0, at + 10.0)
+            (held,) = accounts.held_tasks(made, at + 12.0)
+            assert (held.task_id, held.what) == ("j/0", what)
+            assert held.seconds_ago == 2.0 and words in held.reason
+        told = accounts.job_account(made, "j", 72.0)
+        assert told.held == (held,) and told.waiting is None
+
     def test_all_are_throttled_beside_a_service_far_above_its_margin(
         self,
     ) -> None:
--- a/turmerichall/placement/tests/test_finish.py
+++ b/turmerichall/placement/tests/test_finish.py
@@ -80,5 +80,5 @@
             made.put_waiting(_task(f"own/{number}", urgency=urgency))
             made.put_waiting(_task(f"late/{number}", deadline_wall_seconds=9e9))
         found = made.estimate_finish("own", 0.0)
-        assert found.waiting_at == found.at == pytest.approx(seconds)
-        assert found.running_at is None
+        assert found.waiting is not None and found.running is None
+        assert found.waiting.at == found.at == pytest.approx(seconds)
--- a/turmerichall/zones/execution.py
+++ b/turmerichall/zones/execution.py
@@ -157,6 +157,7 @@
         if not await self._submit(change):
             self._note_not_evicted(tenure, asked)
             return
+        tenure.note_evicted(change)
         by_worker: dict[str, list[announcement.Command]] = {}
         for eviction in asked:
             command = self._evict_command(tenure, eviction.task_id)
--- /dev/null
+++ b/turmerichall/zones/fitting.py
@@ -0,0 +1,183 @@
+"""Tells whether a task can ever run in any zone that it may use.
+
+The planner of a zone knows the workers of that zone only. The directory of
+backend servers knows those of every zone that is heard from; a zone that is not
+heard from may have larger workers, so nothing is concluded from it.
+"""
+
+import enum
+from typing import NamedTuple
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.backend_servers import directory as directories
+from turmerichall.placement import decisions
+from turmerichall.placement import fits
+from turmerichall.placement import views
+from turmerichall.state import machine as machines
+from turmerichall.zones import task_views
+
+__all__ = ["Fitting", "Finding", "Fit", "MisfitWaits"]
+
+CHECK_SECONDS = 1.0
+JUDGE_AGAIN_SECONDS = 5.0
+
+
+class Fit(enum.StrEnum):
+    """Whether a task can run."""
+
+    POSSIBLE = "possible"
+    NEVER = "never"
+    UNKNOWN = "unknown"
+
+
+class Finding(NamedTuple):
+    """Whether a task can run, and why not.
+
+    Attributes:
+        fit: Whether it can.
+        detail: What it needs and the nearest size that fits, or which zones
+            are not heard from; empty if it can run.
+    """
+
+    fit: Fit
+    detail: str = ""
+
+
+class Fitting:
+    """Judges by the directory of this instance.
+
+    Attributes:
+        directory: The backend servers of all zones.
+        heard_since: Since when each zone is heard from without a break, trio
+            time.
+    """
+
+    def __init__(self, directory: directories.Directory):
+        self.directory = directory
+        self.heard_since: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Keeps note of which zones are heard from, for ever."""
+        while True:
+            self.check(trio.current_time())
+            await trio.sleep(CHECK_SECONDS)
+
+    def check(self, now: float) -> None:
+        """Notes which zones are heard from."""
+        heard = {
+            known.told.zone
+            for known in self.directory.entries.values()
+            if not self.directory.is_silent(known, now)
+        }
+        self.heard_since = {
+            zone: self.heard_since.get(zone, now) for zone in heard
+        }
+
+    def judge(self, task: views.TaskView, now: float) -> Finding:
+        """Tells whether any zone that a task may use can ever hold it.
+
+        Args:
+            task: The task, with its zones and its declared size.
+            now: Current time, trio clock.
+        """
+        workers = [
+            views.WorkerView(told.name, told.rack, told.zone, told.capacity)
+            for told in (e.told for e in self.directory.entries.values())
+            if told.zone in task.zones
+        ]
+        misfit = fits.never_fits(task, workers)
+        if workers and misfit is None:
+            return Finding(Fit.POSSIBLE)
+        unheard = [zone for zone in task.zones if not self._knows(zone, now)]
+        if not unheard and misfit is not None:
+            return Finding(Fit.NEVER, misfit)
+        names = ", ".join(unheard)
+        detail = f"no known worker can hold it; not heard from: zone {names}"
+        return Finding(Fit.UNKNOWN, detail)
+
+    def _knows(self, zone: str, now: float) -> bool:
+        since = self.heard_since.get(zone)
+        return since is not None and now >= since + fits.SETTLE_SECONDS
+
+
+class MisfitWaits:
+    """Decides what is recorded of tasks that one zone can never hold.
+
+    Attributes:
+        zone: The zone that tells.
+        machine: The replicated state.
+        fitting: Judges over all zones.
+        pending: Tasks of which it is not known whether another zone can hold
+            them, and how often that was judged.
+        judged_at: When they were last judged, trio time.
+    """
+
+    def __init__(self, zone: str, machine: machines.Machine, fitting: Fitting):
+        self.zone = zone
+        self.machine = machine
+        self.fitting = fitting
+        self.pending: dict[str, int] = {}
+        self.judged_at = 0.0
+
+    def settle(
+        self, waits: tuple[decisions.WaitDecision, ...], now: float
+    ) -> tuple[decisions.WaitDecision, ...]:
+        """Replaces what the planner says of its zone by what is true of all.
+
+        Args:
+            waits: Decisions of the planner.
+            now: Current time, trio clock.
+
+        Returns:
+            The decisions to record.
+        """
+        told = []
+        found = len(self.pending)
+        for wait in waits:
+            if wait.reason == outcomes.RefusalReason.NEVER_FITS:
+                self.pending.setdefault(wait.task_id, 0)
+            else:
+                told.append(wait)
+        due = now >= self.judged_at + JUDGE_AGAIN_SECONDS
+        if due or len(self.pending) > found:
+            self.judged_at = now
+            told += self._judge_all(now)
+        return tuple(told)
+
+    def _judge_all(self, now: float) -> list[decisions.WaitDecision]:
+        told = []
+        findings: dict[tuple[object, ...], Finding] = {}
+        for name, times in list(self.pending.items()):
+            view = self._waiting(name)
+            if view is None:
+                del self.pending[name]
+                continue
+            shape = (view.size, view.zones)
+            if shape not in findings:
+                findings[shape] = self.fitting.judge(view, now)
+            finding = findings[shape]
+            if finding.fit == Fit.UNKNOWN:
+                self.pending[name] = times + 1
+            else:
+                del self.pending[name]
+            if finding.fit == Fit.NEVER and self._tells(view):
+                reason = outcomes.RefusalReason.NEVER_FITS
+            elif finding.fit == Fit.UNKNOWN and times == 1:
+                reason = outcomes.RefusalReason.NO_CAPACITY
+            else:
+                continue
+            told.append(decisions.WaitDecision(name, reason, finding.detail))
+        return told
+
+    def _waiting(self, name: str) -> views.TaskView | None:
+        task = self.machine.ledger.tasks.get(name)
+        if task is None or name not in self.machine.ledger.waiting:
+            return None
+        return task_views.task_view(self.machine, task)
+
+    def _tells(self, view: views.TaskView) -> bool:
+        """Tells whether this zone is the one that says it for all."""
+        first = task_views.preferred_zone(view.task_id, view.zones)
+        return first == self.zone
--- /dev/null
+++ b/turmerichall/zones/inquiries.py
@@ -0,0 +1,181 @@
+"""Asks the placing authorities what only they know, for operators.
+
+An authority keeps its planner to itself: estimates, throttles and quarantines
+are not in the replicated state. Any instance passes an operator's question on
+to the holder of the zone's grant.
+"""
+
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+import trio
+
+from turmerichall import outcomes
+from turmerichall.backend_servers import dissemination
+from turmerichall.placement import accounts
+from turmerichall.state import machine as machines
+from turmerichall.zones import placing as placings
+from turmerichall.zones import tenure as tenures
+
+__all__ = ["Inquiries", "ZoneAccount"]
+
+JOB = "zones/job_account"
+ZONE = "zones/account"
+ASK_TIMEOUT_SECONDS = 1.0
+
+T = TypeVar("T")
+
+
+class ZoneAccount(NamedTuple):
+    """What the authority of a zone tells of its workers and decisions.
+
+    Attributes:
+        authority: Instance that tells it.
+        epoch: Epoch that it holds.
+        workers: Workers that are trusted with less work than others.
+        held: Tasks that are throttled or being evicted.
+        evictions: Evictions recorded in this epoch, the last ones.
+    """
+
+    authority: str
+    epoch: int
+    workers: tuple[accounts.WorkerAccount, ...]
+    held: tuple[accounts.HeldTask, ...]
+    evictions: tuple[tenures.RecordedEviction, ...]
+
+
+class Inquiries:
+    """This instance's part in questions about placement.
+
+    Attributes:
+        name: Name of this instance.
+        machine: The replicated state.
+        placing: This instance's part in placing.
+        links: Connections to the other instances.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        machine: machines.Machine,
+        placing: placings.Placing,
+        links: dissemination.Links,
+    ):
+        self.name = name
+        self.machine = machine
+        self.placing = placing
+        self.links = links
+        links.handle(JOB, self._on_job)
+        links.handle(ZONE, self._on_zone)
+
+    async def job(
+        self, zone: str, job_id: str, asks: bool = True
+    ) -> accounts.JobAccount | outcomes.Refusal:
+        """Asks the authority of a zone about a job.
+
+        Args:
+            zone: The availability zone.
+            job_id: The job.
+            asks: Whether another instance may be asked.
+
+        Returns:
+            What it tells, or why it can't be asked.
+        """
+        if self._is_authority(zone):
+            return self._job_here(zone, job_id) or self._not_held(zone)
+        if not asks:
+            return _not_asked(zone)
+        body = msgspec.msgpack.encode((zone, job_id))
+        return await self._ask(zone, JOB, body, accounts.JobAccount)
+
+    async def zone(
+        self, zone: str, asks: bool = True
+    ) -> ZoneAccount | outcomes.Refusal:
+        """Asks the authority of a zone about its workers and decisions.
+
+        Args:
+            zone: The availability zone.
+            asks: Whether another instance may be asked.
+
+        Returns:
+            What it tells, or why it can't be asked.
+        """
+        if self._is_authority(zone):
+            return self._zone_here(zone) or self._not_held(zone)
+        if not asks:
+            return _not_asked(zone)
+        body = msgspec.msgpack.encode(zone)
+        return await self._ask(zone, ZONE, body, ZoneAccount)
+
+    def _is_authority(self, zone: str) -> bool:
+        return self.machine.grant(zone).holder == self.name
+
+    def _not_held(self, zone: str) -> outcomes.Refusal:
+        return outcomes.Refusal(
+            outcomes.RefusalReason.WRONG_STATE,
+            f"instance {self.name} does not place for zone {zone} yet",
+        )
+
+    async def _ask(
+        self, zone: str, kind: str, body: bytes, expected: type[T]
+    ) -> T | outcomes.Refusal:
+        holder = self.machine.grant(zone).holder
+        if not holder:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.UNREACHABLE,
+                f"zone {zone} has no placing authority",
+            )
+        answer = await self.links.call(holder, kind, body, ASK_TIMEOUT_SECONDS)
+        if isinstance(answer, outcomes.Refusal):
+            detail = f"authority {holder} of zone {zone}: {answer.detail}"
+            return answer._replace(detail=detail)
+        told: Any = msgspec.msgpack.decode(answer, type=expected | None)
+        if told is None:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.WRONG_STATE,
+                f"instance {holder} does not place for zone {zone}",
+            )
+        return told  # type: ignore[no-any-return]
+
+    async def _on_job(self, _: str, body: bytes) -> bytes:
+        zone, job_id = msgspec.msgpack.decode(body, type=tuple[str, str])
+        return msgspec.msgpack.encode(self._job_here(zone, job_id))
+
+    async def _on_zone(self, _: str, body: bytes) -> bytes:
+        zone = msgspec.msgpack.decode(body, type=str)
+        return msgspec.msgpack.encode(self._zone_here(zone))
+
+    def _tenure(self, zone: str) -> tenures.Tenure | None:
+        """Returns the tenure if this instance places for the zone."""
+        tenure = self.placing.tenure
+        if zone != self.placing.zone or tenure is None:
+            return None
+        return tenure if tenure.is_current() else None
+
+    def _job_here(self, zone: str, job_id: str) -> accounts.JobAccount | None:
+        tenure = self._tenure(zone)
+        if tenure is None:
+            return None
+        now = trio.current_time()
+        return accounts.job_account(tenure.feed.planner, job_id, now)
+
+    def _zone_here(self, zone: str) -> ZoneAccount | None:
+        tenure = self._tenure(zone)
+        if tenure is None:
+            return None
+        planner = tenure.feed.planner
+        now = trio.current_time()
+        return ZoneAccount(
+            self.name,
+            tenure.epoch,
+            accounts.worker_accounts(planner, now),
+            accounts.held_tasks(planner, now),
+            tuple(tenure.evictions),
+        )
+
+
+def _not_asked(zone: str) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.RefusalReason.WRONG_STATE,
+        f"the authority of zone {zone} was not asked; ask with fresh=prefer",
+    )
--- /dev/null
+++ b/turmerichall/zones/outlook.py
@@ -0,0 +1,89 @@
+"""Joins what the authorities of several zones tell of one job."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from turmerichall import outcomes
+from turmerichall.placement import accounts
+
+__all__ = ["Outlook", "joined"]
+
+NOT_PLANNED = "no zone has planned its waiting tasks"
+
+
+class Outlook(NamedTuple):
+    """When a job is expected to finish.
+
+    Attributes:
+        seconds: How long it still takes; None if that is not known.
+        margin_seconds: How far off that may well be.
+        unknown_because: Why it is not known, or empty.
+    """
+
+    seconds: float | None
+    margin_seconds: float = 0.0
+    unknown_because: str = ""
+
+
+def joined(
+    answers: Mapping[str, accounts.JobAccount | outcomes.Refusal],
+    running_in: set[str],
+    waits: bool,
+) -> Outlook:
+    """Joins the answers of the zones.
+
+    The job finishes with the last of what runs anywhere. Each zone tells how
+    long it would take for all that waits, so the earliest of them counts, and
+    a zone that can't be asked changes nothing about it.
+
+    Args:
+        answers: What each zone tells, or why it can't be asked.
+        running_in: Zones in which tasks of the job run.
+        waits: Whether tasks of the job wait.
+
+    Examples:
+        >>> soon, late = accounts.TimeLeft(9, 1), accounts.TimeLeft(30, 5)
+        >>> runs = accounts.JobAccount(soon, late)
+        >>> waits = accounts.JobAccount(None, accounts.TimeLeft(20, 8))
+        >>> joined({"z1": runs, "z2": waits}, {"z1"}, True).seconds
+        20
+    """
+    parts: list[accounts.TimeLeft] = []
+    for zone in sorted(running_in):
+        answer = answers[zone]
+        if isinstance(answer, outcomes.Refusal):
+            return Outlook(None, unknown_because=answer.detail)
+        if answer.running is None:
+            reason = f"zone {zone} has not taken up its running tasks yet"
+            return Outlook(None, unknown_because=reason)
+        parts.append(answer.running)
+    if waits:
+        offers = _offers(answers)
+        if not offers:
+            return Outlook(None, unknown_because=_why_none(answers))
+        parts.append(min(offers))
+    seconds = max((part.seconds for part in parts), default=0.0)
+    margin = max((part.margin_seconds for part in parts), default=0.0)
+    return Outlook(seconds, margin)
+
+
+def _offers(
+    answers: Mapping[str, accounts.JobAccount | outcomes.Refusal],
+) -> list[accounts.TimeLeft]:
+    return [
+        answer.waiting
+        for answer in answers.values()
+        if isinstance(answer, accounts.JobAccount)
+        and answer.waiting is not None
+    ]
+
+
+def _why_none(
+    answers: Mapping[str, accounts.JobAccount | outcomes.Refusal],
+) -> str:
+    refusals = [
+        answer.detail
+        for answer in answers.values()
+        if isinstance(answer, outcomes.Refusal)
+    ]
+    return "; ".join([NOT_PLANNED, *refusals])
--- a/turmerichall/zones/placing.py
+++ b/turmerichall/zones/placing.py
@@ -19,6 +19,7 @@
 from turmerichall.state import machine as machines
 from turmerichall.state import proposer as proposing
 from turmerichall.zones import execution as executing
+from turmerichall.zones import fitting as fittings
 from turmerichall.zones import grant_holder
 from turmerichall.zones import replies
 from turmerichall.zones import reports
@@ -41,6 +42,7 @@
         holder: This instance's part in the grant.
         execution: Carries decisions out.
         make_planner: Makes the planner of a new epoch.
+        misfits: What is told of tasks that no worker of the zone can hold.
         tenure: What is kept in the held epoch; None if none is held.
     """
 
@@ -51,6 +53,7 @@
         proposer: proposing.Changes,
         sender: executing.Sender,
         make_planner: Callable[[], planners.Planner],
+        fitting: fittings.Fitting,
     ):
         self.zone = holder.zone
         self.machine = machine
@@ -59,6 +62,7 @@
             holder.zone, machine, proposer, sender
         )
         self.make_planner = make_planner
+        self.misfits = fittings.MisfitWaits(holder.zone, machine, fitting)
         self.tenure: tenures.Tenure | None = None
         self._wakeup = trio.Event()
         self._checked_at = -math.inf
@@ -179,8 +183,9 @@
     async def _carry_out(
         self, tenure: tenures.Tenure, plan: decisions.Plan
     ) -> None:
-        if plan.waits:
-            await self.execution.note_waits(tenure, plan.waits)
+        waits = self.misfits.settle(plan.waits, trio.current_time())
+        if waits:
+            await self.execution.note_waits(tenure, waits)
         for throttle in plan.throttles:
             task = self.machine.ledger.tasks.get(throttle.task_id)
             if task is not None:
--- a/turmerichall/zones/tenure.py
+++ b/turmerichall/zones/tenure.py
@@ -1,6 +1,8 @@
 """What a placing authority keeps while it holds one epoch of its zone."""
 
+import collections
 import math
+from typing import NamedTuple
 
 from turmerichall.backend_servers import announcement
 from turmerichall.jobs import job
@@ -16,9 +18,26 @@
 from turmerichall.zones import task_views
 from turmerichall.zones import worker_book
 
-__all__ = ["Tenure"]
+__all__ = ["RecordedEviction", "Tenure"]
 
 USABLE_SILENCE_SECONDS = 6.0
+MAX_KEPT_EVICTIONS = 100
+
+
+class RecordedEviction(NamedTuple):
+    """An eviction as operators are told of it.
+
+    Attributes:
+        wall_seconds: When it was recorded, Unix time.
+        task_id: The task.
+        worker: Worker that ran it.
+        reason: Why.
+    """
+
+    wall_seconds: float
+    task_id: str
+    worker: str
+    reason: str
 
 
 class Tenure:
@@ -33,6 +52,7 @@
         ends: Ends to be recorded, by task and attempt.
         throttles: Share of its processors that each throttled task keeps.
         earlier_end_at: When no earlier holder renews leases any more.
+        evictions: The last evictions that were recorded.
     """
 
     def __init__(
@@ -48,6 +68,8 @@
         self.book = worker_book.WorkerBook(self.epoch, holder.took_at)
         self.ends: dict[tuple[str, int], changes.End] = {}
         self.throttles: dict[tuple[str, int], float] = {}
+        self.evictions: collections.deque[RecordedEviction]
+        self.evictions = collections.deque(maxlen=MAX_KEPT_EVICTIONS)
         hold = lease.ended_after_seconds(authority.CUT_OFF_HOLD_SECONDS)
         waits = bool(holder.earlier_holders())
         self.earlier_end_at = now + hold if waits else now
@@ -104,6 +126,23 @@
         """Notes an end that is to be recorded."""
         self.ends.setdefault((end.task_id, end.attempt), end)
 
+    def note_evicted(self, change: changes.EvictTasks) -> None:
+        """Keeps the evictions of an applied change, for operators."""
+        for eviction in change.evictions:
+            task = self.machine.ledger.tasks.get(eviction.task_id)
+            if task is None or task.attempt != eviction.attempt:
+                continue
+            if task.held is None:
+                continue
+            self.evictions.append(
+                RecordedEviction(
+                    change.wall_seconds,
+                    eviction.task_id,
+                    task.held.worker,
+                    eviction.reason,
+                )
+            )
+
     def note_stopped(self, now: float) -> None:
         """Notes that no earlier holder renews leases from now on."""
         self.earlier_end_at = now
--- a/turmerichall/zones/tests/test_placing.py
+++ b/turmerichall/zones/tests/test_placing.py
@@ -9,6 +9,7 @@
 from turmerichall import outcomes
 from turmerichall import resources
 from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import directory
 from turmerichall.customers import customer
 from turmerichall.jobs import job
 from turmerichall.leases import lease
@@ -18,6 +19,7 @@
 from turmerichall.state import machine as machines
 from turmerichall.templates import template
 from turmerichall.zones import authority
+from turmerichall.zones import fitting
 from turmerichall.zones import grant_holder
 from turmerichall.zones import placing
 from turmerichall.zones import worker_client
@@ -134,6 +136,7 @@
         log,
         sender,
         lambda: planner.Planner(weights.BALANCED),
+        fitting.Fitting(directory.Directory(machine.configuration)),
     )
     return _Zone(machine, log, sender, holder, made)
 
@@ -165,6 +168,24 @@
         await zone.settle(2)
 
 
+class TestNeverFits:
+
+    async def test_is_not_recorded_on_the_word_of_one_zone(
+        self, zone: _Zone, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        huge = template.Template(
+            "roster", template.Kind.BATCH, resources.Resources(99, 1)
+        )
+        zone.log.apply(changes.PublishTemplate(_operation("4"), 1, huge))
+        zone.announce(1)
+        _submit(zone.log)
+        await _keep(zone, 30.0, "w1")
+        decisions = zone.machine.ledger.decisions["j1"]
+        waits = [made.reason for made in decisions if made.what == "waits"]
+        assert "not heard from: zone z1" in waits[-1]
+        assert not any("never_fits" in wait for wait in waits)
+
+
 class TestStart:
 
     async def test_waiting_task_is_sent_to_a_worker_with_its_lease(
