Let workers announce only what changed, under a digest of the whole

Cause: every worker sends all that it knows every 2 s, though nearly all of it is as before (docs/CAPACITY.md, "What breaks first").

Ruled out: changes alone, which drift apart unseen; a heartbeat compared with the log's leases, which differs with every start under way; UDP, which needs another listener and a proof of the key in each datagram. See docs/design/zones.md.

Change: POST /v1/workers/update names the last answered announcement as base, holds what changed, and a digest of worker, incarnation, seen epoch and each attempt with its state. The instance applies it to the announcement that the directory holds, and takes the result on the path of a whole one, so leases are still renewed by comparing each attempt with the log. Whatever does not fit changes nothing and asks for a whole announcement, with a counted reason: unknown_base, base_mismatch, digest_mismatch, new_authority. Whole announcements and the replies to them are unchanged.

A measurement goes along only if it moved; one number says that the others were measured again without moving, so that the planner still gets each sample.

Tests: lost request, lost answer, reordered, duplicate, another epoch, a restarted daemon, a server heard elsewhere, a restarted worker, a differing digest, whole form only.

--- a/turmerichall/backend_servers/announcement.py
+++ b/turmerichall/backend_servers/announcement.py
@@ -15,12 +15,14 @@
     "Announcement",
     "Command",
     "CommandKind",
+    "MAX_REPORTS",
     "Reply",
     "ReportedState",
     "TaskReport",
 ]
 
 ANNOUNCE_PERIOD_SECONDS = 2.0
+MAX_REPORTS = 1000
 
 
 class ReportedState(enum.StrEnum):
@@ -58,6 +60,10 @@
     checkpoint: str = ""
     detail: str = ""
 
+    def is_measured(self) -> bool:
+        """Tells whether it holds a measurement."""
+        return bool(self.usage.processors or self.slowdown)
+
 
 class Announcement(NamedTuple):
     """One announcement of a backend server.
--- /dev/null
+++ b/turmerichall/benchmarks/announcing.py
@@ -0,0 +1,148 @@
+"""Measures what announcements cost, whole and of what changed only."""
+
+from collections.abc import Awaitable, Callable
+import statistics
+import time
+from typing import NamedTuple
+
+import trio
+
+from turmerichall import documents
+from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import updates
+from turmerichall.benchmarks import populations
+from turmerichall.benchmarks import slopes
+from turmerichall.operators import workers
+from turmerichall.zones import announcements
+
+__all__ = ["made_updates", "measure"]
+
+ROUND_ANNOUNCEMENTS = 300
+# How often a worker measures its tasks.
+MEASURE_PERIOD_SECONDS = 10.0
+
+Receive = Callable[[announcements.Announcements, bytes], Awaitable[bytes]]
+
+
+class Form(NamedTuple):
+    """A form that an announcement may have.
+
+    Attributes:
+        key: Short name.
+        what: What is sent.
+        receive: Decodes, checks, takes and answers a document.
+        documents: What a worker sends, in order.
+    """
+
+    key: str
+    what: str
+    receive: Receive
+    documents: list[bytes]
+
+
+async def receive_whole(
+    receiver: announcements.Announcements, body: bytes
+) -> bytes:
+    """Answers a whole announcement as the operators' listener does."""
+    told = documents.decode(body, announcement.Announcement)
+    assert not workers.findings_of(told)
+    reply = await receiver.announce(told)
+    assert len(reply.renewed) == len(told.tasks)
+    return documents.encode(reply)
+
+
+async def receive_update(
+    receiver: announcements.Announcements, body: bytes
+) -> bytes:
+    """Answers an update as the operators' listener does."""
+    told = documents.decode(body, updates.Update)
+    assert not workers.update_findings(told)
+    answer = await receiver.update(told)
+    assert answer.renewed == told.digest
+    return documents.encode_brief(answer)
+
+
+def made_updates(
+    first: announcement.Announcement, count: int, moved: bool
+) -> list[bytes]:
+    """Returns updates of a worker, each based on the one before.
+
+    Args:
+        first: What it announced last.
+        count: How many.
+        moved: Whether one measurement moves each time.
+    """
+    announcer = updates.Announcer()
+    announcer.answered(first, None, 0.0)
+    made = []
+    told = first
+    for number in range(count):
+        now = number * announcement.ANNOUNCE_PERIOD_SECONDS
+        age = 1.5 + now % MEASURE_PERIOD_SECONDS
+        tasks = tuple(
+            report._replace(measured_seconds_ago=age) for report in told.tasks
+        )
+        if moved:
+            slowdown = 1.2 + 0.1 * (number % 2)
+            tasks = (*tasks[:-1], tasks[-1]._replace(slowdown=slowdown))
+        told = told._replace(sequence=told.sequence + 1, tasks=tasks)
+        update = announcer.update(told, now)
+        assert update is not None and len(update.tasks) <= moved
+        announcer.answered(told, update, now)
+        made.append(documents.encode_brief(update))
+    return made
+
+
+def _forms() -> list[Form]:
+    count = ROUND_ANNOUNCEMENTS
+    first = populations.announced(0, 1)
+    whole = [
+        documents.encode(populations.announced(0, number + 2))
+        for number in range(count)
+    ]
+    idle = made_updates(first, count, moved=False)
+    moved = made_updates(first, count + 1, moved=True)[1:]
+    return [
+        Form("announcement", "a whole announcement", receive_whole, whole),
+        Form("idle_update", "an unchanged update", receive_update, idle),
+        Form("update", "an update with one report", receive_update, moved),
+    ]
+
+
+def measure() -> list[slopes.Slope]:
+    """Measures bytes, and processor time without that of HTTP."""
+    found = [slope for form in _forms() for slope in trio.run(_cost, form)]
+    told = populations.announced(0, 1)
+    write = slopes.processor_seconds(
+        lambda _: documents.encode(populations.reply_to(told)), 300
+    )
+    return [*found, slopes.Slope("reply_write", write, "s", "encode one reply")]
+
+
+async def _cost(form: Form) -> list[slopes.Slope]:
+    zone = populations.authority()
+    spent = []
+    answer = b""
+    for _ in range(slopes.ROUNDS):
+        receiver = populations.receiver(zone)
+        first = populations.announced(0, 1)
+        if form.key == "update":
+            first = first._replace(sequence=2)
+        await receiver.announce(first)
+        started = time.process_time()
+        for body in form.documents:
+            answer = await form.receive(receiver, body)
+        spent.append((time.process_time() - started) / len(form.documents))
+    size = statistics.median(map(len, form.documents))
+    return [
+        slopes.Slope(
+            f"{form.key}_path",
+            statistics.median(spent),
+            "s",
+            f"decode, check, take in and answer {form.what}",
+        ),
+        slopes.Slope(f"{form.key}_bytes", size, "B", form.what),
+        slopes.Slope(
+            f"{form.key}_reply_bytes", len(answer), "B", f"reply to {form.what}"
+        ),
+    ]
--- a/turmerichall/benchmarks/capacity.py
+++ b/turmerichall/benchmarks/capacity.py
@@ -10,6 +10,7 @@
 import fire
 import trio
 
+from turmerichall.benchmarks import announcing
 from turmerichall.benchmarks import capacity_model
 from turmerichall.benchmarks import live
 from turmerichall.benchmarks import slopes
@@ -61,7 +62,13 @@
 
 def main(write: str = "") -> None:
     """Measures, and prints the tables or writes them into a page."""
-    figures = tables([*slopes.measure(), *trio.run(live.measure)])
+    figures = tables(
+        [
+            *slopes.measure(),
+            *announcing.measure(),
+            *trio.run(live.measure),
+        ]
+    )
     if not write:
         print(figures)
         return
--- a/turmerichall/benchmarks/capacity_model.py
+++ b/turmerichall/benchmarks/capacity_model.py
@@ -6,6 +6,7 @@
 from turmerichall.agreement import shared as agreement
 from turmerichall.backend_servers import announcement
 from turmerichall.backend_servers import dissemination
+from turmerichall.backend_servers import updates
 from turmerichall.benchmarks import slopes
 from turmerichall.state import ledger
 from turmerichall.zones import authority
@@ -221,12 +222,37 @@
             disk=2 * size,
         )
 
+    def _announcements(self) -> Line:
+        """Returns the needs of one worker's announcements at the peak.
+
+        The end of a task is announced at once, its start with the next update.
+        """
+        costs = self.costs
+        ends = STARTS_A_SECOND / WORKERS
+        unchanged = 1 / announcement.ANNOUNCE_PERIOD_SECONDS
+        tasks = (BATCH_TASKS + SERVICE_TASKS) / WORKERS
+        reports = 2 * ends + tasks / updates.REPORT_PERIOD_SECONDS
+        exchange = (
+            costs["exchange_head_bytes"]
+            + costs["idle_update_bytes"]
+            + costs["idle_update_reply_bytes"]
+        )
+        report = costs["update_bytes"] - costs["idle_update_bytes"]
+        return Line(
+            "announcements of one worker",
+            (unchanged + ends) * costs["exchange_http"]
+            + unchanged * costs["idle_update_path"]
+            + ends * costs["update_path"],
+            0.0,
+            (unchanged + ends) * exchange + reports * report,
+            "",
+        )
+
     def placing_authority(self) -> Role:
         """Returns what the grant of one zone adds to an entry instance."""
         costs = self.costs
         workers = WORKERS / ZONES
-        heard = workers / announcement.ANNOUNCE_PERIOD_SECONDS
-        size = costs["announcement_bytes"] + costs["reply_bytes"]
+        announced = self._announcements()
         starts = STARTS_A_SECOND / ZONES
         return Role(
             "Placing authority, added to an entry instance",
@@ -234,10 +260,11 @@
             (
                 Line(
                     "announcements of its workers",
-                    heard * costs["announcement_http"],
+                    workers * announced.processor,
                     workers * costs["server_memory"],
-                    heard * size,
-                    "one announcement renews every lease of a worker",
+                    workers * announced.traffic,
+                    "only what changed, under a digest that renews every lease"
+                    " of a worker",
                 ),
                 Line(
                     "steps of the planner",
@@ -250,7 +277,7 @@
                     "starts sent to workers",
                     starts * costs["reply_write"],
                     0.0,
-                    starts * costs["reply_bytes"],
+                    starts * costs["announcement_reply_bytes"],
                     "starts of one step to one worker in one request",
                 ),
             ),
@@ -258,18 +285,16 @@
 
     def worker(self) -> Role:
         """Returns what control takes of a worker's own resources."""
-        costs = self.costs
-        a_second = 1 / announcement.ANNOUNCE_PERIOD_SECONDS
-        size = costs["announcement_bytes"] + costs["reply_bytes"]
+        announced = self._announcements()
         return Role(
             "Worker's share",
             "its leases, send times of its last announcements",
             (
                 Line(
                     "announcements and replies",
-                    a_second * costs["announcement_http"],
-                    costs["server_memory"],
-                    a_second * size,
+                    announced.processor,
+                    self.costs["server_memory"],
+                    announced.traffic,
                     "one announcement for all tasks; its processor time is"
                     " taken to be that of the other end",
                 ),
--- a/turmerichall/benchmarks/live.py
+++ b/turmerichall/benchmarks/live.py
@@ -1,5 +1,6 @@
 """Measures what daemons cost as processes, over real sockets."""
 
+import functools
 import os
 import pathlib
 import resource
@@ -10,6 +11,7 @@
 import trio
 
 from turmerichall import documents
+from turmerichall.benchmarks import announcing
 from turmerichall.benchmarks import populations
 from turmerichall.benchmarks import slopes
 from turmerichall.tests import local_cluster
@@ -17,7 +19,7 @@
 __all__ = ["measure"]
 
 IDLE_SECONDS = 10.0
-ANNOUNCEMENTS = 600
+UPDATES = 600
 COMMANDS = 5
 _TICK = os.sysconf("SC_CLK_TCK")
 
@@ -46,7 +48,7 @@
             await cluster.start(workers_per_zone=0)
             return [
                 *await _idle(cluster),
-                await _announcements(cluster),
+                *await _announcements(cluster),
                 *await _command(cluster),
             ]
         finally:
@@ -81,31 +83,91 @@
     ]
 
 
+class Relay:
+    """Passes connections on to one address, and counts their bytes.
+
+    Attributes:
+        host: Host of the address.
+        port: Its port.
+        passed: Bytes passed on, both ways.
+    """
+
+    def __init__(self, address: str):
+        host, _, port = address.rpartition(":")
+        self.host = host
+        self.port = int(port)
+        self.passed = 0
+
+    async def handle(self, stream: trio.SocketStream) -> None:
+        """Serves one connection until either end closes it."""
+        onward = await trio.open_tcp_stream(self.host, self.port)
+        async with onward, trio.open_nursery() as nursery:
+            nursery.start_soon(self._pass, onward, stream)
+            await self._pass(stream, onward)
+            nursery.cancel_scope.cancel()
+
+    async def _pass(
+        self, source: trio.SocketStream, target: trio.SocketStream
+    ) -> None:
+        async for data in source:
+            self.passed += len(data)
+            await target.send_all(data)
+
+
 async def _announcements(
     cluster: local_cluster.LocalCluster,
-) -> slopes.Slope:
+) -> list[slopes.Slope]:
+    """Sends updates of workers that run nothing, which need the least work."""
     instance = next(iter(cluster.instances.values()))
     pid = cluster.processes[instance.name].pid
-    headers = [("Authorization", f"Bearer {local_cluster.WORKERS_KEY}")]
-    before = processor_seconds(pid)
-    async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
-        for number in range(ANNOUNCEMENTS):
-            worker = number % populations.ZONE_WORKERS
-            told = populations.announced(worker, number + 1)
-            response = await pool.request(
-                "POST",
-                f"http://{instance.operators}/v1/workers/announce",
-                headers=headers,
-                content=documents.encode(told),
-            )
-            assert response.status == 200, response.content
-    used = processor_seconds(pid) - before
-    return slopes.Slope(
-        "announcement_http",
-        used / ANNOUNCEMENTS,
-        "s",
-        "an announcement over HTTP, all of the daemon's work",
+    told = populations.announced(0, 1)._replace(tasks=(), zone=instance.zone)
+    bodies = announcing.made_updates(told, UPDATES, moved=False)
+    relay = Relay(instance.operators)
+    async with trio.open_nursery() as nursery:
+        (listener,) = await nursery.start(
+            functools.partial(trio.serve_tcp, relay.handle, 0, host="127.0.0.1")
+        )
+        address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+            await _post(pool, address, "announce", documents.encode(told))
+            relay.passed = 0
+            before = processor_seconds(pid)
+            answered = 0
+            for body in bodies:
+                answer = await _post(pool, address, "update", body)
+                assert b'"whole"' not in answer, answer
+                answered += len(answer)
+            used = processor_seconds(pid) - before
+        nursery.cancel_scope.cancel()
+    documents_bytes = sum(map(len, bodies)) + answered
+    return [
+        slopes.Slope(
+            "exchange_http",
+            used / UPDATES,
+            "s",
+            "an update of a worker that runs nothing over HTTP, all of the"
+            " daemon's work",
+        ),
+        slopes.Slope(
+            "exchange_head_bytes",
+            (relay.passed - documents_bytes) / UPDATES,
+            "B",
+            "heads of HTTP of an update and its answer",
+        ),
+    ]
+
+
+async def _post(
+    pool: httpcore.AsyncConnectionPool, address: str, what: str, body: bytes
+) -> bytes:
+    response = await pool.request(
+        "POST",
+        f"http://{address}/v1/workers/{what}",
+        headers=[("Authorization", f"Bearer {local_cluster.WORKERS_KEY}")],
+        content=body,
     )
+    assert response.status == 200, response.content
+    return response.content
 
 
 async def _command(cluster: local_cluster.LocalCluster) -> list[slopes.Slope]:
--- a/turmerichall/benchmarks/populations.py
+++ b/turmerichall/benchmarks/populations.py
@@ -8,6 +8,7 @@
 from turmerichall import resources
 from turmerichall.backend_servers import announcement
 from turmerichall.backend_servers import directory
+from turmerichall.backend_servers import dissemination
 from turmerichall.customers import customer
 from turmerichall.leases import lease
 from turmerichall.placement import planner
@@ -15,12 +16,13 @@
 from turmerichall.state import change as changes
 from turmerichall.state import machine as machines
 from turmerichall.templates import template
+from turmerichall.zones import announcements
 from turmerichall.zones import fitting
 from turmerichall.zones import grant_holder
 from turmerichall.zones import placing as placings
 from turmerichall.zones import worker_client
 
-__all__ = ["Zone", "announced", "authority", "machine"]
+__all__ = ["Zone", "announced", "authority", "machine", "receiver"]
 
 ZONE = "z1"
 ZONE_WORKERS = 79
@@ -67,6 +69,25 @@
         ]
 
 
+class Alone:
+    """Connections of an instance that has no others to talk to."""
+
+    def __init__(self) -> None:
+        self.addresses: dict[str, str] = {}
+
+    def handle(self, _: str, __: dissemination.Handler) -> None:
+        """Takes a handler that is never called."""
+
+    def send(self, *_: object) -> bool:
+        """Sends nothing."""
+        return False
+
+    async def call(self, *_: object) -> bytes | outcomes.Refusal:
+        """Reaches nobody."""
+        await trio.lowlevel.checkpoint()
+        return outcomes.Refusal(outcomes.RefusalReason.UNREACHABLE)
+
+
 class Zone(NamedTuple):
     """An authority whose workers all run their full share.
 
@@ -78,13 +99,6 @@
     placing: placings.Placing
     machine: machines.Machine
 
-    def announce_next(self, number: int) -> None:
-        """Has the next worker in turn announce itself."""
-        told = announced(number % ZONE_WORKERS, number + 1)
-        reply = self.placing.announce(told)
-        assert reply is not None
-        assert len(reply.renewed) == len(told.tasks)
-
 
 def operation(name: str) -> changes.Operation:
     """Returns an operation with a realistic id."""
@@ -267,3 +281,12 @@
     for worker in range(ZONE_WORKERS):
         placing.announce(announced(worker, 1))
     return zone
+
+
+def receiver(zone: Zone) -> announcements.Announcements:
+    """Returns what takes announcements for an authority, knowing none yet."""
+    known = directory.Directory(zone.machine.configuration)
+    passing_on = dissemination.Dissemination(known, Alone(), 1)
+    return announcements.Announcements(
+        "entry-01", zone.machine, passing_on, zone.placing
+    )
--- a/turmerichall/benchmarks/slopes.py
+++ b/turmerichall/benchmarks/slopes.py
@@ -19,7 +19,6 @@
 from turmerichall.backend_servers import directory
 from turmerichall.backend_servers import dissemination
 from turmerichall.benchmarks import populations
-from turmerichall.operators import workers
 from turmerichall.peers import network
 from turmerichall.state import change as changes
 from turmerichall.state import ledger
@@ -84,8 +83,7 @@
 def measure() -> list[Slope]:
     """Measures every slope of the capacity model that needs no cluster."""
     return [
-        *_announcements(),
-        *trio.run(_authority),
+        trio.run(_authority),
         *_changes(),
         *_dissemination(),
         trio.run(_peers),
@@ -94,60 +92,21 @@
     ]
 
 
-def _announcements() -> list[Slope]:
-    told = populations.announced(0, 1)
-    body = documents.encode(told)
-    reply = documents.encode(populations.reply_to(told))
-
-    def read(_: int) -> None:
-        decoded = documents.decode(body, announcement.Announcement)
-        workers.findings_of(decoded)
-
-    def write(_: int) -> None:
-        documents.encode(populations.reply_to(told))
-
-    return [
-        Slope(
-            "announcement_read",
-            processor_seconds(read, 300),
-            "s",
-            "decode and check one announcement",
-        ),
-        Slope(
-            "reply_write",
-            processor_seconds(write, 300),
-            "s",
-            "encode one reply",
-        ),
-        Slope("announcement_bytes", len(body), "B", "one announcement"),
-        Slope("reply_bytes", len(reply), "B", "one reply to it"),
-    ]
-
-
-async def _authority() -> list[Slope]:
+async def _authority() -> Slope:
     zone = populations.authority()
-    takes = processor_seconds(zone.announce_next, 400)
     started = time.process_time()
     steps = 20
     for _ in range(steps):
         await zone.placing.step()
     step = (time.process_time() - started) / steps
-    return [
-        Slope(
-            "announcement_take",
-            takes,
-            "s",
-            "take one announcement in as authority",
-        ),
-        Slope(
-            "placing_step",
-            step,
-            "s",
-            f"one step of an authority with {populations.ZONE_WORKERS}"
-            f" workers and {populations.ZONE_WAITING} waiting tasks that find"
-            " no room",
-        ),
-    ]
+    return Slope(
+        "placing_step",
+        step,
+        "s",
+        f"one step of an authority with {populations.ZONE_WORKERS}"
+        f" workers and {populations.ZONE_WAITING} waiting tasks that find"
+        " no room",
+    )
 
 
 def _changes() -> list[Slope]:
--- a/turmerichall/benchmarks/tests/test_capacity.py
+++ b/turmerichall/benchmarks/tests/test_capacity.py
@@ -27,9 +27,19 @@
         assert entry.lines[1].traffic == pytest.approx(440 * 100, rel=1e-3)
 
     def test_authority_pays_for_each_announcement(self) -> None:
-        costs = Costs(announcement_http=0.001)
+        costs = Costs(
+            exchange_http=0.001, idle_update_path=0.002, update_path=0.003
+        )
         line = capacity_model.Model(costs).placing_authority().lines[0]
-        assert line.processor == pytest.approx(79 / 2 * 0.001)
+        expected = 79 / 2 * 0.003 + 44 * 0.004
+        assert line.processor == pytest.approx(expected)
+
+    def test_reports_of_starts_and_ends_and_heads_are_counted(self) -> None:
+        costs = Costs(exchange_head_bytes=300.0, update_bytes=200.0)
+        line = capacity_model.Model(costs).placing_authority().lines[0]
+        reports = 2 * 44 + 890 / 60
+        expected = (79 / 2 + 44) * 300 + reports * 200
+        assert line.traffic == pytest.approx(expected, rel=1e-4)
 
     def test_sum_of_a_role(self) -> None:
         line = capacity_model.Line("a", 0.1, 2.0, 3.0, "b")
--- a/turmerichall/documents.py
+++ b/turmerichall/documents.py
@@ -21,7 +21,7 @@
 
 from turmerichall import errors
 
-__all__ = ["decode", "encode", "to_plain"]
+__all__ = ["decode", "encode", "encode_brief", "to_plain"]
 
 T = TypeVar("T")
 
@@ -55,6 +55,31 @@
     return msgspec.json.encode(to_plain(value))
 
 
+def encode_brief(value: Any) -> bytes:
+    """Encodes a value as a JSON document without fields at their defaults.
+
+    Examples:
+        >>> from turmerichall import resources
+        >>> encode_brief(resources.Resources(1, 0))
+        b'{"processors":1}'
+    """
+    return msgspec.json.encode(_to_brief(value))
+
+
+def _to_brief(value: Any) -> Any:
+    if isinstance(value, tuple) and hasattr(value, "_fields"):
+        # pylint: disable-next=protected-access
+        defaults: dict[str, Any] = type(value)._field_defaults  # type: ignore[attr-defined]
+        return {
+            name: _to_brief(item)
+            for name, item in zip(value._fields, value, strict=True)
+            if name not in defaults or item != defaults[name]
+        }
+    if isinstance(value, (list, tuple)):
+        return [_to_brief(item) for item in value]
+    return value
+
+
 def decode(data: bytes, value_type: type[T], place: str = "body") -> T:
     """Decodes a JSON document into a typed value.
 
--- a/turmerichall/operators/routes.py
+++ b/turmerichall/operators/routes.py
@@ -78,6 +78,7 @@
     Route("DELETE", f"/v1/instances/{NAME_PART}", instances.remove),
     Route("GET", "/v1/status", instances.status),
     Route("POST", "/v1/workers/announce", workers.announce, Access.WORKERS),
+    Route("POST", "/v1/workers/update", workers.update, Access.WORKERS),
 )
 
 
--- a/turmerichall/operators/services.py
+++ b/turmerichall/operators/services.py
@@ -8,6 +8,7 @@
 from turmerichall.agreement import message
 from turmerichall.backend_servers import announcement
 from turmerichall.backend_servers import directory
+from turmerichall.backend_servers import updates
 from turmerichall.operators import exchange
 from turmerichall.placement import accounts
 from turmerichall.settings import settings
@@ -31,6 +32,9 @@
     ) -> announcement.Reply:
         """Takes an announcement and returns what the worker is to do."""
 
+    async def update(self, update: updates.Update) -> updates.UpdateReply:
+        """Takes what changed since an announcement, or asks for a whole one."""
+
 
 class Inquiries(Protocol):
     """Asks the placing authorities; `inquiries.Inquiries` is one."""
--- a/turmerichall/operators/tests/fake_daemon.py
+++ b/turmerichall/operators/tests/fake_daemon.py
@@ -8,6 +8,7 @@
 from turmerichall.agreement import message
 from turmerichall.backend_servers import announcement
 from turmerichall.backend_servers import directory
+from turmerichall.backend_servers import updates
 from turmerichall.operators import application
 from turmerichall.operators import exchange
 from turmerichall.placement import accounts
@@ -89,6 +90,11 @@
         assert asks
         return self.zones.get(zone) or _cut_off(zone)
 
+    async def update(self, update: updates.Update) -> updates.UpdateReply:
+        """Asks for a whole announcement."""
+        refused = announcement.Reply(False)
+        return updates.UpdateReply(refused, whole="unknown_base")
+
     def status(self) -> FakeStatus:
         """Returns a status."""
         return self.shown._replace(members=self.members)
--- a/turmerichall/operators/tests/test_any_document.py
+++ b/turmerichall/operators/tests/test_any_document.py
@@ -50,6 +50,15 @@
         "capacity": _SIZE,
         "tasks": [_TASK],
     },
+    ("POST", "/v1/workers/update"): {
+        "name": "w1",
+        "sequence": 2,
+        "base": 1,
+        "digest": "0123456789abcdef",
+        "tasks": [_TASK],
+        "gone": ["j1/1#1"],
+        "measured_seconds_ago": 1.5,
+    },
 }
 _EDGES = strategies.sampled_from([-1, 0, 2**53, 2**64, -(2**70), 1e308, 0.5])
 _SCALARS = strategies.one_of(
--- a/turmerichall/operators/tests/test_bad_requests.py
+++ b/turmerichall/operators/tests/test_bad_requests.py
@@ -63,6 +63,34 @@
         assert answer.document["findings"][0]["place"] == place
         assert not client.daemon.told
 
+    @pytest.mark.parametrize(
+        ("changed", "place"),
+        [
+            ({"name": "a/b"}, "name"),
+            ({"base": 2}, "base"),
+            ({"base": -1}, "base"),
+            ({"digest": 1}, "body"),
+            ({"measured_seconds_ago": -1}, "measured_seconds_ago"),
+            ({"tasks": [{"task_id": "t"}]}, "body"),
+        ],
+    )
+    async def test_findings_of_an_update(
+        self, client: in_process.Client, changed: dict[str, Any], place: str
+    ) -> None:
+        path = "/v1/workers/update"
+        body = {"name": "w1", "sequence": 2, "base": 1, "digest": "0"}
+        asked = await client.call("POST", path, body, in_process.WORKER)
+        assert (asked.status, asked.document["whole"]) == (200, "unknown_base")
+        counted = client.counters.count_of(
+            "retries", "operators", "unknown_base"
+        )
+        assert counted == 1
+        answer = await client.call(
+            "POST", path, body | changed, in_process.WORKER
+        )
+        assert answer.status == 400
+        assert answer.document["findings"][0]["place"] == place
+
 
 class TestBadRequests:
 
--- a/turmerichall/operators/workers.py
+++ b/turmerichall/operators/workers.py
@@ -4,16 +4,17 @@
 
 from turmerichall import documents
 from turmerichall import errors
+from turmerichall import outcomes
 from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import updates
 from turmerichall.operators import exchange
 from turmerichall.operators import replies
 from turmerichall.operators import services as services_module
 from turmerichall.settings import values
 from turmerichall.templates import template
 
-__all__ = ["MAX_REPORTS", "announce", "findings_of"]
+__all__ = ["announce", "findings_of", "update", "update_findings"]
 
-MAX_REPORTS = 1000
 MAX_TEXT_CHARACTERS = 500
 MAX_NUMBER = 2**48
 
@@ -27,11 +28,34 @@
     if findings:
         raise errors.InputError(findings)
     reply = await services.announcements.announce(told)
+    _count(services, reply)
+    return replies.found(reply)
+
+
+async def update(
+    services: services_module.Services, request: exchange.Request
+) -> exchange.Response:
+    """Takes what changed since an announcement; answers without defaults."""
+    told = documents.decode(request.body, updates.Update)
+    findings = update_findings(told)
+    if findings:
+        raise errors.InputError(findings)
+    answer = await services.announcements.update(told)
+    if answer.whole:
+        reason = outcomes.RetryReason(answer.whole)
+        services.counters.retried(services_module.PART, reason)
+    else:
+        _count(services, answer.reply)
+    return exchange.Response(200, documents.encode_brief(answer))
+
+
+def _count(
+    services: services_module.Services, reply: announcement.Reply
+) -> None:
     if reply.accepted:
         services.counters.event("announcements_taken")
     else:
         services.counters.event("announcements_refused")
-    return replies.found(reply)
 
 
 def findings_of(told: announcement.Announcement) -> list[errors.Finding]:
@@ -53,15 +77,42 @@
     }
     for field, number in numbers.items():
         found += _number_findings(field, number)
-    if len(told.tasks) > MAX_REPORTS:
-        reason = f"expected at most {MAX_REPORTS}, not {len(told.tasks)}"
-        return found + [errors.Finding("tasks", reason)]
-    for number, report in enumerate(told.tasks):
+    return found + _tasks_findings(told.tasks)
+
+
+def update_findings(told: updates.Update) -> list[errors.Finding]:
+    """Checks the values of an update and returns all faults."""
+    found = template.name_findings("name", told.name)
+    found += _number_findings("sequence", told.sequence)
+    if not 0 <= told.base < told.sequence:
+        reason = f"expected a number from 0 to below {told.sequence}"
+        found.append(errors.Finding("base", reason))
+    found += _count_findings("gone", len(told.gone))
+    found += _number_findings(
+        "measured_seconds_ago", told.measured_seconds_ago or 0.0
+    )
+    return found + _tasks_findings(told.tasks)
+
+
+def _tasks_findings(
+    tasks: tuple[announcement.TaskReport, ...],
+) -> list[errors.Finding]:
+    found = _count_findings("tasks", len(tasks))
+    if found:
+        return found
+    for number, report in enumerate(tasks):
         if not _is_sound(report):
             found += _report_findings(f"tasks[{number}]", report)
     return found
 
 
+def _count_findings(place: str, count: int) -> list[errors.Finding]:
+    if count <= announcement.MAX_REPORTS:
+        return []
+    reason = f"expected at most {announcement.MAX_REPORTS}, not {count}"
+    return [errors.Finding(place, reason)]
+
+
 def _is_sound(report: announcement.TaskReport) -> bool:
     """Tells quickly that a report has no findings, as almost all have none."""
     numbers = (
--- a/turmerichall/outcomes.py
+++ b/turmerichall/outcomes.py
@@ -74,6 +74,11 @@
     SILENT = "silent"
     SERVER_ERROR = "server_error"
     NOT_LEADER = "not_leader"
+    # A whole announcement was asked for.
+    UNKNOWN_BASE = "unknown_base"
+    BASE_MISMATCH = "base_mismatch"
+    DIGEST_MISMATCH = "digest_mismatch"
+    NEW_AUTHORITY = "new_authority"
 
 
 class Refusal(NamedTuple):
--- a/turmerichall/tests/standins/tests/test_worker.py
+++ b/turmerichall/tests/standins/tests/test_worker.py
@@ -16,6 +16,7 @@
 
 from turmerichall import documents
 from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import updates
 from turmerichall.leases import lease
 from turmerichall.tests.standins import trail
 
@@ -40,6 +41,8 @@
 
     def __init__(self) -> None:
         self.heard: list[announcement.Announcement] = []
+        self.updates: list[updates.Update] = []
+        self.update_status = 200
         self.address = ""
 
     async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
@@ -57,19 +60,35 @@
         headers = dict(scope["headers"])
         assert headers[b"authorization"] == f"Bearer {KEY}".encode()
         body = (await receive())["body"]
-        answer = documents.encode(self.reply(body))
+        status = 200
+        if scope["path"] == "/v1/workers/update":
+            status = self.update_status
+            answer = documents.encode_brief(self.update(body))
+        else:
+            told = documents.decode(body, announcement.Announcement)
+            answer = documents.encode(self.reply(told))
         await send(
             {
                 "type": "http.response.start",
-                "status": 200,
+                "status": status,
                 "headers": [(b"content-length", str(len(answer)).encode())],
             }
         )
         await send({"type": "http.response.body", "body": answer})
 
-    def reply(self, body: bytes) -> announcement.Reply:
+    def update(self, body: bytes) -> updates.UpdateReply:
+        """Takes an update if it is based on what was heard last."""
+        update = documents.decode(body, updates.Update)
+        self.updates.append(update)
+        if update.base != self.heard[-1].sequence or self.update_status != 200:
+            reply = announcement.Reply(False)
+            return updates.UpdateReply(reply, whole="base_mismatch")
+        told = updates.applied(self.heard[-1], update)
+        assert told is not None
+        return updates.reply_to(told, update, self.reply(told))
+
+    def reply(self, told: announcement.Announcement) -> announcement.Reply:
         """Renews and acknowledges all, and starts the service once."""
-        told = documents.decode(body, announcement.Announcement)
         self.heard.append(told)
         names = tuple(
             announcement.attempt_name(report.task_id, report.attempt)
@@ -154,6 +173,26 @@
         (report,) = second.tasks
         assert report.state == announcement.ReportedState.RUNNING
 
+    async def test_sends_updates_and_a_whole_one_when_asked(
+        self, started: Started
+    ) -> None:
+        entry = started.entry
+        await entry.wait_heard(3)
+        assert entry.updates[-1].sequence == entry.heard[-1].sequence
+        entry.heard[-1] = entry.heard[-1]._replace(sequence=0)
+        heard = len(entry.heard)
+        await entry.wait_heard(heard + 1)
+        whole = entry.heard[heard].sequence
+        sequences = [update.sequence for update in entry.updates]
+        assert whole not in sequences and whole - 1 in sequences
+
+    async def test_announces_whole_where_updates_are_not_known(
+        self, started: Started
+    ) -> None:
+        started.entry.update_status = 404
+        await started.entry.wait_heard(4)
+        assert len(started.entry.updates) == 1
+
     async def test_serves_what_runs_there(self, started: Started) -> None:
         await started.entry.wait_heard(2)
         response = await started.post("/v1/services/c/s", b"hello")
--- a/turmerichall/tests/standins/worker.py
+++ b/turmerichall/tests/standins/worker.py
@@ -21,6 +21,7 @@
 from turmerichall import errors
 from turmerichall import resources
 from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import updates
 from turmerichall.tests.standins import application
 from turmerichall.tests.standins import attempts
 from turmerichall.tests.standins import faults
@@ -87,6 +88,7 @@
         app: Its HTTP application.
         sequence: Sequence of the last announcement.
         authority: Where the zone's placing authority is, or empty.
+        announcer: Chooses between whole announcements and updates.
     """
 
     def __init__(self, settings: Settings):
@@ -105,6 +107,7 @@
         self.app.set_faults(settings.shown)
         self.sequence = 0
         self.authority = ""
+        self.announcer = updates.Announcer()
         self._pool = httpcore.AsyncConnectionPool(max_connections=8)
         self._next_entry = 0
         self._last_answer: tuple[str, bool, int, str] | None = None
@@ -176,6 +179,7 @@
         reply = await self._exchange(target)
         self._note_answer(target, reply)
         if reply is None or not reply.accepted:
+            self.announcer.start_afresh()
             self.authority = ""
             self._next_entry += 1
             return False
@@ -183,6 +187,7 @@
         authority = self.settings.via.get(told, told)
         if authority and authority != target:
             self.authority = authority
+            self.announcer.start_afresh()
             self.app.changed.set()
         return True
 
@@ -209,24 +214,17 @@
 
     async def _exchange(self, target: str) -> announcement.Reply | None:
         self.sequence += 1
-        sequence = self.sequence
-        self.held.note_sent(sequence, trio.current_time())
-        headers = [
-            ("Authorization", f"Bearer {self.settings.key}"),
-            ("Content-Type", "application/json"),
-        ]
+        sent_at = trio.current_time()
+        self.held.note_sent(self.sequence, sent_at)
+        told = self.announcement()
+        update = self.announcer.update(told, sent_at)
+        reply: announcement.Reply | None
         try:
             with trio.fail_after(2 * ANNOUNCE_TIMEOUT_SECONDS):
-                response = await self._pool.request(
-                    "POST",
-                    f"http://{target}/v1/workers/announce",
-                    headers=headers,
-                    content=documents.encode(self.announcement()),
-                    extensions={"timeout": _TIMEOUTS},
-                )
-            if response.status != 200:
-                return None
-            reply = documents.decode(response.content, announcement.Reply)
+                if update is None:
+                    reply = await self._announce_whole(target, told)
+                else:
+                    reply = await self._update(target, told, update)
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -235,10 +233,55 @@
             trio.TooSlowError,
         ):
             return None
-        if self.held.take_reply(reply, sequence, trio.current_time()):
+        if reply is None:
+            # An update was not taken.
+            return await self._exchange(target)
+        if reply.accepted:
+            self.announcer.answered(told, update, sent_at)
+        if self.held.take_reply(reply, told.sequence, trio.current_time()):
             self.app.changed.set()
         return reply
 
+    async def _announce_whole(
+        self, target: str, told: announcement.Announcement
+    ) -> announcement.Reply:
+        response = await self._post(target, "announce", documents.encode(told))
+        if response.status != 200:
+            return announcement.Reply(False, detail=f"{response.status}")
+        return documents.decode(response.content, announcement.Reply)
+
+    async def _update(
+        self,
+        target: str,
+        told: announcement.Announcement,
+        update: updates.Update,
+    ) -> announcement.Reply | None:
+        """Sends an update; returns None if a whole announcement is needed."""
+        response = await self._post(
+            target, "update", documents.encode_brief(update)
+        )
+        if response.status == 404:
+            self.announcer.start_afresh(whole_only=True)
+            return None
+        if response.status != 200:
+            return announcement.Reply(False, detail=f"{response.status}")
+        answer = documents.decode(response.content, updates.UpdateReply)
+        if answer.whole:
+            self.announcer.start_afresh()
+            return None
+        return updates.whole_reply(told, answer)
+
+    async def _post(
+        self, target: str, what: str, document: bytes
+    ) -> httpcore.Response:
+        return await self._pool.request(
+            "POST",
+            f"http://{target}/v1/workers/{what}",
+            headers=[("Authorization", f"Bearer {self.settings.key}")],
+            content=document,
+            extensions={"timeout": _TIMEOUTS},
+        )
+
     def announcement(self) -> announcement.Announcement:
         """Returns the announcement of this moment."""
         late = self.app.faults.report_late_seconds
--- a/turmerichall/zones/announcements.py
+++ b/turmerichall/zones/announcements.py
@@ -1,7 +1,9 @@
 """Takes announcements of backend servers on any instance."""
 
+from turmerichall import outcomes
 from turmerichall.backend_servers import announcement
 from turmerichall.backend_servers import dissemination as disseminating
+from turmerichall.backend_servers import updates
 from turmerichall.state import machine as machines
 from turmerichall.zones import placing as placings
 
@@ -31,12 +33,15 @@
         self.placing = placing
 
     async def announce(
-        self, told: announcement.Announcement
+        self,
+        told: announcement.Announcement,
+        measured: tuple[announcement.TaskReport, ...] | None = None,
     ) -> announcement.Reply:
         """Takes in one announcement.
 
         Args:
             told: What a backend server tells about itself.
+            measured: Its reports with a new measurement; all if None.
 
         Returns:
             The answer: renewals and commands if this instance is the placing
@@ -45,12 +50,44 @@
         refusal = self.dissemination.hear(told)
         if refusal is not None:
             return announcement.Reply(False, detail=refusal.detail)
-        reply = self.placing.announce(told)
+        reply = self.placing.announce(told, measured)
         if reply is not None:
             return reply
         address = self._authority_address(told.zone)
         return announcement.Reply(True, authority_address=address)
 
+    async def update(self, update: updates.Update) -> updates.UpdateReply:
+        """Takes in what changed since an announcement.
+
+        Args:
+            update: What a backend server tells in place of an announcement.
+
+        Returns:
+            The answer, or why a whole announcement is to be sent at once; the
+            update has then changed nothing.
+        """
+        told = self._applied(update)
+        if isinstance(told, outcomes.RetryReason):
+            refused = announcement.Reply(False, detail="send it whole")
+            return updates.UpdateReply(refused, whole=told.value)
+        reply = await self.announce(told, updates.measured(told, update))
+        return updates.reply_to(told, update, reply)
+
+    def _applied(
+        self, update: updates.Update
+    ) -> announcement.Announcement | outcomes.RetryReason:
+        known = self.dissemination.directory.entries.get(update.name)
+        if known is None or known.via:
+            return outcomes.RetryReason.UNKNOWN_BASE
+        if known.told.sequence != update.base:
+            return outcomes.RetryReason.BASE_MISMATCH
+        told = updates.applied(known.told, update)
+        if told is None:
+            return outcomes.RetryReason.DIGEST_MISMATCH
+        if self.placing.needs_whole(told.zone, told.name):
+            return outcomes.RetryReason.NEW_AUTHORITY
+        return told
+
     def _authority_address(self, zone: str) -> str:
         holder = self.machine.grant(zone).holder
         if holder == self.name:
--- a/turmerichall/zones/placing.py
+++ b/turmerichall/zones/placing.py
@@ -93,12 +93,15 @@
         return tenure
 
     def announce(
-        self, told: announcement.Announcement
+        self,
+        told: announcement.Announcement,
+        measured: tuple[announcement.TaskReport, ...] | None = None,
     ) -> announcement.Reply | None:
         """Takes in an announcement of a worker of the zone.
 
         Args:
             told: The announcement, newer than any before.
+            measured: Its reports with a new measurement; all if None.
 
         Returns:
             The answer, which renews leases; None if this instance does not
@@ -108,12 +111,25 @@
             return None
         tenure = self._current_tenure()
         now = trio.current_time()
-        reading = tenure.take(told, now)
+        if measured is None:
+            measured = told.tasks
+        reading = tenure.take(told, measured, now)
         if tenure.ends:
             self.wake()
         self._push_missing(tenure, told, reading, now)
         return replies.reply(tenure, told, reading, now)
 
+    def needs_whole(self, zone: str, worker: str) -> bool:
+        """Tells whether a worker has not announced itself in the held epoch.
+
+        Args:
+            zone: Availability zone of the worker.
+            worker: Name of the worker.
+        """
+        if zone != self.zone or not self.holder.holds():
+            return False
+        return worker not in self._current_tenure().book.records
+
     def _push_missing(
         self,
         tenure: tenures.Tenure,
--- a/turmerichall/zones/planner_feed.py
+++ b/turmerichall/zones/planner_feed.py
@@ -192,14 +192,19 @@
         self.services.discard(name)
         self.dirty[name] = None
 
-    def measure(self, told: announcement.Announcement, now: float) -> None:
-        """Passes the measurements of an announcement on."""
-        for report in told.tasks:
-            if not report.usage.processors and not report.slowdown:
+    def measure(
+        self,
+        worker: str,
+        reports: tuple[announcement.TaskReport, ...],
+        now: float,
+    ) -> None:
+        """Passes the measurements of a worker's reports on."""
+        for report in reports:
+            if not report.is_measured():
                 continue
             self.planner.put_usage(
                 views.UsageReport(
-                    told.name,
+                    worker,
                     report.task_id,
                     report.attempt,
                     report.usage,
--- a/turmerichall/zones/tenure.py
+++ b/turmerichall/zones/tenure.py
@@ -100,12 +100,16 @@
         self.feed.planner.put_worker(task_views.worker_view(told, intention))
 
     def take(
-        self, told: announcement.Announcement, now: float
+        self,
+        told: announcement.Announcement,
+        measured: tuple[announcement.TaskReport, ...],
+        now: float,
     ) -> reports.Reading:
         """Takes in a worker's announcement.
 
         Args:
             told: The announcement, newer than any before.
+            measured: Its reports with a new measurement.
             now: Current time, trio clock.
 
         Returns:
@@ -113,7 +117,7 @@
         """
         self.book.take(told, now)
         self._put_worker(told)
-        self.feed.measure(told, now)
+        self.feed.measure(told.name, measured, now)
         reading = reports.read(self.machine, told)
         for end in reading.ends:
             self.note_end(end)
--- /dev/null
+++ b/turmerichall/zones/tests/test_announcements.py
@@ -0,0 +1,288 @@
+"""Tests of announcements of what changed, and of asking for a whole one."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+import trio.testing
+
+from turmerichall import outcomes
+from turmerichall.backend_servers import announcement
+from turmerichall.backend_servers import updates
+from turmerichall.benchmarks import populations
+from turmerichall.state import change as changes
+
+FINISHED = announcement.ReportedState.FINISHED
+
+
+class _Worker:
+    """A worker with all its tasks, and the authority that it announces to."""
+
+    def __init__(self) -> None:
+        self.zone = populations.authority()
+        self.receiver = populations.receiver(self.zone)
+        self.announcer = updates.Announcer()
+        self.told = populations.announced(0, 1)
+
+    def next(self) -> updates.Update:
+        """Makes the next update, as if it were sent."""
+        self.told = self.told._replace(sequence=self.told.sequence + 1)
+        update = self.announcer.update(self.told, trio.current_time())
+        assert update is not None
+        return update
+
+    async def update(self) -> updates.UpdateReply:
+        """Sends an update, and notes its answer if it was taken."""
+        update = self.next()
+        answer = await self.receiver.update(update)
+        if answer.reply.accepted:
+            self.announcer.answered(self.told, update, trio.current_time())
+        return answer
+
+    async def whole(self) -> announcement.Reply:
+        """Sends a whole announcement, which is taken."""
+        self.told = self.told._replace(sequence=self.told.sequence + 1)
+        reply = await self.receiver.announce(self.told)
+        assert reply.accepted
+        self.announcer.answered(self.told, None, trio.current_time())
+        return reply
+
+    def report(self, **changed: object) -> None:
+        """Changes the report of the first task."""
+        first, *others = self.told.tasks
+        changed_report = first._replace(**changed)  # type: ignore[arg-type]
+        self.told = self.told._replace(tasks=(changed_report, *others))
+
+    def measured_at(self) -> float:
+        """Returns when the first task was measured, as the planner knows."""
+        tenure = self.zone.placing.tenure
+        assert tenure is not None
+        fleet = tenure.feed.planner.fleet
+        held = fleet.held(self.told.tasks[0].task_id, self.told.name)
+        assert held is not None
+        return held.measured_at
+
+    def known(self) -> announcement.Announcement:
+        """Returns the announcement that the receiver knows."""
+        directory = self.receiver.dissemination.directory
+        return directory.entries[self.told.name].told
+
+
+@pytest.fixture(name="worker")
+async def _worker() -> _Worker:
+    made = _Worker()
+    await made.whole()
+    return made
+
+
+async def _lost_answer(worker: _Worker) -> updates.UpdateReply:
+    await worker.receiver.update(worker.next())
+    return await worker.update()
+
+
+async def _reordered(worker: _Worker) -> updates.UpdateReply:
+    late = worker.next()
+    await worker.update()
+    return await worker.receiver.update(late)
+
+
+async def _duplicate(worker: _Worker) -> updates.UpdateReply:
+    update = worker.next()
+    assert (await worker.receiver.update(update)).reply.accepted
+    return await worker.receiver.update(update)
+
+
+async def _daemon_restarted(worker: _Worker) -> updates.UpdateReply:
+    worker.receiver = populations.receiver(worker.zone)
+    return await worker.update()
+
+
+async def _heard_elsewhere(worker: _Worker) -> updates.UpdateReply:
+    directory = worker.receiver.dissemination.directory
+    entry = directory.entries[worker.told.name]
+    directory.entries[worker.told.name] = entry._replace(via="entry-02")
+    return await worker.update()
+
+
+async def _authority_changed(worker: _Worker) -> updates.UpdateReply:
+    holder = worker.zone.placing.holder
+    holder.observe()
+    assert await holder.take()
+    return await worker.update()
+
+
+async def _worker_restarted(worker: _Worker) -> updates.UpdateReply:
+    late = worker.next()
+    restarted = worker.told._replace(
+        incarnation=worker.told.incarnation + 1, sequence=late.base
+    )
+    assert (await worker.receiver.announce(restarted)).accepted
+    return await worker.receiver.update(late)
+
+
+async def _digest_differs(worker: _Worker) -> updates.UpdateReply:
+    worker.told = worker.told._replace(tasks=worker.told.tasks[1:])
+    return await worker.receiver.update(worker.next()._replace(gone=()))
+
+
+_REASONS = outcomes.RetryReason
+_CASES = [
+    (_lost_answer, _REASONS.BASE_MISMATCH),
+    (_reordered, _REASONS.BASE_MISMATCH),
+    (_duplicate, _REASONS.BASE_MISMATCH),
+    (_daemon_restarted, _REASONS.UNKNOWN_BASE),
+    (_heard_elsewhere, _REASONS.UNKNOWN_BASE),
+    (_authority_changed, _REASONS.NEW_AUTHORITY),
+    (_worker_restarted, _REASONS.DIGEST_MISMATCH),
+    (_digest_differs, _REASONS.DIGEST_MISMATCH),
+]
+
+
+class TestWholeAskedFor:
+
+    @pytest.mark.parametrize(("fault", "reason"), _CASES)
+    async def test_nothing_is_renewed_until_a_whole_one_came(
+        self,
+        worker: _Worker,
+        autojump_clock: trio.testing.MockClock,
+        fault: Callable[[_Worker], Awaitable[updates.UpdateReply]],
+        reason: outcomes.RetryReason,
+    ) -> None:
+        answer = await fault(worker)
+        assert answer.whole == reason
+        assert not answer.reply.accepted
+        assert not answer.renewed and not answer.reply.renewed
+        if fault is not _worker_restarted:
+            reply = await worker.whole()
+            assert len(reply.renewed) == len(worker.told.tasks)
+            assert (await worker.update()).renewed
+
+
+class TestUpdate:
+
+    async def test_unchanged_one_renews_every_lease_by_its_digest(
+        self, worker: _Worker, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        update = worker.next()
+        assert not update.tasks and not update.gone
+        answer = await worker.receiver.update(update)
+        names = updates.whole_reply(worker.told, answer).renewed
+        assert len(names) == len(worker.told.tasks)
+        other = worker.told._replace(tasks=worker.told.tasks[1:])
+        assert not updates.whole_reply(other, answer).renewed
+
+    async def test_change_in_a_lost_request_comes_with_the_next(
+        self, worker: _Worker, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        worker.report(state=FINISHED)
+        worker.next()
+        assert not (await worker.update()).whole
+        assert worker.known() == worker.told
+        await worker.zone.placing.step()
+        answer = await worker.update()
+        (ended,) = answer.reply.acknowledged
+        worker.told = worker.told._replace(tasks=worker.told.tasks[1:])
+        assert worker.next().gone == (ended,)
+        assert (await worker.update()).renewed
+        assert worker.known() == worker.told
+
+    async def test_attempt_that_is_not_current_is_stopped_not_renewed(
+        self, worker: _Worker, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        name = worker.told.tasks[0].task_id
+        end = changes.End(name, 1, changes.Ending.LOST)
+        change = changes.EndTasks(populations.ZONE, 1, 1.0, [end])
+        populations.Direct(worker.zone.machine).apply(change)
+        answer = await worker.update()
+        reply = updates.whole_reply(worker.told, answer)
+        assert f"{name}#1" not in reply.renewed
+        assert len(reply.renewed) == len(worker.told.tasks) - 1
+        assert [command.task_id for command in reply.commands] == [name]
+
+    async def test_another_epoch_or_address_is_told_whole(
+        self, worker: _Worker, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        for changed in ({"epoch": 2}, {"address": "h:2"}, {"leaving": True}):
+            told = worker.told._replace(**changed)
+            assert worker.announcer.update(told, 0.0) is None
+
+    async def test_receiver_that_knows_no_updates_gets_whole_ones(
+        self, worker: _Worker, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        worker.announcer.start_afresh(whole_only=True)
+        assert await worker.whole()
+        assert worker.announcer.update(worker.told, 0.0) is None
+
+
+class TestMeasurements:
+
+    @pytest.mark.parametrize(
+        ("changed", "seconds", "sent"),
+        [
+            ({"slowdown": 1.12}, 2, False),
+            ({"slowdown": 1.14}, 2, True),
+            (
+                {"usage": populations.SERVICE_SIZE._replace(memory_mb=8700)},
+                2,
+                0,
+            ),
+            (
+                {"usage": populations.SERVICE_SIZE._replace(memory_mb=8900)},
+                2,
+                1,
+            ),
+            ({"measured_seconds_ago": 3.5}, 99, False),
+            ({"checkpoint": "0.43"}, updates.REPORT_PERIOD_SECONDS - 1, False),
+            ({"checkpoint": "0.43"}, updates.REPORT_PERIOD_SECONDS, True),
+            ({}, 10 * updates.REPORT_PERIOD_SECONDS, False),
+        ],
+    )
+    async def test_sent_if_moved_or_after_a_period(
+        self,
+        worker: _Worker,
+        autojump_clock: trio.testing.MockClock,
+        changed: dict[str, object],
+        seconds: float,
+        sent: bool,
+    ) -> None:
+        await worker.update()
+        await trio.sleep(seconds)
+        worker.report(**changed)
+        assert len(worker.next().tasks) == sent
+
+    async def test_small_steps_add_up(
+        self, worker: _Worker, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        for _ in range(2):
+            first = worker.told.tasks[0]
+            worker.report(slowdown=first.slowdown + 0.03)
+            await worker.update()
+        told = worker.told.tasks[0].slowdown
+        assert worker.known().tasks[0].slowdown == told
+
+    @pytest.mark.parametrize(
+        ("aged", "others_aged", "measured"),
+        [(10.0, 10.0, False), (1.0, 1.0, True), (1.0, 10.0, False)],
+    )
+    async def test_unmoved_one_counts_as_measured_again_if_all_were(
+        self,
+        worker: _Worker,
+        autojump_clock: trio.testing.MockClock,
+        aged: float,
+        others_aged: float,
+        measured: bool,
+    ) -> None:
+        before = worker.measured_at()
+        await trio.sleep(8.5)
+        tasks = tuple(
+            report._replace(measured_seconds_ago=others_aged)
+            for report in worker.told.tasks
+        )
+        worker.told = worker.told._replace(tasks=tasks)
+        worker.report(measured_seconds_ago=aged)
+        lost = worker.next()
+        assert (lost.measured_seconds_ago is not None) == measured
+        await worker.update()
+        await worker.update()
+        again = trio.current_time() - 1.0
+        assert worker.measured_at() == (again if measured else before)
