Let no waiting task finish before a whole run

Cause: in a trial with stand-in workers a job with 3 of 30 tasks waiting was told to finish when its running tasks end, although a task that has not started takes a whole run from now on.

Change: the end of waiting tasks is at least one expected run away.

Test: fails without the bound.

--- a/turmerichall/placement/finish.py
+++ b/turmerichall/placement/finish.py
@@ -102,7 +102,7 @@
         if not _is_urgent(own[0]):
             ahead += self._running_work(now)
         longest = max(self.fleet.run_seconds(task) for task in own)
-        left = ahead / self._rate() + longest / 2
+        left = max(longest, ahead / self._rate() + longest / 2)
         return decisions.ExpectedEnd(now + left, WAITING_MARGIN * left)
 
     def _work_of(self, bucket: waiting.Bucket) -> float:
--- a/turmerichall/placement/tests/test_finish.py
+++ b/turmerichall/placement/tests/test_finish.py
@@ -82,3 +82,9 @@
         found = made.estimate_finish("own", 0.0)
         assert found.waiting is not None and found.running is None
         assert found.waiting.at == found.at == pytest.approx(seconds)
+
+    def test_takes_a_whole_run_at_least(self, made: planner.Planner) -> None:
+        urgent = customers.Urgency.URGENT
+        small = resources.Resources(1, 100)
+        made.put_waiting(_task("own/0", urgency=urgent, size=small))
+        assert made.estimate_finish("own", 0.0).at == pytest.approx(100.0)
