Tell workers the authority's address from the list of instances

Cause: an instance told a worker where its placing authority is only once it had pulled the whole table of that instance's backend servers. Before, it took the announcement and named no address, so the worker stayed with it, and nobody renewed the worker's leases. Seen in a trial of a scenario with slow services on a busy machine: one announcement to the authority timed out, the next instance took those of the next 100 s, and the worker's tasks were lost though it ran.

Ruled out: the worker going on to the next entry when no address is told; that is right in a zone without an authority, where it would go round for ever.

Change: without an address from dissemination, the one in the replicated list of instances is told.

Test: fails with an empty address without the change.

--- a/turmerichall/zones/announcements.py
+++ b/turmerichall/zones/announcements.py
@@ -92,4 +92,9 @@
         holder = self.machine.grant(zone).holder
         if holder == self.name:
             return ""
-        return self.dissemination.operators_addresses.get(holder, "")
+        address = self.dissemination.operators_addresses.get(holder, "")
+        listed = self.machine.instances.get(holder)
+        if not address and listed is not None:
+            # The holder was not heard yet, and the worker would stay here.
+            address = listed.operators
+        return address
