Test limits of connections and callers that leave where they decide

With as many connections as slots the check is never reached, since a slot is waited for first. The test of callers that leave passed without the cancelling of their requests: the watch ended them after 2 s.

Change: the test of limits runs with fewer connections than slots too; the sum of connections is checked while slots are lent; the requests of callers that leave have a deadline past the test's patience, and the backend server says that they run.

--- a/turmerichall/gateway/tests/test_application.py
+++ b/turmerichall/gateway/tests/test_application.py
@@ -211,8 +211,9 @@
         document = msgspec.json.decode(answer.content)
         assert (answer.status, document["reason"]) == (413, "too_large")
 
+    @pytest.mark.parametrize(("connections", "most"), [(64, 8), (3, 3)])
     async def test_slots_and_connections_are_never_exceeded(
-        self, world: Any
+        self, world: Any, connections: int, most: int
     ) -> None:
         running = [0, 0]
         full = trio.Event()
@@ -220,7 +221,7 @@
         async def counts(exchange: Any) -> None:
             running[0] += 1
             running[1] = max(running)
-            if running[0] == 8:
+            if running[0] == most:
                 full.set()
             await full.wait()
             await trio.sleep(0.01)
@@ -231,16 +232,21 @@
         caller = await world.caller(
             backend, queue_seconds=20.0, standing_queue_seconds=20.0
         )
+        caller.gateway.hear(backend, sequence=2, connections=connections)
+        statuses: list[int] = []
 
         async def send() -> None:
             answer = await caller.send(turmerichall_idempotent="true")
-            assert answer.status == 200
+            statuses.append(answer.status)
 
         async with trio.open_nursery() as nursery:
             for _ in range(60):
                 nursery.start_soon(send)
-        assert running[1] == 8
-        assert backend.most_connections <= 8
+        # Slots are waited for; a connection above the limit is refused.
+        expected = {200} if connections >= 8 else {200, 503}
+        assert set(statuses) == expected
+        assert running[1] == most
+        assert backend.most_connections <= most
 
 
 class TestSeveralInstances:
--- a/turmerichall/gateway/tests/test_exchange.py
+++ b/turmerichall/gateway/tests/test_exchange.py
@@ -277,6 +277,7 @@
         self, world: Any
     ) -> None:
         async def until_closed(exchange: Any) -> None:
+            backend.running.add(exchange.request_id)
             await exchange.stream.receive_some()
 
         backend = await world.backend("w1", until_closed)
@@ -295,4 +296,7 @@
 
 
 async def _send_idempotent(caller: Any) -> None:
-    await caller.send(turmerichall_idempotent="true")
+    # Neither the deadline nor the watch ends it before the test gives up.
+    await caller.send(
+        turmerichall_idempotent="true", turmerichall_deadline_ms="60000"
+    )
--- a/turmerichall/gateway/tests/test_shares.py
+++ b/turmerichall/gateway/tests/test_shares.py
@@ -162,6 +162,7 @@
         del autojump_clock
         pair = _Pair(6, 2)
         assert await pair.borrow() == 3
+        assert sum(pool.most_connections() for pool in pair.pools) == 8
         assert pair.free(trio.current_time() + 5.0) == 8
 
     async def test_lender_waits_until_the_borrower_has_stopped(
