Part the tables of the capacity model from its arithmetic

Change: the tables stand in capacity_tables.py, with that of the slopes from capacity.py; nothing else is changed.

--- a/turmerichall/benchmarks/capacity.py
+++ b/turmerichall/benchmarks/capacity.py
@@ -12,6 +12,7 @@
 
 from turmerichall.benchmarks import announcing
 from turmerichall.benchmarks import capacity_model
+from turmerichall.benchmarks import capacity_tables
 from turmerichall.benchmarks import live
 from turmerichall.benchmarks import slopes
 
@@ -21,30 +22,14 @@
 END = "<!-- end of figures -->"
 
 
-def slope_table(measured: list[slopes.Slope]) -> str:
-    """Returns the measured slopes as a table.
-
-    Examples:
-        >>> print(slope_table([slopes.Slope("k", 2e-6, "s", "a call")]))
-        | Slope | Measured | What it costs |
-        | --- | ---: | --- |
-        | `k` | 2 µs | a call |
-    """
-    lines = ["| Slope | Measured | What it costs |", "| --- | ---: | --- |"]
-    for slope in measured:
-        shown = capacity_model.shown(slope.value, slope.unit)
-        lines.append(f"| `{slope.key}` | {shown} | {slope.what} |")
-    return "\n".join(lines)
-
-
 def tables(measured: list[slopes.Slope]) -> str:
     """Returns every table of the page."""
     model = capacity_model.Model.from_slopes(measured)
-    parts = [slope_table(measured)]
+    parts = [capacity_tables.slope_table(measured)]
     for role in model.roles():
-        parts.append(capacity_model.role_table(role))
-    parts.append(capacity_model.summary_table(model.roles()))
-    parts.append(capacity_model.breaking_table(model.breaking_points()))
+        parts.append(capacity_tables.role_table(role))
+    parts.append(capacity_tables.summary_table(model.roles()))
+    parts.append(capacity_tables.breaking_table(model.breaking_points()))
     return "\n\n".join(parts)
 
 
--- a/turmerichall/benchmarks/capacity_model.py
+++ b/turmerichall/benchmarks/capacity_model.py
@@ -1,6 +1,5 @@
 """Works out what each role needs at the size that the design aims at."""
 
-from collections.abc import Callable
 from typing import NamedTuple
 
 from turmerichall.agreement import shared as agreement
@@ -11,7 +10,7 @@
 from turmerichall.zones import authority
 from turmerichall.zones import placing
 
-__all__ = ["Line", "Model", "Role", "shown"]
+__all__ = ["Breaking", "Line", "Model", "Role"]
 
 WORKERS = 790
 JOBS_A_DAY = 9_700
@@ -385,88 +384,3 @@
             ),
         ]
         return sorted(found, key=lambda point: point.size / point.wanted)
-
-
-def shown(value: float, unit: str) -> str:
-    """Formats a cost with three digits and a fitting unit.
-
-    Examples:
-        >>> shown(0.00042, "s"), shown(2048, "B"), shown(0.5, "s/s")
-        ('420 µs', '2.05 KB', '50 % of a core')
-    """
-    if unit == "s/s":
-        return f"{value * 100:.3g} % of a core"
-    steps: tuple[tuple[float, str], ...] = (
-        (1e6, "MB"),
-        (1e3, "KB"),
-        (1.0, "B"),
-    )
-    if unit == "s":
-        steps = ((1.0, "s"), (1e-3, "ms"), (1e-6, "µs"), (1e-9, "ns"))
-    for size, name in steps:
-        if value >= size:
-            return f"{value / size:.3g} {name}"
-    return f"{value:.3g} {unit}"
-
-
-def _left(value: float, limit: float, show: Callable[[float], str]) -> str:
-    if value <= limit:
-        return f"{show(limit - value)} left"
-    return f"**over, {value / limit:.3g} times**"
-
-
-def _share(value: float) -> str:
-    return f"{value * 100:.2g} %"
-
-
-def _bytes(value: float) -> str:
-    return shown(value, "B") if value else "0"
-
-
-def role_table(role: Role) -> str:
-    """Returns the lines of a role and their sum as a table."""
-    lines = [
-        f"**{role.name}.** State: {role.state}.",
-        "",
-        "| What | Processor | Memory | Traffic a second | Carried by |",
-        "| --- | ---: | ---: | ---: | --- |",
-    ]
-    for line in (*role.lines, role.total()):
-        name = "sum" if line.what == role.name else line.what
-        lines.append(
-            f"| {name} | {_share(line.processor)} | {_bytes(line.memory)} |"
-            f" {_bytes(line.traffic)} | {line.carried_by} |"
-        )
-    if role.disk:
-        lines += ["", f"Disk: {_bytes(role.disk)} for two snapshots."]
-    return "\n".join(lines)
-
-
-def summary_table(roles: list[Role]) -> str:
-    """Returns what each limit leaves over, as a table."""
-    lines = [
-        "| Role | of 2.8 % of a core | of 256 MB | of 4 KB/s |",
-        "| --- | ---: | ---: | ---: |",
-    ]
-    for role in roles:
-        total = role.total()
-        lines.append(
-            f"| {role.name} | {_left(total.processor, CORE_LIMIT, _share)} |"
-            f" {_left(total.memory, MEMORY_LIMIT, _bytes)} |"
-            f" {_left(total.traffic, TRAFFIC_LIMIT, _bytes)} |"
-        )
-    return "\n".join(lines)
-
-
-def breaking_table(points: list[Breaking]) -> str:
-    """Returns what breaks first, and at what size, as a table."""
-    lines = [
-        "| Limit | Reached at | Wanted |",
-        "| --- | ---: | ---: |",
-    ]
-    for point in points:
-        lines.append(
-            f"| {point.what} | {point.size:.3g} {point.unit} |"
-            f" {point.wanted:.3g} |"
-        )
-    return "\n".join(lines)
--- a/turmerichall/benchmarks/tests/test_capacity.py
+++ b/turmerichall/benchmarks/tests/test_capacity.py
@@ -6,6 +6,7 @@
 
 from turmerichall.benchmarks import capacity
 from turmerichall.benchmarks import capacity_model
+from turmerichall.benchmarks import capacity_tables
 from turmerichall.benchmarks import slopes
 
 PAGE = pathlib.Path(__file__).parents[3] / "docs" / "CAPACITY.md"
@@ -71,7 +72,7 @@
     def test_shows_a_limit_that_is_passed(self) -> None:
         line = capacity_model.Line("a", 0.056, 0.0, 0.0, "b")
         role = capacity_model.Role("r", "s", (line,))
-        assert "**over, 2 times**" in capacity_model.summary_table([role])
+        assert "**over, 2 times**" in capacity_tables.summary_table([role])
 
     def test_slopes_are_costs_per_call(self) -> None:
         calls: list[int] = []
