Let batch work run beside services that nobody measures

Cause: a batch task of an unknown template is placed beside a service only within the service's margin by the prior. Where workers never measure the service's slowdown nothing is learnt, and the rest of the batch waits for ever. Seen by hand while a zone was lost for good: six workers of 8 processors, nine service tasks of 1 and nine batch tasks of 2; three ran, and the one that was recorded as lost was not started again, with "no worker has room now".

Ruled out: quotas (none set), headroom for a lost worker (another reason is told), health, the lost zone's leases (it waited after their end).

Change: the margin of a service of which nothing was measured within 300 s of its first task does not count. A task that waits though workers have room is told so, with the name of one.

Both cases of TestUnmeasuredService: without the rule the second fails.

--- a/turmerichall/gateway/tests/test_absence.py
+++ b/turmerichall/gateway/tests/test_absence.py
@@ -77,10 +77,14 @@
 
     def _is_authority(self, now: float) -> bool:
         del now
-        mates = [n for n in ZONES if ZONES[n] == ZONES[self.name]]
-        reaching = [n for n in mates if n not in self.quorum.cut]
-        alive = [n for n in reaching if n in self.quorum.nodes]
-        return alive[:1] == [self.name]
+        reaching = [
+            name
+            for name, zone in ZONES.items()
+            if zone == ZONES[self.name]
+            and name not in self.quorum.cut
+            and name in self.quorum.nodes
+        ]
+        return reaching[:1] == [self.name]
 
     def apply(self, until: int) -> None:
         """Applies committed changes up to a position."""
@@ -188,7 +192,7 @@
         elif what == "part":
             self.quorum.apart ^= {pair}
         elif what == "zone":
-            self.quorum.cut |= {n for n in ZONES if ZONES[n] == "z1"}
+            self.quorum.cut |= {"a", "b", "c"}
         else:
             self.quorum.cut.clear()
             self.quorum.apart.clear()
--- a/turmerichall/gateway/tests/test_custody.py
+++ b/turmerichall/gateway/tests/test_custody.py
@@ -31,11 +31,14 @@
         self.hub = hub
 
     def handle(self, kind: str, handler: Any) -> None:
+        """Registers a handler."""
         self.hub.handlers[(self.name, kind)] = handler
 
     async def call(
         self, instance: str, kind: str, body: bytes, timeout_seconds: float
     ) -> bytes | outcomes.Refusal:
+        """Calls a handler of another instance."""
+        del timeout_seconds
         await trio.lowlevel.checkpoint()
         if instance in self.hub.down:
             return outcomes.Refusal(outcomes.RefusalReason.UNREACHABLE)
@@ -44,6 +47,8 @@
         return answer
 
     def send(self, instance: str, kind: str, body: bytes) -> bool:
+        """Sends nothing."""
+        del instance, kind, body
         return True
 
 
--- a/turmerichall/gateway/tests/test_watch.py
+++ b/turmerichall/gateway/tests/test_watch.py
@@ -57,16 +57,22 @@
     return answers
 
 
+async def _behind_a_network(world: Any) -> tuple["_Network", Any, Any]:
+    """Makes a backend server and a caller whose connections can go silent."""
+    net = _Network()
+    backend = await world.backend("w1", net.answer)
+    caller = await world.caller(
+        backend, silent_seconds=SILENT_SECONDS, idle_seconds=60.0
+    )
+    return net, backend, caller
+
+
 class TestSilentConnection:
 
     async def test_request_gets_its_outcome_and_the_pool_refills(
         self, world: Any
     ) -> None:
-        net = _Network()
-        backend = await world.backend("w1", net.answer)
-        caller = await world.caller(
-            backend, silent_seconds=SILENT_SECONDS, idle_seconds=60.0
-        )
+        net, _, caller = await _behind_a_network(world)
         await _send_together(caller, 1, idempotent=False)
         net.lose_all()
         (answer,) = await _send_together(caller, 1, idempotent=False)
@@ -81,11 +87,7 @@
     async def test_whole_pool_going_silent_fails_no_idempotent_request(
         self, world: Any
     ) -> None:
-        net = _Network()
-        backend = await world.backend("w1", net.answer)
-        caller = await world.caller(
-            backend, silent_seconds=SILENT_SECONDS, idle_seconds=60.0
-        )
+        net, _, caller = await _behind_a_network(world)
         await _send_together(caller, 8, idempotent=True)
         assert len(net.seen) > 1
         net.lose_all()
@@ -129,11 +131,7 @@
     async def test_slot_counts_until_the_deadline_if_nobody_answers(
         self, world: Any
     ) -> None:
-        net = _Network()
-        backend = await world.backend("w1", net.answer)
-        caller = await world.caller(
-            backend, silent_seconds=SILENT_SECONDS, idle_seconds=60.0
-        )
+        net, backend, caller = await _behind_a_network(world)
         await _send_together(caller, 1, idempotent=False)
         net.lose_all()
         backend.accepts = False
--- a/turmerichall/operators/work_log.py
+++ b/turmerichall/operators/work_log.py
@@ -75,13 +75,7 @@
         for start in change.starts:
             if start.task_id not in result.refused:
                 self.counters.event("tasks_started")
-                self.log.info(
-                    "task started",
-                    job_id=ledger.job_of(start.task_id),
-                    task=start.task_id,
-                    attempt=start.attempt,
-                    worker=start.worker,
-                )
+                self._note("task started", start, worker=start.worker)
 
     def _note_ends(
         self, change: changes.EndTasks, result: changes.Result
@@ -89,27 +83,30 @@
         for end in change.ends:
             if end.task_id not in result.refused:
                 self._count_end(end.ending)
-                self.log.info(
-                    "task ended",
-                    job_id=ledger.job_of(end.task_id),
-                    task=end.task_id,
-                    attempt=end.attempt,
-                    ending=end.ending.value,
-                    reason=end.reason,
-                )
+                ending = end.ending.value
+                self._note("task ended", end, ending=ending, reason=end.reason)
 
     def _note_evictions(
         self, change: changes.EvictTasks, result: changes.Result
     ) -> None:
         for eviction in change.evictions:
             if eviction.task_id not in result.refused:
-                self.log.info(
-                    "task is being evicted",
-                    job_id=ledger.job_of(eviction.task_id),
-                    task=eviction.task_id,
-                    attempt=eviction.attempt,
-                    reason=eviction.reason,
-                )
+                reason = eviction.reason
+                self._note("task is being evicted", eviction, reason=reason)
+
+    def _note(
+        self,
+        message: str,
+        of: changes.Start | changes.End | changes.Eviction,
+        **fields: object,
+    ) -> None:
+        self.log.info(
+            message,
+            job_id=ledger.job_of(of.task_id),
+            task=of.task_id,
+            attempt=of.attempt,
+            **fields,
+        )
 
     def _note_decisions(self, change: changes.RecordDecisions) -> None:
         for note in change.notes:
--- a/turmerichall/placement/choice.py
+++ b/turmerichall/placement/choice.py
@@ -69,18 +69,22 @@
                 )
 
         spare = self.fleet.spare
+        ranking = self.fleet.rankings.of(
+            waiting.Shape.of(task), list(self.fleet.workers)
+        )
 
         def cost_of(name: str) -> float | None:
+            ranking.withheld.discard(name)
             known = self.fleet.workers.get(name)
             if known is None or not _may_use(task, known, spare):
                 return None
             if not self._has_room(task, known):
                 return None
-            return self.policy.scoring.cost(task, known, now)
+            cost = self.policy.scoring.cost(task, known, now)
+            if cost is None:
+                ranking.withheld.add(name)
+            return cost
 
-        ranking = self.fleet.rankings.of(
-            waiting.Shape.of(task), list(self.fleet.workers)
-        )
         refused_by_health = False
         failed_on: str | None = None
         for name in ranking.cheapest(cost_of):
@@ -99,7 +103,7 @@
                 "workers with room are quarantined",
             )
         return outcomes.Refusal(
-            outcomes.RefusalReason.NO_CAPACITY, "no worker has room now"
+            outcomes.RefusalReason.NO_CAPACITY, _why(ranking.withheld)
         )
 
     def _avoids(self, name: str, task: views.TaskView) -> bool:
@@ -141,6 +145,23 @@
         return self.fleet.health.accepts(name, task, now)
 
 
+def _why(withheld: set[str]) -> str:
+    """Says why no worker was chosen.
+
+    Examples:
+        >>> _why(set())
+        'no worker has room now'
+        >>> _why({"w1"})
+        'workers with room, such as w1, run tasks that it might slow too much'
+    """
+    if not withheld:
+        return "no worker has room now"
+    return (
+        f"workers with room, such as {min(withheld)}, run tasks that it might"
+        " slow too much"
+    )
+
+
 def _may_use(
     task: views.TaskView, known: occupancy.Occupancy, spare: str
 ) -> bool:
--- a/turmerichall/placement/fleet.py
+++ b/turmerichall/placement/fleet.py
@@ -13,6 +13,9 @@
 
 MAX_REPORT_AGE_SECONDS = 150.0
 EXCESS_KEPT_SECONDS = 10.0
+# The margin of a service is not kept free if nothing of it was measured for
+# this long.
+UNMEASURED_AFTER_SECONDS = 300.0
 # A service task that takes longer to move does not hold up others.
 MOVE_SECONDS = 60.0
 # Share of a worker that is kept for tasks with accelerators, at most.
@@ -41,6 +44,8 @@
         wanted: Service tasks that wait or run, by customer and template.
         moving: Service tasks between places, with the time of the last step,
             by customer and template.
+        measured: Templates whose slowdown was ever measured.
+        first_held_at: When a task of each service was first held.
     """
 
     def __init__(
@@ -62,6 +67,8 @@
         self.wanted: dict[tuple[str, str], dict[str, None]] = {}
         self.moving: dict[tuple[str, str], dict[str, float]] = {}
         self.excess: dict[str, tuple[int, float, dict[str, float]]] = {}
+        self.measured: set[str] = set()
+        self.first_held_at: dict[str, float] = {}
 
     def put_worker(self, view: views.WorkerView, now: float) -> None:
         """Adds a worker or takes over its new announcement."""
@@ -160,6 +167,7 @@
         self.worker_of[task.task_id] = worker
         self.health.note_placed(worker, task.task_id)
         if task.service:
+            self.first_held_at.setdefault(task.template, now)
             self._count_service(task, known, 1)
             self.note_wanted(task)
             self.note_moving(task, now)
@@ -280,10 +288,25 @@
                     victim = presence
         if victim is None:
             return
+        self.measured.add(victim.template)
         capacity = known.view.capacity.processors
         seen = situation(victim.template, victim.use, pressing, capacity)
         self.estimator.learn(seen, report.slowdown - 1.0, report.measured_at)
 
+    def is_measured(self, service: str, now: float) -> bool:
+        """Tells whether the slowdown of a service is measured.
+
+        One that has not run for long is taken to be.
+
+        Args:
+            service: Name of its template.
+            now: The caller's monotonic clock, in seconds.
+        """
+        if service in self.measured:
+            return True
+        since = self.first_held_at.get(service, now)
+        return now - since < UNMEASURED_AFTER_SECONDS
+
     def excess_on(
         self, known: occupancy.Occupancy, now: float
     ) -> dict[str, float]:
--- a/turmerichall/placement/ranking.py
+++ b/turmerichall/placement/ranking.py
@@ -30,6 +30,7 @@
         order: Costs and workers, cheapest first.
         changed: Workers that changed since their cost was found.
         usual: Smoothed cost of the cheapest worker; None before the first.
+        withheld: Workers that have room, which is kept for their services.
     """
 
     def __init__(self, workers: list[str]) -> None:
@@ -37,6 +38,7 @@
         self.order = sortedcontainers.SortedList()
         self.changed: dict[str, None] = dict.fromkeys(workers)
         self.usual: float | None = None
+        self.withheld: set[str] = set()
 
     def cheapest(self, cost_of: CostOf) -> Iterator[str]:
         """Yields workers from the cheapest on.
--- a/turmerichall/placement/scoring.py
+++ b/turmerichall/placement/scoring.py
@@ -167,7 +167,7 @@
                 lost_work += added * weight
                 surely_lost += share * effect.sure * weight
                 continue
-            if not task.service:
+            if not task.service and self.fleet.is_measured(victim, now):
                 if excess.get(victim + "+", 0.0) + added > margin:
                     return None
             squares = (before + added) ** 2 - before**2
--- a/turmerichall/placement/tests/test_planner.py
+++ b/turmerichall/placement/tests/test_planner.py
@@ -1,8 +1,11 @@
 """Tests of the planner's bookkeeping."""
 
+import pytest
+
 from turmerichall import outcomes
 from turmerichall import resources
 from turmerichall.customers import customer as customers
+from turmerichall.placement import fleet
 from turmerichall.placement import planner
 from turmerichall.placement import views
 from turmerichall.placement import weights
@@ -210,3 +213,25 @@
             made.put_usage(report)
         made.put_waiting(_task("new/0", 3))
         assert not made.plan(10.0, 10.0).starts
+
+
+class TestUnmeasuredService:
+    """Batch work waits for measurements, but not for ever."""
+
+    @pytest.mark.parametrize("measured", [True, False])
+    def test_margin_is_kept_only_if_it_can_be_measured(
+        self, measured: bool
+    ) -> None:
+        made = _planner(margin=1.05)
+        service = _task("s/0", 1)._replace(service=True, template="s")
+        made.put_running(service, "w0", 0.0)
+        made.put_waiting(_task("j/0", 4))
+        first = made.plan(1.0, 1.0)
+        assert not first.starts
+        assert "slow too much" in first.waits[0].detail
+        late = fleet.UNMEASURED_AFTER_SECONDS + 2.0
+        if measured:
+            usage = resources.Resources(1, 100)
+            report = views.UsageReport("w0", "s/0", 0, usage, 1.0, late - 2.0)
+            made.put_usage(report)
+        assert bool(made.plan(late, late).starts) is not measured
