Lint the tests too

Cause: `pylint turmerichall` reads packages, and the folders of tests have no `__init__.py`; it passed over them (28 findings).

No assertion changed.

--- a/turmerichall/backend_servers/tests/test_dissemination.py
+++ b/turmerichall/backend_servers/tests/test_dissemination.py
@@ -21,6 +21,8 @@
     """Operators want every backend server to serve."""
 
     def intention(self, backend_server: str) -> changes.Intention:
+        """Returns that it serves."""
+        del backend_server
         return changes.Intention.SERVING
 
 
@@ -46,6 +48,7 @@
 
     @property
     def addresses(self) -> dict[str, str]:
+        """Addresses of the other instances."""
         return {name: name for name in self.net.nodes if name != self.name}
 
     @addresses.setter
@@ -59,6 +62,7 @@
         return not {self.name, instance} & self.net.cut
 
     def send(self, instance: str, kind: str, body: bytes) -> bool:
+        """Sends a message, which the net may disturb."""
         if not self._reaches(instance):
             return False
         handler = self.net.nodes[instance].handlers[kind]
@@ -72,6 +76,7 @@
     async def call(
         self, instance: str, kind: str, body: bytes, timeout_seconds: float
     ) -> bytes | outcomes.Refusal:
+        """Calls a handler of another instance."""
         if not self._reaches(instance):
             await trio.sleep(timeout_seconds)
             return outcomes.Refusal(outcomes.RefusalReason.TIMEOUT)
--- a/turmerichall/operators/tests/fake_daemon.py
+++ b/turmerichall/operators/tests/fake_daemon.py
@@ -92,6 +92,7 @@
 
     async def update(self, update: updates.Update) -> updates.UpdateReply:
         """Asks for a whole announcement."""
+        del update
         refused = announcement.Reply(False)
         return updates.UpdateReply(refused, whole="unknown_base")
 
--- a/turmerichall/placement/tests/test_planner_properties.py
+++ b/turmerichall/placement/tests/test_planner_properties.py
@@ -55,6 +55,7 @@
     def put_worker(
         self, name: str, capacity: resources.Resources, leaving: bool
     ) -> None:
+        """Adds a worker, or changes one."""
         capacity = self.capacity.setdefault(name, capacity)
         self.planner.put_worker(
             views.WorkerView(name, f"r-{name}", "z1", capacity, 6, leaving)
@@ -80,6 +81,7 @@
         urgency: customers.Urgency,
         service: bool,
     ) -> None:
+        """Adds a job of some tasks."""
         job = f"j{len(self.tasks)}"
         for number in range(count):
             task = views.TaskView(
@@ -98,6 +100,7 @@
     @stateful.precondition(lambda self: self.tasks)
     @stateful.rule(data=st.data())
     def cancel_waiting(self, data: st.DataObject) -> None:
+        """Drops a task that waits."""
         task_id = data.draw(st.sampled_from(sorted(self.tasks)))
         if task_id not in self.running:
             self.planner.drop_waiting(task_id)
@@ -110,6 +113,7 @@
     def end(
         self, data: st.DataObject, ending: changes.Ending, early: bool
     ) -> None:
+        """Ends a task that runs."""
         task_id = data.draw(st.sampled_from(sorted(self.running)))
         worker = self.running.pop(task_id)
         self.evicting.discard(task_id)
@@ -135,6 +139,7 @@
     def report(
         self, data: st.DataObject, use: float, slowdown: float, age: float
     ) -> None:
+        """Reports a measurement of a task."""
         task_id = data.draw(st.sampled_from(sorted(self.running)))
         worker = self.running[task_id]
         self.planner.note_started(task_id, worker, self.now)
@@ -148,6 +153,7 @@
 
     @stateful.rule(seconds=st.floats(0.1, 120.0))
     def plan(self, seconds: float) -> None:
+        """Carries out what is decided."""
         self.now += seconds
         plan = self.planner.plan(self.now, self.now)
         for start in plan.starts:
@@ -173,6 +179,7 @@
 
     @stateful.invariant()
     def nothing_is_lost(self) -> None:
+        """Checks that each task waits or runs."""
         known = set(self.planner.waiting.bucket_of)
         known |= set(self.planner.misfits.tasks)
         assert known.isdisjoint(self.running)
@@ -181,6 +188,7 @@
 
     @stateful.invariant()
     def bookkeeping_agrees(self) -> None:
+        """Checks that no worker holds more than it has."""
         used: dict[str, resources.Resources] = {}
         for known in self.planner.fleet.workers.values():
             total = known.free
--- a/turmerichall/zones/tests/test_placing.py
+++ b/turmerichall/zones/tests/test_placing.py
@@ -38,6 +38,7 @@
     async def submit(
         self, change: changes.Change
     ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
+        """Applies a change."""
         await trio.lowlevel.checkpoint()
         if self.cut_off:
             return outcomes.Refusal(outcomes.RefusalReason.NO_QUORUM)
