Take no list of instances for no neighbours

Cause: before the list of instances is known, an instance found no other one in its zone and took that for proof that nobody uses its parts. It had no parts then, but a list that came within the next 5 s was used with that proof.

Change: without its own entry in the list there is no proof.

Seen: test_one_that_knows_no_list_has_no_proof fails before, passes after.

--- a/turmerichall/gateway/tests/test_absence.py
+++ b/turmerichall/gateway/tests/test_absence.py
@@ -290,3 +290,15 @@
             filled = world.quorum.nodes["b"].pool.in_flight
             assert filled == shares.kept(own) < own
             nursery.cancel_scope.cancel()
+
+    async def test_one_that_knows_no_list_has_no_proof(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            quorum = _Quorum()
+            quorum.cut.add("b")
+            node = _Node("b", quorum, 0)
+            nursery.start_soon(node.run, random.Random(1))
+            await trio.sleep(TICK_SECONDS)
+            assert node.confirmation.held_until("z1") < trio.current_time()
+            nursery.cancel_scope.cancel()
--- a/turmerichall/instances/confirmation.py
+++ b/turmerichall/instances/confirmation.py
@@ -177,8 +177,11 @@
             self.answered_at.get(name, -float("inf"))
             for name in self._neighbours()
         ]
-        # Without neighbours, nobody is given parts of this zone's workers.
-        self.near_until = min(answered, default=float("inf")) + HOLD_SECONDS
+        self.near_until = -float("inf")
+        if self.name in self.machine.instances:
+            # Without neighbours, nobody is given this zone's workers.
+            at = min(answered, default=float("inf"))
+            self.near_until = at + HOLD_SECONDS
 
     async def run(self) -> None:
         """Keeps the proof for ever."""
