Pass the log on among instances without a disk, in a tree

Cause: each instance without a disk followed any replica, the leader too, so the leader's processor and traffic grew with the number of instances, and no bound held on how many one replica served.

Ruled out: the leader assigning parents (messages, and a state to lose with the leader); observers choosing by measurement (others choose otherwise, no bound); a list of instances on the way against rings (the age of the news finds them).

Change: all work the same tree out from the list of instances, the members and the leader: one stream into each zone, at most three from each instance, none from the leader. Each answer says how long ago its sender held all that was committed; a source that gives no answer for 2 s, is more than 4 s behind, holds less than its follower or claims more and gives nothing is left for a replica, at last the leader, and avoided for 5 to 80 s. Barriers and readiness ask the leader as before. A counted reason, source_failed.

A first try took 4.5 s from a common start (instances that knew nothing asked each other), and closed rings again every 5 s: both mended, the first with a test that failed before.

Tests: killed, frozen, cut and starved relays, two at once, a ring, a new leader, answers with older or no entries, a cut-off zone. Seen to fail without: avoiding, the limit of age, relaying, the check of positions, of commits and of progress, news at once, doubling, taking in members of an answer that can't help. Not seen to fail without: forgetting a failure only after a while, and keeping members of a source that is behind.

--- a/turmerichall/agreement/entry_log.py
+++ b/turmerichall/agreement/entry_log.py
@@ -8,6 +8,7 @@
 from turmerichall import errors
 from turmerichall.agreement import member
 from turmerichall.agreement import message
+from turmerichall.agreement import relayed
 from turmerichall.storage import journal as storage_journal
 
 __all__ = ["EntryLog", "Ballot"]
@@ -121,12 +122,7 @@
             max_bytes: Where to stop.
         """
         start = index - self.base_index
-        end = start
-        size = 0
-        while end < len(self.entries) and size < max_bytes:
-            size += len(self.entries[end].data) + 16
-            end += 1
-        return tuple(self.entries[start:end])
+        return relayed.first_of(self.entries, start, max_bytes)
 
     def add(self, entry: message.Entry) -> int:
         """Adds the next entry.
--- a/turmerichall/agreement/following.py
+++ b/turmerichall/agreement/following.py
@@ -1,5 +1,7 @@
 """The stream of committed entries to instances without a disk."""
 
+from typing import Protocol
+
 import trio
 
 from turmerichall import errors
@@ -7,48 +9,73 @@
 from turmerichall.agreement import applying
 from turmerichall.agreement import member
 from turmerichall.agreement import message
+from turmerichall.agreement import relayed
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.agreement import snapshots
+from turmerichall.agreement import sources
 
 __all__ = ["Following", "Serving"]
 
-WAIT_SECONDS = 2.0
+# How long a follower waits for news, and at most lets another one wait.
+WAIT_SECONDS = 1.0
+MAX_WAIT_SECONDS = 2.0
+SILENT_SECONDS = 1.0
+NEWS_SECONDS = 0.5
 RETRY_SECONDS = 0.2
 
 
+class Kept(Protocol):
+    """Entries that are kept; `entry_log.EntryLog` and `relayed.Relayed`."""
+
+    base_index: int
+
+    def after(self, index: int, max_bytes: int) -> tuple[message.Entry, ...]:
+        """Returns the entries that follow an index, at least one if any."""
+
+
 class Serving:
     """Gives committed entries to those that follow.
 
     Attributes:
         shared: State of the replica.
+        kept: The entries to give.
     """
 
-    def __init__(self, shared: agreement_shared.Shared):
+    def __init__(self, shared: agreement_shared.Shared, kept: Kept):
         self.shared = shared
+        self.kept = kept
 
     async def on_follow(self, _: str, body: bytes) -> bytes:
         """Answers with what follows an index, or after waiting for it.
 
+        An instance without a disk also answers when it heard of a quorum
+        anew, so that the news is not held up at each instance on its way, and
+        at once while it has not caught up itself.
+
         Raises:
             StorageError: The replica was stopped meanwhile.
         """
         shared = self.shared
         request = message.decode(body, message.Follow)
-        wait = min(request.wait_seconds, WAIT_SECONDS)
+        wait = min(request.wait_seconds, MAX_WAIT_SECONDS)
+        is_observer = shared.role == agreement_shared.Role.OBSERVER
+        if is_observer and shared.lag_seconds() == float("inf"):
+            wait = 0.0
         deadline = trio.current_time() + wait
+        news_at = trio.current_time() - request.lag_seconds + NEWS_SECONDS
         await shared.applied_moved.until(
-            lambda: shared.applied > request.after, deadline
+            lambda: shared.applied > request.after or shared.fresh_at > news_at,
+            deadline,
         )
         if shared.stopped:
             # What was applied since then is not what the own log holds.
             raise errors.StorageError(shared.stopped)
-        kept = shared.kept
-        snapshot = request.after < kept.base_index
+        snapshot = request.after < self.kept.base_index
         entries: tuple[message.Entry, ...] = ()
         if not snapshot and request.after < shared.applied:
             entries = tuple(
                 entry
-                for entry in kept.after(
+                for entry in self.kept.after(
                     request.after, shared.timing.batch_bytes
                 )
                 if entry.position <= shared.applied
@@ -63,17 +90,20 @@
                 snapshot,
                 shared.seconds_since_quorum(),
                 shared.digest,
+                shared.lag_seconds(),
             )
         )
 
 
 class Following:
-    """Follows one replica at a time and changes it when it falls behind.
+    """Follows one instance at a time and another one when it falls behind.
 
     Attributes:
         shared: State of the replica.
         applying: Applies what arrives.
         snapshots: Fetches a snapshot when it is needed.
+        sources: Chooses whom to follow.
+        relayed: What was applied, for others.
         source: Instance that is followed, or empty.
     """
 
@@ -82,66 +112,96 @@
         shared: agreement_shared.Shared,
         own_applying: applying.Applying,
         own_snapshots: snapshots.Snapshots,
+        own_sources: sources.Sources,
     ):
         self.shared = shared
         self.applying = own_applying
         self.snapshots = own_snapshots
+        self.sources = own_sources
+        self.relayed = relayed.Relayed()
         self.source = ""
 
     async def run(self) -> None:
         """Follows until cancelled."""
         while True:
-            self.source = self._choose()
-            followed = self.source != "" and await self._follow_once()
-            if not followed:
+            self.source = self.sources.choose()
+            if self.source == "":
                 await trio.sleep(RETRY_SECONDS)
-                self.source = ""
+                continue
+            fault = await self._follow_once()
+            if fault:
+                self._note_failed(fault)
+                await trio.sleep(RETRY_SECONDS)
+            else:
+                self.sources.worked(self.source)
 
-    def _choose(self) -> str:
-        """Keeps the source, or takes another one at random."""
+    def _note_failed(self, fault: str) -> None:
         shared = self.shared
-        stale = shared.seconds_since_quorum() > shared.timing.election_seconds
-        if self.source and not stale:
-            return self.source
-        names = {voter.name for voter in shared.members}
-        names.update(shared.network.addresses)
-        names.discard(shared.name)
-        others = sorted(names - {self.source})
-        return shared.rng.choice(others) if others else self.source
-
-    async def _follow_once(self) -> bool:
+        if self.source not in self.sources.avoided:
+            shared.log.info("source failed", source=self.source, reason=fault)
+        reason = outcomes.RetryReason.SOURCE_FAILED
+        shared.counters.retried("agreement", reason)
+        self.sources.failed(self.source)
+
+    async def _follow_once(self) -> str:
+        """Takes one answer of the source.
+
+        Returns:
+            Why another one should be followed, or an empty string.
+        """
         shared = self.shared
-        request = message.Follow(shared.applied, WAIT_SECONDS)
+        lag = shared.lag_seconds()
+        request = message.Follow(shared.applied, WAIT_SECONDS, lag)
         answer = await shared.network.call(
             self.source,
             "follow",
             message.encode(request),
-            WAIT_SECONDS + shared.timing.call_seconds,
+            WAIT_SECONDS + SILENT_SECONDS,
         )
         if isinstance(answer, outcomes.Refusal):
-            return False
+            return answer.reason.value
         reply = message.decode(answer, message.FollowReply)
         if reply.snapshot and not await self._fetch():
-            return False
+            # Who can't help at least tells who the replicas are.
+            self._take_news(reply)
+            return "no snapshot"
         for entry in reply.entries:
             if entry.position == shared.applied + 1:
                 self.applying.apply_entry(entry)
+                self.relayed.add(entry)
         shared.move_commit(shared.applied)
-        shared.applied_moved.notify()
         shared.compare_digest(self.source, reply.commit, reply.digest)
         self._take_news(reply)
-        return True
+        shared.applied_moved.notify()
+        return self._fault_of(reply, shared.applied > request.after)
+
+    def _fault_of(self, reply: message.FollowReply, moved: bool) -> str:
+        """Returns what is wrong with a source, or an empty string."""
+        lag = max(reply.lag_seconds, reply.quorum_age_seconds)
+        limit = self.shared.timing.election_seconds + WAIT_SECONDS
+        ahead = reply.commit - self.shared.applied
+        if lag > limit:
+            return "cut off or behind"
+        if ahead < 0:
+            return "behind this instance"
+        return "" if ahead == 0 or moved else "gives nothing"
 
     def _take_news(self, reply: message.FollowReply) -> None:
         shared = self.shared
-        shared.followed_members = reply.members
+        now = trio.current_time()
+        if shared.applied >= reply.commit:
+            fresh_at = now - reply.lag_seconds
+            shared.fresh_at = max(shared.fresh_at, fresh_at)
         shared.followed_term = max(shared.followed_term, reply.term)
-        member.learn_addresses(shared.network, reply.members)
-        age = trio.current_time() - shared.heard_at + shared.heard_quorum_age
+        if reply.commit >= shared.applied or not shared.followed_members:
+            shared.followed_members = reply.members
+            member.learn_addresses(shared.network, reply.members)
+        age = now - shared.heard_at + shared.heard_quorum_age
         if reply.quorum_age_seconds < age:
             shared.heard_from(reply.leader, reply.quorum_age_seconds)
 
     async def _fetch(self) -> bool:
+        """Fetches a snapshot; only replicas have one."""
         shared = self.shared
         framed = await self.snapshots.fetch(self.source)
         if framed is None:
@@ -152,4 +212,5 @@
             return False
         if image.position > shared.applied:
             snapshots.apply_image(shared, image)
+            self.relayed.restart(image.position)
         return True
--- a/turmerichall/agreement/message.py
+++ b/turmerichall/agreement/message.py
@@ -192,15 +192,18 @@
 
 
 class Follow(NamedTuple):
-    """Asks a replica for committed entries, and waits for them.
+    """Asks an instance for committed entries, and waits for them.
 
     Attributes:
         after: Index that the follower has applied.
         wait_seconds: How long to wait for a newer entry.
+        lag_seconds: How long ago what the follower applied was all that was
+            committed.
     """
 
     after: int
     wait_seconds: float
+    lag_seconds: float = 0.0
 
 
 class FollowReply(NamedTuple):
@@ -215,6 +218,7 @@
         snapshot: Whether a snapshot must be fetched first.
         quorum_age_seconds: How long ago the replica last heard of a quorum.
         digest: Digest of what the replica applied up to `commit`.
+        lag_seconds: How long ago what is applied was all that was committed.
     """
 
     leader: str
@@ -225,6 +229,7 @@
     snapshot: bool
     quorum_age_seconds: float
     digest: int
+    lag_seconds: float = 0.0
 
 
 class Propose(NamedTuple):
--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -2,7 +2,7 @@
 
 import pathlib
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import trio
@@ -21,6 +21,7 @@
 from turmerichall.agreement import replication
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.agreement import snapshots
+from turmerichall.agreement import sources
 from turmerichall.agreement import status
 from turmerichall.peers import link
 from turmerichall.storage import data_folder
@@ -39,6 +40,7 @@
     Attributes:
         shared: State that the tasks of the replica share.
         files: The data folder; None without a disk.
+        following: The stream that is followed without a disk.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         rng: random.Random | None = None,
         max_batch_records: int = journal.NO_LIMIT,
         counters: link.Counters | None = None,
+        zones: Callable[[], Mapping[str, str]] = dict,
     ):
         """Makes a replica; `run` starts it.
 
@@ -70,6 +73,8 @@
             rng: Source of random waits.
             max_batch_records: Most records that one sync covers.
             counters: Counts refusals, new tries and unknown effects.
+            zones: Gives the zone of each listed instance; those without a
+                disk pass the log on among them.
         """
         self.files = files
         if files is None and folder is not None:
@@ -94,6 +99,12 @@
         self._proposing = proposing.Proposing(
             self.shared, self._applying, self._replication, self._membership
         )
+        self.following = following.Following(
+            self.shared,
+            self._applying,
+            self._snapshots,
+            sources.Sources(self.shared, zones),
+        )
 
     async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
         """Takes part until cancelled.
@@ -114,16 +125,17 @@
         shared.address = self._bootstrap.get(shared.name, shared.address)
         self._register("identify", self._membership.on_identify)
         if self.files is None:
+            serving = following.Serving(shared, self.following.relayed)
+            self._register("follow", serving.on_follow)
             task_status.started()
         else:
             try:
                 await self._run_with_disk(self.files, task_status)
             finally:
                 self.files.unlock()
-        stream = following.Following(shared, self._applying, self._snapshots)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._recover)
-            nursery.start_soon(stream.run)
+            nursery.start_soon(self.following.run)
 
     async def _run_with_disk(
         self, files: storage_files.Files, task_status: Any
@@ -176,7 +188,7 @@
         shared = self.shared
         electing = election.Election(shared, self._replication)
         taking = appending.Appending(shared, self._snapshots)
-        serving = following.Serving(shared)
+        serving = following.Serving(shared, shared.kept)
         self._register("vote", electing.on_vote)
         self._register("elect_now", electing.on_elect_now)
         self._register("append", taking.on_append)
--- a/turmerichall/agreement/shared.py
+++ b/turmerichall/agreement/shared.py
@@ -189,6 +189,8 @@
         leading: Ends the tasks of a leader when cancelled.
         followed_members: Members as told to an observer.
         followed_term: Term as told to an observer.
+        fresh_at: As of when an observer has applied all that was committed,
+            trio time.
         commit_moved: Notified when `commit` grew; `applied_moved`,
             `role_changed`, `acked` and `founded` likewise.
         work: Notified when a leader may have something to send.
@@ -238,6 +240,7 @@
         self.leading = trio.CancelScope()
         self.followed_members: member.Members = ()
         self.followed_term = 0
+        self.fresh_at = -float("inf")
         self.commit_moved = Notice()
         self.applied_moved = Notice()
         self.role_changed = Notice()
@@ -299,6 +302,12 @@
             return now - self.quorum_heard_at()
         return now - self.heard_at + self.heard_quorum_age
 
+    def lag_seconds(self) -> float:
+        """Returns how long ago the applied state was surely the newest."""
+        if self.role == Role.OBSERVER:
+            return trio.current_time() - self.fresh_at
+        return self.seconds_since_quorum()
+
     def quorum_heard_at(self) -> float:
         """Returns when a majority had last answered, while leading."""
         now = trio.current_time()
--- a/turmerichall/agreement/tests/cluster.py
+++ b/turmerichall/agreement/tests/cluster.py
@@ -146,6 +146,7 @@
         files: Data folders by name.
         replicas: Replicas that run, by name.
         machines: Their machines.
+        zones: Zone of each listed instance.
     """
 
     def __init__(
@@ -166,6 +167,7 @@
         self.files: dict[str, memory_files.MemoryFiles] = {}
         self.replicas: dict[str, replica.Replica] = {}
         self.machines: dict[str, agreement_shared.Machine] = {}
+        self.zones: dict[str, str] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
 
     async def start(self, name: str, disk: bool = True) -> replica.Replica:
@@ -189,6 +191,7 @@
             self.timing,
             files,
             random.Random(self.rng.random()),
+            zones=lambda: self.zones,
         )
         self.hub.networks[name] = network
         self.machines[name] = machine
@@ -269,6 +272,11 @@
         assert isinstance(machine, KeyValues)
         return machine.values
 
+    def applied(self, name: str) -> list[str]:
+        machine = self.machines[name]
+        assert isinstance(machine, KeyValues)
+        return machine.applied
+
     async def settled(self, change: str, names: set[str] | None = None) -> None:
         """Waits until a change is applied on all instances that run."""
         key, _, value = change.partition("=")
--- a/turmerichall/agreement/tests/history_run.py
+++ b/turmerichall/agreement/tests/history_run.py
@@ -11,17 +11,16 @@
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.agreement.tests import cluster
 from turmerichall.agreement.tests import history
+from turmerichall.agreement.tests import history_faults
 from turmerichall.customers import customer
 from turmerichall.jobs import job
 from turmerichall.state import change as changes
 from turmerichall.state import machine
-from turmerichall.storage import records
 from turmerichall.templates import template
 
 __all__ = ["Report", "run"]
 
 KEYS = ("t0", "t1", "t2")
-OBSERVER = "z"
 ZONE = "z1"
 TIMING = agreement_shared.Timing(
     snapshot_entries=50, kept_entries=20, part_bytes=4096, batch_bytes=4096
@@ -84,7 +83,7 @@
         self.found: list[str] = []
         self.calls: list[history.Call] = []
         self.attempts: list[history.Attempt] = []
-        self.faults = 0
+        self.faults = history_faults.Faults(self.cluster, self.rng)
         self.floors: dict[str, int] = {}
         self.running: dict[str, int] = {}
         self.next_id = 0
@@ -117,7 +116,9 @@
         """Starts all and accepts a job."""
         await self.cluster.start_all()
         leader = await self.cluster.leader()
-        await self.cluster.start(OBSERVER, disk=False)
+        self.cluster.zones.update(dict.fromkeys(history_faults.OBSERVERS, "o"))
+        for name in history_faults.OBSERVERS:
+            await self.cluster.start(name, disk=False)
         body = customer.Customer(
             "c", "team", customer.Urgency.NORMAL, (ZONE,), {}
         )
@@ -254,95 +255,12 @@
                 )
             self.floors[name] = max(index, self.floors.get(name, 0))
 
-    def may_lose_a_disk(self) -> bool:
-        """Tells whether every voter has its own disk and runs."""
-        made = self.cluster
-        if any(files.full or files.sync_fails for files in made.files.values()):
-            return False
-        for name in made.names:
-            if name not in made.replicas:
-                return False
-            status = made.replicas[name].status()
-            own = {member.identity for member in status.members}
-            current = {
-                made.replicas[other].status().identity
-                for other in made.names
-                if other in made.replicas
-            }
-            if status.stopped or status.learners or own != current:
-                return False
-        return True
-
-    async def fault(self) -> None:
-        """Injects a fault, or ends some."""
-        made = self.cluster
-        kind = self.rng.choice(
-            ["kill", "kill", "start", "start", "start", "cut", "one-way"]
-            + ["heal", "heal", "wait", "disk", "wipe", "flip", "hand over"]
-        )
-        name = self.rng.choice(made.names + [OBSERVER])
-        disk = name != OBSERVER
-        self.faults += 1
-        if kind == "kill" and name in made.replicas:
-            self.kill(name)
-        elif kind == "start":
-            for each in made.names + [OBSERVER]:
-                if each not in made.replicas:
-                    await made.start(each, each != OBSERVER)
-        elif kind == "cut":
-            made.hub.isolate(name, set(made.names) | {OBSERVER})
-        elif kind == "one-way":
-            made.hub.cut.add((name, self.rng.choice(made.names)))
-        elif kind == "heal":
-            made.hub.heal()
-            await self.replace_stopped()
-        elif kind == "wait":
-            await trio.sleep(self.rng.uniform(5.0, 30.0))
-        elif kind == "hand over":
-            for leader in made.leaders():
-                await made.replicas[leader].hand_over()
-        elif disk and self.may_lose_a_disk():
-            await self.lose_disk(name, kind)
-
-    def kill(self, name: str) -> None:
-        """Kills an instance, at times in the middle of a write."""
-        self.cluster.kill(name)
-        if name != OBSERVER and self.rng.random() < 0.3:
-            torn = records.frame(b"x" * 64)[: self.rng.randrange(1, 70)]
-            content = self.cluster.files[name].content
-            content["log"] = content.get("log", b"") + torn
-
-    async def lose_disk(self, name: str, kind: str) -> None:
-        """Loses, damages or fails the disk of an instance."""
-        made = self.cluster
-        if kind == "disk":
-            fault = self.rng.choice(["full", "sync_fails"])
-            setattr(made.files[name], fault, True)
-            return
-        made.kill(name)
-        if kind == "wipe":
-            made.wipe(name)
-        else:
-            log = bytearray(made.files[name].content["log"])
-            log[self.rng.randrange(len(log))] ^= 1 << self.rng.randrange(8)
-            made.files[name].content["log"] = bytes(log)
-        await made.start(name)
-
-    async def replace_stopped(self) -> None:
-        """Gives instances whose disk failed an empty one."""
-        made = self.cluster
-        for name in list(made.replicas):
-            if made.replicas[name].status().stopped:
-                made.kill(name)
-                made.wipe(name)
-                await made.start(name)
-
     async def step(self) -> None:
         """Does one thing; operations go on beside the next steps."""
         name = self.some()
         draw = self.rng.random()
         if draw < 0.12 or name is None:
-            await self.fault()
+            await self.faults.inject()
             return
         key = self.rng.choice(KEYS)
         if draw < 0.35:
@@ -371,18 +289,18 @@
         made.hub.heal()
         for files in made.files.values():
             files.full = files.sync_fails = False
-        for name in made.names + [OBSERVER]:
+        for name in made.names + history_faults.OBSERVERS:
             if name not in made.replicas:
-                await made.start(name, name != OBSERVER)
+                await made.start(name, name not in history_faults.OBSERVERS)
         await made.until(lambda: self.busy == 0, SETTLE_SECONDS)
         with trio.move_on_after(SETTLE_SECONDS) as scope:
             while True:
-                await self.replace_stopped()
+                await self.faults.replace_stopped()
                 states = {
                     (each.status().applied, each.status().recovered)
                     for each in made.replicas.values()
                 }
-                if len(states) == 1 and self.may_lose_a_disk():
+                if len(states) == 1 and self.faults.may_lose_a_disk():
                     break
                 await trio.sleep(1.0)
         if scope.cancelled_caught:
@@ -433,7 +351,7 @@
         steps,
         len(made.calls),
         len(made.attempts),
-        made.faults,
+        made.faults.count,
         made.found,
     )
 
--- a/turmerichall/benchmarks/capacity_model.py
+++ b/turmerichall/benchmarks/capacity_model.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from turmerichall.agreement import fan_out
+from turmerichall.agreement import relayed
 from turmerichall.agreement import shared as agreement
 from turmerichall.backend_servers import announcement
 from turmerichall.backend_servers import dissemination
@@ -124,6 +126,7 @@
         return [
             self.entry_instance(),
             self.replica(),
+            self.relay(),
             self.placing_authority(),
             self.worker(),
             self.command(),
@@ -196,14 +199,14 @@
     def replica(self) -> Role:
         """Returns the needs of the leading replica."""
         entry = self.entry_instance()
-        others = self.instances - 1
+        others = REPLICAS - 1
         beats = 2 * others / agreement.Timing().heartbeat_seconds
-        fan_out = Line(
-            "the log, sent to every other instance",
+        sent = Line(
+            "the log, sent to the other replicas",
             others * LOG_MESSAGES_A_SECOND * self.costs["peer_message"],
             0.0,
             others * self._log_bytes() + beats * self.costs["heartbeat_bytes"],
-            "one stream to each instance, entries batched",
+            "one stream to each replica, entries batched",
         )
         tasks = self.kept_tasks + BATCH_TASKS + SERVICE_TASKS
         size = (
@@ -220,7 +223,7 @@
         return Role(
             "Replica with a disk, leading",
             entry.state + ", the log since the last snapshot",
-            (*entry.lines, fan_out, snapshot),
+            (*entry.lines, sent, snapshot),
             disk=2 * size,
         )
 
@@ -250,6 +253,19 @@
             "",
         )
 
+    def relay(self) -> Role:
+        """Returns what the most streams to others add to an instance."""
+        line = Line(
+            "the log, passed on",
+            fan_out.MAX_STREAMS
+            * LOG_MESSAGES_A_SECOND
+            * self.costs["peer_message"],
+            2 * relayed.MAX_BYTES,
+            fan_out.MAX_STREAMS * self._log_bytes(),
+            "a tree with one stream into each zone, at most three from each",
+        )
+        return Role("Passing the log on", "the last entries", (line,))
+
     def placing_authority(self) -> Role:
         """Returns what the grant of one zone adds to an entry instance."""
         costs = self.costs
--- a/turmerichall/benchmarks/state_cluster.py
+++ b/turmerichall/benchmarks/state_cluster.py
@@ -17,7 +17,14 @@
 from turmerichall.state import change as changes
 from turmerichall.state import machine as machines
 
-__all__ = ["Phase", "Spent", "measure"]
+__all__ = [
+    "Phase",
+    "Spent",
+    "Traffic",
+    "free_addresses",
+    "measure",
+    "measure_phase",
+]
 
 NAMES = ("a", "b", "c")
 KEY = b"benchmark"
@@ -63,7 +70,7 @@
     changes: float
 
 
-class _Traffic:
+class Traffic:
     """Counts what this process writes to its peers."""
 
     def __init__(self) -> None:
@@ -100,26 +107,47 @@
     return changes.encode(changes.StartTasks(ZONE, 0, 1.0, starts))
 
 
-async def _offer(replica: replicas.Replica, phase: Phase) -> None:
+async def _offer(
+    replica: replicas.Replica, phase: Phase, note: Callable[[bytes], None]
+) -> None:
     """Proposes at an even rate."""
     began = trio.current_time()
+
+    async def propose(number: int) -> None:
+        result = await replica.propose(_load(phase, number))
+        if isinstance(result, bytes):
+            note(result)
+
     async with trio.open_nursery() as nursery:
         for number in range(int(phase.changes_per_second * phase.seconds)):
             due = began + number / phase.changes_per_second
             await trio.sleep_until(due)
-            nursery.start_soon(replica.propose, _load(phase, number))
+            nursery.start_soon(propose, number)
 
 
-async def _measure(
-    replica: replicas.Replica, phase: Phase, traffic: _Traffic, name: str
+async def measure_phase(
+    replica: replicas.Replica,
+    phase: Phase,
+    traffic: Traffic,
+    name: str,
+    note: Callable[[bytes], None] = lambda _: None,
 ) -> Spent:
+    """Measures one instance in one phase; the leader proposes the load.
+
+    Args:
+        replica: The instance's replica.
+        phase: The load.
+        traffic: Counts what this process writes.
+        name: Name of the instance.
+        note: Called with the result of each change.
+    """
     processor = time.process_time()
     sent, writes = traffic.sent, traffic.writes
     applied = replica.status().applied
     role = replica.status().role
     with trio.move_on_after(phase.seconds):
         if role == agreement_shared.Role.LEADER and phase.changes_per_second:
-            await _offer(replica, phase)
+            await _offer(replica, phase, note)
         await trio.sleep_forever()
     seconds = phase.seconds
     return Spent(
@@ -134,7 +162,7 @@
 
 
 async def _instance(job: _Job) -> list[Spent]:
-    traffic = _Traffic()
+    traffic = Traffic()
     traffic.install()
     others = {k: v for k, v in job.addresses.items() if k != job.name}
     network = networks.Network(job.name, KEY, others)
@@ -152,7 +180,7 @@
         begins_at = job.begins_at
         for phase in job.phases:
             await trio.sleep(begins_at - time.time())
-            spent.append(await _measure(replica, phase, traffic, job.name))
+            spent.append(await measure_phase(replica, phase, traffic, job.name))
             begins_at += phase.seconds + SETTLE_SECONDS
         await trio.sleep(SETTLE_SECONDS)
         nursery.cancel_scope.cancel()
--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -171,6 +171,7 @@
             bootstrap_members=settings.peers.founding(own),
             log=logs.Log("agreement"),
             counters=self.counters,
+            zones=self._zones,
         )
 
     def _make_silence(self) -> silences.Silence:
@@ -195,6 +196,9 @@
             self.network,
         )
 
+    def _zones(self) -> dict[str, str]:
+        return self.registration.zones()
+
     def _make_gateway(self) -> gateways.Application:
         limits = self.settings.limits
         return gateways.Application(
--- a/turmerichall/outcomes.py
+++ b/turmerichall/outcomes.py
@@ -79,6 +79,7 @@
     BASE_MISMATCH = "base_mismatch"
     DIGEST_MISMATCH = "digest_mismatch"
     NEW_AUTHORITY = "new_authority"
+    SOURCE_FAILED = "source_failed"
 
 
 class Refusal(NamedTuple):
