--- a/turmerichall/benchmarks/placement.py
+++ b/turmerichall/benchmarks/placement.py
@@ -23,7 +23,7 @@
 __all__ = ["compare", "main", "run_one"]
 
 TUNING_SEEDS = (1, 2)
-FINAL_SEEDS = (301, 302, 303)
+FINAL_SEEDS = (401, 402, 403)
 ESTIMATORS: dict[str, Callable[[], interference.Estimator]] = {
     "none": interference.NoEstimator,
     "template": interference.TemplateEstimator,
