Ask for the other tables when a backend server's origin loses it

Cause: the scenario silent_and_cut_twice failed: for 150 s, i2 found no backend server though i5 of its own zone heard w2 and w5 without a break. Logs and trails: one announcement of each had gone to i4 of another zone. i4 told all, i5 heard the next one before it heard of that, so for i5 nothing had changed and it told nobody. The others knew the servers by i4, and when i4 was cut off they were silent; i5's table, being as it was, was never asked for.

Ruled out: updates in place of whole announcements; which form an announcement has does not enter, and the test below fails without them too. i5 telling all whenever it hears that another instance claims a server of its own mends the first half only, not a message that was lost.

Change: an instance asks all others for their tables when a server that another heard from falls silent, or is lost to that one, unless it was leaving.

Tests: the server goes over and back before the others heard, with and without a cut afterwards; both failed before. Each of the two mechanisms left out makes one of them fail.

--- a/turmerichall/backend_servers/dissemination.py
+++ b/turmerichall/backend_servers/dissemination.py
@@ -79,6 +79,7 @@
         run_id: Names this run of the daemon.
         version: Version of this instance's own table.
         own: Names of the backend servers that this instance hears from.
+        silent: Names of those that others heard from, and that fell silent.
         versions: Run and version of each other instance's table, as known.
         operators_address: Where this instance takes announcements.
         operators_addresses: Where the other instances take them, by name.
@@ -96,6 +97,7 @@
         self.run_id = run_id
         self.version = 0
         self.own: set[str] = set()
+        self.silent: set[str] = set()
         self.versions: dict[str, tuple[int, int]] = {}
         self.operators_address = operators_address
         self.operators_addresses: dict[str, str] = {}
@@ -152,11 +154,35 @@
                 self.own.discard(name)
                 self.directory.forget(name)
         self.directory.forget_long_silent(now)
-        if lost:
+        silent = self._silent_elsewhere(now)
+        if lost or silent - self.silent:
             # Another instance may hear from them, in a table known as it is.
             self.versions.clear()
+        self.silent = silent
+        if lost:
             self._pass_on((), tuple(lost))
 
+    def _silent_elsewhere(self, now: float) -> set[str]:
+        return {
+            name
+            for name, known in self.directory.entries.items()
+            if known.via
+            and not known.told.leaving
+            and self.directory.is_silent(known, now)
+        }
+
+    def _lose(self, name: str, sender: str) -> None:
+        """Forgets a backend server that its origin lost.
+
+        Unless it was leaving, another instance may hear from it, in a table
+        known as it is, so that the tables of all but the origin are asked for.
+        """
+        known = self.directory.entries[name]
+        self.directory.forget(name)
+        if not known.told.leaving:
+            for other in set(self.versions) - {sender}:
+                del self.versions[other]
+
     async def _on_changed(self, sender: str, body: bytes) -> None:
         batch = _DECODER.decode(body)
         known = self.versions.get(sender)
@@ -199,7 +225,7 @@
             if known.via != sender or name in named:
                 continue
             if batch.run == run_before:
-                self.directory.forget(name)
+                self._lose(name, sender)
             else:
                 # The sender was restarted: its servers announce anew soon.
                 self.directory.disown(name)
@@ -217,7 +243,7 @@
         for name in batch.lost:
             known = self.directory.entries.get(name)
             if known is not None and known.via == sender:
-                self.directory.forget(name)
+                self._lose(name, sender)
 
 
 def _continues(
--- a/turmerichall/backend_servers/tests/test_dissemination.py
+++ b/turmerichall/backend_servers/tests/test_dissemination.py
@@ -244,6 +244,23 @@
         await _announce_for(instances, "b", 20, 20)
         assert all(instances.known_by(name) for name in "abc")
 
+    @pytest.mark.parametrize("cut", [False, True])
+    async def test_server_that_came_back_before_others_heard_stays_known(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        instances: _Instances,
+        cut: bool,
+    ) -> None:
+        await _announce_for(instances, "a", 4, 1)
+        instances.parts["c"].hear(_told(10))
+        instances.parts["a"].hear(_told(11))
+        await trio.sleep(0.5)
+        assert instances.parts["b"].directory.entries["w1"].via == "c"
+        if cut:
+            instances.net.cut.add("c")
+        await _announce_for(instances, "a", 20, 12)
+        assert instances.known_by("b")
+
     async def test_cut_off_instance_knows_all_again_after_the_cut(
         self, autojump_clock: trio.testing.MockClock, instances: _Instances
     ) -> None:
