Measure changes in force while the leader is killed

Cause: the measurement of changes in force everywhere had no fault.

Change: a second burst of 200 changes, within which the leader is killed; the instances that are left count.

--- a/turmerichall/benchmarks/in_force.py
+++ b/turmerichall/benchmarks/in_force.py
@@ -4,13 +4,15 @@
 
 Three daemons and six stand-in workers run as processes.  A burst of changes of
 configuration is sent; for each change the time is taken from its acceptance
-until each instance shows it.  Then urgent jobs are submitted while deferrable
-ones fill the workers; the time is taken from acceptance until a worker starts
-them.  The targets are 3 s and 5.3 s.
+until each instance shows it.  Within a second burst the leader is killed, and
+the instances that are left count.  Then urgent jobs are submitted while
+deferrable ones fill the workers; the time is taken from acceptance until a
+worker starts them.  The targets are 3 s and 5.3 s.
 """
 
 import math
 import pathlib
+import signal
 import tempfile
 import time
 from collections.abc import Iterator
@@ -101,38 +103,65 @@
         }
         await self.put(f"/v1/customers/{name}", body)
 
-    async def burst(self) -> Spread:
-        """Sends a burst of changes and times when each is in force."""
-        names = [f"burst{number}" for number in range(BURST_CHANGES)]
+    async def burst(self, prefix: str, victim: str = "") -> Spread:
+        """Sends a burst of changes and times when each is in force.
+
+        Args:
+            prefix: What the names of the changed customers begin with.
+            victim: Name of an instance to kill within the burst, or empty.
+        """
+        names = [f"{prefix}{number}" for number in range(BURST_CHANGES)]
         queue = iter(names)
+        instances = self.cluster.instances.values()
+        servers = [i.operators for i in instances if i.name != victim]
         async with trio.open_nursery() as observers:
-            for server in self.servers:
-                observers.start_soon(self._observe, server, len(names))
+            for server in servers:
+                observers.start_soon(self._observe, server, names)
             async with trio.open_nursery() as senders:
                 for _ in range(CONCURRENT_CHANGES):
                     senders.start_soon(self._send_burst, queue)
+                if victim:
+                    senders.start_soon(self._kill_within, victim, names)
         seconds = [
             max(0.0, self.shown[server][name] - self.accepted[name])
-            for server in self.servers
+            for server in servers
             for name in names
         ]
         what = f"burst of {BURST_CHANGES} changes, in force everywhere"
+        if victim:
+            what = f"{what}, leader killed within"
         return spread(what, seconds, IN_FORCE_TARGET_SECONDS)
 
+    async def _kill_within(self, victim: str, names: list[str]) -> None:
+        """Kills an instance once a quarter of the changes are accepted."""
+        while sum(name in self.accepted for name in names) < len(names) / 4:
+            await trio.sleep(POLL_SECONDS)
+        await self.cluster.stop(victim, signal.SIGKILL)
+
+    async def burst_without_leader(self) -> Spread:
+        """Kills the leader within a burst, and starts it again after that."""
+        leader = ""
+        while not leader:
+            shown = await self.operator.read(self.servers[0], "/v1/status")
+            leader = (shown or {}).get("replica", {}).get("leader", "")
+        found = await self.burst("again", leader)
+        self.cluster.start_daemon(leader)
+        await self.cluster.wait_ready(leader)
+        return found
+
     async def _send_burst(self, queue: Iterator[str]) -> None:
         for name in queue:
             await self.put_customer(name, "normal")
             self.accepted[name] = time.monotonic()
 
-    async def _observe(self, server: str, count: int) -> None:
+    async def _observe(self, server: str, names: list[str]) -> None:
         shown = self.shown.setdefault(server, {})
         with trio.fail_after(LIMIT_SECONDS):
-            while len(shown) < count:
+            while not shown.keys() >= set(names):
                 document = await self.operator.read(server, "/v1/customers")
                 now = time.monotonic()
                 for item in (document or {}).get("items", []):
-                    if item["name"].startswith("burst"):
-                        shown.setdefault(item["name"], now)
+                    shown.setdefault(item["name"], now)
                 await trio.sleep(POLL_SECONDS)
 
     async def urgent(self) -> Spread:
@@ -203,7 +232,11 @@
         try:
             await cluster.start()
             bench = Bench(cluster)
-            return [await bench.burst(), await bench.urgent()]
+            return [
+                await bench.burst("burst"),
+                await bench.burst_without_leader(),
+                await bench.urgent(),
+            ]
         finally:
             cluster.kill_all()
 
