--- a/turmerichall/tests/audit.py
+++ b/turmerichall/tests/audit.py
@@ -22,6 +22,8 @@
 
 # Checkpoints are reported with four digits.
 PROGRESS_DIGIT = 1e-4
+# Longer than throttling, and evicting what throttling did not help, takes.
+OVER_USE_SECONDS = 90.0
 
 
 class Run(NamedTuple):
@@ -71,6 +73,7 @@
         *attempts_run_twice(runs),
         *checkpoints_lost(runs),
         *placed_over_capacity(trails, records),
+        *used_over_capacity(trails),
         *once_requests_run_twice(records, sent),
         *not_run_that_ran(records, sent),
         *wrong_answers(sent),
@@ -197,6 +200,25 @@
     return found
 
 
+def used_over_capacity(trails: list[list[trail.Record]]) -> list[str]:
+    """Finds workers whose tasks used more than there is for too long."""
+    found = []
+    for held in trails:
+        since = None
+        for record in held:
+            if (
+                since is not None
+                and record.monotonic > since + OVER_USE_SECONDS
+            ):
+                found.append(f"{record.source} was over its capacity for long")
+                since = None
+            if record.event == "use_over":
+                since = record.monotonic
+            elif record.event in ("use_within", "worker_start"):
+                since = None
+    return found
+
+
 def _capacity(records: list[trail.Record]) -> tuple[float, ...]:
     for record in records:
         if record.event == "worker_start":
--- a/turmerichall/tests/standins/application.py
+++ b/turmerichall/tests/standins/application.py
@@ -83,6 +83,9 @@
         """Switches faults."""
         self.faults = wanted
         self.held.fail_starts = wanted.fail_starts
+        self.held.behaviours = {
+            told.template: told for told in wanted.templates
+        }
 
     def _authorized(self, headers: dict[bytes, bytes]) -> bool:
         given = headers.get(b"authorization", b"")
--- a/turmerichall/tests/standins/faults.py
+++ b/turmerichall/tests/standins/faults.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from turmerichall.tests.standins import behaviours
+
 __all__ = ["Faults"]
 
 
@@ -16,6 +18,7 @@
         truncate: Whether answers end before their last byte.
         silent: Whether requests run and are never answered.
         report_late_seconds: Age of usage in reports.
+        templates: What tasks of some templates do; the others do as declared.
     """
 
     slow_seconds: float = 0.0
@@ -25,3 +28,4 @@
     truncate: bool = False
     silent: bool = False
     report_late_seconds: float = 0.0
+    templates: tuple[behaviours.Behaviour, ...] = ()
--- a/turmerichall/tests/standins/tests/test_attempts.py
+++ b/turmerichall/tests/standins/tests/test_attempts.py
@@ -5,6 +5,7 @@
 from turmerichall import resources
 from turmerichall.backend_servers import announcement
 from turmerichall.tests.standins import attempts
+from turmerichall.tests.standins import behaviours
 from turmerichall.tests.standins import trail
 
 INCARNATION = 7
@@ -20,6 +21,7 @@
     size=resources.Resources(4, 1000),
     run_seconds=10.0,
 )
+SMALL = resources.Resources(1, 1000)
 STATES = announcement.ReportedState
 
 
@@ -182,3 +184,22 @@
         assert held.serves("c", "s", 101.0)
         assert not held.serves("c", "other", 101.0)
         assert not held.serves("c", "s", 100.0 + LEASE)
+
+
+class TestMeasurements:
+    """What a worker tells of its tasks when it measures late."""
+
+    def test_noise_shows_as_old_as_it_is(self, held: attempts.Attempts) -> None:
+        service = START._replace(task_id="svc:c/s/z1/0", service=True)
+        noisy = START._replace(task_id="j2/0", template="noisy")
+        for command in (service, noisy):
+            assert held.take(command._replace(size=SMALL), 101.0).accepted
+        measurements = behaviours.Measurements()
+        told = []
+        for now, noise in ((101.0, 0.0), (102.0, 2.0), (104.0, 2.0)):
+            shown = behaviours.Behaviour("noisy", 3.0, noise=noise)
+            held.behaviours = {"noisy": shown}
+            told.append(measurements.late(held.reports(), 2.0, now))
+        assert [r.slowdown for r, _ in told] == [0.0, 0.0, 3.0]
+        assert [r.usage.processors for _, r in told] == [0.0, 0.0, 3.0]
+        assert told[2][0].measured_seconds_ago == 2.0
--- a/turmerichall/tests/test_audit.py
+++ b/turmerichall/tests/test_audit.py
@@ -158,6 +158,17 @@
         [],
         "w3 held [9.0, 2, 0] of (8.0, 100, 0)",
     ),
+    "tasks used more than there is for long": (
+        [
+            worker(
+                "w3",
+                record(1.0, "w3", "use_over"),
+                record(95.0, "w3", "use_within"),
+            )
+        ],
+        [],
+        "w3 was over its capacity for long",
+    ),
     "non-idempotent request twice": (
         [worker("w3", ran(3.2, "w3", "c-0"))],
         [],
