Give the scenario of wrong sizes workers without services

Cause: wrong_sizes failed in one of three runs in the scenario group `work`, waiting for a worker to go over its capacity. When each worker held a service, the margin of services let a few tasks onto each, which even ten times their size did not fill it; when the services shared workers, the others were filled.

Change: as in noisy_wave, each zone gets a worker without services first.

--- a/turmerichall/tests/work_scenarios.py
+++ b/turmerichall/tests/work_scenarios.py
@@ -94,6 +94,7 @@
 
 async def wrong_sizes(harness: Harness) -> None:
     """Sizes and run times are ten times what is declared, or a tenth."""
+    await _add_workers(harness)
     declared = (
         batch("hungry", 0.5, LASTING_SECONDS, 500),
         batch("greedy", 0.5, LASTING_SECONDS, 300),
@@ -164,7 +165,7 @@
 
 
 async def _add_workers(harness: Harness) -> None:
-    """Adds a worker without services to each zone, for what is evicted."""
+    """Adds a worker to each zone, on which no service limits batch tasks."""
     for zone in sorted(set(harness.zone_of.values())):
         name = f"w-{zone}"
         if name not in harness.workers:
