--- a/turmerichall/agreement/tests/test_relays.py
+++ b/turmerichall/agreement/tests/test_relays.py
@@ -224,10 +224,12 @@
         children = list(tree.values())
         assert max(children.count(name) for name in children) <= 3
         entering = [
-            zones[name] for name in tree if zones[name] != zones[tree[name]]
+            zones[name]
+            for name, parent in tree.items()
+            if zones[name] != zones[parent]
         ]
         assert sorted(entering) == sorted(set(zones.values()))[replicas:]
-        for name in tree:
+        for name in names[replicas:]:
             steps = 0
             while name in tree:
                 name, steps = tree[name], steps + 1
