Count proofs of presence in the capacity page; measure it again

Cause: the page did not count what an instance asks to show that it is present, and its figures were of a busy machine.

Change: a line for an entry instance and one for the leader; the sizes at which limits are reached moved to `capacity_limits`; `confirmation` uses the protocol of `state.proposer`.

--- a/turmerichall/benchmarks/capacity.py
+++ b/turmerichall/benchmarks/capacity.py
@@ -11,6 +11,7 @@
 import trio
 
 from turmerichall.benchmarks import announcing
+from turmerichall.benchmarks import capacity_limits
 from turmerichall.benchmarks import capacity_model
 from turmerichall.benchmarks import capacity_tables
 from turmerichall.benchmarks import live
@@ -29,7 +30,8 @@
     for role in model.roles():
         parts.append(capacity_tables.role_table(role))
     parts.append(capacity_tables.summary_table(model.roles()))
-    parts.append(capacity_tables.breaking_table(model.breaking_points()))
+    points = capacity_limits.breaking_points(model)
+    parts.append(capacity_tables.breaking_table(points))
     return "\n\n".join(parts)
 
 
--- a/turmerichall/benchmarks/capacity_model.py
+++ b/turmerichall/benchmarks/capacity_model.py
@@ -8,11 +8,12 @@
 from turmerichall.backend_servers import announcement
 from turmerichall.backend_servers import dissemination
 from turmerichall.benchmarks import slopes
+from turmerichall.instances import confirmation
 from turmerichall.state import ledger
 from turmerichall.zones import authority
 from turmerichall.zones import placing
 
-__all__ = ["Breaking", "Line", "Model", "Role"]
+__all__ = ["Line", "Model", "Role"]
 
 WORKERS = 790
 JOBS_A_DAY = 9_700
@@ -85,22 +86,6 @@
         )
 
 
-class Breaking(NamedTuple):
-    """A limit and the size at which it is reached.
-
-    Attributes:
-        what: The limit.
-        unit: What the size counts.
-        size: The size at which it is reached.
-        wanted: The size that the design aims at.
-    """
-
-    what: str
-    unit: str
-    size: float
-    wanted: float
-
-
 class Model:
     """Needs of each role, from measured slopes.
 
@@ -193,9 +178,25 @@
                     2 * beats * costs["heartbeat_bytes"],
                     "one small message a second to each instance",
                 ),
+                self._proof(),
             ),
         )
 
+    def _proof(self) -> Line:
+        """Returns the needs of showing that the instance is present.
+
+        It asks the leader, and each other instance of its zone, which ask it.
+        """
+        neighbours = INSTANCES_A_ZONE - 1
+        messages = (2 + 4 * neighbours) / confirmation.PERIOD_SECONDS
+        return Line(
+            "proof that it is present",
+            messages * self.costs["peer_message"],
+            0.0,
+            messages * self.costs["heartbeat_bytes"],
+            "a barrier and a question to each neighbour in 5 s",
+        )
+
     def replica(self) -> Role:
         """Returns the needs of the leading replica."""
         entry = self.entry_instance()
@@ -208,6 +209,14 @@
             others * self._log_bytes() + beats * self.costs["heartbeat_bytes"],
             "one stream to each replica, entries batched",
         )
+        barriers = 2 * (self.instances - 1) / confirmation.PERIOD_SECONDS
+        answered = Line(
+            "proofs of the other instances",
+            barriers * self.costs["peer_message"],
+            0.0,
+            barriers * self.costs["heartbeat_bytes"],
+            "one barrier of each instance in 5 s",
+        )
         tasks = self.kept_tasks + BATCH_TASKS + SERVICE_TASKS
         size = (
             tasks * self.costs["snapshot_bytes"]
@@ -223,7 +232,7 @@
         return Role(
             "Replica with a disk, leading",
             entry.state + ", the log since the last snapshot",
-            (*entry.lines, sent, snapshot),
+            (*entry.lines, sent, answered, snapshot),
             disk=2 * size,
         )
 
@@ -335,68 +344,3 @@
                 ),
             ),
         )
-
-    def breaking_points(self) -> list[Breaking]:
-        """Returns the size at which each limit is reached, least first."""
-        costs = self.costs
-        entry = self.entry_instance().total()
-        log = self.entry_instance().lines[1]
-        authority_total = self.placing_authority().total()
-        spare = CORE_LIMIT - costs["idle_daemon"]
-        room = MEMORY_LIMIT - costs["daemon_memory"]
-        found = [
-            Breaking(
-                "traffic of an entry instance that follows the log",
-                "starts a second",
-                STARTS_A_SECOND * TRAFFIC_LIMIT / entry.traffic,
-                STARTS_A_SECOND,
-            ),
-            Breaking(
-                "traffic of the leading replica",
-                "starts a second",
-                STARTS_A_SECOND
-                * TRAFFIC_LIMIT
-                / self.replica().total().traffic,
-                STARTS_A_SECOND,
-            ),
-            Breaking(
-                "processor of an entry instance that applies the log",
-                "starts a second",
-                max(0.0, STARTS_A_SECOND * spare / log.processor),
-                STARTS_A_SECOND,
-            ),
-            Breaking(
-                "memory for ended jobs whose totals are kept",
-                "jobs",
-                room / costs["ended_job_memory"],
-                ledger.MAX_ENDED_JOBS,
-            ),
-            Breaking(
-                "processor of a placing authority",
-                "workers in its zone",
-                max(0.0, WORKERS / ZONES * spare / authority_total.processor),
-                WORKERS / ZONES,
-            ),
-            Breaking(
-                "traffic of a placing authority",
-                "workers in its zone",
-                WORKERS / ZONES * TRAFFIC_LIMIT / authority_total.traffic,
-                WORKERS / ZONES,
-            ),
-            Breaking(
-                "traffic of a worker",
-                "tasks on it",
-                (BATCH_TASKS + SERVICE_TASKS)
-                / WORKERS
-                * TRAFFIC_LIMIT
-                / self.worker().total().traffic,
-                (BATCH_TASKS + SERVICE_TASKS) / WORKERS,
-            ),
-            Breaking(
-                "instances",
-                "zones with two entry instances each",
-                INSTANCE_LIMIT / INSTANCES_A_ZONE,
-                ZONES,
-            ),
-        ]
-        return sorted(found, key=lambda point: point.size / point.wanted)
--- a/turmerichall/benchmarks/capacity_tables.py
+++ b/turmerichall/benchmarks/capacity_tables.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from turmerichall.benchmarks import capacity_limits
 from turmerichall.benchmarks import capacity_model
 from turmerichall.benchmarks import slopes
 
@@ -100,7 +101,7 @@
     return "\n".join(lines)
 
 
-def breaking_table(points: list[capacity_model.Breaking]) -> str:
+def breaking_table(points: list[capacity_limits.Breaking]) -> str:
     """Returns what breaks first, and at what size, as a table."""
     lines = [
         "| Limit | Reached at | Wanted |",
--- a/turmerichall/benchmarks/tests/test_capacity.py
+++ b/turmerichall/benchmarks/tests/test_capacity.py
@@ -5,6 +5,7 @@
 import pytest
 
 from turmerichall.benchmarks import capacity
+from turmerichall.benchmarks import capacity_limits
 from turmerichall.benchmarks import capacity_model
 from turmerichall.benchmarks import capacity_tables
 from turmerichall.benchmarks import slopes
@@ -48,7 +49,8 @@
         assert total[1:4] == (0.2, 4.0, 6.0)
 
     def test_what_breaks_first_stands_first(self) -> None:
-        points = capacity_model.Model(Costs()).breaking_points()
+        model = capacity_model.Model(Costs())
+        points = capacity_limits.breaking_points(model)
         ratios = [point.size / point.wanted for point in points]
         assert ratios == sorted(ratios)
 
--- a/turmerichall/instances/confirmation.py
+++ b/turmerichall/instances/confirmation.py
@@ -21,6 +21,7 @@
 from turmerichall.instances import presence as presences
 from turmerichall.leases import lease
 from turmerichall.state import change as changes
+from turmerichall.state import proposer
 from turmerichall.telemetry import logs
 
 __all__ = [
@@ -107,15 +108,6 @@
         """Returns what an entry instance is taken for."""
 
 
-class Changes(Protocol):
-    """Submits changes; `state.proposer.Proposer` is one."""
-
-    async def submit(
-        self, change: changes.Change
-    ) -> changes.Result | outcomes.Refusal | outcomes.Unknown:
-        """Submits a change and awaits its result."""
-
-
 class Confirmation:
     """Keeps the proof of one instance, and has it taken for present again.
 
@@ -139,7 +131,7 @@
         zone: str,
         machine: Machine,
         replica: Replica,
-        submitter: Changes,
+        submitter: proposer.Changes,
         network: Network,
     ):
         self.name = name
