--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -84,6 +84,8 @@
         gateway: Serves callers.
         operators: Serves operators and workers.
         placing: Decides for the zone while this instance holds its grant.
+        silence: Notes silent instances of the zone, while it does.
+        confirmation: Shows that nobody took this instance's parts over.
         stop: Closes the listeners once it is set.
     """
 
