Read the change again: one protocol for the list, less set-up in tests

- `instances.silence` and `instances.confirmation` each described what they read of the state; `presence.Instances` serves both, and the silence watch asks `presence` in place of a check of its own.
- A presence was stored and taken out again; it is either.
- pytest-trio cancels its `nursery` fixture at the end of a test (plugin.py); 65 tests did so again.
The tests of absent instances use the fixture too.
- A job that runs is set up by one function in the tests of placing.

No assertion changed.

--- a/turmerichall/agreement/tests/test_configuration.py
+++ b/turmerichall/agreement/tests/test_configuration.py
@@ -65,7 +65,6 @@
         statuses = sorted(result.status for result in results)
         assert statuses == [changes.Status.APPLIED, changes.Status.CONFLICT]
         assert {result.version for result in results} == {2}
-        nursery.cancel_scope.cancel()
 
     async def test_answer_lost_after_commit_and_resent_elsewhere(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -85,7 +84,6 @@
         resent = changes.decode_result(await made.put_bytes(other, change))
         assert resent.status == changes.Status.APPLIED
         assert resent.version == 2
-        nursery.cancel_scope.cancel()
 
 
 class TestInForce:
@@ -104,7 +102,6 @@
         for name in names:
             await made.until(functools.partial(_has_all, made, name))
         assert trio.current_time() - began < IN_FORCE_SECONDS
-        nursery.cancel_scope.cancel()
 
 
 def _has_all(made: cluster.Cluster, name: str) -> bool:
--- a/turmerichall/agreement/tests/test_durability.py
+++ b/turmerichall/agreement/tests/test_durability.py
@@ -53,7 +53,6 @@
         await made.put(leader, "k=1")
         await _only(made, followers)
         await made.settled("k=1")
-        nursery.cancel_scope.cancel()
 
     async def test_leader_syncs_before_it_counts_itself(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -65,7 +64,6 @@
         await made.put(leader, "k=1")
         await _only(made, [leader, behind])
         await made.settled("k=1")
-        nursery.cancel_scope.cancel()
 
 
 class _Voter:
@@ -126,7 +124,6 @@
         await made.start(voter.name)
         assert not await voter.ask("two", 100)
         assert await voter.ask("one", 100)
-        nursery.cancel_scope.cancel()
 
     async def test_no_vote_for_a_shorter_log(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -134,7 +131,6 @@
         voter = await _lone_voter(nursery)
         assert not await voter.ask("one", 100, behind=1)
         assert await voter.ask("one", 100)
-        nursery.cancel_scope.cancel()
 
 
 def _leading(matched: int) -> replication.Replication:
@@ -214,7 +210,6 @@
         loaded = entry_log.EntryLog(journal.Journal(written.files))
         loaded.load(None)
         assert loaded.entries == kept.entries
-        nursery.cancel_scope.cancel()
 
 
 class TestDivergence:
@@ -241,4 +236,3 @@
                 each.status().diverged_at > 0 for each in made.replicas.values()
             )
         )
-        nursery.cancel_scope.cancel()
--- a/turmerichall/agreement/tests/test_failures.py
+++ b/turmerichall/agreement/tests/test_failures.py
@@ -73,7 +73,6 @@
                 made.machines[name].snapshot().decode().split("\n")
             )
         assert accepted
-        nursery.cancel_scope.cancel()
 
     async def test_restart_with_hundreds_of_pending_changes(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -88,7 +87,6 @@
         assert made.values(behind) == made.values(leader)
         kept = made.replicas[leader].shared.kept
         assert len(kept.entries) <= 2 * SMALL.snapshot_entries
-        nursery.cancel_scope.cancel()
 
     async def test_all_restart_with_what_was_accepted(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -103,7 +101,6 @@
         for name in made.names:
             assert await made.replicas[name].barrier(20.0) is None
             assert len(made.values(name)) == 96
-        nursery.cancel_scope.cancel()
 
 
 class TestPlannedStop:
@@ -130,7 +127,6 @@
         # Well under the silence that starts an election.
         assert trio.current_time() - before < made.timing.heartbeat_seconds
         assert all(isinstance(result, bytes) for result in results)
-        nursery.cancel_scope.cancel()
 
 
 class TestCuts:
@@ -159,7 +155,6 @@
         made.hub.heal()
         await made.settled("won=1")
         assert "lost" not in made.values(old)
-        nursery.cancel_scope.cancel()
 
     async def test_cut_off_instance_refuses_at_once(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -175,7 +170,6 @@
         assert isinstance(result, outcomes.Refusal)
         assert trio.current_time() - before < 5.0
         assert counted.count_of("refusals", "agreement", "no_quorum") == 1
-        nursery.cancel_scope.cancel()
 
     async def test_returning_minority_does_not_disturb(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -192,7 +186,6 @@
         await made.settled("k=1")
         assert made.replicas[leader].status().term == term
         assert made.leaders() == [leader]
-        nursery.cancel_scope.cancel()
 
     @pytest.mark.parametrize("direction", ["from_leader", "to_leader"])
     async def test_one_way_cut_of_the_leader(
@@ -209,7 +202,6 @@
         await made.until(lambda: made.leaders() == [new])
         made.hub.heal()
         await made.settled("k=1")
-        nursery.cancel_scope.cancel()
 
     async def test_one_way_cut_of_a_follower_does_not_disturb(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -221,7 +213,6 @@
         await trio.sleep(MINUTES)
         await made.put(leader, "k=1")
         assert made.replicas[leader].status().term == term
-        nursery.cancel_scope.cancel()
 
     async def test_change_whose_answer_was_lost_is_unknown(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -232,7 +223,6 @@
         result = await made.replicas[asker].propose(b"k=1", 2.0)
         assert isinstance(result, outcomes.Unknown)
         assert made.values(leader)["k"] == "1"
-        nursery.cancel_scope.cancel()
 
 
 class TestObservers:
@@ -253,7 +243,6 @@
             made.hub.heal()
             await made.settled(f"k={number}59")
         assert made.replicas["z"].status().role == "observer"
-        nursery.cancel_scope.cancel()
 
     async def test_stopped_source_serves_nothing_of_its_log(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -285,7 +274,6 @@
             isinstance(answer, outcomes.Refusal) or b"lost" not in answer
             for answer in answers
         )
-        nursery.cancel_scope.cancel()
 
 
 class TestMonotonic:
@@ -305,7 +293,6 @@
         made.hub.heal()
         await made.until(lambda: cut.status().recovered)
         assert made.values(name)["k"] == "19"
-        nursery.cancel_scope.cancel()
 
     async def test_cut_off_restart_after_a_quiet_time_serves_the_newest(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -319,7 +306,6 @@
         cut = await made.start(name)
         assert cut.status().recovered
         assert made.values(name)["k"] == "1"
-        nursery.cancel_scope.cancel()
 
     async def test_restart_after_a_full_disk_does_not_go_back(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -340,7 +326,6 @@
         made.hub.heal()
         await made.until(lambda: again.status().recovered)
         assert made.values(name)["k"] == "2"
-        nursery.cancel_scope.cancel()
 
 
 class TestDisks:
@@ -370,7 +355,6 @@
         await made.settled("k=1", set(made.names) if follows else rest)
         assert ("k" in made.values(name)) == follows
         assert failed.status().role == agreement_shared.Role.OBSERVER
-        nursery.cancel_scope.cancel()
 
     async def test_no_quorum_of_good_disks_accepts_nothing(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -381,7 +365,6 @@
         result = await made.replicas[leader].propose(b"k=1")
         assert not isinstance(result, bytes)
         assert all("k" not in made.values(name) for name in made.names)
-        nursery.cancel_scope.cancel()
 
     async def test_torn_tail_is_truncated_and_caught_up(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -395,7 +378,6 @@
         again = await made.start(name)
         assert again.status().stopped == ""
         await made.settled("k=1")
-        nursery.cancel_scope.cancel()
 
     async def test_flipped_byte_stops_the_replica(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -416,4 +398,3 @@
         await made.start(leader)
         await made.put(rest, "k=3")
         await made.settled("k=3")
-        nursery.cancel_scope.cancel()
--- a/turmerichall/agreement/tests/test_membership.py
+++ b/turmerichall/agreement/tests/test_membership.py
@@ -62,7 +62,6 @@
         assert not made.leaders()
         await made.start("c")
         await made.leader()
-        nursery.cancel_scope.cancel()
 
     async def test_lost_disks_found_no_second_cluster(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -81,7 +80,6 @@
         await trio.sleep(300.0)
         assert not made.leaders()
         assert made.values("c") == {"k": "1"}
-        nursery.cancel_scope.cancel()
 
 
 class TestLostDisk:
@@ -102,7 +100,6 @@
         await made.settled("k=2")
         assert len(made.values(lost)) == 101
         assert len(made.replicas[leader].status().members) == 3
-        nursery.cancel_scope.cancel()
 
     async def test_does_not_vote_as_the_old_one(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -121,7 +118,6 @@
         assert not made.leaders()
         await made.start(leader)
         await made.settled("k=1")
-        nursery.cancel_scope.cancel()
 
     @pytest.mark.parametrize("second", ["leader", "follower"])
     @pytest.mark.parametrize("moment", ["during", "after"])
@@ -160,7 +156,6 @@
         await made.settled("last=1")
         for name in made.names:
             assert len(made.values(name)) == 101
-        nursery.cancel_scope.cancel()
 
     async def test_disk_whose_joining_was_lost_asks_again(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -181,7 +176,6 @@
         made.hub.heal()
         await _replaced(made, lost, old)
         await made.settled("k=2")
-        nursery.cancel_scope.cancel()
 
     async def test_five_members_lose_two_disks_at_once(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -199,7 +193,6 @@
             await _replaced(made, name, old[name])
         await made.settled("k=1")
         assert len(_voters(made, leader)) == 5
-        nursery.cancel_scope.cancel()
 
 
 class TestOperators:
@@ -226,7 +219,6 @@
         await made.put(new, "last=1")
         await made.settled("last=1")
         assert len(made.values("e")) == 61
-        nursery.cancel_scope.cancel()
 
     async def test_removed_replica_goes_on_as_an_observer(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -240,7 +232,6 @@
         await made.settled("k=1")
         assert status().role == agreement_shared.Role.OBSERVER
         assert len(made.replicas[leader].status().members) == 2
-        nursery.cancel_scope.cancel()
 
     async def test_learners_do_not_count(
         self,
@@ -262,7 +253,6 @@
             made.kill(name)
         result = await made.replicas[leader].propose(b"k=2", 2.0)
         assert not isinstance(result, bytes)
-        nursery.cancel_scope.cancel()
 
     async def test_votes_only_once_caught_up(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -280,7 +270,6 @@
         await made.replicas[leader].change_members(cluster.ADD, "d", "d:1")
         await made.until(functools.partial(_votes, made, leader, "d"))
         assert added.shared.kept.last_index > 1900
-        nursery.cancel_scope.cancel()
 
     async def test_removal_that_would_lose_the_quorum_is_refused(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -294,7 +283,6 @@
         )
         assert isinstance(refused, outcomes.Refusal)
         assert refused.reason == outcomes.RefusalReason.NO_QUORUM
-        nursery.cancel_scope.cancel()
 
 
 class TestSteps:
--- a/turmerichall/agreement/tests/test_processes.py
+++ b/turmerichall/agreement/tests/test_processes.py
@@ -128,7 +128,6 @@
             for number in accepted:
                 key = f"k{number}".encode()
                 assert await processes.read(name, key) == b"1"
-        nursery.cancel_scope.cancel()
 
 
 class TestFreeze:
@@ -158,4 +157,3 @@
             processes.signal(old, signal.SIGCONT)
         assert set(answers) <= {b"", b"new"}
         assert await processes.read(old, b"k") == b"new"
-        nursery.cancel_scope.cancel()
--- a/turmerichall/agreement/tests/test_relays.py
+++ b/turmerichall/agreement/tests/test_relays.py
@@ -106,7 +106,6 @@
         if fault.split()[0] not in ("cycle", "lead", "answer"):
             await made.until(lambda: _follows_tree(made), 200.0)
         await _writes(made, "wxyz", 3.0)
-        nursery.cancel_scope.cancel()
 
     async def test_quiet_tree_stays_as_it_is(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -120,7 +119,6 @@
         await trio.sleep(200.0)
         avoided = made.replicas["y"].following.sources.avoided["x"]
         assert avoided.seconds == sources.MAX_AVOID_SECONDS
-        nursery.cancel_scope.cancel()
 
     async def test_one_that_catches_up_does_not_pass_for_fresh(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -134,7 +132,6 @@
             await late.applied_moved.wait()
             lags.append(late.lag_seconds())
         assert len(lags) > 1 and set(lags[:-1]) == {float("inf")}
-        nursery.cancel_scope.cancel()
 
     async def test_one_that_knows_only_relays_finds_the_replicas(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -145,7 +142,6 @@
         for name in ("u", "v"):
             await made.start(name, disk=False)
         await made.settled("k=0")
-        nursery.cancel_scope.cancel()
 
     async def test_cut_off_zone_keeps_its_state_and_catches_up(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -160,7 +156,6 @@
         made.hub.heal()
         # Longer than a snapshot reaches back.
         await _writes(made, "wxyz", 6.0)
-        nursery.cancel_scope.cancel()
 
     async def test_read_behind_a_starved_relay_is_fresh(
         self, nursery: trio.Nursery, autojump_clock: Clock
@@ -171,7 +166,6 @@
         assert made.values("y")["k"] == "0"
         assert await made.replicas["y"].barrier(8.0) is None
         assert made.values("y")["k"] == "new"
-        nursery.cancel_scope.cancel()
 
 
 def _break(made: cluster.Cluster, fault: str, *names: str) -> None:
--- a/turmerichall/agreement/tests/test_replica.py
+++ b/turmerichall/agreement/tests/test_replica.py
@@ -22,4 +22,3 @@
         await made.settled("z=2")
         applied = [made.machines[name].snapshot() for name in "abcz"]
         assert len(set(applied)) == 1
-        nursery.cancel_scope.cancel()
--- a/turmerichall/benchmarks/tests/test_requests_load.py
+++ b/turmerichall/benchmarks/tests/test_requests_load.py
@@ -39,7 +39,6 @@
             assert (measured.answered.total_count > 0) is (slots > 0)
             assert (measured.refused.total_count > 0) is (slots == 0)
             assert not measured.broken
-        nursery.cancel_scope.cancel()
 
     async def test_lost_answers_are_counted_as_broken(
         self, nursery: trio.Nursery
@@ -53,4 +52,3 @@
         port = listeners[0].socket.getsockname()[1]
         callers = requests_load.Callers(f"127.0.0.1:{port}")
         assert await callers.send(STREAM) == 0
-        nursery.cancel_scope.cancel()
--- a/turmerichall/gateway/tests/test_absence.py
+++ b/turmerichall/gateway/tests/test_absence.py
@@ -211,58 +211,53 @@
 
     @pytest.mark.parametrize("seed", range(12))
     async def test_random_faults(
-        self, autojump_clock: trio.testing.MockClock, seed: int
+        self,
+        nursery: trio.Nursery,
+        autojump_clock: trio.testing.MockClock,
+        seed: int,
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            world = _World(nursery, seed)
-            for _ in range(60):
-                world.disturb()
-                pause = world.random.choice([1, 5, 20, 60, 100])
-                assert await world.watch(pause) <= TOLD.slots
-            nursery.cancel_scope.cancel()
+        world = _World(nursery, seed)
+        for _ in range(60):
+            world.disturb()
+            pause = world.random.choice([1, 5, 20, 60, 100])
+            assert await world.watch(pause) <= TOLD.slots
 
 
 class TestAbsence:
     """What an absent instance leaves is used, and given back."""
 
     async def test_others_use_the_part_of_a_dead_one(
-        self, autojump_clock: trio.testing.MockClock
+        self, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            world = _World(nursery, 1)
-            await world.watch(60)
-            world.kill("b")
-            await world.watch(10 + MOST_REQUEST_SECONDS)
-            without = world.quorum.filled()
-            await world.watch(NOTICED_SECONDS)
-            lost = shares.parts("w", "z1", TOLD.slots, ZONES)["b"]
-            assert world.quorum.filled() == without + lost - shares.kept(lost)
-            nursery.cancel_scope.cancel()
+        world = _World(nursery, 1)
+        await world.watch(60)
+        world.kill("b")
+        await world.watch(10 + MOST_REQUEST_SECONDS)
+        without = world.quorum.filled()
+        await world.watch(NOTICED_SECONDS)
+        lost = shares.parts("w", "z1", TOLD.slots, ZONES)["b"]
+        assert world.quorum.filled() == without + lost - shares.kept(lost)
 
     async def test_one_that_returns_has_its_part_again(
-        self, autojump_clock: trio.testing.MockClock
+        self, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            world = _World(nursery, 1)
-            world.kill("b")
-            await world.watch(NOTICED_SECONDS)
-            world.start("b")
-            assert await world.watch(2 * NOTICED_SECONDS) == TOLD.slots
-            own = shares.parts("w", "z1", TOLD.slots, ZONES)["b"]
-            assert world.quorum.nodes["b"].pool.in_flight == own
-            nursery.cancel_scope.cancel()
+        world = _World(nursery, 1)
+        world.kill("b")
+        await world.watch(NOTICED_SECONDS)
+        world.start("b")
+        assert await world.watch(2 * NOTICED_SECONDS) == TOLD.slots
+        own = shares.parts("w", "z1", TOLD.slots, ZONES)["b"]
+        assert world.quorum.nodes["b"].pool.in_flight == own
 
     async def test_zone_that_is_cut_off_keeps_its_parts(
-        self, autojump_clock: trio.testing.MockClock
+        self, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            world = _World(nursery, 1)
-            world.quorum.cut |= {"a", "b", "c"}
-            await world.watch(5 * NOTICED_SECONDS)
-            found = shares.parts("w", "z1", TOLD.slots, ZONES)
-            for name in ("a", "b", "c"):
-                assert world.quorum.nodes[name].pool.in_flight == found[name]
-            nursery.cancel_scope.cancel()
+        world = _World(nursery, 1)
+        world.quorum.cut |= {"a", "b", "c"}
+        await world.watch(5 * NOTICED_SECONDS)
+        found = shares.parts("w", "z1", TOLD.slots, ZONES)
+        for name in ("a", "b", "c"):
+            assert world.quorum.nodes[name].pool.in_flight == found[name]
 
     @pytest.mark.parametrize(
         "apart, healed",
@@ -275,43 +270,41 @@
         ],
     )
     async def test_one_without_proof_keeps_little(
-        self, autojump_clock: trio.testing.MockClock, apart: str, healed: str
+        self,
+        nursery: trio.Nursery,
+        autojump_clock: trio.testing.MockClock,
+        apart: str,
+        healed: str,
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            world = _World(nursery, 1)
-            world.quorum.cut.add("b")
-            world.quorum.apart |= set(map(frozenset, apart.split()))
-            if "ab" not in apart:
-                world.quorum.cut.add("a")
-            assert await world.watch(2 * NOTICED_SECONDS) <= TOLD.slots
-            world.quorum.apart -= set(map(frozenset, healed.split()))
-            assert await world.watch(2 * NOTICED_SECONDS) <= TOLD.slots
-            own = shares.parts("w", "z1", TOLD.slots, ZONES)["b"]
-            filled = world.quorum.nodes["b"].pool.in_flight
-            assert filled == shares.kept(own) < own
-            nursery.cancel_scope.cancel()
+        world = _World(nursery, 1)
+        world.quorum.cut.add("b")
+        world.quorum.apart |= set(map(frozenset, apart.split()))
+        if "ab" not in apart:
+            world.quorum.cut.add("a")
+        assert await world.watch(2 * NOTICED_SECONDS) <= TOLD.slots
+        world.quorum.apart -= set(map(frozenset, healed.split()))
+        assert await world.watch(2 * NOTICED_SECONDS) <= TOLD.slots
+        own = shares.parts("w", "z1", TOLD.slots, ZONES)["b"]
+        filled = world.quorum.nodes["b"].pool.in_flight
+        assert filled == shares.kept(own) < own
 
     async def test_one_that_knows_no_list_has_no_proof(
-        self, autojump_clock: trio.testing.MockClock
+        self, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            quorum = _Quorum()
-            quorum.cut.add("b")
-            node = _Node("b", quorum, 0)
-            nursery.start_soon(node.run, random.Random(1))
-            await trio.sleep(TICK_SECONDS)
-            assert node.confirmation.held_until("z1") < trio.current_time()
-            nursery.cancel_scope.cancel()
+        quorum = _Quorum()
+        quorum.cut.add("b")
+        node = _Node("b", quorum, 0)
+        nursery.start_soon(node.run, random.Random(1))
+        await trio.sleep(TICK_SECONDS)
+        assert node.confirmation.held_until("z1") < trio.current_time()
 
     async def test_restarted_instance_has_its_part_within_seconds(
-        self, autojump_clock: trio.testing.MockClock
+        self, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            world = _World(nursery, 1)
-            world.quorum.cut |= set(ZONES)
-            await trio.sleep(TICK_SECONDS)
-            world.quorum.cut.clear()
-            await world.watch(2 * TICK_SECONDS)
-            for node in world.quorum.nodes.values():
-                assert node.confirmation.gains_until() > trio.current_time()
-            nursery.cancel_scope.cancel()
+        world = _World(nursery, 1)
+        world.quorum.cut |= set(ZONES)
+        await trio.sleep(TICK_SECONDS)
+        world.quorum.cut.clear()
+        await world.watch(2 * TICK_SECONDS)
+        for node in world.quorum.nodes.values():
+            assert node.confirmation.gains_until() > trio.current_time()
--- a/turmerichall/instances/confirmation.py
+++ b/turmerichall/instances/confirmation.py
@@ -17,7 +17,6 @@
 import trio
 
 from turmerichall import outcomes
-from turmerichall.instances import instance
 from turmerichall.instances import presence as presences
 from turmerichall.leases import lease
 from turmerichall.state import change as changes
@@ -99,15 +98,6 @@
         """Waits until the state here holds all that was committed before."""
 
 
-class Machine(Protocol):
-    """What is read of the replicated state."""
-
-    instances: dict[str, instance.Instance]
-
-    def presence(self, name: str) -> presences.Presence:
-        """Returns what an entry instance is taken for."""
-
-
 class Confirmation:
     """Keeps the proof of one instance, and has it taken for present again.
 
@@ -129,7 +119,7 @@
         self,
         name: str,
         zone: str,
-        machine: Machine,
+        machine: presences.Instances,
         replica: Replica,
         submitter: proposer.Changes,
         network: Network,
--- a/turmerichall/instances/presence.py
+++ b/turmerichall/instances/presence.py
@@ -1,8 +1,11 @@
 """Whether an entry instance is there, as the replicated state has it."""
 
 import enum
+from typing import Protocol
 
-__all__ = ["Presence", "may_follow"]
+from turmerichall.instances import instance
+
+__all__ = ["Instances", "Presence", "may_follow"]
 
 
 class Presence(enum.StrEnum):
@@ -18,6 +21,15 @@
     RETURNING = "returning"
 
 
+class Instances(Protocol):
+    """The list of instances; `state.machine.Machine` holds it."""
+
+    instances: dict[str, instance.Instance]
+
+    def presence(self, name: str) -> Presence:
+        """Returns what an entry instance is taken for."""
+
+
 _FROM = {
     Presence.ABSENT: (Presence.PRESENT, Presence.RETURNING),
     Presence.RETURNING: (Presence.ABSENT,),
--- a/turmerichall/instances/silence.py
+++ b/turmerichall/instances/silence.py
@@ -11,7 +11,6 @@
 
 import trio
 
-from turmerichall.instances import instance
 from turmerichall.instances import presence as presences
 from turmerichall.state import change as changes
 from turmerichall.state import proposer
@@ -28,13 +27,6 @@
 FORGIVEN_AFTER_SECONDS = 1800.0
 
 
-class Machine(Protocol):
-    """What is read of the replicated state."""
-
-    instances: dict[str, instance.Instance]
-    away: dict[str, presences.Presence]
-
-
 class Network(Protocol):
     """Connections to the others; `peers.network.Network` is one."""
 
@@ -61,7 +53,7 @@
         name: str,
         zone: str,
         is_authority: Callable[[float], bool],
-        machine: Machine,
+        machine: presences.Instances,
         network: Network,
         submitter: proposer.Changes,
     ):
@@ -91,12 +83,9 @@
         for name, entry in list(self.machine.instances.items()):
             if entry.zone != self.zone or name == self.name:
                 continue
-            if self._is_absent(name) or not self._is_silent(name, now):
-                continue
-            await self._note(name, now)
-
-    def _is_absent(self, name: str) -> bool:
-        return self.machine.away.get(name) == presences.Presence.ABSENT
+            absent = self.machine.presence(name) == presences.Presence.ABSENT
+            if not absent and self._is_silent(name, now):
+                await self._note(name, now)
 
     def _is_silent(self, name: str, now: float) -> bool:
         """Tells whether one was silent for as long as this one watches."""
--- a/turmerichall/peers/tests/test_network.py
+++ b/turmerichall/peers/tests/test_network.py
@@ -79,7 +79,6 @@
         assert await left.call("b", "echo", b"x", CALL_SECONDS) == b"a:x"
         await _until(lambda: "a" in right.links and right.links["a"].connected)
         assert right.last_heard("a") > -float("inf")
-        nursery.cancel_scope.cancel()
 
     async def test_many_calls_get_their_own_answers(
         self, nursery: trio.Nursery
@@ -96,7 +95,6 @@
             for number in range(300):
                 asking.start_soon(ask, number)
         assert all(answer == b"a:" + body for body, answer in answers.items())
-        nursery.cancel_scope.cancel()
 
     async def test_refused_call_lets_others_run(
         self, nursery: trio.Nursery
@@ -106,7 +104,6 @@
             with trio.testing.assert_checkpoints():
                 answer = await left.call(name, "echo", b"", CALL_SECONDS)
             assert isinstance(answer, outcomes.Refusal)
-        nursery.cancel_scope.cancel()
 
     async def test_unknown_kind_is_refused(self, nursery: trio.Nursery) -> None:
         left, _ = await _pair(nursery)
@@ -114,7 +111,6 @@
         refusal = await left.call("b", "nothing", b"", CALL_SECONDS)
         assert isinstance(refusal, outcomes.Refusal)
         assert refusal.reason == outcomes.RefusalReason.UNKNOWN_NAME
-        nursery.cancel_scope.cancel()
 
     async def test_handler_that_never_returns_times_out(
         self, nursery: trio.Nursery
@@ -131,7 +127,6 @@
         assert isinstance(refusal, outcomes.Refusal)
         assert refusal.reason == outcomes.RefusalReason.TIMEOUT
         assert await left.call("b", "echo", b"", CALL_SECONDS) == b"a:"
-        nursery.cancel_scope.cancel()
 
 
 class TestOpening:
@@ -143,7 +138,6 @@
         assert not left.links["b"].connected
         assert not right.addresses
         assert not left.send("b", "echo", b"")
-        nursery.cancel_scope.cancel()
 
     async def test_other_name_is_not_used(self, nursery: trio.Nursery) -> None:
         log = _Log()
@@ -153,7 +147,6 @@
         refusal = await left.call("c", "echo", b"", CALL_SECONDS)
         assert isinstance(refusal, outcomes.Refusal)
         assert refusal.reason == outcomes.RefusalReason.UNREACHABLE
-        nursery.cancel_scope.cancel()
 
     @pytest.mark.parametrize("serve", [_swallow, _garbage, _close])
     async def test_bad_server_gives_unreachable(
@@ -174,7 +167,6 @@
         refusal = await left.call("b", "echo", b"", CALL_SECONDS)
         assert isinstance(refusal, outcomes.Refusal)
         assert refusal.reason == outcomes.RefusalReason.UNREACHABLE
-        nursery.cancel_scope.cancel()
 
     async def test_failed_connection_is_counted(
         self, nursery: trio.Nursery
@@ -185,7 +177,6 @@
         await _until(
             lambda: counted.count_of("retries", "peers", "connect_failed") > 0
         )
-        nursery.cancel_scope.cancel()
 
 
 class TestQueue:
@@ -197,7 +188,6 @@
         queued = [left.send("b", "echo", body) for _ in range(20)]
         assert queued[0] and not queued[-1]
         assert left.links["b"].connected
-        nursery.cancel_scope.cancel()
 
 
 class _Proxy:
@@ -252,4 +242,3 @@
         assert await left.call("b", "echo", b"2", CALL_SECONDS) == b"a:2"
         assert proxy.accepted == 2
         assert log.says("nothing arrives on it")
-        nursery.cancel_scope.cancel()
--- a/turmerichall/state/machine.py
+++ b/turmerichall/state/machine.py
@@ -278,9 +278,10 @@
                 reason=outcomes.RefusalReason.WRONG_STATE,
                 detail=f"instance {change.name!r} is {before.value}",
             )
-        self.away[change.name] = change.presence
         if change.presence == presences.Presence.PRESENT:
             del self.away[change.name]
+        else:
+            self.away[change.name] = change.presence
         return changes.Result(changes.Status.APPLIED, 1)
 
     def _stale(self, zone: str, epoch: int) -> changes.Result | None:
--- a/turmerichall/storage/tests/test_journal.py
+++ b/turmerichall/storage/tests/test_journal.py
@@ -35,7 +35,6 @@
         await journal.wait_durable(sequence)
         assert journal.syncs == 2
         assert len(journal.load()) == 201
-        nursery.cancel_scope.cancel()
 
     async def test_rewrite_keeps_what_follows_it(
         self, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
@@ -47,7 +46,6 @@
         journal.rewrite([b"kept"])
         await journal.wait_durable(journal.append(b"new"))
         assert journal.load() == [b"kept", b"new"]
-        nursery.cancel_scope.cancel()
 
 
 class TestFailingDisk:
--- a/turmerichall/tests/test_path.py
+++ b/turmerichall/tests/test_path.py
@@ -135,4 +135,3 @@
             versions = await _versions(cluster, name)
             assert versions == {"offers": 1, "roster": 2}
         assert not load.wrong
-        nursery.cancel_scope.cancel()
--- a/turmerichall/zones/tests/test_placing.py
+++ b/turmerichall/zones/tests/test_placing.py
@@ -83,6 +83,12 @@
             self.placing.wake()
             await trio.sleep(placing.STEP_SECONDS)
 
+    async def run_job(self) -> None:
+        """Has a job of one task accepted and started on w1."""
+        _submit(self.log)
+        self.announce(1)
+        await self.settle()
+
     def announce(
         self,
         sequence: int,
@@ -218,9 +224,7 @@
     async def test_unreported_start_is_sent_again_as_the_same_attempt(
         self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
-        _submit(zone.log)
-        zone.announce(1)
-        await zone.settle()
+        await zone.run_job()
         zone.announce(2)
         await zone.settle()
         sent = [c for _, c in zone.sender.sent if c.task_id == "j1/0"]
@@ -244,9 +248,7 @@
     async def test_its_batch_is_evicted_at_once(
         self, autojump_clock: trio.testing.MockClock, zone: _Zone
     ) -> None:
-        _submit(zone.log)
-        zone.announce(1)
-        await zone.settle()
+        await zone.run_job()
         zone.announce(2, _running())
         stop = changes.SetIntention(
             _operation("s"), 0, "w1", changes.Intention.STOPPED
@@ -264,9 +266,7 @@
     async def test_silent_worker_keeps_its_task_until_the_lease_ended(
         self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
-        _submit(zone.log)
-        zone.announce(1)
-        await zone.settle()
+        await zone.run_job()
         zone.announce(2, _running())
         heard_at = trio.current_time()
         await _keep(zone, TERM - 3, "w2")
@@ -281,9 +281,7 @@
     async def test_restarted_worker_lost_its_tasks_at_once(
         self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
-        _submit(zone.log)
-        zone.announce(1)
-        await zone.settle()
+        await zone.run_job()
         zone.announce(1, incarnation=2)
         await zone.settle()
         assert zone.task().attempt == 2
@@ -291,9 +289,7 @@
     async def test_ended_attempt_is_recorded_then_acknowledged(
         self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
-        _submit(zone.log)
-        zone.announce(1)
-        await zone.settle()
+        await zone.run_job()
         done = _running()._replace(state=announcement.ReportedState.FINISHED)
         assert zone.announce(2, done).acknowledged == ()
         await zone.settle()
@@ -313,9 +309,7 @@
     async def test_cut_off_holder_renews_batch_for_the_hold_only(
         self, zone: _Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
-        _submit(zone.log)
-        zone.announce(1)
-        await zone.settle()
+        await zone.run_job()
         service = _running(name="svc:c/offers/z1/0")
         zone.log.cut_off = True
         await trio.sleep(authority.CUT_OFF_HOLD_SECONDS - 20)
@@ -329,9 +323,7 @@
     zone: _Zone, nursery: trio.Nursery, unsure: bool
 ) -> _Zone:
     """Has another instance take the grant from one that is cut off."""
-    _submit(zone.log)
-    zone.announce(1)
-    await zone.settle()
+    await zone.run_job()
     zone.announce(2, _running())
     zone.log.cut_off = True
     second = _zone(zone.machine, _Log(zone.machine), "i2")
