--- a/turmerichall/agreement/member.py
+++ b/turmerichall/agreement/member.py
@@ -94,7 +94,12 @@
     return sorted(values)[(len(values) - 1) // 2]
 
 
-def next_step(members: Members, caught_up: frozenset[str]) -> Members | None:
+def next_step(
+    members: Members,
+    caught_up: frozenset[str],
+    max_voters: int = 0,
+    silent: frozenset[str] = frozenset(),
+) -> Members | None:
     """Chooses the next step for learners that have caught up.
 
     The voter whose disk a learner replaces is removed first.
@@ -102,6 +107,9 @@
     Args:
         members: The current members.
         caught_up: Identities of learners that have caught up.
+        max_voters: Voters to keep; further learners wait until a voter is
+            silent.  0 for any number.
+        silent: Identities of voters that have been silent for long.
 
     Returns:
         The members after one step; None if there is no step to take.
@@ -115,6 +123,11 @@
         True
         >>> next_step((new,), frozenset(["2"]))[0].voter
         True
+        >>> other = Member("b", "2", "", False)
+        >>> next_step((old, other), frozenset(["2"]), 1) is None
+        True
+        >>> next_step((old, other), frozenset(["2"]), 1, frozenset(["1"]))
+        (Member(name='b', identity='2', address='', voter=False),)
     """
     for learner in learners(members):
         if learner.identity not in caught_up:
@@ -122,6 +135,9 @@
         for other in named(members, learner.name):
             if other.identity != learner.identity:
                 return without(members, other.identity)
+        if max_voters and len(voters(members)) >= max_voters:
+            gone = [each for each in voters(members) if each.identity in silent]
+            return without(members, gone[0].identity) if gone else None
         promoted = learner._replace(voter=True)
         return without(members, learner.identity) + (promoted,)
     return None
--- a/turmerichall/agreement/membership.py
+++ b/turmerichall/agreement/membership.py
@@ -22,6 +22,8 @@
 
 CAUGHT_UP_ENTRIES = 100
 FOUNDING_TERM = 1
+# Silence of a voter after which a learner that has caught up replaces it.
+REPLACE_SECONDS = 5.0
 FOUNDING_INDEX = 1
 
 
@@ -33,6 +35,8 @@
         replication: Appends entries while leading.
         snapshots: Holds the founding snapshot.
         bootstrap: Addresses of the first members by name.
+        voters: Voters to keep, of replicas that come in by themselves; 0 if
+            an operator adds and removes replicas.
     """
 
     def __init__(
@@ -41,7 +45,9 @@
         replicating: replication.Replication,
         own_snapshots: snapshots.Snapshots,
         bootstrap: dict[str, str],
+        voters: int = 0,
     ):
+        self.voters = voters
         self.shared = shared
         self.replication = replicating
         self.snapshots = own_snapshots
@@ -87,6 +93,8 @@
             for name in sorted(names):
                 nursery.start_soon(self._identify, name, answers)
         found = [answer for answer in answers.values() if answer is not None]
+        for answer in found:
+            member.learn_addresses(self.shared.network, answer.members)
         if any(answer.cluster for answer in found):
             await self._ask_to_join(found)
             return False
@@ -159,7 +167,12 @@
         """Tells who this replica is."""
         shared = self.shared
         return message.encode(
-            message.Identified(shared.identity, shared.cluster, shared.leader)
+            message.Identified(
+                shared.identity,
+                shared.cluster,
+                shared.leader,
+                shared.members if self.voters else (),
+            )
         )
 
     async def on_join(self, _: str, body: bytes) -> bytes:
@@ -172,7 +185,8 @@
             )
             return message.encode(refusal)
         settled = shared.commit >= shared.kept.members_index
-        if settled and not member.named(shared.members, join.name):
+        known = self.voters or member.named(shared.members, join.name)
+        if settled and not known:
             detail = f"{join.name} is no member; an operator must add it"
             refusal = shared.refuse(outcomes.RefusalReason.UNKNOWN_NAME, detail)
             return message.encode(refusal)
@@ -208,10 +222,22 @@
             recent = now - known.acked_sent_at < shared.timing.election_seconds
             if known.match > 0 and near and recent:
                 caught_up.add(learner.identity)
-        step = member.next_step(members, frozenset(caught_up))
+        step = member.next_step(
+            members, frozenset(caught_up), self.voters, self._silent_voters()
+        )
         if step is not None:
             await self._commit(members, step)
 
+    def _silent_voters(self) -> frozenset[str]:
+        """Returns identities of voters that a learner may replace."""
+        shared = self.shared
+        now = trio.current_time()
+        return frozenset(
+            identity
+            for identity, known in shared.progress.items()
+            if now - known.acked_sent_at > REPLACE_SECONDS
+        )
+
     async def _commit(
         self, before: member.Members, after: member.Members
     ) -> message.Outcome:
--- a/turmerichall/agreement/message.py
+++ b/turmerichall/agreement/message.py
@@ -314,11 +314,13 @@
         identity: Identity of its disk; empty if it has none.
         cluster: Id of its cluster; empty if it is in none yet.
         leader: Name of the leader, as far as it is known.
+        members: Current members, as far as they are known.
     """
 
     identity: str
     cluster: str
     leader: str
+    members: member.Members = ()
 
 
 class Join(NamedTuple):
--- a/turmerichall/agreement/proposing.py
+++ b/turmerichall/agreement/proposing.py
@@ -58,6 +58,15 @@
             await self._wait_applied(outcome.position, timeout_seconds)
         return outcome
 
+    async def propose_in_term(
+        self, change: bytes, term: int, timeout_seconds: float
+    ) -> message.Outcome:
+        """Carries out a change as the leader; see `Replica.propose_in_term`."""
+        if self.shared.term != term:
+            return self._not_leader()
+        asked = message.Propose(change, timeout_seconds)
+        return await self._here(self._propose_here, asked)
+
     async def barrier(self, timeout_seconds: float) -> message.Outcome:
         """Waits until all that was committed before is applied."""
         started = trio.current_time()
--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -57,6 +57,7 @@
         max_batch_records: int = journal.NO_LIMIT,
         counters: link.Counters | None = None,
         zones: Callable[[], Mapping[str, str]] = dict,
+        voters: int = 0,
     ):
         """Makes a replica; `run` starts it.
 
@@ -75,6 +76,8 @@
             counters: Counts refusals, new tries and unknown effects.
             zones: Gives the zone of each listed instance; those without a
                 disk pass the log on among them.
+            voters: Voters to keep, if replicas come in by themselves and
+                replace silent ones; 0 if operators add and remove them.
         """
         self.files = files
         if files is None and folder is not None:
@@ -94,7 +97,11 @@
         self._snapshots = snapshots.Snapshots(self.shared)
         self._replication = replication.Replication(self.shared)
         self._membership = membership.Membership(
-            self.shared, self._replication, self._snapshots, self._bootstrap
+            self.shared,
+            self._replication,
+            self._snapshots,
+            self._bootstrap,
+            voters,
         )
         self._proposing = proposing.Proposing(
             self.shared, self._applying, self._replication, self._membership
@@ -260,6 +267,37 @@
         outcome = await self._proposing.propose(change, timeout_seconds)
         return self._counted(outcome)
 
+    async def propose_in_term(
+        self, change: bytes, term: int, timeout_seconds: float = 5.0
+    ) -> bytes | outcomes.Refusal | outcomes.Unknown:
+        """Carries out a change only while this replica leads in a term.
+
+        Args:
+            change: What the machine is to apply.
+            term: The term.
+            timeout_seconds: How long to wait for the result.
+
+        Returns:
+            As `propose`.
+        """
+        outcome = await self._proposing.propose_in_term(
+            change, term, timeout_seconds
+        )
+        return self._counted(outcome)
+
+    def led_term(self) -> int:
+        """Returns the term that this replica leads in, ready to decide.
+
+        It is ready once everything of earlier terms is applied.
+
+        Returns:
+            The term; 0 if it does not lead, or not yet.
+        """
+        shared = self.shared
+        leads = shared.role == agreement_shared.Role.LEADER
+        begun = 0 < self._replication.term_start <= shared.applied
+        return shared.term if leads and begun else 0
+
     def _counted(
         self, outcome: message.Outcome
     ) -> bytes | outcomes.Refusal | outcomes.Unknown:
--- /dev/null
+++ b/turmerichall/dispatch/backlog.py
@@ -0,0 +1,148 @@
+"""Tasks that could start now, in groups of one step each."""
+
+from typing import NamedTuple
+
+from turmerichall.queues import change as changes
+from turmerichall.queues import configuration as configurations
+from turmerichall.queues import demand as demands
+from turmerichall.queues import ledger as ledgers
+
+__all__ = ["Backlog", "Group", "GroupName"]
+
+
+class GroupName(NamedTuple):
+    """Names one step of one occurrence of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+
+
+class Group:
+    """Tasks of one step that wait.
+
+    Attributes:
+        name: Names the step.
+        job: The job.
+        queue: The queue, as last configured.
+        step: What each task asks for.
+        waiting: Indices of the tasks that wait.
+        begun_at_ms: When the job's time began to count, since 1970.
+        avoided: Workers on which a task failed, by index.
+    """
+
+    __slots__ = (
+        "avoided",
+        "begun_at_ms",
+        "job",
+        "name",
+        "queue",
+        "step",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        name: GroupName,
+        job: ledgers.Job,
+        queue: configurations.Queue,
+    ):
+        self.name = name
+        self.job = job
+        self.queue = queue
+        self.step: demands.StepDemand = job.demand.steps[name.step]
+        self.waiting: set[int] = set()
+        self.begun_at_ms = job.at_ms
+        if job.demand.schedule is not None:
+            self.begun_at_ms = job.demand.schedule.due_at_ms(name.occurrence)
+        self.avoided: dict[int, set[str]] = {}
+
+    def task(self, index: int) -> changes.TaskName:
+        """Returns the name of one of its tasks."""
+        name = self.name
+        return changes.TaskName(name.job, name.occurrence, name.step, index)
+
+
+class Backlog:
+    """All groups with tasks that wait.
+
+    Attributes:
+        ledger: The replicated state.
+        groups: Groups by name; a group may have no waiting tasks while some
+            of its tasks run.
+    """
+
+    def __init__(self, ledger: ledgers.Ledger):
+        self.ledger = ledger
+        self.groups: dict[GroupName, Group] = {}
+
+    def add_job(self, job: ledgers.Job, now_ms: int) -> None:
+        """Adds what is ready of a job, at the start of a term or on arrival."""
+        for occurrence in range(job.demand.occurrences):
+            schedule = job.demand.schedule
+            if schedule and schedule.due_at_ms(occurrence) > now_ms:
+                return
+            self.add_occurrence(job, occurrence)
+
+    def add_occurrence(self, job: ledgers.Job, occurrence: int) -> None:
+        """Adds the steps of an occurrence that are ready."""
+        for step in range(len(job.demand.steps)):
+            self.add_step(job, occurrence, step)
+
+    def add_step(self, job: ledgers.Job, occurrence: int, step: int) -> None:
+        """Adds a step, unless it is done, not ready or there already."""
+        name = GroupName(job.id, occurrence, step)
+        queue = self.ledger.queues.get(job.queue)
+        if not job.open or name in self.groups or queue is None:
+            return
+        if not job.step_is_ready(occurrence, step):
+            return
+        progress = job.steps(occurrence)[step]
+        if progress.done == len(progress.tasks):
+            return
+        group = Group(name, job, queue)
+        group.waiting = {
+            index
+            for index, task in enumerate(progress.tasks)
+            if not task.done and not task.worker
+        }
+        self.groups[name] = group
+
+    def drop_job(self, job: str) -> None:
+        """Drops all groups of a job that has ended."""
+        for name in [name for name in self.groups if name.job == job]:
+            del self.groups[name]
+
+    def put_back(self, task: changes.TaskName, failed_on: str = "") -> None:
+        """Lets a task wait again, away from a worker where it failed."""
+        job = self.ledger.jobs.get(task.job)
+        if job is None or not job.open:
+            return
+        group = self.groups.get(GroupName(task.job, task.occurrence, task.step))
+        if group is None:
+            self.add_step(job, task.occurrence, task.step)
+            return
+        group.waiting.add(task.index)
+        if failed_on:
+            group.avoided.setdefault(task.index, set()).add(failed_on)
+
+    def note_done(self, task: changes.TaskName) -> None:
+        """Drops a step that is done, and adds those that waited for it."""
+        job = self.ledger.jobs.get(task.job)
+        if job is None:
+            return
+        if not job.open:
+            self.drop_job(task.job)
+            return
+        name = GroupName(task.job, task.occurrence, task.step)
+        progress = job.steps(task.occurrence)[task.step]
+        if progress.done < len(progress.tasks):
+            return
+        self.groups.pop(name, None)
+        for number, step in enumerate(job.demand.steps):
+            if task.step in step.after:
+                self.add_step(job, task.occurrence, number)
+
+    def ready(self) -> list[Group]:
+        """Returns the groups with tasks that wait."""
+        return [group for group in self.groups.values() if group.waiting]
--- /dev/null
+++ b/turmerichall/dispatch/desk.py
@@ -0,0 +1,238 @@
+"""Where a replica answers callers, workers and operators, if it leads."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.agreement import replica as replicas
+from turmerichall.agreement import shared as agreement_shared
+from turmerichall.dispatch import durations as learnt
+from turmerichall.dispatch import freshness as freshnesses
+from turmerichall.dispatch import tenure as tenures
+from turmerichall.dispatch import worker_port
+from turmerichall.http1 import server
+from turmerichall.peers import link
+from turmerichall.queues import change as changes
+from turmerichall.queues import configuration as configurations
+from turmerichall.queues import demand as demands
+from turmerichall.queues import ledger as ledgers
+
+__all__ = ["Desk", "Failure", "Leader"]
+
+RETRY_SECONDS = 0.5
+BARRIER_SECONDS = 0.8
+NOT_LEADER = outcomes.Refusal(
+    outcomes.RefusalReason.NOT_LEADER, "not the leader", RETRY_SECONDS
+)
+NO_QUORUM = outcomes.Refusal(
+    outcomes.RefusalReason.NO_QUORUM, "no quorum answered", RETRY_SECONDS
+)
+
+Failure = outcomes.Refusal | outcomes.Unknown
+
+
+class Leader(NamedTuple):
+    """Who leads, as one replica knows it.
+
+    Attributes:
+        address: Where the leader takes calls of instances, or empty.
+        serving: Whether the replica that answers is the one, ready to serve.
+        replicas: Addresses of all replicas.
+        limits: Bounds on callers' requests that are in force.
+        configured: Whether a configuration is in force.
+    """
+
+    address: str
+    serving: bool
+    replicas: tuple[str, ...] = ()
+    limits: server.Limits = server.Limits()
+    configured: bool = False
+
+
+class Desk:
+    """Answers what only the leader may answer.
+
+    Attributes:
+        replica: This replica.
+        ledger: Its replicated state.
+        tenure: The term's work while this replica leads; None otherwise.
+    """
+
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        ledger: ledgers.Ledger,
+        make_port: tenures.MakePort,
+        log: link.Log,
+    ):
+        self.replica = replica
+        self.ledger = ledger
+        self.tenure: tenures.Tenure | None = None
+        self.freshness = freshnesses.Freshness(replica)
+        self._make_port = make_port
+        self._log = log
+        self._durations = learnt.Durations()
+
+    async def run(self) -> None:
+        """Does the leader's work in each term that this replica leads."""
+        shared = self.replica.shared
+        fenced_term = 0
+        while True:
+            term = self.replica.led_term()
+            if not term or term == fenced_term:
+                await _either(shared.role_changed, shared.applied_moved)
+                continue
+            self.tenure = tenures.Tenure(
+                self.replica,
+                self.ledger,
+                term,
+                self._make_port,
+                self.freshness,
+                self._log,
+                self._durations,
+            )
+            try:
+                await self.tenure.run()
+            finally:
+                if self.tenure.was_fenced:
+                    fenced_term = term
+                self.tenure = None
+            await trio.sleep(0.02)
+
+    def leader(self) -> Leader:
+        """Tells who leads."""
+        shared = self.replica.shared
+        configuration = self.ledger.configuration
+        return Leader(
+            shared.leader,
+            self.tenure is not None and self.freshness.may_read(),
+            tuple(each.address for each in shared.members),
+            configuration.limits,
+            configuration.version > 0,
+        )
+
+    async def _confirm(self) -> outcomes.Refusal | None:
+        """Makes sure that the state here is that of the only leader."""
+        if self.tenure is None:
+            return NOT_LEADER
+        if self.freshness.may_read():
+            return None
+        if await self.replica.barrier(BARRIER_SECONDS) is not None:
+            return NO_QUORUM
+        return None if self.tenure is not None else NOT_LEADER
+
+    async def find(
+        self, host: str, path: str
+    ) -> configurations.Queue | outcomes.Refusal:
+        """Returns the queue that a caller's path belongs to."""
+        refusal = await self._confirm()
+        if refusal is not None:
+            return refusal
+        configuration = self.ledger.configuration
+        if configuration.version == 0:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.NO_QUORUM,
+                "no configuration yet",
+                RETRY_SECONDS,
+            )
+        queue = configuration.find(host, path)
+        if queue is None:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.UNKNOWN_SERVICE, "no such queue"
+            )
+        return queue
+
+    async def submit(
+        self,
+        queue: configurations.Queue,
+        job_id: str,
+        demand: demands.JobDemand,
+    ) -> Failure | None:
+        """Accepts a job; None once it is durable."""
+        tenure = self.tenure
+        if tenure is None:
+            return NOT_LEADER
+        return await tenure.submit(job_id, queue, demand)
+
+    def state(self, job_id: str) -> ledgers.JobState | outcomes.Refusal:
+        """Returns what became of a job; `find` came right before."""
+        job = self.ledger.jobs.get(job_id)
+        if job is None:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.UNKNOWN_NAME, "no such job"
+            )
+        return job.state
+
+    async def cancel(self, job_id: str) -> Failure | None:
+        """Cancels a job; None once that is durable."""
+        tenure = self.tenure
+        if tenure is None:
+            return NOT_LEADER
+        if job_id not in self.ledger.jobs:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.UNKNOWN_NAME, "no such job"
+            )
+        return await tenure.cancel(job_id)
+
+    def pending(self, queue: configurations.Queue) -> int:
+        """Returns how many jobs of a queue have not begun."""
+        return len(self.ledger.waiting.get(queue.key, ()))
+
+    async def heartbeat(self, beat: worker_port.Heartbeat) -> bool:
+        """Takes in a heartbeat; returns whether to acknowledge it."""
+        tenure = self.tenure
+        return tenure is not None and await tenure.heartbeat(beat)
+
+    async def leaving(self, worker: str) -> bool:
+        """Takes in that a worker ends; returns whether to acknowledge it."""
+        tenure = self.tenure
+        return tenure is not None and await tenure.leaving(worker)
+
+    async def configure(
+        self, configuration: configurations.Configuration, document: bytes
+    ) -> Failure | None:
+        """Puts a configuration in force, or takes note that one is."""
+        refusal = await self._confirm()
+        if refusal is not None or self.tenure is None:
+            return refusal or NOT_LEADER
+        held = self.ledger.configuration.version
+        if configuration.version <= held:
+            return None
+        failed = await self.tenure.commit(
+            changes.SetConfiguration(configuration, document)
+        )
+        if failed is None:
+            self._log.info(
+                "configuration in force",
+                version=configuration.version,
+                before=held,
+                queues=len(configuration.queues),
+            )
+        return failed
+
+    async def document(self) -> bytes | outcomes.Refusal:
+        """Returns the newest configuration as it was sent."""
+        refusal = await self._confirm()
+        if refusal is not None:
+            return refusal
+        return self.ledger.document or outcomes.Refusal(
+            outcomes.RefusalReason.NO_QUORUM,
+            "no configuration yet",
+            RETRY_SECONDS,
+        )
+
+
+async def _either(
+    one: agreement_shared.Notice, other: agreement_shared.Notice
+) -> None:
+    """Waits until one of two notices is given."""
+    async with trio.open_nursery() as nursery:
+
+        async def wait(notice: agreement_shared.Notice) -> None:
+            await notice.wait()
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(wait, one)
+        nursery.start_soon(wait, other)
--- /dev/null
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -0,0 +1,156 @@
+"""A replica: votes, stores, and does the leader's work while it leads."""
+
+import pathlib
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.agreement import replica as replicas
+from turmerichall.agreement import shared as agreement_shared
+from turmerichall.dispatch import desk as desks
+from turmerichall.frontdoor import calls
+from turmerichall.http1 import message
+from turmerichall.http1 import server
+from turmerichall.peers import link
+from turmerichall.peers import network as networks
+from turmerichall.platform import client_calls
+from turmerichall.platform import control_calls
+from turmerichall.platform import worker_calls
+from turmerichall.queues import ledger as ledgers
+from turmerichall.settings import queue_settings
+from turmerichall.telemetry import logs
+
+__all__ = ["ReplicaDaemon", "TIMING"]
+
+TIMING = agreement_shared.Timing(
+    heartbeat_seconds=0.3,
+    election_seconds=1.0,
+    election_jitter_seconds=0.6,
+    call_seconds=0.8,
+    commit_notice_seconds=0.02,
+)
+PROBING = link.Probing(1.0, 2.0, 1.0, 0.5)
+# How long a worker or an operator waits for an answer before it asks another.
+CONTROL_SECONDS = 0.9
+CONTROL_LIMITS = server.Limits(body_bytes=4 * 1024 * 1024, idle_seconds=30.0)
+# From the request to stop until connections are closed.
+NOTICE_SECONDS = 0.5
+
+
+class ReplicaDaemon:
+    """Every part of a replica.
+
+    Attributes:
+        settings: The settings.
+        network: Connections to other instances.
+        ledger: The replicated state.
+        replica: This replica's part in agreement.
+        desk: Answers while this replica leads.
+        control: Serves workers and operators.
+    """
+
+    def __init__(self, settings: queue_settings.QueueSettings):
+        self.settings = settings
+        self.log = logs.Log("dispatch")
+        own = settings.listen.peers
+        seeds = settings.replicas.addresses()
+        self.network = networks.Network(
+            own,
+            settings.replicas.key.encode(),
+            {seed: seed for seed in seeds},
+            logs.Log("peers"),
+            probing=PROBING,
+        )
+        self.ledger = ledgers.Ledger()
+        founders = seeds if settings.replicas.bootstrap and own in seeds else ()
+        self.replica = replicas.Replica(
+            name=own,
+            folder=pathlib.Path(settings.instance.data_folder),
+            network=self.network,
+            machine=self.ledger,
+            bootstrap_members={seed: seed for seed in founders},
+            log=logs.Log("agreement"),
+            timing=TIMING,
+            voters=settings.replicas.voters,
+        )
+        self.desk = desks.Desk(
+            self.replica, self.ledger, worker_calls.Worker, self.log
+        )
+        self.control = server.Server(self._answer, lambda: CONTROL_LIMITS)
+
+    @classmethod
+    def from_config(
+        cls, settings: queue_settings.QueueSettings
+    ) -> "ReplicaDaemon":
+        """Joins the parts as the settings say."""
+        return cls(settings)
+
+    async def run(self) -> None:
+        """Serves until it was drained.
+
+        Raises:
+            StorageError: The data folder can't be opened.
+        """
+        listen = self.settings.listen
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.network.run, listen.peers, listen.peers)
+            self.network.handle(calls.CLIENT, self._on_client)
+            self.network.handle(calls.CONTROL, self._on_control)
+            self.network.handle(calls.LEADER, self._on_leader)
+            await nursery.start(self.replica.run)
+            nursery.start_soon(self.desk.run)
+            await nursery.start(self.control.run, listen.control)
+            self.log.info("serving", control=listen.control)
+            await self.control.stopped.wait()
+            nursery.cancel_scope.cancel()
+        self.log.info("stopped")
+
+    async def drain(self) -> None:
+        """Lets another replica lead, then closes connections."""
+        await self.replica.hand_over(1.0)
+        await trio.sleep(NOTICE_SECONDS)
+        await self.control.stop()
+
+    async def _on_leader(self, _: str, __: bytes) -> bytes:
+        return calls.encode(self.desk.leader())
+
+    async def _on_client(self, _: str, body: bytes) -> bytes:
+        request = calls.decode_request(body)
+        return self._packed(await client_calls.answer(self.desk, request))
+
+    async def _on_control(self, _: str, body: bytes) -> bytes:
+        request = calls.decode_request(body)
+        return self._packed(await self._control_here(request))
+
+    async def _control_here(
+        self, request: message.Request
+    ) -> message.Response | outcomes.Refusal:
+        return await control_calls.answer(
+            self.desk, request, self.settings.listen.control, self.log
+        )
+
+    def _packed(self, answer: message.Response | outcomes.Refusal) -> bytes:
+        if isinstance(answer, outcomes.Refusal):
+            leader = self.replica.shared.leader
+            return calls.encode(calls.not_leading(leader))
+        return calls.encode(calls.answered(answer))
+
+    async def _answer(self, request: message.Request) -> message.Response:
+        """Answers a worker or an operator, through the leader if need be."""
+        answer = await self._control_here(request)
+        if not isinstance(answer, outcomes.Refusal):
+            return answer
+        leader = self.replica.shared.leader
+        if leader and leader != self.network.name:
+            reply = await self.network.call(
+                leader, calls.CONTROL, calls.encode(request), CONTROL_SECONDS
+            )
+            if not isinstance(reply, outcomes.Refusal):
+                passed = calls.decode_answer(reply)
+                if passed.kind == calls.Kind.ANSWERED:
+                    return message.Response(
+                        passed.status, passed.body, passed.headers
+                    )
+            elif reply.reason != outcomes.RefusalReason.UNREACHABLE:
+                return message.Response(504)
+        return message.Response(503, b"", {"retry-after": "1"})
--- /dev/null
+++ b/turmerichall/dispatch/roster.py
@@ -0,0 +1,182 @@
+"""Workers and runs as the leader knows them."""
+
+import enum
+
+from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import suspicion as suspicions
+from turmerichall.dispatch import worker_port
+from turmerichall.queues import change as changes
+from turmerichall.queues import demand as demands
+
+__all__ = ["Phase", "Run", "Worker"]
+
+# Share of what a lasting task asks for that it is taken to use.
+LASTING_USE = 0.5
+
+
+class Phase(enum.Enum):
+    """How far the leader got with a run."""
+
+    # The start is not committed yet.
+    PLANNED = "planned"
+    # The start is committed; no answer of the worker yet.
+    ORDERED = "ordered"
+    RUNNING = "running"
+
+
+class Run:
+    """One run on one worker.
+
+    Attributes:
+        task: The task.
+        number: Number of the start.
+        step: What the task asks for.
+        queue: Key of its queue.
+        phase: How far it got.
+        refused_after_ms: Time on the worker's clock after which a start that
+            was sent is refused.
+        confirmed_at: When the worker was first known to run it, steady
+            seconds.
+        stopping: Whether it was asked to stop, or is to be.
+        pace_percent: Share of its speed that it was last set to.
+        load: Last figure of the worker: tail in ms or processors in use.
+        progress_percent: Last progress listed.
+        checkpoint: Last saved progress listed.
+    """
+
+    __slots__ = (
+        "checkpoint",
+        "confirmed_at",
+        "load",
+        "number",
+        "pace_percent",
+        "phase",
+        "progress_percent",
+        "queue",
+        "refused_after_ms",
+        "step",
+        "stopping",
+        "task",
+    )
+
+    def __init__(
+        self,
+        task: changes.TaskName,
+        number: int,
+        step: demands.StepDemand,
+        queue: str,
+    ):
+        self.task = task
+        self.number = number
+        self.step = step
+        self.queue = queue
+        self.phase = Phase.PLANNED
+        self.refused_after_ms = 0
+        self.confirmed_at = 0.0
+        self.stopping = False
+        self.pace_percent = 100
+        self.load = 0
+        self.progress_percent = 0
+        self.checkpoint = ""
+
+    def order(self) -> worker_port.Order:
+        """Returns what names it towards the worker."""
+        return worker_port.Order(self.task, self.number)
+
+
+class Worker:
+    """One life of a worker.
+
+    Attributes:
+        record: What it told of itself.
+        port: How to reach it.
+        lease: Its lease.
+        draining: Whether it is about to leave.
+        leaves_at: While it drains, when it may be gone, steady seconds.
+        runs: Runs by task, from planned until their end is committed.
+        in_touch: Whether it answered the last look.
+        suspicion: How far it can be trusted.
+        cpu_asked: Processors that runs asked for and that count.
+        cpu_used: Processors that these runs are taken to use.
+        cpu_filled: Processors that filling runs asked for.
+        memory_used: Memory of all runs, MB.
+        gpu_used: Accelerators of all runs.
+        lasting: Number of lasting runs.
+        tail_ratio: Worst tail of its lasting runs against its target.
+        filler_percent: Pace that its filling runs are set to.
+        heartbeat: Sequence of its last heartbeat.
+    """
+
+    def __init__(
+        self,
+        record: changes.WorkerRecord,
+        port: worker_port.WorkerPort,
+        term_began_at: float,
+        draining: bool = False,
+    ):
+        self.record = record
+        self.port = port
+        self.lease = leases.Lease(term_began_at)
+        self.draining = draining
+        self.leaves_at = float("inf")
+        self.runs: dict[changes.TaskName, Run] = {}
+        self.in_touch = False
+        self.suspicion = suspicions.Suspicion()
+        self.cpu_asked = 0
+        self.cpu_used = 0.0
+        self.cpu_filled = 0
+        self.memory_used = 0
+        self.gpu_used = 0
+        self.lasting = 0
+        self.tail_ratio = 0.0
+        self.filler_percent = 100
+        self.heartbeat = 0
+
+    def add(self, run: Run) -> None:
+        """Reserves what a run asks for."""
+        self.runs[run.task] = run
+        self._count(run.step, 1)
+
+    def remove(self, run: Run) -> None:
+        """Frees what a run asked for."""
+        if self.runs.get(run.task) is run:
+            del self.runs[run.task]
+            self._count(run.step, -1)
+
+    def _count(self, step: demands.StepDemand, sign: int) -> None:
+        self.memory_used += sign * step.memory_mb
+        self.gpu_used += sign * step.gpu
+        if step.fills:
+            self.cpu_filled += sign * step.cpu
+            return
+        self.cpu_asked += sign * step.cpu
+        if step.lasting:
+            self.lasting += sign
+            self.cpu_used += sign * step.cpu * LASTING_USE
+        else:
+            self.cpu_used += sign * step.cpu
+
+    def holds(self, step: demands.StepDemand) -> bool:
+        """Tells whether what a task asks for is free here."""
+        record = self.record
+        if self.memory_used + step.memory_mb > record.memory_mb:
+            return False
+        if self.gpu_used + step.gpu > record.gpu:
+            return False
+        return step.fills or self.cpu_asked + step.cpu <= record.cpu
+
+    def may_ever_hold(self, step: demands.StepDemand) -> bool:
+        """Tells whether an empty worker like this one could run a task."""
+        record = self.record
+        return (
+            step.memory_mb <= record.memory_mb
+            and step.gpu <= record.gpu
+            and step.cpu <= record.cpu
+            and (
+                not step.required_label or step.required_label in record.labels
+            )
+        )
+
+    def free_cpu(self) -> float:
+        """Returns processors that are taken to be unused."""
+        return self.record.cpu - self.cpu_used - self.cpu_filled
--- /dev/null
+++ b/turmerichall/dispatch/session.py
@@ -0,0 +1,386 @@
+"""One worker: its lease, looks at it, and orders to it."""
+
+from typing import Protocol
+
+import trio
+
+from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import pacing
+from turmerichall.dispatch import roster
+from turmerichall.dispatch import worker_port
+from turmerichall.peers import link
+from turmerichall.queues import change as changes
+from turmerichall.queues import ledger as ledgers
+
+__all__ = ["Owner", "Session"]
+
+# Of a start, on the worker's clock; one without an answer is known not to run
+# once this has passed.
+START_SECONDS = 1.5
+# How long a look waits for an end, with and without tails to watch.
+WATCH_MS = 400
+WAIT_MS = 1500
+# Between two tries to reach a worker.
+RETRY_SECONDS = 0.25
+# While a quorum is not heard; nothing may be renewed then.
+UNSURE_SECONDS = 0.05
+# A worker out of reach for longer is given no new tasks.
+ORDER_TRIES = 3
+# A run that the worker does not list, this long after it was confirmed.
+MISSING_SECONDS = 0.5
+# Pace is told anew if it differs by this much.
+PACE_STEP_PERCENT = 10
+
+Verdict = worker_port.Verdict
+
+
+class Owner(Protocol):
+    """What a session needs of the leader; `tenure.Tenure`."""
+
+    token: int
+    ledger: ledgers.Ledger
+    log: link.Log
+
+    def may_renew(self) -> bool:
+        """Tells whether leases may be renewed."""
+
+    async def commit_ends(
+        self, worker: roster.Worker, rows: list[changes.Ended]
+    ) -> None:
+        """Has ends committed and frees what the runs held."""
+
+    def fenced(self, worker: roster.Worker) -> None:
+        """Stops the leader's work: a newer term gives orders."""
+
+    def spawn(self, session: "Session", run: roster.Run) -> None:
+        """Starts a run in a task of its own."""
+
+    def spawn_stop(self, session: "Session", run: roster.Run) -> None:
+        """Stops a run in a task of its own."""
+
+    def worker_changed(self, worker: roster.Worker) -> None:
+        """Takes in that more or less may be placed on a worker."""
+
+    def note_done(
+        self, worker: roster.Worker, run: roster.Run, seconds: float
+    ) -> None:
+        """Learns from a run that was done."""
+
+    async def replaced(self, worker: roster.Worker) -> None:
+        """Notes that another life answers at the worker's address."""
+
+
+class Session:
+    """Keeps one worker's lease, and carries out orders to it.
+
+    Attributes:
+        owner: The leader.
+        worker: The worker.
+        acknowledged: Ends up to this number are durable.
+        scope: Ends the session when cancelled.
+    """
+
+    def __init__(self, owner: Owner, worker: roster.Worker):
+        self.owner = owner
+        self.worker = worker
+        self.acknowledged = 0
+        self.scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        """Looks at the worker until it is gone or the term ends."""
+        with self.scope:
+            try:
+                while True:
+                    await self._look_once()
+            finally:
+                self.worker.port.close()
+
+    async def _look_once(self) -> None:
+        owner, worker = self.owner, self.worker
+        if not owner.may_renew():
+            await trio.sleep(UNSURE_SECONDS)
+            return
+        now = leases.steady_seconds()
+        lease = worker.lease
+        deadline_ms = lease.grant(now) if lease.known else None
+        wait_ms = self._wait_ms()
+        look = await worker.port.look(
+            owner.token, self.acknowledged, deadline_ms, wait_ms
+        )
+        if isinstance(look, worker_port.NoAnswer):
+            await self._note_silence(look.verdict)
+            return
+        arrived = leases.steady_seconds()
+        lease.note_clock(look.clock_ms, arrived)
+        lease.note_obeyed()
+        if deadline_ms is None:
+            # The first look only read the clock.
+            return
+        if not worker.in_touch:
+            worker.in_touch = True
+            owner.log.info("worker in touch", worker=worker.record.id)
+        await self._take_ends(look)
+        await self._compare(look, now)
+        await self._watch_tails(look)
+        owner.worker_changed(worker)
+
+    def _wait_ms(self) -> int:
+        worker = self.worker
+        if not worker.in_touch:
+            return 0
+        watched = worker.lasting and worker.cpu_filled
+        unsure = any(
+            run.phase != roster.Phase.RUNNING for run in worker.runs.values()
+        )
+        return WATCH_MS if watched or unsure else WAIT_MS
+
+    async def _note_silence(self, verdict: Verdict) -> None:
+        owner, worker = self.owner, self.worker
+        if verdict == Verdict.REPLACED:
+            await owner.replaced(worker)
+            return
+        if verdict == Verdict.FENCED:
+            owner.fenced(worker)
+            return
+        if worker.in_touch:
+            worker.in_touch = False
+            owner.log.info(
+                "worker out of touch",
+                worker=worker.record.id,
+                verdict=verdict.value,
+                runs=len(worker.runs),
+            )
+        if worker.runs and worker.lease.is_over(leases.steady_seconds()):
+            rows = [
+                changes.Ended(
+                    run.task, run.number, changes.Ending.LOST, run.checkpoint
+                )
+                for run in worker.runs.values()
+                if run.phase != roster.Phase.PLANNED
+            ]
+            owner.log.info(
+                "lease ran out", worker=worker.record.id, runs=len(rows)
+            )
+            await owner.commit_ends(worker, rows)
+        await trio.sleep(RETRY_SECONDS)
+
+    async def _take_ends(self, look: worker_port.Look) -> None:
+        """Has new ends committed, after which they may be acknowledged."""
+        worker = self.worker
+        rows = []
+        last = self.acknowledged
+        now = leases.steady_seconds()
+        for end in look.ends:
+            if end.sequence <= self.acknowledged:
+                continue
+            last = max(last, end.sequence)
+            ended = end.ended
+            if ended is None:
+                continue
+            run = worker.runs.get(ended.task)
+            if run is None or run.number != ended.run:
+                continue
+            rows.append(ended)
+            well = ended.ending == changes.Ending.DONE
+            if well and run.confirmed_at:
+                self.owner.note_done(worker, run, now - run.confirmed_at)
+            if well or ended.ending == changes.Ending.FAILED:
+                worker.suspicion.note(well, now)
+        if rows:
+            await self.owner.commit_ends(worker, rows)
+        self.acknowledged = last
+
+    async def _compare(self, look: worker_port.Look, asked_at: float) -> None:
+        """Settles what differs between the worker's list and the ledger."""
+        worker, owner = self.worker, self.owner
+        listed: dict[changes.TaskName, worker_port.RunningTask] = {}
+        now = leases.steady_seconds()
+        for row in look.running:
+            run = worker.runs.get(row.task) if row.task else None
+            if row.task is None or run is None or run.number != row.run:
+                await self._stop_stray(row)
+                continue
+            listed[row.task] = row
+            if run.phase == roster.Phase.ORDERED:
+                run.phase = roster.Phase.RUNNING
+            if not run.confirmed_at:
+                run.confirmed_at = now
+            run.load = row.recent_load
+            run.progress_percent = row.progress_percent
+            run.checkpoint = row.checkpoint
+        if not look.complete:
+            return
+        rows = []
+        for task, run in list(worker.runs.items()):
+            if task in listed or run.phase == roster.Phase.PLANNED:
+                continue
+            if run.phase == roster.Phase.ORDERED:
+                sent = run.refused_after_ms
+                if not sent:
+                    # Committed in an earlier term, perhaps never sent.
+                    owner.spawn(self, run)
+                elif look.clock_ms > sent:
+                    rows.append(self._ended(run, changes.Ending.UNSTARTED))
+            elif asked_at > run.confirmed_at + MISSING_SECONDS:
+                rows.append(self._ended(run, changes.Ending.LOST))
+        if rows:
+            owner.log.info(
+                "runs are not at the worker",
+                worker=worker.record.id,
+                tasks=[":".join(map(str, row.task)) for row in rows[:8]],
+                count=len(rows),
+            )
+            await owner.commit_ends(worker, rows)
+
+    def _ended(self, run: roster.Run, ending: changes.Ending) -> changes.Ended:
+        return changes.Ended(run.task, run.number, ending, run.checkpoint)
+
+    async def _stop_stray(self, row: worker_port.RunningTask) -> None:
+        """Stops what runs there and should not."""
+        if row.task is None:
+            self.owner.log.warning(
+                "worker lists a task whose name can't be read",
+                worker=self.worker.record.id,
+                task=row.name,
+            )
+            return
+        self.owner.log.info(
+            "stopping a run that is not expected",
+            worker=self.worker.record.id,
+            task=row.name,
+            run=row.run,
+        )
+        order = worker_port.Order(row.task, row.run)
+        result = await self.worker.port.stop(order, self.owner.token)
+        if result.verdict == Verdict.FENCED:
+            self.owner.fenced(self.worker)
+
+    async def _watch_tails(self, look: worker_port.Look) -> None:
+        """Sets the pace of filling tasks from the tails of lasting ones."""
+        worker = self.worker
+        ratio = 0.0
+        for run in worker.runs.values():
+            if run.step.lasting and run.step.target_ms and run.confirmed_at:
+                ratio = max(ratio, run.load / run.step.target_ms)
+        worker.tail_ratio = ratio
+        if not worker.cpu_filled:
+            worker.filler_percent = 100
+            return
+        percent = pacing.next_percent(worker.filler_percent, ratio)
+        worker.filler_percent = percent
+        for run in list(worker.runs.values()):
+            if run.step.fills and run.phase == roster.Phase.RUNNING:
+                await self.set_pace(run, percent)
+
+    async def set_pace(self, run: roster.Run, percent: int) -> None:
+        """Tells a run its pace, if that differs."""
+        differs = abs(run.pace_percent - percent) >= PACE_STEP_PERCENT
+        if not differs and run.pace_percent == percent:
+            return
+        result = await self.worker.port.pace(
+            run.order(), percent, self.owner.token
+        )
+        if result.verdict == Verdict.DONE:
+            run.pace_percent = percent
+        elif result.verdict == Verdict.FENCED:
+            self.owner.fenced(self.worker)
+
+    async def start(self, run: roster.Run, order: worker_port.Order) -> None:
+        """Orders a committed start; without an answer the next looks decide."""
+        owner, worker = self.owner, self.worker
+        lease = worker.lease
+        now = leases.steady_seconds()
+        run.refused_after_ms = lease.grant(now, START_SECONDS)
+        unclear = False
+        for _ in range(ORDER_TRIES):
+            if run.stopping or worker.runs.get(run.task) is not run:
+                break
+            result = await worker.port.start(
+                order, owner.token, run.refused_after_ms
+            )
+            if await self._settle_start(run, result, unclear):
+                return
+            unclear = unclear or result.verdict != Verdict.UNSENT
+            if lease.estimate_ms(leases.steady_seconds()) >= (
+                run.refused_after_ms
+            ):
+                break
+        owner.log.info(
+            "start without an answer",
+            worker=worker.record.id,
+            job=run.task.job,
+            run=run.number,
+        )
+
+    async def _settle_start(
+        self,
+        run: roster.Run,
+        result: worker_port.OrderResult,
+        unclear: bool,
+    ) -> bool:
+        """Takes in the answer to a start; returns whether it decided.
+
+        Args:
+            run: The run.
+            result: The answer.
+            unclear: Whether an earlier try may still be carried out.
+        """
+        owner, worker = self.owner, self.worker
+        verdict = result.verdict
+        now = leases.steady_seconds()
+        if verdict in (Verdict.UNANSWERED, Verdict.UNSENT):
+            worker.suspicion.note(False, now)
+            return False
+        if verdict == Verdict.DONE:
+            if run.phase == roster.Phase.ORDERED:
+                run.phase = roster.Phase.RUNNING
+                run.confirmed_at = now
+            if run.stopping:
+                await self.stop(run)
+            elif run.step.fills and worker.filler_percent < 100:
+                await self.set_pace(run, worker.filler_percent)
+            return True
+        if verdict == Verdict.FENCED:
+            owner.fenced(worker)
+            return True
+        owner.log.info(
+            "start refused",
+            worker=worker.record.id,
+            job=run.task.job,
+            step=run.task.step,
+            index=run.task.index,
+            run=run.number,
+            verdict=verdict.value,
+            cpu_asked=worker.cpu_asked,
+            memory_used=worker.memory_used,
+        )
+        if verdict == Verdict.REPLACED:
+            await owner.replaced(worker)
+            return True
+        if verdict == Verdict.OUTDATED:
+            # Its end is listed there, or follows.
+            return True
+        if unclear:
+            return False
+        if verdict in (Verdict.UNWELL, Verdict.NO_ROOM, Verdict.MALFORMED):
+            worker.suspicion.avoid(now)
+        await owner.commit_ends(
+            worker, [self._ended(run, changes.Ending.UNSTARTED)]
+        )
+        return True
+
+    async def stop(self, run: roster.Run) -> None:
+        """Stops a run; its end is listed by the worker."""
+        owner, worker = self.owner, self.worker
+        run.stopping = True
+        while worker.runs.get(run.task) is run:
+            result = await worker.port.stop(run.order(), owner.token)
+            if result.verdict == Verdict.DONE:
+                return
+            if result.verdict == Verdict.FENCED:
+                owner.fenced(worker)
+                return
+            if result.verdict == Verdict.REPLACED:
+                await owner.replaced(worker)
+                return
+            await trio.sleep(RETRY_SECONDS)
--- /dev/null
+++ b/turmerichall/dispatch/tenure.py
@@ -0,0 +1,644 @@
+"""A leader's work in one term: places tasks, orders workers, answers callers."""
+
+from collections.abc import Callable, Iterable
+import time
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.agreement import replica as replicas
+from turmerichall.dispatch import admission
+from turmerichall.dispatch import backlog as backlogs
+from turmerichall.dispatch import durations as learnt
+from turmerichall.dispatch import freshness as freshnesses
+from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import ordering
+from turmerichall.dispatch import placement
+from turmerichall.dispatch import roster
+from turmerichall.dispatch import session as sessions
+from turmerichall.dispatch import worker_port
+from turmerichall.peers import link
+from turmerichall.queues import change as changes
+from turmerichall.queues import configuration as configurations
+from turmerichall.queues import demand as demands
+from turmerichall.queues import ledger as ledgers
+
+__all__ = ["Tenure", "wall_ms"]
+
+COMMIT_SECONDS = 20.0
+# For a change that a caller waits for; then its effect is unknown.
+CALLER_SECONDS = 2.5
+# Between two placements, so that what arrives together is placed together.
+PLACE_SECONDS = 0.005
+# Placement is tried at least this often, for tails and avoidance that change.
+PLACE_AGAIN_SECONDS = 0.25
+# Between two looks at the clock for occurrences that are due.
+DUE_SECONDS = 0.05
+# After a worker said that it ends.
+LEAVING_SECONDS = 0.3
+
+MakePort = Callable[[changes.WorkerRecord], worker_port.WorkerPort]
+
+
+def wall_ms() -> int:
+    """Returns the time of day, ms since 1970."""
+    return time.time_ns() // 1_000_000
+
+
+class Tenure:
+    """One term of one leader.
+
+    Attributes:
+        replica: Commits changes.
+        ledger: The replicated state.
+        token: Fencing token of all orders; the term.
+        workers: Workers by id.
+        sessions: Sessions by id of the worker.
+        backlog: Tasks that wait.
+        durations: Learnt run times.
+        freshness: Whether this leader still is the only one.
+        scope: Ends the term's work when cancelled.
+    """
+
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        ledger: ledgers.Ledger,
+        token: int,
+        make_port: MakePort,
+        freshness: freshnesses.Freshness,
+        log: link.Log,
+        durations: learnt.Durations,
+    ):
+        self.replica = replica
+        self.ledger = ledger
+        self.token = token
+        self.freshness = freshness
+        self.log = log
+        self.durations = durations
+        self.workers: dict[str, roster.Worker] = {}
+        self.sessions: dict[str, sessions.Session] = {}
+        self.backlog = backlogs.Backlog(ledger)
+        self.scope = trio.CancelScope()
+        self.was_fenced = False
+        self._make_port = make_port
+        self._began_at = leases.steady_seconds()
+        self._wake = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        self._scheduled: dict[str, int] = {}
+
+    # Life of the term.
+
+    async def run(self) -> None:
+        """Works until the term ends."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self._load()
+                self.log.info(
+                    "term begins",
+                    term=self.token,
+                    workers=len(self.workers),
+                    jobs=len(self.ledger.jobs),
+                    runs=sum(len(w.runs) for w in self.workers.values()),
+                )
+                nursery.start_soon(self._place)
+                nursery.start_soon(self._watch_schedule)
+                nursery.start_soon(self._watch_leadership)
+
+    def _load(self) -> None:
+        """Takes over what the ledger says is under way."""
+        for record in self.ledger.workers.values():
+            self._add_worker(record, record.id in self.ledger.draining)
+        now_ms = wall_ms()
+        for job in self.ledger.jobs.values():
+            for name, task in job.runs():
+                self._adopt(job, name, task)
+            if job.open:
+                self._add_job(job, now_ms)
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                if not self.ledger.jobs[run.task.job].open:
+                    self.spawn_stop(self.sessions[worker.record.id], run)
+
+    def _adopt(
+        self,
+        job: ledgers.Job,
+        name: changes.TaskName,
+        task: ledgers.TaskRecord,
+    ) -> None:
+        worker = self.workers.get(task.worker)
+        if worker is None:
+            return
+        step = job.demand.steps[name.step]
+        run = roster.Run(name, task.run, step, job.queue)
+        run.phase = roster.Phase.ORDERED
+        worker.add(run)
+
+    async def _watch_leadership(self) -> None:
+        while self.replica.led_term() == self.token and not self.was_fenced:
+            await self.replica.shared.role_changed.wait(
+                trio.current_time() + PLACE_AGAIN_SECONDS
+            )
+        self.log.info("term ends", term=self.token)
+        self.scope.cancel()
+
+    def may_renew(self) -> bool:
+        """See `session.Owner`."""
+        return self.freshness.may_renew()
+
+    def fenced(self, worker: roster.Worker) -> None:
+        """See `session.Owner`."""
+        self.log.warning(
+            "a newer term gives orders", worker=worker.record.id, term=self.token
+        )
+        self.was_fenced = True
+        self.scope.cancel()
+
+    async def commit(
+        self, change: changes.Change, timeout_seconds: float = CALLER_SECONDS
+    ) -> outcomes.Refusal | outcomes.Unknown | None:
+        """Has a change committed and applied.
+
+        Returns:
+            None, or why it was not, or may not have been.
+        """
+        answer = await self.replica.propose_in_term(
+            changes.encode(change), self.token, timeout_seconds
+        )
+        return None if isinstance(answer, bytes) else answer
+
+    async def _commit_own(self, change: changes.Change) -> None:
+        """Has a change committed; without that the term's work ends."""
+        failed = await self.commit(change, COMMIT_SECONDS)
+        if failed is not None:
+            self.log.info(
+                "own change not committed",
+                reason=failed.reason.value,
+                detail=failed.detail,
+            )
+            self.scope.cancel()
+            await trio.sleep_forever()
+
+    # Workers.
+
+    def _add_worker(
+        self, record: changes.WorkerRecord, draining: bool
+    ) -> roster.Worker:
+        worker = roster.Worker(
+            record, self._make_port(record), self._began_at, draining
+        )
+        session = sessions.Session(self, worker)
+        self.workers[record.id] = worker
+        self.sessions[record.id] = session
+        if self._nursery is not None:
+            self._nursery.start_soon(session.run)
+        return worker
+
+    async def heartbeat(self, beat: worker_port.Heartbeat) -> bool:
+        """Takes in a heartbeat; returns whether it may be acknowledged."""
+        record = beat.worker
+        if record.id in self.ledger.gone:
+            return True
+        worker = self.workers.get(record.id)
+        if worker is None:
+            if not await self._register(beat):
+                return False
+            worker = self.workers.get(record.id)
+            if worker is None:
+                return False
+        if beat.sequence < worker.heartbeat:
+            return True
+        worker.heartbeat = beat.sequence
+        if beat.clock_ms >= 0 and not worker.lease.known:
+            worker.lease.note_clock(beat.clock_ms, leases.steady_seconds())
+        if beat.draining:
+            if beat.remaining_ms >= 0:
+                left = beat.remaining_ms / 1000
+                worker.leaves_at = leases.steady_seconds() + left
+            if not worker.draining:
+                return await self._drain(worker)
+        return True
+
+    async def _register(self, beat: worker_port.Heartbeat) -> bool:
+        record = beat.worker
+        other = next(
+            (
+                known
+                for known in self.workers.values()
+                if known.record.address == record.address
+            ),
+            None,
+        )
+        if other is not None and not await self._answers(record):
+            self.log.info(
+                "heartbeat of a worker that does not answer as itself",
+                worker=record.id,
+                address=record.address,
+                known=other.record.id,
+            )
+            return False
+        if await self.commit(changes.RegisterWorker(record)) is not None:
+            return False
+        await self._forget_lost()
+        if record.id in self.ledger.workers and record.id not in self.workers:
+            self._add_worker(record, False)
+            self.log.info(
+                "worker registered",
+                worker=record.id,
+                address=record.address,
+                zone=record.zone,
+                cpu=record.cpu,
+                memory_mb=record.memory_mb,
+            )
+        return True
+
+    async def _answers(self, record: changes.WorkerRecord) -> bool:
+        """Tells whether this life of a worker answers at its address."""
+        port = self._make_port(record)
+        try:
+            look = await port.look(self.token, 0, None, 0)
+        finally:
+            port.close()
+        return isinstance(look, worker_port.Look)
+
+    async def _drain(self, worker: roster.Worker) -> bool:
+        worker.draining = True
+        failed = await self.commit(changes.DrainWorker(worker.record.id))
+        if failed is not None:
+            return False
+        self.log.info(
+            "worker drains", worker=worker.record.id, runs=len(worker.runs)
+        )
+        session = self.sessions.get(worker.record.id)
+        if session is not None:
+            for run in list(worker.runs.values()):
+                if run.step.lasting or run.step.checkpoints:
+                    self.spawn_stop(session, run)
+        return True
+
+    async def leaving(self, worker_id: str) -> bool:
+        """Takes in that a worker ends; returns whether to acknowledge it."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return worker_id in self.ledger.gone
+        if not worker.draining and not await self._drain(worker):
+            return False
+        assert self._nursery is not None
+        self._nursery.start_soon(self._lose_soon, worker)
+        return True
+
+    async def _lose_soon(self, worker: roster.Worker) -> None:
+        await trio.sleep(LEAVING_SECONDS)
+        await self._lose(worker)
+
+    async def replaced(self, worker: roster.Worker) -> None:
+        """See `session.Owner`."""
+        self.log.info("worker was replaced", worker=worker.record.id)
+        await self._lose(worker)
+
+    async def _lose(self, worker: roster.Worker) -> None:
+        if worker.record.id in self.ledger.workers:
+            await self._commit_own(changes.LoseWorker(worker.record.id))
+        await self._forget_lost()
+
+    async def _forget_lost(self) -> None:
+        """Lets tasks of workers that the ledger no longer has wait again."""
+        for worker_id in list(self.workers):
+            if worker_id in self.ledger.workers:
+                continue
+            worker = self.workers.pop(worker_id)
+            self.log.info(
+                "worker gone", worker=worker_id, runs=len(worker.runs)
+            )
+            self.sessions.pop(worker_id).scope.cancel()
+            for run in list(worker.runs.values()):
+                worker.remove(run)
+                if run.phase != roster.Phase.PLANNED:
+                    self.backlog.put_back(run.task)
+            self._wake.set()
+
+    def worker_changed(self, worker: roster.Worker) -> None:
+        """See `session.Owner`."""
+        del worker
+        self._wake.set()
+
+    def note_done(
+        self, worker: roster.Worker, run: roster.Run, seconds: float
+    ) -> None:
+        """See `session.Owner`."""
+        del worker
+        if not run.step.lasting:
+            self.durations.note((run.queue, run.step.image), seconds)
+
+    # Runs.
+
+    def spawn(self, session: sessions.Session, run: roster.Run) -> None:
+        """See `session.Owner`."""
+        assert self._nursery is not None
+        job = self.ledger.jobs.get(run.task.job)
+        if job is None:
+            return
+        order = worker_port.Order(
+            run.task,
+            run.number,
+            job.demand.spec,
+            job.task(run.task).checkpoint if job.open else "",
+        )
+        self._nursery.start_soon(session.start, run, order)
+
+    def spawn_stop(self, session: sessions.Session, run: roster.Run) -> None:
+        """See `session.Owner`."""
+        assert self._nursery is not None
+        if not run.stopping:
+            run.stopping = True
+            self._nursery.start_soon(session.stop, run)
+
+    async def commit_ends(
+        self, worker: roster.Worker, rows: list[changes.Ended]
+    ) -> None:
+        """See `session.Owner`."""
+        if not rows:
+            return
+        open_before = {
+            row.task.job: self.ledger.jobs[row.task.job].open
+            for row in rows
+            if row.task.job in self.ledger.jobs
+        }
+        await self._commit_own(changes.EndRuns(tuple(rows)))
+        for row in rows:
+            run = worker.runs.get(row.task)
+            if run is None or run.number != row.run:
+                continue
+            worker.remove(run)
+            if row.ending == changes.Ending.DONE:
+                self.backlog.note_done(row.task)
+                if run.step.lasting:
+                    self.backlog.put_back(row.task)
+            else:
+                failed = row.ending == changes.Ending.FAILED
+                self.backlog.put_back(
+                    row.task, worker.record.id if failed else ""
+                )
+        self._log_ends(worker, rows)
+        for job_id, was_open in open_before.items():
+            job = self.ledger.jobs[job_id]
+            if was_open and not job.open:
+                self.log.info(
+                    "job ended",
+                    job=job_id,
+                    state=job.state.value,
+                    age_ms=wall_ms() - job.at_ms,
+                )
+                self._close_job(job_id)
+        self._wake.set()
+
+    def _log_ends(
+        self, worker: roster.Worker, rows: Iterable[changes.Ended]
+    ) -> None:
+        for row in rows:
+            if row.ending not in (changes.Ending.DONE, changes.Ending.STOPPED):
+                self.log.info(
+                    "run ended",
+                    job=row.task.job,
+                    step=row.task.step,
+                    index=row.task.index,
+                    run=row.run,
+                    worker=worker.record.id,
+                    ending=row.ending.name.lower(),
+                )
+
+    def _close_job(self, job_id: str) -> None:
+        """Stops what still runs of a job that ended."""
+        self.backlog.drop_job(job_id)
+        self._scheduled.pop(job_id, None)
+        for worker_id, worker in self.workers.items():
+            for run in list(worker.runs.values()):
+                if run.task.job == job_id and run.phase != roster.Phase.PLANNED:
+                    self.spawn_stop(self.sessions[worker_id], run)
+
+    # Placement.
+
+    async def _place(self) -> None:
+        while True:
+            with trio.move_on_after(PLACE_AGAIN_SECONDS):
+                await self._wake.wait()
+            await trio.sleep(PLACE_SECONDS)
+            self._wake = trio.Event()
+            if not self.may_renew():
+                continue
+            planned = self._plan()
+            if planned:
+                await self._start(planned)
+
+    def _plan(self) -> list[tuple[roster.Worker, roster.Run]]:
+        """Chooses what starts now, and reserves its room."""
+        now = leases.steady_seconds()
+        now_ms = wall_ms()
+        groups = self.backlog.ready()
+        if not groups:
+            return []
+        groups.sort(key=lambda group: ordering.rank(self._claim(group, now_ms)))
+        by_service: dict[str, list[roster.Worker]] = {}
+        for worker in self.workers.values():
+            by_service.setdefault(worker.record.service, []).append(worker)
+        planned: list[tuple[roster.Worker, roster.Run]] = []
+        for group in groups:
+            workers = by_service.get(group.queue.service, [])
+            planned += self._plan_group(group, workers, now)
+        return planned
+
+    def _claim(self, group: backlogs.Group, now_ms: int) -> ordering.Claim:
+        queue = self.ledger.queues[group.job.queue]
+        group.queue = queue
+        step = group.step
+        chain = group.job.demand.chain_ms() / 1000
+        return ordering.Claim(
+            queue.priority,
+            step.lasting,
+            step.lasting and group.job.started,
+            (now_ms - group.begun_at_ms) / 1000,
+            queue.stretch * chain + queue.target_latency_ms / 1000,
+            step.estimate_ms / 1000,
+        )
+
+    def _plan_group(
+        self,
+        group: backlogs.Group,
+        workers: list[roster.Worker],
+        now: float,
+    ) -> list[tuple[roster.Worker, roster.Run]]:
+        step = group.step
+        siblings = self._siblings(group, workers)
+        planned: list[tuple[roster.Worker, roster.Run]] = []
+        steps = group.job.steps(group.name.occurrence)
+        tasks = steps[group.name.step].tasks
+        if step.gang and len(group.waiting) < step.count:
+            return []
+        number = 0
+        if step.gang:
+            number = max(task.run for task in tasks) + 1
+        for index in sorted(group.waiting):
+            worker = placement.choose(
+                step,
+                workers,
+                now,
+                group.avoided.get(index, ()),
+                siblings,
+                step.data_rack,
+            )
+            if worker is None:
+                break
+            run = roster.Run(
+                group.task(index),
+                number or tasks[index].run + 1,
+                step,
+                group.job.queue,
+            )
+            worker.add(run)
+            siblings[worker.record.id] = siblings.get(worker.record.id, 0) + 1
+            planned.append((worker, run))
+        if step.gang and len(planned) < step.count:
+            for worker, run in planned:
+                worker.remove(run)
+            return []
+        group.waiting -= {run.task.index for _, run in planned}
+        return planned
+
+    def _siblings(
+        self, group: backlogs.Group, workers: list[roster.Worker]
+    ) -> dict[str, int]:
+        steps = group.job.steps(group.name.occurrence)
+        counts: dict[str, int] = {}
+        for task in steps[group.name.step].tasks:
+            if task.worker:
+                counts[task.worker] = counts.get(task.worker, 0) + 1
+        del workers
+        return counts
+
+    async def _start(
+        self, planned: list[tuple[roster.Worker, roster.Run]]
+    ) -> None:
+        """Has starts committed, then orders them."""
+        rows = tuple(
+            changes.Started(run.task, run.number, worker.record.id)
+            for worker, run in planned
+        )
+        await self._commit_own(changes.StartRuns(rows))
+        self.log.info(
+            "tasks placed",
+            starts=[
+                f"{row.task.job}.{row.task.occurrence}.{row.task.step}"
+                f".{row.task.index}/{row.run}@{row.worker}"
+                for row in rows
+            ],
+        )
+        for worker, run in planned:
+            if worker.record.id not in self.sessions:
+                worker.remove(run)
+                self.backlog.put_back(run.task)
+                continue
+            job = self.ledger.jobs.get(run.task.job)
+            run.phase = roster.Phase.ORDERED
+            if job is not None and job.open:
+                self.spawn(self.sessions[worker.record.id], run)
+                continue
+            # Canceled meanwhile; nothing was sent.
+            ended = changes.Ended(
+                run.task, run.number, changes.Ending.UNSTARTED, ""
+            )
+            await self.commit_ends(worker, [ended])
+
+    # Jobs.
+
+    def _add_job(self, job: ledgers.Job, now_ms: int) -> None:
+        self.backlog.add_job(job, now_ms)
+        schedule = job.demand.schedule
+        if schedule is not None:
+            begun = [
+                number
+                for number in range(schedule.count)
+                if schedule.due_at_ms(number) <= now_ms
+            ]
+            if len(begun) < schedule.count:
+                self._scheduled[job.id] = len(begun)
+
+    async def _watch_schedule(self) -> None:
+        """Adds occurrences of timed jobs when they are due."""
+        while True:
+            await trio.sleep(DUE_SECONDS)
+            now_ms = wall_ms()
+            for job_id, occurrence in list(self._scheduled.items()):
+                job = self.ledger.jobs[job_id]
+                schedule = job.demand.schedule
+                if schedule is None or not job.open:
+                    del self._scheduled[job_id]
+                elif schedule.due_at_ms(occurrence) <= now_ms:
+                    self.backlog.add_occurrence(job, occurrence)
+                    self._scheduled[job_id] = occurrence + 1
+                    if occurrence + 1 >= schedule.count:
+                        del self._scheduled[job_id]
+                    self._wake.set()
+
+    async def submit(
+        self,
+        job_id: str,
+        queue: configurations.Queue,
+        demand: demands.JobDemand,
+    ) -> outcomes.Refusal | outcomes.Unknown | None:
+        """Accepts a job durably; None once it is."""
+        if job_id in self.ledger.jobs:
+            return None
+        refusal = admission.admit(self._queue_view(queue, demand))
+        if refusal is not None:
+            self.log.info(
+                "job refused",
+                job=job_id,
+                queue=queue.name,
+                reason=refusal.reason.value,
+                detail=refusal.detail,
+                retry_after=refusal.retry_after_seconds,
+            )
+            return refusal
+        change = changes.AcceptJob(job_id, queue.key, demand, wall_ms())
+        failed = await self.commit(change)
+        if failed is not None:
+            return failed
+        self.log.info(
+            "job accepted",
+            job=job_id,
+            queue=queue.name,
+            steps=len(demand.steps),
+            tasks=sum(step.count for step in demand.steps),
+        )
+        job = self.ledger.jobs[job_id]
+        if job.open and not job.started:
+            self._add_job(job, wall_ms())
+            self._wake.set()
+        return None
+
+    def _queue_view(
+        self, queue: configurations.Queue, demand: demands.JobDemand
+    ) -> admission.QueueView:
+        workers = [
+            worker
+            for worker in self.workers.values()
+            if worker.record.service == queue.service
+        ]
+        capacity = sum(
+            worker.record.cpu for worker in workers if worker.in_touch
+        )
+        return admission.QueueView(queue, demand, capacity, 0.0)
+
+    async def cancel(
+        self, job_id: str
+    ) -> outcomes.Refusal | outcomes.Unknown | None:
+        """Cancels a job durably and stops its tasks."""
+        job = self.ledger.jobs[job_id]
+        if not job.open:
+            return None
+        failed = await self.commit(changes.CancelJob(job_id))
+        if failed is None:
+            self.log.info("job canceled", job=job_id)
+            self._close_job(job_id)
+        return failed
--- /dev/null
+++ b/turmerichall/frontdoor/calls.py
@@ -0,0 +1,106 @@
+"""Messages between entry instances and replicas, and between replicas."""
+
+import enum
+from typing import NamedTuple
+
+import msgspec
+
+from turmerichall.dispatch import desk as desks
+from turmerichall.http1 import message
+
+__all__ = [
+    "Answer",
+    "CLIENT",
+    "CONTROL",
+    "LEADER",
+    "Kind",
+    "answered",
+    "decode_answer",
+    "decode_leader",
+    "decode_request",
+    "encode",
+    "not_leading",
+]
+
+# Kinds of messages.
+CLIENT = "queue_call"
+CONTROL = "control_call"
+LEADER = "queue_leader"
+
+
+class Kind(enum.IntEnum):
+    """What an answer is."""
+
+    ANSWERED = 0
+    # Another replica leads; nothing was done.
+    NOT_LEADING = 1
+
+
+class Answer(NamedTuple):
+    """A replica's answer to a call that was passed on.
+
+    Attributes:
+        kind: What it is.
+        status: Status for the caller.
+        body: Body for the caller.
+        headers: Header fields for the caller.
+        leader: Address of the leader, as far as it is known.
+    """
+
+    kind: Kind
+    status: int = 0
+    body: bytes = b""
+    headers: message.Headers = {}
+    leader: str = ""
+
+
+def answered(response: message.Response) -> Answer:
+    """Returns the answer that holds a response."""
+    return Answer(Kind.ANSWERED, *response)
+
+
+def not_leading(leader: str) -> Answer:
+    """Returns the answer of a replica that does not lead."""
+    return Answer(Kind.NOT_LEADING, leader=leader)
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_ANSWERS = msgspec.msgpack.Decoder(Answer)
+_REQUESTS = msgspec.msgpack.Decoder(message.Request)
+_LEADERS = msgspec.msgpack.Decoder(desks.Leader)
+
+
+def encode(value: message.Request | Answer | desks.Leader) -> bytes:
+    """Encodes a call or an answer."""
+    return _ENCODER.encode(value)
+
+
+def decode_answer(data: bytes) -> Answer:
+    """Decodes an answer.
+
+    Raises:
+        msgspec.DecodeError: The bytes are none.
+
+    Examples:
+        >>> decode_answer(encode(not_leading("10.0.0.1:7720"))).leader
+        '10.0.0.1:7720'
+    """
+    return _ANSWERS.decode(data)
+
+
+def decode_request(data: bytes) -> message.Request:
+    """Decodes a call.
+
+    Raises:
+        msgspec.DecodeError: The bytes are none.
+    """
+    return _REQUESTS.decode(data)
+
+
+def decode_leader(data: bytes) -> desks.Leader:
+    """Decodes who leads.
+
+    Raises:
+        msgspec.DecodeError: The bytes tell nothing of it.
+    """
+    return _LEADERS.decode(data)
--- /dev/null
+++ b/turmerichall/frontdoor/entry.py
@@ -0,0 +1,116 @@
+"""An entry instance: answers clients with what the leader says."""
+
+import trio
+
+from turmerichall.frontdoor import calls
+from turmerichall.frontdoor import passage as passages
+from turmerichall.http1 import message
+from turmerichall.http1 import server
+from turmerichall.peers import link
+from turmerichall.peers import network as networks
+from turmerichall.settings import queue_settings
+from turmerichall.telemetry import logs
+
+__all__ = ["EntryDaemon"]
+
+# How long a client is taken to wait, if it doesn't say.
+CLIENT_SECONDS = 3.0
+# Kept for the way back of the answer.
+MARGIN_SECONDS = 0.1
+# From the request to stop until clients' connections are closed: the balancer
+# asks each second and needs two misses.
+NOTICE_SECONDS = 2.5
+PROBING = link.Probing(1.0, 2.0, 1.0, 0.5)
+DEADLINE_HEADER = "deadline"
+
+
+class EntryDaemon:
+    """Every part of an entry instance.
+
+    Attributes:
+        settings: The settings.
+        network: Connections to replicas.
+        passage: The way to the leader.
+        clients: Serves clients.
+        ready: Serves the balancer.
+        draining: Whether it is about to stop.
+    """
+
+    def __init__(self, settings: queue_settings.QueueSettings):
+        self.settings = settings
+        self.draining = False
+        self.log = logs.Log("frontdoor")
+        self.network = networks.Network(
+            settings.instance.name,
+            settings.replicas.key.encode(),
+            log=logs.Log("peers"),
+            probing=PROBING,
+        )
+        self.passage = passages.Passage(
+            self.network, settings.replicas.addresses(), self.log
+        )
+        self.clients = server.Server(
+            self._answer, lambda: self.passage.known.limits
+        )
+        self.ready = server.Server(self._answer_ready)
+
+    @classmethod
+    def from_config(
+        cls, settings: queue_settings.QueueSettings
+    ) -> "EntryDaemon":
+        """Joins the parts as the settings say."""
+        return cls(settings)
+
+    async def run(self) -> None:
+        """Serves until it was drained."""
+        listen = self.settings.listen
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.network.run)
+            nursery.start_soon(self.passage.run)
+            async with trio.open_nursery() as servers:
+                await servers.start(self.ready.run, listen.ready)
+                await servers.start(self.clients.run, listen.clients)
+                self.log.info("serving", clients=listen.clients)
+            nursery.cancel_scope.cancel()
+        self.log.info("stopped")
+
+    async def drain(self) -> None:
+        """Stops: not ready first, then closes connections that are idle."""
+        self.draining = True
+        await trio.sleep(NOTICE_SECONDS)
+        await self.clients.stop()
+        await self.ready.stop()
+
+    async def _answer_ready(self, _: message.Request) -> message.Response:
+        is_ready = not self.draining and self.passage.ready()
+        return message.Response(200 if is_ready else 503)
+
+    async def _answer(self, request: message.Request) -> message.Response:
+        seconds = client_seconds(request) - MARGIN_SECONDS
+        response = await self.passage.pass_on(calls.CLIENT, request, seconds)
+        if response.status >= 429:
+            self.log.info(
+                "call not served",
+                method=request.method,
+                target=request.target,
+                status=response.status,
+                leader=self.passage.known.address,
+                heard_seconds_ago=round(
+                    trio.current_time() - self.passage.heard_at, 2
+                ),
+            )
+        return response
+
+
+def client_seconds(request: message.Request) -> float:
+    """Returns how long a client waits, by its header field, in ms.
+
+    Examples:
+        >>> client_seconds(message.Request("GET", "/", {"deadline": "500"}))
+        0.5
+    """
+    try:
+        told = float(request.headers.get(DEADLINE_HEADER, "")) / 1000
+    except ValueError:
+        return CLIENT_SECONDS
+    return told if 0 < told < 60 else CLIENT_SECONDS
--- /dev/null
+++ b/turmerichall/http1/message.py
@@ -0,0 +1,95 @@
+"""Requests and responses of HTTP/1.1, and their bytes."""
+
+import http
+from typing import NamedTuple
+
+__all__ = [
+    "Headers",
+    "Request",
+    "Response",
+    "encode_request",
+    "encode_response",
+]
+
+# Names in lower case.
+Headers = dict[str, str]
+
+JSON = "application/json"
+
+
+class Request(NamedTuple):
+    """A request that was read whole.
+
+    Attributes:
+        method: The method, in capitals.
+        target: Path with the query, as sent.
+        headers: Header fields by name in lower case.
+        body: The body.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b""
+
+    @property
+    def host(self) -> str:
+        """The host that was asked for, without its port."""
+        return self.headers.get("host", "").partition(":")[0].lower()
+
+
+class Response(NamedTuple):
+    """An answer.
+
+    Attributes:
+        status: The status code.
+        body: The body.
+        headers: Further header fields by name in lower case.
+    """
+
+    status: int
+    body: bytes = b""
+    headers: Headers = {}
+
+
+_STATUS_LINES = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+    for status in http.HTTPStatus
+}
+
+
+def encode_request(request: Request) -> bytes:
+    """Returns the bytes of a request.
+
+    Examples:
+        >>> encode_request(Request("GET", "/a", {"host": "b"}))
+        b'GET /a HTTP/1.1\\r\\nhost: b\\r\\ncontent-length: 0\\r\\n\\r\\n'
+    """
+    head = f"{request.method} {request.target} HTTP/1.1\r\n"
+    for name, value in request.headers.items():
+        head += f"{name}: {value}\r\n"
+    head += f"content-length: {len(request.body)}\r\n\r\n"
+    return head.encode("latin-1") + request.body
+
+
+def encode_response(response: Response, close: bool = False) -> bytes:
+    """Returns the bytes of a response.
+
+    Args:
+        response: The response.
+        close: Whether the connection ends after it.
+
+    Examples:
+        >>> encode_response(Response(200), close=True)[:36]
+        b'HTTP/1.1 200 OK\\r\\ncontent-length: 0\\r\\n'
+    """
+    status = response.status
+    head = _STATUS_LINES.get(status) or f"HTTP/1.1 {status} Unknown\r\n"
+    head += f"content-length: {len(response.body)}\r\n"
+    if response.body and "content-type" not in response.headers:
+        head += f"content-type: {JSON}\r\n"
+    for name, value in response.headers.items():
+        head += f"{name}: {value}\r\n"
+    if close:
+        head += "connection: close\r\n"
+    return (head + "\r\n").encode("latin-1") + response.body
--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -7,7 +7,7 @@
 import collections
 import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import trio
 
@@ -22,6 +22,7 @@
     "Log",
     "NoCounters",
     "PING_AFTER_SECONDS",
+    "Probing",
     "SILENT_AFTER_SECONDS",
 ]
 
@@ -35,6 +36,22 @@
 MAX_WRITE_BYTES = 256 * 1024
 
 
+class Probing(NamedTuple):
+    """When a connection on which nothing arrives is probed and given up.
+
+    Attributes:
+        ping_after_seconds: Without anything received, until it is probed.
+        silent_after_seconds: Without anything received, until it is replaced.
+        connect_seconds: For connecting and opening.
+        max_backoff_seconds: Longest wait between two tries to connect.
+    """
+
+    ping_after_seconds: float = PING_AFTER_SECONDS
+    silent_after_seconds: float = SILENT_AFTER_SECONDS
+    connect_seconds: float = CONNECT_SECONDS
+    max_backoff_seconds: float = MAX_BACKOFF_SECONDS
+
+
 class Log(Protocol):
     """Where a part writes its short sentences."""
 
@@ -109,8 +126,10 @@
         heard: Callable[[str], None],
         log: Log | None,
         counters: Counters,
+        probing: Probing = Probing(),
     ):
         self.own_name = own_name
+        self.probing = probing
         self.peer = peer
         self.address = address
         self.key = key
@@ -180,13 +199,13 @@
                 if opened:
                     backoff = MIN_BACKOFF_SECONDS
                 await trio.sleep(backoff * random.uniform(0.5, 1.0))
-                backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
+                backoff = min(2 * backoff, self.probing.max_backoff_seconds)
 
     async def _connect_once(self) -> bool:
         host, _, port = self.address.rpartition(":")
         opened = False
         try:
-            with trio.fail_after(CONNECT_SECONDS):
+            with trio.fail_after(self.probing.connect_seconds):
                 stream = await trio.open_tcp_stream(host, int(port))
         except (OSError, trio.TooSlowError):
             self.counters.retried("peers", outcomes.RetryReason.CONNECT_FAILED)
@@ -194,7 +213,7 @@
         async with stream:
             connection = envelope.Connection(stream)
             try:
-                with trio.fail_after(CONNECT_SECONDS):
+                with trio.fail_after(self.probing.connect_seconds):
                     await handshake.dial(
                         connection,
                         self.key,
@@ -273,10 +292,11 @@
         """Probes an idle connection and gives up a silent one."""
         while True:
             idle = trio.current_time() - self.last_received
-            if idle >= SILENT_AFTER_SECONDS:
+            ping_after = self.probing.ping_after_seconds
+            if idle >= self.probing.silent_after_seconds:
                 raise errors.PeerError("nothing arrives on it")
-            if idle >= PING_AFTER_SECONDS:
+            if idle >= ping_after:
                 self.enqueue(envelope.Envelope(envelope.FrameKind.PING))
-                await trio.sleep(PING_AFTER_SECONDS / 2)
+                await trio.sleep(ping_after / 2)
             else:
-                await trio.sleep(PING_AFTER_SECONDS - idle)
+                await trio.sleep(ping_after - idle)
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -33,6 +33,7 @@
         links: Dialed connections by name of the other instance.
         handlers: Handlers by kind of message.
         counters: Counts connections that failed or were lost.
+        probing: When silent connections are probed and given up.
     """
 
     def __init__(
@@ -42,7 +43,9 @@
         addresses: dict[str, str] | None = None,
         log: link.Log | None = None,
         counters: link.Counters | None = None,
+        probing: link.Probing = link.Probing(),
     ):
+        self.probing = probing
         self.name = name
         self.key = key
         self.addresses: dict[str, str] = dict(addresses or {})
@@ -129,7 +132,7 @@
 
     async def run(
         self,
-        listen: str,
+        listen: str = "",
         advertised: str = "",
         *,
         task_status: Any = trio.TASK_STATUS_IGNORED,
@@ -138,18 +141,23 @@
 
         Args:
             listen: Where to accept connections, host:port; port 0 takes any.
+                If empty, this instance only dials, and is not dialed back.
             advertised: What the others are told, if it differs.
             task_status: Started with the address that is listened on.
         """
-        host, _, port = listen.rpartition(":")
-        listeners = await trio.open_tcp_listeners(int(port), host=host)
-        bound = listeners[0].socket.getsockname()
-        self.listen_address = advertised or f"{bound[0]}:{bound[1]}"
+        listeners: list[trio.SocketListener] = []
+        if listen:
+            host, _, port = listen.rpartition(":")
+            listeners = await trio.open_tcp_listeners(int(port), host=host)
+            bound = listeners[0].socket.getsockname()
+            self.listen_address = advertised or f"{bound[0]}:{bound[1]}"
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             try:
                 self.set_addresses(self.addresses)
                 task_status.started(self.listen_address)
+                if not listeners:
+                    await trio.sleep_forever()
                 await trio.serve_listeners(self._accept, listeners)
             finally:
                 self._nursery = None
@@ -166,6 +174,7 @@
             self.note_heard,
             self.log,
             self.counters,
+            self.probing,
         )
         self.links[name] = dialed
         self._nursery.start_soon(dialed.run)
@@ -175,6 +184,8 @@
         self._heard[name] = trio.current_time()
 
     def _learn(self, hello: handshake.Hello) -> None:
+        if not hello.address:
+            return
         if hello.name != self.name and hello.name not in self.addresses:
             self.addresses[hello.name] = hello.address
             self._dial(hello.name)
@@ -183,7 +194,7 @@
         connection = envelope.Connection(stream)
         name = ""
         try:
-            with trio.fail_after(link.CONNECT_SECONDS):
+            with trio.fail_after(self.probing.connect_seconds):
                 hello = await handshake.accept(
                     connection, self.key, self.name, self.listen_address
                 )
@@ -224,7 +235,8 @@
     async def _read(self, nursery: trio.Nursery) -> None:
         while True:
             try:
-                with trio.fail_after(link.SILENT_AFTER_SECONDS):
+                limit = self.network.probing.silent_after_seconds
+                with trio.fail_after(limit):
                     frame = await self.connection.receive()
             except trio.TooSlowError as silent:
                 raise errors.PeerError("nothing arrives on it") from silent
--- /dev/null
+++ b/turmerichall/platform/worker_calls.py
@@ -0,0 +1,263 @@
+"""Orders to the platform's workers, and what they answer."""
+
+from typing import Any
+
+import msgspec
+
+from turmerichall.dispatch import worker_port
+from turmerichall.http1 import client as http_client
+from turmerichall.http1 import message
+from turmerichall.queues import change as changes
+
+__all__ = ["Worker", "task_from_wire", "task_to_wire"]
+
+ORDER_SECONDS = 0.7
+# Beyond the time that a look may wait at the worker.
+LOOK_SECONDS = 1.0
+HEALTH_SECONDS = 0.5
+# A worker repeats at most this many ends at a time.
+MAX_ENDS = 500
+
+_ENDINGS = {
+    "done": changes.Ending.DONE,
+    "failed": changes.Ending.FAILED,
+    "stopped": changes.Ending.STOPPED,
+    "lapsed": changes.Ending.LOST,
+    "broken": changes.Ending.BROKEN,
+    "alone": changes.Ending.ALONE,
+}
+_VERDICTS = {
+    "fence": worker_port.Verdict.FENCED,
+    "old": worker_port.Verdict.OUTDATED,
+    "late": worker_port.Verdict.LATE,
+    "room": worker_port.Verdict.NO_ROOM,
+    "ticket": worker_port.Verdict.NO_TICKET,
+}
+_STATUSES = {
+    400: worker_port.Verdict.MALFORMED,
+    421: worker_port.Verdict.REPLACED,
+    429: worker_port.Verdict.UNWELL,
+    503: worker_port.Verdict.UNWELL,
+}
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder()
+
+
+def task_to_wire(task: changes.TaskName) -> str:
+    """Returns the name of a task on the wire.
+
+    Examples:
+        >>> task_to_wire(changes.TaskName("5c0e", 0, 1, 17))
+        '5c0e.0.1.17'
+    """
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def task_from_wire(name: object) -> changes.TaskName | None:
+    """Reads the name of a task; None if it is none.
+
+    Examples:
+        >>> task_from_wire("5c0e.0.1.17").index
+        17
+        >>> task_from_wire("5c0e") is None
+        True
+    """
+    if not isinstance(name, str):
+        return None
+    job, *numbers = name.split(".")
+    if len(numbers) != 3 or not all(each.isdecimal() for each in numbers):
+        return None
+    occurrence, step, index = (int(each) for each in numbers)
+    return changes.TaskName(job, occurrence, step, index)
+
+
+class Worker:
+    """One life of one worker, as `dispatch.worker_port.WorkerPort`.
+
+    Attributes:
+        client: Connections to it.
+    """
+
+    def __init__(self, worker: changes.WorkerRecord):
+        self.client = http_client.Client(worker.address)
+        self._headers = {
+            "expect-instance": worker.id,
+            "content-type": message.JSON,
+        }
+
+    async def _order(
+        self, path: str, body: dict[str, Any]
+    ) -> worker_port.OrderResult:
+        answer = await self.client.call(
+            "POST", path, _ENCODER.encode(body), self._headers, ORDER_SECONDS
+        )
+        return _order_result(answer)
+
+    async def start(
+        self, order: worker_port.Order, token: int, deadline_ms: int
+    ) -> worker_port.OrderResult:
+        """See `WorkerPort`."""
+        body: dict[str, Any] = {
+            "task": task_to_wire(order.task),
+            "run": order.run,
+            "spec": order.spec,
+            "deadline_ms": deadline_ms,
+            "fencing_token": token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._order("/v1/run-start", body)
+
+    async def stop(
+        self, order: worker_port.Order, token: int
+    ) -> worker_port.OrderResult:
+        """See `WorkerPort`."""
+        body = {
+            "task": task_to_wire(order.task),
+            "run": order.run,
+            "fencing_token": token,
+        }
+        return await self._order("/v1/run-stop", body)
+
+    async def pace(
+        self, order: worker_port.Order, percent: int, token: int
+    ) -> worker_port.OrderResult:
+        """See `WorkerPort`."""
+        body = {
+            "task": task_to_wire(order.task),
+            "run": order.run,
+            "percent": percent,
+            "fencing_token": token,
+        }
+        return await self._order("/v1/pace", body)
+
+    async def look(
+        self,
+        token: int,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> worker_port.Look | worker_port.NoAnswer:
+        """See `WorkerPort`."""
+        body: dict[str, Any] = {
+            "fencing_token": token,
+            "acked_through": acknowledged,
+        }
+        if deadline_ms is not None:
+            body["deadline_ms"] = deadline_ms
+        if wait_ms:
+            body["wait_ms"] = wait_ms
+        answer = await self.client.call(
+            "POST",
+            "/v1/hold",
+            _ENCODER.encode(body),
+            self._headers,
+            LOOK_SECONDS + wait_ms / 1000,
+        )
+        if isinstance(answer, message.Response) and answer.status == 200:
+            look = _look(answer.body)
+            if look is not None:
+                return look
+        return worker_port.NoAnswer(_order_result(answer).verdict)
+
+    async def is_well(self, path: str) -> bool | None:
+        """See `WorkerPort`."""
+        answer = await self.client.call(
+            "GET", path, b"", self._headers, HEALTH_SECONDS
+        )
+        if isinstance(answer, http_client.Unanswered):
+            return None
+        return answer.status == 200
+
+    def close(self) -> None:
+        """See `WorkerPort`."""
+        self.client.close()
+
+
+def _object(body: bytes) -> dict[str, Any]:
+    try:
+        found = _DECODER.decode(body)
+    except msgspec.DecodeError:
+        return {}
+    return found if isinstance(found, dict) else {}
+
+
+def _whole(value: object, default: int = 0) -> int:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return default
+    return int(value)
+
+
+def _order_result(
+    answer: message.Response | http_client.Unanswered,
+) -> worker_port.OrderResult:
+    verdict = worker_port.Verdict
+    if isinstance(answer, http_client.Unanswered):
+        return worker_port.OrderResult(
+            verdict.UNANSWERED if answer.sent else verdict.UNSENT
+        )
+    body = _object(answer.body)
+    clock = body.get("clock_ms")
+    clock_ms = clock if isinstance(clock, int) else None
+    if answer.status == 200:
+        return worker_port.OrderResult(verdict.DONE, clock_ms)
+    if answer.status == 409:
+        reason = str(body.get("reason"))
+        found = _VERDICTS.get(reason, verdict.UNANSWERED)
+        return worker_port.OrderResult(found, clock_ms)
+    found = _STATUSES.get(answer.status, verdict.UNANSWERED)
+    return worker_port.OrderResult(found, clock_ms)
+
+
+def _look(body: bytes) -> worker_port.Look | None:
+    found = _object(body)
+    clock_ms = found.get("clock_ms")
+    running = found.get("running", [])
+    ended = found.get("ended_runs", [])
+    if not (
+        isinstance(clock_ms, int)
+        and isinstance(running, list)
+        and isinstance(ended, list)
+    ):
+        return None
+    ends = [_run_end(row) for row in ended]
+    return worker_port.Look(
+        clock_ms,
+        [
+            _running(row)
+            for row in running
+            if isinstance(row, list) and len(row) >= 2
+        ],
+        [end for end in ends if end is not None],
+        len(ended) < MAX_ENDS,
+    )
+
+
+def _running(row: list[Any]) -> worker_port.RunningTask:
+    padded = row + ["", 0, 0][len(row) - 2 :]
+    return worker_port.RunningTask(
+        task_from_wire(row[0]),
+        str(row[0]),
+        _whole(row[1]),
+        padded[2] if isinstance(padded[2], str) else "",
+        _whole(padded[3]),
+        # Fifth entry: tail latency in ms for a serving task, processor use in
+        # thousandths of a core for any other.
+        _whole(padded[4]),
+    )
+
+
+def _run_end(row: object) -> worker_port.RunEnd | None:
+    if not isinstance(row, list) or len(row) < 4 or not _whole(row[0]):
+        return None
+    task = task_from_wire(row[1])
+    ending = _ENDINGS.get(str(row[3]))
+    if task is None or ending is None:
+        return worker_port.RunEnd(_whole(row[0]), None)
+    saved = row[4] if len(row) > 4 and isinstance(row[4], str) else ""
+    return worker_port.RunEnd(
+        _whole(row[0]), changes.Ended(task, _whole(row[2]), ending, saved)
+    )
--- /dev/null
+++ b/turmerichall/queue_daemon.py
@@ -0,0 +1,112 @@
+"""The daemon that serves queues of jobs, on entry instances and replicas.
+
+    python -m turmerichall.queue_daemon [FILE.ini]
+
+The file is that of the settings, or named by `TURMERICHALL_BOOT`.  It stops
+politely on SIGTERM, and reads its settings again on SIGHUP.
+"""
+
+import os
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import trio
+
+from turmerichall import errors
+from turmerichall.settings import queue_settings
+from turmerichall.settings import settings as common_settings
+from turmerichall.telemetry import logs
+
+__all__ = ["main", "serve"]
+
+SETTINGS_VARIABLE = "TURMERICHALL_BOOT"
+EXIT_SETTINGS = 1
+EXIT_STORAGE = 3
+
+
+async def _run(settings: queue_settings.QueueSettings) -> None:
+    # Each role imports what it uses alone: memory and time to start count.
+    # pylint: disable=import-outside-toplevel
+    daemon: Any
+    if settings.instance.role == "entry":
+        from turmerichall.frontdoor import entry
+
+        daemon = entry.EntryDaemon.from_config(settings)
+    else:
+        from turmerichall.dispatch import replica_daemon
+
+        daemon = replica_daemon.ReplicaDaemon.from_config(settings)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_await_signals, daemon, nursery.cancel_scope)
+        await daemon.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _await_signals(daemon: Any, scope: trio.CancelScope) -> None:
+    log = logs.Log("daemon")
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as received:
+        draining = False
+        async for number in received:
+            if number == signal.SIGHUP:
+                log.info("settings may have changed", action="none needed")
+                continue
+            if number == signal.SIGINT or draining:
+                scope.cancel()
+                return
+            draining = True
+            log.info("stopping", signal=signal.Signals(number).name)
+            await daemon.drain()
+
+
+def serve(settings_file: str) -> int:
+    """Runs the daemon; returns its exit status."""
+    try:
+        settings = queue_settings.load(settings_file)
+    except errors.SettingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    _configure_logs(settings.logs, settings.instance)
+    status = 0
+    try:
+        trio.run(_run, settings)
+    except* errors.StorageError as group:
+        for each in group.exceptions:
+            logs.Log("daemon").error("storage failed", reason=str(each))
+        status = EXIT_STORAGE
+    return status
+
+
+def _configure_logs(
+    settings: common_settings.Logs, instance: queue_settings.Instance
+) -> None:
+    logs.configure(
+        logs.Level[settings.level.upper()],
+        settings.file or None,
+        stream=sys.stdout,
+        instance=instance.name,
+    )
+    logs.Log("daemon").info(
+        "starting", role=instance.role, zone=instance.zone, pid=os.getpid()
+    )
+
+
+def main() -> None:
+    """Entry point."""
+    given = sys.argv[1] if len(sys.argv) > 1 else ""
+    path = given or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path or not pathlib.Path(path).exists():
+        print(
+            f"usage: queue_daemon FILE.ini, or {SETTINGS_VARIABLE}=FILE.ini",
+            file=sys.stderr,
+        )
+        sys.exit(EXIT_SETTINGS)
+    sys.exit(serve(path))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/turmerichall/queues/__init__.py
@@ -0,0 +1,3 @@
+"""Queues of jobs: what callers ask for, and what became of it."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/queues/ledger.py
@@ -0,0 +1,347 @@
+"""The replicated state of queues: what was asked for and what became of it.
+
+Every replica applies the same changes in the same order.  A row that does not
+fit, such as the end of a run that is not the current one, changes nothing, so
+that a change may be repeated.
+"""
+
+import enum
+from collections.abc import Iterator
+
+import msgspec
+
+from turmerichall.queues import change as changes
+from turmerichall.queues import configuration as configurations
+from turmerichall.queues import demand as demands
+
+__all__ = ["Job", "JobState", "Ledger", "StepProgress", "TaskRecord", "WaveRecord"]
+
+
+_NOTHING = demands.JobDemand("", ())
+
+
+class JobState(enum.StrEnum):
+    """What became of a job."""
+
+    QUEUED = "queued"
+    ACTIVE = "active"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELED = "canceled"
+
+
+class TaskRecord(msgspec.Struct, array_like=True):
+    """What became of one task.
+
+    Attributes:
+        run: Number of its last start; 0 if it never started.
+        worker: Worker of the current run; empty if none is under way.
+        failures: Runs that ended as failed.
+        done: Whether a run ended as done.
+        checkpoint: Saved progress that the next run resumes from, or empty.
+    """
+
+    run: int = 0
+    worker: str = ""
+    failures: int = 0
+    done: bool = False
+    checkpoint: str = ""
+
+
+class StepProgress(msgspec.Struct, array_like=True):
+    """What became of one step in one occurrence.
+
+    Attributes:
+        tasks: The tasks by index.
+        done: Number of tasks that are done.
+    """
+
+    tasks: list[TaskRecord]
+    done: int = 0
+
+
+class Job(msgspec.Struct, array_like=True):
+    """A job that was accepted.
+
+    Attributes:
+        id: Its id.
+        queue: Key of its queue.
+        demand: What was asked for.
+        at_ms: When it was accepted, since 1970.
+        state: What became of it.
+        started: Whether any task has started.
+        occurrences: Progress of each step, by occurrence.
+        finished: Occurrences of which every step is done.
+    """
+
+    id: str
+    queue: str
+    demand: demands.JobDemand
+    at_ms: int
+    state: JobState = JobState.QUEUED
+    started: bool = False
+    occurrences: dict[int, list[StepProgress]] = {}
+    finished: int = 0
+
+    @property
+    def open(self) -> bool:
+        """Whether tasks of it may still start."""
+        return self.state in (JobState.QUEUED, JobState.ACTIVE)
+
+    def steps(self, occurrence: int) -> list[StepProgress]:
+        """Returns the steps of an occurrence, made on first use."""
+        found = self.occurrences.get(occurrence)
+        if found is None:
+            found = [
+                StepProgress([TaskRecord() for _ in range(step.count)])
+                for step in self.demand.steps
+            ]
+            self.occurrences[occurrence] = found
+        return found
+
+    def task(self, name: changes.TaskName) -> TaskRecord:
+        """Returns a task."""
+        steps = self.steps(name.occurrence)
+        return steps[name.step].tasks[name.index]
+
+    def step_is_ready(self, occurrence: int, step: int) -> bool:
+        """Tells whether the steps before one are done."""
+        steps = self.steps(occurrence)
+        return all(
+            steps[other].done == len(steps[other].tasks)
+            for other in self.demand.steps[step].after
+        )
+
+    def runs(self) -> Iterator[tuple[changes.TaskName, TaskRecord]]:
+        """Iterates over the tasks of which a run is under way."""
+        for occurrence, steps in self.occurrences.items():
+            for number, step in enumerate(steps):
+                for index, task in enumerate(step.tasks):
+                    if task.worker:
+                        name = changes.TaskName(
+                            self.id, occurrence, number, index
+                        )
+                        yield name, task
+
+
+class WaveRecord(msgspec.Struct, array_like=True):
+    """A wave of upkeep.
+
+    Attributes:
+        machines: The machines.
+        duration_ms: In which it should be done.
+        max_count: Machines down at once.
+        at_ms: When it came, since 1970.
+        settled: Machines that have begun their upkeep, or left.
+    """
+
+    machines: tuple[str, ...]
+    duration_ms: int
+    max_count: int
+    at_ms: int
+    settled: list[str]
+
+    @property
+    def completed(self) -> bool:
+        """Whether every machine has begun its upkeep, or left."""
+        return set(self.machines) <= set(self.settled)
+
+
+class _State(msgspec.Struct, array_like=True):
+    configuration: configurations.Configuration
+    document: bytes
+    queues: dict[str, configurations.Queue]
+    jobs: dict[str, Job]
+    workers: dict[str, changes.WorkerRecord]
+    draining: list[str]
+    gone: list[str]
+    waves: dict[int, WaveRecord]
+
+
+def _empty() -> _State:
+    return _State(configurations.Configuration(), b"", {}, {}, {}, [], [], {})
+
+
+class Ledger:
+    """Applies changes; `agreement.shared.Machine` for queues.
+
+    Attributes:
+        configuration: The configuration in force.
+        document: The same as the operator sent it; empty if there is none.
+        queues: Every queue that was ever configured, by key, as last said.
+        jobs: Jobs by id.
+        workers: Workers that are not known to be gone, by id.
+        draining: Ids of workers that are about to leave.
+        gone: Ids of workers that are gone.
+        waves: Waves of upkeep by number.
+        waiting: Ids of jobs without a start, by queue.
+    """
+
+    def __init__(self) -> None:
+        self._load(_empty())
+
+    def _load(self, state: _State) -> None:
+        self.configuration = state.configuration
+        self.document = state.document
+        self.queues = state.queues
+        self.jobs = state.jobs
+        self.workers = state.workers
+        self.draining = set(state.draining)
+        self.gone = set(state.gone)
+        self.waves = state.waves
+        self.waiting: dict[str, set[str]] = {}
+        for job in self.jobs.values():
+            if job.state == JobState.QUEUED:
+                self.waiting.setdefault(job.queue, set()).add(job.id)
+
+    def snapshot(self) -> bytes:
+        """Encodes the whole state."""
+        return msgspec.msgpack.encode(
+            _State(
+                self.configuration,
+                self.document,
+                self.queues,
+                self.jobs,
+                self.workers,
+                sorted(self.draining),
+                sorted(self.gone),
+                self.waves,
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state by that of a snapshot."""
+        self._load(msgspec.msgpack.decode(data, type=_State))
+
+    def apply(self, _: int, data: bytes) -> bytes:
+        """Applies a change; the result is empty."""
+        change = changes.decode(data)
+        match change:
+            case changes.StartRuns():
+                for started in change.rows:
+                    self._start(started)
+            case changes.EndRuns():
+                for ended in change.rows:
+                    self._end(ended)
+            case changes.AcceptJob():
+                self._accept(change)
+            case changes.CancelJob():
+                self._close(change.job, JobState.CANCELED)
+            case changes.SetConfiguration():
+                self._configure(change)
+            case changes.RegisterWorker():
+                self._register(change.worker)
+            case changes.DrainWorker():
+                if change.worker in self.workers:
+                    self.draining.add(change.worker)
+            case changes.LoseWorker():
+                self._lose(change.worker)
+            case changes.Wave():
+                self.waves.setdefault(
+                    change.wave,
+                    WaveRecord(
+                        change.machines,
+                        change.duration_ms,
+                        change.max_count,
+                        change.at_ms,
+                        [],
+                    ),
+                )
+            case changes.WaveStep():
+                wave = self.waves.get(change.wave)
+                if wave and change.machine not in wave.settled:
+                    wave.settled.append(change.machine)
+        return b""
+
+    def _configure(self, change: changes.SetConfiguration) -> None:
+        if change.configuration.version <= self.configuration.version:
+            return
+        self.configuration = change.configuration
+        self.document = change.document
+        for queue in change.configuration.queues:
+            self.queues[queue.key] = queue
+
+    def _accept(self, change: changes.AcceptJob) -> None:
+        if change.job in self.jobs:
+            return
+        job = Job(change.job, change.queue, change.demand, change.at_ms)
+        self.jobs[job.id] = job
+        self.waiting.setdefault(job.queue, set()).add(job.id)
+
+    def _close(self, job_id: str, state: JobState) -> None:
+        job = self.jobs.get(job_id)
+        if job is None or not job.open:
+            return
+        job.state = state
+        self.waiting.get(job.queue, set()).discard(job_id)
+        if state == JobState.COMPLETED:
+            # Nothing of it runs or starts again.
+            job.demand = _NOTHING
+            job.occurrences = {}
+
+    def _start(self, started: changes.Started) -> None:
+        job = self.jobs.get(started.task.job)
+        if job is None or not job.open or started.worker not in self.workers:
+            return
+        task = job.task(started.task)
+        if task.done or task.worker or started.run <= task.run:
+            return
+        task.run = started.run
+        task.worker = started.worker
+        if not job.started:
+            job.started = True
+            job.state = JobState.ACTIVE
+            self.waiting.get(job.queue, set()).discard(job.id)
+
+    def _end(self, ended: changes.Ended) -> None:
+        job = self.jobs.get(ended.task.job)
+        if job is None or ended.task.occurrence not in job.occurrences:
+            return
+        task = job.task(ended.task)
+        if task.run != ended.run or not task.worker:
+            return
+        task.worker = ""
+        if ended.checkpoint:
+            task.checkpoint = ended.checkpoint
+        step = job.demand.steps[ended.task.step]
+        if ended.ending == changes.Ending.FAILED:
+            task.failures += 1
+            queue = self.queues.get(job.queue)
+            attempts = queue.max_attempts if queue else 1
+            if task.failures >= attempts and not step.lasting:
+                self._close(job.id, JobState.FAILED)
+        elif ended.ending == changes.Ending.DONE and not step.lasting:
+            self._note_done(job, ended.task)
+
+    def _note_done(self, job: Job, name: changes.TaskName) -> None:
+        steps = job.steps(name.occurrence)
+        step = steps[name.step]
+        gang = job.demand.steps[name.step].gang
+        for task in step.tasks if gang else [step.tasks[name.index]]:
+            if not task.done:
+                task.done = True
+                task.checkpoint = ""
+                step.done += 1
+        if all(each.done == len(each.tasks) for each in steps):
+            job.finished += 1
+            if job.finished >= job.demand.occurrences:
+                self._close(job.id, JobState.COMPLETED)
+
+    def _register(self, worker: changes.WorkerRecord) -> None:
+        if worker.id in self.gone or worker.id in self.workers:
+            return
+        for other in list(self.workers.values()):
+            same_machine = worker.machine and other.machine == worker.machine
+            if other.address == worker.address or same_machine:
+                self._lose(other.id)
+        self.workers[worker.id] = worker
+
+    def _lose(self, worker: str) -> None:
+        if self.workers.pop(worker, None) is None:
+            return
+        self.draining.discard(worker)
+        self.gone.add(worker)
+        for job in self.jobs.values():
+            for _, task in job.runs():
+                if task.worker == worker:
+                    task.worker = ""
--- a/turmerichall/settings/reader.py
+++ b/turmerichall/settings/reader.py
@@ -13,7 +13,7 @@
 from turmerichall.settings import settings
 from turmerichall.settings import values
 
-__all__ = ["SECTIONS", "Key", "Schema", "load", "parse"]
+__all__ = ["Key", "Reading", "SECTIONS", "Schema", "in_order", "load", "parse"]
 
 
 class Key(NamedTuple):
@@ -123,17 +123,34 @@
 }
 
 
-class _Reading:
+class Reading:
     """The state of reading one file.
 
     Attributes:
         path: The file, for places.
         findings: What was found so far.
+        schemas: How each section is read, by name.
     """
 
-    def __init__(self, path: str, findings: list[errors.Finding]):
+    def __init__(
+        self,
+        path: str,
+        findings: list[errors.Finding],
+        schemas: dict[str, Schema],
+    ):
         self.path = path
         self.findings = findings
+        self.schemas = schemas
+
+    def read_all(self, sections: dict[str, ini.Section]) -> dict[str, Any]:
+        """Reads all sections; those with findings become None."""
+        for name, section in sections.items():
+            if name not in self.schemas:
+                self.unknown_section(name, section.line)
+        return {
+            name: self.section(name, sections.get(name))
+            for name in self.schemas
+        }
 
     def find(self, line: int, where: str, reason: str) -> None:
         """Adds a finding."""
@@ -142,7 +159,7 @@
 
     def section(self, name: str, found: ini.Section | None) -> Any:
         """Reads a section, or returns None if it has findings."""
-        schema = SECTIONS[name]
+        schema = self.schemas[name]
         given = found.keys if found else {}
         line = found.line if found else 1
         before = len(self.findings)
@@ -165,13 +182,13 @@
 
     def unknown_section(self, name: str, line: int) -> None:
         """Adds the finding for a section that no setting is in."""
-        reason = f"unknown section{_suggestion(name, SECTIONS)}"
+        reason = f"unknown section{_suggestion(name, self.schemas)}"
         self.find(line, f"[{name}]", reason)
 
     def _unknown_key(self, section: str, key: str, line: int) -> None:
-        known = SECTIONS[section].keys
+        known = self.schemas[section].keys
         suggestion = _suggestion(key, known)
-        for other, schema in SECTIONS.items():
+        for other, schema in self.schemas.items():
             if key in schema.keys:
                 suggestion = f"; it belongs to [{other}]"
         self.find(line, f"[{section}] {key}", f"unknown key{suggestion}")
@@ -205,7 +222,7 @@
         SettingsError: There are findings; it holds all of them.
     """
     sections, findings = ini.read(path)
-    return _check(sections, _Reading(path, findings))
+    return _check(sections, Reading(path, findings, SECTIONS))
 
 
 def parse(text: str, path: str) -> settings.Settings:
@@ -219,24 +236,19 @@
         d.ini:2 [instance] name
     """
     sections, findings = ini.parse(text, path)
-    return _check(sections, _Reading(path, findings))
+    return _check(sections, Reading(path, findings, SECTIONS))
 
 
 def _check(
-    sections: dict[str, ini.Section], reading: _Reading
+    sections: dict[str, ini.Section], reading: Reading
 ) -> settings.Settings:
-    for name, section in sections.items():
-        if name not in SECTIONS:
-            reading.unknown_section(name, section.line)
-    made = {
-        name: reading.section(name, sections.get(name)) for name in SECTIONS
-    }
+    made = reading.read_all(sections)
     _check_listen(made["listen"], sections, reading)
     _check_peers(made["instance"], made["peers"], sections, reading)
     _check_keys(made["keys"], sections, reading)
     _check_deadlines(made["limits"], sections, reading)
     if reading.findings:
-        raise errors.SettingsError(_in_order(reading.findings))
+        raise errors.SettingsError(in_order(reading.findings))
     return settings.Settings(**made)
 
 
@@ -250,7 +262,7 @@
 def _check_listen(
     listen: settings.Listen | None,
     sections: dict[str, ini.Section],
-    reading: _Reading,
+    reading: Reading,
 ) -> None:
     if listen is None:
         return
@@ -267,7 +279,7 @@
     instance: settings.Instance | None,
     peers: settings.Peers | None,
     sections: dict[str, ini.Section],
-    reading: _Reading,
+    reading: Reading,
 ) -> None:
     if instance is None or peers is None:
         return
@@ -296,7 +308,7 @@
 def _check_keys(
     keys: settings.Keys | None,
     sections: dict[str, ini.Section],
-    reading: _Reading,
+    reading: Reading,
 ) -> None:
     if keys is None:
         return
@@ -312,7 +324,7 @@
 def _check_deadlines(
     limits: settings.Limits | None,
     sections: dict[str, ini.Section],
-    reading: _Reading,
+    reading: Reading,
 ) -> None:
     if limits is None:
         return
@@ -322,7 +334,9 @@
         reading.find(line, "[limits] default_deadline", reason)
 
 
-def _in_order(findings: list[errors.Finding]) -> list[errors.Finding]:
+def in_order(findings: list[errors.Finding]) -> list[errors.Finding]:
+    """Returns findings in the order of their lines."""
+
     def line_of(finding: errors.Finding) -> int:
         place = finding.place.split(" [")[0]
         number = place.rpartition(":")[2]
