--- a/turmerichall/http1/client.py
+++ b/turmerichall/http1/client.py
@@ -40,6 +40,7 @@
         self._body: list[bytes] = []
         self._headers: message.Headers = {}
         self._complete = False
+        self.keeps_alive = False
 
     # pylint: disable=missing-function-docstring
     def on_message_begin(self) -> None:
@@ -55,6 +56,8 @@
 
     def on_message_complete(self) -> None:
         self._complete = True
+        # The parser tells this only before the next bytes.
+        self.keeps_alive = self.parser.should_keep_alive()
 
     # pylint: enable=missing-function-docstring
 
@@ -83,10 +86,6 @@
             self._headers,
         )
 
-    def may_go_on(self) -> bool:
-        """Tells whether another call may use this connection."""
-        return bool(self.parser.should_keep_alive())
-
     def close(self) -> None:
         """Closes the connection at once."""
         self.stream.socket.close()
@@ -146,7 +145,7 @@
                     kept = False
                     try:
                         answer = await connection.call(data)
-                        kept = connection.may_go_on()
+                        kept = connection.keeps_alive
                         return answer
                     except _Broken as error:
                         result = Unanswered(True, str(error))
