--- a/turmerichall/dispatch/desk.py
+++ b/turmerichall/dispatch/desk.py
@@ -10,6 +10,7 @@
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.dispatch import durations as learnt
 from turmerichall.dispatch import freshness as freshnesses
+from turmerichall.dispatch import sensitivity as sensitivities
 from turmerichall.dispatch import tenure as tenures
 from turmerichall.dispatch import worker_port
 from turmerichall.http1 import server
@@ -74,6 +75,7 @@
         self._make_port = make_port
         self._log = log
         self._durations = learnt.Durations()
+        self._sensitivity = sensitivities.Sensitivity()
 
     async def run(self) -> None:
         """Does the leader's work in each term that this replica leads."""
@@ -92,6 +94,7 @@
                 self.freshness,
                 self._log,
                 self._durations,
+                self._sensitivity,
             )
             try:
                 await self.tenure.run()
--- a/turmerichall/dispatch/pacing.py
+++ b/turmerichall/dispatch/pacing.py
@@ -1,8 +1,9 @@
 """How fast tasks that fill may run beside lasting tasks.
 
 Answers interference that changes within seconds and is seen only in tails that
-arrive late: a control loop on each worker cuts the pace of all filling tasks by
-half when a tail nears its target, and gives it back in steps.
+arrive late: a control loop on each worker halves the pace of those filling tasks
+that raise a tail near its target, and gives it back in steps.  What raises no
+tail keeps its pace.
 
 References:
     Lo et al., "Heracles: Improving Resource Efficiency at Scale", 2015: a
@@ -10,9 +11,12 @@
     slack of the latency-critical tasks.
 """
 
-__all__ = ["next_percent"]
+from collections.abc import Iterable
+from typing import NamedTuple
 
-# Of the target: above it filling tasks are slowed.
+__all__ = ["Filling", "Tail", "next_percent", "worst_tail"]
+
+# Of the target: above it filling tasks that matter are slowed.
 HIGH_RATIO = 0.85
 # Above it they are stopped from working.
 OVER_RATIO = 1.0
@@ -20,14 +24,64 @@
 LOW_RATIO = 0.65
 STEP_PERCENT = 20
 LEAST_PERCENT = 10
+# Of the target: a filling task that adds less does not matter.
+HARMLESS_RATIO = 0.03
+
+
+class Tail(NamedTuple):
+    """The tail of one lasting task.
+
+    Attributes:
+        image: Its image.
+        ratio: Its tail as a share of its target.
+    """
+
+    image: str
+    ratio: float
+
+
+class Filling(NamedTuple):
+    """One filling task beside lasting tasks.
+
+    Attributes:
+        image: Its image.
+        share: Share of the worker's processors that it uses at full pace.
+    """
+
+    image: str
+    share: float
+
+
+def worst_tail(
+    filling: Filling,
+    tails: Iterable[Tail],
+    weights: dict[str, float],
+) -> float:
+    """Returns the worst tail that a filling task raises, 0 if it raises none.
+
+    Args:
+        filling: The filling task.
+        tails: Tails of the lasting tasks beside it.
+        weights: What a whole worker of its image adds, by lasting image.
+
+    Examples:
+        >>> tails = [Tail("desk", 0.9), Tail("mail", 1.2)]
+        >>> worst_tail(Filling("sort", 0.1), tails, {"desk": 4.0, "mail": 0.0})
+        0.9
+    """
+    worst = 0.0
+    for tail in tails:
+        if weights[tail.image] * filling.share > HARMLESS_RATIO:
+            worst = max(worst, tail.ratio)
+    return worst
 
 
 def next_percent(percent: int, ratio: float) -> int:
-    """Returns the pace of filling tasks after a new figure of the tails.
+    """Returns the pace of a filling task after a new figure of the tails.
 
     Args:
-        percent: Their pace now.
-        ratio: Worst tail of the lasting tasks against its target.
+        percent: Its pace now.
+        ratio: The worst tail that it raises, as a share of the target.
 
     Examples:
         >>> next_percent(100, 0.5), next_percent(100, 0.9)
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -1,27 +1,30 @@
 """Which worker a task goes to.
 
-Answers machines that latency-critical and batch tasks share: lasting and urgent
-tasks go where most processors are free, tasks that fill go where most are
-unused and where the tails of lasting tasks leave a margin.
+Answers machines that latency-critical and batch tasks share: urgent tasks go
+where most processors are free, lasting tasks to others of their image, tasks that
+fill where they raise no tail of lasting tasks beyond a margin.
 """
 
 from collections.abc import Iterable
 
+from turmerichall.dispatch import pacing
 from turmerichall.dispatch import roster
+from turmerichall.dispatch import sensitivity as sensitivities
 from turmerichall.queues import demand as demands
 
 __all__ = ["choose"]
 
-# A filling task is not added where a tail is above this share of its target.
-TAIL_MARGIN = 0.75
-# Share of its unused processors that a worker gives to filling tasks.
-FILL_SHARE = 1.0
+# A filling task is not added where a tail would pass this share of its target.
+TAIL_MARGIN = 0.8
+# Of a worker, what lasting tasks of an image keep away from other images.
+IMAGE_WEIGHT = 0.5
 
 
 def choose(
     step: demands.StepDemand,
     workers: Iterable[roster.Worker],
     now: float,
+    sensitivity: sensitivities.Sensitivity,
     avoided: Iterable[str] = (),
     siblings: dict[str, int] | None = None,
     rack: str = "",
@@ -32,6 +35,7 @@
         step: What the task asks for.
         workers: Workers of its service.
         now: Steady seconds.
+        sensitivity: What filling images add to tails.
         avoided: Ids of workers where it failed; taken only if all others are
             too small.
         siblings: Tasks of its step on each worker, by id.
@@ -53,19 +57,9 @@
             continue
         if not worker.suspicion.allows(now, len(worker.runs)):
             continue
-        free = worker.free_cpu()
-        if step.fills:
-            if free * FILL_SHARE < step.cpu:
-                continue
-            if worker.lasting and (
-                worker.tail_ratio > TAIL_MARGIN or worker.filler_percent < 100
-            ):
-                continue
-            score = free - worker.tail_ratio * worker.record.cpu
-        elif step.lasting:
-            score = worker.record.cpu - worker.cpu_asked - worker.cpu_filled
-        else:
-            score = free
+        score = _score(step, worker, sensitivity)
+        if score is None:
+            continue
         if worker.record.id in avoided:
             score -= 10 * worker.record.cpu
         if rack and worker.record.rack != rack:
@@ -75,3 +69,41 @@
             best = worker
             best_score = score
     return best
+
+
+def _score(
+    step: demands.StepDemand,
+    worker: roster.Worker,
+    sensitivity: sensitivities.Sensitivity,
+) -> float | None:
+    """Returns how well a worker suits, in thousandths of a core."""
+    cpu = worker.record.cpu
+    free = worker.free_cpu()
+    if step.lasting:
+        return cpu - worker.cpu_asked + _company(step, worker)
+    if not step.fills:
+        return free
+    if free < step.cpu:
+        return None
+    worst = 0.0
+    for image in worker.lasting_images():
+        expected = worker.expected_tail(image, sensitivity, step)
+        added = sensitivity.weight(image, step.image) * step.cpu / cpu
+        if added > pacing.HARMLESS_RATIO and expected > TAIL_MARGIN:
+            return None
+        worst = max(worst, added)
+    return free - worst * cpu
+
+
+def _company(step: demands.StepDemand, worker: roster.Worker) -> float:
+    """Prefers workers whose lasting tasks have the same image.
+
+    Images differ in which filling tasks they bear, so workers of few images
+    leave room for more kinds of filling tasks.
+    """
+    same = sum(
+        run.step.cpu if run.step.image == step.image else -run.step.cpu
+        for run in worker.runs.values()
+        if run.step.lasting
+    )
+    return IMAGE_WEIGHT * 4 * same
--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -3,6 +3,7 @@
 import enum
 
 from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import sensitivity as sensitivities
 from turmerichall.dispatch import suspicion as suspicions
 from turmerichall.dispatch import worker_port
 from turmerichall.queues import change as changes
@@ -12,6 +13,10 @@
 
 # Share of what a lasting task asks for that it is taken to use.
 LASTING_USE = 0.5
+# Tail of a lasting task, as a share of its target, before any was measured.
+UNKNOWN_TAIL = 0.5
+# What a look leaves of an earlier peak of a tail.
+TAIL_FADING = 0.93
 
 
 class Phase(enum.Enum):
@@ -102,8 +107,8 @@
         memory_used: Memory of all runs, MB.
         gpu_used: Accelerators of all runs.
         lasting: Number of lasting runs.
-        tail_ratio: Worst tail of its lasting runs against its target.
-        filler_percent: Pace that its filling runs are set to.
+        tails: Tail without filling runs as a share of its target, by image of
+            the lasting runs: a peak that fades.
         heartbeat: Sequence of its last heartbeat.
     """
 
@@ -128,8 +133,7 @@
         self.memory_used = 0
         self.gpu_used = 0
         self.lasting = 0
-        self.tail_ratio = 0.0
-        self.filler_percent = 100
+        self.tails: dict[str, float] = {}
         self.heartbeat = 0
 
     def add(self, run: Run) -> None:
@@ -177,6 +181,41 @@
             )
         )
 
+    def lasting_images(self) -> set[str]:
+        """Returns the images of its lasting runs."""
+        return {run.step.image for run in self.runs.values() if run.step.lasting}
+
+    def note_tail(self, image: str, ratio: float) -> None:
+        """Takes in a tail without what filling runs add to it."""
+        before = self.tails.get(image, 0.0) * TAIL_FADING
+        self.tails[image] = max(ratio, before)
+
+    def expected_tail(
+        self,
+        image: str,
+        sensitivity: sensitivities.Sensitivity,
+        extra: demands.StepDemand | None = None,
+    ) -> float:
+        """Returns the tail to expect, as a share of its target.
+
+        Args:
+            image: Image of lasting runs here.
+            sensitivity: What filling images add.
+            extra: A further filling task.
+        """
+        asked: dict[str, int] = {}
+        for run in self.runs.values():
+            if run.step.fills:
+                name = run.step.image
+                asked[name] = asked.get(name, 0) + run.step.cpu
+        if extra is not None:
+            asked[extra.image] = asked.get(extra.image, 0) + extra.cpu
+        expected = self.tails.get(image, UNKNOWN_TAIL)
+        for filling, cpu in asked.items():
+            weight = sensitivity.weight(image, filling)
+            expected += weight * cpu / max(self.record.cpu, 1)
+        return expected
+
     def free_cpu(self) -> float:
         """Returns processors that are taken to be unused."""
         return self.record.cpu - self.cpu_used - self.cpu_filled
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -7,6 +7,7 @@
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import pacing
 from turmerichall.dispatch import roster
+from turmerichall.dispatch import sensitivity as sensitivities
 from turmerichall.dispatch import worker_port
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -28,8 +29,6 @@
 ORDER_TRIES = 3
 # A run that the worker does not list, this long after it was confirmed.
 MISSING_SECONDS = 0.5
-# Pace is told anew if it differs by this much.
-PACE_STEP_PERCENT = 10
 
 Verdict = worker_port.Verdict
 
@@ -40,6 +39,7 @@
     token: int
     ledger: ledgers.Ledger
     log: link.Log
+    sensitivity: sensitivities.Sensitivity
 
     def may_renew(self) -> bool:
         """Tells whether leases may be renewed."""
@@ -121,7 +121,7 @@
             owner.log.info("worker in touch", worker=worker.record.id)
         await self._take_ends(look)
         await self._compare(look, now)
-        await self._watch_tails(look)
+        await self._watch_tails()
         owner.worker_changed(worker)
 
     def _wait_ms(self) -> int:
@@ -255,27 +255,49 @@
         if result.verdict == Verdict.FENCED:
             self.owner.fenced(self.worker)
 
-    async def _watch_tails(self, look: worker_port.Look) -> None:
-        """Sets the pace of filling tasks from the tails of lasting ones."""
-        worker = self.worker
-        ratio = 0.0
+    async def _watch_tails(self) -> None:
+        """Learns from the tails of lasting runs, and paces filling ones."""
+        worker, sensitivity = self.worker, self.owner.sensitivity
+        cpu = max(worker.record.cpu, 1)
+        fillers = [
+            run
+            for run in worker.runs.values()
+            if run.step.fills and run.confirmed_at
+        ]
+        shares: dict[str, float] = {}
+        for run in fillers:
+            share = run.load / cpu
+            shares[run.step.image] = shares.get(run.step.image, 0.0) + share
+        tails = []
         for run in worker.runs.values():
-            if run.step.lasting and run.step.target_ms and run.confirmed_at:
-                ratio = max(ratio, run.load / run.step.target_ms)
-        worker.tail_ratio = ratio
-        if not worker.cpu_filled:
-            worker.filler_percent = 100
-            return
-        percent = pacing.next_percent(worker.filler_percent, ratio)
-        worker.filler_percent = percent
-        for run in list(worker.runs.values()):
-            if run.step.fills and run.phase == roster.Phase.RUNNING:
-                await self.set_pace(run, percent)
+            step = run.step
+            at_work = run.progress_percent >= 100 and run.load > 0
+            if not step.lasting or not step.target_ms or not at_work:
+                continue
+            tail = pacing.Tail(step.image, run.load / step.target_ms)
+            tails.append(tail)
+            sensitivity.learn(step.image, shares, tail.ratio)
+            added = sum(
+                sensitivity.weight(step.image, image) * share
+                for image, share in shares.items()
+            )
+            worker.note_tail(step.image, max(tail.ratio - added, 0.0))
+        images = {tail.image for tail in tails}
+        for run in fillers:
+            if run.phase != roster.Phase.RUNNING or run.stopping:
+                continue
+            weights = {
+                image: sensitivity.weight(image, run.step.image)
+                for image in images
+            }
+            filling = pacing.Filling(run.step.image, run.step.cpu / cpu)
+            worst = pacing.worst_tail(filling, tails, weights)
+            percent = pacing.next_percent(run.pace_percent, worst)
+            await self.set_pace(run, percent)
 
     async def set_pace(self, run: roster.Run, percent: int) -> None:
         """Tells a run its pace, if that differs."""
-        differs = abs(run.pace_percent - percent) >= PACE_STEP_PERCENT
-        if not differs and run.pace_percent == percent:
+        if run.pace_percent == percent:
             return
         result = await self.worker.port.pace(
             run.order(), percent, self.owner.token
@@ -337,8 +359,6 @@
                 run.confirmed_at = now
             if run.stopping:
                 await self.stop(run)
-            elif run.step.fills and worker.filler_percent < 100:
-                await self.set_pace(run, worker.filler_percent)
             return True
         if verdict == Verdict.FENCED:
             owner.fenced(worker)
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -15,6 +15,7 @@
 from turmerichall.dispatch import ordering
 from turmerichall.dispatch import placement
 from turmerichall.dispatch import roster
+from turmerichall.dispatch import sensitivity as sensitivities
 from turmerichall.dispatch import session as sessions
 from turmerichall.dispatch import worker_port
 from turmerichall.peers import link
@@ -56,6 +57,7 @@
         sessions: Sessions by id of the worker.
         backlog: Tasks that wait.
         durations: Learnt run times.
+        sensitivity: Learnt interference.
         freshness: Whether this leader still is the only one.
         scope: Ends the term's work when cancelled.
     """
@@ -69,6 +71,7 @@
         freshness: freshnesses.Freshness,
         log: link.Log,
         durations: learnt.Durations,
+        sensitivity: sensitivities.Sensitivity,
     ):
         self.replica = replica
         self.ledger = ledger
@@ -76,6 +79,7 @@
         self.freshness = freshness
         self.log = log
         self.durations = durations
+        self.sensitivity = sensitivity
         self.workers: dict[str, roster.Worker] = {}
         self.sessions: dict[str, sessions.Session] = {}
         self.backlog = backlogs.Backlog(ledger)
@@ -483,6 +487,7 @@
                 step,
                 workers,
                 now,
+                self.sensitivity,
                 group.avoided.get(index, ()),
                 siblings,
                 step.data_rack,
