--- a/turmerichall/frontdoor/passage.py
+++ b/turmerichall/frontdoor/passage.py
@@ -126,7 +126,8 @@
         while True:
             replicas = self._replicas()
             address = replicas[turn % len(replicas)] if replicas else ""
-            limit = min(TRY_SECONDS, deadline - trio.current_time())
+            left = deadline - trio.current_time()
+            limit = max(0.0, min(TRY_SECONDS, left))
             reply = await self.network.call(address, kind, body, limit)
             if not isinstance(reply, outcomes.Refusal):
                 answer = calls.decode_answer(reply)
@@ -146,7 +147,7 @@
                 )
             now = trio.current_time()
             patience = deadline if sent else began_at + PATIENCE_SECONDS
-            if now + RETRY_SECONDS >= min(deadline, patience):
+            if left <= 0 or now + RETRY_SECONDS >= min(deadline, patience):
                 break
             await trio.sleep(RETRY_SECONDS)
         if sent:
