--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -55,7 +55,7 @@
         count = siblings.get(worker.record.id, 0) if siblings else 0
         if step.max_per_worker and count >= step.max_per_worker:
             continue
-        if not worker.suspicion.allows(now, len(worker.runs)):
+        if not worker.suspicion.allows(now):
             continue
         score = _score(step, worker, sensitivity)
         if score is None:
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -185,7 +185,7 @@
             if well and run.confirmed_at:
                 self.owner.note_done(worker, run, now - run.confirmed_at)
             if well or ended.ending == changes.Ending.FAILED:
-                worker.suspicion.note(well, now)
+                worker.suspicion.note(well, now, ended.task.job)
         if rows:
             await self.owner.commit_ends(worker, rows)
         self.acknowledged = last
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -501,6 +501,7 @@
                 group.job.queue,
             )
             worker.add(run)
+            worker.suspicion.note_start(now)
             siblings[worker.record.id] = siblings.get(worker.record.id, 0) + 1
             planned.append((worker, run))
         if step.gang and len(planned) < step.count:
