--- a/turmerichall/dispatch/pacing.py
+++ b/turmerichall/dispatch/pacing.py
@@ -1,9 +1,9 @@
 """How fast tasks that fill may run beside lasting tasks.
 
 Answers interference that changes within seconds and is seen only in tails that
-arrive late: a control loop on each worker halves the pace of those filling tasks
-that raise a tail near its target, and gives it back in steps.  What raises no
-tail keeps its pace.
+arrive late.  For each tail above its margin, the filling tasks that raise it are
+slowed by as much as the learnt interference says is needed; below it they get
+speed back for half of what is left.  What raises no tail keeps its pace.
 
 References:
     Lo et al., "Heracles: Improving Resource Efficiency at Scale", 2015: a
@@ -11,20 +11,18 @@
     slack of the latency-critical tasks.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-__all__ = ["Filling", "Tail", "next_percent", "worst_tail"]
+__all__ = ["Filling", "HARMLESS_RATIO", "Tail", "percents"]
 
-# Of the target: above it filling tasks that matter are slowed.
-HIGH_RATIO = 0.85
-# Above it they are stopped from working.
+# Of the target: what tails are held below.
+MARGIN_RATIO = 0.85
+# Of the target: above it the filling tasks that matter stop working.
 OVER_RATIO = 1.0
-# Below it they get speed back.
-LOW_RATIO = 0.65
-STEP_PERCENT = 20
-LEAST_PERCENT = 10
-# Of the target: a filling task that adds less does not matter.
+# Share of the slack below the margin that is given back at once.
+GIVE_BACK = 0.5
+# Of the target: a filling task that adds less at full pace does not matter.
 HARMLESS_RATIO = 0.03
 
 
@@ -46,53 +44,55 @@
     Attributes:
         image: Its image.
         share: Share of the worker's processors that it uses at full pace.
+        percent: Its pace.
     """
 
     image: str
     share: float
+    percent: int
 
 
-def worst_tail(
-    filling: Filling,
-    tails: Iterable[Tail],
-    weights: dict[str, float],
-) -> float:
-    """Returns the worst tail that a filling task raises, 0 if it raises none.
+def percents(
+    fillings: Sequence[Filling],
+    tails: Sequence[Tail],
+    weight: Callable[[str, str], float],
+) -> list[int]:
+    """Returns the pace of each filling task after new figures of the tails.
 
     Args:
-        filling: The filling task.
-        tails: Tails of the lasting tasks beside it.
-        weights: What a whole worker of its image adds, by lasting image.
+        fillings: The filling tasks of one worker.
+        tails: Tails of the lasting tasks beside them.
+        weight: Gives what a whole worker of a filling image adds to the tail
+            of a lasting image, as a share of the target.
 
     Examples:
-        >>> tails = [Tail("desk", 0.9), Tail("mail", 1.2)]
-        >>> worst_tail(Filling("sort", 0.1), tails, {"desk": 4.0, "mail": 0.0})
-        0.9
+        >>> def weight(lasting, filling):
+        ...     return 4.0 if filling == "sort" else 0.0
+        >>> fillings = [Filling("sort", 0.1, 100), Filling("scan", 0.3, 50)]
+        >>> percents(fillings, [Tail("desk", 0.5)], weight)
+        [100, 100]
+        >>> percents(fillings, [Tail("desk", 0.95)], weight)
+        [75, 100]
+        >>> percents(fillings, [Tail("desk", 1.3)], weight)
+        [0, 100]
     """
-    worst = 0.0
+    worst: dict[str, float] = {}
     for tail in tails:
-        if weights[tail.image] * filling.share > HARMLESS_RATIO:
-            worst = max(worst, tail.ratio)
-    return worst
-
-
-def next_percent(percent: int, ratio: float) -> int:
-    """Returns the pace of a filling task after a new figure of the tails.
-
-    Args:
-        percent: Its pace now.
-        ratio: The worst tail that it raises, as a share of the target.
-
-    Examples:
-        >>> next_percent(100, 0.5), next_percent(100, 0.9)
-        (100, 50)
-        >>> next_percent(50, 1.2), next_percent(0, 0.3)
-        (0, 20)
-    """
-    if ratio >= OVER_RATIO:
-        return 0 if percent <= 50 else percent // 4
-    if ratio >= HIGH_RATIO:
-        return max(percent // 2, min(percent, LEAST_PERCENT))
-    if ratio <= LOW_RATIO:
-        return min(percent + STEP_PERCENT, 100)
-    return percent
+        worst[tail.image] = max(worst.get(tail.image, 0.0), tail.ratio)
+    paces = [100] * len(fillings)
+    for image, ratio in worst.items():
+        full = [weight(image, each.image) * each.share for each in fillings]
+        matter = [i for i, added in enumerate(full) if added > HARMLESS_RATIO]
+        adds = sum(full[i] * fillings[i].percent / 100 for i in matter)
+        slack = MARGIN_RATIO - ratio
+        for i in matter:
+            before = fillings[i].percent
+            if ratio >= OVER_RATIO and before <= 50:
+                after = 0.0
+            elif slack < 0:
+                after = before * max(0.0, 1.0 + slack / max(adds, 1e-9))
+            else:
+                given = GIVE_BACK * slack / len(matter) / full[i]
+                after = before + 100 * given
+            paces[i] = min(paces[i], max(0, min(100, round(after))))
+    return paces
--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -15,8 +15,8 @@
 LASTING_USE = 0.5
 # Tail of a lasting task, as a share of its target, before any was measured.
 UNKNOWN_TAIL = 0.5
-# What a look leaves of an earlier peak of a tail.
-TAIL_FADING = 0.93
+# Share of the way from an earlier peak of a tail to a lower one, for each look.
+TAIL_FADING = 0.15
 
 
 class Phase(enum.Enum):
@@ -187,8 +187,8 @@
 
     def note_tail(self, image: str, ratio: float) -> None:
         """Takes in a tail without what filling runs add to it."""
-        before = self.tails.get(image, 0.0) * TAIL_FADING
-        self.tails[image] = max(ratio, before)
+        before = self.tails.get(image, ratio)
+        self.tails[image] = max(ratio, before + TAIL_FADING * (ratio - before))
 
     def expected_tail(
         self,
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -29,6 +29,8 @@
 ORDER_TRIES = 3
 # A run that the worker does not list, this long after it was confirmed.
 MISSING_SECONDS = 0.5
+# A pace that differs by less is not told.
+PACE_STEP_PERCENT = 8
 
 Verdict = worker_port.Verdict
 
@@ -282,18 +284,26 @@
                 for image, share in shares.items()
             )
             worker.note_tail(step.image, max(tail.ratio - added, 0.0))
-        images = {tail.image for tail in tails}
-        for run in fillers:
-            if run.phase != roster.Phase.RUNNING or run.stopping:
-                continue
-            weights = {
-                image: sensitivity.weight(image, run.step.image)
-                for image in images
-            }
-            filling = pacing.Filling(run.step.image, run.step.cpu / cpu)
-            worst = pacing.worst_tail(filling, tails, weights)
-            percent = pacing.next_percent(run.pace_percent, worst)
-            await self.set_pace(run, percent)
+        running = [
+            run
+            for run in fillers
+            if run.phase == roster.Phase.RUNNING and not run.stopping
+        ]
+        paces = pacing.percents(
+            [
+                pacing.Filling(
+                    run.step.image, run.step.cpu / cpu, run.pace_percent
+                )
+                for run in running
+            ],
+            tails,
+            sensitivity.weight,
+        )
+        for run, percent in zip(running, paces):
+            if percent in (0, 100) or (
+                abs(percent - run.pace_percent) >= PACE_STEP_PERCENT
+            ):
+                await self.set_pace(run, percent)
 
     async def set_pace(self, run: roster.Run, percent: int) -> None:
         """Tells a run its pace, if that differs."""
