--- a/turmerichall/dispatch/pacing.py
+++ b/turmerichall/dispatch/pacing.py
@@ -17,7 +17,7 @@
 __all__ = ["Filling", "HARMLESS_RATIO", "Tail", "percents"]
 
 # Of the target: what tails are held below.
-MARGIN_RATIO = 0.85
+MARGIN_RATIO = 0.80
 # Of the target: above it the filling tasks that matter stop working.
 OVER_RATIO = 1.0
 # Share of the slack below the margin that is given back at once.
@@ -72,7 +72,7 @@
         >>> percents(fillings, [Tail("desk", 0.5)], weight)
         [100, 100]
         >>> percents(fillings, [Tail("desk", 0.95)], weight)
-        [75, 100]
+        [62, 100]
         >>> percents(fillings, [Tail("desk", 1.3)], weight)
         [0, 100]
     """
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -15,7 +15,7 @@
 __all__ = ["choose"]
 
 # A filling task is not added where a tail would pass this share of its target.
-TAIL_MARGIN = 0.8
+TAIL_MARGIN = 0.65
 # Of a worker, what lasting tasks of an image keep away from other images.
 IMAGE_WEIGHT = 0.5
 
