--- a/turmerichall/agreement/membership.py
+++ b/turmerichall/agreement/membership.py
@@ -93,8 +93,8 @@
             for name in sorted(names):
                 nursery.start_soon(self._identify, name, answers)
         found = [answer for answer in answers.values() if answer is not None]
-        for answer in found:
-            member.learn_addresses(self.shared.network, answer.members)
+        for each in found:
+            member.learn_addresses(self.shared.network, each.members)
         if any(answer.cluster for answer in found):
             await self._ask_to_join(found)
             return False
--- a/turmerichall/dispatch/admission.py
+++ b/turmerichall/dispatch/admission.py
@@ -1,7 +1,7 @@
 """Which jobs are turned away at the door, and when they should come back.
 
-Answers bursts above capacity, in which every accepted job would otherwise finish
-too late to be worth anything.
+Answers bursts above capacity, in which every accepted job would otherwise
+finish too late to be worth anything.
 """
 
 from typing import NamedTuple
--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -122,9 +122,9 @@
         if group is None:
             self.add_step(job, task.occurrence, task.step)
             return
-        group.waiting.add(task.index)
+        group.waiting.add(task.number)
         if failed_on:
-            group.avoided.setdefault(task.index, set()).add(failed_on)
+            group.avoided.setdefault(task.number, set()).add(failed_on)
 
     def note_done(self, task: changes.TaskName) -> None:
         """Drops a step that is done, and adds those that waited for it."""
--- a/turmerichall/dispatch/desk.py
+++ b/turmerichall/dispatch/desk.py
@@ -1,6 +1,5 @@
 """Where a replica answers callers, workers and operators, if it leads."""
 
-from collections.abc import Callable
 from typing import NamedTuple
 
 import trio
--- a/turmerichall/dispatch/lease.py
+++ b/turmerichall/dispatch/lease.py
@@ -39,10 +39,7 @@
         self.read_at = 0.0
         self.deadline_ms = 0
         self.doubt_until = (
-            term_began_at
-            + QUORUM_SECONDS
-            + LEASE_SECONDS * DRIFT
-            + END_SECONDS
+            term_began_at + QUORUM_SECONDS + LEASE_SECONDS * DRIFT + END_SECONDS
         )
 
     @property
--- a/turmerichall/dispatch/ordering.py
+++ b/turmerichall/dispatch/ordering.py
@@ -1,8 +1,9 @@
 """In which order waiting tasks are offered room.
 
-Answers load above capacity, in which what waits can't all finish in time: small
-urgent work must not stand behind large batch work, a job that still can meet its
-objective goes before one that can't, and what is worthless by now goes last.
+Answers load above capacity, in which what waits can't all finish in time:
+small urgent work must not stand behind large batch work, a job that still can
+meet its objective goes before one that can't, and what is worthless by now
+goes last.
 """
 
 from typing import NamedTuple
--- a/turmerichall/dispatch/pacing.py
+++ b/turmerichall/dispatch/pacing.py
@@ -1,9 +1,10 @@
 """How fast tasks that fill may run beside lasting tasks.
 
-Answers interference that changes within seconds and is seen only in tails that
-arrive late.  For each tail above its margin, the filling tasks that raise it are
-slowed by as much as the learnt interference says is needed; below it they get
-speed back for half of what is left.  What raises no tail keeps its pace.
+Answers interference that changes within seconds and is seen only in tails
+that arrive late.  For each tail above its margin, the filling tasks that raise
+it are slowed by as much as the learnt interference says is needed; below it
+they get speed back for half of what is left.  What raises no tail keeps its
+pace.
 
 References:
     Lo et al., "Heracles: Improving Resource Efficiency at Scale", 2015: a
@@ -72,7 +73,7 @@
         >>> percents(fillings, [Tail("desk", 0.5)], weight)
         [100, 100]
         >>> percents(fillings, [Tail("desk", 0.95)], weight)
-        [62, 100]
+        [63, 100]
         >>> percents(fillings, [Tail("desk", 1.3)], weight)
         [0, 100]
     """
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -1,8 +1,8 @@
 """Which worker a task goes to.
 
 Answers machines that latency-critical and batch tasks share: urgent tasks go
-where most processors are free, lasting tasks to others of their image, tasks that
-fill where they raise no tail of lasting tasks beyond a margin.
+where most processors are free, lasting tasks to others of their image, tasks
+that fill where they raise no tail of lasting tasks beyond a margin.
 """
 
 from collections.abc import Iterable
--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -183,7 +183,9 @@
 
     def lasting_images(self) -> set[str]:
         """Returns the images of its lasting runs."""
-        return {run.step.image for run in self.runs.values() if run.step.lasting}
+        return {
+            run.step.image for run in self.runs.values() if run.step.lasting
+        }
 
     def note_tail(self, image: str, ratio: float) -> None:
         """Takes in a tail without what filling runs add to it."""
--- a/turmerichall/dispatch/sensitivity.py
+++ b/turmerichall/dispatch/sensitivity.py
@@ -2,9 +2,9 @@
 
 Answers interference that depends on which two images meet: most pairs do no
 harm, a few raise a tail past its target at once.  For each image of lasting
-tasks a least-squares fit with weights of at least 0 explains its tail, as a share
-of its target, by the processors that each filling image uses beside it.  A prior
-keeps pairs that never met under mild suspicion.
+tasks a least-squares fit with weights of at least 0 explains its tail, as a
+share of its target, by the processors that each filling image uses beside it.
+A prior keeps pairs that never met under mild suspicion.
 
 References:
     Franc, Hlavac, Navara, "Sequential Coordinate-Wise Algorithm for the
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -378,7 +378,7 @@
             worker=worker.record.id,
             job=run.task.job,
             step=run.task.step,
-            index=run.task.index,
+            index=run.task.number,
             run=run.number,
             verdict=verdict.value,
             cpu_asked=worker.cpu_asked,
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -1,4 +1,4 @@
-"""A leader's work in one term: places tasks, orders workers, answers callers."""
+"""A leader's work in one term: places tasks, orders workers."""
 
 from collections.abc import Callable, Iterable
 import time
@@ -154,7 +154,9 @@
     def fenced(self, worker: roster.Worker) -> None:
         """See `session.Owner`."""
         self.log.warning(
-            "a newer term gives orders", worker=worker.record.id, term=self.token
+            "a newer term gives orders",
+            worker=worker.record.id,
+            term=self.token,
         )
         self.was_fenced = True
         self.scope.cancel()
@@ -406,7 +408,7 @@
                     "run ended",
                     job=row.task.job,
                     step=row.task.step,
-                    index=row.task.index,
+                    index=row.task.number,
                     run=row.run,
                     worker=worker.record.id,
                     ending=row.ending.name.lower(),
@@ -508,7 +510,7 @@
             for worker, run in planned:
                 worker.remove(run)
             return []
-        group.waiting -= {run.task.index for _, run in planned}
+        group.waiting -= {run.task.number for _, run in planned}
         return planned
 
     def _siblings(
@@ -535,7 +537,7 @@
             "tasks placed",
             starts=[
                 f"{row.task.job}.{row.task.occurrence}.{row.task.step}"
-                f".{row.task.index}/{row.run}@{row.worker}"
+                f".{row.task.number}/{row.run}@{row.worker}"
                 for row in rows
             ],
         )
--- a/turmerichall/dispatch/worker_port.py
+++ b/turmerichall/dispatch/worker_port.py
@@ -162,9 +162,7 @@
     async def stop(self, order: Order, token: int) -> OrderResult:
         """Stops a run, and fences it if it is not there yet."""
 
-    async def pace(
-        self, order: Order, percent: int, token: int
-    ) -> OrderResult:
+    async def pace(self, order: Order, percent: int, token: int) -> OrderResult:
         """Lets a run work at a share of its speed."""
 
     async def look(
--- a/turmerichall/frontdoor/calls.py
+++ b/turmerichall/frontdoor/calls.py
@@ -50,7 +50,7 @@
     kind: Kind
     status: int = 0
     body: bytes = b""
-    headers: message.Headers = {}
+    headers: message.Headers = message.NO_HEADERS
     leader: str = ""
 
 
--- a/turmerichall/http1/message.py
+++ b/turmerichall/http1/message.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "Headers",
+    "NO_HEADERS",
     "Request",
     "Response",
     "encode_request",
@@ -15,6 +16,7 @@
 Headers = dict[str, str]
 
 JSON = "application/json"
+NO_HEADERS: Headers = {}
 
 
 class Request(NamedTuple):
@@ -49,7 +51,7 @@
 
     status: int
     body: bytes = b""
-    headers: Headers = {}
+    headers: Headers = NO_HEADERS
 
 
 _STATUS_LINES = {
--- a/turmerichall/http1/server.py
+++ b/turmerichall/http1/server.py
@@ -200,9 +200,7 @@
             if close:
                 return
 
-    async def _read(
-        self, stream: trio.SocketStream, reading: _Reading
-    ) -> int:
+    async def _read(self, stream: trio.SocketStream, reading: _Reading) -> int:
         """Reads until a request is whole.
 
         Returns:
--- a/turmerichall/platform/worker_calls.py
+++ b/turmerichall/platform/worker_calls.py
@@ -51,14 +51,14 @@
         >>> task_to_wire(changes.TaskName("5c0e", 0, 1, 17))
         '5c0e.0.1.17'
     """
-    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.number}"
 
 
 def task_from_wire(name: object) -> changes.TaskName | None:
     """Reads the name of a task; None if it is none.
 
     Examples:
-        >>> task_from_wire("5c0e.0.1.17").index
+        >>> task_from_wire("5c0e.0.1.17").number
         17
         >>> task_from_wire("5c0e") is None
         True
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -37,13 +37,13 @@
         job: Id of the job.
         occurrence: Which occurrence of the job, from 0.
         step: Number of the step, from 0.
-        index: Number of the task in the step, from 0.
+        number: Number of the task in the step, from 0.
     """
 
     job: str
     occurrence: int
     step: int
-    index: int
+    number: int
 
 
 class Ending(enum.IntEnum):
--- a/turmerichall/queues/ledger.py
+++ b/turmerichall/queues/ledger.py
@@ -14,7 +14,14 @@
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 
-__all__ = ["Job", "JobState", "Ledger", "StepProgress", "TaskRecord", "WaveRecord"]
+__all__ = [
+    "Job",
+    "JobState",
+    "Ledger",
+    "StepProgress",
+    "TaskRecord",
+    "WaveRecord",
+]
 
 
 _NOTHING = demands.JobDemand("", ())
@@ -102,7 +109,7 @@
     def task(self, name: changes.TaskName) -> TaskRecord:
         """Returns a task."""
         steps = self.steps(name.occurrence)
-        return steps[name.step].tasks[name.index]
+        return steps[name.step].tasks[name.number]
 
     def step_is_ready(self, occurrence: int, step: int) -> bool:
         """Tells whether the steps before one are done."""
@@ -317,7 +324,7 @@
         steps = job.steps(name.occurrence)
         step = steps[name.step]
         gang = job.demand.steps[name.step].gang
-        for task in step.tasks if gang else [step.tasks[name.index]]:
+        for task in step.tasks if gang else [step.tasks[name.number]]:
             if not task.done:
                 task.done = True
                 task.checkpoint = ""
--- a/turmerichall/settings/queue_settings.py
+++ b/turmerichall/settings/queue_settings.py
@@ -10,6 +10,7 @@
 
 __all__ = ["Instance", "Listen", "QueueSettings", "Replicas", "Timing", "load"]
 
+
 class Instance(NamedTuple):
     """Who this instance is.
 
