Move runs that stand still or are slow beside their step; keep what was learnt

Causes: a worker on which tasks stand still held up every step that had a task there for as long as it lasted (5.4 s of one traced job), and each new leader learnt interference anew.

--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -126,22 +126,27 @@
         if failed_on:
             group.avoided.setdefault(task.number, set()).add(failed_on)
 
-    def note_done(self, task: changes.TaskName) -> None:
-        """Drops a step that is done, and adds those that waited for it."""
+    def note_done(self, task: changes.TaskName) -> bool:
+        """Drops a step that is done, and adds those that waited for it.
+
+        Returns:
+            Whether the step is done.
+        """
         job = self.ledger.jobs.get(task.job)
         if job is None:
-            return
+            return False
         if not job.open:
             self.drop_job(task.job)
-            return
+            return True
         name = GroupName(task.job, task.occurrence, task.step)
         progress = job.steps(task.occurrence)[task.step]
         if progress.done < len(progress.tasks):
-            return
+            return False
         self.groups.pop(name, None)
         for number, step in enumerate(job.demand.steps):
             if task.step in step.after:
                 self.add_step(job, task.occurrence, number)
+        return True
 
     def ready(self) -> list[Group]:
         """Returns the groups with tasks that wait."""
--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -4,6 +4,7 @@
 
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import sensitivity as sensitivities
+from turmerichall.dispatch import stragglers
 from turmerichall.dispatch import suspicion as suspicions
 from turmerichall.dispatch import worker_port
 from turmerichall.queues import change as changes
@@ -43,22 +44,30 @@
         confirmed_at: When the worker was first known to run it, steady
             seconds.
         stopping: Whether it was asked to stop, or is to be.
+        moved: Whether that is because it would finish sooner elsewhere.
         pace_percent: Share of its speed that it was last set to.
         load: Last figure of the worker: tail in ms or processors in use.
         progress_percent: Last progress listed.
+        begun_percent: Progress when it was first listed; -1 before.
+        progressed_at: When its progress last grew, steady seconds.
+        slowed_at: When it was last not at full pace, steady seconds.
         checkpoint: Last saved progress listed.
     """
 
     __slots__ = (
+        "begun_percent",
         "checkpoint",
         "confirmed_at",
         "load",
+        "moved",
         "number",
         "pace_percent",
         "phase",
         "progress_percent",
+        "progressed_at",
         "queue",
         "refused_after_ms",
+        "slowed_at",
         "step",
         "stopping",
         "task",
@@ -79,11 +88,36 @@
         self.refused_after_ms = 0
         self.confirmed_at = 0.0
         self.stopping = False
+        self.moved = False
         self.pace_percent = 100
         self.load = 0
         self.progress_percent = 0
+        self.begun_percent = -1
+        self.progressed_at = 0.0
+        self.slowed_at = 0.0
         self.checkpoint = ""
 
+    def note_progress(self, percent: int, now: float) -> None:
+        """Takes in the progress that the worker lists now."""
+        if self.begun_percent < 0:
+            self.begun_percent = percent
+        if percent > self.progress_percent or not self.progressed_at:
+            self.progressed_at = now
+        if self.pace_percent < 100:
+            self.slowed_at = now
+        self.progress_percent = percent
+
+    def progress(self, now: float) -> stragglers.Progress:
+        """Returns how far it is."""
+        return stragglers.Progress(
+            now - self.confirmed_at,
+            self.progress_percent,
+            max(self.begun_percent, 0),
+            now - self.progressed_at,
+            self.slowed_at == 0.0,
+            self.step.checkpoints,
+        )
+
     def order(self) -> worker_port.Order:
         """Returns what names it towards the worker."""
         return worker_port.Order(self.task, self.number)
--- a/turmerichall/dispatch/sensitivity.py
+++ b/turmerichall/dispatch/sensitivity.py
@@ -19,6 +19,8 @@
 PRIOR_WEIGHT = 1.0
 # Weight of the prior against samples, in squared shares of a worker.
 PRIOR_STRENGTH = 0.03
+# The same for weights that an earlier leader learnt.
+RESUMED_STRENGTH = 0.15
 # What one sample leaves of the weight of those before it.
 DECAY = 0.9995
 SWEEPS = 3
@@ -43,6 +45,13 @@
         self._samples = 0
         self._scale = 1.0
 
+    def resume(self, weights: Mapping[str, float]) -> None:
+        """Takes in weights as if they had been learnt here."""
+        for image, weight in weights.items():
+            self.weights[image] = weight
+            self.squares[image] = {image: RESUMED_STRENGTH}
+            self.products[image] = RESUMED_STRENGTH * weight
+
     def learn(self, shares: Mapping[str, float], tail: float) -> None:
         """Takes in a tail and the shares of a worker used beside it."""
         self._scale /= DECAY
@@ -124,6 +133,17 @@
             return PRIOR_WEIGHT
         return fit.weights.get(filling, PRIOR_WEIGHT)
 
+    def resume(self, table: Mapping[str, Mapping[str, float]]) -> None:
+        """Goes on from what an earlier leader learnt, where nothing is known.
+
+        Args:
+            table: Weights as `table` returned them.
+        """
+        for lasting, weights in table.items():
+            if lasting not in self._fits:
+                self._fits[lasting] = _Fit()
+                self._fits[lasting].resume(weights)
+
     def table(self) -> dict[str, dict[str, float]]:
         """Returns all weights, by lasting and filling image."""
         return {
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -60,6 +60,9 @@
     def spawn_stop(self, session: "Session", run: roster.Run) -> None:
         """Stops a run in a task of its own."""
 
+    def watch_progress(self, session: "Session") -> None:
+        """Moves runs that would finish sooner elsewhere."""
+
     def worker_changed(self, worker: roster.Worker) -> None:
         """Takes in that more or less may be placed on a worker."""
 
@@ -124,6 +127,7 @@
         await self._take_ends(look)
         await self._compare(look, now)
         await self._watch_tails()
+        owner.watch_progress(self)
         owner.worker_changed(worker)
 
     def _wait_ms(self) -> int:
@@ -208,7 +212,7 @@
             if not run.confirmed_at:
                 run.confirmed_at = now
             run.load = row.recent_load
-            run.progress_percent = row.progress_percent
+            run.note_progress(row.progress_percent, now)
             run.checkpoint = row.checkpoint
         if not look.complete:
             return
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -17,6 +17,7 @@
 from turmerichall.dispatch import roster
 from turmerichall.dispatch import sensitivity as sensitivities
 from turmerichall.dispatch import session as sessions
+from turmerichall.dispatch import stragglers
 from turmerichall.dispatch import worker_port
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -35,6 +36,10 @@
 PLACE_AGAIN_SECONDS = 0.25
 # Between two looks at the clock for occurrences that are due.
 DUE_SECONDS = 0.05
+# Between two lines on the state of the term.
+REPORT_SECONDS = 5.0
+# For a run to begin, with what it saved before.
+BEGIN_SECONDS = 0.8
 # After a worker said that it ends.
 LEAVING_SECONDS = 0.3
 
@@ -90,6 +95,8 @@
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._scheduled: dict[str, int] = {}
+        # Times of runs that are done, by job, occurrence and step.
+        self._took: dict[tuple[str, int, int], list[float]] = {}
 
     # Life of the term.
 
@@ -109,9 +116,11 @@
                 nursery.start_soon(self._place)
                 nursery.start_soon(self._watch_schedule)
                 nursery.start_soon(self._watch_leadership)
+                nursery.start_soon(self._report)
 
     def _load(self) -> None:
         """Takes over what the ledger says is under way."""
+        self.sensitivity.resume(self.ledger.interference)
         for record in self.ledger.workers.values():
             self._add_worker(record, record.id in self.ledger.draining)
         now_ms = wall_ms()
@@ -147,6 +156,37 @@
         self.log.info("term ends", term=self.token)
         self.scope.cancel()
 
+    async def _report(self) -> None:
+        """Logs what decisions are made from, and keeps what was learnt."""
+        while True:
+            await trio.sleep(REPORT_SECONDS)
+            workers = self.workers.values()
+            now = leases.steady_seconds()
+            self.log.info(
+                "state of the term",
+                waiting=sum(len(g.waiting) for g in self.backlog.ready()),
+                workers=len(workers),
+                in_touch=sum(worker.in_touch for worker in workers),
+                avoided=sum(not w.suspicion.allows(now) for w in workers),
+                runs=sum(len(worker.runs) for worker in workers),
+                cpu=sum(worker.record.cpu for worker in workers),
+                cpu_asked=sum(worker.cpu_asked for worker in workers),
+                cpu_filled=sum(worker.cpu_filled for worker in workers),
+                free_cpu=round(sum(worker.free_cpu() for worker in workers)),
+                paced=sum(
+                    run.pace_percent < 100
+                    for worker in workers
+                    for run in worker.runs.values()
+                ),
+            )
+            table = self.sensitivity.table()
+            for lasting, added in table.items():
+                self.log.info(
+                    "learnt interference", lasting=lasting, added=added
+                )
+            if table and table != self.ledger.interference:
+                await self._commit_own(changes.NoteInterference(table))
+
     def may_renew(self) -> bool:
         """See `session.Owner`."""
         return self.freshness.may_renew()
@@ -324,6 +364,56 @@
                     self.backlog.put_back(run.task)
             self._wake.set()
 
+    def watch_progress(self, session: sessions.Session) -> None:
+        """See `session.Owner`."""
+        now = leases.steady_seconds()
+        worker = session.worker
+        for run in list(worker.runs.values()):
+            if run.step.lasting or run.stopping or not run.confirmed_at:
+                continue
+            progress = run.progress(now)
+            # Most runs are soon done; their siblings are not looked up.
+            if progress.seconds < stragglers.STILL_SECONDS:
+                continue
+            reason = stragglers.judge(
+                progress, self._sibling_seconds(run, now), BEGIN_SECONDS
+            )
+            if not reason:
+                continue
+            self.log.info(
+                "run is moved",
+                job=run.task.job,
+                step=run.task.step,
+                index=run.task.number,
+                run=run.number,
+                worker=worker.record.id,
+                reason=reason,
+                seconds=round(progress.seconds, 2),
+                percent=progress.percent,
+                still_seconds=round(progress.still_seconds, 2),
+            )
+            worker.suspicion.note(False, now, run.task.job)
+            run.moved = True
+            self.spawn_stop(session, run)
+
+    def _sibling_seconds(self, run: roster.Run, now: float) -> list[float]:
+        """Returns expected times of other tasks of a run's step."""
+        job = self.ledger.jobs.get(run.task.job)
+        if job is None or not job.open:
+            return []
+        found = list(self._took.get(run.task[:3], ()))
+        step = job.steps(run.task.occurrence)[run.task.step]
+        for number, task in enumerate(step.tasks):
+            worker = self.workers.get(task.worker)
+            if worker is None or number == run.task.number:
+                continue
+            other = worker.runs.get(run.task._replace(number=number))
+            if other is not None and other.confirmed_at:
+                expected = other.progress(now).expected_seconds()
+                if expected is not None:
+                    found.append(expected)
+        return found
+
     def worker_changed(self, worker: roster.Worker) -> None:
         """See `session.Owner`."""
         del worker
@@ -334,8 +424,11 @@
     ) -> None:
         """See `session.Owner`."""
         del worker
-        if not run.step.lasting:
-            self.durations.note((run.queue, run.step.image), seconds)
+        if run.step.lasting:
+            return
+        self.durations.note((run.queue, run.step.image), seconds)
+        if run.number == 1:
+            self._took.setdefault(run.task[:3], []).append(seconds)
 
     # Runs.
 
@@ -378,13 +471,15 @@
                 continue
             worker.remove(run)
             if row.ending == changes.Ending.DONE:
-                self.backlog.note_done(row.task)
+                if self.backlog.note_done(row.task):
+                    self._took.pop(row.task[:3], None)
+                    self._log_step_done(row.task)
                 if run.step.lasting:
                     self.backlog.put_back(row.task)
             else:
-                failed = row.ending == changes.Ending.FAILED
+                elsewhere = row.ending == changes.Ending.FAILED or run.moved
                 self.backlog.put_back(
-                    row.task, worker.record.id if failed else ""
+                    row.task, worker.record.id if elsewhere else ""
                 )
         self._log_ends(worker, rows)
         for job_id, was_open in open_before.items():
@@ -414,6 +509,15 @@
                     ending=row.ending.name.lower(),
                 )
 
+    def _log_step_done(self, task: changes.TaskName) -> None:
+        self.log.info(
+            "step done",
+            job=task.job,
+            occurrence=task.occurrence,
+            step=task.step,
+            age_ms=wall_ms() - self.ledger.jobs[task.job].at_ms,
+        )
+
     def _close_job(self, job_id: str) -> None:
         """Stops what still runs of a job that ended."""
         self.backlog.drop_job(job_id)
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -17,6 +17,7 @@
     "Ended",
     "Ending",
     "LoseWorker",
+    "NoteInterference",
     "RegisterWorker",
     "SetConfiguration",
     "StartRuns",
@@ -214,6 +215,17 @@
     machine: str
 
 
+class NoteInterference(_Tagged, frozen=True, array_like=True, tag=11):
+    """Keeps what the leader learnt of interference for the next one.
+
+    Attributes:
+        added: What a whole worker of a filling image adds to the tail of a
+            lasting image, as a share of its target, by both images.
+    """
+
+    added: dict[str, dict[str, float]]
+
+
 Change: TypeAlias = (
     SetConfiguration
     | AcceptJob
@@ -225,6 +237,7 @@
     | LoseWorker
     | Wave
     | WaveStep
+    | NoteInterference
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/queues/ledger.py
+++ b/turmerichall/queues/ledger.py
@@ -163,10 +163,12 @@
     draining: list[str]
     gone: list[str]
     waves: dict[int, WaveRecord]
+    interference: dict[str, dict[str, float]]
 
 
 def _empty() -> _State:
-    return _State(configurations.Configuration(), b"", {}, {}, {}, [], [], {})
+    nothing = configurations.Configuration()
+    return _State(nothing, b"", {}, {}, {}, [], [], {}, {})
 
 
 class Ledger:
@@ -181,6 +183,8 @@
         draining: Ids of workers that are about to leave.
         gone: Ids of workers that are gone.
         waves: Waves of upkeep by number.
+        interference: What leaders learnt of interference, by lasting and
+            filling image.
         waiting: Ids of jobs without a start, by queue.
     """
 
@@ -196,6 +200,7 @@
         self.draining = set(state.draining)
         self.gone = set(state.gone)
         self.waves = state.waves
+        self.interference = state.interference
         self.waiting: dict[str, set[str]] = {}
         for job in self.jobs.values():
             if job.state == JobState.QUEUED:
@@ -213,6 +218,7 @@
                 sorted(self.draining),
                 sorted(self.gone),
                 self.waves,
+                self.interference,
             )
         )
 
@@ -254,6 +260,8 @@
                         [],
                     ),
                 )
+            case changes.NoteInterference():
+                self.interference = change.added
             case changes.WaveStep():
                 wave = self.waves.get(change.wave)
                 if wave and change.machine not in wave.settled:
