Bound what one tail and one weight count for; drop a worker at its first silence

Orders now wait 0.35 s for an answer and looks 0.5 s beyond their wait, and a worker that leaves one order unanswered gets no more until it answers a look.

--- a/turmerichall/dispatch/sensitivity.py
+++ b/turmerichall/dispatch/sensitivity.py
@@ -22,8 +22,12 @@
 # The same for weights that an earlier leader learnt.
 RESUMED_STRENGTH = 0.15
 # What one sample leaves of the weight of those before it.
-DECAY = 0.9995
+DECAY = 0.999
 SWEEPS = 3
+# Tails count at most as this share of their target: beyond, they grow without
+# bound and would outweigh all others.
+MAX_TAIL = 2.0
+MAX_WEIGHT = 15.0
 # Samples between two solutions.
 SOLVE_EVERY = 10
 _BASE = ""
@@ -55,6 +59,7 @@
     def learn(self, shares: Mapping[str, float], tail: float) -> None:
         """Takes in a tail and the shares of a worker used beside it."""
         self._scale /= DECAY
+        tail = min(tail, MAX_TAIL)
         for image in shares:
             if image not in self.weights:
                 self.weights[image] = PRIOR_WEIGHT
@@ -83,7 +88,7 @@
                     if other != image
                 )
                 best = (self.products[image] - others) / row[image]
-                weights[image] = max(0.0, best)
+                weights[image] = min(max(0.0, best), MAX_WEIGHT)
 
 
 class Sensitivity:
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -26,7 +26,7 @@
 # While a quorum is not heard; nothing may be renewed then.
 UNSURE_SECONDS = 0.05
 # A worker out of reach for longer is given no new tasks.
-ORDER_TRIES = 3
+ORDER_TRIES = 4
 # A run that the worker does not list, this long after it was confirmed.
 MISSING_SECONDS = 0.5
 # A pace that differs by less is not told.
@@ -365,7 +365,8 @@
         verdict = result.verdict
         now = leases.steady_seconds()
         if verdict in (Verdict.UNANSWERED, Verdict.UNSENT):
-            worker.suspicion.note(False, now)
+            # Nothing more is placed there until it answers a look.
+            worker.in_touch = False
             return False
         if verdict == Verdict.DONE:
             if run.phase == roster.Phase.ORDERED:
--- a/turmerichall/platform/worker_calls.py
+++ b/turmerichall/platform/worker_calls.py
@@ -11,9 +11,9 @@
 
 __all__ = ["Worker", "task_from_wire", "task_to_wire"]
 
-ORDER_SECONDS = 0.7
+ORDER_SECONDS = 0.35
 # Beyond the time that a look may wait at the worker.
-LOOK_SECONDS = 1.0
+LOOK_SECONDS = 0.5
 HEALTH_SECONDS = 0.5
 # A worker repeats at most this many ends at a time.
 MAX_ENDS = 500
