--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -14,6 +14,7 @@
 
 # Share of what a lasting task asks for that it is taken to use.
 LASTING_USE = 0.5
+UNKNOWN_PERCENT = -1
 # Tail of a lasting task, as a share of its target, before any was measured.
 UNKNOWN_TAIL = 0.5
 # Share of the way from an earlier peak of a tail to a lower one, for each look.
@@ -45,7 +46,8 @@
             seconds.
         stopping: Whether it was asked to stop, or is to be.
         moved: Whether that is because it would finish sooner elsewhere.
-        pace_percent: Share of its speed that it was last set to.
+        pace_percent: Share of its speed that it was last set to, or
+            `UNKNOWN_PERCENT`.
         load: Last figure of the worker: tail in ms or processors in use.
         progress_percent: Last progress listed.
         begun_percent: Progress when it was first listed; -1 before.
@@ -94,7 +96,7 @@
         self.progress_percent = 0
         self.begun_percent = -1
         self.progressed_at = 0.0
-        self.slowed_at = 0.0
+        self.slowed_at = -float("inf")
         self.checkpoint = ""
 
     def note_progress(self, percent: int, now: float) -> None:
@@ -114,7 +116,7 @@
             self.progress_percent,
             max(self.begun_percent, 0),
             now - self.progressed_at,
-            self.slowed_at == 0.0,
+            now - self.slowed_at,
             self.step.checkpoints,
         )
 
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -296,7 +296,9 @@
         paces = pacing.percents(
             [
                 pacing.Filling(
-                    run.step.image, run.step.cpu / cpu, run.pace_percent
+                    run.step.image,
+                    run.step.cpu / cpu,
+                    max(run.pace_percent, 0),
                 )
                 for run in running
             ],
@@ -304,8 +306,11 @@
             sensitivity.weight,
         )
         for run, percent in zip(running, paces):
-            if percent in (0, 100) or (
-                abs(percent - run.pace_percent) >= PACE_STEP_PERCENT
+            unknown = run.pace_percent == roster.UNKNOWN_PERCENT
+            if (
+                unknown
+                or percent in (0, 100)
+                or abs(percent - run.pace_percent) >= PACE_STEP_PERCENT
             ):
                 await self.set_pace(run, percent)
 
--- a/turmerichall/dispatch/stragglers.py
+++ b/turmerichall/dispatch/stragglers.py
@@ -6,10 +6,11 @@
 """
 
 from collections.abc import Sequence
+import math
 import statistics
 from typing import NamedTuple
 
-__all__ = ["Progress", "Reason", "judge"]
+__all__ = ["Progress", "SLOW", "STILL", "STILL_SECONDS", "judge"]
 
 # Without any progress at full pace, beyond the time to begin.
 STILL_SECONDS = 1.2
@@ -22,7 +23,8 @@
 # Siblings that must be known before a run is compared with them.
 ENOUGH_SIBLINGS = 2
 
-Reason = str
+STILL = "stands still"
+SLOW = "slow beside others of its step"
 
 
 class Progress(NamedTuple):
@@ -33,7 +35,8 @@
         percent: Its progress.
         begun_percent: Its progress when it was first listed.
         still_seconds: Since its progress last grew.
-        full_pace: Whether it was allowed to run at full pace all the while.
+        unslowed_seconds: Since it was last not allowed its full pace; infinite
+            if it always was.
         saves: Whether it keeps its progress when it is stopped.
     """
 
@@ -41,7 +44,7 @@
     percent: int
     begun_percent: int
     still_seconds: float
-    full_pace: bool
+    unslowed_seconds: float
     saves: bool
 
     def expected_seconds(self) -> float | None:
@@ -56,7 +59,7 @@
     run: Progress,
     siblings: Sequence[float],
     begin_seconds: float,
-) -> Reason:
+) -> str:
     """Tells why a run should be moved, or returns an empty text.
 
     Args:
@@ -65,28 +68,29 @@
         begin_seconds: Time that a run may take to begin.
 
     Examples:
-        >>> still = Progress(3.0, 40, 0, 1.5, True, True)
+        >>> still = Progress(3.0, 40, 0, 1.5, math.inf, True)
         >>> judge(still, [], 0.5)
         'stands still'
-        >>> slow = Progress(3.0, 10, 0, 0.1, True, True)
+        >>> slow = Progress(3.0, 10, 0, 0.1, math.inf, True)
         >>> judge(slow, [2.0, 2.2, 1.9], 0.5)
         'slow beside others of its step'
         >>> judge(slow, [25.0, 28.0], 0.5)
         ''
     """
-    if not run.full_pace or run.percent >= 100:
+    if run.percent >= 100:
         return ""
-    if run.still_seconds > STILL_SECONDS and (
-        run.seconds > STILL_SECONDS + begin_seconds
-    ):
-        return "stands still"
+    awake = min(run.seconds - begin_seconds, run.unslowed_seconds)
+    if min(run.still_seconds, awake) > STILL_SECONDS:
+        return STILL
     expected = run.expected_seconds()
-    if expected is None or len(siblings) < ENOUGH_SIBLINGS:
+    if run.unslowed_seconds < math.inf or expected is None:
+        return ""
+    if len(siblings) < ENOUGH_SIBLINGS:
         return ""
     usual = statistics.median(siblings)
     left_here = expected * (100 - run.percent) / 100
     kept = run.percent / 100 if run.saves else 0.0
     left_there = usual * (1 - kept) + MOVE_SECONDS
     if expected > SLOW_FACTOR * usual and left_here > 1.5 * left_there:
-        return "slow beside others of its step"
+        return SLOW
     return ""
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -95,6 +95,8 @@
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._scheduled: dict[str, int] = {}
+        # Tasks that were moved for being slow.
+        self._moved: set[changes.TaskName] = set()
         # Times of runs that are done, by job, occurrence and step.
         self._took: dict[tuple[str, int, int], list[float]] = {}
 
@@ -146,6 +148,9 @@
         step = job.demand.steps[name.step]
         run = roster.Run(name, task.run, step, job.queue)
         run.phase = roster.Phase.ORDERED
+        if step.fills:
+            # The leader before may have slowed it.
+            run.pace_percent = roster.UNKNOWN_PERCENT
         worker.add(run)
 
     async def _watch_leadership(self) -> None:
@@ -378,7 +383,7 @@
             reason = stragglers.judge(
                 progress, self._sibling_seconds(run, now), BEGIN_SECONDS
             )
-            if not reason:
+            if not reason or not self._may_move(run, reason):
                 continue
             self.log.info(
                 "run is moved",
@@ -396,6 +401,17 @@
             run.moved = True
             self.spawn_stop(session, run)
 
+    def _may_move(self, run: roster.Run, reason: str) -> bool:
+        """Tells whether a run may be moved, which is noted.
+
+        A task that is slow again elsewhere is so by itself.
+        """
+        if reason == stragglers.SLOW:
+            if run.task in self._moved:
+                return False
+            self._moved.add(run.task)
+        return True
+
     def _sibling_seconds(self, run: roster.Run, now: float) -> list[float]:
         """Returns expected times of other tasks of a run's step."""
         job = self.ledger.jobs.get(run.task.job)
@@ -522,6 +538,7 @@
         """Stops what still runs of a job that ended."""
         self.backlog.drop_job(job_id)
         self._scheduled.pop(job_id, None)
+        self._moved = {task for task in self._moved if task.job != job_id}
         for worker_id, worker in self.workers.items():
             for run in list(worker.runs.values()):
                 if run.task.job == job_id and run.phase != roster.Phase.PLANNED:
