Move filling tasks that are held back for lasting ones

Cause: a filling task slowed to nothing kept its place, its memory and its job waiting; seen when a faulty build moved them by accident and did better.

--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -15,6 +15,8 @@
 # Share of what a lasting task asks for that it is taken to use.
 LASTING_USE = 0.5
 UNKNOWN_PERCENT = -1
+# A pace at which a run hardly gets on.
+SMALL_PERCENT = 40
 # Tail of a lasting task, as a share of its target, before any was measured.
 UNKNOWN_TAIL = 0.5
 # Share of the way from an earlier peak of a tail to a lower one, for each look.
@@ -53,6 +55,7 @@
         begun_percent: Progress when it was first listed; -1 before.
         progressed_at: When its progress last grew, steady seconds.
         slowed_at: When it was last not at full pace, steady seconds.
+        unheld_at: When it last had more than a small pace, steady seconds.
         checkpoint: Last saved progress listed.
     """
 
@@ -73,6 +76,7 @@
         "step",
         "stopping",
         "task",
+        "unheld_at",
     )
 
     def __init__(
@@ -97,6 +101,7 @@
         self.begun_percent = -1
         self.progressed_at = 0.0
         self.slowed_at = -float("inf")
+        self.unheld_at = 0.0
         self.checkpoint = ""
 
     def note_progress(self, percent: int, now: float) -> None:
@@ -107,6 +112,8 @@
             self.progressed_at = now
         if self.pace_percent < 100:
             self.slowed_at = now
+        if self.pace_percent > SMALL_PERCENT or not self.unheld_at:
+            self.unheld_at = now
         self.progress_percent = percent
 
     def progress(self, now: float) -> stragglers.Progress:
@@ -117,6 +124,7 @@
             max(self.begun_percent, 0),
             now - self.progressed_at,
             now - self.slowed_at,
+            now - self.unheld_at,
             self.step.checkpoints,
         )
 
--- a/turmerichall/dispatch/stragglers.py
+++ b/turmerichall/dispatch/stragglers.py
@@ -2,7 +2,8 @@
 
 Answers workers on which tasks stand still or run many times slower while they
 answer well: a step is done only with its last task, so one such worker holds up
-every job that has a task there.
+every job that has a task there.  It also frees workers of filling tasks that
+can't run beside the lasting ones there.
 """
 
 from collections.abc import Sequence
@@ -14,6 +15,8 @@
 
 # Without any progress at full pace, beyond the time to begin.
 STILL_SECONDS = 1.2
+# At a small pace, for the sake of lasting tasks beside it.
+HELD_SECONDS = 1.0
 # A run is slow if it is expected to take this many times as long as others.
 SLOW_FACTOR = 2.5
 # Progress in percent before a run's own speed is trusted.
@@ -23,6 +26,7 @@
 # Siblings that must be known before a run is compared with them.
 ENOUGH_SIBLINGS = 2
 
+HELD = "held back for lasting tasks"
 STILL = "stands still"
 SLOW = "slow beside others of its step"
 
@@ -37,6 +41,7 @@
         still_seconds: Since its progress last grew.
         unslowed_seconds: Since it was last not allowed its full pace; infinite
             if it always was.
+        held_seconds: Since it was last allowed more than a small pace.
         saves: Whether it keeps its progress when it is stopped.
     """
 
@@ -45,6 +50,7 @@
     begun_percent: int
     still_seconds: float
     unslowed_seconds: float
+    held_seconds: float
     saves: bool
 
     def expected_seconds(self) -> float | None:
@@ -68,10 +74,10 @@
         begin_seconds: Time that a run may take to begin.
 
     Examples:
-        >>> still = Progress(3.0, 40, 0, 1.5, math.inf, True)
+        >>> still = Progress(3.0, 40, 0, 1.5, math.inf, 0.0, True)
         >>> judge(still, [], 0.5)
         'stands still'
-        >>> slow = Progress(3.0, 10, 0, 0.1, math.inf, True)
+        >>> slow = Progress(3.0, 10, 0, 0.1, math.inf, 0.0, True)
         >>> judge(slow, [2.0, 2.2, 1.9], 0.5)
         'slow beside others of its step'
         >>> judge(slow, [25.0, 28.0], 0.5)
@@ -79,6 +85,8 @@
     """
     if run.percent >= 100:
         return ""
+    if run.held_seconds > HELD_SECONDS and run.saves:
+        return HELD
     awake = min(run.seconds - begin_seconds, run.unslowed_seconds)
     if min(run.still_seconds, awake) > STILL_SECONDS:
         return STILL
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -397,7 +397,8 @@
                 percent=progress.percent,
                 still_seconds=round(progress.still_seconds, 2),
             )
-            worker.suspicion.note(False, now, run.task.job)
+            if reason != stragglers.HELD:
+                worker.suspicion.note(False, now, run.task.job)
             run.moved = True
             self.spawn_stop(session, run)
 
