Renew no lease of a worker that does not answer

Cause: every look granted the lease anew, also those without an answer, which may have been carried out; so the leader could never tell that a silent worker's lease was over, and its tasks waited until it came back.

--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -90,6 +90,7 @@
         self.worker = worker
         self.acknowledged = 0
         self.scope = trio.CancelScope()
+        self._unanswered = False
 
     async def run(self) -> None:
         """Looks at the worker until it is gone or the term ends."""
@@ -107,11 +108,15 @@
             return
         now = leases.steady_seconds()
         lease = worker.lease
-        deadline_ms = lease.grant(now) if lease.known else None
+        # A look without an answer may have renewed the lease, so the next one
+        # only asks: a worker that hears and isn't heard must lose its lease.
+        renews = lease.known and not self._unanswered
+        deadline_ms = lease.grant(now) if renews else None
         wait_ms = self._wait_ms()
         look = await worker.port.look(
             owner.token, self.acknowledged, deadline_ms, wait_ms
         )
+        self._unanswered = isinstance(look, worker_port.NoAnswer)
         if isinstance(look, worker_port.NoAnswer):
             await self._note_silence(look.verdict)
             return
@@ -119,7 +124,7 @@
         lease.note_clock(look.clock_ms, arrived)
         lease.note_obeyed()
         if deadline_ms is None:
-            # The first look only read the clock.
+            # It only asked, and read the clock; the next one renews.
             return
         if not worker.in_touch:
             worker.in_touch = True
--- /dev/null
+++ b/turmerichall/dispatch/tests/standins.py
@@ -0,0 +1,329 @@
+"""Stand-ins of a worker and of the replicated log, in one process."""
+
+from collections.abc import Callable
+import types
+
+import trio
+
+from turmerichall import outcomes
+from turmerichall.agreement import shared as agreement_shared
+from turmerichall.dispatch import desk as desks
+from turmerichall.dispatch import worker_port
+from turmerichall.queues import change as changes
+from turmerichall.queues import configuration as configurations
+from turmerichall.queues import ledger as ledgers
+
+QUEUE = configurations.Queue(
+    "batch", "a.example", "/jobs/", "desk", max_attempts=3
+)
+CONFIGURATION = configurations.Configuration(
+    1, (QUEUE,), (configurations.Service("desk"),)
+)
+GANG_WAIT_SECONDS = 3.0
+
+Verdict = worker_port.Verdict
+Result = worker_port.OrderResult
+
+
+class Fake:
+    """A run at a stand-in worker."""
+
+    def __init__(self, order: worker_port.Order, ends_at: float):
+        self.order = order
+        self.ends_at = ends_at
+        self.percent = 0
+        self.load = 0
+        self.pace = 100
+
+
+class StandinWorker:
+    """A worker that keeps the published protocol, on its own clock.
+
+    Attributes:
+        machine: Every start that was carried out, with the time, on all lives.
+        run_seconds: How long a run takes.
+        verdicts: Verdicts to give to the next starts in place of an answer.
+        silent: Whether calls get no answer, and have no effect.
+        lost_answers: Whether starts are carried out and not answered.
+    """
+
+    def __init__(self, worker_id: str, cpu: int = 8000, rate: float = 1.0):
+        self.record = changes.WorkerRecord(
+            worker_id,
+            "",
+            f"{worker_id}:80",
+            "desk",
+            "z",
+            "r1",
+            ("a", "r1"),
+            cpu,
+            64000,
+            0,
+        )
+        self.rate = rate
+        self.run_seconds = 1.0
+        self.silent = False
+        self.lost_answers = False
+        self.verdicts: list[Verdict] = []
+        self.token = 0
+        self.deadline_ms = 0
+        self.acknowledged = 0
+        self.runs: dict[changes.TaskName, Fake] = {}
+        self.ends: list[worker_port.RunEnd] = []
+        self.fenced: dict[changes.TaskName, int] = {}
+        self.history: list[tuple[changes.TaskName, int, float]] = []
+        self.paces: list[tuple[changes.TaskName, int]] = []
+        self.outcome: Callable[[changes.TaskName], changes.Ending] = (
+            lambda _: changes.Ending.DONE
+        )
+
+    def clock_ms(self) -> int:
+        """Returns its steady clock."""
+        return int(trio.current_time() * 1000 * self.rate) + 5000
+
+    def _settle(self) -> None:
+        """Lets ends and lapses happen that are due."""
+        if self.runs and self.deadline_ms <= self.clock_ms():
+            for task in list(self.runs):
+                self.end(task, changes.Ending.LOST)
+        now = trio.current_time()
+        for task, run in list(self.runs.items()):
+            if now >= run.ends_at:
+                self.end(task, self.outcome(task))
+
+    def end(self, task: changes.TaskName, ending: changes.Ending) -> None:
+        """Ends a run."""
+        run = self.runs.pop(task)
+        self.fenced[task] = max(self.fenced.get(task, 0), run.order.run)
+        ended = changes.Ended(task, run.order.run, ending, "")
+        number = self.acknowledged + len(self.ends) + 1
+        self.ends.append(worker_port.RunEnd(number, ended))
+
+    def _obeys(self, token: int) -> bool:
+        self.token = max(self.token, token)
+        return token >= self.token
+
+    async def _answer(self) -> None:
+        await trio.sleep(0.002)
+
+    async def _no_answer(self, seconds: float = 0.35) -> Result:
+        await trio.sleep(seconds)
+        return Result(Verdict.UNANSWERED)
+
+    async def start(
+        self, order: worker_port.Order, token: int, deadline_ms: int
+    ) -> Result:
+        """See `WorkerPort`."""
+        if self.silent:
+            return await self._no_answer()
+        await self._answer()
+        if self.verdicts:
+            return Result(self.verdicts.pop(0), self.clock_ms())
+        result = self.carry_out(order, token, deadline_ms)
+        return await self._no_answer() if self.lost_answers else result
+
+    def carry_out(
+        self, order: worker_port.Order, token: int, deadline_ms: int
+    ) -> Result:
+        """Carries out a start, perhaps long after it was sent."""
+        self._settle()
+        if not self._obeys(token):
+            return Result(Verdict.FENCED, self.clock_ms())
+        known = self.runs.get(order.task)
+        if known is not None and known.order.run == order.run:
+            return Result(Verdict.DONE, self.clock_ms())
+        if order.run <= self.fenced.get(order.task, 0):
+            return Result(Verdict.OUTDATED, self.clock_ms())
+        if deadline_ms <= self.clock_ms():
+            return Result(Verdict.LATE, self.clock_ms())
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        now = trio.current_time()
+        self.runs[order.task] = Fake(order, now + self.run_seconds)
+        self.history.append((order.task, order.run, now))
+        return Result(Verdict.DONE, self.clock_ms())
+
+    async def stop(self, order: worker_port.Order, token: int) -> Result:
+        """See `WorkerPort`."""
+        if self.silent:
+            return await self._no_answer()
+        await self._answer()
+        self._settle()
+        if not self._obeys(token):
+            return Result(Verdict.FENCED, self.clock_ms())
+        run = self.runs.get(order.task)
+        if run is not None and run.order.run == order.run:
+            self.end(order.task, changes.Ending.STOPPED)
+        fenced = self.fenced.get(order.task, 0)
+        self.fenced[order.task] = max(fenced, order.run)
+        return Result(Verdict.DONE, self.clock_ms())
+
+    async def pace(
+        self, order: worker_port.Order, percent: int, token: int
+    ) -> Result:
+        """See `WorkerPort`."""
+        await self._answer()
+        run = self.runs.get(order.task)
+        if run is not None and self._obeys(token):
+            run.pace = percent
+            self.paces.append((order.task, percent))
+        return Result(Verdict.DONE, self.clock_ms())
+
+    async def look(
+        self,
+        token: int,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> worker_port.Look | worker_port.NoAnswer:
+        """See `WorkerPort`."""
+        if self.silent:
+            await trio.sleep(0.5 + wait_ms / 1000)
+            return worker_port.NoAnswer(Verdict.UNANSWERED)
+        await self._answer()
+        self._settle()
+        if not self._obeys(token):
+            return worker_port.NoAnswer(Verdict.FENCED)
+        if deadline_ms is not None:
+            self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        while self.ends and self.ends[0].sequence <= acknowledged:
+            self.acknowledged = self.ends.pop(0).sequence
+        waited = 0.0
+        while not self.ends and waited < wait_ms / 1000:
+            await trio.sleep(0.05)
+            waited += 0.05
+            self._settle()
+        running = [
+            worker_port.RunningTask(
+                task, str(task), run.order.run, "", run.percent, run.load
+            )
+            for task, run in self.runs.items()
+        ]
+        return worker_port.Look(self.clock_ms(), running, list(self.ends), True)
+
+    async def is_well(self, path: str) -> bool | None:
+        """See `WorkerPort`."""
+        del path
+        return None if self.silent else True
+
+    def close(self) -> None:
+        """See `WorkerPort`."""
+
+
+class StandinReplica:
+    """A replica that leads and commits at once, after a moment.
+
+    Attributes:
+        ledger: What changes are applied to.
+        term: The term that it leads in; 0 if it does not lead.
+        committing: Whether changes are committed.
+        changes: All changes that were committed.
+    """
+
+    def __init__(self, ledger: ledgers.Ledger):
+        self.ledger = ledger
+        self.term = 1
+        self.committing = True
+        self.changes: list[changes.Change] = []
+        self.shared = types.SimpleNamespace(
+            role_changed=agreement_shared.Notice(),
+            applied_moved=agreement_shared.Notice(),
+            leader="self",
+            members=(),
+        )
+
+    def led_term(self) -> int:
+        """See `agreement.replica.Replica`."""
+        return self.term
+
+    def lead(self, term: int) -> None:
+        """Goes over to another term, or leads no more with 0."""
+        self.term = term
+        self.shared.role_changed.notify()
+
+    def seconds_since_quorum(self) -> float:
+        """See `agreement.replica.Replica`."""
+        return 0.0 if self.term else 99.0
+
+    async def barrier(self, timeout_seconds: float) -> outcomes.Refusal | None:
+        """See `agreement.replica.Replica`."""
+        await trio.sleep(timeout_seconds)
+        return outcomes.Refusal(outcomes.RefusalReason.NO_QUORUM)
+
+    async def propose_in_term(
+        self, change: bytes, term: int, timeout_seconds: float = 5.0
+    ) -> bytes | outcomes.Refusal | outcomes.Unknown:
+        """See `agreement.replica.Replica`."""
+        if term != self.term:
+            return outcomes.Refusal(outcomes.RefusalReason.NOT_LEADER)
+        if not self.committing:
+            await trio.sleep(timeout_seconds)
+            return outcomes.Unknown(outcomes.UnknownReason.LEADER_LOST)
+        await trio.sleep(0.01)
+        self.apply(changes.decode(change))
+        return b""
+
+    def apply(self, change: changes.Change) -> None:
+        """Applies a change as if it were committed."""
+        self.changes.append(change)
+        self.ledger.apply(len(self.changes), changes.encode(change))
+
+
+class Quiet:
+    """A log that keeps messages for tests."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict[str, object]]] = []
+
+    def info(self, message: str, **fields: object) -> None:
+        """Keeps a message."""
+        self.lines.append((message, fields))
+
+    def warning(self, message: str, **fields: object) -> None:
+        """Keeps a message."""
+        self.lines.append((message, fields))
+
+    def error(self, message: str, **fields: object) -> None:
+        """Keeps a message."""
+        self.lines.append((message, fields))
+
+
+class Floor:
+    """A desk with stand-ins around it.
+
+    Attributes:
+        workers: Workers by address.
+        replica: The log.
+        desk: Answers callers.
+    """
+
+    def __init__(self, *workers: StandinWorker):
+        self.workers = {each.record.address: each for each in workers}
+        self.ledger = ledgers.Ledger()
+        self.replica = StandinReplica(self.ledger)
+        self.log = Quiet()
+        self.replica.apply(changes.SetConfiguration(CONFIGURATION, b"{}"))
+        for worker in workers:
+            self.replica.apply(changes.RegisterWorker(worker.record))
+        self.desk = desks.Desk(
+            self.replica,  # type: ignore[arg-type]
+            self.ledger,
+            lambda record: self.workers[record.address],
+            self.log,
+        )
+
+    def starts(self) -> list[tuple[changes.TaskName, int, float]]:
+        """Returns every start that any worker carried out."""
+        found = [row for each in self.workers.values() for row in each.history]
+        return sorted(found, key=lambda row: row[2])
+
+    async def until(
+        self, condition: Callable[[], bool], seconds: float = 30.0
+    ) -> None:
+        """Waits for a condition, on the mocked clock."""
+        with trio.fail_after(seconds):
+            while not condition():
+                await trio.sleep(0.01)
+
+    def state(self, job: str) -> str:
+        """Returns the state of a job."""
+        return self.ledger.jobs[job].state.value
