--- /dev/null
+++ b/turmerichall/platform/tests/test_calls.py
@@ -0,0 +1,309 @@
+"""Contract tests of the platform's names, formats and calls."""
+
+import contextlib
+from collections.abc import AsyncIterator
+import json
+from typing import Any
+
+import pytest
+import trio
+
+from turmerichall import errors
+from turmerichall import outcomes
+from turmerichall.dispatch import worker_port
+from turmerichall.dispatch.tests import standins
+from turmerichall.http1 import message
+from turmerichall.http1 import server
+from turmerichall.platform import client_calls
+from turmerichall.platform import control_calls
+from turmerichall.platform import worker_calls
+from turmerichall.queues import change as changes
+from turmerichall.queues import configuration as configurations
+
+TASK = changes.TaskName("5c0e7a21d94b36f8", 0, 1, 17)
+
+HEARTBEAT: dict[str, Any] = {
+    "service": "desk",
+    "address": "10.128.0.9:8080",
+    "zone": "hall",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "seq": 4,
+}
+ROUTE: dict[str, Any] = {
+    "name": "r-1",
+    "host": "a.example",
+    "path_prefix": "/jobs/",
+    "kind": "non_idempotent",
+    "timeout_ms": 3000,
+    "target_latency_ms": 250,
+    "priority": 0,
+    "service": "desk",
+    "max_attempts": 2,
+    "stretch": 1.5,
+}
+CONFIGURATION: dict[str, Any] = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "desk", "rejects_overload": True}],
+    "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 15000},
+}
+
+
+def encoded(value: object) -> bytes:
+    return json.dumps(value).encode()
+
+
+class WorkerServer:
+    """Answers orders with what a test sets, and keeps them."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, dict[str, Any], dict[str, str]]] = []
+        self.status = 200
+        self.body: object = {"clock_ms": 482113}
+
+    async def answer(self, request: message.Request) -> message.Response:
+        body = json.loads(request.body)
+        self.calls.append((request.target, body, request.headers))
+        return message.Response(self.status, encoded(self.body))
+
+
+@contextlib.asynccontextmanager
+async def ordering() -> AsyncIterator[tuple[WorkerServer, worker_calls.Worker]]:
+    stub = WorkerServer()
+    served = server.Server(stub.answer)
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(served.run, "127.0.0.1:0")
+        record = standins.StandinWorker("i-7f").record
+        worker = worker_calls.Worker(record._replace(address=address))
+        yield stub, worker
+        worker.close()
+        nursery.cancel_scope.cancel()
+
+
+class TestOrders:
+
+    async def test_a_start_is_spoken_as_published(self) -> None:
+        async with ordering() as (stub, worker):
+            order = worker_port.Order(TASK, 2, "(text)", "0bb8")
+            result = await worker.start(order, 7, 486000)
+        assert result == worker_port.OrderResult(
+            worker_port.Verdict.DONE, 482113
+        )
+        target, body, headers = stub.calls[0]
+        assert target == "/v1/run-start"
+        assert headers["expect-instance"] == "i-7f"
+        assert body == {
+            "task": "5c0e7a21d94b36f8.0.1.17",
+            "run": 2,
+            "spec": "(text)",
+            "deadline_ms": 486000,
+            "fencing_token": 7,
+            "checkpoint": "0bb8",
+        }
+
+    @pytest.mark.parametrize(
+        ("status", "reason", "verdict"),
+        [
+            (409, "fence", worker_port.Verdict.FENCED),
+            (409, "old", worker_port.Verdict.OUTDATED),
+            (409, "late", worker_port.Verdict.LATE),
+            (409, "room", worker_port.Verdict.NO_ROOM),
+            (409, "ticket", worker_port.Verdict.NO_TICKET),
+            (409, "unheard of", worker_port.Verdict.UNANSWERED),
+            (400, "", worker_port.Verdict.MALFORMED),
+            (421, "", worker_port.Verdict.REPLACED),
+            (429, "", worker_port.Verdict.UNWELL),
+            (503, "", worker_port.Verdict.UNWELL),
+            (500, "", worker_port.Verdict.UNANSWERED),
+        ],
+    )
+    async def test_refusals_are_told_apart(
+        self, status: int, reason: str, verdict: worker_port.Verdict
+    ) -> None:
+        async with ordering() as (stub, worker):
+            stub.status = status
+            stub.body = {"clock_ms": 1, "reason": reason}
+            result = await worker.start(worker_port.Order(TASK, 1), 7, 9)
+        assert result.verdict == verdict
+
+    async def test_a_look_is_read_and_what_can_not_be_is_passed_over(
+        self,
+    ) -> None:
+        async with ordering() as (stub, worker):
+            stub.body = {
+                "clock_ms": 482113,
+                "running": [
+                    ["5c0e7a21d94b36f8.0.1.17", 2, "0bb8", 41, 12],
+                    ["not a task", 1, "", 0],
+                    "no row",
+                ],
+                "ended_runs": [
+                    [58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""],
+                    [59, "5c0e7a21d94b36f8.0.1.8", 1, "vanished", ""],
+                    7,
+                ],
+            }
+            look = await worker.look(7, 57, 486000, 20)
+        assert isinstance(look, worker_port.Look)
+        assert look.running[0] == worker_port.RunningTask(
+            TASK, "5c0e7a21d94b36f8.0.1.17", 2, "0bb8", 41, 12
+        )
+        assert look.running[1].task is None
+        assert [end.sequence for end in look.ends] == [58, 59]
+        ended = look.ends[0].ended
+        assert ended is not None and ended.ending == changes.Ending.DONE
+        assert look.ends[1].ended is None
+        assert stub.calls[0][1] == {
+            "fencing_token": 7,
+            "acked_through": 57,
+            "deadline_ms": 486000,
+            "wait_ms": 20,
+        }
+
+    async def test_a_look_that_can_not_be_read_is_no_answer(self) -> None:
+        async with ordering() as (stub, worker):
+            stub.body = ["nothing"]
+            look = await worker.look(7, 0, None, 0)
+        assert isinstance(look, worker_port.NoAnswer)
+
+
+class TestHeartbeats:
+
+    def test_is_read(self) -> None:
+        beat = control_calls.heartbeat_from_wire("i-7f", encoded(HEARTBEAT))
+        assert isinstance(beat, worker_port.Heartbeat)
+        assert beat.worker.rack == "r1-3"
+        assert beat.worker.cpu == 16000
+        assert not beat.draining
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"address": 7},
+            {"address": "nowhere"},
+            {"service": None},
+            {"state": "dancing"},
+            {"capacity": "large"},
+        ],
+    )
+    def test_one_of_another_writer_names_no_worker(
+        self, change: dict[str, Any]
+    ) -> None:
+        body = encoded({**HEARTBEAT, **change})
+        beat = control_calls.heartbeat_from_wire("i-7f", body)
+        assert isinstance(beat, errors.Finding)
+
+    @pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b'{"state"'])
+    def test_bytes_that_can_not_be_read_name_no_worker(
+        self, body: bytes
+    ) -> None:
+        beat = control_calls.heartbeat_from_wire("i-7f", body)
+        assert isinstance(beat, errors.Finding)
+
+    def test_fields_that_are_missing_are_left_open(self) -> None:
+        given = {
+            key: HEARTBEAT[key]
+            for key in ("service", "address", "state", "capacity")
+        }
+        beat = control_calls.heartbeat_from_wire("i-7f", encoded(given))
+        assert isinstance(beat, worker_port.Heartbeat)
+        assert beat.clock_ms == -1
+
+
+class TestConfigurations:
+
+    def test_is_read_whole(self) -> None:
+        found = control_calls.configuration_from_wire(encoded(CONFIGURATION))
+        assert isinstance(found, configurations.Configuration)
+        assert found.version == 7
+        assert found.queues[0].key == "a.example/jobs/"
+        assert found.limits.body_bytes == 1000
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"version": "7"},
+            {"routes": None},
+            {"routes": [ROUTE, ROUTE]},
+            {"routes": [{**ROUTE, "service": "other"}]},
+            {"routes": [{**ROUTE, "timeout_ms": 0}]},
+            {"routes": [{**ROUTE, "host": ""}]},
+            {"routes": ["r"]},
+            {"services": {}},
+            {"limits": 7},
+        ],
+    )
+    def test_an_invalid_one_is_refused_with_findings(
+        self, change: dict[str, Any]
+    ) -> None:
+        body = encoded({**CONFIGURATION, **change})
+        assert isinstance(control_calls.configuration_from_wire(body), list)
+
+    def test_one_that_was_cut_short_is_refused(self) -> None:
+        body = encoded(CONFIGURATION)[:-9]
+        assert isinstance(control_calls.configuration_from_wire(body), list)
+
+
+class TestJobs:
+
+    def test_is_read(self) -> None:
+        body = encoded(
+            {
+                "spec": "(text)",
+                "steps": [
+                    {"count": 4, "cpu": 500, "mem_mb": 256},
+                    {
+                        "count": 20,
+                        "after": [0],
+                        "checkpoints": True,
+                        "long_running": True,
+                        "may_miss": 0,
+                    },
+                ],
+                "repeat_count": 3,
+                "start_at_ms": 1000,
+                "interval_ms": 50,
+            }
+        )
+        found = client_calls.demand_from_wire(body)
+        assert not isinstance(found, errors.Finding)
+        assert found.steps[0].may_be_away == -1
+        assert found.steps[1].lasting and found.steps[1].may_be_away == 0
+        assert found.schedule is not None
+        assert found.schedule.due_at_ms(2) == 1100
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"{}",
+            b'{"steps":[]}',
+            b'{"steps":[{"count":0}]}',
+            b'{"steps":[{"count":1,"after":[0]}]}',
+            b'{"steps":[{"count":1}],"spec":"' + b"x" * 5000 + b'"}',
+        ],
+    )
+    def test_a_bad_one_is_refused(self, body: bytes) -> None:
+        found = client_calls.demand_from_wire(body)
+        assert isinstance(found, errors.Finding)
+
+    @pytest.mark.parametrize(
+        ("failed", "status"),
+        [
+            (outcomes.Unknown(outcomes.UnknownReason.LEADER_LOST), 504),
+            (outcomes.Refusal(outcomes.RefusalReason.NO_QUORUM), 503),
+            (outcomes.Refusal(outcomes.RefusalReason.UNKNOWN_SERVICE), 404),
+            (outcomes.Refusal(outcomes.RefusalReason.UNKNOWN_NAME), 410),
+            (outcomes.Refusal(outcomes.RefusalReason.DEADLINE), 429),
+        ],
+    )
+    def test_an_unknown_effect_is_never_told_as_a_refusal(
+        self, failed: outcomes.Refusal | outcomes.Unknown, status: int
+    ) -> None:
+        assert client_calls.failure(failed).status == status
