Turn away jobs that would be worthless by a margin, and those that fit nowhere

Weighed: no door (every accepted job then finishes late in a long burst), a bound on the queue's length (says nothing of time).

--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -147,6 +147,7 @@
         suspicion: How far it can be trusted.
         cpu_asked: Processors that runs asked for and that count.
         cpu_used: Processors that these runs are taken to use.
+        cpu_working: Processors that runs asked for that count and end.
         cpu_filled: Processors that filling runs asked for.
         memory_used: Memory of all runs, MB.
         gpu_used: Accelerators of all runs.
@@ -173,6 +174,7 @@
         self.suspicion = suspicions.Suspicion()
         self.cpu_asked = 0
         self.cpu_used = 0.0
+        self.cpu_working = 0
         self.cpu_filled = 0
         self.memory_used = 0
         self.gpu_used = 0
@@ -202,6 +204,7 @@
             self.lasting += sign
             self.cpu_used += sign * step.cpu * LASTING_USE
         else:
+            self.cpu_working += sign * step.cpu
             self.cpu_used += sign * step.cpu
 
     def holds(self, step: demands.StepDemand) -> bool:
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -719,7 +719,7 @@
         """Accepts a job durably; None once it is."""
         if job_id in self.ledger.jobs:
             return None
-        refusal = admission.admit(self._queue_view(queue, demand))
+        refusal = admission.admit(self._outlook(job_id, queue, demand))
         if refusal is not None:
             self.log.info(
                 "job refused",
@@ -747,18 +747,51 @@
             self._wake.set()
         return None
 
-    def _queue_view(
-        self, queue: configurations.Queue, demand: demands.JobDemand
-    ) -> admission.QueueView:
+    def _outlook(
+        self,
+        job_id: str,
+        queue: configurations.Queue,
+        demand: demands.JobDemand,
+    ) -> admission.Outlook:
         workers = [
             worker
             for worker in self.workers.values()
             if worker.record.service == queue.service
         ]
-        capacity = sum(
-            worker.record.cpu for worker in workers if worker.in_touch
+        fits = not workers or all(
+            any(worker.may_ever_hold(step) for worker in workers)
+            for step in demand.steps
         )
-        return admission.QueueView(queue, demand, capacity, 0.0)
+        filling = all(step.fills for step in demand.steps)
+        rate = 0.0
+        for worker in workers:
+            if worker.in_touch and not worker.draining:
+                taken = worker.cpu_filled if filling else worker.cpu_working
+                rate += (taken + max(worker.free_cpu(), 0.0)) / 1000
+        chain = demand.chain_ms() / 1000
+        return admission.Outlook(
+            job_id,
+            demand.lasting or demand.schedule is not None,
+            fits,
+            queue.stretch * chain + queue.target_latency_ms / 1000,
+            chain,
+            self._work_ahead(queue, filling),
+            rate,
+        )
+
+    def _work_ahead(self, queue: configurations.Queue, filling: bool) -> float:
+        """Returns work that waits and goes first, core-seconds."""
+        work = 0.0
+        for group in self.backlog.groups.values():
+            step = group.step
+            if not group.waiting or step.lasting or step.fills != filling:
+                continue
+            if group.queue.priority > queue.priority:
+                continue
+            kind = (group.job.queue, step.image)
+            seconds = self.durations.expect(kind, step.estimate_ms / 1000)
+            work += len(group.waiting) * step.cpu / 1000 * seconds
+        return work
 
     async def cancel(
         self, job_id: str
--- a/turmerichall/frontdoor/calls.py
+++ b/turmerichall/frontdoor/calls.py
@@ -48,20 +48,22 @@
     """
 
     kind: Kind
-    status: int = 0
-    body: bytes = b""
-    headers: message.Headers = message.NO_HEADERS
+    status: int
+    body: bytes
+    headers: dict[str, str]
     leader: str = ""
 
 
 def answered(response: message.Response) -> Answer:
     """Returns the answer that holds a response."""
-    return Answer(Kind.ANSWERED, *response)
+    return Answer(
+        Kind.ANSWERED, response.status, response.body, dict(response.headers)
+    )
 
 
 def not_leading(leader: str) -> Answer:
     """Returns the answer of a replica that does not lead."""
-    return Answer(Kind.NOT_LEADING, leader=leader)
+    return Answer(Kind.NOT_LEADING, 0, b"", {}, leader)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/http1/message.py
+++ b/turmerichall/http1/message.py
@@ -1,11 +1,12 @@
 """Requests and responses of HTTP/1.1, and their bytes."""
 
+from collections.abc import Mapping
 import http
+import types
 from typing import NamedTuple
 
 __all__ = [
     "Headers",
-    "NO_HEADERS",
     "Request",
     "Response",
     "encode_request",
@@ -16,7 +17,6 @@
 Headers = dict[str, str]
 
 JSON = "application/json"
-NO_HEADERS: Headers = {}
 
 
 class Request(NamedTuple):
@@ -51,7 +51,7 @@
 
     status: int
     body: bytes = b""
-    headers: Headers = NO_HEADERS
+    headers: Mapping[str, str] = types.MappingProxyType({})
 
 
 _STATUS_LINES = {
--- a/turmerichall/http1/tests/test_server.py
+++ b/turmerichall/http1/tests/test_server.py
@@ -10,7 +10,7 @@
 from turmerichall.http1 import server
 
 
-async def echo(request: message.Request) -> message.Response:
+async def _echo(request: message.Request) -> message.Response:
     if request.target == "/slow":
         await trio.sleep(0.3)
     return message.Response(200, request.method.encode() + request.body)
@@ -20,7 +20,7 @@
 async def serving(
     limits: server.Limits = server.Limits(),
 ) -> AsyncIterator[tuple[server.Server, str]]:
-    served = server.Server(echo, lambda: limits)
+    served = server.Server(_echo, lambda: limits)
     async with trio.open_nursery() as nursery:
         address = await nursery.start(served.run, "127.0.0.1:0")
         yield served, address
--- a/turmerichall/platform/tests/test_calls.py
+++ b/turmerichall/platform/tests/test_calls.py
@@ -19,6 +19,7 @@
 from turmerichall.platform import worker_calls
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
+from turmerichall.queues import demand as demands
 
 TASK = changes.TaskName("5c0e7a21d94b36f8", 0, 1, 17)
 
@@ -272,7 +273,7 @@
             }
         )
         found = client_calls.demand_from_wire(body)
-        assert not isinstance(found, errors.Finding)
+        assert isinstance(found, demands.JobDemand)
         assert found.steps[0].may_be_away == -1
         assert found.steps[1].lasting and found.steps[1].may_be_away == 0
         assert found.schedule is not None
