--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -265,6 +265,16 @@
             expected += weight * cpu / max(self.record.cpu, 1)
         return expected
 
+    def rate(self, filling: bool) -> float:
+        """Returns processors that tasks which end get here, or could get.
+
+        Args:
+            filling: Whether it is about tasks that fill.
+        """
+        if filling:
+            return self.cpu_filled + max(self.free_cpu(), 0.0)
+        return self.cpu_working + max(self.record.cpu - self.cpu_asked, 0)
+
     def free_cpu(self) -> float:
         """Returns processors that are taken to be unused."""
         return self.record.cpu - self.cpu_used - self.cpu_filled
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -766,8 +766,7 @@
         rate = 0.0
         for worker in workers:
             if worker.in_touch and not worker.draining:
-                taken = worker.cpu_filled if filling else worker.cpu_working
-                rate += (taken + max(worker.free_cpu(), 0.0)) / 1000
+                rate += worker.rate(filling) / 1000
         chain = demand.chain_ms() / 1000
         return admission.Outlook(
             job_id,
