--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -597,30 +597,73 @@
         now: float,
     ) -> list[tuple[roster.Worker, roster.Run]]:
         step = group.step
-        siblings = self._siblings(group, workers)
-        planned: list[tuple[roster.Worker, roster.Run]] = []
-        steps = group.job.steps(group.name.occurrence)
-        tasks = steps[group.name.step].tasks
         if step.gang and len(group.waiting) < step.count:
             return []
-        number = 0
-        if step.gang:
-            number = max(task.run for task in tasks) + 1
-        for index in sorted(group.waiting):
+        planned: list[tuple[roster.Worker, roster.Run]] = []
+        if step.same_rack:
+            planned = self._plan_on_one_rack(group, workers, now)
+        if not planned:
+            planned = self._plan_tasks(group, workers, now)
+        if step.gang and len(planned) < step.count:
+            for worker, run in planned:
+                worker.remove(run)
+            return []
+        group.waiting -= {run.task.number for _, run in planned}
+        return planned
+
+    def _plan_on_one_rack(
+        self,
+        group: backlogs.Group,
+        workers: list[roster.Worker],
+        now: float,
+    ) -> list[tuple[roster.Worker, roster.Run]]:
+        """Places all tasks that wait on one rack, or none."""
+        by_rack: dict[str, list[roster.Worker]] = {}
+        for worker in workers:
+            by_rack.setdefault(worker.record.rack, []).append(worker)
+        siblings = self._siblings(group)
+
+        def preference(rack: str) -> tuple[int, float]:
+            there = by_rack[rack]
+            running = sum(siblings.get(each.record.id, 0) for each in there)
+            return running, sum(each.free_cpu() for each in there)
+
+        for rack in sorted(by_rack, key=preference, reverse=True):
+            planned = self._plan_tasks(group, by_rack[rack], now)
+            if len(planned) == len(group.waiting):
+                return planned
+            for worker, run in planned:
+                worker.remove(run)
+        return []
+
+    def _plan_tasks(
+        self,
+        group: backlogs.Group,
+        workers: list[roster.Worker],
+        now: float,
+    ) -> list[tuple[roster.Worker, roster.Run]]:
+        """Places the tasks of a group until one finds no room."""
+        step = group.step
+        siblings = self._siblings(group)
+        tasks = group.job.steps(group.name.occurrence)[group.name.step].tasks
+        # The members of a gang share the number of their run.
+        gang_run = max(task.run for task in tasks) + 1 if step.gang else 0
+        planned: list[tuple[roster.Worker, roster.Run]] = []
+        for number in sorted(group.waiting):
             worker = placement.choose(
                 step,
                 workers,
                 now,
                 self.sensitivity,
-                group.avoided.get(index, ()),
+                group.avoided.get(number, ()),
                 siblings,
                 step.data_rack,
             )
             if worker is None:
                 break
             run = roster.Run(
-                group.task(index),
-                number or tasks[index].run + 1,
+                group.task(number),
+                gang_run or tasks[number].run + 1,
                 step,
                 group.job.queue,
             )
@@ -628,22 +671,15 @@
             worker.suspicion.note_start(now)
             siblings[worker.record.id] = siblings.get(worker.record.id, 0) + 1
             planned.append((worker, run))
-        if step.gang and len(planned) < step.count:
-            for worker, run in planned:
-                worker.remove(run)
-            return []
-        group.waiting -= {run.task.number for _, run in planned}
         return planned
 
-    def _siblings(
-        self, group: backlogs.Group, workers: list[roster.Worker]
-    ) -> dict[str, int]:
+    def _siblings(self, group: backlogs.Group) -> dict[str, int]:
+        """Returns how many tasks of a step each worker runs, by id."""
         steps = group.job.steps(group.name.occurrence)
         counts: dict[str, int] = {}
         for task in steps[group.name.step].tasks:
             if task.worker:
                 counts[task.worker] = counts.get(task.worker, 0) + 1
-        del workers
         return counts
 
     async def _start(
--- /dev/null
+++ b/turmerichall/dispatch/tests/clocks.py
@@ -0,0 +1,19 @@
+"""Clocks of the leader's work on the mocked clock of trio."""
+
+import pytest
+import trio
+
+from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import tenure as tenures
+
+
+@pytest.fixture
+def mocked_clocks(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock
+) -> trio.testing.MockClock:
+    """Lets the steady clock and the time of day follow trio's."""
+    monkeypatch.setattr(leases, "steady_seconds", trio.current_time)
+    monkeypatch.setattr(
+        tenures, "wall_ms", lambda: int(trio.current_time() * 1000)
+    )
+    return autojump_clock
--- a/turmerichall/dispatch/tests/conftest.py
+++ b/turmerichall/dispatch/tests/conftest.py
@@ -1,19 +1,5 @@
-"""Clocks of the leader's work on the mocked clock of trio."""
+"""Makes the mocked clocks known to the tests here."""
 
-import pytest
-import trio
+from turmerichall.dispatch.tests import clocks
 
-from turmerichall.dispatch import lease as leases
-from turmerichall.dispatch import tenure as tenures
-
-
-@pytest.fixture
-def mocked_clocks(
-    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock
-) -> trio.testing.MockClock:
-    """Lets the steady clock and the time of day follow trio's."""
-    monkeypatch.setattr(leases, "steady_seconds", trio.current_time)
-    monkeypatch.setattr(
-        tenures, "wall_ms", lambda: int(trio.current_time() * 1000)
-    )
-    return autojump_clock
+mocked_clocks = clocks.mocked_clocks
--- a/turmerichall/queue_daemon.py
+++ b/turmerichall/queue_daemon.py
@@ -10,7 +10,7 @@
 import pathlib
 import signal
 import sys
-from typing import Any
+from typing import IO, Any, cast
 
 import trio
 
@@ -24,6 +24,8 @@
 SETTINGS_VARIABLE = "TURMERICHALL_BOOT"
 EXIT_SETTINGS = 1
 EXIT_STORAGE = 3
+# For the last lines of the log, when the process ends.
+LAST_LINES_SECONDS = 0.5
 
 
 async def _run(settings: queue_settings.QueueSettings) -> None:
@@ -70,7 +72,8 @@
         for finding in error.findings:
             print(finding, file=sys.stderr)
         return EXIT_SETTINGS
-    _configure_logs(settings.logs, settings.instance)
+    output = logs.Unblocked(sys.stdout)
+    _configure_logs(settings.logs, settings.instance, output)
     status = 0
     try:
         trio.run(_run, settings)
@@ -78,16 +81,19 @@
         for each in group.exceptions:
             logs.Log("daemon").error("storage failed", reason=str(each))
         status = EXIT_STORAGE
+    output.finish(LAST_LINES_SECONDS)
     return status
 
 
 def _configure_logs(
-    settings: common_settings.Logs, instance: queue_settings.Instance
+    settings: common_settings.Logs,
+    instance: queue_settings.Instance,
+    output: logs.Unblocked,
 ) -> None:
     logs.configure(
         logs.Level[settings.level.upper()],
         settings.file or None,
-        stream=sys.stdout,
+        stream=cast(IO[str], output),
         instance=instance.name,
     )
     logs.Log("daemon").info(
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -23,8 +23,6 @@
     "StartRuns",
     "Started",
     "TaskName",
-    "Wave",
-    "WaveStep",
     "WorkerRecord",
     "decode",
     "encode",
@@ -190,32 +188,7 @@
     worker: str
 
 
-class Wave(_Tagged, frozen=True, array_like=True, tag=9):
-    """Asks for the upkeep of machines.
-
-    Attributes:
-        wave: Its number.
-        machines: The machines.
-        duration_ms: In which it should be done.
-        max_count: Machines down at once.
-        at_ms: When it came, since 1970, by the leader's clock.
-    """
-
-    wave: int
-    machines: tuple[str, ...]
-    duration_ms: int
-    max_count: int
-    at_ms: int
-
-
-class WaveStep(_Tagged, frozen=True, array_like=True, tag=10):
-    """Notes a machine of a wave that has begun its upkeep, or left."""
-
-    wave: int
-    machine: str
-
-
-class NoteInterference(_Tagged, frozen=True, array_like=True, tag=11):
+class NoteInterference(_Tagged, frozen=True, array_like=True, tag=9):
     """Keeps what the leader learnt of interference for the next one.
 
     Attributes:
@@ -235,8 +208,6 @@
     | RegisterWorker
     | DrainWorker
     | LoseWorker
-    | Wave
-    | WaveStep
     | NoteInterference
 )
 
--- a/turmerichall/queues/ledger.py
+++ b/turmerichall/queues/ledger.py
@@ -20,7 +20,6 @@
     "Ledger",
     "StepProgress",
     "TaskRecord",
-    "WaveRecord",
 ]
 
 
@@ -131,29 +130,6 @@
                         yield name, task
 
 
-class WaveRecord(msgspec.Struct, array_like=True):
-    """A wave of upkeep.
-
-    Attributes:
-        machines: The machines.
-        duration_ms: In which it should be done.
-        max_count: Machines down at once.
-        at_ms: When it came, since 1970.
-        settled: Machines that have begun their upkeep, or left.
-    """
-
-    machines: tuple[str, ...]
-    duration_ms: int
-    max_count: int
-    at_ms: int
-    settled: list[str]
-
-    @property
-    def completed(self) -> bool:
-        """Whether every machine has begun its upkeep, or left."""
-        return set(self.machines) <= set(self.settled)
-
-
 class _State(msgspec.Struct, array_like=True):
     configuration: configurations.Configuration
     document: bytes
@@ -162,13 +138,12 @@
     workers: dict[str, changes.WorkerRecord]
     draining: list[str]
     gone: list[str]
-    waves: dict[int, WaveRecord]
     interference: dict[str, dict[str, float]]
 
 
 def _empty() -> _State:
     nothing = configurations.Configuration()
-    return _State(nothing, b"", {}, {}, {}, [], [], {}, {})
+    return _State(nothing, b"", {}, {}, {}, [], [], {})
 
 
 class Ledger:
@@ -182,7 +157,6 @@
         workers: Workers that are not known to be gone, by id.
         draining: Ids of workers that are about to leave.
         gone: Ids of workers that are gone.
-        waves: Waves of upkeep by number.
         interference: What leaders learnt of interference, by lasting and
             filling image.
         waiting: Ids of jobs without a start, by queue.
@@ -199,7 +173,6 @@
         self.workers = state.workers
         self.draining = set(state.draining)
         self.gone = set(state.gone)
-        self.waves = state.waves
         self.interference = state.interference
         self.waiting: dict[str, set[str]] = {}
         for job in self.jobs.values():
@@ -217,7 +190,6 @@
                 self.workers,
                 sorted(self.draining),
                 sorted(self.gone),
-                self.waves,
                 self.interference,
             )
         )
@@ -249,23 +221,8 @@
                     self.draining.add(change.worker)
             case changes.LoseWorker():
                 self._lose(change.worker)
-            case changes.Wave():
-                self.waves.setdefault(
-                    change.wave,
-                    WaveRecord(
-                        change.machines,
-                        change.duration_ms,
-                        change.max_count,
-                        change.at_ms,
-                        [],
-                    ),
-                )
             case changes.NoteInterference():
                 self.interference = change.added
-            case changes.WaveStep():
-                wave = self.waves.get(change.wave)
-                if wave and change.machine not in wave.settled:
-                    wave.settled.append(change.machine)
         return b""
 
     def _configure(self, change: changes.SetConfiguration) -> None:
--- a/turmerichall/telemetry/logs.py
+++ b/turmerichall/telemetry/logs.py
@@ -6,15 +6,22 @@
 """
 
 from collections.abc import Callable
+import collections
 import contextlib
 import enum
+import json
 import sys
+import threading
 import time
 from typing import IO, Protocol
 
 import eliot
 
-__all__ = ["Level", "Log", "Sparse", "configure"]
+__all__ = ["Level", "Log", "Sparse", "Unblocked", "configure"]
+
+
+# Lines that wait for a reader of the stream; about a second of a busy leader.
+MAX_WAITING_LINES = 1000
 
 
 class Level(enum.IntEnum):
@@ -128,6 +135,65 @@
         self.log.info(message, **fields)
 
 
+class Unblocked:
+    """A stream that never blocks its writer.
+
+    A thread passes lines on.  While the reader of the stream does not read,
+    lines are kept up to a bound; further ones are left out and counted, and
+    the count is written before the next line that is passed on.
+
+    Attributes:
+        left_out: Lines that were left out and not told of yet.
+    """
+
+    def __init__(self, stream: IO[str], max_lines: int = MAX_WAITING_LINES):
+        self.left_out = 0
+        self._stream = stream
+        self._max_lines = max_lines
+        self._lines: collections.deque[str] = collections.deque()
+        self._some = threading.Event()
+        thread = threading.Thread(target=self._pass_on, daemon=True)
+        thread.start()
+
+    def write(self, text: str) -> int:
+        """Takes lines; returns their length.
+
+        Raises:
+            TypeError: It was given bytes.
+        """
+        if not isinstance(text, str):
+            raise TypeError("expected text")
+        if len(self._lines) >= self._max_lines:
+            self.left_out += 1
+        else:
+            self._lines.append(text)
+            self._some.set()
+        return len(text)
+
+    def flush(self) -> None:
+        """Does nothing: lines are passed on by the thread."""
+
+    def finish(self, seconds: float) -> None:
+        """Waits until all lines are passed on, for a while at most."""
+        deadline = time.monotonic() + seconds
+        while self._lines and time.monotonic() < deadline:
+            time.sleep(0.01)
+
+    def _pass_on(self) -> None:
+        while True:
+            self._some.wait()
+            self._some.clear()
+            while self._lines:
+                left_out, self.left_out = self.left_out, 0
+                if left_out:
+                    note = {"message": "log: lines left out", "count": left_out}
+                    self._stream.write(json.dumps(note) + "\n")
+                self._stream.write(self._lines[0])
+                self._stream.flush()
+                # Only now, so that `finish` knows when all is passed on.
+                self._lines.popleft()
+
+
 def configure(
     level: Level = Level.INFO,
     path: str | None = None,
--- a/turmerichall/telemetry/tests/test_logs.py
+++ b/turmerichall/telemetry/tests/test_logs.py
@@ -3,7 +3,10 @@
 from collections.abc import Iterator
 import io
 import json
+import os
 import pathlib
+import time
+from typing import IO, cast
 
 import pytest
 
@@ -62,3 +65,39 @@
         lines = [json.loads(line) for line in stream.getvalue().splitlines()]
         assert len(lines) == 3
         assert lines[2]["left_out"] == 3
+
+
+class TestUnblocked:
+
+    def test_a_reader_that_stops_reading_blocks_nobody(self) -> None:
+        reading, writing = os.pipe()
+        with open(writing, "w", encoding="utf-8") as stream:
+            output = logs.Unblocked(stream, max_lines=50)
+            began_at = time.monotonic()
+            line = "x" * 4095 + "\n"
+            for _ in range(500):
+                output.write(line)
+            assert time.monotonic() - began_at < 1.0
+            assert output.left_out > 300
+            received = b""
+            while b"lines left out" not in received:
+                received += os.read(reading, 65536)
+                output.write("next\n")
+        os.close(reading)
+
+    def test_lines_arrive_whole_and_in_order(self) -> None:
+        stream = io.StringIO()
+        output = logs.Unblocked(stream)
+        for number in range(200):
+            output.write(f"{number}\n")
+        output.finish(2.0)
+        assert stream.getvalue() == "".join(f"{n}\n" for n in range(200))
+
+    def test_takes_what_a_log_writes(self) -> None:
+        stream = io.StringIO()
+        output = logs.Unblocked(stream)
+        logs.configure(stream=cast(IO[str], output))
+        logs.Log("part").info("job accepted", job="a7")
+        output.finish(2.0)
+        logs.configure(stream=io.StringIO())
+        assert json.loads(stream.getvalue())["job"] == "a7"
