Serve counts and latencies; place one task of a job that would else stay idle

After a second with nothing of its job under way one task is placed; pacing guards the tails. The test of a pipe that nobody reads could wait for ever when closing it; it now reads all before.

--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -29,11 +29,14 @@
         waiting: Indices of the tasks that wait.
         begun_at_ms: When the job's time began to count, since 1970.
         avoided: Workers on which a task failed, by index.
+        idle_since: Since when it found no room with nothing of its job under
+            way, steady seconds; infinite while that is not so.
     """
 
     __slots__ = (
         "avoided",
         "begun_at_ms",
+        "idle_since",
         "job",
         "name",
         "queue",
@@ -56,6 +59,7 @@
         if job.demand.schedule is not None:
             self.begun_at_ms = job.demand.schedule.due_at_ms(name.occurrence)
         self.avoided: dict[int, set[str]] = {}
+        self.idle_since = float("inf")
 
     def task(self, index: int) -> changes.TaskName:
         """Returns the name of one of its tasks."""
--- a/turmerichall/dispatch/desk.py
+++ b/turmerichall/dispatch/desk.py
@@ -18,6 +18,7 @@
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 from turmerichall.queues import ledger as ledgers
+from turmerichall.telemetry import tally as tallies
 
 __all__ = ["Desk", "Failure", "Leader"]
 
@@ -66,6 +67,7 @@
         ledger: ledgers.Ledger,
         make_port: tenures.MakePort,
         log: link.Log,
+        tally: tallies.Tally,
     ):
         self.replica = replica
         self.ledger = ledger
@@ -73,6 +75,7 @@
         self.freshness = freshnesses.Freshness(replica)
         self._make_port = make_port
         self._log = log
+        self._tally = tally
         self._durations = learnt.Durations()
         self._sensitivity = sensitivities.Sensitivity()
 
@@ -94,6 +97,7 @@
                 self._log,
                 self._durations,
                 self._sensitivity,
+                self._tally,
             )
             try:
                 await self.tenure.run()
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -28,6 +28,7 @@
     avoided: Iterable[str] = (),
     siblings: dict[str, int] | None = None,
     rack: str = "",
+    must: bool = False,
 ) -> roster.Worker | None:
     """Returns the worker for a task, or None if it has to wait.
 
@@ -40,6 +41,8 @@
             too small.
         siblings: Tasks of its step on each worker, by id.
         rack: Rack that it should run on, or empty.
+        must: Whether a filling task is placed also where it raises a tail; its
+            pace is held down there.
     """
     best: roster.Worker | None = None
     best_score = -float("inf")
@@ -57,7 +60,7 @@
             continue
         if not worker.suspicion.allows(now):
             continue
-        score = _score(step, worker, sensitivity)
+        score = _score(step, worker, sensitivity, must)
         if score is None:
             continue
         if worker.record.id in avoided:
@@ -75,6 +78,7 @@
     step: demands.StepDemand,
     worker: roster.Worker,
     sensitivity: sensitivities.Sensitivity,
+    must: bool,
 ) -> float | None:
     """Returns how well a worker suits, in thousandths of a core."""
     cpu = worker.record.cpu
@@ -83,13 +87,17 @@
         return cpu - worker.cpu_asked + _company(step, worker)
     if not step.fills:
         return free
-    if free < step.cpu:
+    if free < step.cpu and not must:
         return None
     worst = 0.0
     for image in worker.lasting_images():
         expected = worker.expected_tail(image, sensitivity, step)
         added = sensitivity.weight(image, step.image) * step.cpu / cpu
-        if added > pacing.HARMLESS_RATIO and expected > TAIL_MARGIN:
+        if (
+            added > pacing.HARMLESS_RATIO
+            and expected > TAIL_MARGIN
+            and not must
+        ):
             return None
         worst = max(worst, added)
     return free - worst * cpu
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -19,6 +19,7 @@
 from turmerichall.queues import ledger as ledgers
 from turmerichall.settings import queue_settings
 from turmerichall.telemetry import logs
+from turmerichall.telemetry import tally as tallies
 
 __all__ = ["ReplicaDaemon", "TIMING"]
 
@@ -47,6 +48,8 @@
         replica: This replica's part in agreement.
         desk: Answers while this replica leads.
         control: Serves workers and operators.
+        tally: Counts of this process.
+        metrics: Serves the counts.
     """
 
     def __init__(self, settings: queue_settings.QueueSettings):
@@ -73,9 +76,15 @@
             timing=TIMING,
             voters=settings.replicas.voters,
         )
+        self.tally = tallies.Tally()
         self.desk = desks.Desk(
-            self.replica, self.ledger, worker_calls.Worker, self.log
+            self.replica,
+            self.ledger,
+            worker_calls.Worker,
+            self.log,
+            self.tally,
         )
+        self.metrics = server.Server(self._answer_metrics)
         self.control = server.Server(self._answer, lambda: CONTROL_LIMITS)
 
     @classmethod
@@ -100,6 +109,8 @@
             await nursery.start(self.replica.run)
             nursery.start_soon(self.desk.run)
             await nursery.start(self.control.run, listen.control)
+            if listen.metrics:
+                await nursery.start(self.metrics.run, listen.metrics)
             self.log.info("serving", control=listen.control)
             await self.control.stopped.wait()
             nursery.cancel_scope.cancel()
@@ -135,6 +146,11 @@
             return calls.encode(calls.not_leading(leader))
         return calls.encode(calls.answered(answer))
 
+    async def _answer_metrics(self, _: message.Request) -> message.Response:
+        return message.Response(
+            200, self.tally.exposition(), {"content-type": "text/plain"}
+        )
+
     async def _answer(self, request: message.Request) -> message.Response:
         """Answers a worker or an operator, through the leader if need be."""
         answer = await self._control_here(request)
--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -47,6 +47,8 @@
         confirmed_at: When the worker was first known to run it, steady
             seconds.
         stopping: Whether it was asked to stop, or is to be.
+        must: Whether it was placed though it raises a tail, for its job has
+            nothing else under way.
         moved: Whether that is because it would finish sooner elsewhere.
         pace_percent: Share of its speed that it was last set to, or
             `UNKNOWN_PERCENT`.
@@ -65,6 +67,7 @@
         "confirmed_at",
         "load",
         "moved",
+        "must",
         "number",
         "pace_percent",
         "phase",
@@ -95,6 +98,7 @@
         self.confirmed_at = 0.0
         self.stopping = False
         self.moved = False
+        self.must = False
         self.pace_percent = 100
         self.load = 0
         self.progress_percent = 0
@@ -124,7 +128,7 @@
             max(self.begun_percent, 0),
             now - self.progressed_at,
             now - self.slowed_at,
-            now - self.unheld_at,
+            0.0 if self.must else now - self.unheld_at,
             self.step.checkpoints,
         )
 
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -12,6 +12,7 @@
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import ledger as ledgers
+from turmerichall.telemetry import tally as tallies
 
 __all__ = ["Owner", "Session"]
 
@@ -42,6 +43,7 @@
     ledger: ledgers.Ledger
     log: link.Log
     sensitivity: sensitivities.Sensitivity
+    tally: tallies.Tally
 
     def may_renew(self) -> bool:
         """Tells whether leases may be renewed."""
@@ -388,6 +390,7 @@
         if verdict == Verdict.FENCED:
             owner.fenced(worker)
             return True
+        owner.tally.count("starts_refused", verdict=verdict.value)
         owner.log.info(
             "start refused",
             worker=worker.record.id,
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -24,6 +24,7 @@
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 from turmerichall.queues import ledger as ledgers
+from turmerichall.telemetry import tally as tallies
 
 __all__ = ["Tenure", "wall_ms"]
 
@@ -38,6 +39,9 @@
 DUE_SECONDS = 0.05
 # Between two lines on the state of the term.
 REPORT_SECONDS = 5.0
+# That a job of filling tasks waits with nothing under way, until one is placed
+# even where it disturbs; at its end a day counts a job idle after 3 s.
+IDLE_SECONDS = 1.0
 # For a run to begin, with what it saved before.
 BEGIN_SECONDS = 0.8
 # After a worker said that it ends.
@@ -63,6 +67,7 @@
         backlog: Tasks that wait.
         durations: Learnt run times.
         sensitivity: Learnt interference.
+        tally: Counts of this process.
         freshness: Whether this leader still is the only one.
         scope: Ends the term's work when cancelled.
     """
@@ -77,6 +82,7 @@
         log: link.Log,
         durations: learnt.Durations,
         sensitivity: sensitivities.Sensitivity,
+        tally: tallies.Tally,
     ):
         self.replica = replica
         self.ledger = ledger
@@ -85,6 +91,7 @@
         self.log = log
         self.durations = durations
         self.sensitivity = sensitivity
+        self.tally = tally
         self.workers: dict[str, roster.Worker] = {}
         self.sessions: dict[str, sessions.Session] = {}
         self.backlog = backlogs.Backlog(ledger)
@@ -214,9 +221,11 @@
         Returns:
             None, or why it was not, or may not have been.
         """
+        began_at = trio.current_time()
         answer = await self.replica.propose_in_term(
             changes.encode(change), self.token, timeout_seconds
         )
+        self.tally.seconds("commit", trio.current_time() - began_at)
         return None if isinstance(answer, bytes) else answer
 
     async def _commit_own(self, change: changes.Change) -> None:
@@ -397,6 +406,7 @@
                 percent=progress.percent,
                 still_seconds=round(progress.still_seconds, 2),
             )
+            self.tally.count("runs_moved", reason=reason)
             if reason != stragglers.HELD:
                 worker.suspicion.note(False, now, run.task.job)
             run.moved = True
@@ -502,6 +512,7 @@
         for job_id, was_open in open_before.items():
             job = self.ledger.jobs[job_id]
             if was_open and not job.open:
+                self.tally.count("jobs_ended", state=job.state.value)
                 self.log.info(
                     "job ended",
                     job=job_id,
@@ -515,6 +526,7 @@
         self, worker: roster.Worker, rows: Iterable[changes.Ended]
     ) -> None:
         for row in rows:
+            self.tally.count("runs_ended", ending=row.ending.name.lower())
             if row.ending not in (changes.Ending.DONE, changes.Ending.STOPPED):
                 self.log.info(
                     "run ended",
@@ -608,9 +620,37 @@
             for worker, run in planned:
                 worker.remove(run)
             return []
+        if not planned and step.fills:
+            planned = self._plan_idle(group, workers, now)
+        elif planned:
+            group.idle_since = float("inf")
         group.waiting -= {run.task.number for _, run in planned}
         return planned
 
+    def _plan_idle(
+        self,
+        group: backlogs.Group,
+        workers: list[roster.Worker],
+        now: float,
+    ) -> list[tuple[roster.Worker, roster.Run]]:
+        """Places one task of a job that would else do nothing for long."""
+        if any(True for _ in group.job.runs()):
+            group.idle_since = float("inf")
+            return []
+        group.idle_since = min(group.idle_since, now)
+        if now - group.idle_since < IDLE_SECONDS:
+            return []
+        planned = self._plan_tasks(group, workers, now, must=True)
+        for worker, run in planned:
+            run.must = True
+            self.log.info(
+                "task placed beside lasting ones that it disturbs",
+                job=group.job.id,
+                worker=worker.record.id,
+                idle_seconds=round(now - group.idle_since, 2),
+            )
+        return planned
+
     def _plan_on_one_rack(
         self,
         group: backlogs.Group,
@@ -641,15 +681,23 @@
         group: backlogs.Group,
         workers: list[roster.Worker],
         now: float,
+        must: bool = False,
     ) -> list[tuple[roster.Worker, roster.Run]]:
-        """Places the tasks of a group until one finds no room."""
+        """Places the tasks of a group until one finds no room.
+
+        Args:
+            group: The group.
+            workers: The workers to choose from.
+            now: Steady seconds.
+            must: Whether to place one filling task wherever it fits.
+        """
         step = group.step
         siblings = self._siblings(group)
         tasks = group.job.steps(group.name.occurrence)[group.name.step].tasks
         # The members of a gang share the number of their run.
         gang_run = max(task.run for task in tasks) + 1 if step.gang else 0
         planned: list[tuple[roster.Worker, roster.Run]] = []
-        for number in sorted(group.waiting):
+        for number in sorted(group.waiting)[: 1 if must else None]:
             worker = placement.choose(
                 step,
                 workers,
@@ -658,6 +706,7 @@
                 group.avoided.get(number, ()),
                 siblings,
                 step.data_rack,
+                must,
             )
             if worker is None:
                 break
@@ -691,6 +740,7 @@
             for worker, run in planned
         )
         await self._commit_own(changes.StartRuns(rows))
+        self.tally.count("runs_started", len(rows))
         self.log.info(
             "tasks placed",
             starts=[
@@ -757,6 +807,7 @@
             return None
         refusal = admission.admit(self._outlook(job_id, queue, demand))
         if refusal is not None:
+            self.tally.count("jobs_refused", reason=refusal.reason.value)
             self.log.info(
                 "job refused",
                 job=job_id,
@@ -770,6 +821,7 @@
         failed = await self.commit(change)
         if failed is not None:
             return failed
+        self.tally.count("jobs_accepted", queue=queue.name)
         self.log.info(
             "job accepted",
             job=job_id,
--- a/turmerichall/dispatch/tests/standins.py
+++ b/turmerichall/dispatch/tests/standins.py
@@ -12,6 +12,7 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import ledger as ledgers
+from turmerichall.telemetry import tally as tallies
 
 QUEUE = configurations.Queue(
     "batch", "a.example", "/jobs/", "desk", max_attempts=3
@@ -309,6 +310,7 @@
             self.ledger,
             lambda record: self.workers[record.address],
             self.log,
+            tallies.Tally(),
         )
 
     def starts(self) -> list[tuple[changes.TaskName, int, float]]:
--- a/turmerichall/dispatch/tests/test_tenure.py
+++ b/turmerichall/dispatch/tests/test_tenure.py
@@ -481,3 +481,26 @@
 
         await play(floor, script)
         assert floor.state(JOB) == "active"
+
+
+class TestInterference:
+
+    async def test_a_job_that_disturbs_everywhere_still_gets_on(self) -> None:
+        worker = standins.StandinWorker("w1")
+        worker.run_seconds = 60.0
+        floor = standins.Floor(worker)
+        floor.replica.apply(changes.NoteInterference({"desk": {"sort": 50.0}}))
+        lasting = demand(1, lasting=True, image="desk", target_ms=10)
+
+        async def script() -> None:
+            await submit(floor, lasting)
+            await floor.until(lambda: bool(worker.runs))
+            filling = demand(3, fills=True, image="sort", checkpoints=True)
+            queue = standins.QUEUE
+            assert await floor.desk.submit(queue, "a7", filling) is None
+            await floor.until(lambda: len(worker.history) == 2, 2.5)
+            await trio.sleep(3.0)
+
+        await play(floor, script)
+        started = [row[0].job for row in worker.history]
+        assert started.count("a7") == 1
--- a/turmerichall/frontdoor/entry.py
+++ b/turmerichall/frontdoor/entry.py
@@ -10,6 +10,7 @@
 from turmerichall.peers import network as networks
 from turmerichall.settings import queue_settings
 from turmerichall.telemetry import logs
+from turmerichall.telemetry import tally as tallies
 
 __all__ = ["EntryDaemon"]
 
@@ -33,6 +34,8 @@
         passage: The way to the leader.
         clients: Serves clients.
         ready: Serves the balancer.
+        tally: Counts of this process.
+        metrics: Serves the counts.
         draining: Whether it is about to stop.
     """
 
@@ -53,6 +56,8 @@
             self._answer, lambda: self.passage.known.limits
         )
         self.ready = server.Server(self._answer_ready)
+        self.tally = tallies.Tally()
+        self.metrics = server.Server(self._answer_metrics)
 
     @classmethod
     def from_config(
@@ -70,6 +75,8 @@
             async with trio.open_nursery() as servers:
                 await servers.start(self.ready.run, listen.ready)
                 await servers.start(self.clients.run, listen.clients)
+                if listen.metrics:
+                    await servers.start(self.metrics.run, listen.metrics)
                 self.log.info("serving", clients=listen.clients)
             nursery.cancel_scope.cancel()
         self.log.info("stopped")
@@ -80,14 +87,25 @@
         await trio.sleep(NOTICE_SECONDS)
         await self.clients.stop()
         await self.ready.stop()
+        await self.metrics.stop()
 
     async def _answer_ready(self, _: message.Request) -> message.Response:
         is_ready = not self.draining and self.passage.ready()
         return message.Response(200 if is_ready else 503)
 
+    async def _answer_metrics(self, _: message.Request) -> message.Response:
+        return message.Response(
+            200, self.tally.exposition(), {"content-type": "text/plain"}
+        )
+
     async def _answer(self, request: message.Request) -> message.Response:
         seconds = client_seconds(request) - MARGIN_SECONDS
+        began_at = trio.current_time()
         response = await self.passage.pass_on(calls.CLIENT, request, seconds)
+        self.tally.count(
+            "calls", method=request.method, status=str(response.status)
+        )
+        self.tally.seconds("call", trio.current_time() - began_at)
         if response.status >= 429:
             self.log.info(
                 "call not served",
--- a/turmerichall/http1/tests/test_server.py
+++ b/turmerichall/http1/tests/test_server.py
@@ -17,7 +17,7 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(
+async def _serving(
     limits: server.Limits = server.Limits(),
 ) -> AsyncIterator[tuple[server.Server, str]]:
     served = server.Server(_echo, lambda: limits)
@@ -43,7 +43,7 @@
 class TestServer:
 
     async def test_keeps_a_connection(self) -> None:
-        async with serving() as (_, address):
+        async with _serving() as (_, address):
             client = http_client.Client(address)
             for number in range(5):
                 body = str(number).encode()
@@ -54,7 +54,7 @@
             client.close()
 
     async def test_answers_requests_that_come_together_in_order(self) -> None:
-        async with serving() as (_, address):
+        async with _serving() as (_, address):
             one = b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n"
             two = b"PUT /b HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
             got = await raw(address, one + two)
@@ -62,31 +62,31 @@
 
     async def test_refuses_what_is_too_large(self) -> None:
         limits = server.Limits(header_bytes=100, body_bytes=10)
-        async with serving(limits) as (_, address):
+        async with _serving(limits) as (_, address):
             long = b"GET / HTTP/1.1\r\nx: " + b"a" * 200 + b"\r\n\r\n"
             assert b" 431 " in await raw(address, long)
             body = b"POST / HTTP/1.1\r\ncontent-length: 11\r\n\r\n" + b"b" * 11
             assert b" 413 " in await raw(address, body)
 
     async def test_refuses_what_is_no_http(self) -> None:
-        async with serving() as (_, address):
+        async with _serving() as (_, address):
             assert b" 400 " in await raw(address, b"\x00\x01\r\n\r\n")
 
     async def test_ends_a_request_that_never_ends(self) -> None:
         limits = server.Limits(request_seconds=0.2)
-        async with serving(limits) as (_, address):
+        async with _serving(limits) as (_, address):
             assert b" 408 " in await raw(address, b"GET / HT")
 
     async def test_closes_idle_connections(self) -> None:
         limits = server.Limits(idle_seconds=0.2)
-        async with serving(limits) as (_, address):
+        async with _serving(limits) as (_, address):
             with trio.fail_after(2.0):
                 assert await raw(address, b"", 5.0) == b""
 
     async def test_a_request_that_was_read_is_answered_when_stopping(
         self,
     ) -> None:
-        async with serving() as (served, address):
+        async with _serving() as (served, address):
             client = http_client.Client(address)
             answers = []
 
@@ -113,7 +113,7 @@
         assert answer == http_client.Unanswered(False, "connecting failed")
 
     async def test_gives_up_a_silent_connection(self) -> None:
-        async with serving() as (_, address):
+        async with _serving() as (_, address):
             client = http_client.Client(address)
             answer = await client.call("GET", "/slow", b"", {}, 0.1)
             assert answer == http_client.Unanswered(True, "no answer in time")
@@ -123,7 +123,7 @@
 
     async def test_tries_again_on_a_connection_that_was_closed(self) -> None:
         limits = server.Limits(idle_seconds=0.1)
-        async with serving(limits) as (_, address):
+        async with _serving(limits) as (_, address):
             client = http_client.Client(address)
             for _ in range(2):
                 answer = await client.call("GET", "/", b"", {}, 1.0)
--- a/turmerichall/platform/tests/test_calls.py
+++ b/turmerichall/platform/tests/test_calls.py
@@ -75,7 +75,9 @@
 
 
 @contextlib.asynccontextmanager
-async def ordering() -> AsyncIterator[tuple[WorkerServer, worker_calls.Worker]]:
+async def _ordering() -> (
+    AsyncIterator[tuple[WorkerServer, worker_calls.Worker]]
+):
     stub = WorkerServer()
     served = server.Server(stub.answer)
     async with trio.open_nursery() as nursery:
@@ -90,7 +92,7 @@
 class TestOrders:
 
     async def test_a_start_is_spoken_as_published(self) -> None:
-        async with ordering() as (stub, worker):
+        async with _ordering() as (stub, worker):
             order = worker_port.Order(TASK, 2, "(text)", "0bb8")
             result = await worker.start(order, 7, 486000)
         assert result == worker_port.OrderResult(
@@ -127,7 +129,7 @@
     async def test_refusals_are_told_apart(
         self, status: int, reason: str, verdict: worker_port.Verdict
     ) -> None:
-        async with ordering() as (stub, worker):
+        async with _ordering() as (stub, worker):
             stub.status = status
             stub.body = {"clock_ms": 1, "reason": reason}
             result = await worker.start(worker_port.Order(TASK, 1), 7, 9)
@@ -136,7 +138,7 @@
     async def test_a_look_is_read_and_what_can_not_be_is_passed_over(
         self,
     ) -> None:
-        async with ordering() as (stub, worker):
+        async with _ordering() as (stub, worker):
             stub.body = {
                 "clock_ms": 482113,
                 "running": [
@@ -168,7 +170,7 @@
         }
 
     async def test_a_look_that_can_not_be_read_is_no_answer(self) -> None:
-        async with ordering() as (stub, worker):
+        async with _ordering() as (stub, worker):
             stub.body = ["nothing"]
             look = await worker.look(7, 0, None, 0)
         assert isinstance(look, worker_port.NoAnswer)
--- a/turmerichall/platform/tests/test_unserved.py
+++ b/turmerichall/platform/tests/test_unserved.py
@@ -17,7 +17,7 @@
 pytestmark = pytest.mark.usefixtures("mocked_clocks")
 
 
-async def control(
+async def _control(
     floor: standins.Floor, request: message.Request
 ) -> message.Response:
     answer = await control_calls.answer(
@@ -37,7 +37,7 @@
             await floor.until(lambda: floor.desk.tenure is not None)
             body = json.dumps(wave).encode()
             request = message.Request("POST", "/v1/wave-start", {}, body)
-            answer = await control(floor, request)
+            answer = await _control(floor, request)
             nursery.cancel_scope.cancel()
         assert answer.status == 200
 
--- a/turmerichall/telemetry/logs.py
+++ b/turmerichall/telemetry/logs.py
@@ -173,6 +173,11 @@
     def flush(self) -> None:
         """Does nothing: lines are passed on by the thread."""
 
+    @property
+    def waiting(self) -> int:
+        """Lines that are not passed on yet."""
+        return len(self._lines)
+
     def finish(self, seconds: float) -> None:
         """Waits until all lines are passed on, for a while at most."""
         deadline = time.monotonic() + seconds
--- a/turmerichall/telemetry/tests/test_logs.py
+++ b/turmerichall/telemetry/tests/test_logs.py
@@ -79,10 +79,18 @@
                 output.write(line)
             assert time.monotonic() - began_at < 1.0
             assert output.left_out > 300
+            os.set_blocking(reading, False)
             received = b""
-            while b"lines left out" not in received:
-                received += os.read(reading, 65536)
-                output.write("next\n")
+            # Closing the stream would wait for a write that is under way.
+            while output.waiting:
+                try:
+                    received += os.read(reading, 65536)
+                except BlockingIOError:
+                    time.sleep(0.001)
+            output.write("next\n")
+            output.finish(2.0)
+            received += os.read(reading, 65536)
+        assert b"lines left out" in received
         os.close(reading)
 
     def test_lines_arrive_whole_and_in_order(self) -> None:
