--- a/turmerichall/frontdoor/entry.py
+++ b/turmerichall/frontdoor/entry.py
@@ -84,7 +84,9 @@
     async def drain(self) -> None:
         """Stops: not ready first, then closes connections that are idle."""
         self.draining = True
-        await trio.sleep(NOTICE_SECONDS)
+        # At least half of the time is left for calls under way.
+        grace = self.settings.timing.grace_seconds
+        await trio.sleep(min(NOTICE_SECONDS, grace / 2))
         await self.clients.stop()
         await self.ready.stop()
         await self.metrics.stop()
