Read wire values, count due occurrences and serve counts in one place each

Taken together: tolerant reading of JSON (twice in the adapter), the answer to what was done or not (thrice), the objective of a job (twice), the count of due occurrences, the label check, the server of counts. Taken out as dead: health calls, time left of a leaving worker, warm-up. A group works out its job's chain once and not in each placement; expected tails are worked out only where a task could do harm.

--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -27,6 +27,7 @@
         queue: The queue, as last configured.
         step: What each task asks for.
         waiting: Indices of the tasks that wait.
+        chain_seconds: Estimated time of the job's longest chain of steps.
         begun_at_ms: When the job's time began to count, since 1970.
         avoided: Workers on which a task failed, by index.
         idle_since: Since when it found no room with nothing of its job under
@@ -36,6 +37,7 @@
     __slots__ = (
         "avoided",
         "begun_at_ms",
+        "chain_seconds",
         "idle_since",
         "job",
         "name",
@@ -55,6 +57,7 @@
         self.queue = queue
         self.step: demands.StepDemand = job.demand.steps[name.step]
         self.waiting: set[int] = set()
+        self.chain_seconds = job.demand.chain_ms() / 1000
         self.begun_at_ms = job.at_ms
         if job.demand.schedule is not None:
             self.begun_at_ms = job.demand.schedule.due_at_ms(name.occurrence)
@@ -80,13 +83,18 @@
         self.ledger = ledger
         self.groups: dict[GroupName, Group] = {}
 
-    def add_job(self, job: ledgers.Job, now_ms: int) -> None:
-        """Adds what is ready of a job, at the start of a term or on arrival."""
+    def add_job(self, job: ledgers.Job, now_ms: int) -> int:
+        """Adds what is ready of a job, at the start of a term or on arrival.
+
+        Returns:
+            How many of its occurrences are due.
+        """
+        schedule = job.demand.schedule
         for occurrence in range(job.demand.occurrences):
-            schedule = job.demand.schedule
             if schedule and schedule.due_at_ms(occurrence) > now_ms:
-                return
+                return occurrence
             self.add_occurrence(job, occurrence)
+        return job.demand.occurrences
 
     def add_occurrence(self, job: ledgers.Job, occurrence: int) -> None:
         """Adds the steps of an occurrence that are ready."""
@@ -140,7 +148,6 @@
         if job is None:
             return False
         if not job.open:
-            self.drop_job(task.job)
             return True
         name = GroupName(task.job, task.occurrence, task.step)
         progress = job.steps(task.occurrence)[task.step]
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -16,8 +16,8 @@
 
 # A filling task is not added where a tail would pass this share of its target.
 TAIL_MARGIN = 0.65
-# Of a worker, what lasting tasks of an image keep away from other images.
-IMAGE_WEIGHT = 0.5
+# What a core of lasting tasks of the same image counts for, against a free one.
+IMAGE_WEIGHT = 2.0
 
 
 def choose(
@@ -27,7 +27,6 @@
     sensitivity: sensitivities.Sensitivity,
     avoided: Iterable[str] = (),
     siblings: dict[str, int] | None = None,
-    rack: str = "",
     must: bool = False,
 ) -> roster.Worker | None:
     """Returns the worker for a task, or None if it has to wait.
@@ -40,7 +39,6 @@
         avoided: Ids of workers where it failed; taken only if all others are
             too small.
         siblings: Tasks of its step on each worker, by id.
-        rack: Rack that it should run on, or empty.
         must: Whether a filling task is placed also where it raises a tail; its
             pace is held down there.
     """
@@ -51,9 +49,7 @@
             continue
         if not worker.holds(step):
             continue
-        if step.required_label and (
-            step.required_label not in worker.record.labels
-        ):
+        if not worker.has_label(step):
             continue
         count = siblings.get(worker.record.id, 0) if siblings else 0
         if step.max_per_worker and count >= step.max_per_worker:
@@ -65,7 +61,7 @@
             continue
         if worker.record.id in avoided:
             score -= 10 * worker.record.cpu
-        if rack and worker.record.rack != rack:
+        if step.data_rack and worker.record.rack != step.data_rack:
             score -= 3 * worker.record.cpu
         score -= count
         if score > best_score:
@@ -91,14 +87,11 @@
         return None
     worst = 0.0
     for image in worker.lasting_images():
-        expected = worker.expected_tail(image, sensitivity, step)
         added = sensitivity.weight(image, step.image) * step.cpu / cpu
-        if (
-            added > pacing.HARMLESS_RATIO
-            and expected > TAIL_MARGIN
-            and not must
-        ):
-            return None
+        if added > pacing.HARMLESS_RATIO and not must:
+            expected = worker.expected_tail(image, sensitivity, step)
+            if expected > TAIL_MARGIN:
+                return None
         worst = max(worst, added)
     return free - worst * cpu
 
@@ -114,4 +107,4 @@
         for run in worker.runs.values()
         if run.step.lasting
     )
-    return IMAGE_WEIGHT * 4 * same
+    return IMAGE_WEIGHT * same
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -10,6 +10,7 @@
 from turmerichall.dispatch import desk as desks
 from turmerichall.frontdoor import calls
 from turmerichall.http1 import message
+from turmerichall.http1 import metrics
 from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.peers import network as networks
@@ -84,7 +85,7 @@
             self.log,
             self.tally,
         )
-        self.metrics = server.Server(self._answer_metrics)
+        self.metrics = metrics.make_server(self.tally)
         self.control = server.Server(self._answer, lambda: CONTROL_LIMITS)
 
     @classmethod
@@ -146,11 +147,6 @@
             return calls.encode(calls.not_leading(leader))
         return calls.encode(calls.answered(answer))
 
-    async def _answer_metrics(self, _: message.Request) -> message.Response:
-        return message.Response(
-            200, self.tally.exposition(), {"content-type": "text/plain"}
-        )
-
     async def _answer(self, request: message.Request) -> message.Response:
         """Answers a worker or an operator, through the leader if need be."""
         answer = await self._control_here(request)
@@ -164,9 +160,7 @@
             if not isinstance(reply, outcomes.Refusal):
                 passed = calls.decode_answer(reply)
                 if passed.kind == calls.Kind.ANSWERED:
-                    return message.Response(
-                        passed.status, passed.body, passed.headers
-                    )
+                    return passed.response()
             elif reply.reason != outcomes.RefusalReason.UNREACHABLE:
                 return message.Response(504)
-        return message.Response(503, b"", {"retry-after": "1"})
+        return client_calls.failure(desks.NO_QUORUM)
--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -145,7 +145,6 @@
         port: How to reach it.
         lease: Its lease.
         draining: Whether it is about to leave.
-        leaves_at: While it drains, when it may be gone, steady seconds.
         runs: Runs by task, from planned until their end is committed.
         in_touch: Whether it answered the last look.
         suspicion: How far it can be trusted.
@@ -172,7 +171,6 @@
         self.port = port
         self.lease = leases.Lease(term_began_at)
         self.draining = draining
-        self.leaves_at = float("inf")
         self.runs: dict[changes.TaskName, Run] = {}
         self.in_touch = False
         self.suspicion = suspicions.Suspicion()
@@ -227,11 +225,14 @@
             step.memory_mb <= record.memory_mb
             and step.gpu <= record.gpu
             and step.cpu <= record.cpu
-            and (
-                not step.required_label or step.required_label in record.labels
-            )
+            and self.has_label(step)
         )
 
+    def has_label(self, step: demands.StepDemand) -> bool:
+        """Tells whether it has the label that a step requires, if any."""
+        label = step.required_label
+        return not label or label in self.record.labels
+
     def lasting_images(self) -> set[str]:
         """Returns the images of its lasting runs."""
         return {
@@ -247,7 +248,7 @@
         self,
         image: str,
         sensitivity: sensitivities.Sensitivity,
-        extra: demands.StepDemand | None = None,
+        extra: demands.StepDemand,
     ) -> float:
         """Returns the tail to expect, as a share of its target.
 
@@ -261,8 +262,7 @@
             if run.step.fills:
                 name = run.step.image
                 asked[name] = asked.get(name, 0) + run.step.cpu
-        if extra is not None:
-            asked[extra.image] = asked.get(extra.image, 0) + extra.cpu
+        asked[extra.image] = asked.get(extra.image, 0) + extra.cpu
         expected = self.tails.get(image, UNKNOWN_TAIL)
         for filling, cpu in asked.items():
             weight = sensitivity.weight(image, filling)
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -26,7 +26,7 @@
 RETRY_SECONDS = 0.25
 # While a quorum is not heard; nothing may be renewed then.
 UNSURE_SECONDS = 0.05
-# A worker out of reach for longer is given no new tasks.
+# Tries of one start, as long as its deadline has not passed.
 ORDER_TRIES = 4
 # A run that the worker does not list, this long after it was confirmed.
 MISSING_SECONDS = 0.5
@@ -65,12 +65,10 @@
     def watch_progress(self, session: "Session") -> None:
         """Moves runs that would finish sooner elsewhere."""
 
-    def worker_changed(self, worker: roster.Worker) -> None:
-        """Takes in that more or less may be placed on a worker."""
+    def worker_changed(self) -> None:
+        """Takes in that more or less may be placed on some worker."""
 
-    def note_done(
-        self, worker: roster.Worker, run: roster.Run, seconds: float
-    ) -> None:
+    def note_done(self, run: roster.Run, seconds: float) -> None:
         """Learns from a run that was done."""
 
     async def replaced(self, worker: roster.Worker) -> None:
@@ -135,7 +133,7 @@
         await self._compare(look, now)
         await self._watch_tails()
         owner.watch_progress(self)
-        owner.worker_changed(worker)
+        owner.worker_changed()
 
     def _wait_ms(self) -> int:
         worker = self.worker
@@ -165,9 +163,7 @@
             )
         if worker.runs and worker.lease.is_over(leases.steady_seconds()):
             rows = [
-                changes.Ended(
-                    run.task, run.number, changes.Ending.LOST, run.checkpoint
-                )
+                self._ended(run, changes.Ending.LOST)
                 for run in worker.runs.values()
                 if run.phase != roster.Phase.PLANNED
             ]
@@ -196,7 +192,7 @@
             rows.append(ended)
             well = ended.ending == changes.Ending.DONE
             if well and run.confirmed_at:
-                self.owner.note_done(worker, run, now - run.confirmed_at)
+                self.owner.note_done(run, now - run.confirmed_at)
             if well or ended.ending == changes.Ending.FAILED:
                 worker.suspicion.note(well, now, ended.task.job)
         if rows:
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -273,9 +273,6 @@
         if beat.clock_ms >= 0 and not worker.lease.known:
             worker.lease.note_clock(beat.clock_ms, leases.steady_seconds())
         if beat.draining:
-            if beat.remaining_ms >= 0:
-                left = beat.remaining_ms / 1000
-                worker.leaves_at = leases.steady_seconds() + left
             if not worker.draining:
                 return await self._drain(worker)
         return True
@@ -441,16 +438,12 @@
                     found.append(expected)
         return found
 
-    def worker_changed(self, worker: roster.Worker) -> None:
+    def worker_changed(self) -> None:
         """See `session.Owner`."""
-        del worker
         self._wake.set()
 
-    def note_done(
-        self, worker: roster.Worker, run: roster.Run, seconds: float
-    ) -> None:
+    def note_done(self, run: roster.Run, seconds: float) -> None:
         """See `session.Owner`."""
-        del worker
         if run.step.lasting:
             return
         self.durations.note((run.queue, run.step.image), seconds)
@@ -592,13 +585,12 @@
         queue = self.ledger.queues[group.job.queue]
         group.queue = queue
         step = group.step
-        chain = group.job.demand.chain_ms() / 1000
         return ordering.Claim(
             queue.priority,
             step.lasting,
             step.lasting and group.job.started,
             (now_ms - group.begun_at_ms) / 1000,
-            queue.stretch * chain + queue.target_latency_ms / 1000,
+            queue.objective_seconds(group.chain_seconds),
             step.estimate_ms / 1000,
         )
 
@@ -705,7 +697,6 @@
                 self.sensitivity,
                 group.avoided.get(number, ()),
                 siblings,
-                step.data_rack,
                 must,
             )
             if worker is None:
@@ -768,16 +759,9 @@
     # Jobs.
 
     def _add_job(self, job: ledgers.Job, now_ms: int) -> None:
-        self.backlog.add_job(job, now_ms)
-        schedule = job.demand.schedule
-        if schedule is not None:
-            begun = [
-                number
-                for number in range(schedule.count)
-                if schedule.due_at_ms(number) <= now_ms
-            ]
-            if len(begun) < schedule.count:
-                self._scheduled[job.id] = len(begun)
+        begun = self.backlog.add_job(job, now_ms)
+        if begun < job.demand.occurrences:
+            self._scheduled[job.id] = begun
 
     async def _watch_schedule(self) -> None:
         """Adds occurrences of timed jobs when they are due."""
@@ -860,7 +844,7 @@
             job_id,
             demand.lasting or demand.schedule is not None,
             fits,
-            queue.stretch * chain + queue.target_latency_ms / 1000,
+            queue.objective_seconds(chain),
             chain,
             self._work_ahead(queue, filling),
             rate,
--- a/turmerichall/dispatch/tests/standins.py
+++ b/turmerichall/dispatch/tests/standins.py
@@ -201,11 +201,6 @@
         ]
         return worker_port.Look(self.clock_ms(), running, list(self.ends), True)
 
-    async def is_well(self, path: str) -> bool | None:
-        """See `WorkerPort`."""
-        del path
-        return None if self.silent else True
-
     def close(self) -> None:
         """See `WorkerPort`."""
 
--- a/turmerichall/dispatch/tests/test_tenure.py
+++ b/turmerichall/dispatch/tests/test_tenure.py
@@ -40,6 +40,15 @@
     assert await floor.desk.submit(standins.QUEUE, JOB, asked) is None
 
 
+def commit_start(floor: standins.Floor) -> None:
+    """Commits a job and its start that was never ordered."""
+    task = changes.TaskName(JOB, 0, 0, 0)
+    accepted = changes.AcceptJob(JOB, standins.QUEUE.key, demand(1), 0)
+    floor.replica.apply(accepted)
+    started = changes.Started(task, 1, "w1")
+    floor.replica.apply(changes.StartRuns((started,)))
+
+
 class TestCalmDay:
 
     async def test_a_job_runs_and_is_completed(self) -> None:
@@ -249,7 +258,7 @@
         floor = standins.Floor(first)
 
         async def script() -> None:
-            beat = worker_port.Heartbeat(first.record, True, 2, 5000, 9000)
+            beat = worker_port.Heartbeat(first.record, True, 2, 5000)
             assert await floor.desk.heartbeat(beat)
             await submit(floor, demand(1))
             await trio.sleep(2.0)
@@ -266,7 +275,7 @@
 
         async def script() -> None:
             floor.replica.committing = False
-            beat = worker_port.Heartbeat(first.record, True, 2, 5000, 9000)
+            beat = worker_port.Heartbeat(first.record, True, 2, 5000)
             assert not await floor.desk.heartbeat(beat)
 
         await play(floor, script)
@@ -354,13 +363,7 @@
     ) -> None:
         worker = standins.StandinWorker("w1")
         floor = standins.Floor(worker)
-        task = changes.TaskName(JOB, 0, 0, 0)
-        floor.replica.apply(
-            changes.AcceptJob(JOB, standins.QUEUE.key, demand(1), 0)
-        )
-        floor.replica.apply(
-            changes.StartRuns((changes.Started(task, 1, "w1"),))
-        )
+        commit_start(floor)
 
         async def script() -> None:
             await floor.until(lambda: floor.state(JOB) == "completed")
@@ -373,13 +376,7 @@
     ) -> None:
         worker = standins.StandinWorker("w1")
         floor = standins.Floor(worker)
-        task = changes.TaskName(JOB, 0, 0, 0)
-        floor.replica.apply(
-            changes.AcceptJob(JOB, standins.QUEUE.key, demand(1), 0)
-        )
-        floor.replica.apply(
-            changes.StartRuns((changes.Started(task, 1, "w1"),))
-        )
+        commit_start(floor)
         floor.replica.apply(changes.CancelJob(JOB))
 
         async def script() -> None:
--- a/turmerichall/dispatch/worker_port.py
+++ b/turmerichall/dispatch/worker_port.py
@@ -139,16 +139,12 @@
         draining: Whether it is about to leave.
         sequence: Grows with each heartbeat of this life.
         clock_ms: Its clock, or -1.
-        remaining_ms: While it drains, the least time that is left, or -1.
-        cold_ms: How much longer it is slow after its start.
     """
 
     worker: changes.WorkerRecord
     draining: bool
     sequence: int
     clock_ms: int = -1
-    remaining_ms: int = -1
-    cold_ms: int = 0
 
 
 class WorkerPort(Protocol):
@@ -174,8 +170,5 @@
     ) -> Look | NoAnswer:
         """Renews the lease until a time on the worker's clock, and looks."""
 
-    async def is_well(self, path: str) -> bool | None:
-        """Asks for its health; None if there is no answer."""
-
     def close(self) -> None:
         """Gives up the connections."""
--- a/turmerichall/frontdoor/calls.py
+++ b/turmerichall/frontdoor/calls.py
@@ -53,6 +53,10 @@
     headers: dict[str, str]
     leader: str = ""
 
+    def response(self) -> message.Response:
+        """Returns the response for the caller."""
+        return message.Response(self.status, self.body, self.headers)
+
 
 def answered(response: message.Response) -> Answer:
     """Returns the answer that holds a response."""
--- a/turmerichall/frontdoor/entry.py
+++ b/turmerichall/frontdoor/entry.py
@@ -5,6 +5,7 @@
 from turmerichall.frontdoor import calls
 from turmerichall.frontdoor import passage as passages
 from turmerichall.http1 import message
+from turmerichall.http1 import metrics
 from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.peers import network as networks
@@ -57,7 +58,7 @@
         )
         self.ready = server.Server(self._answer_ready)
         self.tally = tallies.Tally()
-        self.metrics = server.Server(self._answer_metrics)
+        self.metrics = metrics.make_server(self.tally)
 
     @classmethod
     def from_config(
@@ -95,11 +96,6 @@
         is_ready = not self.draining and self.passage.ready()
         return message.Response(200 if is_ready else 503)
 
-    async def _answer_metrics(self, _: message.Request) -> message.Response:
-        return message.Response(
-            200, self.tally.exposition(), {"content-type": "text/plain"}
-        )
-
     async def _answer(self, request: message.Request) -> message.Response:
         seconds = client_seconds(request) - MARGIN_SECONDS
         began_at = trio.current_time()
--- a/turmerichall/frontdoor/passage.py
+++ b/turmerichall/frontdoor/passage.py
@@ -132,9 +132,7 @@
             if not isinstance(reply, outcomes.Refusal):
                 answer = calls.decode_answer(reply)
                 if answer.kind == calls.Kind.ANSWERED:
-                    return message.Response(
-                        answer.status, answer.body, answer.headers
-                    )
+                    return answer.response()
                 turn += 1
                 if answer.leader and answer.leader != address:
                     self._hint = answer.leader
--- a/turmerichall/platform/client_calls.py
+++ b/turmerichall/platform/client_calls.py
@@ -11,7 +11,7 @@
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 
-__all__ = ["answer", "demand_from_wire"]
+__all__ = ["answer", "demand_from_wire", "done", "failure"]
 
 MAX_SPEC_BYTES = 4096
 MAX_TASKS = 10_000
@@ -160,7 +160,7 @@
         return message.Response(200, _encode({"state": state.value}))
     if request.method == "DELETE" and job:
         failed = await desk.cancel(job)
-        return _done(failed)
+        return done(failed)
     return message.Response(405)
 
 
@@ -173,12 +173,17 @@
     demand = demand_from_wire(body)
     if isinstance(demand, errors.Finding):
         return message.Response(400, _encode({"error": str(demand)}))
-    return _done(await desk.submit(queue, job, demand))
+    return done(await desk.submit(queue, job, demand))
 
 
-def _done(
+def done(
     failed: desks.Failure | None,
 ) -> message.Response | outcomes.Refusal:
+    """Answers what was done, or not.
+
+    Returns:
+        The answer, or a refusal with `NOT_LEADER` if another replica leads.
+    """
     if failed is None:
         return message.Response(200, b"{}")
     if isinstance(failed, outcomes.Refusal) and (
--- a/turmerichall/platform/control_calls.py
+++ b/turmerichall/platform/control_calls.py
@@ -12,6 +12,7 @@
 from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.platform import client_calls
+from turmerichall.platform import reading
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 
@@ -35,29 +36,11 @@
     return "" if "/" in worker else worker
 
 
-def _whole(value: object, default: int = 0) -> int:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        return default
-    return int(value)
-
-
-def _text(value: object) -> str:
-    return value if isinstance(value, str) else ""
-
-
 def _is_address(value: object) -> bool:
-    host, colon, port = _text(value).rpartition(":")
+    host, colon, port = reading.text(value).rpartition(":")
     return bool(host and colon and port.isdecimal())
 
 
-def _object(body: bytes) -> dict[str, Any] | None:
-    try:
-        found = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-    return found if isinstance(found, dict) else None
-
-
 def heartbeat_from_wire(
     worker: str, body: bytes
 ) -> worker_port.Heartbeat | errors.Finding:
@@ -66,13 +49,13 @@
     Returns:
         The heartbeat, or why it names no worker that could be used.
     """
-    found = _object(body)
+    found = reading.to_object(body)
     place = f"heartbeat of {worker}"
     if found is None:
         return errors.Finding(place, "is no JSON object")
     if not _is_address(found.get("address")):
         return errors.Finding(place, "address is not host:port")
-    if not _text(found.get("service")):
+    if not reading.text(found.get("service")):
         return errors.Finding(place, "names no service")
     state = found.get("state")
     if state not in ("ready", "draining"):
@@ -88,24 +71,22 @@
     )
     record = changes.WorkerRecord(
         worker,
-        _text(found.get("machine")),
-        _text(found["address"]),
-        _text(found["service"]),
-        _text(found.get("zone")),
+        reading.text(found.get("machine")),
+        reading.text(found["address"]),
+        reading.text(found["service"]),
+        reading.text(found.get("zone")),
         # The labels are the kind and the rack.
         labels[1] if len(labels) > 1 else "",
         labels,
-        _whole(capacity.get("cpu")),
-        _whole(capacity.get("mem_mb")),
-        _whole(capacity.get("gpu")),
+        reading.whole(capacity.get("cpu")),
+        reading.whole(capacity.get("mem_mb")),
+        reading.whole(capacity.get("gpu")),
     )
     return worker_port.Heartbeat(
         record,
         state == "draining",
-        _whole(found.get("seq")),
-        _whole(found.get("clock_ms"), -1),
-        _whole(found.get("remaining_ms"), -1),
-        _whole(found.get("cold_remaining_ms")),
+        reading.whole(found.get("seq")),
+        reading.whole(found.get("clock_ms"), -1),
     )
 
 
@@ -117,7 +98,7 @@
     Returns:
         The configuration, or everything that is wrong with it.
     """
-    found = _object(body)
+    found = reading.to_object(body)
     if found is None:
         return [errors.Finding("configuration", "is no JSON object")]
     findings: list[errors.Finding] = []
@@ -137,7 +118,10 @@
     if findings:
         return findings
     return configurations.Configuration(
-        _whole(version), tuple(queues), tuple(services), _limits(limits or {})
+        reading.whole(version),
+        tuple(queues),
+        tuple(services),
+        _limits(limits or {}),
     )
 
 
@@ -157,14 +141,14 @@
 def _services(value: object, find: Any) -> list[configurations.Service]:
     services = []
     for number, row in enumerate(_rows(value, "services", find)):
-        if not _text(row.get("name")):
+        if not reading.text(row.get("name")):
             find(f"services[{number}].name", "expected a name")
             continue
         services.append(
             configurations.Service(
                 row["name"],
-                _text(row.get("health_path")),
-                _whole(row.get("max_conns"), 64),
+                reading.text(row.get("health_path")),
+                reading.whole(row.get("max_conns"), 64),
                 bool(row.get("rejects_overload", False)),
                 bool(row.get("standby", False)),
             )
@@ -179,30 +163,30 @@
     places: set[tuple[str, str]] = set()
     for number, row in enumerate(_rows(value, "routes", find)):
         place = f"routes[{number}]"
-        host = _text(row.get("host")).lower()
-        prefix = _text(row.get("path_prefix"))
+        host = reading.text(row.get("host")).lower()
+        prefix = reading.text(row.get("path_prefix"))
         if not host or not prefix.startswith("/"):
             find(place, "expected host and path_prefix")
             continue
         if (host, prefix) in places:
             find(place, f"another route has {host}{prefix} already")
         places.add((host, prefix))
-        if _text(row.get("service")) not in services:
+        if reading.text(row.get("service")) not in services:
             find(f"{place}.service", f"unknown service {row.get('service')!r}")
             continue
-        timeout_ms = _whole(row.get("timeout_ms"), 3000)
+        timeout_ms = reading.whole(row.get("timeout_ms"), 3000)
         if timeout_ms <= 0:
             find(f"{place}.timeout_ms", "expected more than 0")
         queues.append(
             configurations.Queue(
-                _text(row.get("name")),
+                reading.text(row.get("name")),
                 host,
                 prefix,
                 row["service"],
-                _whole(row.get("priority"), 0),
-                max(_whole(row.get("max_attempts"), 1), 1),
+                reading.whole(row.get("priority"), 0),
+                max(reading.whole(row.get("max_attempts"), 1), 1),
                 _ratio(row.get("stretch"), 2.0),
-                _whole(row.get("target_latency_ms"), 1000),
+                reading.whole(row.get("target_latency_ms"), 1000),
                 timeout_ms,
                 _advice(row.get("advice")),
             )
@@ -220,26 +204,22 @@
     if not isinstance(value, dict) or not value:
         return None
     return configurations.Advice(
-        _whole(value.get("decision_ms")),
-        _whole(value.get("per_worker_ms")),
-        _whole(value.get("validity_ms")),
+        reading.whole(value.get("decision_ms")),
+        reading.whole(value.get("per_worker_ms")),
+        reading.whole(value.get("validity_ms")),
     )
 
 
 def _limits(found: dict[str, Any]) -> server.Limits:
     usual = server.Limits()
     return server.Limits(
-        _whole(found.get("max_header_bytes"), usual.header_bytes),
-        _whole(found.get("max_body_bytes"), usual.body_bytes),
-        _whole(found.get("header_timeout_ms"), 3000) / 1000,
-        _whole(found.get("idle_timeout_ms"), 15000) / 1000,
+        reading.whole(found.get("max_header_bytes"), usual.header_bytes),
+        reading.whole(found.get("max_body_bytes"), usual.body_bytes),
+        reading.whole(found.get("header_timeout_ms"), 3000) / 1000,
+        reading.whole(found.get("idle_timeout_ms"), 15000) / 1000,
     )
 
 
-def _unavailable() -> message.Response:
-    return message.Response(503, b"", {"retry-after": "1"})
-
-
 async def answer(
     desk: desks.Desk, request: message.Request, own_address: str, log: link.Log
 ) -> message.Response | outcomes.Refusal:
@@ -264,7 +244,7 @@
         worker = _instance(path, "/deregister")
         if worker:
             taken = await desk.leaving(worker)
-            return message.Response(200, b"{}") if taken else _unavailable()
+            return client_calls.done(None if taken else desks.NO_QUORUM)
         if path == CONFIG_REPLACE:
             return await _configure(desk, request.body, log)
     if request.method == "GET" and path == CONFIG_READ:
@@ -289,7 +269,7 @@
         )
         return message.Response(400, b"{}")
     if not await desk.heartbeat(beat):
-        return _unavailable()
+        return client_calls.failure(desks.NO_QUORUM)
     url = f"http://{own_address}{INSTANCES}{worker}/heartbeat"
     return message.Response(200, msgspec.json.encode({"heartbeat_url": url}))
 
@@ -302,11 +282,4 @@
         reasons = [str(finding) for finding in found]
         log.info("configuration refused", findings=reasons[:8])
         return message.Response(400, msgspec.json.encode({"error": reasons}))
-    failed = await desk.configure(found, body)
-    if failed is None:
-        return message.Response(200, b"{}")
-    if isinstance(failed, outcomes.Refusal) and (
-        failed.reason == outcomes.RefusalReason.NOT_LEADER
-    ):
-        return failed
-    return client_calls.failure(failed)
+    return client_calls.done(await desk.configure(found, body))
--- a/turmerichall/platform/worker_calls.py
+++ b/turmerichall/platform/worker_calls.py
@@ -7,6 +7,7 @@
 from turmerichall.dispatch import worker_port
 from turmerichall.http1 import client as http_client
 from turmerichall.http1 import message
+from turmerichall.platform import reading
 from turmerichall.queues import change as changes
 
 __all__ = ["Worker", "task_from_wire", "task_to_wire"]
@@ -14,7 +15,6 @@
 ORDER_SECONDS = 0.35
 # Beyond the time that a look may wait at the worker.
 LOOK_SECONDS = 0.5
-HEALTH_SECONDS = 0.5
 # A worker repeats at most this many ends at a time.
 MAX_ENDS = 500
 
@@ -41,7 +41,6 @@
 }
 
 _ENCODER = msgspec.json.Encoder()
-_DECODER = msgspec.json.Decoder()
 
 
 def task_to_wire(task: changes.TaskName) -> str:
@@ -163,34 +162,11 @@
                 return look
         return worker_port.NoAnswer(_order_result(answer).verdict)
 
-    async def is_well(self, path: str) -> bool | None:
-        """See `WorkerPort`."""
-        answer = await self.client.call(
-            "GET", path, b"", self._headers, HEALTH_SECONDS
-        )
-        if isinstance(answer, http_client.Unanswered):
-            return None
-        return answer.status == 200
-
     def close(self) -> None:
         """See `WorkerPort`."""
         self.client.close()
 
 
-def _object(body: bytes) -> dict[str, Any]:
-    try:
-        found = _DECODER.decode(body)
-    except msgspec.DecodeError:
-        return {}
-    return found if isinstance(found, dict) else {}
-
-
-def _whole(value: object, default: int = 0) -> int:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        return default
-    return int(value)
-
-
 def _order_result(
     answer: message.Response | http_client.Unanswered,
 ) -> worker_port.OrderResult:
@@ -199,7 +175,7 @@
         return worker_port.OrderResult(
             verdict.UNANSWERED if answer.sent else verdict.UNSENT
         )
-    body = _object(answer.body)
+    body = reading.to_object(answer.body) or {}
     clock = body.get("clock_ms")
     clock_ms = clock if isinstance(clock, int) else None
     if answer.status == 200:
@@ -213,7 +189,7 @@
 
 
 def _look(body: bytes) -> worker_port.Look | None:
-    found = _object(body)
+    found = reading.to_object(body) or {}
     clock_ms = found.get("clock_ms")
     running = found.get("running", [])
     ended = found.get("ended_runs", [])
@@ -241,23 +217,24 @@
     return worker_port.RunningTask(
         task_from_wire(row[0]),
         str(row[0]),
-        _whole(row[1]),
-        padded[2] if isinstance(padded[2], str) else "",
-        _whole(padded[3]),
+        reading.whole(row[1]),
+        reading.text(padded[2]),
+        reading.whole(padded[3]),
         # Fifth entry: tail latency in ms for a serving task, processor use in
         # thousandths of a core for any other.
-        _whole(padded[4]),
+        reading.whole(padded[4]),
     )
 
 
 def _run_end(row: object) -> worker_port.RunEnd | None:
-    if not isinstance(row, list) or len(row) < 4 or not _whole(row[0]):
+    if not isinstance(row, list) or len(row) < 4 or not reading.whole(row[0]):
         return None
     task = task_from_wire(row[1])
     ending = _ENDINGS.get(str(row[3]))
     if task is None or ending is None:
-        return worker_port.RunEnd(_whole(row[0]), None)
-    saved = row[4] if len(row) > 4 and isinstance(row[4], str) else ""
+        return worker_port.RunEnd(reading.whole(row[0]), None)
+    saved = reading.text(row[4]) if len(row) > 4 else ""
     return worker_port.RunEnd(
-        _whole(row[0]), changes.Ended(task, _whole(row[2]), ending, saved)
+        reading.whole(row[0]),
+        changes.Ended(task, reading.whole(row[2]), ending, saved),
     )
--- a/turmerichall/queue_daemon.py
+++ b/turmerichall/queue_daemon.py
@@ -3,7 +3,7 @@
     python -m turmerichall.queue_daemon [FILE.ini]
 
 The file is that of the settings, or named by `TURMERICHALL_BOOT`.  It stops
-politely on SIGTERM, and reads its settings again on SIGHUP.
+politely on SIGTERM, and notes SIGHUP.
 """
 
 import os
--- a/turmerichall/queues/configuration.py
+++ b/turmerichall/queues/configuration.py
@@ -53,6 +53,18 @@
         """Identifies the queue in every configuration that lists it."""
         return self.host + self.path_prefix
 
+    def objective_seconds(self, chain_seconds: float) -> float:
+        """Returns in what time a job should be done.
+
+        Args:
+            chain_seconds: Its longest chain of work.
+
+        Examples:
+            >>> Queue("q", "a", "/", "s").objective_seconds(3.0)
+            7.0
+        """
+        return self.stretch * chain_seconds + self.target_latency_ms / 1000
+
 
 class Service(NamedTuple):
     """A pool of workers.
