--- a/turmerichall/queue_daemon.py
+++ b/turmerichall/queue_daemon.py
@@ -1,13 +1,11 @@
 """The daemon that serves queues of jobs, on entry instances and replicas.
 
-    python -m turmerichall.queue_daemon [FILE.ini]
+    python -m turmerichall.queue_daemon FILE.ini
 
-The file is that of the settings, or named by `TURMERICHALL_BOOT`.  It stops
-politely on SIGTERM, and notes SIGHUP.
+It stops politely on SIGTERM, and notes SIGHUP.
 """
 
 import os
-import pathlib
 import signal
 import sys
 from typing import IO, Any, cast
@@ -21,7 +19,6 @@
 
 __all__ = ["main", "serve"]
 
-SETTINGS_VARIABLE = "TURMERICHALL_BOOT"
 EXIT_SETTINGS = 1
 EXIT_STORAGE = 3
 # For the last lines of the log, when the process ends.
@@ -103,15 +100,10 @@
 
 def main() -> None:
     """Entry point."""
-    given = sys.argv[1] if len(sys.argv) > 1 else ""
-    path = given or os.environ.get(SETTINGS_VARIABLE, "")
-    if not path or not pathlib.Path(path).exists():
-        print(
-            f"usage: queue_daemon FILE.ini, or {SETTINGS_VARIABLE}=FILE.ini",
-            file=sys.stderr,
-        )
+    if len(sys.argv) != 2:
+        print("usage: queue_daemon FILE.ini", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    sys.exit(serve(path))
+    sys.exit(serve(sys.argv[1]))
 
 
 if __name__ == "__main__":
