Acknowledge a leaving worker only once that is durable, also the second time

Found in review: when the commit failed, the next heartbeat found the worker marked in memory and was acknowledged, so a next leader could start tasks there. What is noted is now read from the ledger. The test, made stricter, failed first.

--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -272,9 +272,8 @@
         worker.heartbeat = beat.sequence
         if beat.clock_ms >= 0 and not worker.lease.known:
             worker.lease.note_clock(beat.clock_ms, leases.steady_seconds())
-        if beat.draining:
-            if not worker.draining:
-                return await self._drain(worker)
+        if beat.draining and record.id not in self.ledger.draining:
+            return await self._drain(worker)
         return True
 
     async def _register(self, beat: worker_port.Heartbeat) -> bool:
@@ -339,7 +338,8 @@
         worker = self.workers.get(worker_id)
         if worker is None:
             return worker_id in self.ledger.gone
-        if not worker.draining and not await self._drain(worker):
+        is_noted = worker_id in self.ledger.draining
+        if not is_noted and not await self._drain(worker):
             return False
         assert self._nursery is not None
         self._nursery.start_soon(self._lose_soon, worker)
--- a/turmerichall/dispatch/tests/test_tenure.py
+++ b/turmerichall/dispatch/tests/test_tenure.py
@@ -277,6 +277,9 @@
             floor.replica.committing = False
             beat = worker_port.Heartbeat(first.record, True, 2, 5000)
             assert not await floor.desk.heartbeat(beat)
+            again = beat._replace(sequence=3)
+            assert not await floor.desk.heartbeat(again)
+            assert not floor.ledger.draining
 
         await play(floor, script)
 
