Split the leader's work by what it is about

Out of them: planner (which tasks start where), mover (which runs go on elsewhere), registry (workers that come and leave), timetable (occurrences), outlook (what the door decides from), reports (lines of the log), tail_keeper (tails and paces of one worker).

--- a/turmerichall/dispatch/desk.py
+++ b/turmerichall/dispatch/desk.py
@@ -9,6 +9,7 @@
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.dispatch import durations as learnt
 from turmerichall.dispatch import freshness as freshnesses
+from turmerichall.dispatch import registry as registries
 from turmerichall.dispatch import sensitivity as sensitivities
 from turmerichall.dispatch import tenure as tenures
 from turmerichall.dispatch import worker_port
@@ -65,7 +66,7 @@
         self,
         replica: replicas.Replica,
         ledger: ledgers.Ledger,
-        make_port: tenures.MakePort,
+        make_port: registries.MakePort,
         log: link.Log,
         tally: tallies.Tally,
     ):
@@ -189,12 +190,12 @@
     async def heartbeat(self, beat: worker_port.Heartbeat) -> bool:
         """Takes in a heartbeat; returns whether to acknowledge it."""
         tenure = self.tenure
-        return tenure is not None and await tenure.heartbeat(beat)
+        return tenure is not None and await tenure.registry.heartbeat(beat)
 
     async def leaving(self, worker: str) -> bool:
         """Takes in that a worker ends; returns whether to acknowledge it."""
         tenure = self.tenure
-        return tenure is not None and await tenure.leaving(worker)
+        return tenure is not None and await tenure.registry.leaving(worker)
 
     async def configure(
         self, configuration: configurations.Configuration, document: bytes
--- /dev/null
+++ b/turmerichall/dispatch/outlook.py
@@ -0,0 +1,76 @@
+"""What the door decides from: the outlook of a job that is handed in."""
+
+from collections.abc import Iterable
+
+from turmerichall.dispatch import admission
+from turmerichall.dispatch import backlog as backlogs
+from turmerichall.dispatch import durations as learnt
+from turmerichall.dispatch import roster
+from turmerichall.queues import configuration as configurations
+from turmerichall.queues import demand as demands
+
+__all__ = ["foresee"]
+
+
+def foresee(
+    job_id: str,
+    queue: configurations.Queue,
+    demand: demands.JobDemand,
+    all_workers: Iterable[roster.Worker],
+    backlog: backlogs.Backlog,
+    durations: learnt.Durations,
+) -> admission.Outlook:
+    """Returns the outlook of a job.
+
+    Args:
+        job_id: Its id.
+        queue: Its queue.
+        demand: What it asks for.
+        all_workers: The workers of all services.
+        backlog: Tasks that wait.
+        durations: Learnt run times.
+    """
+    workers = [
+        worker
+        for worker in all_workers
+        if worker.record.service == queue.service
+    ]
+    fits = not workers or all(
+        any(worker.may_ever_hold(step) for worker in workers)
+        for step in demand.steps
+    )
+    filling = all(step.fills for step in demand.steps)
+    rate = 0.0
+    for worker in workers:
+        if worker.in_touch and not worker.draining:
+            rate += worker.rate(filling) / 1000
+    chain = demand.chain_ms() / 1000
+    return admission.Outlook(
+        job_id,
+        demand.lasting or demand.schedule is not None,
+        fits,
+        queue.objective_seconds(chain),
+        chain,
+        _work_ahead(queue, filling, backlog, durations),
+        rate,
+    )
+
+
+def _work_ahead(
+    queue: configurations.Queue,
+    filling: bool,
+    backlog: backlogs.Backlog,
+    durations: learnt.Durations,
+) -> float:
+    """Returns work that waits and goes first, core-seconds."""
+    work = 0.0
+    for group in backlog.groups.values():
+        step = group.step
+        if not group.waiting or step.lasting or step.fills != filling:
+            continue
+        if group.queue.priority > queue.priority:
+            continue
+        kind = (group.job.queue, step.image)
+        seconds = durations.expect(kind, step.estimate_ms / 1000)
+        work += len(group.waiting) * step.cpu / 1000 * seconds
+    return work
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -5,9 +5,8 @@
 import trio
 
 from turmerichall.dispatch import lease as leases
-from turmerichall.dispatch import pacing
 from turmerichall.dispatch import roster
-from turmerichall.dispatch import sensitivity as sensitivities
+from turmerichall.dispatch import tail_keeper
 from turmerichall.dispatch import worker_port
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -30,19 +29,15 @@
 ORDER_TRIES = 4
 # A run that the worker does not list, this long after it was confirmed.
 MISSING_SECONDS = 0.5
-# A pace that differs by less is not told.
-PACE_STEP_PERCENT = 8
 
 Verdict = worker_port.Verdict
 
 
-class Owner(Protocol):
+class Owner(tail_keeper.Owner, Protocol):
     """What a session needs of the leader; `tenure.Tenure`."""
 
-    token: int
     ledger: ledgers.Ledger
     log: link.Log
-    sensitivity: sensitivities.Sensitivity
     tally: tallies.Tally
 
     def may_renew(self) -> bool:
@@ -53,9 +48,6 @@
     ) -> None:
         """Has ends committed and frees what the runs held."""
 
-    def fenced(self, worker: roster.Worker) -> None:
-        """Stops the leader's work: a newer term gives orders."""
-
     def spawn(self, session: "Session", run: roster.Run) -> None:
         """Starts a run in a task of its own."""
 
@@ -90,6 +82,7 @@
         self.worker = worker
         self.acknowledged = 0
         self.scope = trio.CancelScope()
+        self._keeper = tail_keeper.TailKeeper(owner, worker)
         self._unanswered = False
 
     async def run(self) -> None:
@@ -131,7 +124,7 @@
             owner.log.info("worker in touch", worker=worker.record.id)
         await self._take_ends(look)
         await self._compare(look, now)
-        await self._watch_tails()
+        await self._keeper.adjust()
         owner.watch_progress(self)
         owner.worker_changed()
 
@@ -236,7 +229,7 @@
             owner.log.info(
                 "runs are not at the worker",
                 worker=worker.record.id,
-                tasks=[":".join(map(str, row.task)) for row in rows[:8]],
+                tasks=[str(row.task) for row in rows[:8]],
                 count=len(rows),
             )
             await owner.commit_ends(worker, rows)
@@ -264,71 +257,6 @@
         if result.verdict == Verdict.FENCED:
             self.owner.fenced(self.worker)
 
-    async def _watch_tails(self) -> None:
-        """Learns from the tails of lasting runs, and paces filling ones."""
-        worker, sensitivity = self.worker, self.owner.sensitivity
-        cpu = max(worker.record.cpu, 1)
-        fillers = [
-            run
-            for run in worker.runs.values()
-            if run.step.fills and run.confirmed_at
-        ]
-        shares: dict[str, float] = {}
-        for run in fillers:
-            share = run.load / cpu
-            shares[run.step.image] = shares.get(run.step.image, 0.0) + share
-        tails = []
-        for run in worker.runs.values():
-            step = run.step
-            at_work = run.progress_percent >= 100 and run.load > 0
-            if not step.lasting or not step.target_ms or not at_work:
-                continue
-            tail = pacing.Tail(step.image, run.load / step.target_ms)
-            tails.append(tail)
-            sensitivity.learn(step.image, shares, tail.ratio)
-            added = sum(
-                sensitivity.weight(step.image, image) * share
-                for image, share in shares.items()
-            )
-            worker.note_tail(step.image, max(tail.ratio - added, 0.0))
-        running = [
-            run
-            for run in fillers
-            if run.phase == roster.Phase.RUNNING and not run.stopping
-        ]
-        paces = pacing.percents(
-            [
-                pacing.Filling(
-                    run.step.image,
-                    run.step.cpu / cpu,
-                    max(run.pace_percent, 0),
-                )
-                for run in running
-            ],
-            tails,
-            sensitivity.weight,
-        )
-        for run, percent in zip(running, paces):
-            unknown = run.pace_percent == roster.UNKNOWN_PERCENT
-            if (
-                unknown
-                or percent in (0, 100)
-                or abs(percent - run.pace_percent) >= PACE_STEP_PERCENT
-            ):
-                await self.set_pace(run, percent)
-
-    async def set_pace(self, run: roster.Run, percent: int) -> None:
-        """Tells a run its pace, if that differs."""
-        if run.pace_percent == percent:
-            return
-        result = await self.worker.port.pace(
-            run.order(), percent, self.owner.token
-        )
-        if result.verdict == Verdict.DONE:
-            run.pace_percent = percent
-        elif result.verdict == Verdict.FENCED:
-            self.owner.fenced(self.worker)
-
     async def start(self, run: roster.Run, order: worker_port.Order) -> None:
         """Orders a committed start; without an answer the next looks decide."""
         owner, worker = self.owner, self.worker
--- /dev/null
+++ b/turmerichall/dispatch/timetable.py
@@ -0,0 +1,52 @@
+"""Occurrences of timed jobs, added to the backlog when they are due."""
+
+from turmerichall.dispatch import backlog as backlogs
+from turmerichall.queues import ledger as ledgers
+
+__all__ = ["Timetable"]
+
+
+class Timetable:
+    """Jobs of which further occurrences are to come.
+
+    Attributes:
+        ledger: The replicated state.
+        backlog: Where occurrences that are due are added.
+    """
+
+    def __init__(self, ledger: ledgers.Ledger, backlog: backlogs.Backlog):
+        self.ledger = ledger
+        self.backlog = backlog
+        # The next occurrence of each job.
+        self._next: dict[str, int] = {}
+
+    def add(self, job: ledgers.Job, now_ms: int) -> None:
+        """Adds what is due of a job, and notes what is to come.
+
+        Args:
+            job: The job.
+            now_ms: Time of day, since 1970.
+        """
+        begun = self.backlog.add_job(job, now_ms)
+        if begun < job.demand.occurrences:
+            self._next[job.id] = begun
+
+    def drop(self, job_id: str) -> None:
+        """Drops a job that has ended."""
+        self._next.pop(job_id, None)
+
+    def advance(self, now_ms: int) -> bool:
+        """Adds occurrences that are due; returns whether there were any."""
+        found = False
+        for job_id, occurrence in list(self._next.items()):
+            job = self.ledger.jobs[job_id]
+            schedule = job.demand.schedule
+            if schedule is None or not job.open:
+                del self._next[job_id]
+            elif schedule.due_at_ms(occurrence) <= now_ms:
+                self.backlog.add_occurrence(job, occurrence)
+                self._next[job_id] = occurrence + 1
+                if occurrence + 1 >= schedule.count:
+                    del self._next[job_id]
+                found = True
+        return found
--- a/turmerichall/platform/start.py
+++ b/turmerichall/platform/start.py
@@ -1,6 +1,6 @@
 """Starts the daemon for queues with the settings that the platform names.
 
-    python -m turmerichall.platform.start
+python -m turmerichall.platform.start
 """
 
 import os
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -44,6 +44,15 @@
     step: int
     number: int
 
+    def __str__(self) -> str:
+        """Returns the name for logs.
+
+        Examples:
+            >>> str(TaskName("5c0e", 0, 1, 17))
+            '5c0e.0.1.17'
+        """
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.number}"
+
 
 class Ending(enum.IntEnum):
     """How a run ended."""
