--- a/turmerichall/dispatch/admission.py
+++ b/turmerichall/dispatch/admission.py
@@ -30,7 +30,7 @@
     Attributes:
         job: Id of the job, by which returns are spread.
         lasting: Whether its tasks run until it is canceled.
-        fits: Whether some worker could hold each of its tasks.
+        misfit: Why no worker could ever hold some task, or empty.
         objective_seconds: In which it should be done.
         chain_seconds: That it takes at least.
         work_ahead: Work that waits and goes first, core-seconds.
@@ -40,7 +40,7 @@
 
     job: str
     lasting: bool
-    fits: bool
+    misfit: str
     objective_seconds: float
     chain_seconds: float
     work_ahead: float
@@ -52,16 +52,16 @@
     """Returns None to accept a job, or why not and when to come back.
 
     Examples:
-        >>> calm = Outlook("a7", False, True, 6.0, 3.0, 100.0, 50.0)
+        >>> calm = Outlook("a7", False, "", 6.0, 3.0, 100.0, 50.0)
         >>> admit(calm) is None
         True
         >>> burst = calm._replace(work_ahead=2000.0)
         >>> admit(burst).reason
         <RefusalReason.DEADLINE: 'deadline'>
     """
-    if not outlook.fits:
+    if outlook.misfit:
         return outcomes.Refusal(
-            outcomes.RefusalReason.NEVER_FITS, "no worker can hold its tasks"
+            outcomes.RefusalReason.NEVER_FITS, outlook.misfit
         )
     if outlook.lasting or outlook.rate <= 0:
         return None
--- a/turmerichall/dispatch/outlook.py
+++ b/turmerichall/dispatch/outlook.py
@@ -35,10 +35,6 @@
         for worker in all_workers
         if worker.record.service == queue.service
     ]
-    fits = not workers or all(
-        any(worker.may_ever_hold(step) for worker in workers)
-        for step in demand.steps
-    )
     filling = all(step.fills for step in demand.steps)
     rate = 0.0
     for worker in workers:
@@ -48,7 +44,7 @@
     return admission.Outlook(
         job_id,
         demand.lasting or demand.schedule is not None,
-        fits,
+        _misfit(demand, workers),
         queue.objective_seconds(chain),
         chain,
         _work_ahead(queue, filling, backlog, durations),
@@ -56,6 +52,20 @@
     )
 
 
+def _misfit(demand: demands.JobDemand, workers: list[roster.Worker]) -> str:
+    """Tells which step no worker could hold, or returns an empty text."""
+    for number, step in enumerate(demand.steps):
+        if not workers or any(worker.may_ever_hold(step) for worker in workers):
+            continue
+        label = f", label {step.required_label}" if step.required_label else ""
+        return (
+            f"step {number}: no worker could hold a task of {step.cpu} "
+            f"thousandths of a core, {step.memory_mb} MB, {step.gpu} "
+            f"accelerators{label}"
+        )
+    return ""
+
+
 def _work_ahead(
     queue: configurations.Queue,
     filling: bool,
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -145,6 +145,7 @@
                 zone=record.zone,
                 cpu=record.cpu,
                 memory_mb=record.memory_mb,
+                labels=record.labels,
             )
         return True
 
--- a/turmerichall/dispatch/tests/test_admission.py
+++ b/turmerichall/dispatch/tests/test_admission.py
@@ -35,7 +35,7 @@
     for number, at in enumerate(arrivals):
         ahead = max(0.0, free_at - at) * CORES
         outlook = admission.Outlook(
-            str(number), False, True, OBJECTIVE, CHAIN, ahead, CORES
+            str(number), False, "", OBJECTIVE, CHAIN, ahead, CORES
         )
         if doors and admission.admit(outlook) is not None:
             refused += 1
@@ -70,7 +70,7 @@
 class TestReturns:
 
     def test_are_spread_and_never_before_they_make_sense(self) -> None:
-        outlook = admission.Outlook("", False, True, 6.0, 2.0, 3000.0, 100.0)
+        outlook = admission.Outlook("", False, "", 6.0, 2.0, 3000.0, 100.0)
         told = set()
         for number in range(50):
             refusal = admission.admit(outlook._replace(job=str(number)))
@@ -84,12 +84,14 @@
 class TestHopeless:
 
     def test_a_job_that_fits_nowhere_is_refused_at_once(self) -> None:
-        outlook = admission.Outlook("a", False, False, 6.0, 2.0, 0.0, 100.0)
+        outlook = admission.Outlook(
+            "a", False, "too large", 6.0, 2.0, 0.0, 100.0
+        )
         refusal = admission.admit(outlook)
         assert refusal is not None
         assert refusal.reason == outcomes.RefusalReason.NEVER_FITS
         assert refusal.retry_after_seconds is None
 
     def test_lasting_jobs_are_not_refused_for_load(self) -> None:
-        outlook = admission.Outlook("a", True, True, 6.0, 2.0, 9e9, 1.0)
+        outlook = admission.Outlook("a", True, "", 6.0, 2.0, 9e9, 1.0)
         assert admission.admit(outlook) is None
--- a/turmerichall/queues/ledger.py
+++ b/turmerichall/queues/ledger.py
@@ -289,6 +289,9 @@
         steps = job.steps(name.occurrence)
         step = steps[name.step]
         gang = job.demand.steps[name.step].gang
+        if step.tasks[name.number].done:
+            # Another member of its gang ended first, for all of them.
+            return
         for task in step.tasks if gang else [step.tasks[name.number]]:
             if not task.done:
                 task.done = True
--- a/turmerichall/queues/tests/test_ledger.py
+++ b/turmerichall/queues/tests/test_ledger.py
@@ -28,7 +28,9 @@
 class Book:
     """A ledger with a queue, a worker and a job of two tasks."""
 
-    def __init__(self, **step: object) -> None:
+    def __init__(
+        self, schedule: demands.Schedule | None = None, **step: object
+    ) -> None:
         self.ledger = ledgers.Ledger()
         self.index = 0
         document = b'{"version":3}'
@@ -36,6 +38,7 @@
         demand = demands.JobDemand(
             "text",
             (demands.StepDemand(2, **step),),  # type: ignore[arg-type]
+            schedule,
         )
         self.apply(
             changes.SetConfiguration(configuration, document),
@@ -120,6 +123,14 @@
         assert book.job.state == ledgers.JobState.ACTIVE
         assert not book.task(0).done
 
+    def test_all_ends_of_a_gang_finish_one_occurrence(self) -> None:
+        book = Book(gang=True, schedule=demands.Schedule(0, 1000, 2))
+        book.apply(changes.StartRuns((started(0), started(1))))
+        for index in (0, 1):
+            book.apply(changes.EndRuns((ended(index, changes.Ending.DONE),)))
+        assert book.job.finished == 1
+        assert book.job.state == ledgers.JobState.ACTIVE
+
     def test_one_end_of_a_gang_stands_for_all(self) -> None:
         book = Book(gang=True)
         book.apply(changes.StartRuns((started(0), started(1))))
