Tell the callers' load from interference; ask policies for tickets

Interference. All lasting tasks of a worker are slowed besides once use passes its processors.

A step of a queue with advice starts only with tickets: asked for one call at a time, most urgent step first, at most 30 workers that have room, refused workers never again, tickets that run out anew. The known-red test of it is replaced by eight with a stand-in of the policy, all of which fail without the mechanism.

--- a/turmerichall/dispatch/desk.py
+++ b/turmerichall/dispatch/desk.py
@@ -9,6 +9,7 @@
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.dispatch import durations as learnt
 from turmerichall.dispatch import freshness as freshnesses
+from turmerichall.dispatch import policy_port
 from turmerichall.dispatch import registry as registries
 from turmerichall.dispatch import sensitivity as sensitivities
 from turmerichall.dispatch import tenure as tenures
@@ -69,6 +70,7 @@
         make_port: registries.MakePort,
         log: link.Log,
         tally: tallies.Tally,
+        policy: policy_port.PolicyPort | None = None,
     ):
         self.replica = replica
         self.ledger = ledger
@@ -77,6 +79,7 @@
         self._make_port = make_port
         self._log = log
         self._tally = tally
+        self._policy = policy
         self._durations = learnt.Durations()
         self._sensitivity = sensitivities.Sensitivity()
 
@@ -99,6 +102,7 @@
                 self._durations,
                 self._sensitivity,
                 self._tally,
+                self._policy,
             )
             try:
                 await self.tenure.run()
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -2,7 +2,8 @@
 
 Answers machines that latency-critical and batch tasks share: urgent tasks go
 where most processors are free, lasting tasks to others of their image, tasks
-that fill where they raise no tail of lasting tasks beyond a margin.
+that fill where they slow no lasting task beyond what it can bear now, and
+rather where it can bear them at its next peak too.
 """
 
 from collections.abc import Iterable
@@ -14,8 +15,12 @@
 
 __all__ = ["choose"]
 
-# A filling task is not added where a tail would pass this share of its target.
-TAIL_MARGIN = 0.65
+# Of the target: where a filling task would bring a tail at once it is not
+# placed; below what pacing holds.
+TAIL_MARGIN = 0.8
+# What a worker counts for less, as a share of its processors, if a filling task
+# there would have to be paced at the next peak of load.
+PACED_LATER = 2.0
 # What a core of lasting tasks of the same image counts for, against a free one.
 IMAGE_WEIGHT = 2.0
 
@@ -86,14 +91,28 @@
     if free < step.cpu and not must:
         return None
     worst = 0.0
-    for image in worker.lasting_images():
-        added = sensitivity.weight(image, step.image) * step.cpu / cpu
-        if added > pacing.HARMLESS_RATIO and not must:
-            expected = worker.expected_tail(image, sensitivity, step)
-            if expected > TAIL_MARGIN:
+    penalty = 0.0
+    crowd = max(0.0, (step.cpu - free) / cpu + 1.0 - pacing.UNCROWDED)
+    for neighbour in worker.neighbours.values():
+        image = neighbour.image
+        added = sensitivity.cautious(image, step.image) * step.cpu / cpu
+        if added + crowd > pacing.HARMLESS and not must:
+            total = (
+                added
+                + pacing.CROWDING * crowd
+                + sum(
+                    sensitivity.weight(image, other) * filled / cpu
+                    for other, filled in worker.filled.items()
+                )
+            )
+            outlook = neighbour.outlook
+            idle = neighbour.idle
+            if total > pacing.bearable(idle, outlook.soon, TAIL_MARGIN):
                 return None
+            if total > pacing.bearable(idle, outlook.peak, TAIL_MARGIN):
+                penalty = PACED_LATER
         worst = max(worst, added)
-    return free - worst * cpu
+    return free - (worst + penalty) * cpu
 
 
 def _company(step: demands.StepDemand, worker: roster.Worker) -> float:
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -11,6 +11,7 @@
 from turmerichall.dispatch import placement
 from turmerichall.dispatch import roster
 from turmerichall.dispatch import sensitivity as sensitivities
+from turmerichall.dispatch import tickets as ticket_books
 from turmerichall.peers import link
 from turmerichall.queues import ledger as ledgers
 
@@ -31,6 +32,7 @@
         backlog: Tasks that wait.
         workers: Workers by id.
         sensitivity: Learnt interference.
+        tickets: Tickets of queues with a policy.
     """
 
     def __init__(
@@ -39,12 +41,14 @@
         backlog: backlogs.Backlog,
         workers: Mapping[str, roster.Worker],
         sensitivity: sensitivities.Sensitivity,
+        tickets: ticket_books.Tickets,
         log: link.Log,
     ):
         self.ledger = ledger
         self.backlog = backlog
         self.workers = workers
         self.sensitivity = sensitivity
+        self.tickets = tickets
         self._log = log
 
     def plan(self, now: float, now_ms: int) -> Planned:
@@ -57,16 +61,52 @@
         groups = self.backlog.ready()
         if not groups:
             return []
-        groups.sort(key=lambda group: ordering.rank(self._claim(group, now_ms)))
+        ranked = sorted(
+            (
+                (ordering.rank(self._claim(group, now_ms)), number, group)
+                for number, group in enumerate(groups)
+            )
+        )
         by_service: dict[str, list[roster.Worker]] = {}
         for worker in self.workers.values():
             by_service.setdefault(worker.record.service, []).append(worker)
         planned: Planned = []
-        for group in groups:
+        for rank, _, group in ranked:
             workers = by_service.get(group.queue.service, [])
-            planned += self._plan_group(group, workers, now)
+            advice = group.queue.advice
+            if advice is None:
+                planned += self._plan_group(group, workers, now)
+                continue
+            held = self.tickets.valid(group.name, now)
+            allowed = [each for each in workers if each.record.id in held]
+            planned += self._plan_group(group, allowed, now)
+            if group.waiting:
+                able = self._able(group, workers)
+                self.tickets.wish(group.name, rank, advice, able, now)
         return planned
 
+    def _able(
+        self, group: backlogs.Group, workers: list[roster.Worker]
+    ) -> list[roster.Worker]:
+        """Returns the workers that could run tasks now, the emptiest first."""
+        step = group.step
+        able = [
+            worker
+            for worker in workers
+            if worker.in_touch
+            and not worker.draining
+            and worker.has_label(step)
+            and worker.holds(step)
+        ]
+        # Workers near the data first, then those with most room.
+        able.sort(
+            key=lambda worker: (
+                worker.record.rack != step.data_rack,
+                -worker.free_cpu(),
+            )
+        )
+        return able
+
     def _claim(self, group: backlogs.Group, now_ms: int) -> ordering.Claim:
         queue = self.ledger.queues[group.job.queue]
         group.queue = queue
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -14,6 +14,7 @@
 from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.peers import network as networks
+from turmerichall.platform import advice_calls
 from turmerichall.platform import client_calls
 from turmerichall.platform import control_calls
 from turmerichall.platform import worker_calls
@@ -78,12 +79,14 @@
             voters=settings.replicas.voters,
         )
         self.tally = tallies.Tally()
+        policy = settings.policy.address
         self.desk = desks.Desk(
             self.replica,
             self.ledger,
             worker_calls.Worker,
             self.log,
             self.tally,
+            advice_calls.Policy(policy) if policy else None,
         )
         self.metrics = metrics.make_server(self.tally)
         self.control = server.Server(self._answer, lambda: CONTROL_LIMITS)
--- a/turmerichall/dispatch/roster.py
+++ b/turmerichall/dispatch/roster.py
@@ -1,26 +1,26 @@
 """Workers and runs as the leader knows them."""
 
 import enum
+from typing import NamedTuple
 
 from turmerichall.dispatch import lease as leases
-from turmerichall.dispatch import sensitivity as sensitivities
+from turmerichall.dispatch import service_load
 from turmerichall.dispatch import stragglers
 from turmerichall.dispatch import suspicion as suspicions
 from turmerichall.dispatch import worker_port
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
 
-__all__ = ["Phase", "Run", "Worker"]
+__all__ = ["Neighbour", "Phase", "Run", "Worker"]
 
-# Share of what a lasting task asks for that it is taken to use.
+# Share of what a lasting task asks for that it is taken to use until its load
+# is known.
 LASTING_USE = 0.5
 UNKNOWN_PERCENT = -1
 # A pace at which a run hardly gets on.
 SMALL_PERCENT = 40
-# Tail of a lasting task, as a share of its target, before any was measured.
-UNKNOWN_TAIL = 0.5
-# Share of the way from an earlier peak of a tail to a lower one, for each look.
-TAIL_FADING = 0.15
+# Tail of an idle lasting task, as a share of its target, before any was seen.
+UNKNOWN_IDLE = 0.25
 
 
 class Phase(enum.Enum):
@@ -33,6 +33,20 @@
     RUNNING = "running"
 
 
+class Neighbour(NamedTuple):
+    """The lasting runs of one step on a worker, to a filling task there.
+
+    Attributes:
+        image: Their image.
+        idle: Tail without load and neighbours, as a share of the target.
+        outlook: The load to expect.
+    """
+
+    image: str
+    idle: float = UNKNOWN_IDLE
+    outlook: service_load.Outlook = service_load.UNKNOWN
+
+
 class Run:
     """One run on one worker.
 
@@ -149,14 +163,15 @@
         in_touch: Whether it answered the last look.
         suspicion: How far it can be trusted.
         cpu_asked: Processors that runs asked for and that count.
-        cpu_used: Processors that these runs are taken to use.
+        lasting_load: Processors that lasting runs are taken to use soon.
         cpu_working: Processors that runs asked for that count and end.
         cpu_filled: Processors that filling runs asked for.
         memory_used: Memory of all runs, MB.
         gpu_used: Accelerators of all runs.
         lasting: Number of lasting runs.
-        tails: Tail without filling runs as a share of its target, by image of
-            the lasting runs: a peak that fades.
+        neighbours: Lasting runs that a filling task would disturb, by job,
+            occurrence and step.
+        filled: Processors that filling runs asked for, by image.
         heartbeat: Sequence of its last heartbeat.
     """
 
@@ -175,39 +190,53 @@
         self.in_touch = False
         self.suspicion = suspicions.Suspicion()
         self.cpu_asked = 0
-        self.cpu_used = 0.0
+        self.lasting_load = 0.0
         self.cpu_working = 0
         self.cpu_filled = 0
         self.memory_used = 0
         self.gpu_used = 0
         self.lasting = 0
-        self.tails: dict[str, float] = {}
+        self.neighbours: dict[tuple[str, int, int], Neighbour] = {}
+        self.filled: dict[str, int] = {}
         self.heartbeat = 0
 
     def add(self, run: Run) -> None:
         """Reserves what a run asks for."""
         self.runs[run.task] = run
         self._count(run.step, 1)
+        if run.step.lasting and run.step.target_ms:
+            key = run.task[:3]
+            self.neighbours.setdefault(key, Neighbour(run.step.image))
 
     def remove(self, run: Run) -> None:
         """Frees what a run asked for."""
         if self.runs.get(run.task) is run:
             del self.runs[run.task]
             self._count(run.step, -1)
+            if run.step.lasting:
+                self._forget_neighbour(run.task[:3])
+
+    def _forget_neighbour(self, step: tuple[str, int, int]) -> None:
+        if not any(task[:3] == step for task in self.runs):
+            self.neighbours.pop(step, None)
 
     def _count(self, step: demands.StepDemand, sign: int) -> None:
         self.memory_used += sign * step.memory_mb
         self.gpu_used += sign * step.gpu
         if step.fills:
             self.cpu_filled += sign * step.cpu
+            filled = self.filled.get(step.image, 0) + sign * step.cpu
+            if filled > 0:
+                self.filled[step.image] = filled
+            else:
+                self.filled.pop(step.image, None)
             return
         self.cpu_asked += sign * step.cpu
         if step.lasting:
             self.lasting += sign
-            self.cpu_used += sign * step.cpu * LASTING_USE
+            self.lasting_load += sign * step.cpu * LASTING_USE
         else:
             self.cpu_working += sign * step.cpu
-            self.cpu_used += sign * step.cpu
 
     def holds(self, step: demands.StepDemand) -> bool:
         """Tells whether what a task asks for is free here."""
@@ -233,42 +262,6 @@
         label = step.required_label
         return not label or label in self.record.labels
 
-    def lasting_images(self) -> set[str]:
-        """Returns the images of its lasting runs."""
-        return {
-            run.step.image for run in self.runs.values() if run.step.lasting
-        }
-
-    def note_tail(self, image: str, ratio: float) -> None:
-        """Takes in a tail without what filling runs add to it."""
-        before = self.tails.get(image, ratio)
-        self.tails[image] = max(ratio, before + TAIL_FADING * (ratio - before))
-
-    def expected_tail(
-        self,
-        image: str,
-        sensitivity: sensitivities.Sensitivity,
-        extra: demands.StepDemand,
-    ) -> float:
-        """Returns the tail to expect, as a share of its target.
-
-        Args:
-            image: Image of lasting runs here.
-            sensitivity: What filling images add.
-            extra: A further filling task.
-        """
-        asked: dict[str, int] = {}
-        for run in self.runs.values():
-            if run.step.fills:
-                name = run.step.image
-                asked[name] = asked.get(name, 0) + run.step.cpu
-        asked[extra.image] = asked.get(extra.image, 0) + extra.cpu
-        expected = self.tails.get(image, UNKNOWN_TAIL)
-        for filling, cpu in asked.items():
-            weight = sensitivity.weight(image, filling)
-            expected += weight * cpu / max(self.record.cpu, 1)
-        return expected
-
     def rate(self, filling: bool) -> float:
         """Returns processors that tasks which end get here, or could get.
 
@@ -281,4 +274,5 @@
 
     def free_cpu(self) -> float:
         """Returns processors that are taken to be unused."""
-        return self.record.cpu - self.cpu_used - self.cpu_filled
+        used = self.lasting_load + self.cpu_working + self.cpu_filled
+        return self.record.cpu - used
--- a/turmerichall/dispatch/sensitivity.py
+++ b/turmerichall/dispatch/sensitivity.py
@@ -1,78 +1,102 @@
-"""Learns how much tasks that fill raise the tails of lasting tasks.
+"""Learns how much tasks that fill slow lasting tasks beside them.
 
 Answers interference that depends on which two images meet: most pairs do no
 harm, a few raise a tail past its target at once.  For each image of lasting
-tasks a least-squares fit with weights of at least 0 explains its tail, as a
-share of its target, by the processors that each filling image uses beside it.
-A prior keeps pairs that never met under mild suspicion.
+tasks a least-squares fit with weights of at least 0 explains its slowdown,
+beyond the load that other tasks of its step show, by the processors that each
+filling image uses beside it.  A prior keeps pairs that never met under
+suspicion, and the precision of each weight tells how far it may be off.
 
 References:
+    Newey, Powell, "Asymmetric Least Squares Estimation and Testing", 1987.
+
     Franc, Hlavac, Navara, "Sequential Coordinate-Wise Algorithm for the
     Non-negative Least Squares Problem", 2005: the sweeps of `_Fit.solve`.
 """
 
 from collections.abc import Mapping
+import math
 
 __all__ = ["Sensitivity"]
 
-# Of target for a whole worker in use, until samples say otherwise.
+# Slowdown by a whole worker in use, until samples say otherwise.
 PRIOR_WEIGHT = 1.0
 # Weight of the prior against samples, in squared shares of a worker.
-PRIOR_STRENGTH = 0.03
+PRIOR_STRENGTH = 0.015
 # The same for weights that an earlier leader learnt.
 RESUMED_STRENGTH = 0.15
 # What one sample leaves of the weight of those before it.
-DECAY = 0.999
+DECAY = 0.9998
 SWEEPS = 3
-# Tails count at most as this share of their target: beyond, they grow without
-# bound and would outweigh all others.
-MAX_TAIL = 2.0
+# A slowdown counts at most as this much: beyond, calls pile up and it says how
+# long they did, not who did it.
+MAX_SLOWDOWN = 2.0
 MAX_WEIGHT = 15.0
+# A slowdown above what the weights explain counts this many times as much as
+# one below: a tail over its target costs about that much more than work that
+# waits.
+ASYMMETRY = 4.0
 # Samples between two solutions.
-SOLVE_EVERY = 10
+SOLVE_EVERY = 4
+# Of the constant part of slowdowns, which no filling image causes: a task is
+# compared with those of its step that are disturbed least.
+BASE_STRENGTH = 1e-3
 _BASE = ""
+# Deviation of one slowdown from what weights explain, when a tail is read
+# exactly.
+NOISE = 0.15
+# Deviations by which a cautious weight is above the likely one.
+CAUTION = 1.5
 
 
 class _Fit:
     """Normal equations of one image of lasting tasks.
 
     Attributes:
-        weights: Solution by filling image; the empty name is the tail alone.
+        weights: Solution by filling image; the empty name is the constant.
         squares: Sums of products of shares, by both images.
-        products: Sums of products of shares and tails.
+        products: Sums of products of shares and slowdowns.
     """
 
     def __init__(self) -> None:
-        self.weights: dict[str, float] = {_BASE: 0.5}
-        self.squares: dict[str, dict[str, float]] = {_BASE: {_BASE: 1e-6}}
-        self.products: dict[str, float] = {_BASE: 0.5e-6}
+        self.weights: dict[str, float] = {}
+        self.squares: dict[str, dict[str, float]] = {}
+        self.products: dict[str, float] = {}
         self._samples = 0
         self._scale = 1.0
+        self._begin(_BASE, 0.0, BASE_STRENGTH)
 
     def resume(self, weights: Mapping[str, float]) -> None:
         """Takes in weights as if they had been learnt here."""
         for image, weight in weights.items():
-            self.weights[image] = weight
-            self.squares[image] = {image: RESUMED_STRENGTH}
-            self.products[image] = RESUMED_STRENGTH * weight
+            self._begin(image, weight, RESUMED_STRENGTH)
+
+    def _begin(self, image: str, weight: float, strength: float) -> None:
+        self.weights[image] = weight
+        self.squares[image] = {image: strength * self._scale}
+        self.products[image] = strength * self._scale * weight
 
-    def learn(self, shares: Mapping[str, float], tail: float) -> None:
-        """Takes in a tail and the shares of a worker used beside it."""
+    def learn(
+        self, shares: Mapping[str, float], slowdown: float, noise: float
+    ) -> None:
+        """Takes in a slowdown and the shares of a worker used beside it."""
         self._scale /= DECAY
-        tail = min(tail, MAX_TAIL)
-        for image in shares:
+        slowdown = max(-1.0, min(slowdown, MAX_SLOWDOWN))
+        trust = self._scale * (NOISE / max(noise, NOISE)) ** 2
+        expected = self.weights[_BASE]
+        for image, share in shares.items():
             if image not in self.weights:
-                self.weights[image] = PRIOR_WEIGHT
-                self.squares[image] = {image: PRIOR_STRENGTH * self._scale}
-                strength = PRIOR_STRENGTH * self._scale
-                self.products[image] = strength * PRIOR_WEIGHT
+                self._begin(image, PRIOR_WEIGHT, PRIOR_STRENGTH)
+            expected += share * self.weights[image]
+        if slowdown > expected:
+            trust *= ASYMMETRY
         terms = [(_BASE, 1.0), *shares.items()]
         for image, share in terms:
             row = self.squares[image]
-            weight = share * self._scale
+            weight = share * trust
             for other, other_share in terms:
                 row[other] = row.get(other, 0.0) + weight * other_share
-            self.products[image] += weight * tail
+            self.products[image] += weight * slowdown
         self._samples += 1
         if self._samples % SOLVE_EVERY == 0:
             self.solve()
@@ -90,32 +114,40 @@
                 best = (self.products[image] - others) / row[image]
                 weights[image] = min(max(0.0, best), MAX_WEIGHT)
 
+    def deviation(self, image: str) -> float:
+        """Returns how far a weight may be off, as a standard deviation."""
+        row = self.squares.get(image)
+        strength = row[image] / self._scale if row else PRIOR_STRENGTH
+        return NOISE / math.sqrt(strength)
+
 
 class Sensitivity:
     """How sensitive lasting images are to filling images.
 
-    Attributes:
-        version: Grows when weights may have changed.
-
     Examples:
         >>> sensitivity = Sensitivity()
+        >>> before = sensitivity.cautious("desk", "scan")
         >>> for number in range(200):
-        ...     sensitivity.learn("desk", {"scan": 0.1 * (number % 3)}, 0.5)
+        ...     sensitivity.learn("desk", {"scan": 0.1 * (number % 3)}, 0.0)
         ...     sensitivity.learn(
-        ...         "desk", {"sort": 0.1 * (number % 2)},
-        ...         0.5 + 0.4 * (number % 2))
-        >>> sensitivity.weight("desk", "scan") < 0.2
+        ...         "desk", {"sort": 0.1 * (number % 2)}, 0.4 * (number % 2))
+        >>> sensitivity.weight("desk", "scan") < 0.1
         True
         >>> 3.5 < sensitivity.weight("desk", "sort") < 4.1
         True
+        >>> sensitivity.cautious("desk", "scan") < 0.5 < before
+        True
     """
 
     def __init__(self) -> None:
-        self.version = 0
         self._fits: dict[str, _Fit] = {}
 
     def learn(
-        self, lasting: str, shares: Mapping[str, float], tail: float
+        self,
+        lasting: str,
+        shares: Mapping[str, float],
+        slowdown: float,
+        noise: float = NOISE,
     ) -> None:
         """Takes in one figure of a lasting task.
 
@@ -123,21 +155,30 @@
             lasting: Its image.
             shares: Share of the worker's processors that each filling image
                 used beside it.
-            tail: Its tail as a share of its target.
+            slowdown: How much slower it was than others of its step, as a
+                share of their time.
+            noise: How far that may be off.
         """
         fit = self._fits.get(lasting)
         if fit is None:
             fit = self._fits[lasting] = _Fit()
-        fit.learn(shares, tail)
-        self.version += 1
+        fit.learn(shares, slowdown, noise)
 
     def weight(self, lasting: str, filling: str) -> float:
-        """Returns what a whole worker of a filling image adds to a tail."""
+        """Returns the likely slowdown by a whole worker of a filling image."""
         fit = self._fits.get(lasting)
         if fit is None:
             return PRIOR_WEIGHT
         return fit.weights.get(filling, PRIOR_WEIGHT)
 
+    def cautious(self, lasting: str, filling: str) -> float:
+        """Returns the slowdown by a whole worker that may well be."""
+        fit = self._fits.get(lasting)
+        if fit is None:
+            return PRIOR_WEIGHT + CAUTION * NOISE / math.sqrt(PRIOR_STRENGTH)
+        weight = fit.weights.get(filling, PRIOR_WEIGHT)
+        return weight + CAUTION * fit.deviation(filling)
+
     def resume(self, table: Mapping[str, Mapping[str, float]]) -> None:
         """Goes on from what an earlier leader learnt, where nothing is known.
 
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -63,6 +63,9 @@
     def note_done(self, run: roster.Run, seconds: float) -> None:
         """Learns from a run that was done."""
 
+    def ticket_refused(self, worker: roster.Worker, run: roster.Run) -> None:
+        """Notes that a worker did not take the ticket of a start."""
+
     async def replaced(self, worker: roster.Worker) -> None:
         """Notes that another life answers at the worker's address."""
 
@@ -310,6 +313,8 @@
                 run.confirmed_at = now
             if run.stopping:
                 await self.stop(run)
+            elif run.step.fills:
+                await self._keeper.pace()
             return True
         if verdict == Verdict.FENCED:
             owner.fenced(worker)
@@ -334,6 +339,8 @@
             return True
         if unclear:
             return False
+        if verdict == Verdict.NO_TICKET:
+            owner.ticket_refused(worker, run)
         if verdict in (Verdict.UNWELL, Verdict.NO_ROOM, Verdict.MALFORMED):
             worker.suspicion.avoid(now)
         await owner.commit_ends(
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -14,11 +14,14 @@
 from turmerichall.dispatch import mover as movers
 from turmerichall.dispatch import outlook as outlooks
 from turmerichall.dispatch import planner as planners
+from turmerichall.dispatch import policy_port
 from turmerichall.dispatch import registry as registries
 from turmerichall.dispatch import reports
 from turmerichall.dispatch import roster
 from turmerichall.dispatch import sensitivity as sensitivities
+from turmerichall.dispatch import service_load
 from turmerichall.dispatch import session as sessions
+from turmerichall.dispatch import tickets as ticket_books
 from turmerichall.dispatch import timetable as timetables
 from turmerichall.dispatch import worker_port
 from turmerichall.peers import link
@@ -59,6 +62,8 @@
         backlog: Tasks that wait.
         durations: Learnt run times.
         sensitivity: Learnt interference.
+        loads: Load of the steps of lasting jobs.
+        tickets: Tickets of queues with a policy.
         tally: Counts of this process.
         freshness: Whether this leader still is the only one.
         scope: Ends the term's work when cancelled.
@@ -75,6 +80,7 @@
         durations: learnt.Durations,
         sensitivity: sensitivities.Sensitivity,
         tally: tallies.Tally,
+        policy: policy_port.PolicyPort | None = None,
     ):
         self.replica = replica
         self.ledger = ledger
@@ -83,7 +89,9 @@
         self.log = log
         self.durations = durations
         self.sensitivity = sensitivity
+        self.loads = service_load.Loads()
         self.tally = tally
+        self.tickets = ticket_books.Tickets(policy, log, tally)
         self.backlog = backlogs.Backlog(ledger)
         self.registry = registries.Registry(self, make_port)
         self.workers = self.registry.workers
@@ -94,7 +102,7 @@
         self._timetable = timetables.Timetable(ledger, self.backlog)
         self._mover = movers.Mover(ledger, self.workers, log)
         self._planner = planners.Planner(
-            ledger, self.backlog, self.workers, sensitivity, log
+            ledger, self.backlog, self.workers, sensitivity, self.tickets, log
         )
 
     # Life of the term.
@@ -113,6 +121,7 @@
                     runs=sum(len(w.runs) for w in self.workers.values()),
                 )
                 nursery.start_soon(self._place)
+                nursery.start_soon(self.tickets.run, self.worker_changed)
                 nursery.start_soon(self._watch_schedule)
                 nursery.start_soon(self._watch_leadership)
                 nursery.start_soon(self._report)
@@ -221,6 +230,10 @@
         self.durations.note((run.queue, run.step.image), seconds)
         self._mover.note_done(run, seconds)
 
+    def ticket_refused(self, worker: roster.Worker, run: roster.Run) -> None:
+        """See `session.Owner`."""
+        self.tickets.refused(run.task[:3], worker.record.id)
+
     async def replaced(self, worker: roster.Worker) -> None:
         """See `session.Owner`."""
         await self.registry.replaced(worker)
@@ -233,11 +246,13 @@
         job = self.ledger.jobs.get(run.task.job)
         if job is None:
             return
+        held = self.tickets.valid(run.task[:3], leases.steady_seconds())
         order = worker_port.Order(
             run.task,
             run.number,
             job.demand.spec,
             job.task(run.task).checkpoint if job.open else "",
+            held.get(session.worker.record.id, ""),
         )
         self._nursery.start_soon(session.start, run, order)
 
@@ -268,6 +283,7 @@
             if row.ending == changes.Ending.DONE:
                 if self.backlog.note_done(row.task):
                     self._mover.forget_step(row.task)
+                    self.tickets.forget_step(row.task[:3])
                     began_ms = self.ledger.jobs[row.task.job].at_ms
                     age_ms = wall_ms() - began_ms
                     reports.log_step_done(self.log, row.task, age_ms)
@@ -299,6 +315,8 @@
         self.backlog.drop_job(job_id)
         self._timetable.drop(job_id)
         self._mover.forget_job(job_id)
+        self.tickets.forget_job(job_id)
+        self.loads.forget_job(job_id)
         for session in self.registry.sessions.values():
             for run in list(session.worker.runs.values()):
                 if run.task.job == job_id and run.phase != roster.Phase.PLANNED:
--- a/turmerichall/dispatch/tests/standins.py
+++ b/turmerichall/dispatch/tests/standins.py
@@ -8,6 +8,7 @@
 from turmerichall import outcomes
 from turmerichall.agreement import shared as agreement_shared
 from turmerichall.dispatch import desk as desks
+from turmerichall.dispatch import policy_port
 from turmerichall.dispatch import worker_port
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
@@ -292,7 +293,11 @@
         desk: Answers callers.
     """
 
-    def __init__(self, *workers: StandinWorker):
+    def __init__(
+        self,
+        *workers: StandinWorker,
+        policy: policy_port.PolicyPort | None = None,
+    ):
         self.workers = {each.record.address: each for each in workers}
         self.ledger = ledgers.Ledger()
         self.replica = StandinReplica(self.ledger)
@@ -306,6 +311,7 @@
             lambda record: self.workers[record.address],
             self.log,
             tallies.Tally(),
+            policy,
         )
 
     def starts(self) -> list[tuple[changes.TaskName, int, float]]:
--- /dev/null
+++ b/turmerichall/dispatch/tests/test_tickets.py
@@ -0,0 +1,193 @@
+"""Tests of queues whose policy lets only some workers run a step."""
+
+from collections.abc import Mapping, Sequence
+
+import pytest
+import trio
+
+from turmerichall.dispatch import policy_port
+from turmerichall.dispatch import worker_port
+from turmerichall.dispatch.tests import standins
+from turmerichall.queues import configuration as configurations
+from turmerichall.queues import demand as demands
+
+pytestmark = pytest.mark.usefixtures("mocked_clocks")
+
+ADVICE = configurations.Advice(50, 1, 3000)
+QUEUE = standins.QUEUE._replace(advice=ADVICE)
+
+
+class StandinPolicy:
+    """A policy that takes one call at a time.
+
+    Attributes:
+        allowed: Workers that it lets run every step.
+        silent: Whether calls get no answer.
+        calls: Step, workers and time of each call.
+    """
+
+    def __init__(self, *allowed: str):
+        self.allowed = set(allowed)
+        self.silent = False
+        self.calls: list[tuple[policy_port.StepName, list[str], float]] = []
+        self._turn = trio.Lock()
+
+    async def ask(
+        self,
+        step: policy_port.StepName,
+        workers: Sequence[str],
+        timeout_seconds: float,
+    ) -> Mapping[str, str] | None:
+        """See `PolicyPort`."""
+        self.calls.append((step, list(workers), trio.current_time()))
+        if self.silent:
+            await trio.sleep(timeout_seconds)
+            return None
+        async with self._turn:
+            cost = ADVICE.decision_ms + ADVICE.per_worker_ms * len(workers)
+            await trio.sleep(cost / 1000)
+        issued = trio.current_time()
+        return {
+            worker: f"{step[2]}-{worker}-{issued}"
+            for worker in workers
+            if worker in self.allowed
+        }
+
+    def close(self) -> None:
+        """See `PolicyPort`."""
+
+
+class TicketWorker(standins.StandinWorker):
+    """A worker that starts nothing without a ticket of its own.
+
+    Attributes:
+        lives_seconds: How long it takes a ticket for valid.
+        refused: Starts without a valid ticket.
+    """
+
+    lives_seconds = 3.0
+
+    def __init__(self, worker_id: str, cpu: int = 8000):
+        super().__init__(worker_id, cpu)
+        self.refused = 0
+
+    async def start(
+        self, order: worker_port.Order, token: int, deadline_ms: int
+    ) -> worker_port.OrderResult:
+        """See `WorkerPort`."""
+        step, _, rest = order.ticket.partition("-")
+        worker, _, issued = rest.rpartition("-")
+        if (
+            step != str(order.task.step)
+            or worker != self.record.id
+            or trio.current_time() - float(issued) > self.lives_seconds
+        ):
+            self.refused += 1
+            verdict = worker_port.Verdict.NO_TICKET
+            return worker_port.OrderResult(verdict, self.clock_ms())
+        return await super().start(order, token, deadline_ms)
+
+
+class Scene:
+    """Workers, a policy and a desk."""
+
+    def __init__(self, policy: StandinPolicy, count: int = 3, cpu: int = 8000):
+        self.policy = policy
+        self.workers = [TicketWorker(f"w{i}", cpu) for i in range(count)]
+        self.floor = standins.Floor(*self.workers, policy=policy)
+
+    async def play(self, seconds: float, *steps: demands.StepDemand) -> None:
+        """Hands a job in and waits until it is done."""
+        floor = self.floor
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(floor.desk.run)
+            await floor.until(lambda: floor.desk.tenure is not None)
+            asked = demands.JobDemand("", steps)
+            assert await floor.desk.submit(QUEUE, "a7", asked) is None
+            await floor.until(lambda: floor.state("a7") == "completed", seconds)
+            nursery.cancel_scope.cancel()
+
+
+def make_step(count: int = 1, **asked: object) -> demands.StepDemand:
+    return demands.StepDemand(count, cpu=1000, **asked)  # type: ignore[arg-type]
+
+
+@pytest.fixture(autouse=True)
+def policy_queue(monkeypatch: pytest.MonkeyPatch) -> None:
+    configuration = standins.CONFIGURATION._replace(queues=(QUEUE,))
+    monkeypatch.setattr(standins, "CONFIGURATION", configuration)
+
+
+class TestTickets:
+
+    async def test_only_allowed_workers_run_a_step(self) -> None:
+        scene = Scene(StandinPolicy("w1"))
+        await scene.play(10.0, make_step(3))
+        assert [len(worker.history) for worker in scene.workers] == [0, 3, 0]
+        assert not any(worker.refused for worker in scene.workers)
+
+    async def test_each_step_is_asked_for_with_tickets_of_its_own(self) -> None:
+        scene = Scene(StandinPolicy("w0", "w2"))
+        await scene.play(10.0, make_step(2), make_step(2, after=(0,)))
+        assert [call[0][2] for call in scene.policy.calls] == [0, 1]
+        assert not any(worker.refused for worker in scene.workers)
+
+    async def test_one_call_is_made_for_a_step_that_waits(self) -> None:
+        # Two tasks fit at a time, the others wait for them, not for tickets.
+        scene = Scene(StandinPolicy("w0"), count=1, cpu=2000)
+        await scene.play(10.0, make_step(4))
+        assert len(scene.policy.calls) == 1
+
+    async def test_a_ticket_that_runs_out_is_asked_for_anew(self) -> None:
+        scene = Scene(StandinPolicy("w0"), count=1, cpu=1000)
+        await scene.play(30.0, make_step(6))
+        assert 2 <= len(scene.policy.calls) <= 4
+        assert scene.workers[0].refused == 0
+
+    async def test_tasks_start_once_the_policy_answers_again(self) -> None:
+        scene = Scene(StandinPolicy("w0"))
+        scene.policy.silent = True
+
+        async def wake() -> None:
+            await trio.sleep(5.0)
+            scene.policy.silent = False
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wake)
+            await scene.play(15.0, make_step(1))
+        assert len(scene.floor.starts()) == 1
+
+    async def test_a_refused_ticket_is_asked_for_anew(self) -> None:
+        scene = Scene(StandinPolicy("w0"), count=1)
+        scene.workers[0].lives_seconds = -1.0
+
+        async def mend() -> None:
+            await trio.sleep(1.0)
+            scene.workers[0].lives_seconds = 3.0
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(mend)
+            await scene.play(15.0, make_step(1))
+        assert scene.workers[0].refused >= 1
+        assert len(scene.workers[0].history) == 1
+
+    async def test_a_step_that_no_worker_may_run_is_asked_for_once(
+        self,
+    ) -> None:
+        scene = Scene(StandinPolicy())
+        with pytest.RaisesGroup(trio.TooSlowError):
+            await scene.play(3.0, make_step(1))
+        assert len(scene.policy.calls) == 1
+
+    async def test_nothing_starts_where_no_policy_is_configured(self) -> None:
+        worker = TicketWorker("w0")
+        floor = standins.Floor(worker)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(floor.desk.run)
+            await floor.until(lambda: floor.desk.tenure is not None)
+            asked = demands.JobDemand("", (make_step(1),))
+            await floor.desk.submit(QUEUE, "a7", asked)
+            await trio.sleep(2.0)
+            nursery.cancel_scope.cancel()
+        assert worker.refused == 0
+        assert any("no policy" in line for line, _ in floor.log.lines)
--- /dev/null
+++ b/turmerichall/platform/advice_calls.py
@@ -0,0 +1,61 @@
+"""Calls to the platform's service that knows the policies of queues."""
+
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from turmerichall.dispatch import policy_port
+from turmerichall.http1 import client as http_client
+from turmerichall.http1 import message
+from turmerichall.platform import reading
+
+__all__ = ["Policy"]
+
+# The service refuses longer lists.
+MAX_WORKERS = 100
+
+
+class Policy:
+    """The service, as `dispatch.policy_port.PolicyPort`.
+
+    Attributes:
+        client: Connections to it.
+    """
+
+    def __init__(self, address: str):
+        self.client = http_client.Client(address)
+
+    async def ask(
+        self,
+        step: policy_port.StepName,
+        workers: Sequence[str],
+        timeout_seconds: float,
+    ) -> Mapping[str, str] | None:
+        """See `PolicyPort`."""
+        job, occurrence, number = step
+        body = {
+            "step": f"{job}.{occurrence}.{number}",
+            "workers": list(workers[:MAX_WORKERS]),
+        }
+        answer = await self.client.call(
+            "POST",
+            "/v1/advise",
+            msgspec.json.encode(body),
+            {"content-type": message.JSON},
+            timeout_seconds,
+        )
+        if isinstance(answer, http_client.Unanswered) or answer.status != 200:
+            return None
+        found = reading.to_object(answer.body) or {}
+        rows = found.get("allowed")
+        if not isinstance(rows, list):
+            return None
+        return {
+            reading.text(row[0]): reading.text(row[1])
+            for row in rows
+            if isinstance(row, list) and len(row) >= 2 and reading.text(row[1])
+        }
+
+    def close(self) -> None:
+        """See `PolicyPort`."""
+        self.client.close()
--- a/turmerichall/platform/tests/test_unserved.py
+++ b/turmerichall/platform/tests/test_unserved.py
@@ -5,12 +5,10 @@
 import pytest
 import trio
 
-from turmerichall.dispatch import worker_port
 from turmerichall.dispatch.tests import clocks
 from turmerichall.dispatch.tests import standins
 from turmerichall.http1 import message
 from turmerichall.platform import control_calls
-from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 
 mocked_clocks = clocks.mocked_clocks
@@ -41,30 +39,6 @@
             nursery.cancel_scope.cancel()
         assert answer.status == 200
 
-    async def test_a_queue_with_a_policy_asks_it_for_tickets(self) -> None:
-        worker = standins.StandinWorker("w1")
-        floor = standins.Floor(worker)
-        advice = configurations.Advice(50, 1, 3000)
-        queue = standins.QUEUE._replace(advice=advice)
-        tickets = []
-        start = worker.start
-
-        async def note(
-            order: worker_port.Order, token: int, deadline_ms: int
-        ) -> worker_port.OrderResult:
-            tickets.append(order.ticket)
-            return await start(order, token, deadline_ms)
-
-        worker.start = note  # type: ignore[method-assign]
-        asked = demands.JobDemand("", (demands.StepDemand(1, cpu=1000),))
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(floor.desk.run)
-            await floor.until(lambda: floor.desk.tenure is not None)
-            await floor.desk.submit(queue, "a7", asked)
-            await floor.until(lambda: bool(tickets))
-            nursery.cancel_scope.cancel()
-        assert all(tickets)
-
     async def test_a_step_of_one_rack_runs_on_one_rack(self) -> None:
         workers = [standins.StandinWorker(f"w{i}", cpu=2000) for i in range(4)]
         for number, worker in enumerate(workers):
--- a/turmerichall/settings/queue_settings.py
+++ b/turmerichall/settings/queue_settings.py
@@ -8,7 +8,15 @@
 from turmerichall.settings import settings
 from turmerichall.settings import values
 
-__all__ = ["Instance", "Listen", "QueueSettings", "Replicas", "Timing", "load"]
+__all__ = [
+    "Instance",
+    "Listen",
+    "Policy",
+    "QueueSettings",
+    "Replicas",
+    "Timing",
+    "load",
+]
 
 
 class Instance(NamedTuple):
@@ -52,7 +60,8 @@
         seeds: Hosts of replicas, as IP numbers or `host:port`.
         port: Port on which each replica accepts other instances.
         bootstrap: Whether the seeds found a new cluster.
-        voters: Replicas that vote; further ones stand by.
+        losses: Replicas whose loss at the same time is borne, with their
+            disks.
         key: Shared secret of all instances.
     """
 
@@ -60,7 +69,17 @@
     port: int
     key: str
     bootstrap: bool = False
-    voters: int = 3
+    losses: int = 1
+
+    @property
+    def voters(self) -> int:
+        """Returns how many replicas vote; further ones stand by.
+
+        Examples:
+            >>> Replicas((), 7720, "", losses=2).voters
+            5
+        """
+        return 2 * self.losses + 1
 
     def addresses(self) -> tuple[str, ...]:
         """Returns where the seeds accept other instances."""
@@ -70,6 +89,17 @@
         )
 
 
+class Policy(NamedTuple):
+    """Where the policies of queues are known.
+
+    Attributes:
+        address: Of the service that tells which workers may run a step, as
+            `host:port`; empty if there is none.
+    """
+
+    address: str = ""
+
+
 class Timing(NamedTuple):
     """How long this instance waits.
 
@@ -87,6 +117,7 @@
     listen: Listen
     replicas: Replicas
     timing: Timing = Timing()
+    policy: Policy = Policy()
     logs: settings.Logs = settings.Logs()
 
 
@@ -129,13 +160,17 @@
             "port": reader.Key("port", values.count),
             "key": reader.Key("key", values.secret),
             "bootstrap": reader.Key("bootstrap", values.flag),
-            "voters": reader.Key("voters", values.count),
+            "losses": reader.Key("losses", values.count),
         },
     ),
     "timing": reader.Schema(
         Timing,
         {"grace": reader.Key("grace_seconds", values.duration)},
     ),
+    "policy": reader.Schema(
+        Policy,
+        {"address": reader.Key("address", _optional_address)},
+    ),
     "logs": reader.SECTIONS["logs"],
 }
 
