--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -1,6 +1,6 @@
 """Lines of the log that explain afterwards what a leader decided."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from turmerichall import outcomes
 from turmerichall.dispatch import backlog as backlogs
@@ -15,6 +15,7 @@
     "log_accepted",
     "log_ends",
     "log_refused",
+    "log_state",
     "log_step_done",
 ]
 
@@ -49,6 +50,27 @@
     }
 
 
+def log_state(
+    log: link.Log,
+    backlog: backlogs.Backlog,
+    workers: Collection[roster.Worker],
+    interference: Mapping[str, Mapping[str, float]],
+    now: float,
+) -> None:
+    """Logs what decisions are made from.
+
+    Args:
+        log: Where to write.
+        backlog: Tasks that wait.
+        workers: All workers.
+        interference: Learnt slowdowns by lasting and filling image.
+        now: Steady seconds.
+    """
+    log.info("state of the term", **describe(backlog, workers, now))
+    for lasting, added in interference.items():
+        log.info("learnt interference", lasting=lasting, added=added)
+
+
 def log_ends(
     log: link.Log, worker: roster.Worker, rows: Iterable[changes.Ended]
 ) -> None:
--- a/turmerichall/dispatch/tenure.py
+++ b/turmerichall/dispatch/tenure.py
@@ -153,19 +153,11 @@
         """Logs what decisions are made from, and keeps what was learnt."""
         while True:
             await trio.sleep(REPORT_SECONDS)
-            self.log.info(
-                "state of the term",
-                **reports.describe(
-                    self.backlog,
-                    self.workers.values(),
-                    leases.steady_seconds(),
-                ),
-            )
+            now = leases.steady_seconds()
             table = self.sensitivity.table()
-            for lasting, added in table.items():
-                self.log.info(
-                    "learnt interference", lasting=lasting, added=added
-                )
+            reports.log_state(
+                self.log, self.backlog, self.workers.values(), table, now
+            )
             if table and table != self.ledger.interference:
                 await self.commit_own(changes.NoteInterference(table))
 
