--- a/turmerichall/dispatch/tests/test_interference.py
+++ b/turmerichall/dispatch/tests/test_interference.py
@@ -7,8 +7,8 @@
 
 import math
 
-import pytest
 import trio
+import trio.testing
 
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import pacing
@@ -21,7 +21,8 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
 
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
+# Tests name the fixture as an argument: only then do they run on its clock.
+# pylint: disable=unused-argument
 
 IDLE_MS = 4.0
 TARGET_MS = 18
@@ -147,19 +148,25 @@
 
 class TestReplay:
 
-    async def test_tails_stay_below_their_targets(self) -> None:
+    async def test_tails_stay_below_their_targets(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         floor = Floor(("sort", "sort"), ("scan", "scan"), ("scan",), ())
         await floor.play(60.0)
         assert max(floor.over.values(), default=0.0) < BOUND_SECONDS / 2
 
-    async def test_harmless_work_keeps_its_pace(self) -> None:
+    async def test_harmless_work_keeps_its_pace(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         floor = Floor(("sort", "sort"), ("scan", "scan"), ("scan",), ())
         await floor.play(60.0)
         assert floor.mean_pace("scan") > 95
         # It works while callers are few.
         assert 10 < floor.mean_pace("sort") < 90
 
-    async def test_the_wave_itself_is_not_taken_for_interference(self) -> None:
+    async def test_the_wave_itself_is_not_taken_for_interference(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         floor = Floor(("scan", "scan"), ("scan",), ("scan",), ())
         await floor.play(60.0)
         slows = floor.owner.sensitivity.weight("desk", "scan")
@@ -167,12 +174,16 @@
         assert slows * filling("scan").cpu / CPU < pacing.HARMLESS
         assert floor.mean_pace("scan") == 100
 
-    async def test_what_harms_is_learnt_within_a_wave(self) -> None:
+    async def test_what_harms_is_learnt_within_a_wave(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         floor = Floor(("sort",), ("scan",), ("scan",), ())
         await floor.play(WAVE_SECONDS)
         assert floor.owner.sensitivity.weight("desk", "sort") > 2.5
 
-    async def test_all_stops_where_a_tail_stays_over_its_target(self) -> None:
+    async def test_all_stops_where_a_tail_stays_over_its_target(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         floor = Floor(("scan", "scan"))
         # An image whose harm was never learnt: nothing to compare with.
         SLOWS["scan"] = 8.0
@@ -185,7 +196,9 @@
 
 class TestPlacement:
 
-    async def test_harmful_work_goes_elsewhere(self) -> None:
+    async def test_harmful_work_goes_elsewhere(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         floor = Floor(("sort",), ("scan",), ("scan",), ())
         await floor.play(40.0)
         mixed = floor.workers[0]
