--- a/turmerichall/dispatch/tests/test_tickets.py
+++ b/turmerichall/dispatch/tests/test_tickets.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from turmerichall.dispatch import policy_port
 from turmerichall.dispatch import worker_port
@@ -11,7 +12,8 @@
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
+# Tests name the fixture as an argument: only then do they run on its clock.
+# pylint: disable=unused-argument
 
 ADVICE = configurations.Advice(50, 1, 3000)
 QUEUE = standins.QUEUE._replace(advice=ADVICE)
@@ -120,31 +122,41 @@
 
 class TestTickets:
 
-    async def test_only_allowed_workers_run_a_step(self) -> None:
+    async def test_only_allowed_workers_run_a_step(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         scene = Scene(StandinPolicy("w1"))
         await scene.play(10.0, make_step(3))
         assert [len(worker.history) for worker in scene.workers] == [0, 3, 0]
         assert not any(worker.refused for worker in scene.workers)
 
-    async def test_each_step_is_asked_for_with_tickets_of_its_own(self) -> None:
+    async def test_each_step_is_asked_for_with_tickets_of_its_own(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         scene = Scene(StandinPolicy("w0", "w2"))
         await scene.play(10.0, make_step(2), make_step(2, after=(0,)))
         assert [call[0][2] for call in scene.policy.calls] == [0, 1]
         assert not any(worker.refused for worker in scene.workers)
 
-    async def test_one_call_is_made_for_a_step_that_waits(self) -> None:
+    async def test_one_call_is_made_for_a_step_that_waits(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         # Two tasks fit at a time, the others wait for them, not for tickets.
         scene = Scene(StandinPolicy("w0"), count=1, cpu=2000)
         await scene.play(10.0, make_step(4))
         assert len(scene.policy.calls) == 1
 
-    async def test_a_ticket_that_runs_out_is_asked_for_anew(self) -> None:
+    async def test_a_ticket_that_runs_out_is_asked_for_anew(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         scene = Scene(StandinPolicy("w0"), count=1, cpu=1000)
         await scene.play(30.0, make_step(6))
         assert 2 <= len(scene.policy.calls) <= 4
         assert scene.workers[0].refused == 0
 
-    async def test_tasks_start_once_the_policy_answers_again(self) -> None:
+    async def test_tasks_start_once_the_policy_answers_again(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         scene = Scene(StandinPolicy("w0"))
         scene.policy.silent = True
 
@@ -157,7 +169,9 @@
             await scene.play(15.0, make_step(1))
         assert len(scene.floor.starts()) == 1
 
-    async def test_a_refused_ticket_is_asked_for_anew(self) -> None:
+    async def test_a_refused_ticket_is_asked_for_anew(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         scene = Scene(StandinPolicy("w0"), count=1)
         scene.workers[0].lives_seconds = -1.0
 
@@ -172,14 +186,16 @@
         assert len(scene.workers[0].history) == 1
 
     async def test_a_step_that_no_worker_may_run_is_asked_for_once(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         scene = Scene(StandinPolicy())
         with pytest.RaisesGroup(trio.TooSlowError):
             await scene.play(3.0, make_step(1))
         assert len(scene.policy.calls) == 1
 
-    async def test_nothing_starts_where_no_policy_is_configured(self) -> None:
+    async def test_nothing_starts_where_no_policy_is_configured(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = TicketWorker("w0")
         floor = standins.Floor(worker)
         async with trio.open_nursery() as nursery:
