Believe the later leader's learnt interference

Cause: a replica that led, lost the lead and got it back kept what it had learnt in its earlier term and ignored the replicated table. Change: weights that differ from the replicated ones are replaced by them. The test fails without it.

--- a/turmerichall/dispatch/interference_model.py
+++ b/turmerichall/dispatch/interference_model.py
@@ -198,13 +198,24 @@
         return weight + CAUTION_DEVIATIONS * fit.standard_deviation(best_effort)
 
     def restore(self, table: Mapping[str, Mapping[str, float]]) -> None:
-        """Add weights of an earlier leader for images without samples.
+        """Take over the weights of an earlier leader.
+
+        This replica may have led before that leader did; what it learned then
+        is older, and gives way wherever the weights differ.
 
         Args:
             table: Weights as returned by `table`.
+
+        Examples:
+            >>> model = InterferenceModel()
+            >>> model.restore({"desk": {"scan": 0.1}})
+            >>> model.restore({"desk": {"scan": 4.0}})
+            >>> model.weight("desk", "scan")
+            4.0
         """
+        own = self.table()
         for long_running, weights in table.items():
-            if long_running not in self._fits:
+            if own.get(long_running) != weights:
                 self._fits[long_running] = _Fit()
                 self._fits[long_running].restore(weights)
 
