Make room for urgent tasks, and look at each worker once a step

Ways weighed: refusing long-running jobs (a job lost whole, 11 % of them for the room); room kept free (long-running tasks that wait beside free room are reported as lost); stopping runs as urgent tasks wait, for steps that set no limit of absences. The last is kept. Stopped tasks pause 2 s, which leaves their room to the next urgent tasks; the longest waiting return first, and after 4 s they go before urgent tasks. The urgent tasks' rank is before long-running ones, so the example of ranking.rank has another order; it checks one case more. Also: a placing round looked at every worker for every task. Candidates are scored once a step, groups without room look only at workers that changed, log lines of starts are split below the 8 KB at which readers cut them.

--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -9,6 +9,10 @@
 
 __all__ = ["Backlog", "GroupName", "TaskGroup"]
 
+# Time for which a task that urgent tasks preempted is not restarted: an urgent
+# task runs for about a second, and others follow it.
+PAUSE_SECONDS = 2.0
+
 
 class GroupName(NamedTuple):
     """Name of a group: one step of one occurrence of a job."""
@@ -35,6 +39,14 @@
             index of the task.
         starved_since: Time on the steady clock since which no task found room
             while no other task of the job was running; infinite otherwise.
+        waiting_since: Time on the steady clock since which a task has waited
+            for room; infinite if none does.
+        preempted: Times on the steady clock at which urgent tasks preempted
+            waiting tasks, by index of the task.
+        paused_until: Time on the steady clock until which no task is placed,
+            because urgent tasks took the room of some.
+        no_room_round: Number of the latest placing round that found no worker
+            for the waiting tasks; 0 if there was room or a task was added.
     """
 
     __slots__ = (
@@ -43,10 +55,14 @@
         "critical_path_seconds",
         "job",
         "name",
+        "no_room_round",
+        "paused_until",
+        "preempted",
         "queue",
         "starved_since",
         "step",
         "waiting",
+        "waiting_since",
     )
 
     def __init__(
@@ -66,6 +82,14 @@
             self.began_at_ms = job.demand.schedule.due_at_ms(name.occurrence)
         self.avoided: dict[int, set[str]] = {}
         self.starved_since = float("inf")
+        self.waiting_since = float("inf")
+        self.preempted: dict[int, float] = {}
+        self.paused_until = 0.0
+        self.no_room_round = 0
+
+    def preempted_seconds(self, now: float) -> float:
+        """Return how long the first preempted task has waited; 0 if none."""
+        return now - min(self.preempted.values(), default=now)
 
     def task(self, index: int) -> changes.TaskName:
         """Return the name of the task of this step with a given index."""
@@ -149,9 +173,27 @@
             self.add_step(job, task.occurrence, task.step)
             return
         group.waiting.add(task.number)
+        group.no_room_round = 0
         if failed_on:
             group.avoided.setdefault(task.number, set()).add(failed_on)
 
+    def pause(self, task: changes.TaskName, now: float) -> None:
+        """Delay the restart of a task that urgent tasks preempted.
+
+        The room that it leaves then serves the urgent tasks that arrive next.
+        Preemptions during a pause don't extend it.
+
+        Args:
+            task: The task, which is waiting.
+            now: Current time on the steady clock.
+        """
+        group = self.groups.get(GroupName(task.job, task.occurrence, task.step))
+        if group is None:
+            return
+        group.preempted[task.number] = now
+        if now >= group.paused_until:
+            group.paused_until = now + PAUSE_SECONDS
+
     def record_done(self, task: changes.TaskName) -> bool:
         """Record that a task is done; add the steps that this unblocks.
 
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -319,6 +319,8 @@
                 self.backlog.requeue(
                     row.task, worker.record.id if avoid_worker else ""
                 )
+                if run.preempted:
+                    self.backlog.pause(row.task, leases.steady_seconds())
         for row in rows:
             self.metrics_registry.count(
                 "runs_ended", ending=row.ending.name.lower()
@@ -363,9 +365,22 @@
             if not self.may_renew():
                 continue
             planned = self._planner.plan(leases.steady_seconds(), wall_ms())
+            self._stop_for_urgent_tasks()
             if planned:
                 await self._start_runs(planned)
 
+    def _stop_for_urgent_tasks(self) -> None:
+        """Stop the long-running runs that give room to urgent tasks."""
+        stops = self._planner.stops
+        if not stops:
+            return
+        self.metrics_registry.count("runs_preempted", len(stops))
+        reports.log_preempted(self.log, stops)
+        for stop in stops:
+            session = self.registry.sessions[stop.worker.record.id]
+            stop.run.preempted = True
+            self.spawn_stop(session, stop.run)
+
     async def _start_runs(self, planned: planners.PlannedRuns) -> None:
         """Commit the planned starts, then send them to the workers."""
         rows = tuple(
@@ -374,10 +389,7 @@
         )
         await self.commit_or_resign(changes.StartRuns(rows))
         self.metrics_registry.count("runs_started", len(rows))
-        self.log.info(
-            "tasks placed",
-            starts=[f"{row.task}/{row.run}@{row.worker}" for row in rows],
-        )
+        reports.log_starts(self.log, rows)
         for worker, run in planned:
             if worker.record.id not in self.registry.sessions:
                 worker.remove(run)
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -7,13 +7,14 @@
 """
 
 from collections.abc import Iterable
+import heapq
 
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import pacing
 from turmerichall.dispatch import worker_state
 from turmerichall.queues import demand as demands
 
-__all__ = ["choose_worker"]
+__all__ = ["Candidates", "choose_worker"]
 
 # A best-effort task is not placed where it would raise a tail latency above
 # this share of its target; lower than the share that pacing maintains.
@@ -53,29 +54,132 @@
     for worker in workers:
         if worker.draining or not worker.in_touch:
             continue
-        if not worker.has_room_for(step):
-            continue
-        if not worker.has_label(step):
-            continue
-        count = siblings.get(worker.record.id, 0) if siblings else 0
-        if step.max_per_worker and count >= step.max_per_worker:
-            continue
         if not worker.breaker.allows(now):
             continue
-        score = _score(step, worker, interference_model, force)
+        count = siblings.get(worker.record.id, 0) if siblings else 0
+        score = _score_if_eligible(
+            step, worker, interference_model, count, force
+        )
         if score is None:
             continue
         if worker.record.id in avoided:
             score -= 10 * worker.record.cpu
-        if step.data_rack and worker.record.rack != step.data_rack:
-            score -= 3 * worker.record.cpu
-        score -= count
         if score > best_score:
             best = worker
             best_score = score
     return best
 
 
+class Candidates:
+    """The workers that could take tasks of one step, best first.
+
+    Placing a task changes the score of one worker only, so the tasks of a step
+    cost one look at each worker together, and not one look each.  The choices
+    are those that `choose_worker` makes for one task after the other.
+
+    Attributes:
+        step: The step.
+        siblings: Number of tasks of the step on each worker, by id; the caller
+            keeps it up to date.
+    """
+
+    def __init__(
+        self,
+        step: demands.StepDemand,
+        workers: Iterable[worker_state.Worker],
+        now: float,
+        interference_model: interference_models.InterferenceModel,
+        siblings: dict[str, int],
+    ):
+        """Score the workers.
+
+        Args:
+            step: The step.
+            workers: Workers that are in touch and are not draining.
+            now: Current time on the steady clock.
+            interference_model: Learned slowdowns of long-running tasks.
+            siblings: See the class.
+        """
+        self.step = step
+        self.siblings = siblings
+        self._now = now
+        self._interference_model = interference_model
+        # Positions of the workers, and how often each was scored again.
+        self._numbers: dict[str, int] = {}
+        self._versions: dict[str, int] = {}
+        # Negative score, position, version of the score, and the worker.
+        self._heap: list[tuple[float, int, int, worker_state.Worker]] = []
+        for number, worker in enumerate(workers):
+            self._numbers[worker.record.id] = number
+            entry = self._entry(number, worker)
+            if entry is not None:
+                self._heap.append(entry)
+        heapq.heapify(self._heap)
+
+    def _entry(
+        self, number: int, worker: worker_state.Worker
+    ) -> tuple[float, int, int, worker_state.Worker] | None:
+        if not worker.breaker.allows(self._now):
+            return None
+        score = _score_if_eligible(
+            self.step,
+            worker,
+            self._interference_model,
+            self.siblings.get(worker.record.id, 0),
+            False,
+        )
+        if score is None:
+            return None
+        version = self._versions.get(worker.record.id, 0)
+        return -score, number, version, worker
+
+    def best(self) -> worker_state.Worker | None:
+        """Return the best worker for the next task, or None if none fits."""
+        while self._heap:
+            _, _, version, worker = self._heap[0]
+            if version == self._versions.get(worker.record.id, 0):
+                return worker
+            heapq.heappop(self._heap)
+        return None
+
+    def update(self, worker: worker_state.Worker) -> None:
+        """Score a worker again, after a task was placed on it."""
+        self._versions[worker.record.id] = (
+            self._versions.get(worker.record.id, 0) + 1
+        )
+        entry = self._entry(self._numbers[worker.record.id], worker)
+        if entry is not None:
+            heapq.heappush(self._heap, entry)
+
+
+def _score_if_eligible(
+    step: demands.StepDemand,
+    worker: worker_state.Worker,
+    interference_model: interference_models.InterferenceModel,
+    siblings: int,
+    force: bool,
+) -> float | None:
+    """Return a worker's score, or None if a task should not go there.
+
+    Args:
+        step: The step of the task.
+        worker: The worker.
+        interference_model: Learned slowdowns of long-running tasks.
+        siblings: Number of tasks of the step on the worker.
+        force: See `choose_worker`.
+    """
+    if not worker.has_room_for(step) or not worker.has_label(step):
+        return None
+    if step.max_per_worker and siblings >= step.max_per_worker:
+        return None
+    score = _score(step, worker, interference_model, force)
+    if score is None:
+        return None
+    if step.data_rack and worker.record.rack != step.data_rack:
+        score -= 3 * worker.record.cpu
+    return score - siblings
+
+
 def _score(
     step: demands.StepDemand,
     worker: worker_state.Worker,
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -10,6 +10,7 @@
 from turmerichall.dispatch import backlog as backlogs
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import placement
+from turmerichall.dispatch import preemption
 from turmerichall.dispatch import ranking
 from turmerichall.dispatch import ticket_cache as ticket_caches
 from turmerichall.dispatch import worker_state
@@ -23,6 +24,10 @@
 # report counts a job as idle after 3 s.
 STARVATION_SECONDS = 1.0
 
+# Time for which a preempted long-running task may wait while urgent tasks get
+# room before it.  The platform reports a task as lost 9 s after its last run.
+MAX_PAUSE_SECONDS = 4.0
+
 PlannedRuns = list[tuple[worker_state.Worker, worker_state.Run]]
 
 
@@ -51,7 +56,12 @@
         self.workers = workers
         self.interference_model = interference_model
         self.tickets = tickets
+        self.stops: list[preemption.Stop] = []
         self._log = log
+        self._round = 0
+        # Usable workers of the latest round, each with the number of the round
+        # in which it last changed or became usable.
+        self._changed_rounds: dict[str, int] = {}
 
     def plan(self, now: float, now_ms: int) -> PlannedRuns:
         """Choose the runs that start now, and reserve their resources.
@@ -61,18 +71,22 @@
             now_ms: Current time in ms since 1970.
         """
         groups = self.backlog.ready()
+        self.stops = []
         if not groups:
             return []
         ranked = sorted(
             (
-                (ranking.rank(self._rank_factors(group, now_ms)), number, group)
+                (
+                    ranking.rank(self._rank_factors(group, now, now_ms)),
+                    number,
+                    group,
+                )
                 for number, group in enumerate(groups)
             )
         )
-        by_service: dict[str, list[worker_state.Worker]] = {}
-        for worker in self.workers.values():
-            by_service.setdefault(worker.record.service, []).append(worker)
+        by_service = self._usable_workers(now)
         planned: PlannedRuns = []
+        self.stops = []
         for rank, _, group in ranked:
             workers = by_service.get(group.queue.service, [])
             advice = group.queue.advice
@@ -85,8 +99,65 @@
             if group.waiting:
                 eligible = self._eligible_workers(group, workers)
                 self.tickets.request(group.name, rank, advice, eligible, now)
+        self._choose_stops(ranked, by_service, now)
         return planned
 
+    def _choose_stops(
+        self,
+        ranked: list[tuple[tuple[int, int, float], int, backlogs.TaskGroup]],
+        by_service: Mapping[str, list[worker_state.Worker]],
+        now: float,
+    ) -> None:
+        """Choose long-running runs to stop for urgent tasks without room."""
+        waiting: dict[str, list[preemption.WaitingTasks]] = {}
+        for rank, _, group in ranked:
+            step = group.step
+            if not group.waiting or step.gang or step.lasting or step.fills:
+                continue
+            if group.queue.advice is not None or not ranking.is_on_time(rank):
+                continue
+            waiting.setdefault(group.queue.service, []).append(
+                preemption.WaitingTasks(
+                    group.job.id,
+                    step,
+                    len(group.waiting),
+                    self._siblings(group),
+                )
+            )
+        for service, tasks in waiting.items():
+            self.stops += preemption.choose_stops(
+                tasks, by_service.get(service, []), now, self._may_stop
+            )
+
+    def _may_stop(self, run: worker_state.Run) -> bool:
+        """Return whether a long-running run may be stopped for urgent work.
+
+        Jobs that limit how many of their tasks may be unavailable are left
+        alone.
+        """
+        return run.step.max_unavailable < 0
+
+    def _usable_workers(
+        self, now: float
+    ) -> dict[str, list[worker_state.Worker]]:
+        """Begin a round; return the workers that may get tasks, by service."""
+        self._round += 1
+        by_service: dict[str, list[worker_state.Worker]] = {}
+        rounds: dict[str, int] = {}
+        for worker_id, worker in self.workers.items():
+            if worker.draining or not worker.in_touch:
+                continue
+            if not worker.breaker.allows(now):
+                continue
+            before = self._changed_rounds.get(worker_id)
+            if worker.changed or before is None:
+                before = self._round
+                worker.changed = False
+            rounds[worker_id] = before
+            by_service.setdefault(worker.record.service, []).append(worker)
+        self._changed_rounds = rounds
+        return by_service
+
     def _eligible_workers(
         self, group: backlogs.TaskGroup, workers: list[worker_state.Worker]
     ) -> list[worker_state.Worker]:
@@ -95,10 +166,7 @@
         eligible = [
             worker
             for worker in workers
-            if worker.in_touch
-            and not worker.draining
-            and worker.has_label(step)
-            and worker.has_room_for(step)
+            if worker.has_label(step) and worker.has_room_for(step)
         ]
         # Workers on the rack that holds the step's data come first; among
         # equals, those with the most free processors.
@@ -111,15 +179,18 @@
         return eligible
 
     def _rank_factors(
-        self, group: backlogs.TaskGroup, now_ms: int
+        self, group: backlogs.TaskGroup, now: float, now_ms: int
     ) -> ranking.Factors:
         queue = self.queue_state.queues[group.job.queue]
         group.queue = queue
         step = group.step
+        group.waiting_since = min(group.waiting_since, now)
         return ranking.Factors(
             queue.priority,
             step.lasting,
             step.lasting and group.job.started,
+            group.preempted_seconds(now) > MAX_PAUSE_SECONDS,
+            now - group.waiting_since,
             (now_ms - group.began_at_ms) / 1000,
             queue.objective_seconds(group.critical_path_seconds),
             step.estimate_ms / 1000,
@@ -132,6 +203,8 @@
         now: float,
     ) -> PlannedRuns:
         step = group.step
+        if now < group.paused_until:
+            return []
         if step.gang and len(group.waiting) < step.count:
             return []
         planned: PlannedRuns = []
@@ -147,7 +220,11 @@
             planned = self._plan_starved(group, workers, now)
         elif planned:
             group.starved_since = float("inf")
-        group.waiting -= {run.task.number for _, run in planned}
+        for _, run in planned:
+            group.waiting.discard(run.task.number)
+            group.preempted.pop(run.task.number, None)
+        if not group.waiting:
+            group.waiting_since = float("inf")
         return planned
 
     def _plan_starved(
@@ -219,34 +296,84 @@
         """
         step = group.step
         siblings = self._siblings(group)
-        tasks = group.job.steps(group.name.occurrence)[group.name.step].tasks
-        # The tasks of a gang, which start together, have the same run number.
-        gang_run = max(task.run for task in tasks) + 1 if step.gang else 0
-        planned: PlannedRuns = []
-        for number in sorted(group.waiting)[: 1 if force else None]:
+        if force:
+            number = min(group.waiting)
+            avoided = group.avoided.get(number, ())
             worker = placement.choose_worker(
                 step,
                 workers,
                 now,
                 self.interference_model,
-                group.avoided.get(number, ()),
+                avoided,
                 siblings,
                 force,
             )
             if worker is None:
+                return []
+            return [(worker, self._reserve(group, number, worker, now))]
+        since = group.no_room_round
+        if since and not (step.gang or step.same_rack or group.queue.advice):
+            # No worker had room then, so only those that changed may have now.
+            workers = [
+                worker
+                for worker in workers
+                if self._changed_rounds[worker.record.id] > since
+            ]
+        candidates = placement.Candidates(
+            step, workers, now, self.interference_model, siblings
+        )
+        planned: PlannedRuns = []
+        # Tasks that avoid workers come last: their choices are made one by one.
+        for number in sorted(
+            group.waiting,
+            key=lambda number: (
+                number in group.avoided,
+                group.preempted.get(number, float("inf")),
+                number,
+            ),
+        ):
+            worker = candidates.best()
+            if worker is None:
+                group.no_room_round = self._round
                 break
-            run = worker_state.Run(
-                group.task(number),
-                gang_run or tasks[number].run + 1,
-                step,
-                group.job.queue,
-            )
-            worker.add(run)
-            worker.breaker.record_start(now)
+            if number in group.avoided:
+                worker = placement.choose_worker(
+                    step,
+                    workers,
+                    now,
+                    self.interference_model,
+                    group.avoided[number],
+                    siblings,
+                )
+                if worker is None:
+                    break
+            planned.append((worker, self._reserve(group, number, worker, now)))
             siblings[worker.record.id] = siblings.get(worker.record.id, 0) + 1
-            planned.append((worker, run))
+            candidates.update(worker)
         return planned
 
+    def _reserve(
+        self,
+        group: backlogs.TaskGroup,
+        number: int,
+        worker: worker_state.Worker,
+        now: float,
+    ) -> worker_state.Run:
+        """Reserve the resources for a run of a task on a worker."""
+        tasks = group.job.steps(group.name.occurrence)[group.name.step].tasks
+        # The tasks of a gang, which start together, have the same run number.
+        run_number = (
+            max(task.run for task in tasks)
+            if group.step.gang
+            else tasks[number].run
+        ) + 1
+        run = worker_state.Run(
+            group.task(number), run_number, group.step, group.job.queue
+        )
+        worker.add(run)
+        worker.breaker.record_start(now)
+        return run
+
     def _siblings(self, group: backlogs.TaskGroup) -> dict[str, int]:
         """Return the number of running tasks of a group's step per worker."""
         steps = group.job.steps(group.name.occurrence)
--- a/turmerichall/dispatch/ranking.py
+++ b/turmerichall/dispatch/ranking.py
@@ -22,6 +22,9 @@
         lasting: Whether the tasks are long-running.
         restart: Whether the tasks are long-running and a task of the job has
             run before.
+        overdue: Whether the tasks are long-running, and urgent tasks have kept
+            them waiting for too long.
+        waiting_seconds: Time for which a task of the group has waited.
         age_seconds: Age of the job.
         objective_seconds: Time within which the job should be done.
         remaining_seconds: Minimum time that the rest of the job takes.
@@ -30,6 +33,8 @@
     priority: int
     lasting: bool
     restart: bool
+    overdue: bool
+    waiting_seconds: float
     age_seconds: float
     objective_seconds: float
     remaining_seconds: float
@@ -38,20 +43,27 @@
 def rank(factors: Factors) -> tuple[int, int, float]:
     """Return a sort key; the group with the lowest key is placed first.
 
+    Long-running tasks come after urgent ones that can still be on time: an
+    urgent task needs its room for a second, and soon has no value, while a
+    long-running task that waits loses only that second.  Among themselves,
+    those that have waited longest come first, and where urgent work has kept
+    some away for too long, they come before it.
+
     Examples:
-        >>> urgent = Factors(0, False, False, 0.0, 2.0, 1.0)
-        >>> batch = Factors(2, False, False, 9.0, 11.0, 5.0)
-        >>> restart = Factors(0, True, True, 0.0, 2.0, 1.0)
-        >>> sorted([batch, urgent, restart], key=rank) == [
-        ...     restart, urgent, batch]
+        >>> urgent = Factors(0, False, False, False, 0.0, 0.0, 2.0, 1.0)
+        >>> batch = Factors(2, False, False, False, 9.0, 9.0, 11.0, 5.0)
+        >>> restart = Factors(0, True, True, False, 1.0, 0.0, 2.0, 1.0)
+        >>> overdue = restart._replace(overdue=True)
+        >>> sorted([batch, urgent, restart, overdue], key=rank) == [
+        ...     overdue, urgent, restart, batch]
         True
     """
     if factors.lasting:
-        return (
-            factors.priority,
-            0 if factors.restart else 1,
-            -factors.age_seconds,
-        )
+        if factors.overdue:
+            order = 1
+        else:
+            order = 3 if factors.restart else 4
+        return factors.priority, order, -factors.waiting_seconds
     slack = (
         factors.objective_seconds
         - factors.age_seconds
@@ -61,5 +73,10 @@
     if slack >= 0:
         return factors.priority, 2, slack
     if late_slack >= 0:
-        return factors.priority, 3, late_slack
-    return factors.priority, 4, factors.age_seconds
+        return factors.priority, 5, late_slack
+    return factors.priority, 6, factors.age_seconds
+
+
+def is_on_time(group_rank: tuple[int, int, float]) -> bool:
+    """Return whether a rank is that of a job that can meet its objective."""
+    return group_rank[1] == 2
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -1,9 +1,10 @@
 """Log lines that allow a leader's decisions to be explained afterwards."""
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from turmerichall import outcomes
 from turmerichall.dispatch import backlog as backlogs
+from turmerichall.dispatch import preemption
 from turmerichall.dispatch import worker_state
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -14,11 +15,16 @@
     "describe",
     "log_accepted",
     "log_ends",
+    "log_preempted",
     "log_refused",
+    "log_starts",
     "log_state",
     "log_step_done",
 ]
 
+# Number of runs that one log line lists: readers cut lines at 8 KB.
+MAX_RUNS_PER_LINE = 100
+
 _EXPECTED = (changes.Ending.DONE, changes.Ending.STOPPED)
 
 
@@ -75,6 +81,30 @@
         log.info("learnt interference", lasting=image, added=added)
 
 
+def log_starts(log: link.Log, rows: Sequence[changes.StartedRun]) -> None:
+    """Log the starts of runs that were committed."""
+    for first in range(0, len(rows), MAX_RUNS_PER_LINE):
+        log.info(
+            "tasks placed",
+            starts=[
+                f"{row.task}/{row.run}@{row.worker}"
+                for row in rows[first : first + MAX_RUNS_PER_LINE]
+            ],
+        )
+
+
+def log_preempted(log: link.Log, stops: Sequence[preemption.Stop]) -> None:
+    """Log the long-running runs that are stopped, and for which jobs."""
+    log.info(
+        "long-running runs are stopped for urgent tasks",
+        urgent_jobs=sorted({stop.urgent_job for stop in stops}),
+        stops=[
+            f"{stop.run.task}/{stop.run.number}@{stop.worker.record.id}"
+            for stop in stops
+        ],
+    )
+
+
 def log_ends(
     log: link.Log, worker: worker_state.Worker, rows: Iterable[changes.EndedRun]
 ) -> None:
--- a/turmerichall/dispatch/tail_latency_controller.py
+++ b/turmerichall/dispatch/tail_latency_controller.py
@@ -91,6 +91,7 @@
             for run in worker.runs.values()
             if run.step.lasting
         )
+        worker.changed = True
         await self.pace()
 
     async def pace(self) -> None:
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -44,6 +44,7 @@
     Attributes:
         history: Every start that was carried out: task, run and time.
         run_seconds: Time that a run takes.
+        lasting_jobs: Ids of jobs whose runs never end by themselves.
         verdicts: Verdicts with which the next starts are answered without
             being carried out.
         silent: Whether calls get no answer and have no effect.
@@ -65,6 +66,7 @@
         )
         self.rate = rate
         self.run_seconds = 1.0
+        self.lasting_jobs: set[str] = set()
         self.silent = False
         self.drop_answers = False
         self.verdicts: list[Verdict] = []
@@ -141,7 +143,9 @@
             return Result(Verdict.LATE, self.clock_ms())
         self.deadline_ms = max(self.deadline_ms, deadline_ms)
         now = trio.current_time()
-        self.runs[order.task] = FakeRun(order, now + self.run_seconds)
+        endless = order.task.job in self.lasting_jobs
+        ends_at = float("inf") if endless else now + self.run_seconds
+        self.runs[order.task] = FakeRun(order, ends_at)
         self.history.append((order.task, order.run, now))
         return Result(Verdict.DONE, self.clock_ms())
 
--- a/turmerichall/dispatch/tests/test_leadership.py
+++ b/turmerichall/dispatch/tests/test_leadership.py
@@ -334,6 +334,100 @@
         assert len(bad.history) < 14
 
 
+class TestUrgentTasksOnFullWorkers:
+    """Long-running jobs fill the workers before an urgent job comes."""
+
+    LASTING = "00000000000000aa"
+
+    async def fill(
+        self, cluster: fakes.FakeCluster, max_unavailable: int = -1
+    ) -> None:
+        """Run long-running tasks that ask for all processors."""
+        for worker in cluster.workers.values():
+            worker.lasting_jobs.add(self.LASTING)
+        step = demand(
+            16, cpu=1000, lasting=True, max_unavailable=max_unavailable
+        )
+        queue = fakes.QUEUE
+        assert (
+            await cluster.leader_api.submit(queue, self.LASTING, step) is None
+        )
+        await cluster.wait_until(lambda: len(cluster.starts()) == 16)
+        await trio.sleep(4.0)
+
+    async def test_an_urgent_job_is_on_time(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = fakes.FakeCluster(
+            fakes.FakeWorker("w1"), fakes.FakeWorker("w2")
+        )
+
+        async def script() -> None:
+            await self.fill(cluster)
+            await submit(cluster, demand(4))
+            await cluster.wait_until(
+                lambda: cluster.job_state(JOB) == "completed", 2.0
+            )
+            assert len(cluster.starts()) <= 16 + 4 + 4
+            # All long-running tasks are back soon after.
+            await cluster.wait_until(
+                lambda: sum(len(w.runs) for w in cluster.workers.values())
+                == 16,
+                4.0,
+            )
+
+        await run_script(cluster, script)
+
+    async def test_a_limit_of_absences_is_kept(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = fakes.FakeCluster(
+            fakes.FakeWorker("w1"), fakes.FakeWorker("w2")
+        )
+
+        async def script() -> None:
+            await self.fill(cluster, max_unavailable=0)
+            await submit(cluster, demand(4))
+            await trio.sleep(5.0)
+            assert len(cluster.starts()) == 16
+
+        await run_script(cluster, script)
+
+    async def test_a_stream_of_urgent_jobs_keeps_no_task_away_for_long(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = fakes.FakeCluster(
+            fakes.FakeWorker("w1"), fakes.FakeWorker("w2")
+        )
+        last_seen: dict[changes.TaskName, float] = {}
+        longest = 0.0
+
+        async def script() -> None:
+            nonlocal longest
+            await self.fill(cluster)
+            began_at = trio.current_time()
+            for number in range(240):
+                if number % 6 == 0:
+                    job = f"{number:016x}"
+                    asked = demand(4)
+                    await cluster.leader_api.submit(fakes.QUEUE, job, asked)
+                await trio.sleep(0.1)
+                now = trio.current_time()
+                running = {
+                    task for w in cluster.workers.values() for task in w.runs
+                }
+                for index in range(16):
+                    task = changes.TaskName(self.LASTING, 0, 0, index)
+                    if task in running:
+                        last_seen[task] = now
+                    away = now - last_seen.get(task, began_at)
+                    longest = max(longest, away)
+
+        await run_script(cluster, script)
+        # The platform reports a long-running task as lost after 9 s.
+        assert longest < 6.0
+
+
 class TestCancel:
 
     async def test_runs_are_stopped_and_no_more_start(self) -> None:
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -70,6 +70,7 @@
         forced: Whether the run was placed although it raises a tail latency too
             far, because no other task of its job was running.
         moved: Whether it is stopped in order to be moved to another worker.
+        preempted: Whether it is stopped in order to give room to urgent tasks.
         pace_percent: Pace that was last set, or `UNKNOWN_PACE`.
         load: Latest measurement of the worker: tail latency in ms of a
             long-running task, processors in use in thousandths of a core of any
@@ -95,6 +96,7 @@
         "number",
         "pace_percent",
         "phase",
+        "preempted",
         "progress_percent",
         "progressed_at",
         "queue",
@@ -120,6 +122,7 @@
         self.confirmed_at = 0.0
         self.stopping = False
         self.moved = False
+        self.preempted = False
         self.forced = False
         self.pace_percent = 100
         self.load = 0
@@ -192,6 +195,8 @@
             occurrence and step.
         best_effort_cpu: Processors requested by best-effort runs, by image.
         heartbeat: Sequence number of the latest heartbeat.
+        changed: Whether its runs or loads changed since the latest placing
+            round, so that tasks without room may fit now.
     """
 
     def __init__(
@@ -218,6 +223,7 @@
         self.neighbours: dict[tuple[str, int, int], Neighbour] = {}
         self.best_effort_cpu: dict[str, int] = {}
         self.heartbeat = 0
+        self.changed = True
 
     def add(self, run: Run) -> None:
         """Add a run, and reserve the resources that it requests."""
@@ -230,6 +236,7 @@
     def remove(self, run: Run) -> None:
         """Remove a run, and free its resources."""
         if self.runs.get(run.task) is run:
+            self.changed = True
             del self.runs[run.task]
             self._count(run.step, -1)
             if run.step.lasting:
