--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: bench-in-force venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
+.PHONY: bench-dispatch bench-in-force venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
 
 venv: $(VENV)/.ready
 
@@ -47,3 +47,6 @@
 
 bench-in-force: venv
 	$(BIN)/python -m turmerichall.benchmarks.in_force
+
+bench-dispatch: venv
+	$(BIN)/python -m turmerichall.benchmarks.dispatch
--- /dev/null
+++ b/turmerichall/benchmarks/dispatch.py
@@ -0,0 +1,140 @@
+"""Processor time of placing decisions against the size of the fleet.
+
+    python -m turmerichall.benchmarks.dispatch
+
+Long-running tasks ask for nearly all processors of the fleet, as on the large
+site.  Measured for each size: a best-effort step placed with one look at all
+workers a task (`choose_worker`) and with one look at each worker a step
+(`Candidates`), and the choice of the long-running runs that give room to urgent
+tasks.  The table goes to standard output.
+"""
+
+import math
+import time
+
+import tabulate
+
+from turmerichall.dispatch import interference_model as interference_models
+from turmerichall.dispatch import placement
+from turmerichall.dispatch import preemption
+from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.tests import fakes
+from turmerichall.queues import change as changes
+from turmerichall.queues import demand as demands
+
+__all__ = ["make_fleet", "measure"]
+
+FLEET_SIZES = (30, 100, 270, 790)
+WORKER_CPU = 32000
+LONG_RUNNING_TASKS = 5
+LONG_RUNNING_IMAGES = 16
+STEP_TASKS = 40
+URGENT_TASKS = 9
+REPEATS = 5
+
+
+def make_fleet(size: int) -> list[worker_state.Worker]:
+    """Return workers whose processors long-running tasks ask for."""
+    workers = []
+    for number in range(size):
+        fake = fakes.FakeWorker(f"w{number}", WORKER_CPU)
+        worker = worker_state.Worker(fake.record, fake, 0.0)
+        worker.in_touch = True
+        for index in range(LONG_RUNNING_TASKS):
+            step = demands.StepDemand(
+                1,
+                cpu=WORKER_CPU // LONG_RUNNING_TASKS,
+                memory_mb=1000,
+                lasting=True,
+                target_ms=18,
+                image=f"service{(number + index // 3) % LONG_RUNNING_IMAGES}",
+            )
+            task = changes.TaskName(f"{number:016x}", 0, 0, index)
+            run = worker_state.Run(task, 1, step, "services")
+            run.phase = worker_state.Phase.RUNNING
+            worker.add(run)
+        workers.append(worker)
+    return workers
+
+
+def _place(
+    step: demands.StepDemand, workers: list[worker_state.Worker], scan: bool
+) -> list[tuple[worker_state.Worker, worker_state.Run]]:
+    """Place the tasks of a step, with a scan a task or one a step."""
+    model = interference_models.InterferenceModel()
+    siblings: dict[str, int] = {}
+    candidates = (
+        None
+        if scan
+        else placement.Candidates(step, workers, 0.0, model, siblings)
+    )
+    placed = []
+    for number in range(step.count):
+        worker = (
+            placement.choose_worker(step, workers, 0.0, model, (), siblings)
+            if candidates is None
+            else candidates.best()
+        )
+        if worker is None:
+            break
+        task = changes.TaskName("f" * 16, 0, 0, number)
+        run = worker_state.Run(task, 1, step, "batch")
+        worker.add(run)
+        placed.append((worker, run))
+        name = worker.record.id
+        siblings[name] = siblings.get(name, 0) + 1
+        if candidates is not None:
+            candidates.update(worker)
+    return placed
+
+
+def measure(size: int) -> dict[str, float]:
+    """Return processor time in ms a task, by decision; the least of repeats.
+
+    Args:
+        size: Number of workers.
+    """
+    workers = make_fleet(size)
+    batch = demands.StepDemand(
+        STEP_TASKS, cpu=800, memory_mb=500, fills=True, image="batch"
+    )
+    urgent = demands.StepDemand(URGENT_TASKS, cpu=6400, memory_mb=1000)
+    waiting = preemption.WaitingTasks("a" * 16, urgent, URGENT_TASKS, {})
+    least: dict[str, float] = {}
+    for _ in range(REPEATS):
+        for name, scan in (("scan", True), ("candidates", False)):
+            began = time.process_time()
+            placed = _place(batch, workers, scan)
+            spent = (time.process_time() - began) * 1000 / STEP_TASKS
+            least[name] = min(least.get(name, spent), spent)
+            for worker, run in placed:
+                worker.remove(run)
+        began = time.process_time()
+        preemption.choose_stops([waiting], workers, 10.0, lambda run: True)
+        spent = (time.process_time() - began) * 1000 / URGENT_TASKS
+        least["preemption"] = min(least.get("preemption", spent), spent)
+    return least
+
+
+def main() -> None:
+    """Print the table, and how the times grow from the least to the most."""
+    rows = [(size, measure(size)) for size in FLEET_SIZES]
+    print(
+        tabulate.tabulate(
+            [
+                (size, row["scan"], row["candidates"], row["preemption"])
+                for size, row in rows
+            ],
+            ("workers", "scan a task, ms", "candidates, ms", "preemption, ms"),
+            tablefmt="github",
+            floatfmt=".3f",
+        )
+    )
+    (least, first), (most, last) = rows[0], rows[-1]
+    for name, milliseconds in last.items():
+        power = math.log(milliseconds / first[name]) / math.log(most / least)
+        print(f"{name}: grows with the power {power:.2f} of the workers")
+
+
+if __name__ == "__main__":
+    main()
