--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -95,14 +95,16 @@
 
 def log_preempted(log: link.Log, stops: Sequence[preemption.Stop]) -> None:
     """Log the long-running runs that are stopped, and for which jobs."""
-    log.info(
-        "long-running runs are stopped for urgent tasks",
-        urgent_jobs=sorted({stop.urgent_job for stop in stops}),
-        stops=[
-            f"{stop.run.task}/{stop.run.number}@{stop.worker.record.id}"
-            for stop in stops
-        ],
-    )
+    for first in range(0, len(stops), MAX_RUNS_PER_LINE):
+        part = stops[first : first + MAX_RUNS_PER_LINE]
+        log.info(
+            "long-running runs are stopped for urgent tasks",
+            urgent_jobs=sorted({stop.urgent_job for stop in part}),
+            stops=[
+                f"{stop.run.task}/{stop.run.number}@{stop.worker.record.id}"
+                for stop in part
+            ],
+        )
 
 
 def log_ends(
