Run the tests of a leader's work on the mocked clock

Cause: pytest-trio takes a clock only from a fixture that the test names as an argument; with usefixtures these 29 tests ran in real time, 25 s with 8 processes and up to 12 s each, so their verdict hung on the machine's load. Change: each test names the fixture; no assertion or bound is touched.

--- a/turmerichall/dispatch/tests/test_leadership.py
+++ b/turmerichall/dispatch/tests/test_leadership.py
@@ -13,8 +13,6 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
 
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
-
 # Tests that name the fixture as an argument run on its clock.
 # pylint: disable=unused-argument
 
@@ -57,7 +55,9 @@
 
 class TestNormalOperation:
 
-    async def test_a_job_runs_and_is_completed(self) -> None:
+    async def test_a_job_runs_and_is_completed(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = fakes.FakeCluster(fakes.FakeWorker("w1"))
 
         async def script() -> None:
@@ -69,7 +69,9 @@
         await run_script(cluster, script)
         assert len(cluster.starts()) == 3
 
-    async def test_a_step_waits_for_its_dependencies(self) -> None:
+    async def test_a_step_waits_for_its_dependencies(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1")
         cluster = fakes.FakeCluster(worker)
         first = demands.StepDemand(2, cpu=1000)
@@ -86,7 +88,9 @@
         assert [row[0].step for row in starts] == [0, 0, 1]
         assert starts[2][2] - starts[0][2] > worker.run_seconds
 
-    async def test_a_resubmitted_job_runs_once(self) -> None:
+    async def test_a_resubmitted_job_runs_once(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = fakes.FakeCluster(fakes.FakeWorker("w1"))
 
         async def script() -> None:
@@ -101,7 +105,9 @@
         await run_script(cluster, script)
         assert len(cluster.starts()) == 2
 
-    async def test_a_worker_is_never_overcommitted(self) -> None:
+    async def test_a_worker_is_never_overcommitted(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1", cpu=2500)
         cluster = fakes.FakeCluster(worker)
         most = 0
@@ -116,7 +122,9 @@
         await run_script(cluster, script)
         assert most == 2
 
-    async def test_occurrences_start_when_they_are_due(self) -> None:
+    async def test_occurrences_start_when_they_are_due(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1")
         cluster = fakes.FakeCluster(worker)
         first_at = trio.current_time() + 2.0
@@ -133,7 +141,9 @@
             assert task.occurrence == occurrence
             assert -0.01 < at - (first_at + 1.5 * occurrence) < 0.25
 
-    async def test_a_gang_starts_together_or_not_at_all(self) -> None:
+    async def test_a_gang_starts_together_or_not_at_all(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1", cpu=3000)
         cluster = fakes.FakeCluster(worker)
 
@@ -155,7 +165,7 @@
         assert max(at) - min(at) < fakes.GANG_WAIT_SECONDS
 
     async def test_the_limit_of_tasks_per_worker_is_kept(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         cluster = fakes.FakeCluster(
             fakes.FakeWorker("w1"), fakes.FakeWorker("w2")
@@ -176,7 +186,7 @@
 class TestUnansweredOrders:
 
     async def test_a_run_whose_answer_was_lost_is_not_started_twice(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         first = fakes.FakeWorker("w1")
         first.drop_answers = True
@@ -196,7 +206,9 @@
         await run_script(cluster, script)
         assert len(cluster.starts()) == 1
 
-    async def test_a_late_start_is_refused_before_the_next_run(self) -> None:
+    async def test_a_late_start_is_refused_before_the_next_run(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         first = fakes.FakeWorker("w1")
         cluster = fakes.FakeCluster(first)
         sent: list[tuple[worker_client.Order, int, int]] = []
@@ -226,7 +238,7 @@
 
     @pytest.mark.parametrize("rate", [0.98, 1.0, 1.02])
     async def test_tasks_of_a_silent_worker_wait_until_its_lease_expires(
-        self, rate: float
+        self, mocked_clocks: trio.testing.MockClock, rate: float
     ) -> None:
         first = fakes.FakeWorker("w1", rate=rate)
         first.run_seconds = 60.0
@@ -261,7 +273,9 @@
 
 class TestWorkers:
 
-    async def test_a_replaced_worker_loses_its_runs_at_once(self) -> None:
+    async def test_a_replaced_worker_loses_its_runs_at_once(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         first = fakes.FakeWorker("w1")
         first.run_seconds = 60.0
         cluster = fakes.FakeCluster(first)
@@ -280,7 +294,9 @@
 
         await run_script(cluster, script)
 
-    async def test_no_run_starts_on_a_draining_worker(self) -> None:
+    async def test_no_run_starts_on_a_draining_worker(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         first = fakes.FakeWorker("w1")
         cluster = fakes.FakeCluster(first)
 
@@ -295,7 +311,7 @@
         assert cluster.queue_state.draining == {"w1"}
 
     async def test_a_heartbeat_is_not_acknowledged_before_it_is_durable(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         first = fakes.FakeWorker("w1")
         cluster = fakes.FakeCluster(first)
@@ -310,7 +326,9 @@
 
         await run_script(cluster, script)
 
-    async def test_a_failing_worker_gets_fewer_and_fewer_tasks(self) -> None:
+    async def test_a_failing_worker_gets_fewer_and_fewer_tasks(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         bad = fakes.FakeWorker("w1", cpu=64000)
         bad.run_seconds = 0.05
         bad.outcome = lambda _: changes.Ending.FAILED
@@ -430,7 +448,9 @@
 
 class TestCancel:
 
-    async def test_runs_are_stopped_and_no_more_start(self) -> None:
+    async def test_runs_are_stopped_and_no_more_start(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1", cpu=2000)
         worker.run_seconds = 60.0
         cluster = fakes.FakeCluster(worker)
@@ -447,7 +467,7 @@
         assert cluster.job_state(JOB) == "canceled"
 
     async def test_a_start_that_arrives_after_the_cancellation_is_stopped(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         worker = fakes.FakeWorker("w1")
         worker.run_seconds = 60.0
@@ -468,7 +488,9 @@
 
 class TestTerms:
 
-    async def test_a_new_term_continues_running_runs(self) -> None:
+    async def test_a_new_term_continues_running_runs(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1")
         worker.run_seconds = 3.0
         cluster = fakes.FakeCluster(worker)
@@ -523,7 +545,7 @@
         await run_script(cluster, script)
 
     async def test_a_committed_start_that_was_not_sent_is_sent(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         worker = fakes.FakeWorker("w1")
         cluster = fakes.FakeCluster(worker)
@@ -538,7 +560,7 @@
         assert [row[1] for row in worker.history] == [1]
 
     async def test_a_canceled_start_that_was_not_sent_is_never_sent(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         worker = fakes.FakeWorker("w1")
         cluster = fakes.FakeCluster(worker)
@@ -551,7 +573,9 @@
         await run_script(cluster, script)
         assert not worker.history
 
-    async def test_a_fenced_leader_sends_no_more_orders(self) -> None:
+    async def test_a_fenced_leader_sends_no_more_orders(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1")
         cluster = fakes.FakeCluster(worker)
 
@@ -565,7 +589,9 @@
 
         await run_script(cluster, script)
 
-    async def test_leases_are_not_renewed_without_a_quorum(self) -> None:
+    async def test_leases_are_not_renewed_without_a_quorum(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1")
         worker.run_seconds = 60.0
         cluster = fakes.FakeCluster(worker)
@@ -583,7 +609,9 @@
 
         await run_script(cluster, script)
 
-    async def test_a_new_term_sends_paces_again(self) -> None:
+    async def test_a_new_term_sends_paces_again(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1")
         worker.run_seconds = 9.0
         cluster = fakes.FakeCluster(worker)
@@ -614,7 +642,7 @@
 class TestRunEnds:
 
     async def test_an_end_is_acknowledged_only_once_it_is_durable(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         worker = fakes.FakeWorker("w1")
         cluster = fakes.FakeCluster(worker)
@@ -634,7 +662,7 @@
         assert len(worker.history) == 1
 
     async def test_a_long_running_task_is_restarted_however_it_ends(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         worker = fakes.FakeWorker("w1")
         worker.run_seconds = 0.4
@@ -653,7 +681,7 @@
 class TestInterference:
 
     async def test_a_job_that_interferes_on_every_worker_is_not_starved(
-        self,
+        self, mocked_clocks: trio.testing.MockClock
     ) -> None:
         worker = fakes.FakeWorker("w1")
         worker.run_seconds = 60.0
