Clear the planner's stops once a round

plan() emptied the list at its start and again before the groups are placed; the second was left from an earlier form. Behaviour is the same.

--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -86,7 +86,6 @@
         )
         by_service = self._usable_workers(now)
         planned: PlannedRuns = []
-        self.stops = []
         for rank, _, group in ranked:
             workers = by_service.get(group.queue.service, [])
             advice = group.queue.advice
