Tests of disks that recover and of a term that never begins, failing

Callers saw LOST and no answers: a replica whose disk had been full stays out of consensus until its process is restarted, so two faults in turn leave one voter of three.

--- a/turmerichall/agreement/tests/test_failures.py
+++ b/turmerichall/agreement/tests/test_failures.py
@@ -15,6 +15,9 @@
     snapshot_entries=40, retained_entries=10, part_bytes=64, batch_bytes=256
 )
 PARTITION_SECONDS = 300.0
+FAULT_SECONDS = 10.0
+# Time after the end of a fault at which an instance must take part again.
+CATCH_UP_SECONDS = 4.0
 
 
 async def _start_cluster(
@@ -401,3 +404,34 @@
         await cluster.start(leader)
         await cluster.put(rest, "k=3")
         await cluster.wait_until_applied("k=3")
+
+
+class TestDisksThatRecover:
+
+    # Replicas whose disk had been full stayed out of consensus until they were
+    # restarted, so faults of two disks, one after the other, cost the quorum.
+    @pytest.mark.parametrize("fault", ["full", "sync_fails"])
+    async def test_disks_that_fail_in_turn_do_not_cost_the_quorum(
+        self, nursery: trio.Nursery, autojump_clock: Clock, fault: str
+    ) -> None:
+        cluster, leader = await _start_cluster(nursery)
+        for name in [*_others(cluster, leader), leader]:
+            await _fail_and_recover(cluster, name, fault)
+
+
+async def _fail_and_recover(
+    cluster: clusters.Cluster, name: str, fault: str
+) -> None:
+    """Make the disk of an instance fail for a while."""
+    files, failed = cluster.files[name], cluster.replicas[name]
+    writer = _others(cluster, name)[0]
+    setattr(files, fault, True)
+    await cluster.put(writer, f"{name}=fails")
+    await cluster.wait_until(lambda: failed.status().stopped != "")
+    await trio.sleep(FAULT_SECONDS)
+    setattr(files, fault, False)
+    await cluster.wait_until(
+        lambda: failed.status().stopped == "", CATCH_UP_SECONDS
+    )
+    await cluster.put(writer, f"{name}=works")
+    await cluster.wait_until_applied(f"{name}=works")
--- /dev/null
+++ b/turmerichall/dispatch/tests/test_leader_api.py
@@ -0,0 +1,43 @@
+"""Tests of when a replica begins a leader's work."""
+
+import pytest
+import trio
+import trio.testing
+
+from turmerichall.dispatch.tests import fakes
+
+pytestmark = pytest.mark.usefixtures("mocked_clocks")
+
+# Tests that name the fixture as an argument run on its clock.
+# pylint: disable=unused-argument
+
+MAX_STEPS_BETWEEN = 8
+ROUNDS = 25
+
+
+class TestBeginOfTerm:
+
+    # A replica elected after all had lost power did no leader's work: its last
+    # entries were applied just while it reacted to the ones before.
+    @pytest.mark.parametrize("steps", range(MAX_STEPS_BETWEEN))
+    async def test_begins_if_the_last_entries_are_applied_in_quick_succession(
+        self, mocked_clocks: trio.testing.MockClock, steps: int
+    ) -> None:
+        cluster = fakes.FakeCluster()
+        replica, leader_api = cluster.replica, cluster.leader_api
+        replica.term = 0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader_api.run)
+            for term in range(1, ROUNDS):
+                await cluster.wait_until(lambda: leader_api.leadership is None)
+                await trio.sleep(1.0)
+                replica.state.applied_advanced.notify_all()
+                for _ in range(steps):
+                    await trio.lowlevel.checkpoint()
+                replica.term = term
+                replica.state.applied_advanced.notify_all()
+                await cluster.wait_until(
+                    lambda: leader_api.leadership is not None, 2.0
+                )
+                replica.lead(0)
+            nursery.cancel_scope.cancel()
