Begin a leader's work also if entries are applied in quick succession

Cause: a lost wakeup. LeaderApi.run checked leader_term(), then started two tasks that were to wait for a change of role or an applied entry. What was notified between the check and the tasks' first step was missed. Without a leader's work nothing proposes entries, so no other notification followed. The applier notifies once a step of the event loop while it catches up, which it does after a restart. Change: one wait, whose check and wait have no step between them. A term's begin always comes with an applied entry, so the role needs no wait of its own; the fake replica notifies as the real one does.

--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -6,7 +6,6 @@
 
 from turmerichall import outcomes
 from turmerichall.agreement import replica as replicas
-from turmerichall.agreement import replica_state
 from turmerichall.dispatch import durations as run_durations
 from turmerichall.dispatch import freshness as freshnesses
 from turmerichall.dispatch import interference_model as interference_models
@@ -87,15 +86,14 @@
 
     async def run(self) -> None:
         """Do the leader's work in every term in which this replica leads."""
-        state = self.replica.state
+        replica = self.replica
         fenced_term = 0
         while True:
-            term = self.replica.leader_term()
-            if not term or term == fenced_term:
-                await _wait_for_either(
-                    state.role_changed, state.applied_advanced
-                )
-                continue
+            # A leader's state becomes current only by applying an entry.
+            await replica.state.applied_advanced.wait_for(
+                lambda: replica.leader_term() not in (0, fenced_term)
+            )
+            term = replica.leader_term()
             self.leadership = leaderships.Leadership(
                 self.replica,
                 self.queue_state,
@@ -255,17 +253,3 @@
             "no configuration yet",
             RETRY_SECONDS,
         )
-
-
-async def _wait_for_either(
-    one: replica_state.Condition, other: replica_state.Condition
-) -> None:
-    """Wait until one of two conditions is notified."""
-    async with trio.open_nursery() as nursery:
-
-        async def wait(condition: replica_state.Condition) -> None:
-            await condition.wait()
-            nursery.cancel_scope.cancel()
-
-        nursery.start_soon(wait, one)
-        nursery.start_soon(wait, other)
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -243,6 +243,7 @@
         """Become leader in another term; 0 makes it a follower."""
         self.term = term
         self.state.role_changed.notify_all()
+        self.state.applied_advanced.notify_all()
 
     def seconds_since_quorum(self) -> float:
         """See `agreement.replica.Replica`."""
