Let a replica take part again once its disk works

Cause: a failed write ended a replica's part in consensus for the life of its process. A fault that ends by itself became a permanent one, and the next fault, which alone is borne, cost the quorum. Change: while its disk fails the replica observes, as before, and tries the disk every 0.5 s. Then it votes again.

--- a/turmerichall/agreement/applier.py
+++ b/turmerichall/agreement/applier.py
@@ -4,6 +4,7 @@
 import xxhash
 
 from turmerichall import errors
+from turmerichall.agreement import member
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
 
@@ -87,7 +88,10 @@
         result = b""
         if entry.kind == message.EntryKind.CHANGE:
             result = state.machine.apply(entry.position, entry.data)
+        elif entry.kind == message.EntryKind.MEMBERS:
+            state.applied_members = message.decode(entry.data, member.Members)
         state.applied = entry.position
+        state.applied_term = entry.term
         digest = next_digest(state.digest, entry, result)
         state.record_digest(entry.position, digest)
         for waiter in self.waiters.pop(entry.position, []):
--- a/turmerichall/agreement/entry_log.py
+++ b/turmerichall/agreement/entry_log.py
@@ -215,13 +215,22 @@
         Returns:
             The sequence number to pass to `Journal.wait_durable`.
         """
-        payloads = [
+        return self.journal.rewrite(self._records())
+
+    async def rewrite_after_failure(self) -> None:
+        """Replace a journal that failed; see `Journal.replace_after_failure`.
+
+        Raises:
+            DiskError: The disk still fails.
+        """
+        await self.journal.replace_after_failure(self._records())
+
+    def _records(self) -> list[bytes]:
+        return [
             _record(RecordKind.VOTE, self.vote_state),
             _record(RecordKind.COMMIT, self.commit),
+            *(_record(RecordKind.ENTRY, entry) for entry in self.entries),
         ]
-        for entry in self.entries:
-            payloads.append(_record(RecordKind.ENTRY, entry))
-        return self.journal.rewrite(payloads)
 
     def load(self, snapshot: message.Snapshot | None) -> None:
         """Restore the log from the journal; blocks on file I/O.
--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -2,7 +2,7 @@
 
 import pathlib
 import random
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any
 
 import trio
@@ -33,12 +33,18 @@
 
 Handler = Callable[[str, bytes], Awaitable[bytes | None]]
 
+# Time between two tries of a disk that failed.  An instance has to take part
+# again within some seconds after the end of a fault.
+DISK_RETRY_SECONDS = 0.5
+# Time between two log lines on a disk that still fails.
+DISK_REPORT_SECONDS = 5.0
+
 
 class Replica:
     """Replicates a state machine over the instances of a cluster.
 
     An instance with a disk takes part in consensus.  An instance without one,
-    or whose disk has failed, is an observer: it receives committed entries from
+    or whose disk fails, is an observer: it receives committed entries from
     other instances.
 
     Attributes:
@@ -122,7 +128,7 @@
         """Run the replica until cancelled.
 
         When the disk fails, the replica stops voting and acknowledging
-        entries, and goes on as an observer.
+        entries, and goes on as an observer until the disk works again.
 
         Args:
             task_status: Started when the state on the disk is loaded.
@@ -142,11 +148,14 @@
             )
             self._register("follow", stream_server.on_follow)
             task_status.started()
+            await self._observe()
         else:
             try:
                 await self._run_with_disk(self.files, task_status)
             finally:
                 self.files.unlock()
+
+    async def _observe(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._recover)
             nursery.start_soon(self.stream_follower.run)
@@ -154,23 +163,96 @@
     async def _run_with_disk(
         self, files: storage_files.Files, task_status: Any
     ) -> None:
-        """Take part in consensus until the disk fails."""
+        """Take part in consensus whenever the disk works."""
         state = self.state
         state.folder = await files.run_blocking(
             lambda: data_folder.DataFolder.open(files, self.max_batch_records)
         )
-        loaded = False
         try:
             await self._load(state.folder)
-            loaded = True
-            await self._run_consensus(task_status)
-        except* errors.StorageError as group:
-            self._stop(_first(group))
-        if not loaded:
+        except errors.StorageError as error:
+            self._stop(error)
             state.recovery_index = replica_state.NOT_RECOVERED
             task_status.started()
+            await self._observe_with_failed_disk(state.folder)
+        while True:
+            failure = await self._run_until_failure(task_status)
+            task_status = trio.TASK_STATUS_IGNORED
+            self._stop(failure)
+            if not isinstance(failure, errors.DiskError):
+                await self._observe_with_failed_disk(state.folder)
+            await self._rejoin(state.folder)
+
+    async def _run_until_failure(self, task_status: Any) -> errors.StorageError:
+        """Take part in consensus; return the error that ended it."""
+        failures: list[errors.StorageError] = []
+        try:
+            await self._run_consensus(task_status)
+        except* errors.StorageError as group:
+            failures = list(_leaves(group))
+        # A removed replica must not rejoin when its disk fails as well.
+        lasting = [
+            failure
+            for failure in failures
+            if not isinstance(failure, errors.DiskError)
+        ]
+        return (lasting or failures)[0]
+
+    async def _rejoin(self, folder: data_folder.DataFolder) -> None:
+        """Observe until the disk works, and restore the data folder."""
+        state = self.state
+        failed_at = trio.current_time()
+        while True:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._observe_with_failed_disk, folder)
+                await self._wait_for_disk(folder, failed_at)
+                nursery.cancel_scope.cancel()
+            try:
+                await self._snapshots.restore_folder()
+                break
+            except errors.DiskError as error:
+                state.log.warning(
+                    "can't restore the data folder", reason=str(error)
+                )
+        state.stopped = ""
+        state.role = replica_state.Role.FOLLOWER
+        state.role_changed.notify_all()
+        state.log.info(
+            "disk works again; replica rejoins",
+            seconds=round(trio.current_time() - failed_at, 2),
+            term=state.term,
+            applied=state.applied,
+            last_index=state.raft_log.last_index,
+        )
+
+    async def _wait_for_disk(
+        self, folder: data_folder.DataFolder, failed_at: float
+    ) -> None:
+        """Try the disk until it works."""
+        report_at = failed_at + DISK_REPORT_SECONDS
+        while True:
+            await trio.sleep(DISK_RETRY_SECONDS)
+            try:
+                await folder.probe()
+                return
+            except errors.DiskError as error:
+                now = trio.current_time()
+                if now < report_at:
+                    continue
+                report_at = now + DISK_REPORT_SECONDS
+                self.state.log.warning(
+                    "disk still fails; replica is out of consensus",
+                    reason=str(error),
+                    seconds=round(now - failed_at, 2),
+                )
+
+    async def _observe_with_failed_disk(
+        self, folder: data_folder.DataFolder
+    ) -> None:
+        """Go on as an observer; does not return."""
+        state = self.state
         try:
-            await state.folder.mark_incomplete()
+            await folder.mark_incomplete()
         except errors.StorageError as error:
             # Following others would apply entries that the disk does not hold.
             # After a restart, this instance would serve the older state of
@@ -180,6 +262,7 @@
                 reason=str(error),
             )
             await trio.sleep_forever()
+        await self._observe()
 
     async def _load(self, folder: data_folder.DataFolder) -> None:
         """Load the data folder and apply entries known to be committed."""
@@ -421,9 +504,12 @@
         )
 
 
-def _first(group: BaseExceptionGroup[Any]) -> BaseException:
-    """Return the first exception in nested exception groups."""
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
+def _leaves(
+    error: errors.StorageError | BaseExceptionGroup[errors.StorageError],
+) -> Iterator[errors.StorageError]:
+    """Yield the exceptions in nested exception groups."""
+    if isinstance(error, BaseExceptionGroup):
+        for each in error.exceptions:
+            yield from _leaves(each)
+    else:
+        yield error
--- a/turmerichall/agreement/replica_state.py
+++ b/turmerichall/agreement/replica_state.py
@@ -185,6 +185,8 @@
         cluster: Id of the cluster; empty if it is not known.
         commit: Index of the last entry known to be committed.
         applied: Index of the last applied entry.
+        applied_term: Term of that entry.
+        applied_members: Members as of that entry.
         digest: Digest of the entries applied up to there.
         digests: Recent digests by index.
         diverged_at: Index at which the digest of another replica was first
@@ -244,6 +246,8 @@
         self.cluster = ""
         self.commit = 0
         self.applied = 0
+        self.applied_term = 0
+        self.applied_members: member.Members = ()
         self.digest = 0
         self.digests: collections.OrderedDict[int, int] = (
             collections.OrderedDict()
--- a/turmerichall/agreement/snapshots.py
+++ b/turmerichall/agreement/snapshots.py
@@ -8,6 +8,7 @@
 
 from turmerichall import errors
 from turmerichall import outcomes
+from turmerichall.agreement import entry_log
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
 from turmerichall.storage import data_folder
@@ -75,21 +76,48 @@
         """
         state = self.state
         async with self._saving:
-            index = state.applied
-            if index <= self.index:
+            if state.applied <= self.index:
                 return
-            snapshot = message.Snapshot(
-                state.cluster,
-                index,
-                state.raft_log.term_at(index) or 0,
-                state.raft_log.members_at(index),
-                state.digest,
-                state.machine.snapshot(),
-            )
+            snapshot = self._of_applied_state()
             await self._save(snapshot)
-            state.raft_log.compact(index - state.timing.retained_entries)
+            state.raft_log.compact(
+                snapshot.position - state.timing.retained_entries
+            )
             await state.raft_log.journal.wait_durable(state.raft_log.rewrite())
 
+    def _of_applied_state(self) -> message.Snapshot:
+        state = self.state
+        return message.Snapshot(
+            state.cluster,
+            state.applied,
+            state.applied_term,
+            state.applied_members,
+            state.digest,
+            state.machine.snapshot(),
+        )
+
+    async def restore_folder(self) -> None:
+        """Write the state and the log to a disk that had failed.
+
+        Meanwhile the replica must take no part in consensus and apply nothing.
+        It may have applied entries of other instances that its own log lacks;
+        a snapshot of the applied state then takes the place of the log.
+
+        Raises:
+            DiskError: The disk still fails.
+        """
+        state = self.state
+        raft_log = state.raft_log
+        async with self._saving:
+            if raft_log.term_at(state.applied) != state.applied_term:
+                snapshot = self._of_applied_state()
+                await self._save(snapshot)
+                raft_log.install_snapshot(snapshot)
+            term = max(state.observed_term, state.applied_term)
+            if term > raft_log.vote_state.term:
+                raft_log.vote_state = entry_log.VoteState(term)
+            await raft_log.rewrite_after_failure()
+
     async def _save(self, snapshot: message.Snapshot) -> None:
         assert self.state.folder is not None
         framed = records.frame(message.encode(snapshot))
@@ -207,6 +235,8 @@
     state.machine.restore(snapshot.data)
     state.cluster = snapshot.cluster
     state.applied = snapshot.position
+    state.applied_term = snapshot.term
+    state.applied_members = snapshot.members
     state.record_digest(snapshot.position, snapshot.digest)
     state.advance_commit(snapshot.position)
     state.applied_advanced.notify_all()
--- a/turmerichall/agreement/tests/history_faults.py
+++ b/turmerichall/agreement/tests/history_faults.py
@@ -11,6 +11,7 @@
 
 # In the fan-out tree, y follows x, and z follows y.
 OBSERVERS = ["x", "y", "z"]
+MAX_DISK_FAULT_SECONDS = 20.0
 
 
 class Faults:
@@ -19,12 +20,20 @@
     Attributes:
         cluster: The cluster that faults are injected into.
         rng: Chooses the faults.
+        disks_recover: Whether full disks and failing syncs end by themselves;
+            then any number of disks may fail at once.
         count: Number of injected faults.
     """
 
-    def __init__(self, cluster: clusters.Cluster, rng: random.Random):
+    def __init__(
+        self,
+        cluster: clusters.Cluster,
+        rng: random.Random,
+        disks_recover: bool = False,
+    ):
         self.cluster = cluster
         self.rng = rng
+        self.disks_recover = disks_recover
         self.count = 0
 
     def may_lose_a_disk(self) -> bool:
@@ -81,6 +90,8 @@
         elif kind == "transfer":
             for leader in cluster.leaders():
                 await cluster.replicas[leader].transfer_leadership()
+        elif disk and kind == "disk" and self.disks_recover:
+            self.fail_disk(name)
         elif disk and self.may_lose_a_disk():
             await self.lose_disk(name, kind)
 
@@ -96,8 +107,7 @@
         """Make the disk of an instance fail, or wipe or corrupt it."""
         cluster = self.cluster
         if kind == "disk":
-            fault = self.rng.choice(["full", "sync_fails"])
-            setattr(cluster.files[name], fault, True)
+            self.fail_disk(name)
             return
         cluster.kill(name)
         if kind == "wipe":
@@ -108,11 +118,28 @@
             cluster.files[name].content["log"] = bytes(log)
         await cluster.start(name)
 
+    def fail_disk(self, name: str) -> None:
+        """Make a disk full or its syncs fail, for a while or for good."""
+        files = self.cluster.files[name]
+        fault = self.rng.choice(["full", "sync_fails"])
+        setattr(files, fault, True)
+
+        async def recover(seconds: float) -> None:
+            await trio.sleep(seconds)
+            setattr(files, fault, False)
+
+        if self.disks_recover:
+            seconds = self.rng.uniform(0.0, MAX_DISK_FAULT_SECONDS)
+            self.cluster.nursery.start_soon(recover, seconds)
+
     async def replace_stopped(self) -> None:
-        """Restart instances whose disk failed, with an empty disk."""
+        """Restart instances whose disk failed for good, with an empty disk."""
         cluster = self.cluster
         for name in list(cluster.replicas):
-            if cluster.replicas[name].status().stopped:
+            reason = cluster.replicas[name].status().stopped
+            if self.disks_recover and "failed" in reason:
+                continue
+            if reason:
                 cluster.kill(name)
                 cluster.wipe(name)
                 await cluster.start(name)
--- a/turmerichall/agreement/tests/history_run.py
+++ b/turmerichall/agreement/tests/history_run.py
@@ -73,7 +73,7 @@
 class _Run:
     """One history; `found` collects the violations."""
 
-    def __init__(self, nursery: trio.Nursery, seed: int):
+    def __init__(self, nursery: trio.Nursery, seed: int, disks_recover: bool):
         self.nursery = nursery
         self.rng = random.Random(seed)
         self.cluster = clusters.Cluster(
@@ -83,7 +83,9 @@
         self.found: list[str] = []
         self.calls: list[history.Call] = []
         self.attempts: list[history.Attempt] = []
-        self.faults = history_faults.Faults(self.cluster, self.rng)
+        self.faults = history_faults.Faults(
+            self.cluster, self.rng, disks_recover
+        )
         self.newest_seen: dict[str, int] = {}
         self.last_ended: dict[str, int] = {}
         self.next_id = 0
@@ -339,9 +341,9 @@
     return template.Template(name, template.Kind.BATCH, size, run_seconds)
 
 
-async def _history(seed: int, steps: int) -> Report:
+async def _history(seed: int, steps: int, disks_recover: bool) -> Report:
     async with trio.open_nursery() as nursery:
-        history_run = _Run(nursery, seed)
+        history_run = _Run(nursery, seed, disks_recover)
         await history_run.set_up()
         for _ in range(steps):
             await history_run.step()
@@ -360,12 +362,13 @@
     )
 
 
-def run(seed: int, steps: int) -> Report:
+def run(seed: int, steps: int, disks_recover: bool = False) -> Report:
     """Run one history on a mocked clock.
 
     Args:
         seed: Seed of all random choices.
         steps: Operations and faults.
+        disks_recover: Whether disks that fail work again after a while.
 
     Returns:
         The result; equal seeds give equal histories.
@@ -376,6 +379,6 @@
     state = trio_random.getstate()
     trio_random.seed(seed)
     try:
-        return trio.run(_history, seed, steps, clock=clock)
+        return trio.run(_history, seed, steps, disks_recover, clock=clock)
     finally:
         trio_random.setstate(state)
--- a/turmerichall/agreement/tests/test_failures.py
+++ b/turmerichall/agreement/tests/test_failures.py
@@ -418,6 +418,73 @@
         for name in [*_others(cluster, leader), leader]:
             await _fail_and_recover(cluster, name, fault)
 
+    @pytest.mark.parametrize("fault", ["full", "sync_fails"])
+    async def test_entries_written_after_a_fault_survive_a_loss_of_power(
+        self, nursery: trio.Nursery, autojump_clock: Clock, fault: str
+    ) -> None:
+        cluster, leader = await _start_cluster(nursery)
+        name, other = _others(cluster, leader)
+        await _fail_and_recover(cluster, name, fault)
+        cluster.hub.isolate(other, set(cluster.names))
+        await cluster.put(leader, "k=1")
+        for each in list(cluster.replicas):
+            cluster.kill(each)
+        cluster.hub.heal()
+        for each in (name, other):
+            await cluster.start(each)
+        await cluster.wait_for_leader()
+        assert cluster.replicas[name].status().stopped == ""
+        await cluster.wait_until_applied("k=1")
+
+    async def test_deposed_leader_drops_its_uncommitted_entries(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        cluster, old = await _start_cluster(nursery)
+        cluster.hub.isolate(old, set(cluster.names))
+        deposed = cluster.replicas[old]
+        await deposed.propose(b"lost=1", 0.5)
+        new = await cluster.wait_for_leader(set(_others(cluster, old)))
+        await cluster.put(new, "won=1")
+        cluster.files[old].full = True
+        deposed.state.raft_log.save_commit(deposed.state.commit)
+        await cluster.wait_until(lambda: deposed.status().stopped != "")
+        cluster.hub.heal()
+        await cluster.wait_until_applied("won=1")
+        cluster.files[old].full = False
+        await cluster.wait_until(
+            lambda: deposed.status().stopped == "", CATCH_UP_SECONDS
+        )
+        await cluster.put(new, "after=1")
+        await cluster.wait_until_applied("after=1")
+        assert not any("lost" in cluster.values(name) for name in cluster.names)
+        cluster.kill(old)
+        again = await cluster.start(old)
+        assert again.status().stopped == ""
+        await cluster.wait_until_applied("after=1")
+        assert "lost" not in cluster.values(old)
+
+    async def test_applied_state_without_a_log_is_kept_as_a_snapshot(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        cluster, leader = await _start_cluster(nursery, timing=SMALL_LIMITS)
+        name = _others(cluster, leader)[0]
+        cluster.files[name].full = True
+        failed = cluster.replicas[name]
+        # Fewer than after which a snapshot is taken anyway.
+        for number in range(SMALL_LIMITS.snapshot_entries // 2):
+            await cluster.put(leader, f"k={number}")
+        await cluster.put(leader, "last=1")
+        await cluster.wait_until_applied("last=1")
+        assert failed.status().stopped != ""
+        cluster.files[name].full = False
+        await cluster.wait_until(
+            lambda: failed.status().stopped == "", CATCH_UP_SECONDS
+        )
+        cluster.kill(name)
+        cluster.hub.isolate(name, set(cluster.names))
+        await cluster.start(name)
+        assert cluster.values(name)["last"] == "1"
+
 
 async def _fail_and_recover(
     cluster: clusters.Cluster, name: str, fault: str
--- a/turmerichall/agreement/tests/test_history.py
+++ b/turmerichall/agreement/tests/test_history.py
@@ -24,6 +24,13 @@
         assert report.calls > STEPS / 10
         assert report.attempts > 0
 
+    @pytest.mark.parametrize("seed", range(SEEDS))
+    def test_random_history_with_disks_that_recover(self, seed: int) -> None:
+        report = history_run.run(seed, STEPS, disks_recover=True)
+        assert report.findings == []
+        assert report.calls > STEPS / 10
+        assert report.attempts > 0
+
 
 class TestChecks:
 
--- a/turmerichall/benchmarks/history.py
+++ b/turmerichall/benchmarks/history.py
@@ -13,13 +13,17 @@
 __all__ = ["main"]
 
 
-def _run(arguments: tuple[int, int]) -> history_run.Report:
-    seed, steps = arguments
-    return history_run.run(seed, steps)
+def _run(arguments: tuple[int, int, bool]) -> history_run.Report:
+    seed, steps, disks_recover = arguments
+    return history_run.run(seed, steps, disks_recover)
 
 
 def main(
-    seeds: int = 100, steps: int = 500, first: int = 1000, processes: int = 4
+    seeds: int = 100,
+    steps: int = 500,
+    first: int = 1000,
+    processes: int = 4,
+    disks_recover: bool = False,
 ) -> None:
     """Run the histories and print violations of the protocol and totals.
 
@@ -30,9 +34,10 @@
         steps: Number of operations and faults in each history.
         first: The first seed; seeds below 1000 are reserved for the tests.
         processes: Number of histories to run concurrently.
+        disks_recover: Whether disks that fail work again after a while.
     """
     started = time.monotonic()
-    work = [(first + number, steps) for number in range(seeds)]
+    work = [(first + number, steps, disks_recover) for number in range(seeds)]
     with multiprocessing.Pool(processes) as pool:
         reports = pool.map(_run, work, chunksize=1)
     faulty = [report for report in reports if report.findings]
--- a/turmerichall/errors.py
+++ b/turmerichall/errors.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "CorruptLogError",
+    "DiskError",
     "Finding",
     "InputError",
     "PeerError",
@@ -57,6 +58,10 @@
     """The data folder failed: a full disk, a failed sync or a lock in use."""
 
 
+class DiskError(StorageError):
+    """A file operation failed; it may succeed later."""
+
+
 class CorruptLogError(StorageError):
     """Stored data is damaged, malformed or out of order."""
 
--- a/turmerichall/storage/data_folder.py
+++ b/turmerichall/storage/data_folder.py
@@ -21,6 +21,8 @@
 # Marker file.  It exists while the snapshot and journal in this folder include
 # every change that this instance ever applied.
 COMPLETE_NAME = "complete"
+PROBE_NAME = "probe"
+PROBE_BYTES = 4096
 
 
 class DataFolder:
@@ -151,6 +153,22 @@
         except OSError as error:
             raise storage_files.storage_error("marking", error) from error
 
+    async def probe(self) -> None:
+        """Write, sync and remove a small file, to see whether the disk works.
+
+        Raises:
+            DiskError: The disk does not work.
+        """
+
+        def write() -> None:
+            self.files.replace(PROBE_NAME, bytes(PROBE_BYTES))
+            self.files.remove(PROBE_NAME)
+
+        try:
+            await self.files.run_blocking(write)
+        except OSError as error:
+            raise storage_files.storage_error("probing", error) from error
+
     async def read_snapshot_part(self, offset: int, size: int) -> bytes:
         """Read a byte range of the snapshot file, which starts with a header.
 
--- a/turmerichall/storage/files.py
+++ b/turmerichall/storage/files.py
@@ -52,8 +52,8 @@
         """Run a blocking function without blocking the event loop."""
 
 
-def storage_error(action: str, error: OSError) -> errors.StorageError:
-    """Convert a failed file operation into a `StorageError`.
+def storage_error(action: str, error: OSError) -> errors.DiskError:
+    """Convert a failed file operation into a `DiskError`.
 
     Args:
         action: The operation that failed, for the message.
@@ -64,8 +64,8 @@
         'append failed: the disk is full'
     """
     if error.errno in (errno.ENOSPC, errno.EDQUOT):
-        return errors.StorageError(f"{action} failed: the disk is full")
-    return errors.StorageError(f"{action} failed: {error}")
+        return errors.DiskError(f"{action} failed: the disk is full")
+    return errors.DiskError(f"{action} failed: {error}")
 
 
 class DiskFiles:
--- a/turmerichall/storage/journal.py
+++ b/turmerichall/storage/journal.py
@@ -1,8 +1,9 @@
 """The journal: an append-only file of records with group commit.
 
 Records that are appended while a sync is running are queued, then written and
-synced as one batch.  A failed write or sync is final: no record that was not
-yet durable is ever acknowledged, and no later record is accepted.
+synced as one batch.  After a failed write or sync, no record that was not yet
+durable is acknowledged, and none is accepted until `replace_after_failure` has
+written the whole file again.
 """
 
 import trio
@@ -97,6 +98,32 @@
         self._wake.set()
         return self.sequence
 
+    async def replace_after_failure(self, payloads: list[bytes]) -> None:
+        """Replace the whole file after a failure, and accept records again.
+
+        What the failed write left in the file is unknown, so nothing of it is
+        kept.  Called while `run` is not running.
+
+        Args:
+            payloads: Content of each record of the new file.
+
+        Raises:
+            DiskError: The disk still fails.
+        """
+        data = b"".join(map(records.frame, payloads))
+        try:
+            await self.files.run_blocking(
+                lambda: self.files.replace(LOG_NAME, data)
+            )
+        except OSError as error:
+            raise storage_files.storage_error(
+                "writing the log", error
+            ) from error
+        self._pending.clear()
+        self._rewriting = False
+        self.failure = None
+        self.durable_sequence = self.sequence
+
     async def wait_durable(self, sequence: int) -> None:
         """Wait until a record and all records before it are durable.
 
