--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -339,8 +339,12 @@
 
         self.state.network.handle(kind, guarded)
 
-    def _stop(self, error: BaseException) -> None:
+    def _stop(self, error: errors.StorageError) -> None:
         state = self.state
+        if state.folder is not None:
+            # Calls of other instances may wait for records of the journal,
+            # whose task has ended.
+            state.folder.journal.fail(error)
         state.stopped = str(error)
         state.step_down()
         state.observed_term = state.term
--- a/turmerichall/storage/journal.py
+++ b/turmerichall/storage/journal.py
@@ -98,6 +98,15 @@
         self._wake.set()
         return self.sequence
 
+    def fail(self, error: errors.StorageError) -> None:
+        """Accept no more records, and end all waiting, for an error elsewhere.
+
+        Has no effect if a write or sync has failed already.
+        """
+        if self.failure is None:
+            self.failure = error
+            self._notify()
+
     async def replace_after_failure(self, payloads: list[bytes]) -> None:
         """Replace the whole file after a failure, and accept records again.
 
@@ -161,9 +170,9 @@
         try:
             await self.files.run_blocking(lambda: write(LOG_NAME, data))
         except OSError as error:
-            self.failure = storage_files.storage_error("writing the log", error)
-            self._notify()
-            raise self.failure from error
+            failure = storage_files.storage_error("writing the log", error)
+            self.fail(failure)
+            raise failure from error
         self.syncs += 1
         self.durable_sequence = covered
         self._notify()
