Wake requests that wait for a majority when a leader steps down

Cause: the conditions that they wait for include the loss of the leadership, but nothing notified them of it.

--- a/turmerichall/agreement/proposer.py
+++ b/turmerichall/agreement/proposer.py
@@ -234,10 +234,16 @@
         # A new leader may not know the newest commit index until the first
         # entry of its own term is committed.
         start = self.replication.term_start
+
+        def leads() -> bool:
+            return state.role == replica_state.Role.LEADER and (
+                state.term == term
+            )
+
         await state.commit_advanced.wait_for(
-            lambda: state.commit >= start or state.term != term, deadline
+            lambda: state.commit >= start or not leads(), deadline
         )
-        if state.commit < start or state.term != term:
+        if state.commit < start or not leads():
             return self._not_leader()
         index = state.commit
         if not await self.replication.confirm_leadership(deadline):
--- a/turmerichall/agreement/replica_state.py
+++ b/turmerichall/agreement/replica_state.py
@@ -377,6 +377,9 @@
             self.role = Role.FOLLOWER
         self.leader_scope.cancel()
         self.role_changed.notify_all()
+        # Requests that wait for a majority at this leader are refused.
+        self.acknowledged.notify_all()
+        self.commit_advanced.notify_all()
 
     def record_digest(self, index: int, digest: int) -> None:
         """Record the digest of the entries applied up to an index."""
