Send no entries to a member until it answers again

Seen: in the incident, a replica whose disk had failed refused each append, and the leader's traffic between zones grew to 1.2 MB/s (114 kB/s at 6 s, 644 at 12 s, 1,235 at 18 s).

Cause: after a refusal, a time-out or an answer from another disk, the leader sent the whole backlog again at each retry, up to 512 KiB every 0.2 s.

Change: after such a call the leader sends heartbeats without entries until the member answers, and then its entries at once.

Limit: a member that answers probes but fails on entries is still sent one batch for each answered probe.

--- a/turmerichall/agreement/replica_state.py
+++ b/turmerichall/agreement/replica_state.py
@@ -157,6 +157,8 @@
         match: Last index that the member has acknowledged as durable.
         acked_round: Newest `barrier_round` that the member has answered.
         acked_sent_at: When the last answered message was sent, trio time.
+        probing: Whether the last message was refused or not answered, so that
+            the next one is sent without entries.
     """
 
     def __init__(self, next_index: int, now: float):
@@ -164,6 +166,7 @@
         self.match = 0
         self.acked_round = 0
         self.acked_sent_at = now
+        self.probing = False
 
 
 class ReplicaState:
--- a/turmerichall/agreement/replication.py
+++ b/turmerichall/agreement/replication.py
@@ -140,7 +140,13 @@
     async def _replicate(
         self, other: member.Member, scope: trio.CancelScope
     ) -> None:
-        """Send entries and heartbeats to one member."""
+        """Send entries and heartbeats to one member.
+
+        After a message that failed, heartbeats without entries are sent until
+        the member answers.  Otherwise the growing backlog would be sent at
+        each retry for as long as the member is out.  etcd's raft has the same
+        rule (`StateProbe` in its package `tracker`).
+        """
         state = self.state
         progress = state.progress[other.identity]
         with scope:
@@ -155,13 +161,16 @@
                     state.timing.call_seconds,
                 )
                 if isinstance(answer, outcomes.Refusal):
+                    progress.probing = True
                     await trio.sleep(RETRY_SECONDS)
                     continue
                 reply = message.decode(answer, message.AppendReply)
                 state.observe_term(reply.term)
                 if reply.term < request.term:
+                    progress.probing = True
                     await trio.sleep(RETRY_SECONDS)
                     continue
+                progress.probing = False
                 progress.acked_sent_at = sent_at
                 progress.acked_round = sent_round
                 self._handle_reply(progress, reply)
@@ -229,7 +238,7 @@
         if needs_snapshot:
             previous = raft_log.base_index
         entries: tuple[message.Entry, ...] = ()
-        if not needs_snapshot:
+        if not needs_snapshot and not progress.probing:
             entries = raft_log.entries_after(previous, state.timing.batch_bytes)
         return message.Append(
             state.cluster,
