Gauges of a replica's belief about itself and the cluster

In the incident the metrics could not tell apart a replica out of consensus, one without a quorum, a leader without a commit and a leader whose work had not begun: no gauge showed any of it.

--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -8,6 +8,7 @@
 from turmerichall.agreement import replica as replicas
 from turmerichall.agreement import replica_state
 from turmerichall.dispatch import leader_api as leader_apis
+from turmerichall.dispatch import replica_gauges
 from turmerichall.entry import calls
 from turmerichall.http1 import message
 from turmerichall.http1 import metrics
@@ -90,6 +91,9 @@
             self.metrics_registry,
             http_policy_client.HttpPolicyClient(policy) if policy else None,
         )
+        replica_gauges.register(
+            self.metrics_registry, self.replica, self._is_work_under_way
+        )
         self.metrics = metrics.make_server(self.metrics_registry)
         self.control = server.Server(self._answer, lambda: CONTROL_LIMITS)
 
@@ -128,6 +132,9 @@
         await trio.sleep(DRAIN_NOTICE_SECONDS)
         await self.control.stop()
 
+    def _is_work_under_way(self) -> bool:
+        return self.leader_api.leadership is not None
+
     async def _on_leader(self, _: str, __: bytes) -> bytes:
         return calls.encode(self.leader_api.leader())
 
--- a/turmerichall/telemetry/lightweight_metrics.py
+++ b/turmerichall/telemetry/lightweight_metrics.py
@@ -6,8 +6,8 @@
 
 import bisect
 import collections
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
 
 __all__ = ["LATENCY_BOUNDS_SECONDS", "MetricsRegistry"]
 
@@ -43,8 +43,15 @@
         self.total = 0.0
 
 
+class _Gauge(NamedTuple):
+    """Gauge whose value is read at each scrape."""
+
+    description: str
+    read: Callable[[], float]
+
+
 class MetricsRegistry:
-    """Counters and latency histograms of one process.
+    """Counters, gauges and latency histograms of one process.
 
     Examples:
         >>> metrics = MetricsRegistry()
@@ -60,6 +67,7 @@
             collections.Counter()
         )
         self._latencies: dict[str, _Latency] = {}
+        self._gauges: dict[str, _Gauge] = {}
 
     def count(self, name: str, times: int = 1, **labels: str) -> None:
         """Count an event.
@@ -84,6 +92,19 @@
         latency.counts[bisect.bisect_left(LATENCY_BOUNDS_SECONDS, seconds)] += 1
         latency.total += seconds
 
+    def add_gauge(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """Add a gauge, or replace the one of the same name.
+
+        Args:
+            name: Name of the gauge, such as `replica_term`.
+            description: Help text, with the unit.
+            read: Returns the value, which must be finite; called at each scrape
+                and at no other time.
+        """
+        self._gauges[name] = _Gauge(description, read)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format.
 
@@ -98,7 +119,7 @@
         return prometheus_client.generate_latest(registry)
 
     def metric_families(self) -> Iterator[Any]:
-        """Return the counters and histograms as Prometheus metric families."""
+        """Return all metrics of the registry as Prometheus metric families."""
         # pylint: disable-next=import-outside-toplevel
         from prometheus_client import core
 
@@ -113,6 +134,10 @@
                 )
             family.add_metric([label_value for _, label_value in labels], value)
         yield from counters.values()
+        for name, gauge in sorted(self._gauges.items()):
+            yield core.GaugeMetricFamily(
+                PREFIX + name, gauge.description, value=gauge.read()
+            )
         for name, latency in sorted(self._latencies.items()):
             buckets = []
             cumulative_count = 0
