Log lines for what changes a replica's belief

For 26 s of the incident no replica printed a line, and in a second case a leader was elected and nothing followed. The logs could not tell apart a candidate without a quorum, a leader without a commit and a leader whose work was not under way.

A replica now logs, at most once in 5 s each: a pre-vote or election that it did not win, with the voters that did not answer and why; a leadership whose first entry is not applied 2 s after the election, with the voters that answered; and a term of this replica without the leader's work (term_watch). It logs once: a current state after an election, a change of the leader that it follows, and the silence of that leader. The watch of the term checks once a second; the watch of the leader waits for applied entries and ends with the first of the term.

logs.RateLimitedLog limits lines per whole second of the wall clock and has no warnings, so telemetry.repeat_limit is new. The in-memory cluster takes a log.

Without the lines and the start of the watch, 6 tests failed: no lines were found for a current state, a followed leader, silence, a leader that is not current (expected 2 and 7 s after the election) and work not under way (5 lines in 26 s); and the daemon did not start the watch.

--- a/turmerichall/agreement/append_handler.py
+++ b/turmerichall/agreement/append_handler.py
@@ -34,6 +34,10 @@
             return _reply(state.term, False, 0)
         if state.role != replica_state.Role.FOLLOWER:
             state.step_down()
+        if request.leader != state.leader:
+            state.log.info(
+                "following leader", leader=request.leader, term=state.term
+            )
         state.record_leader_contact(request.leader, request.quorum_age_seconds)
         state.compare_digest(sender, request.applied, request.digest)
         if request.snapshot:
--- a/turmerichall/agreement/election.py
+++ b/turmerichall/agreement/election.py
@@ -13,13 +13,18 @@
 
 from turmerichall import outcomes
 from turmerichall.agreement import entry_log
+from turmerichall.agreement import leader_watch
 from turmerichall.agreement import member
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
 from turmerichall.agreement import replication
+from turmerichall.telemetry import repeat_limit
 
 __all__ = ["Election"]
 
+# Minimum time between two log lines about elections that were not won.
+LOG_INTERVAL_SECONDS = 5.0
+
 
 class Election:
     """Campaigns when no leader is heard from, and leads when elected.
@@ -36,6 +41,11 @@
     ):
         self.state = state
         self.replication = own_replication
+        self._leader_watch = leader_watch.LeaderWatch(state, own_replication)
+        self._failure_limit = repeat_limit.RepeatLimit(LOG_INTERVAL_SECONDS)
+        # The `leader_contact_at` after which silence was logged, if any.
+        self._silent_since: float | None = None
+        self._led_until = -float("inf")
 
     async def run(self) -> None:
         """Take part in elections, until cancelled.
@@ -48,7 +58,15 @@
             if not self.state.is_voter():
                 await trio.sleep(self.state.timing.heartbeat_seconds)
             elif await self._campaign():
-                await self.replication.lead()
+                await self._lead()
+
+    async def _lead(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._leader_watch.run)
+            await self.replication.lead()
+            nursery.cancel_scope.cancel()
+        self._silent_since = None
+        self._led_until = trio.current_time()
 
     async def _wait_for_election_timeout(self) -> None:
         state = self.state
@@ -59,10 +77,25 @@
             since = max(state.leader_contact_at, started)
             due = since + timing.election_seconds + jitter
             if trio.current_time() >= due:
+                self._log_silence()
                 return
             await state.election_requested.wait(due)
         state.elect_now = False
 
+    def _log_silence(self) -> None:
+        """Log that no leader is heard from, once until one is again."""
+        state = self.state
+        if self._silent_since == state.leader_contact_at:
+            return
+        self._silent_since = state.leader_contact_at
+        since = max(state.leader_contact_at, state.started_at, self._led_until)
+        state.log.warning(
+            "no leader heard",
+            term=state.term,
+            last_leader=state.leader,
+            seconds=round(trio.current_time() - since, 3),
+        )
+
     async def _campaign(self) -> bool:
         state = self.state
         term = state.term
@@ -105,10 +138,16 @@
         voters = member.voters(self.state.members)
         granted = {self.state.identity}
         needed = len(voters) // 2 + 1
+        unanswered: dict[str, str] = {}
         async with trio.open_nursery() as nursery:
 
             async def request_from(voter: member.Member) -> None:
-                if await self._request_vote(voter, term, pre_vote, transfer):
+                answer = await self._request_vote(
+                    voter, term, pre_vote, transfer
+                )
+                if isinstance(answer, outcomes.Refusal):
+                    unanswered[voter.name] = answer.reason.value
+                elif answer:
                     granted.add(voter.identity)
                 if len(granted) >= needed:
                     nursery.cancel_scope.cancel()
@@ -116,11 +155,23 @@
             for voter in voters:
                 if voter.identity != self.state.identity:
                     nursery.start_soon(request_from, voter)
-        return len(granted) >= needed
+        won = len(granted) >= needed
+        attempts = 0 if won else self._failure_limit.count(trio.current_time())
+        if attempts:
+            self.state.log.warning(
+                "pre-vote not won" if pre_vote else "election not won",
+                term=term,
+                granted=len(granted),
+                needed=needed,
+                unanswered=unanswered,
+                attempts=attempts,
+            )
+        return won
 
     async def _request_vote(
         self, voter: member.Member, term: int, pre_vote: bool, transfer: bool
-    ) -> bool:
+    ) -> bool | outcomes.Refusal:
+        """Return whether a voter grants its vote, or why it didn't answer."""
         state = self.state
         last_term, last_index = state.last_term_and_index()
         request = message.Vote(
@@ -141,7 +192,7 @@
             state.timing.call_seconds,
         )
         if isinstance(answer, outcomes.Refusal):
-            return False
+            return answer
         reply = message.decode(answer, message.VoteReply)
         state.observe_term(reply.term)
         return reply.granted
--- a/turmerichall/agreement/tests/cluster.py
+++ b/turmerichall/agreement/tests/cluster.py
@@ -10,6 +10,7 @@
 from turmerichall.agreement import message as messages
 from turmerichall.agreement import replica
 from turmerichall.agreement import replica_state
+from turmerichall.peers import link
 from turmerichall.storage.tests import memory_files
 
 Handler = Callable[[str, bytes], Awaitable[bytes | None]]
@@ -153,6 +154,7 @@
         replicas: Running replicas by name.
         machines: Their state machines by name.
         zones: Zones of the listed instances by name.
+        logs: Logs by name, kept when an instance is started again.
     """
 
     def __init__(
@@ -162,12 +164,15 @@
         seed: int = 1,
         timing: replica_state.Timing = replica_state.Timing(),
         machine: Callable[[], replica_state.StateMachine] = KeyValueMachine,
+        log: Callable[[], link.Log] = NullLog,
     ):
         self.nursery = nursery
         self.rng = random.Random(seed)
         self.hub = Hub(nursery, self.rng)
         self.timing = timing
         self.new_machine = machine
+        self.new_log = log
+        self.logs: dict[str, link.Log] = {}
         self.names = [chr(ord("a") + number) for number in range(size)]
         self.addresses = {name: f"{name}:1" for name in self.names}
         self.files: dict[str, memory_files.MemoryFiles] = {}
@@ -193,7 +198,7 @@
             network,
             machine,
             self.addresses if name in self.names else {},
-            NullLog(),
+            self.logs.setdefault(name, self.new_log()),
             self.timing,
             files,
             random.Random(self.rng.random()),
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -9,6 +9,7 @@
 from turmerichall.agreement import replica_state
 from turmerichall.dispatch import leader_api as leader_apis
 from turmerichall.dispatch import replica_gauges
+from turmerichall.dispatch import term_watch
 from turmerichall.entry import calls
 from turmerichall.http1 import message
 from turmerichall.http1 import metrics
@@ -52,6 +53,7 @@
         queue_state: The replicated state of queues.
         replica: This instance's replica of the agreed log.
         leader_api: Answers requests while this replica leads.
+        term_watch: Warns while this replica leads without doing its work.
         control: Server for workers and operators.
         metrics_registry: Metrics of this process.
         metrics: Server for the metrics.
@@ -91,6 +93,9 @@
             self.metrics_registry,
             http_policy_client.HttpPolicyClient(policy) if policy else None,
         )
+        self.term_watch = term_watch.TermWatch(
+            self.replica, self._is_work_under_way, self.log
+        )
         replica_gauges.register(
             self.metrics_registry, self.replica, self._is_work_under_way
         )
@@ -118,6 +123,7 @@
             self.network.handle(calls.LEADER_QUERY, self._on_leader)
             await nursery.start(self.replica.run)
             nursery.start_soon(self.leader_api.run)
+            nursery.start_soon(self.term_watch.run)
             await nursery.start(self.control.run, listen.control)
             if listen.metrics:
                 await nursery.start(self.metrics.run, listen.metrics)
--- a/turmerichall/dispatch/tests/test_replica_daemon.py
+++ b/turmerichall/dispatch/tests/test_replica_daemon.py
@@ -4,19 +4,20 @@
 import re
 
 import pytest
+import trio
 
 from turmerichall.dispatch import replica_daemon
 from turmerichall.settings import queue_settings
 
-ADDRESS = "127.0.0.1:7480"
+HOST = "127.0.0.1"
 
 
 @pytest.fixture(name="daemon")
 def _daemon(tmp_path: pathlib.Path) -> replica_daemon.ReplicaDaemon:
     settings = queue_settings.QueueSettings(
         queue_settings.Instance("i1", "z1", "replica", str(tmp_path)),
-        queue_settings.Listen(peers=ADDRESS, control="127.0.0.1:0"),
-        queue_settings.Replicas(("127.0.0.1",), 7480, "k", bootstrap=True),
+        queue_settings.Listen(peers=f"{HOST}:0", control=f"{HOST}:0"),
+        queue_settings.Replicas((HOST,), 1, "k"),
     )
     return replica_daemon.ReplicaDaemon.from_config(settings)
 
@@ -39,3 +40,23 @@
             "term",
             "voters",
         ]
+
+
+class TestTermWatch:
+
+    async def test_runs(
+        self,
+        daemon: replica_daemon.ReplicaDaemon,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        started = trio.Event()
+
+        async def run() -> None:
+            started.set()
+
+        monkeypatch.setattr(daemon.term_watch, "run", run)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(daemon.run)
+            with trio.fail_after(10):
+                await started.wait()
+            nursery.cancel_scope.cancel()
