Page: from "nothing is served" to its reason

An engineer who saw that nothing was served had no page that leads from the lines and gauges of the replicas to the reason. OPERATIONS.md has a section with one row for each state; a test checks that it names every line of the scenarios and only gauges that a replica shows. Without the section, that test fails with IndexError (no such heading).

--- a/turmerichall/dispatch/tests/test_nothing_served.py
+++ b/turmerichall/dispatch/tests/test_nothing_served.py
@@ -7,6 +7,8 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import pathlib
+import re
 
 import pytest
 import trio
@@ -40,6 +42,8 @@
 NOT_WON = ("pre-vote not won", "election not won")
 SILENCE = "no leader heard"
 
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
+
 Fields = dict[str, object]
 
 
@@ -316,3 +320,22 @@
     while state.role != replica_state.Role.CANDIDATE:
         await trio.sleep(memory_files.SYNC_SECONDS / 4)
     cluster.files[name].sync_seconds = SLOW_SYNC_SECONDS
+
+
+class TestPage:
+
+    async def test_names_these_lines_and_gauges(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        text = PAGE.read_text(encoding="utf-8")
+        section = text.split(". Nothing is served\n")[1].split("\n## ")[0]
+        for message in (CURRENT, FOLLOWING, NOT_BEGUN, NOT_CURRENT, *NOT_WON):
+            assert message in section
+        assert SILENCE in section
+        rows = re.findall(r"^\|[^|]+\|([^|]+)\|", section, re.MULTILINE)
+        named = set(re.findall(r"`(\w+)`", "".join(rows)))
+        async with _site() as site:
+            shown = set(site.gauges(site.cluster.names[0]))
+        assert named and named <= shown
+        told_apart = {"stopped", "leads", "leads_current", "leader_work"}
+        assert told_apart <= named
