--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -8,6 +8,8 @@
 from turmerichall.agreement import replica as replicas
 from turmerichall.agreement import replica_state
 from turmerichall.dispatch import leader_api as leader_apis
+from turmerichall.dispatch import replica_gauges
+from turmerichall.dispatch import term_watch
 from turmerichall.entry import calls
 from turmerichall.http1 import message
 from turmerichall.http1 import metrics
@@ -51,6 +53,7 @@
         queue_state: The replicated state of queues.
         replica: This instance's replica of the agreed log.
         leader_api: Answers requests while this replica leads.
+        term_watch: Warns while this replica leads without doing its work.
         control: Server for workers and operators.
         metrics_registry: Metrics of this process.
         metrics: Server for the metrics.
@@ -90,6 +93,12 @@
             self.metrics_registry,
             http_policy_client.HttpPolicyClient(policy) if policy else None,
         )
+        self.term_watch = term_watch.TermWatch(
+            self.replica, self._is_work_under_way, self.log
+        )
+        replica_gauges.register(
+            self.metrics_registry, self.replica, self._is_work_under_way
+        )
         self.metrics = metrics.make_server(self.metrics_registry)
         self.control = server.Server(self._answer, lambda: CONTROL_LIMITS)
 
@@ -114,6 +123,7 @@
             self.network.handle(calls.LEADER_QUERY, self._on_leader)
             await nursery.start(self.replica.run)
             nursery.start_soon(self.leader_api.run)
+            nursery.start_soon(self.term_watch.run)
             await nursery.start(self.control.run, listen.control)
             if listen.metrics:
                 await nursery.start(self.metrics.run, listen.metrics)
@@ -128,6 +138,9 @@
         await trio.sleep(DRAIN_NOTICE_SECONDS)
         await self.control.stop()
 
+    def _is_work_under_way(self) -> bool:
+        return self.leader_api.leadership is not None
+
     async def _on_leader(self, _: str, __: bytes) -> bytes:
         return calls.encode(self.leader_api.leader())
 
