--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -11,6 +11,7 @@
 from turmerichall import outcomes
 from turmerichall.agreement import append_handler
 from turmerichall.agreement import applier
+from turmerichall.agreement import disk_recovery
 from turmerichall.agreement import election
 from turmerichall.agreement import entry_log
 from turmerichall.agreement import log_stream
@@ -33,12 +34,6 @@
 
 Handler = Callable[[str, bytes], Awaitable[bytes | None]]
 
-# Time between two tries of a disk that failed.  An instance has to take part
-# again within some seconds after the end of a fault.
-DISK_RETRY_SECONDS = 0.5
-# Time between two log lines on a disk that still fails.
-DISK_REPORT_SECONDS = 5.0
-
 
 class Replica:
     """Replicates a state machine over the instances of a cluster.
@@ -199,52 +194,17 @@
         return (lasting or failures)[0]
 
     async def _rejoin(self, folder: data_folder.DataFolder) -> None:
-        """Observe until the disk works, and restore the data folder."""
-        state = self.state
-        failed_at = trio.current_time()
-        while True:
+        """Observe until the disk works, then become a follower."""
+        recovery = disk_recovery.DiskRecovery(
+            self.state, folder, self._snapshots
+        )
+        restored = False
+        while not restored:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._observe_with_failed_disk, folder)
-                await self._wait_for_disk(folder, failed_at)
+                await recovery.wait_for_disk()
                 nursery.cancel_scope.cancel()
-            try:
-                await self._snapshots.restore_folder()
-                break
-            except errors.DiskError as error:
-                state.log.warning(
-                    "can't restore the data folder", reason=str(error)
-                )
-        state.stopped = ""
-        state.role = replica_state.Role.FOLLOWER
-        state.role_changed.notify_all()
-        state.log.info(
-            "disk works again; replica rejoins",
-            seconds=round(trio.current_time() - failed_at, 2),
-            term=state.term,
-            applied=state.applied,
-            last_index=state.raft_log.last_index,
-        )
-
-    async def _wait_for_disk(
-        self, folder: data_folder.DataFolder, failed_at: float
-    ) -> None:
-        """Try the disk until it works."""
-        report_at = failed_at + DISK_REPORT_SECONDS
-        while True:
-            await trio.sleep(DISK_RETRY_SECONDS)
-            try:
-                await folder.probe()
-                return
-            except errors.DiskError as error:
-                now = trio.current_time()
-                if now < report_at:
-                    continue
-                report_at = now + DISK_REPORT_SECONDS
-                self.state.log.warning(
-                    "disk still fails; replica is out of consensus",
-                    reason=str(error),
-                    seconds=round(now - failed_at, 2),
-                )
+            restored = await recovery.restore()
 
     async def _observe_with_failed_disk(
         self, folder: data_folder.DataFolder
