Take a pace as unknown if its order was not answered

What users see: a best-effort task beside a long-running one stays throttled until it ends, although there is room; it may then be called a straggler, which counts a failure against a healthy worker and moves the run. A late order may also raise a pace again, so that a service misses its target for longer. Cause: if the answer to an order of a pace was lost, the leader kept the old pace in its books. The order that would have raised the pace was "unchanged" and never sent. And a worker may carry out an order that it did not answer up to 12 s later, after newer orders, which nothing undid. Change: the pace is unknown after an order without an answer, so it is sent again at the next poll. Until such an order can no longer be carried out, the pace is repeated every 2 s, and once more afterwards; a run counts as slowed until that last order is answered, so it is not called a straggler. An unknown pace is not taken for a low one, which would move the run after 1 s. Ruled out: orders that were provably not sent, or refused, which leave the pace as it was (tested); late orders of an earlier term, which the worker refuses by their lower token; pacing, which takes an unknown pace for 0 and raises it by at most 30 % for each poll, as in a new term.

--- a/turmerichall/dispatch/tail_latency_controller.py
+++ b/turmerichall/dispatch/tail_latency_controller.py
@@ -18,6 +18,12 @@
 PACE_STEP_PERCENT = 8
 # Time after a change of pace in which tail latencies still reflect the old one.
 PACE_SETTLE_SECONDS = 1.0
+# Time after which a worker no longer carries out an order that it has not
+# answered: it may do so up to 12 s later.
+LATE_ORDER_SECONDS = 12.5
+# Time between two orders of an unchanged pace, while a late order may change it
+# back.
+PACE_REPEAT_SECONDS = 2.0
 # Standard deviation of the rounding error of tail latencies, which workers
 # report in whole milliseconds.
 ROUNDING_MS = 0.29
@@ -123,6 +129,7 @@
             self.owner.interference_model.weight,
             self.owner.interference_model.upper_weight,
         )
+        unanswered = False
         for run, percent in zip(paced_runs, paces):
             unknown = run.pace_percent == worker_state.UNKNOWN_PACE
             if (
@@ -130,7 +137,11 @@
                 or percent in (0, 100)
                 or abs(percent - run.pace_percent) >= PACE_STEP_PERCENT
             ):
-                await self._set_pace(run, percent)
+                unanswered |= not await self._set_pace(run, percent)
+            elif not unanswered:
+                # Each order without an answer delays the next poll, which
+                # renews the lease.
+                unanswered = not await self._set_pace(run, run.pace_percent)
 
     def _read_tail(
         self, run: worker_state.Run, shares: dict[str, float], now: float
@@ -207,15 +218,43 @@
         since = self._over_since.setdefault(run.task, now)
         return max(now - since, 0.001)
 
-    async def _set_pace(self, run: worker_state.Run, percent: int) -> None:
-        """Send a run's new pace to the worker, unless it is unchanged."""
-        if run.pace_percent == percent:
-            return
+    async def _set_pace(self, run: worker_state.Run, percent: int) -> bool:
+        """Send a run's pace to the worker, unless it is known to be set.
+
+        An order without an answer may be carried out late, after newer orders,
+        so the pace is repeated until that can no longer happen.
+
+        Returns:
+            False if an order was sent and not answered.
+        """
+        now = leases.steady_seconds()
+        changes_pace = run.pace_percent != percent
+        if not changes_pace and not _must_repeat(run, now):
+            return True
         result = await self.worker.client.pace(
             run.order(), percent, self.owner.token
         )
-        if result.verdict == worker_client.Verdict.DONE:
+        verdict = result.verdict
+        answered = verdict != worker_client.Verdict.UNANSWERED
+        if verdict == worker_client.Verdict.DONE:
             run.pace_percent = percent
+            run.pace_told_at = now
+        elif not answered:
+            run.late_pace_until = leases.steady_seconds() + LATE_ORDER_SECONDS
+            if changes_pace:
+                run.pace_percent = worker_state.UNKNOWN_PACE
+        else:
+            if verdict == worker_client.Verdict.FENCED:
+                self.owner.fenced(self.worker)
+            return True
+        if changes_pace:
             self._paced_at = leases.steady_seconds()
-        elif result.verdict == worker_client.Verdict.FENCED:
-            self.owner.fenced(self.worker)
+        return answered
+
+
+def _must_repeat(run: worker_state.Run, now: float) -> bool:
+    """Return whether an unchanged pace is to be sent again at a time."""
+    if not run.late_pace_possible():
+        return False
+    is_last = now > run.late_pace_until
+    return is_last or now >= run.pace_told_at + PACE_REPEAT_SECONDS
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -72,6 +72,9 @@
         moved: Whether it is stopped in order to be moved to another worker.
         preempted: Whether it is stopped in order to give room to urgent tasks.
         pace_percent: Pace that was last set, or `UNKNOWN_PACE`.
+        pace_told_at: Time at which the last answered order of a pace was sent.
+        late_pace_until: Time until which an order of a pace that was not
+            answered may still be carried out, also after newer ones.
         load: Latest measurement of the worker: tail latency in ms of a
             long-running task, processors in use in thousandths of a core of any
             other.
@@ -91,10 +94,12 @@
         "initial_percent",
         "last_slowed_at",
         "last_unthrottled_at",
+        "late_pace_until",
         "load",
         "moved",
         "number",
         "pace_percent",
+        "pace_told_at",
         "phase",
         "preempted",
         "progress_percent",
@@ -125,6 +130,8 @@
         self.preempted = False
         self.forced = False
         self.pace_percent = 100
+        self.pace_told_at = 0.0
+        self.late_pace_until = -float("inf")
         self.load = 0
         self.progress_percent = 0
         self.initial_percent = -1
@@ -144,12 +151,23 @@
             self.initial_percent = percent
         if percent > self.progress_percent or not self.progressed_at:
             self.progressed_at = now
-        if self.pace_percent < 100:
+        if self.pace_percent < 100 or self.late_pace_possible():
             self.last_slowed_at = now
-        if self.pace_percent > LOW_PACE_PERCENT or not self.last_unthrottled_at:
+        # An unknown pace is not taken for a low one: the run may be moved only
+        # for what is known.
+        is_low = 0 <= self.pace_percent <= LOW_PACE_PERCENT
+        if not is_low or not self.last_unthrottled_at:
             self.last_unthrottled_at = now
         self.progress_percent = percent
 
+    def late_pace_possible(self) -> bool:
+        """Return whether a late order may have changed the last pace set.
+
+        It may until an order is answered that was sent when no earlier one
+        could be carried out any more.
+        """
+        return self.pace_told_at <= self.late_pace_until
+
     def progress(self, now: float) -> stragglers.Progress:
         """Return the progress of the run at a time on the steady clock."""
         return stragglers.Progress(
