Resign as leader after a fence that a quorum refutes

What users see: jobs are neither accepted nor run, although all replicas and workers are up, until the leader happens to change; for instance after all replicas lost their disks and began again at term 1, below the tokens that the workers had seen. A single worker with a wrong token was enough. Cause: a leader that a worker fenced kept its leadership of the replicas, and did no leader's work in that term. Change: it still gives no orders from the fence on, and asks a quorum whether it leads, until it is answered or loses the leadership. If a quorum confirms it, it resigns: at once, then after 1 s, doubled up to 30 s, and at once again after 300 s without a resignation. If the same worker fences twice within a minute, it alone is kept out of use for the rest of the term, with an error in the log; its runs are lost once its lease has expired. This does not apply if no other worker would be left: then the term is too low for all, and has to rise. Ruled out: a barrier that another leader answers, which confirms nothing (tested); two runs of a task: the work that goes on in the same term grants a lease as long as any before at its second poll, and counts no lease as expired until then. Left: each replica keeps its own count of fences and pauses, so a single wrong token cost 3 elections among three replicas in the test.

--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -397,6 +397,15 @@
         begun = 0 < self._replication.term_start <= state.applied
         return state.term if leads and begun else 0
 
+    def resign(self, term: int) -> None:
+        """Stop leading, if this replica leads in a term.
+
+        The leader that is elected next has a higher term.
+        """
+        state = self.state
+        if state.role == replica_state.Role.LEADER and state.term == term:
+            state.step_down()
+
     def _counted(
         self, outcome: message.Outcome
     ) -> bytes | outcomes.Refusal | outcomes.Unknown:
--- a/turmerichall/agreement/tests/test_failures.py
+++ b/turmerichall/agreement/tests/test_failures.py
@@ -502,3 +502,33 @@
     )
     await cluster.put(writer, f"{name}=works")
     await cluster.wait_until_applied(f"{name}=works")
+
+
+class TestResignation:
+
+    async def test_a_leader_that_resigns_is_followed_by_a_newer_term(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        cluster, leader = await _start_cluster(nursery)
+        replica = cluster.replicas[leader]
+        term = replica.leader_term()
+        replica.resign(term)
+        assert replica.leader_term() == 0
+        assert cluster.leaders() == []
+        next_leader = await cluster.wait_for_leader()
+        assert cluster.replicas[next_leader].status().term > term
+        await cluster.put(next_leader, "k=1")
+        await cluster.wait_until_applied("k=1")
+
+    async def test_a_resignation_of_another_term_changes_nothing(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        cluster, leader = await _start_cluster(nursery)
+        replica = cluster.replicas[leader]
+        term = replica.leader_term()
+        replica.resign(term - 1)
+        replica.resign(term + 1)
+        for other in _others(cluster, leader):
+            cluster.replicas[other].resign(term)
+        await trio.sleep(10.0)
+        assert replica.leader_term() == term
--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -7,6 +7,7 @@
 from turmerichall import outcomes
 from turmerichall.agreement import replica as replicas
 from turmerichall.dispatch import durations as run_durations
+from turmerichall.dispatch import fence_response as fence_responses
 from turmerichall.dispatch import freshness as freshnesses
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import leadership as leaderships
@@ -81,20 +82,24 @@
         self._log = log
         self._metrics_registry = metrics_registry
         self._policy = policy
+        self._fence_response = fence_responses.FenceResponse(replica, log)
         self._durations = run_durations.DurationEstimator()
         self._interference_model = interference_models.InterferenceModel()
 
     async def run(self) -> None:
         """Do the leader's work in every term in which this replica leads."""
         replica = self.replica
-        fenced_term = 0
+        term = 0
+        kept_out: frozenset[str] = frozenset()
         while True:
             # A leader's state becomes current only by applying an entry.
             await replica.state.applied_advanced.wait_for(
-                lambda: replica.leader_term() not in (0, fenced_term)
+                lambda: replica.leader_term() != 0
             )
-            term = replica.leader_term()
-            self.leadership = leaderships.Leadership(
+            if term != replica.leader_term():
+                term = replica.leader_term()
+                kept_out = frozenset()
+            leadership = self.leadership = leaderships.Leadership(
                 self.replica,
                 self.queue_state,
                 term,
@@ -105,13 +110,18 @@
                 self._interference_model,
                 self._metrics_registry,
                 self._policy,
+                kept_out,
             )
             try:
-                await self.leadership.run()
+                await leadership.run()
             finally:
-                if self.leadership.was_fenced:
-                    fenced_term = term
                 self.leadership = None
+            if leadership.fencers:
+                kept_out |= await self._fence_response.respond(
+                    term,
+                    leadership.fencers,
+                    leadership.workers.keys() - kept_out,
+                )
             await trio.sleep(0.02)
 
     def leader(self) -> Leader:
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -1,5 +1,6 @@
 """A leader's work in one term: places tasks and sends orders to workers."""
 
+from collections.abc import Set
 import time
 
 import trio
@@ -71,6 +72,9 @@
         metrics_registry: Metrics of this process.
         freshness: Age of the latest quorum contact, which limits lease
             renewals.
+        fencers: Ids of workers that refused the token, which ends the work.
+        kept_out: Ids of workers that are not used, because they refused the
+            token although a quorum confirmed the term.
         scope: Cancel scope that ends the term's work.
     """
 
@@ -86,6 +90,7 @@
         interference_model: interference_models.InterferenceModel,
         metrics_registry: lightweight_metrics.MetricsRegistry,
         policy: policy_client.PolicyClient | None = None,
+        kept_out: Set[str] = frozenset(),
     ):
         self.replica = replica
         self.queue_state = queue_state
@@ -101,7 +106,8 @@
         self.registry = registries.Registry(self, make_client)
         self.workers = self.registry.workers
         self.scope = trio.CancelScope()
-        self.was_fenced = False
+        self.fencers: set[str] = set()
+        self.kept_out = kept_out
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._recurring_jobs = recurring_job_sets.RecurringJobs(
@@ -163,7 +169,7 @@
                     self.spawn_stop(session, run)
 
     async def _watch_leadership(self) -> None:
-        while self.replica.leader_term() == self.token and not self.was_fenced:
+        while self.replica.leader_term() == self.token and not self.fencers:
             await self.replica.state.role_changed.wait(
                 trio.current_time() + PLACEMENT_INTERVAL_SECONDS
             )
@@ -193,7 +199,7 @@
             worker=worker.record.id,
             term=self.token,
         )
-        self.was_fenced = True
+        self.fencers.add(worker.record.id)
         self.scope.cancel()
 
     async def commit(
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -1,6 +1,6 @@
 """Registry of live workers: registration, drain, removal and replacement."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from typing import Protocol
 
 import trio
@@ -27,6 +27,7 @@
     """Interface of the leader for the registry; `Leadership` implements it."""
 
     backlog: backlogs.Backlog
+    kept_out: Set[str]
 
     async def commit(
         self, change: changes.Change
@@ -94,6 +95,7 @@
         worker = worker_state.Worker(
             record, self._make_client(record), self._began_at, draining
         )
+        worker.kept_out = record.id in self.owner.kept_out
         session = sessions.WorkerSession(self.owner, worker)
         self.workers[record.id] = worker
         self.sessions[record.id] = session
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -115,6 +115,10 @@
         if not owner.may_renew():
             await trio.sleep(NO_QUORUM_RETRY_SECONDS)
             return
+        if worker.kept_out:
+            await self._end_expired_runs()
+            await trio.sleep(RETRY_SECONDS)
+            return
         now = leases.steady_seconds()
         lease = worker.lease
         # A poll without an answer may have renewed the lease, so the next one
@@ -177,6 +181,12 @@
                 verdict=verdict.value,
                 runs=len(worker.runs),
             )
+        await self._end_expired_runs()
+        await trio.sleep(RETRY_SECONDS)
+
+    async def _end_expired_runs(self) -> None:
+        """Commit the loss of all runs, if the lease has certainly expired."""
+        owner, worker = self.owner, self.worker
         if worker.runs and worker.lease.has_expired(leases.steady_seconds()):
             rows = [
                 self._ended(run, changes.Ending.LOST)
@@ -187,7 +197,6 @@
                 "lease ran out", worker=worker.record.id, runs=len(rows)
             )
             await owner.commit_ends(worker, rows)
-        await trio.sleep(RETRY_SECONDS)
 
     async def _commit_ends(self, status: worker_client.WorkerStatus) -> None:
         """Commit new ends of runs, so that they may be acknowledged."""
@@ -391,7 +400,7 @@
         """Tell the worker to stop a run; a later poll reports its end."""
         owner, worker = self.owner, self.worker
         run.stopping = True
-        while worker.runs.get(run.task) is run:
+        while worker.runs.get(run.task) is run and not worker.kept_out:
             result = await worker.client.stop(run.order(), owner.token)
             if result.verdict == Verdict.DONE:
                 return
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -245,6 +245,11 @@
         self.state.role_changed.notify_all()
         self.state.applied_advanced.notify_all()
 
+    def resign(self, term: int) -> None:
+        """See `agreement.replica.Replica`."""
+        if term == self.term:
+            self.lead(0)
+
     def seconds_since_quorum(self) -> float:
         """See `agreement.replica.Replica`."""
         return 0.0 if self.term else 99.0
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -195,6 +195,8 @@
         client: Client that sends orders to the worker.
         lease: Its lease.
         draining: Whether it is about to leave.
+        kept_out: Whether it is kept out of use because it refuses the term; its
+            runs end with its lease.
         runs: Runs by task, from their plan until their end is committed.
         in_touch: Whether it answered the latest poll, and every start since;
             no tasks are placed on it otherwise.
@@ -228,6 +230,7 @@
         self.client = client
         self.lease = leases.Lease(term_began_at)
         self.draining = draining
+        self.kept_out = False
         self.runs: dict[changes.TaskName, Run] = {}
         self.in_touch = False
         self.breaker = circuit_breakers.CircuitBreaker()
