Move the runs of a draining worker after a lost answer or a new term

What users see: a long-running task stays on a worker that is about to leave until the worker ends it, and is missing until it has started elsewhere; a checkpointing task loses its work since the last checkpoint. Cause: these runs were stopped only by the call that committed the drain. If the outcome of that commit was unknown and it took effect later, or if the leader changed before the stops were sent, the replicated state said that the worker drained, and nobody stopped the runs. Change: each heartbeat of a draining worker, and the beginning of a term, stop those runs that are not being stopped yet. Ruled out: `worker.draining`, which is set before the commit and stays set if that fails.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -164,6 +164,9 @@
             if job.open:
                 self._recurring_jobs.add(job, now_ms)
         for session in self.registry.sessions.values():
+            if session.worker.draining:
+                # The earlier leader may not have stopped all of them.
+                self.registry.stop_movable_runs(session.worker)
             for run in session.worker.runs.values():
                 if not self.queue_state.jobs[run.task.job].open:
                     self.spawn_stop(session, run)
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -125,9 +125,7 @@
             worker.lease.record_clock(
                 heartbeat.clock_ms, leases.steady_seconds()
             )
-        if heartbeat.draining and record.id not in self.queue_state.draining:
-            return await self._drain(worker)
-        return True
+        return not heartbeat.draining or await self._drain(worker)
 
     async def _register(self, heartbeat: worker_client.Heartbeat) -> bool:
         record = heartbeat.worker
@@ -176,19 +174,26 @@
         return isinstance(status, worker_client.WorkerStatus)
 
     async def _drain(self, worker: worker_state.Worker) -> bool:
+        """Commit that a worker drains; return whether this is durable."""
+        worker_id = worker.record.id
         worker.draining = True
-        failed = await self.owner.commit(changes.DrainWorker(worker.record.id))
-        if failed is not None:
-            return False
-        self.log.info(
-            "worker is draining", worker=worker.record.id, runs=len(worker.runs)
-        )
+        if worker_id not in self.queue_state.draining:
+            failed = await self.owner.commit(changes.DrainWorker(worker_id))
+            if failed is not None:
+                return False
+            self.log.info(
+                "worker is draining", worker=worker_id, runs=len(worker.runs)
+            )
+        self.stop_movable_runs(worker)
+        return True
+
+    def stop_movable_runs(self, worker: worker_state.Worker) -> None:
+        """Stop the runs that lose nothing by a move to another worker."""
         session = self.sessions.get(worker.record.id)
         if session is not None:
             for run in list(worker.runs.values()):
                 if run.step.lasting or run.step.checkpoints:
                     self.owner.spawn_stop(session, run)
-        return True
 
     async def worker_leaving(self, worker_id: str) -> bool:
         """Handle a worker's notice that it is shutting down.
@@ -199,8 +204,7 @@
         worker = self.workers.get(worker_id)
         if worker is None:
             return worker_id in self.queue_state.gone
-        is_draining = worker_id in self.queue_state.draining
-        if not is_draining and not await self._drain(worker):
+        if not await self._drain(worker):
             return False
         if self._nursery is not None:
             self._nursery.start_soon(self._remove_after_grace, worker)
