--- a/turmerichall/dispatch/tests/test_fenced_cluster.py
+++ b/turmerichall/dispatch/tests/test_fenced_cluster.py
@@ -191,6 +191,8 @@
         self, nursery: trio.Nursery, mocked_clocks: trio.testing.MockClock
     ) -> None:
         workers = [_Worker(name) for name in ("w1", "w2", "w3")]
+        # Its runs last until its lease has expired.
+        workers[0].run_seconds = LIMIT_SECONDS
         replicas = await _Replicas.start(nursery, *workers)
         await _wait_until(lambda: len(replicas.in_touch()) == 3)
         await replicas.submit("before")
