Keep logging after the log could not be written

What users see: after a moment in which the disk under standard output was full, a queue daemon logs nothing for the rest of its life, and its buffer of 1000 lines stays full. Cause: the thread that writes the lines ended with the first OSError. Change: a line that can't be written counts as dropped, and the next line that is written is preceded by the count, as for lines dropped while the reader stalls. A buffered stream keeps text that it failed to write, so it is flushed before the next line; otherwise each failed line would stay in it together with a report of its own. The line that stays in the buffer is counted as dropped although it is written later, so the count may be one too high. Evidence: the three tests (unbuffered stream, count, buffered stream) failed before, each with the thread's OSError, and pass now. Ruled out: keeping the line and trying again; with a buffered stream the line would be written twice.

--- a/turmerichall/telemetry/logs.py
+++ b/turmerichall/telemetry/logs.py
@@ -141,7 +141,9 @@
 
     A thread writes the lines to the underlying stream.  While that stream
     blocks, lines are buffered up to a limit; further lines are dropped and
-    counted, and the count is written before the next line.
+    counted, and the count is written before the next line.  A line that the
+    stream fails to write, for example because the disk is full, is dropped and
+    counted too.
 
     Attributes:
         dropped_count: Number of dropped lines that is not reported yet.
@@ -190,19 +192,26 @@
             self._lines_added.wait()
             self._lines_added.clear()
             while self._lines:
-                dropped_count, self.dropped_count = self.dropped_count, 0
-                if dropped_count:
-                    report = {
-                        "message": "log: lines left out",
-                        "count": dropped_count,
-                    }
-                    self._stream.write(json.dumps(report) + "\n")
-                self._stream.write(self._lines[0])
-                self._stream.flush()
+                try:
+                    self._write_line(self._lines[0])
+                except OSError:
+                    self.dropped_count += 1
                 # The line is removed from the buffer only after it is written,
                 # so that `drain` waits for the write.
                 self._lines.popleft()
 
+    def _write_line(self, line: str) -> None:
+        # The stream may still hold text from a write that failed.  While that
+        # text can't be written, no more is added to it.
+        self._stream.flush()
+        dropped_count = self.dropped_count
+        if dropped_count:
+            report = {"message": "log: lines left out", "count": dropped_count}
+            line = json.dumps(report) + "\n" + line
+        self._stream.write(line)
+        self.dropped_count -= dropped_count
+        self._stream.flush()
+
 
 def configure(
     level: Level = Level.INFO,
--- a/turmerichall/telemetry/tests/test_logs.py
+++ b/turmerichall/telemetry/tests/test_logs.py
@@ -1,12 +1,13 @@
 """Tests of the logs."""
 
 from collections.abc import Iterator
+import errno
 import io
 import json
 import os
 import pathlib
 import time
-from typing import IO, cast
+from typing import Any, IO, cast
 
 import pytest
 
@@ -23,6 +24,44 @@
     logs.configure(stream=io.StringIO())
 
 
+class _FullDisk(io.RawIOBase):
+    """File on a disk that is full while `full` is set.
+
+    Attributes:
+        content: Bytes that were written.
+        full: Whether writes fail.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.content = b""
+        self.full = False
+
+    def writable(self) -> bool:
+        return True
+
+    def write(self, data: Any, /) -> int:
+        if self.full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        self.content += bytes(data)
+        return len(data)
+
+
+class _FullDiskText(io.StringIO):
+    """Unbuffered stream to a file on a disk that is full while `full` is set.
+
+    Attributes:
+        full: Whether writes fail.
+    """
+
+    full = False
+
+    def write(self, text: str) -> int:
+        if self.full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return super().write(text)
+
+
 class TestLog:
 
     def test_prefix_and_fields(self, stream: io.StringIO) -> None:
@@ -111,3 +150,56 @@
         output.drain(2.0)
         logs.configure(stream=io.StringIO())
         assert json.loads(stream.getvalue())["job"] == "a7"
+
+
+class TestFailingStream:
+
+    # The thread that writes the lines ended with the first error, and the
+    # process logged nothing from then on.
+    def test_lines_are_written_again_once_the_disk_has_room(self) -> None:
+        stream = _FullDiskText()
+        output = logs.NonBlockingStream(stream)
+        stream.full = True
+        output.write("lost\n")
+        output.drain(0.1)
+        stream.full = False
+        output.write("after\n")
+        output.drain(2.0)
+        assert "after\n" in stream.getvalue()
+
+    def test_the_next_line_tells_how_many_were_dropped(self) -> None:
+        stream = _FullDiskText()
+        output = logs.NonBlockingStream(stream)
+        output.write("before\n")
+        output.drain(2.0)
+        stream.full = True
+        for _ in range(3):
+            output.write("lost\n")
+        output.drain(2.0)
+        assert output.dropped_count == 3
+        stream.full = False
+        output.write("after\n")
+        output.write("later\n")
+        output.drain(2.0)
+        before, report, after, later = stream.getvalue().splitlines()
+        assert (before, after, later) == ("before", "after", "later")
+        assert json.loads(report)["count"] == 3
+        assert output.dropped_count == 0
+
+    # Standard output keeps in its buffer what it could not write, and writes it
+    # together with the next line.
+    def test_a_buffered_stream_reports_the_dropped_lines_once(self) -> None:
+        disk = _FullDisk()
+        stream = io.TextIOWrapper(io.BufferedWriter(disk), "utf-8")
+        output = logs.NonBlockingStream(stream)
+        disk.full = True
+        for number in range(5):
+            output.write(f"{number}\n")
+        output.drain(2.0)
+        disk.full = False
+        output.write("after\n")
+        output.drain(2.0)
+        first, report, after = disk.content.decode().splitlines()
+        assert (first, after) == ("0", "after")
+        # The line that stayed in the buffer counts as dropped as well.
+        assert json.loads(report)["count"] == 5
