Replace idle connections together after one of them timed out

What users see: after the paths of a worker's connections were lost without a sign, each idle connection cost a call its whole timeout, with six connections more than the worker's lease, although a new connection would have been answered at once. Cause: a call that timed out closed its own connection only; the next call took the next idle one. Change: if a call on a reused connection times out, the idle connections that have not carried a response since that call was sent are closed as well. Connections in use, connections that have answered since, and all connections after a timeout on a new one stay open, because new connections to workers are priced. A worker that is merely slow still costs its other idle connections if none of them has answered since. Evidence: the test of six lost connections failed before (second call: no response within the timeout). The test of a connection that answered since failed before too, because nothing was closed; it fails as well if all idle ones are closed. The test of a timeout on a new connection passed before, and fails if the connection's earlier use is not looked at. Ruled out: closing all idle connections; those that answered meanwhile are known to work.

--- a/turmerichall/http1/client.py
+++ b/turmerichall/http1/client.py
@@ -35,6 +35,7 @@
 
     Attributes:
         used: Whether a call has completed on this connection.
+        last_response_at: When the last response was complete, trio time.
         keeps_alive: Whether the last response lets the connection be used
             again.
     """
@@ -42,6 +43,7 @@
     def __init__(self, stream: trio.SocketStream):
         self.stream = stream
         self.used = False
+        self.last_response_at = -float("inf")
         self.parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self._headers: message.Headers = {}
@@ -87,6 +89,7 @@
         except httptools.HttpParserError as error:
             raise _BrokenConnection(f"malformed response: {error}") from error
         self.used = True
+        self.last_response_at = trio.current_time()
         return message.Response(
             self.parser.get_status_code(),
             b"".join(self._body),
@@ -101,7 +104,10 @@
 class Client:
     """Client of one address, for idempotent calls only.
 
-    A call that fails on a reused connection is sent again on another one.
+    A call that fails on a reused connection is sent again on another one.  If
+    a call on a reused connection times out, the idle connections that have not
+    carried a response since the call was sent are closed: their path may be
+    lost too, and each would cost a call its whole timeout.
 
     Attributes:
         address: Address of the server, host:port.
@@ -146,15 +152,19 @@
         result: message.Response | CallFailure = CallFailure(
             False, "no connection became free within the timeout"
         )
+        reused_at: float | None = None
         with trio.move_on_after(timeout_seconds):
             async with self._connection_slots:
                 result = CallFailure(False, "connect timed out")
                 while True:
+                    reused_at = None
                     connection = await self._acquire_connection()
                     if connection is None:
                         return CallFailure(False, "connect failed")
                     result = CallFailure(True, "no response within the timeout")
                     reusable = False
+                    if connection.used:
+                        reused_at = trio.current_time()
                     try:
                         response = await connection.call(request_bytes)
                         reusable = connection.keeps_alive
@@ -170,6 +180,8 @@
                             self._idle_connections.append(connection)
                         else:
                             connection.close()
+        if reused_at is not None:
+            self._close_idle(reused_at)
         return result
 
     async def _acquire_connection(self) -> _Connection | None:
@@ -186,7 +198,15 @@
         self.connections_opened += 1
         return _Connection(stream)
 
+    def _close_idle(self, before: float) -> None:
+        """Close idle connections without a response since `before`, trio time.
+
+        The connection whose call ended last is the last one.
+        """
+        idle = self._idle_connections
+        while idle and idle[0].last_response_at <= before:
+            idle.popleft().close()
+
     def close(self) -> None:
         """Close the idle connections."""
-        while self._idle_connections:
-            self._idle_connections.pop().close()
+        self._close_idle(float("inf"))
