Close connections of clients that stop reading a response

What users see: a client that stops reading, for example because its host has vanished, keeps its connection and the server's task; a daemon that is being drained waits for it and never ends. Cause: responses, error responses too, were sent without a time limit. Change: sending a response may take `Limits.send_seconds`, 5 s (chosen, below the default grace period of 6 s for stopping); then the connection is closed. Ruled out: the handler, which answers at once in the test; the idle timeout and `stop`, which only end connections that wait for a request. Left: a response that is larger than the buffers of the sockets and takes a client that does read more than 5 s is cut off.

--- a/turmerichall/http1/server.py
+++ b/turmerichall/http1/server.py
@@ -20,7 +20,7 @@
 
 
 class Limits(NamedTuple):
-    """Limits on what is read from one connection.
+    """Limits on what is read from and sent to one connection.
 
     Attributes:
         header_bytes: Maximum size of the target and the header fields of a
@@ -29,12 +29,14 @@
         request_seconds: Maximum time from the first byte of a request to its
             last.
         idle_seconds: Maximum wait for the first byte of the next request.
+        send_seconds: Maximum time to send one response.
     """
 
     header_bytes: int = 16 * 1024
     body_bytes: int = 256 * 1024
     request_seconds: float = 3.0
     idle_seconds: float = 15.0
+    send_seconds: float = 5.0
 
 
 class _TooLarge(Exception):
@@ -201,20 +203,37 @@
         while True:
             status = await self._read(stream, reader)
             if status:
-                await stream.send_all(
-                    message.encode_response(
-                        message.Response(status), close=True
-                    )
+                await self._send(
+                    stream, reader.limits, message.Response(status), close=True
                 )
             if not reader.requests:
                 return
             request, keep_alive = reader.requests.popleft()
             response = await self.handler(request)
             close = not keep_alive or self.stopping
-            await stream.send_all(message.encode_response(response, close))
+            await self._send(stream, reader.limits, response, close)
             if close:
                 return
 
+    async def _send(
+        self,
+        stream: trio.SocketStream,
+        limits: Limits,
+        response: message.Response,
+        close: bool,
+    ) -> None:
+        """Send a response.
+
+        Raises:
+            trio.BrokenResourceError: The client has disconnected, or has not
+                read the response within the time limit.
+        """
+        try:
+            with trio.fail_after(limits.send_seconds):
+                await stream.send_all(message.encode_response(response, close))
+        except trio.TooSlowError as error:
+            raise trio.BrokenResourceError("send timed out") from error
+
     async def _read(
         self, stream: trio.SocketStream, reader: _RequestReader
     ) -> int:
--- a/turmerichall/http1/tests/test_server.py
+++ b/turmerichall/http1/tests/test_server.py
@@ -3,7 +3,9 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+import pytest
 import trio
+import trio.testing
 
 from turmerichall.http1 import client as http_client
 from turmerichall.http1 import message
@@ -104,6 +106,57 @@
                 await running.stopped.wait()
 
 
+# Far more than all time limits of a connection together.
+LONG_SECONDS = 120.0
+REQUEST = b"GET /jobs HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+class TestSlowReader:
+
+    # A client whose host had vanished kept its connection, and the process,
+    # which was to stop, forever.
+    @pytest.mark.parametrize(
+        "request_bytes", [REQUEST, b"not HTTP\r\n\r\n", b"GET /incomplete"]
+    )
+    async def test_a_connection_whose_client_stops_reading_is_closed(
+        self,
+        nursery: trio.Nursery,
+        autojump_clock: trio.testing.MockClock,
+        request_bytes: bytes,
+    ) -> None:
+        # Such a stream takes no more than the other end reads.
+        client, served = trio.testing.lockstep_stream_pair()
+        running = server.Server(_echo)
+        ended = trio.Event()
+
+        async def serve() -> None:
+            # pylint: disable-next=protected-access
+            await running._serve(served)  # type: ignore[arg-type]
+            ended.set()
+
+        nursery.start_soon(serve)
+        await client.send_all(request_bytes)
+        with trio.fail_after(LONG_SECONDS):
+            await running.stop()
+            await ended.wait()
+
+    async def test_time_limit_is_that_of_the_limits(self) -> None:
+        limits = server.Limits(send_seconds=0.2)
+        async with _serving(limits) as (running, address):
+            host, _, port = address.rpartition(":")
+            # The responses are larger than the buffers of the two sockets.
+            body = b"b" * limits.body_bytes
+            head = f"POST / HTTP/1.1\r\ncontent-length: {len(body)}\r\n\r\n"
+            async with await trio.open_tcp_stream(host, int(port)) as stream:
+                with pytest.raises(trio.BrokenResourceError):
+                    with trio.fail_after(10.0):
+                        while True:
+                            await stream.send_all(head.encode() + body)
+                with trio.fail_after(2.0):
+                    await running.stop()
+                    await running.stopped.wait()
+
+
 class TestClient:
 
     async def test_failed_connect_was_not_sent(self) -> None:
