Let an ejected server be probed again if a probe was not sent

What users see: an ejected backend server gets no more work until it is restarted, although it answers. Cause: the slot of a request that becomes the probe marks the server as being probed. Only a sent request removed the mark; two ways to release the slot without sending did not: a claim that is refused or cancelled, and a request that was cancelled in the queue when it got the slot. Change: a slot tells whether its request is the probe, and releasing it unused ends the probe. Other slots that are released unused don't end the probe of another request. The queue's test needs the new field; it fails if admission releases the slot as before, and the test of another request's probe fails if every unused slot ends the probe. Ruled out: requests that are cancelled after they got their slot while queued; they reach the release in the dispatcher.

--- a/turmerichall/gateway/admission.py
+++ b/turmerichall/gateway/admission.py
@@ -208,7 +208,7 @@
                 await queued.done.wait()
         except trio.Cancelled:
             if isinstance(queued.result, pools.Slot):
-                queued.result.pool.release_slot(queued.result)
+                queued.result.pool.release_unused_slot(queued.result)
                 self.in_flight -= 1
                 self.assign_free_slots()
             raise
--- a/turmerichall/gateway/dispatcher.py
+++ b/turmerichall/gateway/dispatcher.py
@@ -103,7 +103,7 @@
             claim = await self.claims.acquire(request.request_id.decode())
         finally:
             if not isinstance(claim, claims_module.Claim):
-                slot.pool.release_slot(slot)
+                slot.pool.release_unused_slot(slot)
                 held_seconds = trio.current_time() - acquired_at
                 self.admission.slot_released(request, held_seconds)
         if not isinstance(claim, claims_module.Claim):
--- a/turmerichall/gateway/fleet.py
+++ b/turmerichall/gateway/fleet.py
@@ -93,8 +93,11 @@
         available = _with_free_slot(tried, serving, request.deadline, now)
         probe_target = _pool_to_probe(available, request, now)
         if probe_target is not None:
+            slot = probe_target.acquire_slot(request.deadline, now)
+            if slot is None:
+                return None
             probe_target.health.probing = True
-            return probe_target.acquire_slot(request.deadline, now)
+            return slot._replace(probe=True)
         usable = [pool for pool in available if not pool.health.ejected]
         if not usable:
             return None
--- a/turmerichall/gateway/pool.py
+++ b/turmerichall/gateway/pool.py
@@ -43,10 +43,12 @@
         pool: The backend server's pool.
         loan: The loan that the slot belongs to; None for this instance's own
             share.
+        probe: Whether the request is the probe of an ejected server.
     """
 
     pool: "Pool"
     loan: Loan | None = None
+    probe: bool = False
 
 
 class Connection:
@@ -222,6 +224,12 @@
         if running_until != -math.inf:
             self.orphaned_slots.append(running_until)
 
+    def release_unused_slot(self, slot: Slot) -> None:
+        """Release a slot whose request was not sent to the backend server."""
+        if slot.probe:
+            self.health.probing = False
+        self.release_slot(slot)
+
     def max_connections(self) -> int:
         """Return how many connections this instance may have open now."""
         now = trio.current_time()
--- a/turmerichall/gateway/tests/test_admission.py
+++ b/turmerichall/gateway/tests/test_admission.py
@@ -37,6 +37,7 @@
     Attributes:
         served_customers: Customers in the order in which they got a slot.
         refusals: Customers and refusals of refused requests.
+        next_is_probe: Whether the next request to get a slot is a probe.
     """
 
     def __init__(self, slots: int, **changed: int):
@@ -49,13 +50,19 @@
         self.admission = admission.Admission(self, limits)
         self.served_customers: list[str] = []
         self.refusals: list[tuple[str, outcomes.Refusal]] = []
+        self.next_is_probe = False
 
     def acquire_slot(
         self, request: requests.Request, tried: frozenset[str]
     ) -> pools.Slot | None:
         """Acquire a slot of the only server."""
         del tried
-        return self.pool.acquire_slot(request.deadline, trio.current_time())
+        slot = self.pool.acquire_slot(request.deadline, trio.current_time())
+        if slot is None or not self.next_is_probe:
+            return slot
+        self.next_is_probe = False
+        self.pool.health.probing = True
+        return slot._replace(probe=True)
 
     def eligible_servers(self, request: requests.Request) -> frozenset[str]:
         """Return the only server, or another one for other services."""
@@ -208,6 +215,50 @@
             nursery.cancel_scope.cancel()
         assert (server.pool.in_flight, server.admission.in_flight) == (0, 0)
 
+    # The server counted as being probed from then on, and got no work until it
+    # was restarted.
+    async def test_probe_of_a_cancelled_request_can_be_repeated(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        del autojump_clock
+        server = _Server(1)
+        health = server.pool.health
+        slot = await server.admission.acquire_slot(_request())
+        assert isinstance(slot, pools.Slot)
+        health.eject(trio.current_time())
+        # Past the end of the ejection.
+        await trio.sleep(10.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.hold, _request("x"), 1.0)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+            server.next_is_probe = True
+            server.pool.release_slot(slot)
+            server.admission.slot_released(_request(), 0.1)
+            assert health.probing
+        assert health.may_probe(trio.current_time())
+        assert server.pool.in_flight == 0
+
+    async def test_cancelled_request_does_not_end_the_probe_of_another(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        del autojump_clock
+        server = _Server(2)
+        health = server.pool.health
+        slots = [await server.admission.acquire_slot(_request()) for _ in "ab"]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.hold, _request("x"), 1.0)
+            await trio.testing.wait_all_tasks_blocked()
+            assert isinstance(slots[0], pools.Slot)
+            nursery.cancel_scope.cancel()
+            server.pool.release_slot(slots[0])
+            server.admission.slot_released(_request(), 0.1)
+            # The server is ejected and probed by another request before the
+            # cancelled one releases its slot.
+            health.eject(trio.current_time())
+            health.probing = True
+        assert health.probing
+
 
 class TestConcurrency:
 
