Handle a connection that breaks while the network is stopped

What users see: a daemon that is drained, or stopped with the other instances, ends with a traceback if an accepted connection breaks in the step of the event loop in which the network is cancelled. Cause: the error and the cancellation come as one group. An exception raised in `except*` stays in a group with the rest, which the handler of PeerError does not match. Change: the cancellation, or any other error, goes first; a PeerError is raised only if there is nothing else. Evidence: the test of an accepted connection failed before with an ExceptionGroup of a PeerError. The test of a dialed connection passed before: the checkpoint in closing its stream raises the cancellation in place of the group. Ruled out: `Replica` and the daemon, the other users of `except*`; they keep the errors of storage and raise no single exception from the handler.

--- a/turmerichall/peers/envelope.py
+++ b/turmerichall/peers/envelope.py
@@ -16,6 +16,7 @@
     "Envelope",
     "FrameKind",
     "MAX_FRAME_BYTES",
+    "connection_error",
     "decode",
     "encode",
 ]
@@ -105,6 +106,30 @@
         raise errors.PeerError(f"malformed frame: {error}") from error
 
 
+def connection_error(group: BaseExceptionGroup) -> BaseException:
+    """Return the exception to raise for a group from a connection's tasks.
+
+    A connection can break in the step of the event loop in which its tasks are
+    cancelled.  The cancellation, or any other error, then goes first.
+
+    Args:
+        group: Errors of the tasks that serve one connection.
+
+    Returns:
+        The first `PeerError` if the group holds nothing else; otherwise the
+        group without its instances of `PeerError`.
+
+    Examples:
+        >>> broken = errors.PeerError("connection broke")
+        >>> connection_error(ExceptionGroup("", [broken]))
+        PeerError('connection broke')
+        >>> connection_error(ExceptionGroup("", [broken, KeyError("a")]))
+        ExceptionGroup('', [KeyError('a')])
+    """
+    _, other = group.split(errors.PeerError)
+    return group.exceptions[0] if other is None else other
+
+
 class Connection:
     """Connection that sends and receives frames over one stream.
 
--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -271,8 +271,8 @@
                 nursery.start_soon(self._write, connection)
                 nursery.start_soon(self._read, connection)
                 nursery.start_soon(self._keep_alive)
-        except* errors.PeerError as group:
-            raise group.exceptions[0] from None
+        except BaseExceptionGroup as group:
+            raise envelope.connection_error(group) from None
         finally:
             self.connected = False
             self._discard_pending()
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -245,8 +245,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._write)
                 await self._read(nursery)
-        except* errors.PeerError as group:
-            raise group.exceptions[0] from None
+        except BaseExceptionGroup as group:
+            raise envelope.connection_error(group) from None
 
     async def _read(self, nursery: trio.Nursery) -> None:
         while True:
--- a/turmerichall/peers/tests/test_network.py
+++ b/turmerichall/peers/tests/test_network.py
@@ -8,6 +8,7 @@
 
 from turmerichall import outcomes
 from turmerichall.peers import envelope
+from turmerichall.peers import handshake
 from turmerichall.peers import link
 from turmerichall.peers import network
 from turmerichall.telemetry import counters
@@ -262,3 +263,69 @@
         assert await left.call("b", "echo", b"2", CALL_SECONDS) == b"a:2"
         assert proxy.accepted == 2
         assert log.contains("nothing arrives on it")
+
+
+class TestEndOfAConnection:
+
+    # The error of the connection and the cancellation came as one group, which
+    # nothing handled: a daemon that was drained ended with a traceback.
+    async def test_break_during_the_stop_is_no_error_of_the_network(
+        self,
+        nursery: trio.Nursery,
+        autojump_clock: trio.testing.MockClock,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        async def accept(*_: object) -> handshake.Hello:
+            await trio.lowlevel.checkpoint()
+            return handshake.Hello(handshake.FORMAT_VERSION, "b", "", b"")
+
+        monkeypatch.setattr(handshake, "accept", accept)
+        near, far = trio.testing.memory_stream_pair()
+        right = network.Network("a", KEY)
+        scope = trio.CancelScope()
+
+        async def serve() -> None:
+            with scope:
+                # pylint: disable-next=protected-access
+                await right._accept(near)  # type: ignore[arg-type]
+
+        nursery.start_soon(serve)
+        await trio.testing.wait_all_tasks_blocked()
+        # In one step of the event loop, as when all instances are stopped.
+        far.send_stream.close()
+        scope.cancel()
+        await trio.testing.wait_all_tasks_blocked()
+        assert scope.cancelled_caught
+
+    async def test_break_of_a_dialed_connection_during_the_stop(
+        self,
+        nursery: trio.Nursery,
+        autojump_clock: trio.testing.MockClock,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        near, far = trio.testing.memory_stream_pair()
+
+        async def connect(*_: object) -> trio.StapledStream:
+            await trio.lowlevel.checkpoint()
+            return near
+
+        async def dial(*_: object) -> None:
+            await trio.lowlevel.checkpoint()
+
+        monkeypatch.setattr(trio, "open_tcp_stream", connect)
+        monkeypatch.setattr(handshake, "dial", dial)
+        left = network.Network("a", KEY, {"b": "b:1"})
+        scope = trio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await left.run()
+
+        nursery.start_soon(run)
+        await trio.testing.wait_all_tasks_blocked()
+        assert left.links["b"].connected
+        far.send_stream.close()
+        scope.cancel()
+        await trio.testing.wait_all_tasks_blocked()
+        assert scope.cancelled_caught
+        assert not left.links["b"].connected
