--- a/turmerichall/http1/client.py
+++ b/turmerichall/http1/client.py
@@ -149,7 +149,7 @@
             method, target, {"host": self.address, **headers}, body
         )
         request_bytes = message.encode_request(request)
-        result: message.Response | CallFailure = CallFailure(
+        result = CallFailure(
             False, "no connection became free within the timeout"
         )
         reused_at: float | None = None
@@ -160,6 +160,8 @@
                     reused_at = None
                     connection = await self._acquire_connection()
                     if connection is None:
+                        if result.possibly_sent:
+                            return result
                         return CallFailure(False, "connect failed")
                     result = CallFailure(True, "no response within the timeout")
                     reusable = False
