--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -33,8 +33,6 @@
         waiting: Indices of the waiting tasks.
         critical_path_seconds: Estimated time of the job's longest chain of
             steps.
-        remaining_seconds: Estimated time of the longest chain that begins with
-            this step.
         began_at_ms: Time from which the age of the job counts, in ms since
             1970.
         avoided: Workers on which a task failed or from which it was moved, by
@@ -61,7 +59,6 @@
         "paused_until",
         "preempted",
         "queue",
-        "remaining_seconds",
         "starved_since",
         "step",
         "waiting",
@@ -79,9 +76,7 @@
         self.queue = queue
         self.step: demands.StepDemand = job.demand.steps[name.step]
         self.waiting: set[int] = set()
-        remaining_ms = job.demand.remaining_ms()
-        self.critical_path_seconds = max(remaining_ms) / 1000
-        self.remaining_seconds = remaining_ms[name.step] / 1000
+        self.critical_path_seconds = job.demand.critical_path_ms() / 1000
         self.began_at_ms = job.at_ms
         if job.demand.schedule is not None:
             self.began_at_ms = job.demand.schedule.due_at_ms(name.occurrence)
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -192,7 +192,7 @@
             now - group.waiting_since,
             (now_ms - group.began_at_ms) / 1000,
             queue.objective_seconds(group.critical_path_seconds),
-            group.remaining_seconds,
+            step.estimate_ms / 1000,
         )
 
     def _plan_group(
--- a/turmerichall/queues/demand.py
+++ b/turmerichall/queues/demand.py
@@ -103,27 +103,8 @@
             >>> JobDemand("", steps).critical_path_ms()
             12
         """
-        return max(self.remaining_ms(), default=0)
-
-    def remaining_ms(self) -> list[int]:
-        """Return the estimated time from each step's begin to the job's end.
-
-        Returns:
-            The time of the longest chain that begins with a step, in ms, by
-            number of the step.
-
-        Examples:
-            >>> steps = (StepDemand(1, estimate_ms=5),
-            ...          StepDemand(1, estimate_ms=7, after=(0,)))
-            >>> JobDemand("", steps).remaining_ms()
-            [12, 7]
-        """
-        chains = [step.estimate_ms for step in self.steps]
-        # Steps depend on earlier ones only.
-        for number in reversed(range(len(self.steps))):
-            for other in self.steps[number].after:
-                chains[other] = max(
-                    chains[other],
-                    self.steps[other].estimate_ms + chains[number],
-                )
-        return chains
+        ends: list[int] = []
+        for step in self.steps:
+            begins = max((ends[other] for other in step.after), default=0)
+            ends.append(begins + step.estimate_ms)
+        return max(ends, default=0)
