Verify a worker that registers on the machine of a known one

What callers could see: a task runs twice. A late heartbeat of a dead incarnation that had never been registered removed a live worker for good, and its runs were started elsewhere while they went on. Cause: a registration removes all workers with the same address or machine, but the newcomer was only asked whether it is there if a known worker had the same address. So it was not asked with another address on the same machine, nor while the live worker's own registration was being committed, nor after that commit had got no answer and could still be applied. Now it is asked in all of these cases, and a registration for an address or a machine is not acknowledged while another is in progress there; workers repeat their heartbeats. Different workers still register at the same time. The fake cluster answers calls for another incarnation with REPLACED, as the protocol says, where it had carried them out.

--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -20,9 +20,20 @@
 # Time between a worker's notice that it is shutting down and its removal.
 LEAVING_GRACE_SECONDS = 0.3
 
+# An address or a machine, which only one worker has at a time.
+_Place = tuple[str, str]
+
 MakeClient = Callable[[changes.WorkerRecord], worker_client.WorkerClient]
 
 
+def _places(record: changes.WorkerRecord) -> set[_Place]:
+    """Return the places of a worker; an unknown machine is none."""
+    places = {("address", record.address)}
+    if record.machine:
+        places.add(("machine", record.machine))
+    return places
+
+
 class Owner(sessions.Owner, Protocol):
     """Interface of the leader for the registry; `Leadership` implements it."""
 
@@ -56,6 +67,10 @@
         self._make_client = make_client
         self._began_at = leases.steady_seconds()
         self._nursery: trio.Nursery | None = None
+        # Places of the registrations that are in progress, and of those whose
+        # commit failed in this term or has an unknown outcome.
+        self._registering: set[_Place] = set()
+        self._uncertain: set[_Place] = set()
 
     def load(self, nursery: trio.Nursery) -> None:
         """Add the workers of the replicated state.
@@ -128,25 +143,26 @@
         return not heartbeat.draining or await self._drain(worker)
 
     async def _register(self, heartbeat: worker_client.Heartbeat) -> bool:
+        """Register a worker, which replaces others at its place.
+
+        Two registrations for one place don't overlap, since the second could
+        remove the worker of the first before the leader knows it.
+        """
         record = heartbeat.worker
-        other = next(
-            (
-                known
-                for known in self.workers.values()
-                if known.record.address == record.address
-            ),
-            None,
-        )
-        if other is not None and not await self._answers_as_itself(record):
-            self.log.info(
-                "heartbeat refused: address does not answer as this worker",
-                worker=record.id,
-                address=record.address,
-                known=other.record.id,
-            )
-            return False
-        if await self.owner.commit(changes.RegisterWorker(record)) is not None:
+        places = _places(record)
+        if places & self._registering:
             return False
+        self._registering |= places
+        try:
+            if not await self._may_register(record, places):
+                return False
+            failed = await self.owner.commit(changes.RegisterWorker(record))
+            if failed is not None:
+                # The change may be applied later.
+                self._uncertain |= places
+                return False
+        finally:
+            self._registering -= places
         await self._drop_removed()
         if (
             record.id in self.queue_state.workers
@@ -164,6 +180,31 @@
             )
         return True
 
+    async def _may_register(
+        self, record: changes.WorkerRecord, places: Set[_Place]
+    ) -> bool:
+        """Return whether a worker may replace those at its place.
+
+        The heartbeat of a dead incarnation may arrive after a newer one has
+        registered.
+        """
+        known = [
+            other.id
+            for other in self.queue_state.workers.values()
+            if places & _places(other)
+        ]
+        if not known and not places & self._uncertain:
+            return True
+        if await self._answers_as_itself(record):
+            return True
+        self.log.info(
+            "heartbeat refused: address does not answer as this worker",
+            worker=record.id,
+            address=record.address,
+            known=known,
+        )
+        return False
+
     async def _answers_as_itself(self, record: changes.WorkerRecord) -> bool:
         """Return whether a recorded incarnation answers at its address."""
         client = self._make_client(record)
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -213,6 +213,32 @@
         """See `WorkerClient`."""
 
 
+class OtherWorker:
+    """Client of an incarnation that is not, or no longer, at its address.
+
+    Attributes:
+        verdict: Verdict of all calls.
+    """
+
+    def __init__(self, verdict: Verdict):
+        self.verdict = verdict
+
+    async def start(self, *_: object) -> Result:
+        """See `WorkerClient`."""
+        await trio.sleep(0.002)
+        return Result(self.verdict)
+
+    stop = pace = start
+
+    async def poll(self, *_: object) -> worker_client.PollFailure:
+        """See `WorkerClient`."""
+        await trio.sleep(0.002)
+        return worker_client.PollFailure(self.verdict)
+
+    def close(self) -> None:
+        """See `WorkerClient`."""
+
+
 class FakeReplica:
     """A replica that leads, and commits changes after 0.01 s.
 
@@ -321,12 +347,22 @@
         self.leader_api = leader_apis.LeaderApi(
             self.replica,  # type: ignore[arg-type]
             self.queue_state,
-            lambda record: self.workers[record.address],
+            self._client,
             self.log,
             lightweight_metrics.MetricsRegistry(),
             policy,
         )
 
+    def _client(
+        self, record: changes.WorkerRecord
+    ) -> worker_client.WorkerClient:
+        worker = self.workers.get(record.address)
+        if worker is None:
+            return OtherWorker(Verdict.UNSENT)
+        if worker.record.id != record.id:
+            return OtherWorker(Verdict.REPLACED)
+        return worker
+
     def starts(self) -> list[tuple[changes.TaskName, int, float]]:
         """Return all starts that workers carried out, oldest first."""
         found = [row for each in self.workers.values() for row in each.history]
--- a/turmerichall/dispatch/tests/test_registry.py
+++ b/turmerichall/dispatch/tests/test_registry.py
@@ -1,4 +1,4 @@
-"""Tests of workers that drain while commits fail or the leader changes."""
+"""Tests of workers that register, and of workers that drain."""
 
 import pytest
 import trio
@@ -120,3 +120,164 @@
             await cluster.wait_until_moved()
 
         await test_leadership.run_script(cluster, script)
+
+
+class TestRegister:
+    """Late heartbeats of a dead incarnation, and many at once."""
+
+    @staticmethod
+    async def register(
+        cluster: fakes.FakeCluster,
+        record: changes.WorkerRecord,
+        sequence: int = 1,
+    ) -> bool:
+        """Send the heartbeat of a worker; return if it is acknowledged."""
+        heartbeat = worker_client.Heartbeat(record, False, sequence, 5000)
+        return await cluster.leader_api.heartbeat(heartbeat)
+
+    # The live worker was removed, and its runs were started elsewhere while
+    # they went on.
+    async def test_a_dead_incarnation_does_not_replace_its_machine(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        live = fakes.FakeWorker("live")
+        live.record = live.record._replace(machine="m1")
+        live.run_seconds = 60.0
+        cluster = fakes.FakeCluster(live, fakes.FakeWorker("spare"))
+        dead = live.record._replace(id="dead", address="dead:80")
+
+        async def script() -> None:
+            await test_leadership.submit(cluster, test_leadership.demand(8))
+            await cluster.wait_until(lambda: bool(live.runs))
+            assert not await self.register(cluster, dead)
+            await trio.sleep(2.0)
+            assert "live" in cluster.queue_state.workers
+
+        await test_leadership.run_script(cluster, script)
+        tasks = [task for task, _, _ in cluster.starts()]
+        assert len(tasks) == len(set(tasks))
+
+    async def test_a_new_incarnation_replaces_its_machine(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        old, new = fakes.FakeWorker("old"), fakes.FakeWorker("new")
+        for worker in (old, new):
+            worker.record = worker.record._replace(machine="m1")
+        cluster = fakes.FakeCluster(old)
+        cluster.workers[new.record.address] = new
+
+        async def script() -> None:
+            assert await self.register(cluster, new.record)
+            assert list(cluster.queue_state.workers) == ["new"]
+
+        await test_leadership.run_script(cluster, script)
+
+    # Workers that don't name their machine are not on the same one.
+    async def test_an_unknown_machine_is_not_verified(
+        self,
+        mocked_clocks: trio.testing.MockClock,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        old, new = fakes.FakeWorker("old"), fakes.FakeWorker("new")
+        cluster = fakes.FakeCluster(old)
+        cluster.workers[new.record.address] = new
+
+        async def refuse(*_: object) -> worker_client.PollFailure:
+            await trio.sleep(0.002)
+            return worker_client.PollFailure(worker_client.Verdict.UNANSWERED)
+
+        async def script() -> None:
+            monkeypatch.setattr(new, "poll", refuse)
+            assert await self.register(cluster, new.record)
+            assert set(cluster.queue_state.workers) == {"old", "new"}
+
+        await test_leadership.run_script(cluster, script)
+
+    # The leader did not know the live worker yet, so it did not verify the
+    # other one, which was registered after it and removed it.
+    @pytest.mark.parametrize(
+        "address, machine",
+        [("live:80", ""), ("dead:80", "m1")],
+        ids=["same address", "same machine"],
+    )
+    async def test_a_dead_incarnation_does_not_replace_one_being_registered(
+        self,
+        mocked_clocks: trio.testing.MockClock,
+        address: str,
+        machine: str,
+    ) -> None:
+        live = fakes.FakeWorker("live")
+        live.record = live.record._replace(machine="m1")
+        cluster = fakes.FakeCluster()
+        cluster.workers[live.record.address] = live
+        acknowledged: dict[str, bool] = {}
+
+        async def register(record: changes.WorkerRecord, delay: float) -> None:
+            await trio.sleep(delay)
+            acknowledged[record.id] = await self.register(cluster, record)
+
+        async def script() -> None:
+            late = live.record._replace(
+                id="dead", address=address, machine=machine
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(register, live.record, 0.0)
+                nursery.start_soon(register, late, 0.005)
+            assert acknowledged == {"live": True, "dead": False}
+            assert set(cluster.queue_state.workers) == {"live"}
+
+        await test_leadership.run_script(cluster, script)
+
+    # A commit without an answer may be applied after the next one is proposed.
+    async def test_a_dead_incarnation_does_not_replace_one_of_uncertain_commit(
+        self,
+        mocked_clocks: trio.testing.MockClock,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        live = fakes.FakeWorker("live")
+        cluster = fakes.FakeCluster()
+        cluster.workers[live.record.address] = live
+        propose = cluster.replica.propose_in_term
+
+        async def lose_answer(
+            change: bytes, term: int, timeout_seconds: float = 5.0
+        ) -> bytes | outcomes.Refusal | outcomes.Unknown:
+            decoded = changes.decode(change)
+            if (
+                not isinstance(decoded, changes.RegisterWorker)
+                or decoded.worker != live.record
+            ):
+                return await propose(change, term, timeout_seconds)
+            await trio.sleep(timeout_seconds)
+            return outcomes.Unknown(outcomes.UnknownReason.LEADER_LOST)
+
+        async def script() -> None:
+            monkeypatch.setattr(cluster.replica, "propose_in_term", lose_answer)
+            assert not await self.register(cluster, live.record)
+            dead = live.record._replace(id="dead")
+            assert not await self.register(cluster, dead)
+            assert not cluster.queue_state.workers
+            monkeypatch.undo()
+
+        await test_leadership.run_script(cluster, script)
+
+    async def test_different_workers_register_at_the_same_time(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        workers = [fakes.FakeWorker(f"w{number}") for number in range(300)]
+        cluster = fakes.FakeCluster()
+        for worker in workers:
+            cluster.workers[worker.record.address] = worker
+
+        async def register(record: changes.WorkerRecord) -> None:
+            assert await self.register(cluster, record)
+
+        async def script() -> None:
+            began_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for worker in workers:
+                    nursery.start_soon(register, worker.record)
+            assert trio.current_time() - began_at < 0.1
+            assert len(cluster.queue_state.workers) == len(workers)
+
+        await test_leadership.run_script(cluster, script)
