Send each start from one task only

What callers could see: a task runs twice at once. The leader ended a run that a worker had refused, and started the next one elsewhere, while a try of the same start was still under way and was then carried out. Cause: a start that is committed in the same batch as ends of runs on its worker was sent by two tasks. The session, which had waited for its commit, found the run ordered but without a deadline, since the first task had not run yet, and took it for a run of an earlier term. Each task knows only its own tries: the refusal of one is taken for the outcome, though a try of the other is pending. Now the run says whether a task was given its start.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -274,11 +274,14 @@
         self, session: sessions.WorkerSession, run: worker_state.Run
     ) -> None:
         """See `session.Owner`."""
-        if self._nursery is None:
+        # A second task would take a refusal of its own try for the outcome,
+        # though a try of the first may still be carried out.
+        if self._nursery is None or run.start_spawned:
             return
         job = self.queue_state.jobs.get(run.task.job)
         if job is None:
             return
+        run.start_spawned = True
         tickets = self.tickets.valid(run.task[:3], leases.steady_seconds())
         order = worker_client.Order(
             run.task,
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -55,7 +55,7 @@
     def spawn_start(
         self, session: "WorkerSession", run: worker_state.Run
     ) -> None:
-        """Start a run in the background."""
+        """Start a run in the background, unless this was done before."""
 
     def spawn_stop(
         self, session: "WorkerSession", run: worker_state.Run
@@ -256,12 +256,11 @@
             if task in listed or run.phase == worker_state.Phase.PLANNED:
                 continue
             if run.phase == worker_state.Phase.ORDERED:
-                refused_after_ms = run.refused_after_ms
-                if not refused_after_ms:
+                if not run.start_spawned:
                     # This start was committed in an earlier term, and perhaps
                     # never sent.
                     owner.spawn_start(self, run)
-                elif status.clock_ms > refused_after_ms:
+                elif 0 < run.refused_after_ms < status.clock_ms:
                     rows.append(self._ended(run, changes.Ending.UNSTARTED))
             elif asked_at > run.confirmed_at + MISSING_GRACE_SECONDS:
                 rows.append(self._ended(run, changes.Ending.LOST))
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -1,7 +1,9 @@
 """In-process fakes of workers and of the replica that commits changes."""
 
 from collections.abc import Callable
+import itertools
 import types
+from typing import NamedTuple
 
 import trio
 
@@ -30,19 +32,33 @@
 class FakeRun:
     """A run on a fake worker."""
 
-    def __init__(self, order: worker_client.Order, ends_at: float):
+    def __init__(
+        self, order: worker_client.Order, began_at: float, ends_at: float
+    ):
         self.order = order
+        self.began_at = began_at
         self.ends_at = ends_at
         self.percent = 0
         self.load = 0
         self.pace = 100
 
 
+class Span(NamedTuple):
+    """Time for which a run was at work, in trio time."""
+
+    task: changes.TaskName
+    run: int
+    began_at: float
+    ended_at: float
+
+
 class FakeWorker:
     """A worker that follows the published protocol, by its own clock.
 
     Attributes:
         history: Every start that was carried out: task, run and time.
+        spans: Every run that ended.
+        late_starts: Starts under way, with the time of their arrival.
         run_seconds: Time that a run takes.
         lasting_jobs: Ids of jobs whose runs never end by themselves.
         verdicts: Verdicts with which the next starts are answered without
@@ -77,6 +93,10 @@
         self.ends: list[worker_client.RunEnd] = []
         self.fenced: dict[changes.TaskName, int] = {}
         self.history: list[tuple[changes.TaskName, int, float]] = []
+        self.spans: list[Span] = []
+        self.late_starts: list[
+            tuple[float, tuple[worker_client.Order, int, int]]
+        ] = []
         self.paces: list[tuple[changes.TaskName, int]] = []
         self.outcome: Callable[[changes.TaskName], changes.Ending] = (
             lambda _: changes.Ending.DONE
@@ -87,7 +107,18 @@
         return int(trio.current_time() * 1000 * self.rate) + 5000
 
     def _advance(self) -> None:
-        """End the runs that are done, or all runs if the lease expired."""
+        """Bring the runs up to date.
+
+        Ends the runs that are done, or all runs if the lease expired, and
+        carries out the starts that have arrived.
+        """
+        now = trio.current_time()
+        rows, self.late_starts = self.late_starts, []
+        for row in rows:
+            if row[0] <= now:
+                self.execute_start(*row[1])
+            else:
+                self.late_starts.append(row)
         if self.runs and self.deadline_ms <= self.clock_ms():
             for task in list(self.runs):
                 self.end(task, changes.Ending.LOST)
@@ -99,6 +130,8 @@
     def end(self, task: changes.TaskName, ending: changes.Ending) -> None:
         """End a run."""
         run = self.runs.pop(task)
+        ended_at = min(run.ends_at, trio.current_time())
+        self.spans.append(Span(task, run.order.run, run.began_at, ended_at))
         self.fenced[task] = max(self.fenced.get(task, 0), run.order.run)
         ended = changes.EndedRun(task, run.order.run, ending, "")
         number = self.acknowledged + len(self.ends) + 1
@@ -145,7 +178,7 @@
         now = trio.current_time()
         endless = order.task.job in self.lasting_jobs
         ends_at = float("inf") if endless else now + self.run_seconds
-        self.runs[order.task] = FakeRun(order, ends_at)
+        self.runs[order.task] = FakeRun(order, now, ends_at)
         self.history.append((order.task, order.run, now))
         return Result(Verdict.DONE, self.clock_ms())
 
@@ -330,8 +363,11 @@
         workers: Workers by address.
         replica: The replica.
         leader_api: The leader API under test.
+        make_replica: Makes the replica.
     """
 
+    make_replica: type[FakeReplica] = FakeReplica
+
     def __init__(
         self,
         *workers: FakeWorker,
@@ -339,7 +375,7 @@
     ):
         self.workers = {each.record.address: each for each in workers}
         self.queue_state = states.QueueState()
-        self.replica = FakeReplica(self.queue_state)
+        self.replica = self.make_replica(self.queue_state)
         self.log = RecordingLog()
         self.replica.apply(changes.SetConfiguration(CONFIGURATION, b"{}"))
         for worker in workers:
@@ -368,6 +404,20 @@
         found = [row for each in self.workers.values() for row in each.history]
         return sorted(found, key=lambda row: row[2])
 
+    def overlaps(self) -> list[tuple[Span, Span]]:
+        """Return the pairs of runs of one task that were at work at once."""
+        now = trio.current_time()
+        spans = [span for each in self.workers.values() for span in each.spans]
+        for worker in self.workers.values():
+            for task, run in worker.runs.items():
+                spans.append(Span(task, run.order.run, run.began_at, now))
+        spans.sort()
+        return [
+            (first, second)
+            for first, second in itertools.pairwise(spans)
+            if first.task == second.task and second.began_at < first.ended_at
+        ]
+
     async def wait_until(
         self, condition: Callable[[], bool], seconds: float = 30.0
     ) -> None:
--- /dev/null
+++ b/turmerichall/dispatch/tests/test_start_orders.py
@@ -0,0 +1,129 @@
+"""Tests of starts that are sent more than once or arrive late."""
+
+import math
+
+import trio
+import trio.testing
+
+from turmerichall import outcomes
+from turmerichall.dispatch import worker_client
+from turmerichall.dispatch.tests import fakes
+from turmerichall.dispatch.tests import test_leadership
+from turmerichall.queues import change as changes
+
+# Tests name the fixture as an argument, which makes them run on its clock.
+# pylint: disable=unused-argument
+
+Verdict = worker_client.Verdict
+
+BATCH_SECONDS = 0.05
+# Time after which a delayed start arrives, shortly before its deadline.
+LATE_SECONDS = 1.2
+
+
+class _BatchingReplica(fakes.FakeReplica):
+    """A replica that commits in batches, whose callers all wake up at once."""
+
+    async def propose_in_term(
+        self, change: bytes, term: int, timeout_seconds: float = 5.0
+    ) -> bytes | outcomes.Refusal | outcomes.Unknown:
+        """See `agreement.replica.Replica`."""
+        batch = math.floor(trio.current_time() / BATCH_SECONDS) + 1
+        await trio.sleep_until(batch * BATCH_SECONDS)
+        self.apply(changes.decode(change))
+        return b""
+
+
+class _SlowWorker(fakes.FakeWorker):
+    """A worker that the first try of a start reaches late.
+
+    It answers the next one that it is unwell, and has then done nothing.
+
+    Attributes:
+        tries: Number of tries by task and run.
+    """
+
+    def __init__(self, worker_id: str):
+        super().__init__(worker_id)
+        self.tries: dict[tuple[changes.TaskName, int], int] = {}
+
+    async def start(
+        self, order: worker_client.Order, token: int, deadline_ms: int
+    ) -> worker_client.OrderResult:
+        """See `WorkerClient`."""
+        key = order.task, order.run
+        self.tries[key] = self.tries.get(key, 0) + 1
+        if self.tries[key] == 2:
+            await trio.sleep(0.002)
+            return worker_client.OrderResult(Verdict.UNWELL, self.clock_ms())
+        if self.tries[key] == 1:
+            arrives_at = trio.current_time() + LATE_SECONDS
+            self.late_starts.append((arrives_at, (order, token, deadline_ms)))
+            await trio.sleep(0.35)
+            return worker_client.OrderResult(Verdict.UNANSWERED)
+        return await super().start(order, token, deadline_ms)
+
+
+class _BatchingCluster(fakes.FakeCluster):
+    """A cluster with a replica that commits in batches."""
+
+    make_replica = _BatchingReplica
+
+    async def run_jobs(self, count: int) -> None:
+        """Submit jobs of one task one after the other, and wait for them."""
+        asked = test_leadership.demand()
+        for number in range(count):
+            job = f"{number:016x}"
+            submitted = await self.leader_api.submit(fakes.QUEUE, job, asked)
+            assert submitted is None
+            await trio.sleep(0.013)
+        await self.wait_until(
+            lambda: all(not job.open for job in self.queue_state.jobs.values())
+        )
+
+
+class TestCommitsInOneBatch:
+    """Starts that are committed together with ends on the same worker.
+
+    Many workers answer a loaded leader, and its commits wait for the same
+    batch.
+    """
+
+    # The session that had waited for its commit found a run that it had not
+    # seen started yet, and took it for one of an earlier term.
+    async def test_a_start_is_sent_once(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        worker = fakes.FakeWorker("w1")
+        worker.run_seconds = 0.2
+        cluster = _BatchingCluster(worker)
+        sent: list[tuple[changes.TaskName, int]] = []
+        start = worker.start
+
+        async def count(
+            order: worker_client.Order, token: int, deadline_ms: int
+        ) -> worker_client.OrderResult:
+            sent.append((order.task, order.run))
+            return await start(order, token, deadline_ms)
+
+        worker.start = count  # type: ignore[method-assign]
+
+        async def script() -> None:
+            await cluster.run_jobs(100)
+
+        await test_leadership.run_script(cluster, script)
+        assert len(sent) == len(set(sent)) == 100
+
+    # The second start was refused, which ended the run for the leader, while
+    # the first one was still under way.
+    async def test_a_task_runs_once_at_a_time(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        workers = [_SlowWorker(f"w{number}") for number in range(4)]
+        cluster = _BatchingCluster(*workers)
+
+        async def script() -> None:
+            await cluster.run_jobs(100)
+            assert not cluster.overlaps()
+
+        await test_leadership.run_script(cluster, script)
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -64,6 +64,8 @@
         phase: Current phase.
         refused_after_ms: Time on the worker's clock after which the worker
             refuses a start that was sent; 0 if none was sent.
+        start_spawned: Whether a task of this term sends the start, or has done
+            so.
         confirmed_at: Time at which the worker first listed or confirmed the
             run; 0 before.
         stopping: Whether the run is to be stopped.
@@ -106,6 +108,7 @@
         "progressed_at",
         "queue",
         "refused_after_ms",
+        "start_spawned",
         "step",
         "stopping",
         "task",
@@ -124,6 +127,7 @@
         self.queue = queue
         self.phase = Phase.PLANNED
         self.refused_after_ms = 0
+        self.start_spawned = False
         self.confirmed_at = 0.0
         self.stopping = False
         self.moved = False
