Never send the start of a run whose job was canceled during its commit

What callers could see: a task of a canceled job starts, is reported as ended unstarted, and is stopped only when a later poll lists it. Cause: such a run was marked as ordered before its end was committed, and a session that polled its worker in the meantime took it for a start of an earlier term and sent it. The starts of the other planned runs also waited for these commits, one after the other. Now these runs stay planned until their ends are committed, and the others are sent first.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -402,17 +402,21 @@
         await self.commit_or_resign(changes.StartRuns(rows))
         self.metrics_registry.count("runs_started", len(rows))
         reports.log_starts(self.log, rows)
+        canceled: planners.PlannedRuns = []
         for worker, run in planned:
-            if worker.record.id not in self.registry.sessions:
+            session = self.registry.sessions.get(worker.record.id)
+            job = self.queue_state.jobs.get(run.task.job)
+            if session is None:
                 worker.remove(run)
                 self.backlog.requeue(run.task)
-                continue
-            job = self.queue_state.jobs.get(run.task.job)
-            run.phase = worker_state.Phase.ORDERED
-            if job is not None and job.open:
-                self.spawn_start(self.registry.sessions[worker.record.id], run)
-                continue
-            # The job was cancelled in the meantime; the start was never sent.
+            elif job is not None and job.open:
+                run.phase = worker_state.Phase.ORDERED
+                self.spawn_start(session, run)
+            else:
+                canceled.append((worker, run))
+        # The jobs were canceled in the meantime; these starts are never sent,
+        # so the runs stay planned until their ends are committed.
+        for worker, run in canceled:
             ended = changes.EndedRun(
                 run.task, run.number, changes.Ending.UNSTARTED, ""
             )
--- a/turmerichall/dispatch/tests/test_start_orders.py
+++ b/turmerichall/dispatch/tests/test_start_orders.py
@@ -17,6 +17,8 @@
 Verdict = worker_client.Verdict
 
 BATCH_SECONDS = 0.05
+# Enough for commits of each kind to meet in one batch.
+JOBS = 100
 # Time after which a delayed start arrives, shortly before its deadline.
 LATE_SECONDS = 1.2
 
@@ -109,10 +111,10 @@
         worker.start = count  # type: ignore[method-assign]
 
         async def script() -> None:
-            await cluster.run_jobs(100)
+            await cluster.run_jobs(JOBS)
 
         await test_leadership.run_script(cluster, script)
-        assert len(sent) == len(set(sent)) == 100
+        assert len(sent) == len(set(sent)) == JOBS
 
     # The second start was refused, which ended the run for the leader, while
     # the first one was still under way.
@@ -123,7 +125,37 @@
         cluster = _BatchingCluster(*workers)
 
         async def script() -> None:
-            await cluster.run_jobs(100)
+            await cluster.run_jobs(JOBS)
             assert not cluster.overlaps()
 
         await test_leadership.run_script(cluster, script)
+
+
+class TestCancelDuringCommit:
+    """Jobs canceled while the starts of their tasks are being committed."""
+
+    # While the ends of these runs were being committed, a session took them for
+    # runs of an earlier term, and sent the starts.
+    async def test_a_start_is_never_sent(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        worker = fakes.FakeWorker("w1")
+        cluster = _BatchingCluster(worker)
+        asked, large = test_leadership.demand(), test_leadership.demand(6)
+
+        async def script() -> None:
+            # Keeps the worker answering at once, as its runs end all the time.
+            worker.run_seconds = 0.03
+            for number in range(JOBS):
+                job = f"{number:016x}"
+                await cluster.leader_api.submit(fakes.QUEUE, job, asked)
+                await trio.sleep(0.01)
+                canceled = f"canceled-{number}"
+                await cluster.leader_api.submit(fakes.QUEUE, canceled, large)
+                await cluster.leader_api.cancel(canceled)
+            await trio.sleep(3.0)
+
+        await test_leadership.run_script(cluster, script)
+        jobs = {task.job for task, _, _ in cluster.starts()}
+        assert not any(job.startswith("canceled") for job in jobs)
+        assert len(jobs) == JOBS
