Don't take the refusal of a resent start for its outcome

What callers could see: a task runs twice at once. A worker refused a start, for want of room or because it was unwell, and the task was started elsewhere; but the client had sent the same start before, on a reused connection that broke, and the worker may carry it out seconds later. Cause: the client sends a call again after a reused connection broke, and returned the second response as if it were the only one. Now the response says that the call was resent, and such a refusal ends the run only after the deadline of the start. The tests of the client and of the leader failed before; that of the wire client is new with the field.

--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -316,6 +316,7 @@
             result = await worker.client.start(
                 order, owner.token, run.refused_after_ms
             )
+            may_be_pending = may_be_pending or result.may_be_pending
             if await self._handle_start_result(run, result, may_be_pending):
                 return
             may_be_pending = may_be_pending or result.verdict != Verdict.UNSENT
--- a/turmerichall/dispatch/tests/test_start_orders.py
+++ b/turmerichall/dispatch/tests/test_start_orders.py
@@ -159,3 +159,43 @@
         jobs = {task.job for task, _, _ in cluster.starts()}
         assert not any(job.startswith("canceled") for job in jobs)
         assert len(jobs) == JOBS
+
+
+class _ResendingWorker(_SlowWorker):
+    """A worker whose client sends each start again on another connection."""
+
+    async def start(
+        self, order: worker_client.Order, token: int, deadline_ms: int
+    ) -> worker_client.OrderResult:
+        """See `WorkerClient`."""
+        if (order.task, order.run) not in self.tries:
+            arrives_at = trio.current_time() + LATE_SECONDS
+            self.late_starts.append((arrives_at, (order, token, deadline_ms)))
+            self.tries[order.task, order.run] = 1
+            await trio.sleep(0.002)
+            return worker_client.OrderResult(
+                Verdict.UNWELL, self.clock_ms(), may_be_pending=True
+            )
+        return await super().start(order, token, deadline_ms)
+
+
+class TestResentStart:
+    """Starts whose connection broke, and which the client sent once more."""
+
+    # The refusal of the second try ended the run for the leader, though the
+    # first one was carried out later.
+    async def test_a_task_runs_once_at_a_time(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        workers = [_ResendingWorker(f"w{number}") for number in range(4)]
+        cluster = _BatchingCluster(*workers)
+
+        async def script() -> None:
+            await test_leadership.submit(cluster, test_leadership.demand())
+            await trio.sleep(2 * LATE_SECONDS)
+            assert not cluster.overlaps()
+            await cluster.wait_until(
+                lambda: cluster.job_state(test_leadership.JOB) == "completed"
+            )
+
+        await test_leadership.run_script(cluster, script)
--- a/turmerichall/dispatch/worker_client.py
+++ b/turmerichall/dispatch/worker_client.py
@@ -72,10 +72,13 @@
     Attributes:
         verdict: Result of the order.
         clock_ms: Reading of the worker's clock, if the answer contains one.
+        may_be_pending: Whether the order was sent before without an answer, and
+            so may be carried out besides, now or later.
     """
 
     verdict: Verdict
     clock_ms: int | None = None
+    may_be_pending: bool = False
 
 
 class RunningTask(NamedTuple):
--- a/turmerichall/http1/client.py
+++ b/turmerichall/http1/client.py
@@ -156,6 +156,7 @@
         with trio.move_on_after(timeout_seconds):
             async with self._connection_slots:
                 result = CallFailure(False, "connect timed out")
+                resent = False
                 while True:
                     reused_at = None
                     connection = await self._acquire_connection()
@@ -170,13 +171,14 @@
                     try:
                         response = await connection.call(request_bytes)
                         reusable = connection.keeps_alive
-                        return response
+                        return response._replace(resent=resent)
                     except _BrokenConnection as error:
                         result = CallFailure(True, str(error))
                         # The server may have closed a reused connection while
                         # it was idle, so the call is sent on another one.
                         if not connection.used:
                             return result
+                        resent = True
                     finally:
                         if reusable:
                             self._idle_connections.append(connection)
--- a/turmerichall/http1/message.py
+++ b/turmerichall/http1/message.py
@@ -48,11 +48,14 @@
         body: Body of the response; JSON unless the headers name another type.
         headers: Header fields by name in lower case, without `content-length`,
             which is added on encoding.
+        resent: Whether a client got this response after an earlier try of the
+            call broke, which the server may also have received, or may yet.
     """
 
     status: int
     body: bytes = b""
     headers: Mapping[str, str] = types.MappingProxyType({})
+    resent: bool = False
 
 
 _STATUS_LINES = {
--- a/turmerichall/http1/tests/test_client.py
+++ b/turmerichall/http1/tests/test_client.py
@@ -1,10 +1,11 @@
-"""Tests of what a client tells about a call that failed."""
+"""Tests of what a client tells about a call that failed or was resent."""
 
 import pytest
 import trio
 import trio.testing
 
 from turmerichall.http1 import client as http_client
+from turmerichall.http1 import message
 
 TIMEOUT_SECONDS = 0.5
 RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
@@ -59,3 +60,42 @@
         assert received[1].endswith(b"second")
         assert isinstance(failure, http_client.CallFailure)
         assert failure.possibly_sent
+
+    # A refusal of the second try counted as the outcome of the call, though the
+    # first one could still be carried out.
+    async def test_response_to_a_resent_call_says_so(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        server_ends: list[trio.StapledStream] = []
+
+        async def connect(*_: object, **__: object) -> trio.StapledStream:
+            client_end, server_end = trio.testing.memory_stream_pair()
+            server_ends.append(server_end)
+            setattr(client_end, "socket", _Socket())
+            return client_end
+
+        async def serve() -> None:
+            while not server_ends:
+                await trio.sleep(0.01)
+            await server_ends[0].receive_some()
+            await server_ends[0].send_all(RESPONSE)
+            await server_ends[0].receive_some()
+            await server_ends[0].aclose()
+            while len(server_ends) < 2:
+                await trio.sleep(0.01)
+            for _ in range(2):
+                await server_ends[1].receive_some()
+                await server_ends[1].send_all(RESPONSE)
+
+        monkeypatch.setattr(trio, "open_tcp_stream", connect)
+        client = http_client.Client("a:1")
+        resent: list[bool] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            for _ in range(3):
+                answer = await client.call("POST", "/", b"", {}, 5.0)
+                assert isinstance(answer, message.Response)
+                resent.append(answer.resent)
+        assert resent == [False, True, False]
--- a/turmerichall/platform/http_worker_client.py
+++ b/turmerichall/platform/http_worker_client.py
@@ -191,13 +191,13 @@
     clock = body.get("clock_ms")
     clock_ms = clock if isinstance(clock, int) else None
     if answer.status == 200:
-        return worker_client.OrderResult(verdict.DONE, clock_ms)
+        return worker_client.OrderResult(verdict.DONE, clock_ms, answer.resent)
     if answer.status == 409:
         reason = str(body.get("reason"))
         refusal = _VERDICTS_BY_REASON.get(reason, verdict.UNANSWERED)
-        return worker_client.OrderResult(refusal, clock_ms)
+        return worker_client.OrderResult(refusal, clock_ms, answer.resent)
     failure = _VERDICTS_BY_STATUS.get(answer.status, verdict.UNANSWERED)
-    return worker_client.OrderResult(failure, clock_ms)
+    return worker_client.OrderResult(failure, clock_ms, answer.resent)
 
 
 def _worker_status(body: bytes) -> worker_client.WorkerStatus | None:
--- a/turmerichall/platform/tests/test_wire_formats.py
+++ b/turmerichall/platform/tests/test_wire_formats.py
@@ -137,6 +137,22 @@
             result = await worker.start(worker_client.Order(TASK, 1), 7, 9)
         assert result.verdict == verdict
 
+    @pytest.mark.parametrize("resent", [False, True])
+    @pytest.mark.parametrize("status", [200, 409, 429, 503])
+    async def test_order_says_whether_an_earlier_try_may_be_pending(
+        self, monkeypatch: pytest.MonkeyPatch, status: int, resent: bool
+    ) -> None:
+        record = fakes.FakeWorker("i-7f").record
+        worker = http_worker_client.HttpWorkerClient(record)
+
+        async def call(*_: object) -> message.Response:
+            body = b'{"clock_ms":7,"reason":"room"}'
+            return message.Response(status, body, resent=resent)
+
+        monkeypatch.setattr(worker.client, "call", call)
+        result = await worker.start(worker_client.Order(TASK, 1), 1, 9)
+        assert result.may_be_pending == resent
+
     async def test_poll_tolerates_malformed_rows(self) -> None:
         async with _worker_client() as (stub, worker):
             stub.body = {
