Expect earlier tries of starts that were found in the state

What callers could see: a task runs twice at once, after a leader's work ended and began again in the same term, for example because one of its commits was refused. Cause: the new work sends starts that no poll lists again, and took the refusal of its own first try for the outcome. But workers still obey the orders of the work before, whose token is the same, and may carry out its try later. Now such a refusal ends the run only after the deadline, which is no earlier than that of the try before, since it is reckoned from a later reading of the worker's clock. The test failed before.

--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -99,6 +99,7 @@
         step = job.demand.steps[name.step]
         run = worker_state.Run(name, task.run, step, job.queue)
         run.phase = worker_state.Phase.ORDERED
+        run.adopted = True
         if step.fills:
             # An earlier leader may have throttled the run.
             run.pace_percent = worker_state.UNKNOWN_PACE
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -309,7 +309,9 @@
         lease = worker.lease
         now = leases.steady_seconds()
         run.refused_after_ms = lease.grant(now, START_DEADLINE_SECONDS)
-        may_be_pending = False
+        # Workers refuse the orders of earlier terms, but the leader's work may
+        # have begun again in the same one.
+        may_be_pending = run.adopted
         for _ in range(START_TRIES):
             if run.stopping or worker.runs.get(run.task) is not run:
                 break
--- a/turmerichall/dispatch/tests/test_start_orders.py
+++ b/turmerichall/dispatch/tests/test_start_orders.py
@@ -199,3 +199,32 @@
             )
 
         await test_leadership.run_script(cluster, script)
+
+
+class TestWorkBegunAgain:
+    """A leader whose work ends and begins again in the same term.
+
+    Its token is the same, so workers still obey its earlier orders.
+    """
+
+    # The new work sent the start again, and took the refusal for its outcome.
+    async def test_a_start_under_way_is_not_forgotten(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        workers = [_SlowWorker(f"w{number}") for number in range(2)]
+        cluster = fakes.FakeCluster(*workers)
+
+        async def script() -> None:
+            await test_leadership.submit(cluster, test_leadership.demand())
+            await cluster.wait_until(lambda: any(w.tries for w in workers))
+            leadership = cluster.leader_api.leadership
+            assert leadership is not None
+            leadership.scope.cancel()
+            await trio.sleep(2 * LATE_SECONDS)
+            assert cluster.replica.term == 1
+            assert not cluster.overlaps()
+            await cluster.wait_until(
+                lambda: cluster.job_state(test_leadership.JOB) == "completed"
+            )
+
+        await test_leadership.run_script(cluster, script)
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -64,6 +64,8 @@
         phase: Current phase.
         refused_after_ms: Time on the worker's clock after which the worker
             refuses a start that was sent; 0 if none was sent.
+        adopted: Whether it was found in the replicated state when the leader's
+            work began, so that an earlier try of its start may be under way.
         start_spawned: Whether a task of this term sends the start, or has done
             so.
         confirmed_at: Time at which the worker first listed or confirmed the
@@ -90,6 +92,7 @@
     """
 
     __slots__ = (
+        "adopted",
         "checkpoint",
         "confirmed_at",
         "forced",
@@ -127,6 +130,7 @@
         self.queue = queue
         self.phase = Phase.PLANNED
         self.refused_after_ms = 0
+        self.adopted = False
         self.start_spawned = False
         self.confirmed_at = 0.0
         self.stopping = False
