Remove a worker that is leaving only once it does not answer any more

What callers could see: a task runs twice at once. A worker's runs were started elsewhere 0.3 s after its notice, though it goes on for some seconds if the acknowledgement doesn't reach it. Cause: the removal relied on a fixed time. Now the worker is asked first, every 0.3 s, and removed when it doesn't answer as itself; a notice that is repeated starts no second removal. Left: a worker that goes on and can't be reached is removed after one poll without an answer, as it was before without any.

--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -17,7 +17,8 @@
 
 __all__ = ["MakeClient", "Owner", "Registry"]
 
-# Time between a worker's notice that it is shutting down and its removal.
+# Time between a worker's notice that it is shutting down and its removal, and
+# between two checks whether it has ended.
 LEAVING_GRACE_SECONDS = 0.3
 
 # An address or a machine, which only one worker has at a time.
@@ -71,6 +72,8 @@
         # commit failed in this term or has an unknown outcome.
         self._registering: set[_Place] = set()
         self._uncertain: set[_Place] = set()
+        # Ids of workers that have given notice in this term.
+        self._leaving: set[str] = set()
 
     def load(self, nursery: trio.Nursery) -> None:
         """Add the workers of the replicated state.
@@ -248,12 +251,22 @@
             return worker_id in self.queue_state.gone
         if not await self._drain(worker):
             return False
-        if self._nursery is not None:
-            self._nursery.start_soon(self._remove_after_grace, worker)
+        if self._nursery is not None and worker_id not in self._leaving:
+            self._leaving.add(worker_id)
+            self._nursery.start_soon(self._remove_after_end, worker)
         return True
 
-    async def _remove_after_grace(self, worker: worker_state.Worker) -> None:
-        await trio.sleep(LEAVING_GRACE_SECONDS)
+    async def _remove_after_end(self, worker: worker_state.Worker) -> None:
+        """Remove a worker that is leaving, once it does not answer any more.
+
+        Without an acknowledgement it goes on, and its runs too, for seconds.
+        """
+        answers = True
+        while answers:
+            await trio.sleep(LEAVING_GRACE_SECONDS)
+            if self.workers.get(worker.record.id) is not worker:
+                return
+            answers = await self._answers_as_itself(worker.record)
         await self._remove(worker)
 
     async def worker_replaced(self, worker: worker_state.Worker) -> None:
--- a/turmerichall/dispatch/tests/test_registry.py
+++ b/turmerichall/dispatch/tests/test_registry.py
@@ -281,3 +281,48 @@
             assert len(cluster.queue_state.workers) == len(workers)
 
         await test_leadership.run_script(cluster, script)
+
+
+class TestLeave:
+
+    # A worker whose notice is not acknowledged in time ends by itself, some
+    # seconds later; until then its runs go on.
+    async def test_runs_of_a_worker_that_still_answers_are_not_started_again(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        first = fakes.FakeWorker("w1")
+        first.run_seconds = 4.0
+        cluster = fakes.FakeCluster(first)
+        second = fakes.FakeWorker("w2")
+        cluster.workers[second.record.address] = second
+
+        async def script() -> None:
+            await test_leadership.submit(cluster, test_leadership.demand())
+            await cluster.wait_until(lambda: bool(first.runs))
+            assert await cluster.leader_api.heartbeat(
+                _Cluster.heartbeat(second, 1)
+            )
+            # The acknowledgement doesn't reach the worker.
+            assert await cluster.leader_api.worker_leaving("w1")
+            await cluster.wait_until(
+                lambda: cluster.job_state(test_leadership.JOB) == "completed"
+            )
+            assert not cluster.overlaps()
+
+        await test_leadership.run_script(cluster, script)
+
+    async def test_a_worker_that_has_ended_is_removed_soon(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        first = fakes.FakeWorker("w1")
+        cluster = fakes.FakeCluster(first)
+
+        async def script() -> None:
+            for _ in range(2):
+                assert await cluster.leader_api.worker_leaving("w1")
+            first.silent = True
+            await cluster.wait_until(
+                lambda: "w1" in cluster.queue_state.gone, 1.0
+            )
+
+        await test_leadership.run_script(cluster, script)
