Send no start before a quorum has answered

What callers could see: a task may run twice at once, if a leader is frozen between the commit of a start and its sending, and another one, which can't reach the worker, starts the task elsewhere before the first goes on. Cause: polls renew leases only within 1 s of a quorum's answer, which the next leader counts on when it waits for earlier leases; but a start grants a lease of 1.5 s too, and was sent at any time after its commit. Now the start waits for a quorum. Its deadline is fixed before its first try, so later tries are safe. The test failed before; it shows the start without a quorum, not the two runs. Found by reading.

--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -307,6 +307,10 @@
         """
         owner, worker = self.owner, self.worker
         lease = worker.lease
+        # The start also renews the lease.  If this process was frozen since the
+        # commit, another leader may not expect that any more.
+        while not owner.may_renew():
+            await trio.sleep(NO_QUORUM_RETRY_SECONDS)
         now = leases.steady_seconds()
         run.refused_after_ms = lease.grant(now, START_DEADLINE_SECONDS)
         # Workers refuse the orders of earlier terms, but the leader's work may
--- a/turmerichall/dispatch/tests/test_start_orders.py
+++ b/turmerichall/dispatch/tests/test_start_orders.py
@@ -228,3 +228,64 @@
             )
 
         await test_leadership.run_script(cluster, script)
+
+
+class _FreezingReplica(fakes.FakeReplica):
+    """A replica whose process is frozen just after a start was committed.
+
+    Attributes:
+        frozen: Whether no quorum has been in contact for long.
+    """
+
+    frozen = False
+
+    def seconds_since_quorum(self) -> float:
+        """See `agreement.replica.Replica`."""
+        return 99.0 if self.frozen else super().seconds_since_quorum()
+
+    async def propose_in_term(
+        self, change: bytes, term: int, timeout_seconds: float = 5.0
+    ) -> bytes | outcomes.Refusal | outcomes.Unknown:
+        """See `agreement.replica.Replica`."""
+        result = await super().propose_in_term(change, term, timeout_seconds)
+        if isinstance(changes.decode(change), changes.StartRuns):
+            self.frozen = True
+        return result
+
+
+class _FreezingCluster(fakes.FakeCluster):
+    """A cluster whose leader is frozen just after a start was committed."""
+
+    make_replica = _FreezingReplica
+
+
+class TestStartWithoutQuorum:
+    """A leader that was frozen, while another one may have been elected.
+
+    The other one waits for the leases that an earlier leader may have granted
+    within `QUORUM_SECONDS` of a quorum's answer, and then starts the tasks of
+    workers that it can't reach elsewhere.
+    """
+
+    # A start granted a lease at any time after its commit.
+    async def test_a_start_is_not_sent_before_a_quorum_answers(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        worker = fakes.FakeWorker("w1")
+        cluster = _FreezingCluster(worker)
+        replica = cluster.replica
+        assert isinstance(replica, _FreezingReplica)
+
+        async def script() -> None:
+            await test_leadership.submit(cluster, test_leadership.demand())
+            await cluster.wait_until(lambda: replica.frozen)
+            await trio.sleep(12.0)
+            assert not worker.history
+            replica.frozen = False
+            await cluster.wait_until(
+                lambda: cluster.job_state(test_leadership.JOB) == "completed",
+                3.0,
+            )
+
+        await test_leadership.run_script(cluster, script)
+        assert len(worker.history) == 1
