--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -307,15 +307,22 @@
         """
         owner, worker = self.owner, self.worker
         lease = worker.lease
+        # The start also renews the lease.  If this process was frozen since the
+        # commit, another leader may not expect that any more.
+        while not owner.may_renew():
+            await trio.sleep(NO_QUORUM_RETRY_SECONDS)
         now = leases.steady_seconds()
         run.refused_after_ms = lease.grant(now, START_DEADLINE_SECONDS)
-        may_be_pending = False
+        # Workers refuse the orders of earlier terms, but the leader's work may
+        # have begun again in the same one.
+        may_be_pending = run.adopted
         for _ in range(START_TRIES):
             if run.stopping or worker.runs.get(run.task) is not run:
                 break
             result = await worker.client.start(
                 order, owner.token, run.refused_after_ms
             )
+            may_be_pending = may_be_pending or result.may_be_pending
             if await self._handle_start_result(run, result, may_be_pending):
                 return
             may_be_pending = may_be_pending or result.verdict != Verdict.UNSENT
--- a/turmerichall/dispatch/tests/test_start_orders.py
+++ b/turmerichall/dispatch/tests/test_start_orders.py
@@ -159,3 +159,133 @@
         jobs = {task.job for task, _, _ in cluster.starts()}
         assert not any(job.startswith("canceled") for job in jobs)
         assert len(jobs) == JOBS
+
+
+class _ResendingWorker(_SlowWorker):
+    """A worker whose client sends each start again on another connection."""
+
+    async def start(
+        self, order: worker_client.Order, token: int, deadline_ms: int
+    ) -> worker_client.OrderResult:
+        """See `WorkerClient`."""
+        if (order.task, order.run) not in self.tries:
+            arrives_at = trio.current_time() + LATE_SECONDS
+            self.late_starts.append((arrives_at, (order, token, deadline_ms)))
+            self.tries[order.task, order.run] = 1
+            await trio.sleep(0.002)
+            return worker_client.OrderResult(
+                Verdict.UNWELL, self.clock_ms(), may_be_pending=True
+            )
+        return await super().start(order, token, deadline_ms)
+
+
+class TestResentStart:
+    """Starts whose connection broke, and which the client sent once more."""
+
+    # The refusal of the second try ended the run for the leader, though the
+    # first one was carried out later.
+    async def test_a_task_runs_once_at_a_time(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        workers = [_ResendingWorker(f"w{number}") for number in range(4)]
+        cluster = _BatchingCluster(*workers)
+
+        async def script() -> None:
+            await test_leadership.submit(cluster, test_leadership.demand())
+            await trio.sleep(2 * LATE_SECONDS)
+            assert not cluster.overlaps()
+            await cluster.wait_until(
+                lambda: cluster.job_state(test_leadership.JOB) == "completed"
+            )
+
+        await test_leadership.run_script(cluster, script)
+
+
+class TestWorkBegunAgain:
+    """A leader whose work ends and begins again in the same term.
+
+    Its token is the same, so workers still obey its earlier orders.
+    """
+
+    # The new work sent the start again, and took the refusal for its outcome.
+    async def test_a_start_under_way_is_not_forgotten(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        workers = [_SlowWorker(f"w{number}") for number in range(2)]
+        cluster = fakes.FakeCluster(*workers)
+
+        async def script() -> None:
+            await test_leadership.submit(cluster, test_leadership.demand())
+            await cluster.wait_until(lambda: any(w.tries for w in workers))
+            leadership = cluster.leader_api.leadership
+            assert leadership is not None
+            leadership.scope.cancel()
+            await trio.sleep(2 * LATE_SECONDS)
+            assert cluster.replica.term == 1
+            assert not cluster.overlaps()
+            await cluster.wait_until(
+                lambda: cluster.job_state(test_leadership.JOB) == "completed"
+            )
+
+        await test_leadership.run_script(cluster, script)
+
+
+class _FreezingReplica(fakes.FakeReplica):
+    """A replica whose process is frozen just after a start was committed.
+
+    Attributes:
+        frozen: Whether no quorum has been in contact for long.
+    """
+
+    frozen = False
+
+    def seconds_since_quorum(self) -> float:
+        """See `agreement.replica.Replica`."""
+        return 99.0 if self.frozen else super().seconds_since_quorum()
+
+    async def propose_in_term(
+        self, change: bytes, term: int, timeout_seconds: float = 5.0
+    ) -> bytes | outcomes.Refusal | outcomes.Unknown:
+        """See `agreement.replica.Replica`."""
+        result = await super().propose_in_term(change, term, timeout_seconds)
+        if isinstance(changes.decode(change), changes.StartRuns):
+            self.frozen = True
+        return result
+
+
+class _FreezingCluster(fakes.FakeCluster):
+    """A cluster whose leader is frozen just after a start was committed."""
+
+    make_replica = _FreezingReplica
+
+
+class TestStartWithoutQuorum:
+    """A leader that was frozen, while another one may have been elected.
+
+    The other one waits for the leases that an earlier leader may have granted
+    within `QUORUM_SECONDS` of a quorum's answer, and then starts the tasks of
+    workers that it can't reach elsewhere.
+    """
+
+    # A start granted a lease at any time after its commit.
+    async def test_a_start_is_not_sent_before_a_quorum_answers(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        worker = fakes.FakeWorker("w1")
+        cluster = _FreezingCluster(worker)
+        replica = cluster.replica
+        assert isinstance(replica, _FreezingReplica)
+
+        async def script() -> None:
+            await test_leadership.submit(cluster, test_leadership.demand())
+            await cluster.wait_until(lambda: replica.frozen)
+            await trio.sleep(12.0)
+            assert not worker.history
+            replica.frozen = False
+            await cluster.wait_until(
+                lambda: cluster.job_state(test_leadership.JOB) == "completed",
+                3.0,
+            )
+
+        await test_leadership.run_script(cluster, script)
+        assert len(worker.history) == 1
