--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -169,7 +169,7 @@
             self._stop(error)
             state.recovery_index = replica_state.NOT_RECOVERED
             task_status.started()
-            await self._observe_with_failed_disk(state.folder)
+            await self._observe_out_of_consensus(state.folder)
         while True:
             failure = await self._run_until_failure(task_status)
             task_status = trio.TASK_STATUS_IGNORED
@@ -178,7 +178,8 @@
             if led:
                 await self._replication.name_successor()
             if not isinstance(failure, errors.DiskError):
-                await self._observe_with_failed_disk(state.folder)
+                # It was removed, or its data is damaged.
+                await self._observe_out_of_consensus(state.folder)
             await self._rejoin(state.folder)
 
     async def _run_until_failure(self, task_status: Any) -> errors.StorageError:
@@ -204,15 +205,18 @@
         restored = False
         while not restored:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._observe_with_failed_disk, folder)
+                nursery.start_soon(self._observe_out_of_consensus, folder)
                 await recovery.wait_for_disk()
                 nursery.cancel_scope.cancel()
             restored = await recovery.restore()
 
-    async def _observe_with_failed_disk(
+    async def _observe_out_of_consensus(
         self, folder: data_folder.DataFolder
     ) -> None:
-        """Go on as an observer; does not return."""
+        """Go on as an observer, for as long as this replica does not vote.
+
+        Does not return.
+        """
         state = self.state
         try:
             await folder.mark_incomplete()
