Take earlier lines off the log before a test of its destination

The first destination that a process sets also gets what was logged before it. Reproduced with a test that logs before it; passes now. The check is the same; other tests set a first destination in the same way.

--- a/turmerichall/telemetry/tests/test_logs.py
+++ b/turmerichall/telemetry/tests/test_logs.py
@@ -143,6 +143,8 @@
         assert stream.getvalue() == "".join(f"{n}\n" for n in range(200))
 
     def test_is_a_destination_of_logs(self) -> None:
+        # The first destination of a process also gets what was logged before.
+        logs.configure(stream=io.StringIO())
         stream = io.StringIO()
         output = logs.NonBlockingStream(stream)
         logs.configure(stream=cast(IO[str], output))
