Log why a worker was removed, which runs it had, and their age

The lines told only how many runs were lost with a worker. With the time since which it was silent and the age of each run, a crash that follows a start is told apart from one that has nothing to do with it.

--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -8,6 +8,7 @@
 from turmerichall import outcomes
 from turmerichall.dispatch import backlog as backlogs
 from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import reports
 from turmerichall.dispatch import session as sessions
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
@@ -287,8 +288,10 @@
             if worker_id in self.queue_state.workers:
                 continue
             worker = self.workers.pop(worker_id)
-            self.log.info(
-                "worker removed", worker=worker_id, runs=len(worker.runs)
+            reason = "left" if worker.draining else "crashed"
+            self.owner.metrics_registry.count("workers_removed", reason=reason)
+            reports.log_removed(
+                self.log, worker, reason, leases.steady_seconds()
             )
             self.sessions.pop(worker_id).scope.cancel()
             for run in list(worker.runs.values()):
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -17,6 +17,7 @@
     "log_ends",
     "log_preempted",
     "log_refused",
+    "log_removed",
     "log_starts",
     "log_state",
     "log_step_done",
@@ -124,6 +125,45 @@
             )
 
 
+def log_removed(
+    log: link.Log, worker: worker_state.Worker, reason: str, now: float
+) -> None:
+    """Log that a worker was removed, with the runs that were lost with it.
+
+    Args:
+        log: Log to write to.
+        worker: The worker.
+        reason: Why it was removed.
+        now: Current time on the steady clock.
+    """
+    runs = [
+        f"{run.task}/{run.number} {_age(run, worker.lost_at or now)}"
+        for run in worker.runs.values()
+    ]
+    silent_seconds = round(now - worker.lost_at, 3) if worker.lost_at else 0.0
+    log.info(
+        "worker removed",
+        worker=worker.record.id,
+        machine=worker.record.machine,
+        reason=reason,
+        silent_seconds=silent_seconds,
+        runs=len(runs),
+    )
+    for first in range(0, len(runs), MAX_RUNS_PER_LINE):
+        log.info(
+            "runs lost with their worker",
+            worker=worker.record.id,
+            runs=runs[first : first + MAX_RUNS_PER_LINE],
+        )
+
+
+def _age(run: worker_state.Run, at: float) -> str:
+    """Return for how long a run had been at work, or its phase before that."""
+    if not run.confirmed_at:
+        return run.phase.value
+    return f"{max(at - run.confirmed_at, 0.0):.3f}s"
+
+
 def log_step_done(log: link.Log, task: changes.TaskName, age_ms: int) -> None:
     """Log that a step is done.
 
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -140,7 +140,7 @@
             # This poll only read the worker's clock; the next renews the lease.
             return
         if not worker.in_touch:
-            worker.in_touch = True
+            worker.record_contact()
             owner.log.info("worker in touch", worker=worker.record.id)
         await self._commit_ends(status)
         await self._reconcile(status, now)
@@ -174,7 +174,7 @@
             owner.fenced(worker)
             return
         if worker.in_touch:
-            worker.in_touch = False
+            worker.record_silence(leases.steady_seconds())
             owner.log.info(
                 "worker out of touch",
                 worker=worker.record.id,
@@ -359,7 +359,7 @@
         now = leases.steady_seconds()
         if verdict in (Verdict.UNANSWERED, Verdict.UNSENT):
             # No tasks are placed on the worker until it answers a poll.
-            worker.in_touch = False
+            worker.record_silence(now)
             return False
         if verdict == Verdict.DONE:
             if run.phase == worker_state.Phase.ORDERED:
--- a/turmerichall/dispatch/tests/test_reports.py
+++ b/turmerichall/dispatch/tests/test_reports.py
@@ -3,8 +3,11 @@
 import json
 
 from turmerichall.dispatch import reports
+from turmerichall.dispatch import worker_client
+from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.tests import fakes
 from turmerichall.queues import change as changes
+from turmerichall.queues import demand as demands
 
 # Readers of a process's output cut lines at this length.
 MAX_LINE_BYTES = 8192
@@ -31,3 +34,29 @@
             for start in fields["starts"]  # type: ignore[attr-defined]
         ]
         assert logged == [f"{row.task}/{row.run}@{row.worker}" for row in rows]
+
+
+class TestRemovedWorkers:
+
+    def test_the_line_tells_which_runs_were_lost_and_their_age(self) -> None:
+        log = fakes.RecordingLog()
+        record = fakes.FakeWorker("w1").record
+        worker = worker_state.Worker(
+            record, fakes.OtherWorker(worker_client.Verdict.UNSENT), 0.0
+        )
+        for index in range(2):
+            run = worker_state.Run(
+                changes.TaskName("5c0e", 0, 0, index),
+                3,
+                demands.StepDemand(2),
+                "batch",
+            )
+            worker.add(run)
+        run.confirmed_at = 9.5
+        worker.record_contact()
+        worker.record_silence(10.0)
+        reports.log_removed(log, worker, "crashed", 13.0)
+        removed, lost = (fields for _, fields in log.lines)
+        assert removed["reason"] == "crashed"
+        assert removed["silent_seconds"] == 3.0
+        assert lost["runs"] == ["5c0e.0.0.0/3 planned", "5c0e.0.0.1/3 0.500s"]
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -208,6 +208,8 @@
         runs: Runs by task, from their plan until their end is committed.
         in_touch: Whether it answered the latest poll, and every start since;
             no tasks are placed on it otherwise.
+        lost_at: Time on the steady clock since which it has not been in touch;
+            0 if it is, or if it never was in this term.
         breaker: Circuit breaker that stops new runs after failures.
         cpu_reserved: Processors requested by all runs except best-effort ones;
             the worker's capacity limits them.
@@ -241,6 +243,7 @@
         self.kept_out = False
         self.runs: dict[changes.TaskName, Run] = {}
         self.in_touch = False
+        self.lost_at = 0.0
         self.breaker = circuit_breakers.CircuitBreaker()
         self.cpu_reserved = 0
         self.long_running_load = 0.0
@@ -254,6 +257,21 @@
         self.heartbeat = 0
         self.changed = True
 
+    def record_contact(self) -> None:
+        """Record that the worker answered a poll."""
+        self.in_touch = True
+        self.lost_at = 0.0
+
+    def record_silence(self, now: float) -> None:
+        """Record that a poll or a start was not answered.
+
+        Args:
+            now: Current time on the steady clock.
+        """
+        if self.in_touch:
+            self.in_touch = False
+            self.lost_at = now
+
     def add(self, run: Run) -> None:
         """Add a run, and reserve the resources that it requests."""
         self.runs[run.task] = run
