--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -65,6 +65,8 @@
             being carried out.
         silent: Whether calls get no answer and have no effect.
         drop_answers: Whether starts are carried out but not answered.
+        deadly_tasks: Tasks that crash the worker when it starts them.
+        down: Whether it has crashed: connections break or are refused.
     """
 
     def __init__(self, worker_id: str, cpu: int = 8000, rate: float = 1.0):
@@ -85,6 +87,8 @@
         self.lasting_jobs: set[str] = set()
         self.silent = False
         self.drop_answers = False
+        self.deadly_tasks: set[changes.TaskName] = set()
+        self.down = False
         self.verdicts: list[Verdict] = []
         self.token = 0
         self.deadline_ms = 0
@@ -137,6 +141,15 @@
         number = self.acknowledged + len(self.ends) + 1
         self.ends.append(worker_client.RunEnd(number, ended))
 
+    def crash(self) -> None:
+        """Crash: all runs end at once, and nothing is remembered."""
+        self.down = True
+        now = trio.current_time()
+        for task, run in self.runs.items():
+            self.spans.append(Span(task, run.order.run, run.began_at, now))
+        self.runs.clear()
+        self.ends.clear()
+
     def _accepts_token(self, token: int) -> bool:
         self.token = max(self.token, token)
         return token >= self.token
@@ -155,9 +168,14 @@
         if self.silent:
             return await self._no_answer()
         await self._answer()
+        if self.down:
+            return Result(Verdict.UNSENT)
         if self.verdicts:
             return Result(self.verdicts.pop(0), self.clock_ms())
         result = self.execute_start(order, token, deadline_ms)
+        if order.task in self.deadly_tasks and order.task in self.runs:
+            self.crash()
+            return Result(Verdict.UNANSWERED)
         return await self._no_answer() if self.drop_answers else result
 
     def execute_start(
@@ -187,6 +205,8 @@
         if self.silent:
             return await self._no_answer()
         await self._answer()
+        if self.down:
+            return Result(Verdict.UNSENT)
         self._advance()
         if not self._accepts_token(token):
             return Result(Verdict.FENCED, self.clock_ms())
@@ -220,6 +240,8 @@
             await trio.sleep(0.5 + wait_ms / 1000)
             return worker_client.PollFailure(Verdict.UNANSWERED)
         await self._answer()
+        if self.down:
+            return worker_client.PollFailure(Verdict.UNSENT)
         self._advance()
         if not self._accepts_token(token):
             return worker_client.PollFailure(Verdict.FENCED)
@@ -231,6 +253,8 @@
         while not self.ends and waited < wait_ms / 1000:
             await trio.sleep(0.05)
             waited += 0.05
+            if self.down:
+                return worker_client.PollFailure(Verdict.UNANSWERED)
             self._advance()
         running = [
             worker_client.RunningTask(
--- /dev/null
+++ b/turmerichall/dispatch/tests/test_crashing_tasks.py
@@ -0,0 +1,127 @@
+"""Tests of tasks that crash the workers that start them."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from turmerichall.dispatch import worker_client
+from turmerichall.dispatch.tests import fakes
+from turmerichall.dispatch.tests import test_leadership
+from turmerichall.queues import change as changes
+from turmerichall.queues import demand as demands
+
+# Tests name the fixture as an argument, which makes them run on its clock.
+# pylint: disable=unused-argument
+
+JOB = test_leadership.JOB
+OTHER_JOB = "77ac860c07bd7f9d"
+DEADLY = changes.TaskName(JOB, 0, 0, 0)
+# Time from the crash of a worker until it has started again.
+RESTART_SECONDS = 3.0
+# Starts after the third crash at which a task counts as never given up.
+STARTS_AFTER_THIRD_CRASH = 3
+
+
+class CrashCluster(fakes.FakeCluster):
+    """A cluster whose workers start again after a crash, under another id.
+
+    Attributes:
+        deadly_tasks: Tasks that crash each worker that starts them.
+        crashes: Time of each crash, with the runs that ended with it.
+        incarnations: All workers that there ever were.
+    """
+
+    def __init__(self, count: int, cpu: int = 8000):
+        self.deadly_tasks: set[changes.TaskName] = set()
+        self.crashes: list[tuple[float, list[changes.TaskName]]] = []
+        workers = [self._make(f"w{number}", cpu) for number in range(count)]
+        self.incarnations = list(workers)
+        super().__init__(*workers)
+
+    def _make(self, worker_id: str, cpu: int) -> fakes.FakeWorker:
+        worker = fakes.FakeWorker(worker_id, cpu)
+        worker.deadly_tasks = self.deadly_tasks
+        return worker
+
+    async def restart_crashed(self) -> None:
+        """Restart workers that have crashed, until cancelled."""
+        seen: set[str] = set()
+        async with trio.open_nursery() as nursery:
+            while True:
+                for worker in self.incarnations:
+                    if worker.down and worker.record.id not in seen:
+                        seen.add(worker.record.id)
+                        nursery.start_soon(self._restart, worker)
+                await trio.sleep(0.01)
+
+    async def _restart(self, old: fakes.FakeWorker) -> None:
+        now = trio.current_time()
+        lost = [span.task for span in old.spans if span.ended_at > now - 0.02]
+        self.crashes.append((now, lost))
+        await trio.sleep(RESTART_SECONDS)
+        name, _, number = old.record.id.partition(".")
+        new = self._make(f"{name}.{int(number or 0) + 1}", old.record.cpu)
+        new.record = new.record._replace(address=old.record.address)
+        new.lasting_jobs = old.lasting_jobs
+        new.run_seconds = old.run_seconds
+        self.incarnations.append(new)
+        self.workers[old.record.address] = new
+        sequence = 0
+        while new.record.id not in self.queue_state.workers:
+            sequence += 1
+            await self.leader_api.heartbeat(
+                worker_client.Heartbeat(
+                    new.record, False, sequence, new.clock_ms()
+                )
+            )
+            await trio.sleep(0.5)
+
+    def starts(self) -> list[tuple[changes.TaskName, int, float]]:
+        """See `FakeCluster`."""
+        found = [row for each in self.incarnations for row in each.history]
+        return sorted(found, key=lambda row: row[2])
+
+    def starts_of(self, task: changes.TaskName) -> int:
+        """Return how often a task was started."""
+        return sum(row[0] == task for row in self.starts())
+
+    async def submit(self, job: str, demand: demands.JobDemand) -> None:
+        """Submit a job, which is accepted."""
+        assert await self.leader_api.submit(fakes.QUEUE, job, demand) is None
+
+
+async def run_script(
+    cluster: CrashCluster, script: Callable[[], Awaitable[None]]
+) -> None:
+    """Run the leader and the restarts until a script is done."""
+
+    async def with_restarts() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cluster.restart_crashed)
+            await script()
+            nursery.cancel_scope.cancel()
+
+    await test_leadership.run_script(cluster, with_restarts)
+
+
+class TestGivenUp:
+
+    # Such a task crashed one worker after the other until the end of the day,
+    # each time with all that ran there.
+    async def test_a_task_that_crashes_its_workers_is_given_up(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(6)
+        cluster.deadly_tasks.add(DEADLY)
+
+        async def script() -> None:
+            await cluster.submit(JOB, test_leadership.demand(4))
+            with trio.move_on_after(60.0):
+                await cluster.wait_until(
+                    lambda: cluster.job_state(JOB) == "failed", 99.0
+                )
+
+        await run_script(cluster, script)
+        assert cluster.starts_of(DEADLY) < 3 + STARTS_AFTER_THIRD_CRASH
+        assert cluster.job_state(JOB) == "failed"
