Give up a task that crashes its workers

Cause: a run that ends with its worker counts as lost, which is no attempt, so nothing ever ended such a task. Ruled out: a count that is lost with the leader (there was none), and workers that crash on their own (each crash follows a start of the same task by 10 to 20 ms).

The removal of a worker that did not leave now charges the tasks that had begun lately with its crash, in the replicated state, so that the count outlives the leader. A task that was charged before and has just started when its worker crashes is given up, and its job fails; not if another job's task started after it, or if several workers were lost at the same moment. From the third crash on it suffices that no other task on the worker was charged as often; the fourth crash ends it in any case. A run of 10 s clears a task.

--- /dev/null
+++ b/turmerichall/dispatch/crash_attribution.py
@@ -0,0 +1,131 @@
+"""Attribution of a worker's crash to the tasks that ran on it.
+
+Answers a load in which a few tasks crash each worker that starts them.  Every
+crash also ends the other runs on the worker, so such a task has to be found
+after few crashes, and the tasks beside it must not be taken for it.
+
+A crash charges every task that had begun lately.  A task that was charged
+before starts on trial: nothing else is started beside it until it has run for
+`TRIAL_SECONDS`.  If the worker crashes meanwhile, the task is the cause, unless
+several workers were lost at the same moment, as in a loss of power.
+"""
+
+from collections.abc import Sequence, Set
+from typing import NamedTuple
+
+from turmerichall.queues import change as changes
+
+__all__ = [
+    "CLEAR_SECONDS",
+    "SAME_MOMENT_SECONDS",
+    "TRIAL_SECONDS",
+    "Attribution",
+    "Suspect",
+    "attribute",
+]
+
+# Time for which nothing else is started beside a task that was charged with a
+# crash before.
+TRIAL_SECONDS = 0.5
+# A task that has run for this time is not charged with a crash, and earlier
+# crashes no longer count.
+CLEAR_SECONDS = 10.0
+# Workers lost within this time of each other may have a common cause.
+SAME_MOMENT_SECONDS = 0.1
+# Number of other workers lost at the same moment from which the crash of one
+# has a cause outside its tasks.
+COMMON_CAUSE_WORKERS = 2
+# Crashes after which a task is given up if no other task on the worker was
+# charged with as many.
+MAX_CRASHES_ALONE = 3
+# Crashes after which a task is given up in any case.
+MAX_CRASHES = 4
+
+
+class Suspect(NamedTuple):
+    """A run that may have been at work when its worker crashed.
+
+    Attributes:
+        task: The task.
+        crashes: Earlier crashes with which the task was charged.
+        seconds: Time for which it had run; 0 if the start was not confirmed.
+        certain: Whether it had certainly begun in this term, at a known time.
+    """
+
+    task: changes.TaskName
+    crashes: int
+    seconds: float
+    certain: bool = True
+
+
+class Attribution(NamedTuple):
+    """The tasks charged with a crash.
+
+    Attributes:
+        charged: Tasks charged with the crash.
+        given_up: Ids of the jobs of tasks that crash their workers.
+    """
+
+    charged: tuple[changes.TaskName, ...]
+    given_up: tuple[str, ...] = ()
+
+
+def attribute(
+    suspects: Sequence[Suspect], lost_together: Sequence[Set[str]] = ()
+) -> Attribution:
+    """Return which tasks are charged with a crash, and which are given up.
+
+    Args:
+        suspects: Runs of the worker.
+        lost_together: For each other worker lost at the same moment, the ids of
+            the jobs that had just started a task there.
+
+    Examples:
+        >>> cause = Suspect(changes.TaskName("a", 0, 0, 0), 0, 0.0)
+        >>> beside = Suspect(changes.TaskName("b", 0, 0, 3), 0, 1.2)
+        >>> attribute([cause, beside]).given_up
+        ()
+        >>> again = cause._replace(crashes=1)
+        >>> attribute([again, beside]).given_up
+        ('a',)
+        >>> attribute([again, beside], [{"c"}, {"d"}]).given_up
+        ()
+    """
+    recent = [each for each in suspects if each.seconds < CLEAR_SECONDS]
+    if not recent:
+        return Attribution(())
+
+    def is_explained(job: str) -> bool:
+        others = sum(job not in jobs for jobs in lost_together)
+        return others < COMMON_CAUSE_WORKERS
+
+    on_trial = _job_on_trial(recent)
+    if on_trial and is_explained(on_trial):
+        # The other tasks are cleared of this crash.
+        return Attribution(
+            tuple(each.task for each in recent if each.task.job == on_trial),
+            (on_trial,),
+        )
+    most = max(each.crashes for each in recent) + 1
+    accused = {each.task.job for each in recent if each.crashes + 1 == most}
+    given_up: tuple[str, ...] = ()
+    if most >= MAX_CRASHES:
+        given_up = tuple(sorted(accused))
+    elif most >= MAX_CRASHES_ALONE and len(accused) == 1:
+        given_up = tuple(job for job in accused if is_explained(job))
+    return Attribution(tuple(each.task for each in recent), given_up)
+
+
+def _job_on_trial(recent: Sequence[Suspect]) -> str:
+    """Return the job whose task on trial was the last to start, or nothing."""
+    fresh = [
+        each
+        for each in recent
+        if each.certain and each.seconds <= TRIAL_SECONDS
+    ]
+    if not fresh:
+        return ""
+    newest_seconds = min(each.seconds for each in fresh)
+    newest = {each.task.job for each in fresh if each.seconds == newest_seconds}
+    tried = {each.task.job for each in fresh if each.crashes}
+    return newest.pop() if len(newest) == 1 and newest <= tried else ""
--- /dev/null
+++ b/turmerichall/dispatch/crash_register.py
@@ -0,0 +1,134 @@
+"""Crashes of workers in one term, as evidence against the tasks on them."""
+
+import collections
+from collections.abc import Collection, Iterator
+from typing import NamedTuple
+
+from turmerichall.dispatch import crash_attribution
+from turmerichall.dispatch import worker_state
+from turmerichall.queues import change as changes
+from turmerichall.queues import state as states
+
+__all__ = ["CrashRegister"]
+
+# Number of latest crashes that are remembered, to find those of one moment.
+MAX_CRASHES_REMEMBERED = 1000
+# A start whose answer was lost within this time after it was sent met a broken
+# connection; a timeout takes longer, and leaves open whether the start arrived.
+BROKEN_CONNECTION_SECONDS = 0.3
+
+
+class _Crash(NamedTuple):
+    """The crash of a worker.
+
+    Attributes:
+        worker: Id of the worker.
+        at: Time on the steady clock at which contact was lost.
+        fresh_jobs: Ids of jobs that had just started a task there.
+    """
+
+    worker: str
+    at: float
+    fresh_jobs: frozenset[str]
+
+
+class CrashRegister:
+    """The crashes of one term.
+
+    Attributes:
+        queue_state: The replicated state.
+    """
+
+    def __init__(self, queue_state: states.QueueState):
+        self.queue_state = queue_state
+        # Ids of jobs that were given up; their changes may not be applied yet.
+        self._given_up: set[str] = set()
+        self._crashes: collections.deque[_Crash] = collections.deque(
+            maxlen=MAX_CRASHES_REMEMBERED
+        )
+
+    def attribute(
+        self,
+        worker: worker_state.Worker,
+        workers: Collection[worker_state.Worker],
+        now: float,
+    ) -> crash_attribution.Attribution:
+        """Return which tasks are charged with a worker's crash.
+
+        Args:
+            worker: The worker, of which another incarnation has been seen.
+            workers: All workers.
+            now: Current time on the steady clock.
+        """
+        lost_at = worker.lost_at or now
+        crash = _describe(worker, lost_at)
+        others = {each.worker: each for each in self._crashes}
+        for other in workers:
+            if other.lost_at:
+                others[other.record.id] = _describe(other, other.lost_at)
+        others.pop(worker.record.id, None)
+        self._crashes.append(crash)
+        attribution = crash_attribution.attribute(
+            list(self._suspects(worker, lost_at)),
+            [
+                other.fresh_jobs
+                for other in others.values()
+                if abs(other.at - lost_at)
+                <= crash_attribution.SAME_MOMENT_SECONDS
+            ],
+        )
+        self._given_up.update(attribution.given_up)
+        return attribution
+
+    def _suspects(
+        self, worker: worker_state.Worker, lost_at: float
+    ) -> Iterator[crash_attribution.Suspect]:
+        runs: dict[changes.TaskName, worker_state.Run] = {
+            run.task: run for run in worker.lapsed_runs
+        }
+        runs.update(worker.runs)
+        for task, run in runs.items():
+            job = self.queue_state.jobs.get(task.job)
+            if job is None or not job.open or job.task(task).done:
+                continue
+            if task.job in self._given_up:
+                continue
+            if not _may_have_begun(run, lost_at):
+                continue
+            yield crash_attribution.Suspect(
+                task,
+                job.task(task).crashes,
+                _seconds(run, lost_at),
+                _has_certainly_begun(run, lost_at),
+            )
+
+
+def _describe(worker: worker_state.Worker, lost_at: float) -> _Crash:
+    """Return the crash of a worker, should it be one."""
+    fresh = {
+        run.task.job
+        for run in worker.runs.values()
+        if _may_have_begun(run, lost_at)
+        and _seconds(run, lost_at) <= crash_attribution.TRIAL_SECONDS
+    }
+    return _Crash(worker.record.id, lost_at, frozenset(fresh))
+
+
+def _may_have_begun(run: worker_state.Run, lost_at: float) -> bool:
+    """Return whether a run may have been at work when contact was lost."""
+    if run.phase == worker_state.Phase.PLANNED:
+        return False
+    return bool(run.adopted or run.confirmed_at or 0.0 < run.sent_at <= lost_at)
+
+
+def _has_certainly_begun(run: worker_state.Run, lost_at: float) -> bool:
+    if run.adopted:
+        return False
+    return bool(
+        run.confirmed_at or lost_at - run.sent_at <= BROKEN_CONNECTION_SECONDS
+    )
+
+
+def _seconds(run: worker_state.Run, lost_at: float) -> float:
+    """Return for how long a run had been at work when contact was lost."""
+    return max(lost_at - run.confirmed_at, 0.0) if run.confirmed_at else 0.0
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -108,6 +108,8 @@
         self.scope = trio.CancelScope()
         self.fencers: set[str] = set()
         self.kept_out = kept_out
+        # Ids of jobs that were closed in this term because they failed.
+        self._failed_jobs: set[str] = set()
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._recurring_jobs = recurring_job_sets.RecurringJobs(
@@ -190,6 +192,9 @@
             )
             if table and table != self.queue_state.interference:
                 await self.commit_or_resign(changes.NoteInterference(table))
+            cleared = self.registry.cleared_tasks(now)
+            if cleared:
+                await self.commit_or_resign(changes.ClearCrashes(cleared))
 
     def may_renew(self) -> bool:
         """See `session.Owner`."""
@@ -341,16 +346,30 @@
         for job_id, was_open in open_before.items():
             job = self.queue_state.jobs[job_id]
             if was_open and not job.open:
-                self.metrics_registry.count("jobs_ended", state=job.state.value)
-                self.log.info(
-                    "job ended",
-                    job=job_id,
-                    state=job.state.value,
-                    age_ms=wall_ms() - job.at_ms,
-                )
-                self._close_job(job_id)
+                self._close_ended_job(job)
         self._wake.set()
 
+    def _close_ended_job(self, job: states.Job) -> None:
+        """Close a job that was completed, or failed."""
+        if job.id in self._failed_jobs:
+            return
+        if job.state == states.JobState.FAILED:
+            self._failed_jobs.add(job.id)
+        self.metrics_registry.count("jobs_ended", state=job.state.value)
+        self.log.info(
+            "job ended",
+            job=job.id,
+            state=job.state.value,
+            age_ms=wall_ms() - job.at_ms,
+        )
+        self._close_job(job.id)
+
+    def close_failed_job(self, job_id: str) -> None:
+        """See `registry.Owner`."""
+        job = self.queue_state.jobs.get(job_id)
+        if job is not None and job.state == states.JobState.FAILED:
+            self._close_ended_job(job)
+
     def _close_job(self, job_id: str) -> None:
         """Stop the remaining runs of a job that ended, and forget the job."""
         self.backlog.drop_job(job_id)
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -369,6 +369,7 @@
         run = worker_state.Run(
             group.task(number), run_number, group.step, group.job.queue
         )
+        run.suspected = tasks[number].crashes > 0
         worker.add(run)
         worker.breaker.record_start(now)
         return run
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -7,6 +7,8 @@
 
 from turmerichall import outcomes
 from turmerichall.dispatch import backlog as backlogs
+from turmerichall.dispatch import crash_attribution
+from turmerichall.dispatch import crash_register as crash_registers
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import reports
 from turmerichall.dispatch import session as sessions
@@ -50,6 +52,9 @@
     async def commit_or_resign(self, change: changes.Change) -> None:
         """Commit a change, or end the term's work if that fails."""
 
+    def close_failed_job(self, job_id: str) -> None:
+        """Stop the runs of a job if it has failed, unless that was done."""
+
 
 class Registry:
     """The live workers of one term, each with its session.
@@ -67,6 +72,7 @@
         self.workers: dict[str, worker_state.Worker] = {}
         self.sessions: dict[str, sessions.WorkerSession] = {}
         self._make_client = make_client
+        self._crash_register = crash_registers.CrashRegister(self.queue_state)
         self._began_at = leases.steady_seconds()
         self._nursery: trio.Nursery | None = None
         # Places of the registrations that are in progress, and of those whose
@@ -104,6 +110,7 @@
         run = worker_state.Run(name, task.run, step, job.queue)
         run.phase = worker_state.Phase.ORDERED
         run.adopted = True
+        run.suspected = task.crashes > 0
         if step.fills:
             # An earlier leader may have throttled the run.
             run.pace_percent = worker_state.UNKNOWN_PACE
@@ -161,6 +168,8 @@
         try:
             if not await self._may_register(record, places):
                 return False
+            if not await self._remove_replaced(places):
+                return False
             failed = await self.owner.commit(changes.RegisterWorker(record))
             if failed is not None:
                 # The change may be applied later.
@@ -275,27 +284,71 @@
         self.log.info("worker was replaced", worker=worker.record.id)
         await self._remove(worker)
 
+    def cleared_tasks(self, now: float) -> tuple[changes.TaskName, ...]:
+        """Return tasks on which earlier crashes no longer count.
+
+        They were charged with a crash, and have run for long enough since.
+        """
+        cleared = []
+        for worker in self.workers.values():
+            for run in list(worker.suspected_runs):
+                ran_seconds = now - run.confirmed_at if run.confirmed_at else 0
+                if ran_seconds > crash_attribution.CLEAR_SECONDS:
+                    worker.clear_suspicion(run)
+                    cleared.append(run.task)
+        return tuple(cleared)
+
+    async def _remove_replaced(self, places: Set[_Place]) -> bool:
+        """Remove the workers at places that another worker has taken over.
+
+        Returns:
+            Whether this is durable.
+        """
+        for worker in list(self.workers.values()):
+            if places & _places(worker.record) and not worker.removing:
+                failed = await self.owner.commit(self._removal(worker))
+                if failed is not None:
+                    worker.removing = False
+                    return False
+        await self._drop_removed()
+        return True
+
     async def _remove(self, worker: worker_state.Worker) -> None:
-        if worker.record.id in self.queue_state.workers:
-            await self.owner.commit_or_resign(
-                changes.LoseWorker(worker.record.id)
-            )
+        if worker.record.id in self.queue_state.workers and not worker.removing:
+            await self.owner.commit_or_resign(self._removal(worker))
         await self._drop_removed()
 
+    def _removal(self, worker: worker_state.Worker) -> changes.LoseWorker:
+        """Return the change that removes a worker, to be committed now."""
+        worker.removing = True
+        worker_id = worker.record.id
+        if worker.draining:
+            return changes.LoseWorker(worker_id)
+        attribution = self._crash_register.attribute(
+            worker, self.workers.values(), leases.steady_seconds()
+        )
+        reports.log_crash(self.log, worker, attribution)
+        return changes.LoseWorker(
+            worker_id, attribution.charged, attribution.given_up
+        )
+
     async def _drop_removed(self) -> None:
         """Forget workers removed from the state; requeue the tasks they ran."""
         for worker_id in list(self.workers):
             if worker_id in self.queue_state.workers:
                 continue
             worker = self.workers.pop(worker_id)
+            lost = list(worker.runs.values())
             reason = "left" if worker.draining else "crashed"
             self.owner.metrics_registry.count("workers_removed", reason=reason)
             reports.log_removed(
                 self.log, worker, reason, leases.steady_seconds()
             )
             self.sessions.pop(worker_id).scope.cancel()
-            for run in list(worker.runs.values()):
+            for run in lost:
                 worker.remove(run)
                 if run.phase != worker_state.Phase.PLANNED:
                     self.owner.backlog.requeue(run.task)
+            for run in worker.lapsed_runs + lost:
+                self.owner.close_failed_job(run.task.job)
             self.owner.request_placement()
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -4,6 +4,7 @@
 
 from turmerichall import outcomes
 from turmerichall.dispatch import backlog as backlogs
+from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import preemption
 from turmerichall.dispatch import worker_state
 from turmerichall.peers import link
@@ -14,6 +15,7 @@
 __all__ = [
     "describe",
     "log_accepted",
+    "log_crash",
     "log_ends",
     "log_preempted",
     "log_refused",
@@ -164,6 +166,38 @@
     return f"{max(at - run.confirmed_at, 0.0):.3f}s"
 
 
+def log_crash(
+    log: link.Log,
+    worker: worker_state.Worker,
+    attribution: crash_attribution.Attribution,
+) -> None:
+    """Log the tasks that are charged with the crash of a worker.
+
+    Args:
+        log: Log to write to.
+        worker: The worker.
+        attribution: What the crash is attributed to.
+    """
+    if attribution.charged:
+        log.info(
+            "tasks charged with a crash",
+            worker=worker.record.id,
+            tasks=[
+                str(task) for task in attribution.charged[:MAX_RUNS_PER_LINE]
+            ],
+            count=len(attribution.charged),
+        )
+    for job_id in attribution.given_up:
+        log.warning(
+            "job given up: a task crashes its workers",
+            job=job_id,
+            worker=worker.record.id,
+            tasks=[
+                str(task) for task in attribution.charged if task.job == job_id
+            ][:MAX_RUNS_PER_LINE],
+        )
+
+
 def log_step_done(log: link.Log, task: changes.TaskName, age_ms: int) -> None:
     """Log that a step is done.
 
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -196,6 +196,7 @@
             owner.log.info(
                 "lease ran out", worker=worker.record.id, runs=len(rows)
             )
+            worker.lapsed_runs = list(worker.runs.values())
             await owner.commit_ends(worker, rows)
 
     async def _commit_ends(self, status: worker_client.WorkerStatus) -> None:
@@ -319,9 +320,13 @@
         for _ in range(START_TRIES):
             if run.stopping or worker.runs.get(run.task) is not run:
                 break
+            first_try = not run.sent_at
+            run.sent_at = run.sent_at or leases.steady_seconds()
             result = await worker.client.start(
                 order, owner.token, run.refused_after_ms
             )
+            if first_try and result.verdict == Verdict.UNSENT:
+                run.sent_at = 0.0
             may_be_pending = may_be_pending or result.may_be_pending
             if await self._handle_start_result(run, result, may_be_pending):
                 return
--- a/turmerichall/dispatch/tests/test_crashing_tasks.py
+++ b/turmerichall/dispatch/tests/test_crashing_tasks.py
@@ -1,7 +1,9 @@
 """Tests of tasks that crash the workers that start them."""
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 
+import pytest
 import trio
 import trio.testing
 
@@ -15,7 +17,6 @@
 # pylint: disable=unused-argument
 
 JOB = test_leadership.JOB
-OTHER_JOB = "77ac860c07bd7f9d"
 DEADLY = changes.TaskName(JOB, 0, 0, 0)
 # Time from the crash of a worker until it has started again.
 RESTART_SECONDS = 3.0
@@ -29,12 +30,14 @@
     Attributes:
         deadly_tasks: Tasks that crash each worker that starts them.
         crashes: Time of each crash, with the runs that ended with it.
+        gangs: Ids of jobs whose tasks end if one of them does.
         incarnations: All workers that there ever were.
     """
 
     def __init__(self, count: int, cpu: int = 8000):
         self.deadly_tasks: set[changes.TaskName] = set()
         self.crashes: list[tuple[float, list[changes.TaskName]]] = []
+        self.gangs: set[str] = set()
         workers = [self._make(f"w{number}", cpu) for number in range(count)]
         self.incarnations = list(workers)
         super().__init__(*workers)
@@ -59,6 +62,10 @@
         now = trio.current_time()
         lost = [span.task for span in old.spans if span.ended_at > now - 0.02]
         self.crashes.append((now, lost))
+        for worker in self.workers.values():
+            for task in list(worker.runs):
+                if task.job in self.gangs and task[:3] in {t[:3] for t in lost}:
+                    worker.end(task, changes.Ending.BROKEN)
         await trio.sleep(RESTART_SECONDS)
         name, _, number = old.record.id.partition(".")
         new = self._make(f"{name}.{int(number or 0) + 1}", old.record.cpu)
@@ -125,3 +132,158 @@
         await run_script(cluster, script)
         assert cluster.starts_of(DEADLY) < 3 + STARTS_AFTER_THIRD_CRASH
         assert cluster.job_state(JOB) == "failed"
+
+    async def test_it_is_given_up_once_and_its_other_tasks_are_stopped(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(6)
+        cluster.deadly_tasks.add(DEADLY)
+        for worker in cluster.incarnations:
+            worker.run_seconds = 60.0
+
+        async def script() -> None:
+            await cluster.submit(JOB, test_leadership.demand(4))
+            await cluster.wait_until(
+                lambda: cluster.job_state(JOB) == "failed", 60.0
+            )
+            await trio.sleep(1.0)
+            assert not any(each.runs for each in cluster.workers.values())
+
+        await run_script(cluster, script)
+        ended = [
+            fields
+            for message, fields in cluster.log.lines
+            if message == "job ended"
+        ]
+        assert [fields["state"] for fields in ended] == ["failed"]
+
+    async def test_crashes_before_a_new_leader_count(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(6)
+        cluster.deadly_tasks.add(DEADLY)
+
+        async def script() -> None:
+            await cluster.submit(JOB, test_leadership.demand(4))
+            for term in (2, 3, 4, 5):
+                await trio.sleep(RESTART_SECONDS + 0.5)
+                cluster.replica.lead(term)
+            await cluster.wait_until(
+                lambda: cluster.job_state(JOB) == "failed", 30.0
+            )
+
+        await run_script(cluster, script)
+        assert cluster.starts_of(DEADLY) < 3 + STARTS_AFTER_THIRD_CRASH
+
+    @pytest.mark.parametrize(
+        "step", [{"gang": True}, {"lasting": True}, {"fills": True}]
+    )
+    async def test_tasks_of_each_kind_are_given_up(
+        self, mocked_clocks: trio.testing.MockClock, step: dict[str, Any]
+    ) -> None:
+        cluster = CrashCluster(6)
+        cluster.deadly_tasks.add(DEADLY)
+        if "gang" in step:
+            cluster.gangs.add(JOB)
+
+        async def script() -> None:
+            await cluster.submit(JOB, test_leadership.demand(4, **step))
+            await cluster.wait_until(
+                lambda: cluster.job_state(JOB) == "failed", 60.0
+            )
+
+        await run_script(cluster, script)
+        assert cluster.starts_of(DEADLY) < 3 + STARTS_AFTER_THIRD_CRASH
+
+
+class TestInnocent:
+
+    async def test_jobs_beside_a_task_that_is_given_up_are_completed(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(3, cpu=20000)
+        cluster.deadly_tasks.add(DEADLY)
+        others = [f"{number:016x}" for number in range(6)]
+
+        async def script() -> None:
+            for job in others:
+                await cluster.submit(job, test_leadership.demand(6))
+            await cluster.submit(JOB, test_leadership.demand(2))
+            await cluster.wait_until(
+                lambda: cluster.job_state(JOB) == "failed", 60.0
+            )
+            await cluster.wait_until(
+                lambda: all(
+                    cluster.job_state(job) == "completed" for job in others
+                )
+            )
+
+        await run_script(cluster, script)
+
+    # Losses of power 4 s apart hit tasks that are on trial again.
+    async def test_losses_of_power_fail_no_job(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(6)
+        for worker in cluster.incarnations:
+            worker.run_seconds = 2.0
+        jobs = [f"{number:016x}" for number in range(8)]
+
+        async def script() -> None:
+            for job in jobs:
+                await cluster.submit(job, test_leadership.demand(5))
+            for _ in range(3):
+                await trio.sleep(0.4)
+                for worker in list(cluster.workers.values())[:4]:
+                    worker.crash()
+                await trio.sleep(RESTART_SECONDS + 0.6)
+            await cluster.wait_until(
+                lambda: all(
+                    cluster.job_state(job) == "completed" for job in jobs
+                ),
+                60.0,
+            )
+
+        await run_script(cluster, script)
+
+    async def test_a_worker_that_leaves_charges_no_task(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(2)
+        worker = cluster.incarnations[0]
+
+        async def script() -> None:
+            await cluster.submit(JOB, test_leadership.demand(8))
+            await cluster.wait_until(lambda: bool(worker.runs))
+            leaving = worker_client.Heartbeat(
+                worker.record, True, 1, worker.clock_ms()
+            )
+            assert await cluster.leader_api.heartbeat(leaving)
+            worker.crash()
+            await cluster.wait_until(
+                lambda: worker.record.id in cluster.queue_state.gone
+            )
+            tasks = cluster.queue_state.jobs[JOB].steps(0)[0].tasks
+            assert not any(task.crashes for task in tasks)
+
+        await run_script(cluster, script)
+
+    async def test_crashes_no_longer_count_after_a_long_run(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(2)
+        for worker in cluster.incarnations:
+            worker.lasting_jobs.add(JOB)
+
+        def charged() -> int:
+            tasks = cluster.queue_state.jobs[JOB].steps(0)[0].tasks
+            return sum(task.crashes for task in tasks)
+
+        async def script() -> None:
+            await cluster.submit(JOB, test_leadership.demand(4, lasting=True))
+            await trio.sleep(2.0)
+            cluster.incarnations[0].crash()
+            await cluster.wait_until(lambda: charged() > 0)
+            await cluster.wait_until(lambda: charged() == 0, 20.0)
+
+        await run_script(cluster, script)
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from turmerichall.dispatch import circuit_breaker as circuit_breakers
+from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import stragglers
@@ -68,6 +69,8 @@
             work began, so that an earlier try of its start may be under way.
         start_spawned: Whether a task of this term sends the start, or has done
             so.
+        sent_at: Time at which its start was first sent in this term; 0 if no
+            try of it can have reached the worker.
         confirmed_at: Time at which the worker first listed or confirmed the
             run; 0 before.
         stopping: Whether the run is to be stopped.
@@ -89,6 +92,8 @@
         last_unthrottled_at: Time at which the run last had more than a low
             pace.
         checkpoint: Latest saved progress listed.
+        suspected: Whether its task was charged with the crash of a worker, so
+            that it starts on trial.
     """
 
     __slots__ = (
@@ -111,9 +116,11 @@
         "progressed_at",
         "queue",
         "refused_after_ms",
+        "sent_at",
         "start_spawned",
         "step",
         "stopping",
+        "suspected",
         "task",
     )
 
@@ -132,6 +139,7 @@
         self.refused_after_ms = 0
         self.adopted = False
         self.start_spawned = False
+        self.sent_at = 0.0
         self.confirmed_at = 0.0
         self.stopping = False
         self.moved = False
@@ -147,6 +155,7 @@
         self.last_slowed_at = -float("inf")
         self.last_unthrottled_at = 0.0
         self.checkpoint = ""
+        self.suspected = False
 
     def record_progress(self, percent: int, now: float) -> None:
         """Record the progress that the worker lists.
@@ -176,6 +185,13 @@
         """
         return self.pace_told_at <= self.late_pace_until
 
+    def is_on_trial(self, now: float) -> bool:
+        """Return whether nothing else may be started beside the run."""
+        return self.suspected and not (
+            self.confirmed_at
+            and now - self.confirmed_at > crash_attribution.TRIAL_SECONDS
+        )
+
     def progress(self, now: float) -> stragglers.Progress:
         """Return the progress of the run at a time on the steady clock."""
         return stragglers.Progress(
@@ -224,6 +240,10 @@
         neighbours: Long-running runs that best-effort tasks may slow, by job,
             occurrence and step.
         best_effort_cpu: Processors requested by best-effort runs, by image.
+        removing: Whether its removal is being committed.
+        suspected_runs: Runs of tasks that were charged with a crash.
+        lapsed_runs: Runs that were lost with the lease since the worker was
+            last in touch.  It may have crashed.
         heartbeat: Sequence number of the latest heartbeat.
         changed: Whether its runs or loads changed since the latest placing
             round, so that tasks without room may fit now.
@@ -254,6 +274,9 @@
         self.long_running_count = 0
         self.neighbours: dict[tuple[str, int, int], Neighbour] = {}
         self.best_effort_cpu: dict[str, int] = {}
+        self.removing = False
+        self.suspected_runs: list[Run] = []
+        self.lapsed_runs: list[Run] = []
         self.heartbeat = 0
         self.changed = True
 
@@ -261,6 +284,7 @@
         """Record that the worker answered a poll."""
         self.in_touch = True
         self.lost_at = 0.0
+        self.lapsed_runs.clear()
 
     def record_silence(self, now: float) -> None:
         """Record that a poll or a start was not answered.
@@ -275,6 +299,8 @@
     def add(self, run: Run) -> None:
         """Add a run, and reserve the resources that it requests."""
         self.runs[run.task] = run
+        if run.suspected:
+            self.suspected_runs.append(run)
         self._count(run.step, 1)
         if run.step.lasting and run.step.target_ms:
             key = run.task[:3]
@@ -285,6 +311,8 @@
         if self.runs.get(run.task) is run:
             self.changed = True
             del self.runs[run.task]
+            if run.suspected:
+                self.suspected_runs.remove(run)
             self._count(run.step, -1)
             if run.step.lasting:
                 self._forget_neighbour(run.task[:3])
@@ -313,6 +341,22 @@
         else:
             self.cpu_batch += sign * step.cpu
 
+    def clear_suspicion(self, run: Run) -> None:
+        """Take a run from those of tasks that were charged with a crash."""
+        run.suspected = False
+        self.suspected_runs.remove(run)
+
+    def job_on_trial(self, now: float) -> str:
+        """Return the id of the job with a task on trial, or nothing.
+
+        Args:
+            now: Current time on the steady clock.
+        """
+        for run in self.suspected_runs:
+            if run.is_on_trial(now):
+                return run.task.job
+        return ""
+
     def has_room_for(self, step: demands.StepDemand) -> bool:
         """Return whether the resources for a task of a step are free.
 
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -12,6 +12,7 @@
     "AcceptJob",
     "CancelJob",
     "Change",
+    "ClearCrashes",
     "DrainWorker",
     "EndRuns",
     "EndedRun",
@@ -196,9 +197,18 @@
 
 
 class LoseWorker(_Tagged, frozen=True, array_like=True, tag=8):
-    """Change that removes a worker that is gone; all of its runs are lost."""
+    """Change that removes a worker that is gone; all of its runs are lost.
+
+    Attributes:
+        worker: Id of the worker.
+        charged: If it crashed, the tasks that may have caused this.
+        given_up: Ids of jobs that fail, since a task of theirs crashes its
+            workers.
+    """
 
     worker: str
+    charged: tuple[TaskName, ...] = ()
+    given_up: tuple[str, ...] = ()
 
 
 class NoteInterference(_Tagged, frozen=True, array_like=True, tag=9):
@@ -213,6 +223,12 @@
     added: dict[str, dict[str, float]]
 
 
+class ClearCrashes(_Tagged, frozen=True, array_like=True, tag=10):
+    """Change that clears tasks of the crashes with which they were charged."""
+
+    tasks: tuple[TaskName, ...]
+
+
 Change: TypeAlias = (
     SetConfiguration
     | AcceptJob
@@ -223,6 +239,7 @@
     | DrainWorker
     | LoseWorker
     | NoteInterference
+    | ClearCrashes
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -39,6 +39,7 @@
         failures: Number of runs that failed.
         done: Whether a run completed the task.
         checkpoint: Saved progress from which the next run resumes, or empty.
+        crashes: Number of crashes of workers with which it is charged.
     """
 
     run: int = 0
@@ -46,6 +47,7 @@
     failures: int = 0
     done: bool = False
     checkpoint: str = ""
+    crashes: int = 0
 
 
 class StepProgress(msgspec.Struct, array_like=True):
@@ -216,7 +218,12 @@
                 if change.worker in self.workers:
                     self.draining.add(change.worker)
             case changes.LoseWorker():
-                self._remove_worker(change.worker)
+                self._lose_worker(change)
+            case changes.ClearCrashes():
+                for name in change.tasks:
+                    task = self._find_task(name)
+                    if task is not None:
+                        task.crashes = 0
             case changes.NoteInterference():
                 self.interference = change.added
         return b""
@@ -262,11 +269,18 @@
             job.state = JobState.ACTIVE
             self.waiting.get(job.queue, set()).discard(job.id)
 
+    def _find_task(self, name: changes.TaskName) -> TaskRecord | None:
+        """Return the state of a task; None if it never started."""
+        job = self.jobs.get(name.job)
+        if job is None or name.occurrence not in job.occurrences:
+            return None
+        return job.task(name)
+
     def _end(self, ended: changes.EndedRun) -> None:
-        job = self.jobs.get(ended.task.job)
-        if job is None or ended.task.occurrence not in job.occurrences:
+        task = self._find_task(ended.task)
+        if task is None:
             return
-        task = job.task(ended.task)
+        job = self.jobs[ended.task.job]
         if task.run != ended.run or not task.worker:
             return
         task.worker = ""
@@ -308,6 +322,17 @@
                 self._remove_worker(other.id)
         self.workers[worker.id] = worker
 
+    def _lose_worker(self, change: changes.LoseWorker) -> None:
+        if change.worker not in self.workers:
+            return
+        for name in change.charged:
+            task = self._find_task(name)
+            if task is not None:
+                task.crashes += 1
+        for job in change.given_up:
+            self._close(job, JobState.FAILED)
+        self._remove_worker(change.worker)
+
     def _remove_worker(self, worker: str) -> None:
         if self.workers.pop(worker, None) is None:
             return
