--- a/turmerichall/dispatch/tests/test_crashing_tasks.py
+++ b/turmerichall/dispatch/tests/test_crashing_tasks.py
@@ -7,6 +7,7 @@
 import trio
 import trio.testing
 
+from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch.tests import fakes
 from turmerichall.dispatch.tests import test_leadership
@@ -287,3 +288,69 @@
             await cluster.wait_until(lambda: charged() == 0, 20.0)
 
         await run_script(cluster, script)
+
+
+class TestTrial:
+    """Tasks that were charged with a crash start apart from others."""
+
+    # All that ran beside such a task was lost with the next crash.
+    async def test_nothing_is_started_beside_a_charged_task(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(5, cpu=20000)
+        charged: set[changes.TaskName] = set()
+
+        async def script() -> None:
+            for number in range(40):
+                job = f"{number:016x}"
+                await cluster.submit(job, test_leadership.demand(4))
+                if number == 4:
+                    await trio.sleep(0.3)
+                    charged.update(cluster.incarnations[0].runs)
+                    cluster.incarnations[0].crash()
+                await trio.sleep(0.1)
+            await trio.sleep(2.0)
+
+        await run_script(cluster, script)
+        assert len(charged) > 2
+        beside = []
+        for worker in cluster.incarnations:
+            for task, run, at in worker.history:
+                if task not in charged or run == 1:
+                    continue
+                beside += [
+                    other
+                    for other, _, other_at in worker.history
+                    if other.job != task.job
+                    and 0 <= other_at - at < crash_attribution.TRIAL_SECONDS
+                ]
+        assert not beside
+
+    async def test_a_charged_task_starts_where_least_runs(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(4)
+        cluster.deadly_tasks.add(DEADLY)
+        busy = "0" * 16
+
+        async def script() -> None:
+            # Best-effort tasks prefer workers without long-running ones.
+            for worker in cluster.incarnations:
+                worker.lasting_jobs.add(busy)
+            await cluster.submit(
+                busy,
+                test_leadership.demand(
+                    3, cpu=2000, lasting=True, max_per_worker=1
+                ),
+            )
+            await trio.sleep(0.5)
+            (idle,) = [each for each in cluster.incarnations if not each.runs]
+            await cluster.submit(
+                JOB, test_leadership.demand(1, max_per_worker=1)
+            )
+            await cluster.wait_until(lambda: len(cluster.crashes) == 1)
+            assert idle.down
+            await cluster.wait_until(lambda: len(cluster.crashes) == 2)
+
+        await run_script(cluster, script)
+        assert cluster.crashes[1][1] == [DEADLY]
