Start nothing beside a task under which a worker has crashed

Its next crash ended what had been started beside it, and left open which of two charged tasks was the cause.

Ruled out: to explain crashes of one moment by a job that runs on all of the workers. A job that was hit twice by a loss of power looks the same.

What trials are for is the attribution: a test of losses of power and one of jobs beside such a task fail now and then without them.

--- a/turmerichall/dispatch/crash_attribution.py
+++ b/turmerichall/dispatch/crash_attribution.py
@@ -4,19 +4,22 @@
 crash also ends the other runs on the worker, so such a task has to be found
 after few crashes, and the tasks beside it must not be taken for it.
 
-A crash charges every task that had begun lately.  A task that was charged
-before starts on trial: nothing else is started beside it until it has run for
-`TRIAL_SECONDS`.  If the worker crashes meanwhile, the task is the cause, unless
-several workers were lost at the same moment, as in a loss of power.
+A crash charges every task that had begun lately, and these start on trial from
+then on: nothing else is started beside them until they have run for
+`TRIAL_SECONDS`.  If a worker crashes during a trial, the task on trial is the
+cause.  Workers lost at the same moment, as in a loss of power, are no evidence
+against single tasks: these are charged, but are neither given up nor put on
+trial before a second crash.
 """
 
-from collections.abc import Sequence, Set
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from turmerichall.queues import change as changes
 
 __all__ = [
     "CLEAR_SECONDS",
+    "SERIAL_TRIAL_CRASHES",
     "SAME_MOMENT_SECONDS",
     "TRIAL_SECONDS",
     "Attribution",
@@ -40,6 +43,9 @@
 MAX_CRASHES_ALONE = 3
 # Crashes after which a task is given up in any case.
 MAX_CRASHES = 4
+# Crashes after which a task starts on trial in any case, and the tasks of a job
+# one after the other.
+SERIAL_TRIAL_CRASHES = 2
 
 
 class Suspect(NamedTuple):
@@ -64,21 +70,22 @@
     Attributes:
         charged: Tasks charged with the crash.
         given_up: Ids of the jobs of tasks that crash their workers.
+        on_trial: Tasks that start on trial from now on.
     """
 
     charged: tuple[changes.TaskName, ...]
     given_up: tuple[str, ...] = ()
+    on_trial: tuple[changes.TaskName, ...] = ()
 
 
 def attribute(
-    suspects: Sequence[Suspect], lost_together: Sequence[Set[str]] = ()
+    suspects: Sequence[Suspect], lost_together: int = 0
 ) -> Attribution:
     """Return which tasks are charged with a crash, and which are given up.
 
     Args:
         suspects: Runs of the worker.
-        lost_together: For each other worker lost at the same moment, the ids of
-            the jobs that had just started a task there.
+        lost_together: Number of other workers lost at the same moment.
 
     Examples:
         >>> cause = Suspect(changes.TaskName("a", 0, 0, 0), 0, 0.0)
@@ -88,32 +95,36 @@
         >>> again = cause._replace(crashes=1)
         >>> attribute([again, beside]).given_up
         ('a',)
-        >>> attribute([again, beside], [{"c"}, {"d"}]).given_up
+        >>> attribute([again, beside], lost_together=4).given_up
         ()
     """
     recent = [each for each in suspects if each.seconds < CLEAR_SECONDS]
     if not recent:
         return Attribution(())
-
-    def is_explained(job: str) -> bool:
-        others = sum(job not in jobs for jobs in lost_together)
-        return others < COMMON_CAUSE_WORKERS
-
-    on_trial = _job_on_trial(recent)
-    if on_trial and is_explained(on_trial):
+    has_common_cause = lost_together >= COMMON_CAUSE_WORKERS
+    cause = _job_on_trial(recent)
+    if cause and not has_common_cause:
         # The other tasks are cleared of this crash.
         return Attribution(
-            tuple(each.task for each in recent if each.task.job == on_trial),
-            (on_trial,),
+            tuple(each.task for each in recent if each.task.job == cause),
+            (cause,),
         )
     most = max(each.crashes for each in recent) + 1
     accused = {each.task.job for each in recent if each.crashes + 1 == most}
     given_up: tuple[str, ...] = ()
-    if most >= MAX_CRASHES:
+    if most >= MAX_CRASHES or (
+        most >= MAX_CRASHES_ALONE and len(accused) == 1 and not has_common_cause
+    ):
         given_up = tuple(sorted(accused))
-    elif most >= MAX_CRASHES_ALONE and len(accused) == 1:
-        given_up = tuple(job for job in accused if is_explained(job))
-    return Attribution(tuple(each.task for each in recent), given_up)
+    return Attribution(
+        tuple(each.task for each in recent),
+        given_up,
+        tuple(
+            each.task
+            for each in recent
+            if not has_common_cause or each.crashes + 1 >= SERIAL_TRIAL_CRASHES
+        ),
+    )
 
 
 def _job_on_trial(recent: Sequence[Suspect]) -> str:
--- a/turmerichall/dispatch/crash_register.py
+++ b/turmerichall/dispatch/crash_register.py
@@ -24,12 +24,10 @@
     Attributes:
         worker: Id of the worker.
         at: Time on the steady clock at which contact was lost.
-        fresh_jobs: Ids of jobs that had just started a task there.
     """
 
     worker: str
     at: float
-    fresh_jobs: frozenset[str]
 
 
 class CrashRegister:
@@ -61,21 +59,18 @@
             now: Current time on the steady clock.
         """
         lost_at = worker.lost_at or now
-        crash = _describe(worker, lost_at)
-        others = {each.worker: each for each in self._crashes}
+        others = {crash.worker: crash.at for crash in self._crashes}
         for other in workers:
             if other.lost_at:
-                others[other.record.id] = _describe(other, other.lost_at)
+                others[other.record.id] = other.lost_at
         others.pop(worker.record.id, None)
-        self._crashes.append(crash)
+        self._crashes.append(_Crash(worker.record.id, lost_at))
         attribution = crash_attribution.attribute(
             list(self._suspects(worker, lost_at)),
-            [
-                other.fresh_jobs
-                for other in others.values()
-                if abs(other.at - lost_at)
-                <= crash_attribution.SAME_MOMENT_SECONDS
-            ],
+            sum(
+                abs(at - lost_at) <= crash_attribution.SAME_MOMENT_SECONDS
+                for at in others.values()
+            ),
         )
         self._given_up.update(attribution.given_up)
         return attribution
@@ -103,17 +98,6 @@
             )
 
 
-def _describe(worker: worker_state.Worker, lost_at: float) -> _Crash:
-    """Return the crash of a worker, should it be one."""
-    fresh = {
-        run.task.job
-        for run in worker.runs.values()
-        if _may_have_begun(run, lost_at)
-        and _seconds(run, lost_at) <= crash_attribution.TRIAL_SECONDS
-    }
-    return _Crash(worker.record.id, lost_at, frozenset(fresh))
-
-
 def _may_have_begun(run: worker_state.Run, lost_at: float) -> bool:
     """Return whether a run may have been at work when contact was lost."""
     if run.phase == worker_state.Phase.PLANNED:
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -14,7 +14,7 @@
 from turmerichall.dispatch import worker_state
 from turmerichall.queues import demand as demands
 
-__all__ = ["Candidates", "choose_worker"]
+__all__ = ["Candidates", "choose_worker", "choose_worker_for_trial"]
 
 # A best-effort task is not placed where it would raise a tail latency above
 # this share of its target; lower than the share that pacing maintains.
@@ -70,6 +70,50 @@
     return best
 
 
+def choose_worker_for_trial(
+    step: demands.StepDemand,
+    workers: Iterable[worker_state.Worker],
+    now: float,
+    interference_model: interference_models.InterferenceModel,
+    job: str,
+    siblings: dict[str, int],
+) -> worker_state.Worker | None:
+    """Return the worker for a task that may crash it, or None.
+
+    Answers crashes that take other tasks along: the worker on which least is at
+    work is chosen, and one on which no other job's task has just started, as
+    that would leave open which of both caused the next crash.
+
+    Args:
+        step: The step of the task.
+        workers: Workers that are in touch and are not draining.
+        now: Current time on the steady clock.
+        interference_model: Learned slowdowns of long-running tasks.
+        job: Id of the task's job.
+        siblings: Number of tasks of its step on each worker, by id.
+    """
+    best: worker_state.Worker | None = None
+    best_preference: tuple[bool, bool, float] = (False, False, -float("inf"))
+    for worker in workers:
+        if not worker.breaker.allows(now):
+            continue
+        count = siblings.get(worker.record.id, 0)
+        if (
+            _score_if_eligible(step, worker, interference_model, count, False)
+            is None
+        ):
+            continue
+        preference = (
+            not worker.has_just_started_others(job, now),
+            worker.record.rack == step.data_rack,
+            -float(worker.cpu_reserved + worker.cpu_best_effort),
+        )
+        if best is None or preference > best_preference:
+            best = worker
+            best_preference = preference
+    return best
+
+
 class Candidates:
     """The workers that could take tasks of one step, best first.
 
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 
 from turmerichall.dispatch import backlog as backlogs
+from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import placement
 from turmerichall.dispatch import preemption
@@ -62,6 +63,10 @@
         # Usable workers of the latest round, each with the number of the round
         # in which it last changed or became usable.
         self._changed_rounds: dict[str, int] = {}
+        # Ids of the jobs that have a task on trial, by id of the worker.
+        self._trials: dict[str, str] = {}
+        # Ids of the jobs that have a task on trial, also out of touch.
+        self._jobs_on_trial: set[str] = set()
 
     def plan(self, now: float, now_ms: int) -> PlannedRuns:
         """Choose the runs that start now, and reserve their resources.
@@ -143,11 +148,20 @@
         self._round += 1
         by_service: dict[str, list[worker_state.Worker]] = {}
         rounds: dict[str, int] = {}
+        trials_before, self._trials = self._trials, {}
+        self._jobs_on_trial.clear()
         for worker_id, worker in self.workers.items():
+            job_on_trial = worker.job_on_trial(now)
+            if job_on_trial:
+                self._jobs_on_trial.add(job_on_trial)
             if worker.draining or not worker.in_touch:
                 continue
             if not worker.breaker.allows(now):
                 continue
+            if job_on_trial:
+                self._trials[worker_id] = job_on_trial
+            elif worker_id in trials_before:
+                worker.changed = True
             before = self._changed_rounds.get(worker_id)
             if worker.changed or before is None:
                 before = self._round
@@ -206,6 +220,13 @@
             return []
         if step.gang and len(group.waiting) < step.count:
             return []
+        if self._trials:
+            job = group.job.id
+            workers = [
+                worker
+                for worker in workers
+                if self._trials.get(worker.record.id, job) == job
+            ]
         planned: PlannedRuns = []
         if step.same_rack:
             planned = self._plan_on_one_rack(group, workers, now)
@@ -322,10 +343,13 @@
             step, workers, now, self.interference_model, siblings
         )
         planned: PlannedRuns = []
-        # Tasks that avoid workers come last: their choices are made one by one.
+        tasks = group.job.steps(group.name.occurrence)[group.name.step].tasks
+        # Tasks on trial, and tasks that avoid workers, come last: their choices
+        # are made one by one.
         for number in sorted(
             group.waiting,
             key=lambda number: (
+                tasks[number].on_trial,
                 number in group.avoided,
                 group.preempted.get(number, float("inf")),
                 number,
@@ -335,7 +359,22 @@
             if worker is None:
                 group.no_room_round = self._round
                 break
-            if number in group.avoided:
+            if tasks[number].on_trial:
+                if self._must_wait_for_trial(group, tasks[number]):
+                    break
+                worker = placement.choose_worker_for_trial(
+                    step,
+                    workers,
+                    now,
+                    self.interference_model,
+                    group.job.id,
+                    siblings,
+                )
+                if worker is None:
+                    break
+                self._trials[worker.record.id] = group.job.id
+                self._jobs_on_trial.add(group.job.id)
+            elif number in group.avoided:
                 worker = placement.choose_worker(
                     step,
                     workers,
@@ -351,6 +390,16 @@
             candidates.update(worker)
         return planned
 
+    def _must_wait_for_trial(
+        self, group: backlogs.TaskGroup, task: states.TaskRecord
+    ) -> bool:
+        """Return whether a task waits, because one of its job is on trial."""
+        return (
+            not group.step.gang
+            and task.crashes >= crash_attribution.SERIAL_TRIAL_CRASHES
+            and group.job.id in self._jobs_on_trial
+        )
+
     def _reserve(
         self,
         group: backlogs.TaskGroup,
@@ -369,7 +418,8 @@
         run = worker_state.Run(
             group.task(number), run_number, group.step, group.job.queue
         )
-        run.suspected = tasks[number].crashes > 0
+        run.charged = tasks[number].crashes > 0
+        run.on_trial = tasks[number].on_trial
         worker.add(run)
         worker.breaker.record_start(now)
         return run
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -110,7 +110,8 @@
         run = worker_state.Run(name, task.run, step, job.queue)
         run.phase = worker_state.Phase.ORDERED
         run.adopted = True
-        run.suspected = task.crashes > 0
+        run.charged = task.crashes > 0
+        run.on_trial = task.on_trial
         if step.fills:
             # An earlier leader may have throttled the run.
             run.pace_percent = worker_state.UNKNOWN_PACE
@@ -291,10 +292,10 @@
         """
         cleared = []
         for worker in self.workers.values():
-            for run in list(worker.suspected_runs):
+            for run in list(worker.charged_runs):
                 ran_seconds = now - run.confirmed_at if run.confirmed_at else 0
                 if ran_seconds > crash_attribution.CLEAR_SECONDS:
-                    worker.clear_suspicion(run)
+                    worker.clear_charges(run)
                     cleared.append(run.task)
         return tuple(cleared)
 
@@ -306,16 +307,20 @@
         """
         for worker in list(self.workers.values()):
             if places & _places(worker.record) and not worker.removing:
-                failed = await self.owner.commit(self._removal(worker))
+                change = self._removal(worker)
+                failed = await self.owner.commit(change)
                 if failed is not None:
                     worker.removing = False
                     return False
+                reports.log_crash(self.log, change)
         await self._drop_removed()
         return True
 
     async def _remove(self, worker: worker_state.Worker) -> None:
         if worker.record.id in self.queue_state.workers and not worker.removing:
-            await self.owner.commit_or_resign(self._removal(worker))
+            change = self._removal(worker)
+            await self.owner.commit_or_resign(change)
+            reports.log_crash(self.log, change)
         await self._drop_removed()
 
     def _removal(self, worker: worker_state.Worker) -> changes.LoseWorker:
@@ -327,10 +332,7 @@
         attribution = self._crash_register.attribute(
             worker, self.workers.values(), leases.steady_seconds()
         )
-        reports.log_crash(self.log, worker, attribution)
-        return changes.LoseWorker(
-            worker_id, attribution.charged, attribution.given_up
-        )
+        return changes.LoseWorker(worker_id, *attribution)
 
     async def _drop_removed(self) -> None:
         """Forget workers removed from the state; requeue the tasks they ran."""
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -4,7 +4,6 @@
 
 from turmerichall import outcomes
 from turmerichall.dispatch import backlog as backlogs
-from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import preemption
 from turmerichall.dispatch import worker_state
 from turmerichall.peers import link
@@ -166,35 +165,22 @@
     return f"{max(at - run.confirmed_at, 0.0):.3f}s"
 
 
-def log_crash(
-    log: link.Log,
-    worker: worker_state.Worker,
-    attribution: crash_attribution.Attribution,
-) -> None:
-    """Log the tasks that are charged with the crash of a worker.
-
-    Args:
-        log: Log to write to.
-        worker: The worker.
-        attribution: What the crash is attributed to.
-    """
-    if attribution.charged:
+def log_crash(log: link.Log, change: changes.LoseWorker) -> None:
+    """Log the tasks that are charged with the crash of a worker."""
+    if change.charged:
         log.info(
             "tasks charged with a crash",
-            worker=worker.record.id,
-            tasks=[
-                str(task) for task in attribution.charged[:MAX_RUNS_PER_LINE]
-            ],
-            count=len(attribution.charged),
+            worker=change.worker,
+            tasks=[str(task) for task in change.charged[:MAX_RUNS_PER_LINE]],
+            count=len(change.charged),
         )
-    for job_id in attribution.given_up:
+    for job_id in change.given_up:
+        tasks = [str(task) for task in change.charged if task.job == job_id]
         log.warning(
             "job given up: a task crashes its workers",
             job=job_id,
-            worker=worker.record.id,
-            tasks=[
-                str(task) for task in attribution.charged if task.job == job_id
-            ][:MAX_RUNS_PER_LINE],
+            worker=change.worker,
+            tasks=tasks[:MAX_RUNS_PER_LINE],
         )
 
 
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -92,12 +92,14 @@
         last_unthrottled_at: Time at which the run last had more than a low
             pace.
         checkpoint: Latest saved progress listed.
-        suspected: Whether its task was charged with the crash of a worker, so
-            that it starts on trial.
+        charged: Whether its task is charged with the crash of a worker.
+        on_trial: Whether nothing may be started beside it, until it has run for
+            a while.
     """
 
     __slots__ = (
         "adopted",
+        "charged",
         "checkpoint",
         "confirmed_at",
         "forced",
@@ -108,6 +110,7 @@
         "load",
         "moved",
         "number",
+        "on_trial",
         "pace_percent",
         "pace_told_at",
         "phase",
@@ -120,7 +123,6 @@
         "start_spawned",
         "step",
         "stopping",
-        "suspected",
         "task",
     )
 
@@ -155,7 +157,8 @@
         self.last_slowed_at = -float("inf")
         self.last_unthrottled_at = 0.0
         self.checkpoint = ""
-        self.suspected = False
+        self.charged = False
+        self.on_trial = False
 
     def record_progress(self, percent: int, now: float) -> None:
         """Record the progress that the worker lists.
@@ -187,7 +190,7 @@
 
     def is_on_trial(self, now: float) -> bool:
         """Return whether nothing else may be started beside the run."""
-        return self.suspected and not (
+        return self.on_trial and not (
             self.confirmed_at
             and now - self.confirmed_at > crash_attribution.TRIAL_SECONDS
         )
@@ -241,7 +244,7 @@
             occurrence and step.
         best_effort_cpu: Processors requested by best-effort runs, by image.
         removing: Whether its removal is being committed.
-        suspected_runs: Runs of tasks that were charged with a crash.
+        charged_runs: Runs of tasks that are charged with a crash.
         lapsed_runs: Runs that were lost with the lease since the worker was
             last in touch.  It may have crashed.
         heartbeat: Sequence number of the latest heartbeat.
@@ -275,7 +278,7 @@
         self.neighbours: dict[tuple[str, int, int], Neighbour] = {}
         self.best_effort_cpu: dict[str, int] = {}
         self.removing = False
-        self.suspected_runs: list[Run] = []
+        self.charged_runs: list[Run] = []
         self.lapsed_runs: list[Run] = []
         self.heartbeat = 0
         self.changed = True
@@ -299,8 +302,8 @@
     def add(self, run: Run) -> None:
         """Add a run, and reserve the resources that it requests."""
         self.runs[run.task] = run
-        if run.suspected:
-            self.suspected_runs.append(run)
+        if run.charged:
+            self.charged_runs.append(run)
         self._count(run.step, 1)
         if run.step.lasting and run.step.target_ms:
             key = run.task[:3]
@@ -311,8 +314,8 @@
         if self.runs.get(run.task) is run:
             self.changed = True
             del self.runs[run.task]
-            if run.suspected:
-                self.suspected_runs.remove(run)
+            if run.charged:
+                self.charged_runs.remove(run)
             self._count(run.step, -1)
             if run.step.lasting:
                 self._forget_neighbour(run.task[:3])
@@ -341,19 +344,37 @@
         else:
             self.cpu_batch += sign * step.cpu
 
-    def clear_suspicion(self, run: Run) -> None:
-        """Take a run from those of tasks that were charged with a crash."""
-        run.suspected = False
-        self.suspected_runs.remove(run)
+    def clear_charges(self, run: Run) -> None:
+        """Forget that a run's task was charged with a crash."""
+        run.charged = False
+        self.charged_runs.remove(run)
+
+    def has_just_started_others(self, job: str, now: float) -> bool:
+        """Return whether a task of another job has just started.
+
+        Args:
+            job: Id of the job that is left out.
+            now: Current time on the steady clock.
+        """
+        return any(
+            run.task.job != job
+            and not (
+                run.confirmed_at
+                and now - run.confirmed_at > crash_attribution.TRIAL_SECONDS
+            )
+            for run in self.runs.values()
+        )
 
     def job_on_trial(self, now: float) -> str:
         """Return the id of the job with a task on trial, or nothing.
 
+        A trial goes on while the worker is out of touch: it may have crashed.
+
         Args:
             now: Current time on the steady clock.
         """
-        for run in self.suspected_runs:
-            if run.is_on_trial(now):
+        for run in self.charged_runs:
+            if run.is_on_trial(self.lost_at or now):
                 return run.task.job
         return ""
 
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -204,11 +204,14 @@
         charged: If it crashed, the tasks that may have caused this.
         given_up: Ids of jobs that fail, since a task of theirs crashes its
             workers.
+        on_trial: Tasks beside which nothing is started from now on, until they
+            have run for a while.
     """
 
     worker: str
     charged: tuple[TaskName, ...] = ()
     given_up: tuple[str, ...] = ()
+    on_trial: tuple[TaskName, ...] = ()
 
 
 class NoteInterference(_Tagged, frozen=True, array_like=True, tag=9):
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -40,6 +40,8 @@
         done: Whether a run completed the task.
         checkpoint: Saved progress from which the next run resumes, or empty.
         crashes: Number of crashes of workers with which it is charged.
+        on_trial: Whether nothing is to be started beside its next runs, until
+            they have run for a while.
     """
 
     run: int = 0
@@ -48,6 +50,7 @@
     done: bool = False
     checkpoint: str = ""
     crashes: int = 0
+    on_trial: bool = False
 
 
 class StepProgress(msgspec.Struct, array_like=True):
@@ -224,6 +227,7 @@
                     task = self._find_task(name)
                     if task is not None:
                         task.crashes = 0
+                        task.on_trial = False
             case changes.NoteInterference():
                 self.interference = change.added
         return b""
@@ -329,6 +333,7 @@
             task = self._find_task(name)
             if task is not None:
                 task.crashes += 1
+                task.on_trial |= name in change.on_trial
         for job in change.given_up:
             self._close(job, JobState.FAILED)
         self._remove_worker(change.worker)
