Follow the capacity that a worker reports while it runs

A worker's capacity may shrink and grow while it runs. The leader used the capacity of the registration for the worker's whole life, so starts overloaded a worker that had shrunk and does not refuse what does not fit (LIMIT), were refused again and again by one that does, and left what had grown unused.

Cause: a heartbeat of a known worker was read for its state and clock only. Heartbeats now carry the capacity into the replicated state, so that the next leader knows it, and are acknowledged once it is durable. Whether a job could ever run is still decided by the larger of both capacities, as the room may come back. A heartbeat without a usable capacity is rejected; it would now shrink a known worker to nothing.

--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -63,7 +63,7 @@
         if score is None:
             continue
         if worker.record.id in avoided:
-            score -= 10 * worker.record.cpu
+            score -= 10 * worker.capacity.cpu
         if score > best_score:
             best = worker
             best_score = score
@@ -220,7 +220,7 @@
     if score is None:
         return None
     if step.data_rack and worker.record.rack != step.data_rack:
-        score -= 3 * worker.record.cpu
+        score -= 3 * worker.capacity.cpu
     return score - siblings
 
 
@@ -231,7 +231,7 @@
     force: bool,
 ) -> float | None:
     """Return a worker's score in thousandths of a core; None if unsuitable."""
-    cpu = worker.record.cpu
+    cpu = worker.capacity.cpu
     free = worker.free_cpu()
     if step.lasting:
         return cpu - worker.cpu_reserved + _image_affinity(step, worker)
--- a/turmerichall/dispatch/preemption.py
+++ b/turmerichall/dispatch/preemption.py
@@ -71,8 +71,8 @@
 
     def __init__(self, worker: worker_state.Worker, now: float):
         self.worker = worker
-        self.cpu = worker.record.cpu - worker.cpu_reserved
-        self.memory_mb = worker.record.memory_mb - worker.memory_reserved
+        self.cpu = worker.capacity.cpu - worker.cpu_reserved
+        self.memory_mb = worker.capacity.memory_mb - worker.memory_reserved
         self.candidates: list[worker_state.Run] = []
         for run in worker.runs.values():
             if run.stopping:
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -123,6 +123,9 @@
         worker = worker_state.Worker(
             record, self._make_client(record), self._began_at, draining
         )
+        worker.capacity = self.queue_state.capacities.get(
+            record.id, record.capacity
+        )
         worker.kept_out = record.id in self.owner.kept_out
         session = sessions.WorkerSession(self.owner, worker)
         self.workers[record.id] = worker
@@ -153,8 +156,33 @@
             worker.lease.record_clock(
                 heartbeat.clock_ms, leases.steady_seconds()
             )
+        if not await self._resize(worker, record.capacity):
+            return False
         return not heartbeat.draining or await self._drain(worker)
 
+    async def _resize(
+        self, worker: worker_state.Worker, capacity: changes.Capacity
+    ) -> bool:
+        """Take over a worker's capacity; return whether this is durable."""
+        worker_id = worker.record.id
+        if capacity != worker.capacity:
+            self.log.info(
+                "worker reports another capacity",
+                worker=worker_id,
+                before=worker.capacity,
+                now=capacity,
+                cpu_reserved=worker.cpu_reserved,
+                memory_reserved=worker.memory_reserved,
+            )
+            worker.resize(capacity)
+            self.owner.request_placement()
+        if capacity == self.queue_state.capacities.get(
+            worker_id, worker.record.capacity
+        ):
+            return True
+        change = changes.ResizeWorker(worker_id, capacity)
+        return await self.owner.commit(change) is None
+
     async def _register(self, heartbeat: worker_client.Heartbeat) -> bool:
         """Register a worker, which replaces others at its place.
 
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -50,7 +50,7 @@
         "in_touch": sum(worker.in_touch for worker in workers),
         "avoided": sum(not w.breaker.allows(now) for w in workers),
         "runs": sum(len(worker.runs) for worker in workers),
-        "cpu": sum(worker.record.cpu for worker in workers),
+        "cpu": sum(worker.capacity.cpu for worker in workers),
         "cpu_asked": sum(worker.cpu_reserved for worker in workers),
         "cpu_filled": sum(worker.cpu_best_effort for worker in workers),
         "free_cpu": round(sum(worker.free_cpu() for worker in workers)),
--- a/turmerichall/dispatch/tail_latency_controller.py
+++ b/turmerichall/dispatch/tail_latency_controller.py
@@ -72,7 +72,7 @@
     async def adjust(self) -> None:
         """Learn from the latest poll, and set the paces of best-effort runs."""
         worker, load_tracker = self.worker, self.owner.load_tracker
-        cpu = max(worker.record.cpu, 1)
+        cpu = max(worker.capacity.cpu, 1)
         now = leases.steady_seconds()
         best_effort_runs = [
             run
@@ -106,7 +106,7 @@
         Also called when a best-effort run has just started.
         """
         worker = self.worker
-        cpu = max(worker.record.cpu, 1)
+        cpu = max(worker.capacity.cpu, 1)
         paced_runs = [
             run
             for run in worker.runs.values()
--- a/turmerichall/dispatch/tests/test_capacity.py
+++ b/turmerichall/dispatch/tests/test_capacity.py
@@ -122,6 +122,24 @@
 
         await test_leadership.run_script(cluster, script)
 
+    async def test_a_change_that_was_not_committed_is_repeated(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = _Cluster()
+        record = cluster.worker.record._replace(cpu=3000)
+
+        async def script() -> None:
+            cluster.replica.committing = False
+            for sequence in (1, 2):
+                heartbeat = worker_client.Heartbeat(record, False, sequence, 1)
+                assert not await cluster.leader_api.heartbeat(heartbeat)
+            cluster.replica.committing = True
+            cluster.sequence = 2
+            await cluster.report(3000)
+            assert cluster.queue_state.capacities["w1"].cpu == 3000
+
+        await test_leadership.run_script(cluster, script)
+
     # The room may come back while the job waits.
     async def test_a_job_that_fits_the_full_capacity_is_accepted(
         self, mocked_clocks: trio.testing.MockClock
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -220,6 +220,7 @@
     Attributes:
         record: Registration of the worker.
         client: Client that sends orders to the worker.
+        capacity: Its resources, as it last reported them.
         lease: Its lease.
         draining: Whether it is about to leave.
         kept_out: Whether it is kept out of use because it refuses the term; its
@@ -261,6 +262,7 @@
     ):
         self.record = record
         self.client = client
+        self.capacity = record.capacity
         self.lease = leases.Lease(term_began_at)
         self.draining = draining
         self.kept_out = False
@@ -283,6 +285,11 @@
         self.heartbeat = 0
         self.changed = True
 
+    def resize(self, capacity: changes.Capacity) -> None:
+        """Take over a capacity that the worker reports."""
+        self.capacity = capacity
+        self.changed = True
+
     def record_contact(self) -> None:
         """Record that the worker answered a poll."""
         self.in_touch = True
@@ -383,20 +390,23 @@
 
         Best-effort tasks need no free processors.
         """
-        record = self.record
-        if self.memory_reserved + step.memory_mb > record.memory_mb:
+        capacity = self.capacity
+        if self.memory_reserved + step.memory_mb > capacity.memory_mb:
             return False
-        if self.gpu_reserved + step.gpu > record.gpu:
+        if self.gpu_reserved + step.gpu > capacity.gpu:
             return False
-        return step.fills or self.cpu_reserved + step.cpu <= record.cpu
+        return step.fills or self.cpu_reserved + step.cpu <= capacity.cpu
 
     def could_ever_run(self, step: demands.StepDemand) -> bool:
-        """Return whether the worker could run a task if it had no runs."""
-        record = self.record
+        """Return whether the worker could run a task if it had no runs.
+
+        A capacity that has shrunk may grow again.
+        """
+        record, capacity = self.record, self.capacity
         return (
-            step.memory_mb <= record.memory_mb
-            and step.gpu <= record.gpu
-            and step.cpu <= record.cpu
+            step.memory_mb <= max(record.memory_mb, capacity.memory_mb)
+            and step.gpu <= max(record.gpu, capacity.gpu)
+            and step.cpu <= max(record.cpu, capacity.cpu)
             and self.has_label(step)
         )
 
@@ -416,9 +426,9 @@
         """
         if best_effort:
             return self.cpu_best_effort + max(self.free_cpu(), 0.0)
-        return self.cpu_batch + max(self.record.cpu - self.cpu_reserved, 0)
+        return self.cpu_batch + max(self.capacity.cpu - self.cpu_reserved, 0)
 
     def free_cpu(self) -> float:
         """Return the processors that are estimated to be unused."""
         used = self.long_running_load + self.cpu_batch + self.cpu_best_effort
-        return self.record.cpu - used
+        return self.capacity.cpu - used
--- a/turmerichall/platform/control_requests.py
+++ b/turmerichall/platform/control_requests.py
@@ -68,9 +68,9 @@
     state = document.get("state")
     if state not in ("ready", "draining"):
         return errors.Finding(place, f"unknown state {state!r}")
-    capacity = document.get("capacity")
-    if not isinstance(capacity, dict):
-        return errors.Finding(place, "capacity is missing or not an object")
+    capacity = _capacity(document.get("capacity"))
+    if capacity is None:
+        return errors.Finding(place, "capacity is missing or malformed")
     labels_field = document.get("labels")
     labels = tuple(
         label
@@ -87,9 +87,7 @@
         # the kind of the worker, the second its rack.
         labels[1] if len(labels) > 1 else "",
         labels,
-        lenient_json.integer(capacity.get("cpu")),
-        lenient_json.integer(capacity.get("mem_mb")),
-        lenient_json.integer(capacity.get("gpu")),
+        *capacity,
     )
     return worker_client.Heartbeat(
         record,
@@ -99,6 +97,25 @@
     )
 
 
+def _capacity(value: object) -> changes.Capacity | None:
+    """Decode a capacity; return None if it can't be used.
+
+    Examples:
+        >>> _capacity({"cpu": 16000, "mem_mb": 32768})
+        Capacity(cpu=16000, memory_mb=32768, gpu=0)
+        >>> _capacity({"cpu": "16000", "mem_mb": 32768}) is None
+        True
+    """
+    if not isinstance(value, dict):
+        return None
+    cpu = lenient_json.integer(value.get("cpu"), -1)
+    memory_mb = lenient_json.integer(value.get("mem_mb"), -1)
+    gpu = lenient_json.integer(value.get("gpu", 0), -1)
+    if min(cpu, memory_mb, gpu) < 0:
+        return None
+    return changes.Capacity(cpu, memory_mb, gpu)
+
+
 def configuration_from_wire(
     body: bytes,
 ) -> configurations.Configuration | list[errors.Finding]:
--- a/turmerichall/platform/tests/test_wire_formats.py
+++ b/turmerichall/platform/tests/test_wire_formats.py
@@ -211,6 +211,9 @@
             {"service": None},
             {"state": "dancing"},
             {"capacity": "large"},
+            {"capacity": {"mem_mb": 32768}},
+            {"capacity": {"cpu": "16000", "mem_mb": 32768}},
+            {"capacity": {"cpu": 16000, "mem_mb": -1}},
         ],
     )
     def test_invalid_field_is_rejected(self, change: dict[str, Any]) -> None:
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -11,6 +11,7 @@
 __all__ = [
     "AcceptJob",
     "CancelJob",
+    "Capacity",
     "Change",
     "ClearCrashes",
     "DrainWorker",
@@ -20,6 +21,7 @@
     "LoseWorker",
     "NoteInterference",
     "RegisterWorker",
+    "ResizeWorker",
     "SetConfiguration",
     "StartRuns",
     "StartedRun",
@@ -72,6 +74,20 @@
     UNSTARTED = 6
 
 
+class Capacity(NamedTuple):
+    """Resources of a worker.
+
+    Attributes:
+        cpu: Processors in thousandths of a core.
+        memory_mb: Memory in MB.
+        gpu: Number of accelerators.
+    """
+
+    cpu: int
+    memory_mb: int
+    gpu: int
+
+
 class WorkerRecord(NamedTuple):
     """One incarnation of a worker, from its start until it ends.
 
@@ -84,9 +100,9 @@
         zone: Availability zone.
         rack: Rack, or empty if unknown.
         labels: Labels, among them the kind of machine and the rack.
-        cpu: Processor capacity in thousandths of a core.
-        memory_mb: Memory capacity in MB.
-        gpu: Number of accelerators.
+        cpu: Processor capacity at the registration, in thousandths of a core.
+        memory_mb: Memory capacity at the registration, in MB.
+        gpu: Number of accelerators at the registration.
     """
 
     id: str
@@ -100,6 +116,11 @@
     memory_mb: int
     gpu: int
 
+    @property
+    def capacity(self) -> Capacity:
+        """Capacity at the registration."""
+        return Capacity(self.cpu, self.memory_mb, self.gpu)
+
 
 class StartedRun(NamedTuple):
     """The start of one run of a task.
@@ -232,6 +253,13 @@
     tasks: tuple[TaskName, ...]
 
 
+class ResizeWorker(_Tagged, frozen=True, array_like=True, tag=11):
+    """Change of the capacity of a worker that goes on running."""
+
+    worker: str
+    capacity: Capacity
+
+
 Change: TypeAlias = (
     SetConfiguration
     | AcceptJob
@@ -243,6 +271,7 @@
     | LoseWorker
     | NoteInterference
     | ClearCrashes
+    | ResizeWorker
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -138,6 +138,7 @@
     draining: list[str]
     gone: list[str]
     interference: dict[str, dict[str, float]]
+    capacities: dict[str, changes.Capacity] = {}
 
 
 def _empty_snapshot() -> _Snapshot:
@@ -159,6 +160,8 @@
         draining: Ids of workers that are about to leave.
         gone: Ids of workers that were removed.
         interference: Learned slowdowns, by long-running and best-effort image.
+        capacities: Capacities that changed after the registration, by id of the
+            worker.
         waiting: Ids of open jobs of which no task has started, by key of the
             queue.
     """
@@ -175,6 +178,7 @@
         self.draining = set(state.draining)
         self.gone = set(state.gone)
         self.interference = state.interference
+        self.capacities = state.capacities
         self.waiting: dict[str, set[str]] = {}
         for job in self.jobs.values():
             if job.state == JobState.QUEUED:
@@ -192,6 +196,7 @@
                 sorted(self.draining),
                 sorted(self.gone),
                 self.interference,
+                self.capacities,
             )
         )
 
@@ -228,6 +233,9 @@
                     if task is not None:
                         task.crashes = 0
                         task.on_trial = False
+            case changes.ResizeWorker():
+                if change.worker in self.workers:
+                    self.capacities[change.worker] = change.capacity
             case changes.NoteInterference():
                 self.interference = change.added
         return b""
@@ -342,6 +350,7 @@
         if self.workers.pop(worker, None) is None:
             return
         self.draining.discard(worker)
+        self.capacities.pop(worker, None)
         self.gone.add(worker)
         for job in self.jobs.values():
             for _, task in job.runs():
