Count against a task only crashes during which it certainly ran

Starts that were not confirmed, runs of an earlier term, and runs that had been at work for a while and may have ended unreported are doubtful now. They put the task on trial, and count only from the fifth on, so that a task that crashes its workers is still started at most twice after the third crash. A crash on trial counts, confirmed or not, since nothing else was started there.

--- a/turmerichall/dispatch/crash_attribution.py
+++ b/turmerichall/dispatch/crash_attribution.py
@@ -4,12 +4,16 @@
 crash also ends the other runs on the worker, so such a task has to be found
 after few crashes, and the tasks beside it must not be taken for it.
 
-A crash charges every task that had begun lately, and these start on trial from
-then on: nothing else is started beside them until they have run for
-`TRIAL_SECONDS`.  If a worker crashes during a trial, the task on trial is the
-cause.  Workers lost at the same moment, as in a loss of power, are no evidence
-against single tasks: these are charged, but are neither given up nor put on
-trial before a second crash.
+A crash charges every task that was certainly at work, and had begun lately.
+These, and those that may have been at work, start on trial from then on:
+nothing else is started beside them until they have run for `TRIAL_SECONDS`.  If
+a worker crashes during a trial, the task on trial is the cause.  It is given up
+once it is charged with two crashes.  Crashes during which a task may have been
+at work, or not, are doubtful; they count only if there are many.
+
+Workers lost at the same moment, as in a loss of power, are no evidence against
+single tasks: these are charged, but are neither given up nor put on trial
+before a second crash.
 """
 
 from collections.abc import Sequence
@@ -43,8 +47,10 @@
 MAX_CRASHES_ALONE = 3
 # Crashes after which a task is given up in any case.
 MAX_CRASHES = 4
-# Crashes after which a task starts on trial in any case, and the tasks of a job
-# one after the other.
+# Crashes, doubtful ones included, after which a task is given up in any case.
+MAX_DOUBTFUL_CRASHES = 5
+# Crashes, doubtful ones included, after which a task starts on trial, and
+# the tasks of a job one after the other.
 SERIAL_TRIAL_CRASHES = 2
 
 
@@ -54,14 +60,20 @@
     Attributes:
         task: The task.
         crashes: Earlier crashes with which the task was charged.
+        doubtful: Earlier crashes during which it may have been at work, or not.
         seconds: Time for which it had run; 0 if the start was not confirmed.
-        certain: Whether it had certainly begun in this term, at a known time.
+        certain: Whether it was certainly at work when the worker crashed.
+        likely: Whether the connection broke just after the start was sent.
+        on_trial: Whether nothing else was started beside it lately.
     """
 
     task: changes.TaskName
     crashes: int
+    doubtful: int
     seconds: float
     certain: bool = True
+    likely: bool = False
+    on_trial: bool = False
 
 
 class Attribution(NamedTuple):
@@ -71,11 +83,13 @@
         charged: Tasks charged with the crash.
         given_up: Ids of the jobs of tasks that crash their workers.
         on_trial: Tasks that start on trial from now on.
+        doubtful: Tasks that may have been at work, or not.
     """
 
     charged: tuple[changes.TaskName, ...]
     given_up: tuple[str, ...] = ()
     on_trial: tuple[changes.TaskName, ...] = ()
+    doubtful: tuple[changes.TaskName, ...] = ()
 
 
 def attribute(
@@ -88,11 +102,11 @@
         lost_together: Number of other workers lost at the same moment.
 
     Examples:
-        >>> cause = Suspect(changes.TaskName("a", 0, 0, 0), 0, 0.0)
-        >>> beside = Suspect(changes.TaskName("b", 0, 0, 3), 0, 1.2)
+        >>> cause = Suspect(changes.TaskName("a", 0, 0, 0), 0, 0, 0.0)
+        >>> beside = Suspect(changes.TaskName("b", 0, 0, 3), 0, 0, 1.2)
         >>> attribute([cause, beside]).given_up
         ()
-        >>> again = cause._replace(crashes=1)
+        >>> again = cause._replace(crashes=1, on_trial=True)
         >>> attribute([again, beside]).given_up
         ('a',)
         >>> attribute([again, beside], lost_together=4).given_up
@@ -102,41 +116,60 @@
     if not recent:
         return Attribution(())
     has_common_cause = lost_together >= COMMON_CAUSE_WORKERS
-    cause = _job_on_trial(recent)
+    cause = _cause(recent)
     if cause and not has_common_cause:
         # The other tasks are cleared of this crash.
         return Attribution(
-            tuple(each.task for each in recent if each.task.job == cause),
-            (cause,),
+            tuple(each.task for each in cause),
+            tuple(
+                {
+                    each.task.job
+                    for each in cause
+                    if each.crashes or _has_many_crashes(each)
+                }
+            ),
+            tuple(each.task for each in cause),
         )
-    most = max(each.crashes for each in recent) + 1
-    accused = {each.task.job for each in recent if each.crashes + 1 == most}
-    given_up: tuple[str, ...] = ()
+    certain = [each for each in recent if each.certain]
+    most = max((each.crashes for each in certain), default=0) + 1
+    accused = {each.task.job for each in certain if each.crashes + 1 == most}
+    given_up = {each.task.job for each in recent if _has_many_crashes(each)}
     if most >= MAX_CRASHES or (
         most >= MAX_CRASHES_ALONE and len(accused) == 1 and not has_common_cause
     ):
-        given_up = tuple(sorted(accused))
+        given_up |= accused
     return Attribution(
-        tuple(each.task for each in recent),
-        given_up,
+        tuple(each.task for each in certain),
+        tuple(sorted(given_up)),
         tuple(
             each.task
             for each in recent
-            if not has_common_cause or each.crashes + 1 >= SERIAL_TRIAL_CRASHES
+            if not has_common_cause
+            or each.crashes + each.doubtful + 1 >= SERIAL_TRIAL_CRASHES
         ),
+        tuple(each.task for each in recent if not each.certain),
     )
 
 
-def _job_on_trial(recent: Sequence[Suspect]) -> str:
-    """Return the job whose task on trial was the last to start, or nothing."""
-    fresh = [
+def _has_many_crashes(suspect: Suspect) -> bool:
+    """Return whether a task is given up, however doubtful its crashes are."""
+    return suspect.crashes + suspect.doubtful + 1 >= MAX_DOUBTFUL_CRASHES
+
+
+def _cause(recent: Sequence[Suspect]) -> list[Suspect]:
+    """Return the tasks on trial that the worker's crash is put down to.
+
+    These are tasks of one job, and no task of another started after them.
+    """
+    fresh = [each for each in recent if each.seconds <= TRIAL_SECONDS]
+    newest_seconds = min((each.seconds for each in fresh), default=0.0)
+    newest = {each.task.job for each in fresh if each.seconds == newest_seconds}
+    if len(newest) != 1:
+        return []
+    return [
         each
-        for each in recent
-        if each.certain and each.seconds <= TRIAL_SECONDS
+        for each in fresh
+        if each.on_trial
+        and (each.certain or each.likely)
+        and each.task.job in newest
     ]
-    if not fresh:
-        return ""
-    newest_seconds = min(each.seconds for each in fresh)
-    newest = {each.task.job for each in fresh if each.seconds == newest_seconds}
-    tried = {each.task.job for each in fresh if each.crashes}
-    return newest.pop() if len(newest) == 1 and newest <= tried else ""
--- a/turmerichall/dispatch/crash_register.py
+++ b/turmerichall/dispatch/crash_register.py
@@ -14,7 +14,7 @@
 # Number of latest crashes that are remembered, to find those of one moment.
 MAX_CRASHES_REMEMBERED = 1000
 # A start whose answer was lost within this time after it was sent met a broken
-# connection; a timeout takes longer, and leaves open whether the start arrived.
+# connection; a timeout takes longer, and tells less.
 BROKEN_CONNECTION_SECONDS = 0.3
 
 
@@ -86,15 +86,19 @@
             job = self.queue_state.jobs.get(task.job)
             if job is None or not job.open or job.task(task).done:
                 continue
+            record = job.task(task)
             if task.job in self._given_up:
                 continue
             if not _may_have_begun(run, lost_at):
                 continue
             yield crash_attribution.Suspect(
                 task,
-                job.task(task).crashes,
+                record.crashes,
+                record.doubtful_crashes,
                 _seconds(run, lost_at),
-                _has_certainly_begun(run, lost_at),
+                _was_certainly_running(run, lost_at),
+                _met_broken_connection(run, lost_at),
+                run.on_trial,
             )
 
 
@@ -105,11 +109,21 @@
     return bool(run.adopted or run.confirmed_at or 0.0 < run.sent_at <= lost_at)
 
 
-def _has_certainly_begun(run: worker_state.Run, lost_at: float) -> bool:
-    if run.adopted:
-        return False
-    return bool(
-        run.confirmed_at or lost_at - run.sent_at <= BROKEN_CONNECTION_SECONDS
+def _was_certainly_running(run: worker_state.Run, lost_at: float) -> bool:
+    """Return whether a run was at work when contact was lost.
+
+    One that had run for a while may have ended without the worker telling.
+    """
+    return bool(run.confirmed_at) and (
+        run.step.lasting
+        or _seconds(run, lost_at) <= crash_attribution.TRIAL_SECONDS
+    )
+
+
+def _met_broken_connection(run: worker_state.Run, lost_at: float) -> bool:
+    """Return whether contact was lost just after a start was sent."""
+    return (
+        run.sent_at > 0.0 and lost_at - run.sent_at <= BROKEN_CONNECTION_SECONDS
     )
 
 
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -396,7 +396,8 @@
         """Return whether a task waits, because one of its job is on trial."""
         return (
             not group.step.gang
-            and task.crashes >= crash_attribution.SERIAL_TRIAL_CRASHES
+            and task.crashes + task.doubtful_crashes
+            >= crash_attribution.SERIAL_TRIAL_CRASHES
             and group.job.id in self._jobs_on_trial
         )
 
@@ -418,8 +419,8 @@
         run = worker_state.Run(
             group.task(number), run_number, group.step, group.job.queue
         )
-        run.charged = tasks[number].crashes > 0
         run.on_trial = tasks[number].on_trial
+        run.charged = run.on_trial or tasks[number].crashes > 0
         worker.add(run)
         worker.breaker.record_start(now)
         return run
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -110,8 +110,8 @@
         run = worker_state.Run(name, task.run, step, job.queue)
         run.phase = worker_state.Phase.ORDERED
         run.adopted = True
-        run.charged = task.crashes > 0
         run.on_trial = task.on_trial
+        run.charged = run.on_trial or task.crashes > 0
         if step.fills:
             # An earlier leader may have throttled the run.
             run.pace_percent = worker_state.UNKNOWN_PACE
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -67,6 +67,7 @@
         drop_answers: Whether starts are carried out but not answered.
         deadly_tasks: Tasks that crash the worker when it starts them.
         down: Whether it has crashed: connections break or are refused.
+        crashed_runs: Tasks that were running when it crashed.
     """
 
     def __init__(self, worker_id: str, cpu: int = 8000, rate: float = 1.0):
@@ -89,6 +90,7 @@
         self.drop_answers = False
         self.deadly_tasks: set[changes.TaskName] = set()
         self.down = False
+        self.crashed_runs: list[changes.TaskName] = []
         self.verdicts: list[Verdict] = []
         self.token = 0
         self.deadline_ms = 0
@@ -144,6 +146,7 @@
     def crash(self) -> None:
         """Crash: all runs end at once, and nothing is remembered."""
         self.down = True
+        self.crashed_runs = list(self.runs)
         now = trio.current_time()
         for task, run in self.runs.items():
             self.spans.append(Span(task, run.order.run, run.began_at, now))
--- a/turmerichall/dispatch/tests/test_crash_attribution.py
+++ b/turmerichall/dispatch/tests/test_crash_attribution.py
@@ -10,10 +10,17 @@
 
 
 def suspect(
-    job: str, crashes: int = 0, seconds: float = 0.01, certain: bool = True
+    job: str,
+    crashes: int = 0,
+    seconds: float = 0.01,
+    certain: bool = True,
+    likely: bool = False,
 ) -> crash_attribution.Suspect:
+    """Return a suspect, which is on trial if it was charged before."""
     task = changes.TaskName(job, 0, 0, 0)
-    return crash_attribution.Suspect(task, crashes, seconds, certain)
+    return crash_attribution.Suspect(
+        task, crashes, 0, seconds, certain, likely, crashes > 0
+    )
 
 
 def charged_jobs(attribution: crash_attribution.Attribution) -> set[str]:
@@ -43,6 +50,31 @@
         assert charged_jobs(attribution) == {"a", "b"}
         assert {task.job for task in attribution.on_trial} == {"b"}
 
+    # Its job was shown as failed after a single crash.
+    def test_a_start_that_was_not_confirmed_is_not_charged(self) -> None:
+        attribution = crash_attribution.attribute(
+            [suspect("a"), suspect("b", 0, 0.0, certain=False, likely=True)]
+        )
+        assert charged_jobs(attribution) == {"a"}
+        assert {task.job for task in attribution.doubtful} == {"b"}
+        assert {task.job for task in attribution.on_trial} == {"a", "b"}
+
+    def test_many_doubtful_crashes_suffice(self) -> None:
+        unsure = suspect("a", 1, 0.0, certain=False)
+        for doubtful, given_up in ((2, ()), (3, ("a",))):
+            attribution = crash_attribution.attribute(
+                [unsure._replace(doubtful=doubtful)], lost_together=2
+            )
+            assert attribution.given_up == given_up
+
+    def test_a_first_certain_crash_on_trial_is_charged_alone(self) -> None:
+        unsure = suspect("b", 0, 0.0, certain=False, likely=True)
+        attribution = crash_attribution.attribute(
+            [suspect("a", 0, 0.2), unsure._replace(on_trial=True)]
+        )
+        assert charged_jobs(attribution) == {"b"}
+        assert not attribution.given_up
+
     def test_tasks_beside_one_on_trial_are_not_charged(self) -> None:
         attribution = crash_attribution.attribute(
             [suspect("a", 1), suspect("b", 1, LATE), suspect("c", 0, 0.2)]
@@ -65,6 +97,7 @@
             # It had run for longer than the trial.
             ([suspect("a", 1, LATE)], 0, ()),
             ([suspect("a", 1, 0.0, certain=False)], 0, ()),
+            ([suspect("a", 1, 0.0, certain=False, likely=True)], 0, ("a",)),
             # Power was lost.
             ([suspect("a", 1)], 2, ()),
             ([suspect("a", 1)], 1, ("a",)),
@@ -91,3 +124,4 @@
     def test_no_task_is_started_three_times_after_a_third_crash(self) -> None:
         limit = 3 + 3
         assert crash_attribution.MAX_CRASHES < limit
+        assert crash_attribution.MAX_DOUBTFUL_CRASHES < limit
--- a/turmerichall/dispatch/tests/test_crashing_tasks.py
+++ b/turmerichall/dispatch/tests/test_crashing_tasks.py
@@ -1,6 +1,7 @@
 """Tests of tasks that crash the workers that start them."""
 
 from collections.abc import Awaitable, Callable
+import random
 from typing import Any
 
 import pytest
@@ -60,9 +61,8 @@
                 await trio.sleep(0.01)
 
     async def _restart(self, old: fakes.FakeWorker) -> None:
-        now = trio.current_time()
-        lost = [span.task for span in old.spans if span.ended_at > now - 0.02]
-        self.crashes.append((now, lost))
+        lost = old.crashed_runs
+        self.crashes.append((trio.current_time(), lost))
         for worker in self.workers.values():
             for task in list(worker.runs):
                 if task.job in self.gangs and task[:3] in {t[:3] for t in lost}:
@@ -90,6 +90,10 @@
         found = [row for each in self.incarnations for row in each.history]
         return sorted(found, key=lambda row: row[2])
 
+    def crashes_under(self, task: changes.TaskName) -> int:
+        """Return how many workers have crashed while they ran a task."""
+        return sum(task in lost for _, lost in self.crashes)
+
     def starts_of(self, task: changes.TaskName) -> int:
         """Return how often a task was started."""
         return sum(row[0] == task for row in self.starts())
@@ -369,3 +373,65 @@
         await run_script(cluster, script)
         lost = [len(tasks) for _, tasks in cluster.crashes]
         assert lost == [2, 1]
+
+
+class TestRandomCrashes:
+    """Drawn mixes of crashing tasks, losses of power and changes of leader."""
+
+    JOBS = 14
+
+    @pytest.mark.parametrize("seed", range(16))
+    async def test_only_jobs_with_two_crashes_fail(
+        self, mocked_clocks: trio.testing.MockClock, seed: int
+    ) -> None:
+        draw = random.Random(seed)
+        cluster = CrashCluster(8, cpu=6000)
+        jobs = [f"{number:016x}" for number in range(self.JOBS)]
+        for job in draw.sample(jobs, 3):
+            for number in range(draw.choice((1, 1, 4))):
+                cluster.deadly_tasks.add(changes.TaskName(job, 0, 0, number))
+
+        async def disturb() -> None:
+            term = 1
+            for _ in range(draw.randrange(1, 5)):
+                await trio.sleep(draw.uniform(0.2, 5.0))
+                if draw.random() < 0.5:
+                    alive = [w for w in cluster.workers.values() if not w.down]
+                    count = min(len(alive), draw.choice((1, 2, 5)))
+                    for worker in draw.sample(alive, count):
+                        worker.crash()
+                else:
+                    term += 1
+                    cluster.replica.lead(term)
+
+        async def script() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(disturb)
+                for job in jobs:
+                    asked = test_leadership.demand(draw.choice((1, 4, 8)))
+                    with trio.move_on_after(20.0):
+                        while (
+                            await cluster.leader_api.submit(
+                                fakes.QUEUE, job, asked
+                            )
+                            is not None
+                        ):
+                            await trio.sleep(0.1)
+                    await trio.sleep(draw.uniform(0.0, 0.4))
+            await cluster.wait_until(
+                lambda: not any(
+                    cluster.queue_state.jobs[job].open for job in jobs
+                ),
+                120.0,
+            )
+
+        await run_script(cluster, script)
+        for job in jobs:
+            if cluster.job_state(job) != "failed":
+                continue
+            assert any(
+                cluster.crashes_under(changes.TaskName(job, 0, 0, number)) >= 2
+                for number in range(8)
+            ), job
+        for task in cluster.deadly_tasks:
+            assert cluster.starts_of(task) < 3 + STARTS_AFTER_THIRD_CRASH
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -92,7 +92,7 @@
         last_unthrottled_at: Time at which the run last had more than a low
             pace.
         checkpoint: Latest saved progress listed.
-        charged: Whether its task is charged with the crash of a worker.
+        charged: Whether its task is suspected of the crash of a worker.
         on_trial: Whether nothing may be started beside it, until it has run for
             a while.
     """
@@ -245,7 +245,7 @@
             occurrence and step.
         best_effort_cpu: Processors requested by best-effort runs, by image.
         removing: Whether its removal is being committed.
-        charged_runs: Runs of tasks that are charged with a crash.
+        charged_runs: Runs of tasks that are suspected of a crash.
         lapsed_runs: Runs that were lost with the lease since the worker was
             last in touch.  It may have crashed.
         heartbeat: Sequence number of the latest heartbeat.
@@ -352,8 +352,8 @@
             self.cpu_batch += sign * step.cpu
 
     def clear_charges(self, run: Run) -> None:
-        """Forget that a run's task was charged with a crash."""
-        run.charged = False
+        """Forget that a run's task was suspected of a crash."""
+        run.charged = run.on_trial = False
         self.charged_runs.remove(run)
 
     def has_just_started_others(self, job: str, now: float) -> bool:
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -227,12 +227,14 @@
             workers.
         on_trial: Tasks beside which nothing is started from now on, until they
             have run for a while.
+        doubtful: Tasks that may have been at work, or not.
     """
 
     worker: str
     charged: tuple[TaskName, ...] = ()
     given_up: tuple[str, ...] = ()
     on_trial: tuple[TaskName, ...] = ()
+    doubtful: tuple[TaskName, ...] = ()
 
 
 class NoteInterference(_Tagged, frozen=True, array_like=True, tag=9):
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -42,6 +42,8 @@
         crashes: Number of crashes of workers with which it is charged.
         on_trial: Whether nothing is to be started beside its next runs, until
             they have run for a while.
+        doubtful_crashes: Number of crashes during which it may have run, or
+            not.
     """
 
     run: int = 0
@@ -51,6 +53,7 @@
     checkpoint: str = ""
     crashes: int = 0
     on_trial: bool = False
+    doubtful_crashes: int = 0
 
 
 class StepProgress(msgspec.Struct, array_like=True):
@@ -231,7 +234,7 @@
                 for name in change.tasks:
                     task = self._find_task(name)
                     if task is not None:
-                        task.crashes = 0
+                        task.crashes = task.doubtful_crashes = 0
                         task.on_trial = False
             case changes.ResizeWorker():
                 if change.worker in self.workers:
@@ -341,7 +344,14 @@
             task = self._find_task(name)
             if task is not None:
                 task.crashes += 1
-                task.on_trial |= name in change.on_trial
+        for name in change.doubtful:
+            task = self._find_task(name)
+            if task is not None:
+                task.doubtful_crashes += 1
+        for name in change.on_trial:
+            task = self._find_task(name)
+            if task is not None:
+                task.on_trial = True
         for job in change.given_up:
             self._close(job, JobState.FAILED)
         self._remove_worker(change.worker)
