Tell the lives of a worker apart that comes back under its id

Cause: an id was taken for one life of a worker. The new life numbers its ends from 1; the session passed over and acknowledged all up to the number that it had reached with the old one, and took the runs for lost. Ruled out: starts to the old life that the new one carries out, as the cause of this report (run 2 was sent after the return), and answers lost with a connection (polls repeat ends). The same cause elsewhere: deadlines and leases were times of the old clock, heartbeats of the new life counted as late, and a worker that had left counted as gone for good.

An incarnation is now named by the worker's id and `born`. A poll that another life answers ends the session, as another id does. Before the worker is removed, its starts are stopped in the new life, which then refuses those that arrive late; until then nothing is started again elsewhere. A lease of the new life counts as longer, for orders that were meant for the old one.

Workers that are registered without `born` count as restarted once when they first send it.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -269,9 +269,9 @@
         """See `session.Owner`."""
         self.tickets.discard(run.task[:3], worker.record.id)
 
-    async def worker_replaced(self, worker: worker_state.Worker) -> None:
+    async def worker_replaced(self, worker: worker_state.Worker) -> bool:
         """See `session.Owner`."""
-        await self.registry.worker_replaced(worker)
+        return await self.registry.worker_replaced(worker)
 
     # Runs.
 
--- a/turmerichall/dispatch/lease.py
+++ b/turmerichall/dispatch/lease.py
@@ -18,6 +18,8 @@
 # Time after the end of a lease until it counts as expired: the worker ends its
 # runs, and its clock is rounded to ms.
 EXPIRY_MARGIN_SECONDS = 0.1
+# Maximum length of a lease: workers shorten longer ones.
+MAX_LEASE_SECONDS = 10.0
 # A leader renews leases for at most this time after a quorum's answer.
 QUORUM_SECONDS = 1.0
 
@@ -41,6 +43,9 @@
         earlier_lease_until: Time on the steady clock until which a lease that
             an earlier leader granted may last; 0 once the worker has accepted
             the current term and so refuses earlier leaders.
+        misdirected_until: Time on the steady clock until which a lease may last
+            that was meant for an earlier incarnation of the same name, by whose
+            clock it was granted; 0 if there was none.
     """
 
     def __init__(self, term_began_at: float):
@@ -53,6 +58,7 @@
             + LEASE_SECONDS * MAX_DRIFT
             + EXPIRY_MARGIN_SECONDS
         )
+        self.misdirected_until = 0.0
 
     @property
     def known(self) -> bool:
@@ -72,6 +78,16 @@
             self.clock_ms = clock_ms
             self.read_at = now
 
+    def record_namesake(self, now: float) -> None:
+        """Record that orders to another incarnation may have reached this one.
+
+        Args:
+            now: Time on the steady clock after which no more are sent.
+        """
+        self.misdirected_until = (
+            now + MAX_LEASE_SECONDS * MAX_DRIFT + EXPIRY_MARGIN_SECONDS
+        )
+
     def record_term_accepted(self) -> None:
         """Record that the worker has accepted the current term."""
         self.earlier_lease_until = 0.0
@@ -107,7 +123,7 @@
             >>> lease.has_expired(11.0), lease.has_expired(11.2)
             (False, True)
         """
-        if now < self.earlier_lease_until:
+        if now < max(self.earlier_lease_until, self.misdirected_until):
             return False
         if not self.known:
             return True
--- a/turmerichall/dispatch/policy_client.py
+++ b/turmerichall/dispatch/policy_client.py
@@ -25,11 +25,11 @@
 
         Args:
             step: The step.
-            workers: Ids of the workers.
+            workers: Names of the workers.
             timeout_seconds: Time to wait for an answer.
 
         Returns:
-            Tickets of the workers that may run the step, by id of the worker;
+            Tickets of the workers that may run the step, by name of the worker;
             None without an answer.
         """
 
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -127,6 +127,8 @@
             record.id, record.capacity
         )
         worker.kept_out = record.id in self.owner.kept_out
+        if record.kept_name:
+            worker.lease.record_namesake(leases.steady_seconds())
         session = sessions.WorkerSession(self.owner, worker)
         self.workers[record.id] = worker
         self.sessions[record.id] = session
@@ -197,6 +199,12 @@
         try:
             if not await self._may_register(record, places):
                 return False
+            unanswered = [
+                row
+                for worker in self.workers.values()
+                if worker.record.name == record.name
+                for row in worker.unanswered_starts
+            ]
             if not await self._remove_replaced(places):
                 return False
             failed = await self.owner.commit(changes.RegisterWorker(record))
@@ -212,6 +220,8 @@
             and record.id not in self.workers
         ):
             self._add_worker(record, False)
+            if record.id in self.workers:
+                self.workers[record.id].unanswered_starts += unanswered
             self.log.info(
                 "worker registered",
                 worker=record.id,
@@ -279,17 +289,39 @@
                 if run.step.lasting or run.step.checkpoints:
                     self.owner.spawn_stop(session, run)
 
-    async def worker_leaving(self, worker_id: str) -> bool:
+    async def worker_leaving(self, name: str) -> bool:
         """Handle a worker's notice that it is shutting down.
 
+        Args:
+            name: Name of the worker, which all of its incarnations have.
+
         Returns:
             Whether to acknowledge the notice.
         """
-        worker = self.workers.get(worker_id)
+        was_known = any(
+            changes.is_incarnation_of(gone, name)
+            for gone in self.queue_state.gone
+        )
+        worker = next(
+            (
+                each
+                for each in self.workers.values()
+                if each.record.name == name
+            ),
+            None,
+        )
         if worker is None:
-            return worker_id in self.queue_state.gone
+            return was_known
+        if (
+            was_known
+            and not worker.draining
+            and leases.steady_seconds() < worker.lease.misdirected_until
+        ):
+            # A late notice of an earlier incarnation; this one has only begun.
+            return True
         if not await self._drain(worker):
             return False
+        worker_id = worker.record.id
         if self._nursery is not None and worker_id not in self._leaving:
             self._leaving.add(worker_id)
             self._nursery.start_soon(self._remove_after_end, worker)
@@ -306,12 +338,42 @@
             if self.workers.get(worker.record.id) is not worker:
                 return
             answers = await self._answers_as_itself(worker.record)
+        await self._fence_starts(worker)
         await self._remove(worker)
 
-    async def worker_replaced(self, worker: worker_state.Worker) -> None:
-        """Remove a worker whose address another incarnation has taken over."""
-        self.log.info("worker was replaced", worker=worker.record.id)
+    async def worker_replaced(self, worker: worker_state.Worker) -> bool:
+        """See `session.Owner`."""
+        if not worker.replaced:
+            self.log.info("worker was replaced", worker=worker.record.id)
+        if not await self._fence_starts(worker):
+            return False
         await self._remove(worker)
+        return True
+
+    async def _fence_starts(self, worker: worker_state.Worker) -> bool:
+        """Make the next incarnation of a worker refuse starts meant for it.
+
+        An incarnation of the same name carries out orders that were sent to
+        this one, also late ones: their deadlines are times of another clock.
+
+        Returns:
+            Whether none of the worker's starts can be carried out any more.
+        """
+        worker.replaced = True
+        if not worker.record.kept_name:
+            return True
+        for run in worker.runs_to_fence(leases.steady_seconds()):
+            if run.phase == worker_state.Phase.PLANNED:
+                continue
+            result = await worker.client.stop(run.order(), self.owner.token)
+            if result.verdict == worker_client.Verdict.FENCED:
+                self.owner.fenced(worker)
+                return False
+            if result.verdict == worker_client.Verdict.REPLACED:
+                return True
+            if result.verdict != worker_client.Verdict.DONE:
+                return False
+        return True
 
     def cleared_tasks(self, now: float) -> tuple[changes.TaskName, ...]:
         """Return tasks on which earlier crashes no longer count.
@@ -335,6 +397,8 @@
         """
         for worker in list(self.workers.values()):
             if places & _places(worker.record) and not worker.removing:
+                if not await self._fence_starts(worker):
+                    return False
                 change = self._removal(worker)
                 failed = await self.owner.commit(change)
                 if failed is not None:
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -76,8 +76,12 @@
     ) -> None:
         """Discard the ticket of a start that a worker refused."""
 
-    async def worker_replaced(self, worker: worker_state.Worker) -> None:
-        """Remove a worker whose address another incarnation has taken over."""
+    async def worker_replaced(self, worker: worker_state.Worker) -> bool:
+        """Remove a worker whose address another incarnation has taken over.
+
+        Returns:
+            Whether it was removed; not before its starts are fenced.
+        """
 
 
 class WorkerSession:
@@ -168,9 +172,9 @@
     async def _handle_poll_failure(self, verdict: Verdict) -> None:
         owner, worker = self.owner, self.worker
         if verdict == Verdict.REPLACED:
-            await owner.worker_replaced(worker)
-            return
-        if verdict == Verdict.FENCED:
+            if await owner.worker_replaced(worker):
+                return
+        elif verdict == Verdict.FENCED:
             owner.fenced(worker)
             return
         if worker.in_touch:
@@ -320,6 +324,8 @@
         for _ in range(START_TRIES):
             if run.stopping or worker.runs.get(run.task) is not run:
                 break
+            if worker.replaced:
+                break
             first_try = not run.sent_at
             run.sent_at = run.sent_at or leases.steady_seconds()
             result = await worker.client.start(
@@ -328,6 +334,8 @@
             if first_try and result.verdict == Verdict.UNSENT:
                 run.sent_at = 0.0
             may_be_pending = may_be_pending or result.may_be_pending
+            if result.may_be_pending or result.verdict == Verdict.UNANSWERED:
+                worker.record_unanswered_start(run, leases.steady_seconds())
             if await self._handle_start_result(run, result, may_be_pending):
                 return
             may_be_pending = may_be_pending or result.verdict != Verdict.UNSENT
--- a/turmerichall/dispatch/tail_latency_controller.py
+++ b/turmerichall/dispatch/tail_latency_controller.py
@@ -18,9 +18,6 @@
 PACE_STEP_PERCENT = 8
 # Time after a change of pace in which tail latencies still reflect the old one.
 PACE_SETTLE_SECONDS = 1.0
-# Time after which a worker no longer carries out an order that it has not
-# answered: it may do so up to 12 s later.
-LATE_ORDER_SECONDS = 12.5
 # Time between two orders of an unchanged pace, while a late order may change it
 # back.
 PACE_REPEAT_SECONDS = 2.0
@@ -240,7 +237,9 @@
             run.pace_percent = percent
             run.pace_told_at = now
         elif not answered:
-            run.late_pace_until = leases.steady_seconds() + LATE_ORDER_SECONDS
+            run.late_pace_until = (
+                leases.steady_seconds() + worker_state.LATE_ORDER_SECONDS
+            )
             if changes_pace:
                 run.pace_percent = worker_state.UNKNOWN_PACE
         else:
--- a/turmerichall/dispatch/ticket_cache.py
+++ b/turmerichall/dispatch/ticket_cache.py
@@ -47,12 +47,12 @@
     Attributes:
         rank: Sort key; the query with the lowest rank is made first.
         advice: Time that a call takes, and validity of its tickets.
-        workers: Ids of the workers to ask about.
+        workers: Names of the workers to ask about, by id.
     """
 
     rank: tuple[Any, ...]
     advice: configurations.Advice
-    workers: tuple[str, ...]
+    workers: dict[str, str]
 
 
 class _Step:
@@ -130,17 +130,17 @@
                 self._log.error("no policy to ask is configured", step=step)
             return
         known = self._steps.setdefault(step, _Step())
-        wanted = []
+        wanted: dict[str, str] = {}
         for worker in workers:
             worker_id = worker.record.id
             ticket = known.tickets.get(worker_id)
             is_valid = ticket is not None and ticket.expires_at > now
             if worker_id not in known.refused and not is_valid:
-                wanted.append(worker_id)
+                wanted[worker_id] = worker.record.name
             if len(wanted) == MAX_WORKERS_PER_CALL:
                 break
         if wanted:
-            self._queries[step] = _Query(rank, advice, tuple(wanted))
+            self._queries[step] = _Query(rank, advice, wanted)
             self._query_added.set()
         else:
             self._queries.pop(step, None)
@@ -187,7 +187,7 @@
         asked_at = leases.steady_seconds()
         answer = await self.client.ask(
             step,
-            query.workers,
+            list(query.workers.values()),
             BASE_TIMEOUT_SECONDS + TIMEOUT_FACTOR * expected_ms / 1000,
         )
         seconds = leases.steady_seconds() - asked_at
@@ -213,8 +213,8 @@
         expires_at = (
             asked_at + advice.validity_ms / 1000 - EXPIRY_MARGIN_SECONDS
         )
-        for worker in query.workers:
-            ticket = answer.get(worker)
+        for worker, name in query.workers.items():
+            ticket = answer.get(name)
             if ticket is None:
                 known.refused.add(worker)
             else:
--- a/turmerichall/dispatch/worker_client.py
+++ b/turmerichall/dispatch/worker_client.py
@@ -39,7 +39,8 @@
     MALFORMED = "malformed"
     # The worker is unhealthy or overloaded, and did nothing.
     UNWELL = "unwell"
-    # Another incarnation of the worker answers at this address.
+    # Another incarnation of the worker answers at this address.  If it has the
+    # same name, only a poll tells so, and other orders are carried out by it.
     REPLACED = "replaced"
     # No answer; the order may still be carried out, now or later.
     UNANSWERED = "unanswered"
@@ -125,12 +126,15 @@
         ends: Ends of runs that were not acknowledged yet, in order.
         complete: Whether `ends` contains all such ends; a worker lists only a
             limited number.
+        born_ms: Time of the answering incarnation's start, in ms since 1970; 0
+            if unknown.
     """
 
     clock_ms: int
     running: Sequence[RunningTask]
     ends: Sequence[RunEnd]
     complete: bool
+    born_ms: int = 0
 
 
 class PollFailure(NamedTuple):
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -17,6 +17,9 @@
 # Share of the requested processors that a long-running task is assumed to use
 # until its load is known.
 ASSUMED_LONG_RUNNING_USE = 0.5
+# Time after which a worker no longer carries out an order that it has not
+# answered: it may do so up to 12 s later.
+LATE_ORDER_SECONDS = 12.5
 UNKNOWN_PACE = -1
 # Pace in percent up to which a run makes hardly any progress.
 LOW_PACE_PERCENT = 40
@@ -244,7 +247,11 @@
         neighbours: Long-running runs that best-effort tasks may slow, by job,
             occurrence and step.
         best_effort_cpu: Processors requested by best-effort runs, by image.
+        unanswered_starts: Starts that it may carry out late, or an incarnation
+            of the same name; each with the time at which it was sent.
         removing: Whether its removal is being committed.
+        replaced: Whether another incarnation may receive its orders, so that
+            none is sent any more but stops.
         charged_runs: Runs of tasks that are suspected of a crash.
         lapsed_runs: Runs that were lost with the lease since the worker was
             last in touch.  It may have crashed.
@@ -279,7 +286,9 @@
         self.long_running_count = 0
         self.neighbours: dict[tuple[str, int, int], Neighbour] = {}
         self.best_effort_cpu: dict[str, int] = {}
+        self.unanswered_starts: list[tuple[float, Run]] = []
         self.removing = False
+        self.replaced = False
         self.charged_runs: list[Run] = []
         self.lapsed_runs: list[Run] = []
         self.heartbeat = 0
@@ -306,6 +315,34 @@
             self.in_touch = False
             self.lost_at = now
 
+    def record_unanswered_start(self, run: Run, now: float) -> None:
+        """Record that a start was sent and not answered.
+
+        Args:
+            run: The run.
+            now: Current time on the steady clock.
+        """
+        self._forget_old_starts(now)
+        self.unanswered_starts.append((now, run))
+
+    def runs_to_fence(self, now: float) -> list[Run]:
+        """Return the runs whose starts may still be carried out.
+
+        Args:
+            now: Current time on the steady clock.
+        """
+        self._forget_old_starts(now)
+        runs = list(self.runs.values())
+        runs += [run for _, run in self.unanswered_starts]
+        return list({(run.task, run.number): run for run in runs}.values())
+
+    def _forget_old_starts(self, now: float) -> None:
+        self.unanswered_starts = [
+            row
+            for row in self.unanswered_starts
+            if now - row[0] < LATE_ORDER_SECONDS
+        ]
+
     def add(self, run: Run) -> None:
         """Add a run, and reserve the resources that it requests."""
         self.runs[run.task] = run
--- a/turmerichall/platform/control_requests.py
+++ b/turmerichall/platform/control_requests.py
@@ -77,8 +77,11 @@
         for label in (labels_field if isinstance(labels_field, list) else [])
         if isinstance(label, str)
     )
+    # A worker has the same id after a new start; only this tells its lives
+    # apart.
+    born_ms = lenient_json.integer(document.get("born"))
     record = changes.WorkerRecord(
-        worker,
+        changes.incarnation_id(worker, born_ms) if born_ms > 0 else worker,
         lenient_json.text(document.get("machine")),
         lenient_json.text(document["address"]),
         lenient_json.text(document["service"]),
@@ -88,6 +91,8 @@
         labels[1] if len(labels) > 1 else "",
         labels,
         *capacity,
+        worker if born_ms > 0 else "",
+        max(born_ms, 0),
     )
     return worker_client.Heartbeat(
         record,
--- a/turmerichall/platform/http_worker_client.py
+++ b/turmerichall/platform/http_worker_client.py
@@ -78,18 +78,20 @@
 class HttpWorkerClient:
     """Implementation of `dispatch.worker_client.WorkerClient` over HTTP.
 
-    Every request names one incarnation of the worker in the header
-    `expect-instance`; another incarnation at the same address responds with
-    421.
+    Every request names the worker in the header `expect-instance`; another
+    worker at the same address responds with 421.  A later incarnation of the
+    same worker is told by `born`, which only the response to a poll contains.
 
     Attributes:
         client: HTTP client for the address of the worker.
+        born_ms: Time of the incarnation's start; 0 if unknown.
     """
 
     def __init__(self, worker: changes.WorkerRecord):
         self.client = http_client.Client(worker.address)
+        self.born_ms = worker.born_ms
         self._headers = {
-            "expect-instance": worker.id,
+            "expect-instance": worker.name,
             "content-type": message.JSON,
         }
 
@@ -171,6 +173,10 @@
         if isinstance(answer, message.Response) and answer.status == 200:
             status = _worker_status(answer.body)
             if status is not None:
+                if self.born_ms and status.born_ms not in (0, self.born_ms):
+                    return worker_client.PollFailure(
+                        worker_client.Verdict.REPLACED
+                    )
                 return status
         return worker_client.PollFailure(_order_result(answer).verdict)
 
@@ -221,6 +227,7 @@
         ],
         [end for end in ends if end is not None],
         len(ended) < MAX_ENDED_RUNS,
+        lenient_json.integer(document.get("born")),
     )
 
 
--- a/turmerichall/platform/tests/test_restarted_worker.py
+++ b/turmerichall/platform/tests/test_restarted_worker.py
@@ -8,6 +8,7 @@
 from turmerichall.dispatch.tests import fakes
 from turmerichall.dispatch.tests import test_leadership
 from turmerichall.platform.tests import wire_worker
+from turmerichall.queues import change as changes
 
 # Tests name the fixture as an argument, which makes them run on its clock.
 # pylint: disable=unused-argument
@@ -103,13 +104,17 @@
         async def script() -> None:
             await trio.sleep(60.0)
             for each in (worker, other):
-                each.life.run_seconds = each.run_seconds = 6.0
+                each.life.run_seconds = each.run_seconds = 2.5
             worker.hold_back = lambda path, _: path == "/v1/run-start"
-            await submit(cluster, JOB, 2, max_per_worker=1)
+            await submit(cluster, JOB, 1)
             await cluster.wait_until(lambda: bool(worker.held_back))
+            task = changes.TaskName(JOB, 0, 0, 0)
+            assert worker.held_back[0]["task"] == str(task)
             worker.restart()
             worker.hold_back = lambda *_: False
-            await trio.sleep(2.5)
+            await cluster.wait_until(
+                lambda: any(row[0] == task for row in other.life.history)
+            )
             await worker.carry_out("/v1/run-start", worker.held_back[0])
             await cluster.wait_until(
                 lambda: cluster.job_state(JOB) == "completed"
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -29,6 +29,8 @@
     "WorkerRecord",
     "decode",
     "encode",
+    "incarnation_id",
+    "is_incarnation_of",
 ]
 
 
@@ -74,6 +76,30 @@
     UNSTARTED = 6
 
 
+def incarnation_id(name: str, born_ms: int) -> str:
+    """Return the id of an incarnation of a worker that keeps its name.
+
+    Args:
+        name: Name of the worker.
+        born_ms: Time of the incarnation's start in ms since 1970.
+
+    Examples:
+        >>> incarnation_id("i-7f", 1700000000000)
+        'i-7f#1700000000000'
+    """
+    return f"{name}#{born_ms}"
+
+
+def is_incarnation_of(worker_id: str, name: str) -> bool:
+    """Return whether an id is that of an incarnation of a worker.
+
+    Examples:
+        >>> is_incarnation_of("i-7f#1700000000000", "i-7f")
+        True
+    """
+    return name in (worker_id, worker_id.rpartition("#")[0])
+
+
 class Capacity(NamedTuple):
     """Resources of a worker.
 
@@ -103,6 +129,11 @@
         cpu: Processor capacity at the registration, in thousandths of a core.
         memory_mb: Memory capacity at the registration, in MB.
         gpu: Number of accelerators at the registration.
+        kept_name: Name that the worker keeps when it starts again, so that
+            orders to one incarnation may reach the next; empty if the worker
+            has another id after each start.
+        born_ms: Time of the incarnation's start in ms since 1970, by the
+            worker's clock; 0 if unknown.
     """
 
     id: str
@@ -115,6 +146,13 @@
     cpu: int
     memory_mb: int
     gpu: int
+    kept_name: str = ""
+    born_ms: int = 0
+
+    @property
+    def name(self) -> str:
+        """Name by which orders and the worker itself call it."""
+        return self.kept_name or self.id
 
     @property
     def capacity(self) -> Capacity:
