--- a/turmerichall/benchmarks/dispatch.py
+++ b/turmerichall/benchmarks/dispatch.py
@@ -17,6 +17,7 @@
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import placement
 from turmerichall.dispatch import preemption
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.tests import fakes
 from turmerichall.queues import change as changes
@@ -50,8 +51,8 @@
                 image=f"service{(number + index // 3) % LONG_RUNNING_IMAGES}",
             )
             task = changes.TaskName(f"{number:016x}", 0, 0, index)
-            run = worker_state.Run(task, 1, step, "services")
-            run.phase = worker_state.Phase.RUNNING
+            run = run_state.Run(task, 1, step, "services")
+            run.phase = run_state.Phase.RUNNING
             worker.add(run)
         workers.append(worker)
     return workers
@@ -59,7 +60,7 @@
 
 def _place(
     step: demands.StepDemand, workers: list[worker_state.Worker], scan: bool
-) -> list[tuple[worker_state.Worker, worker_state.Run]]:
+) -> list[tuple[worker_state.Worker, run_state.Run]]:
     """Place the tasks of a step, with a scan a task or one a step."""
     model = interference_models.InterferenceModel()
     siblings: dict[str, int] = {}
@@ -78,7 +79,7 @@
         if worker is None:
             break
         task = changes.TaskName("f" * 16, 0, 0, number)
-        run = worker_state.Run(task, 1, step, "batch")
+        run = run_state.Run(task, 1, step, "batch")
         worker.add(run)
         placed.append((worker, run))
         name = worker.record.id
--- a/turmerichall/dispatch/crash_register.py
+++ b/turmerichall/dispatch/crash_register.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from turmerichall.dispatch import crash_attribution
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
@@ -78,7 +79,7 @@
     def _suspects(
         self, worker: worker_state.Worker, lost_at: float
     ) -> Iterator[crash_attribution.Suspect]:
-        runs: dict[changes.TaskName, worker_state.Run] = {
+        runs: dict[changes.TaskName, run_state.Run] = {
             run.task: run for run in worker.lapsed_runs
         }
         runs.update(worker.runs)
@@ -102,14 +103,14 @@
             )
 
 
-def _may_have_begun(run: worker_state.Run, lost_at: float) -> bool:
+def _may_have_begun(run: run_state.Run, lost_at: float) -> bool:
     """Return whether a run may have been at work when contact was lost."""
-    if run.phase == worker_state.Phase.PLANNED:
+    if run.phase == run_state.Phase.PLANNED:
         return False
     return bool(run.adopted or run.confirmed_at or 0.0 < run.sent_at <= lost_at)
 
 
-def _was_certainly_running(run: worker_state.Run, lost_at: float) -> bool:
+def _was_certainly_running(run: run_state.Run, lost_at: float) -> bool:
     """Return whether a run was at work when contact was lost.
 
     One that had run for a while may have ended without the worker telling.
@@ -120,13 +121,13 @@
     )
 
 
-def _met_broken_connection(run: worker_state.Run, lost_at: float) -> bool:
+def _met_broken_connection(run: run_state.Run, lost_at: float) -> bool:
     """Return whether contact was lost just after a start was sent."""
     return (
         run.sent_at > 0.0 and lost_at - run.sent_at <= BROKEN_CONNECTION_SECONDS
     )
 
 
-def _seconds(run: worker_state.Run, lost_at: float) -> float:
+def _seconds(run: run_state.Run, lost_at: float) -> float:
     """Return for how long a run had been at work when contact was lost."""
     return max(lost_at - run.confirmed_at, 0.0) if run.confirmed_at else 0.0
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -19,6 +19,7 @@
 from turmerichall.dispatch import recurring_jobs as recurring_job_sets
 from turmerichall.dispatch import registry as registries
 from turmerichall.dispatch import reports
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import session as sessions
 from turmerichall.dispatch import straggler_detector as straggler_detectors
@@ -256,7 +257,7 @@
         """See `session.Owner`."""
         self._wake.set()
 
-    def record_run_time(self, run: worker_state.Run, seconds: float) -> None:
+    def record_run_time(self, run: run_state.Run, seconds: float) -> None:
         """See `session.Owner`."""
         if run.step.lasting:
             return
@@ -264,7 +265,7 @@
         self._straggler_detector.record_run_time(run, seconds)
 
     def ticket_refused(
-        self, worker: worker_state.Worker, run: worker_state.Run
+        self, worker: worker_state.Worker, run: run_state.Run
     ) -> None:
         """See `session.Owner`."""
         self.tickets.discard(run.task[:3], worker.record.id)
@@ -276,7 +277,7 @@
     # Runs.
 
     def spawn_start(
-        self, session: sessions.WorkerSession, run: worker_state.Run
+        self, session: sessions.WorkerSession, run: run_state.Run
     ) -> None:
         """See `session.Owner`."""
         # A second task would take a refusal of its own try for the outcome,
@@ -298,7 +299,7 @@
         self._nursery.start_soon(session.start, run, order)
 
     def spawn_stop(
-        self, session: sessions.WorkerSession, run: worker_state.Run
+        self, session: sessions.WorkerSession, run: run_state.Run
     ) -> None:
         """See `session.Owner`."""
         if not run.stopping and self._nursery is not None:
@@ -381,7 +382,7 @@
             for run in list(session.worker.runs.values()):
                 if (
                     run.task.job == job_id
-                    and run.phase != worker_state.Phase.PLANNED
+                    and run.phase != run_state.Phase.PLANNED
                 ):
                     self.spawn_stop(session, run)
 
@@ -429,7 +430,7 @@
                 worker.remove(run)
                 self.backlog.requeue(run.task)
             elif job is not None and job.open:
-                run.phase = worker_state.Phase.ORDERED
+                run.phase = run_state.Phase.ORDERED
                 self.spawn_start(session, run)
             else:
                 canceled.append((worker, run))
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -13,6 +13,7 @@
 from turmerichall.dispatch import placement
 from turmerichall.dispatch import preemption
 from turmerichall.dispatch import ranking
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import ticket_cache as ticket_caches
 from turmerichall.dispatch import worker_state
 from turmerichall.peers import link
@@ -29,7 +30,7 @@
 # room before it.  The platform reports a task as lost 9 s after its last run.
 MAX_PAUSE_SECONDS = 4.0
 
-PlannedRuns = list[tuple[worker_state.Worker, worker_state.Run]]
+PlannedRuns = list[tuple[worker_state.Worker, run_state.Run]]
 
 
 class Planner:
@@ -133,7 +134,7 @@
                 tasks, by_service.get(service, []), now, self._may_stop
             )
 
-    def _may_stop(self, run: worker_state.Run) -> bool:
+    def _may_stop(self, run: run_state.Run) -> bool:
         """Return whether a long-running run may be stopped for urgent work.
 
         Jobs that limit how many of their tasks may be unavailable are left
@@ -407,7 +408,7 @@
         number: int,
         worker: worker_state.Worker,
         now: float,
-    ) -> worker_state.Run:
+    ) -> run_state.Run:
         """Reserve the resources for a run of a task on a worker."""
         tasks = group.job.steps(group.name.occurrence)[group.name.step].tasks
         # The tasks of a gang, which start together, have the same run number.
@@ -416,7 +417,7 @@
             if group.step.gang
             else tasks[number].run
         ) + 1
-        run = worker_state.Run(
+        run = run_state.Run(
             group.task(number), run_number, group.step, group.job.queue
         )
         run.on_trial = tasks[number].on_trial
--- a/turmerichall/dispatch/preemption.py
+++ b/turmerichall/dispatch/preemption.py
@@ -12,6 +12,7 @@
 import heapq
 from typing import NamedTuple
 
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
 from turmerichall.queues import demand as demands
 
@@ -23,7 +24,7 @@
 # A run younger than this is not stopped: its start-up would be wasted.
 MIN_RUN_SECONDS = 2.0
 
-MayStop = Callable[[worker_state.Run], bool]
+MayStop = Callable[[run_state.Run], bool]
 
 
 class WaitingTasks(NamedTuple):
@@ -52,7 +53,7 @@
     """
 
     worker: worker_state.Worker
-    run: worker_state.Run
+    run: run_state.Run
     urgent_job: str
 
 
@@ -73,7 +74,7 @@
         self.worker = worker
         self.cpu = worker.capacity.cpu - worker.cpu_reserved
         self.memory_mb = worker.capacity.memory_mb - worker.memory_reserved
-        self.candidates: list[worker_state.Run] = []
+        self.candidates: list[run_state.Run] = []
         for run in worker.runs.values():
             if run.stopping:
                 if not run.step.fills:
@@ -81,7 +82,7 @@
                 self.memory_mb += run.step.memory_mb
             elif (
                 run.step.lasting
-                and run.phase == worker_state.Phase.RUNNING
+                and run.phase == run_state.Phase.RUNNING
                 and now - run.confirmed_at >= MIN_RUN_SECONDS
             ):
                 self.candidates.append(run)
@@ -99,7 +100,7 @@
         """Return whether a task fits into the room."""
         return self.cpu >= step.cpu and self.memory_mb >= step.memory_mb
 
-    def free(self, run: worker_state.Run) -> None:
+    def free(self, run: run_state.Run) -> None:
         """Count the resources of a run that is going to be stopped."""
         self.candidates.remove(run)
         self.cpu += run.step.cpu
@@ -112,13 +113,13 @@
 
     def cheapest(
         self, step: demands.StepDemand, may_stop: MayStop
-    ) -> list[worker_state.Run]:
+    ) -> list[run_state.Run]:
         """Return the runs to stop so that a task fits; empty if none do.
 
         The first run that frees enough alone is chosen; where none does, the
         largest runs are, until they free enough.
         """
-        chosen: list[worker_state.Run] = []
+        chosen: list[run_state.Run] = []
         cpu = step.cpu - self.cpu
         memory_mb = step.memory_mb - self.memory_mb
         for run in self.candidates:
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -11,6 +11,7 @@
 from turmerichall.dispatch import crash_register as crash_registers
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import reports
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import session as sessions
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
@@ -82,7 +83,7 @@
         # Starts that a removed worker left unanswered, by its name: its next
         # incarnations may carry them out.
         self._unanswered_starts: dict[
-            str, list[tuple[float, worker_state.Run]]
+            str, list[tuple[float, run_state.Run]]
         ] = {}
         # Ids of workers that have given notice in this term.
         self._leaving: set[str] = set()
@@ -112,14 +113,14 @@
         if worker is None:
             return
         step = job.demand.steps[name.step]
-        run = worker_state.Run(name, task.run, step, job.queue)
-        run.phase = worker_state.Phase.ORDERED
+        run = run_state.Run(name, task.run, step, job.queue)
+        run.phase = run_state.Phase.ORDERED
         run.adopted = True
         run.on_trial = task.on_trial
         run.charged = run.on_trial or task.crashes > 0
         if step.fills:
             # An earlier leader may have throttled the run.
-            run.pace_percent = worker_state.UNKNOWN_PACE
+            run.pace_percent = run_state.UNKNOWN_PACE
         worker.add(run)
 
     def _add_worker(self, record: changes.WorkerRecord, draining: bool) -> None:
@@ -384,11 +385,11 @@
         self,
         client: worker_client.WorkerClient,
         worker: worker_state.Worker | None,
-        runs: list[worker_state.Run],
+        runs: list[run_state.Run],
     ) -> bool:
         """Stop runs that were committed; return whether none can go on."""
         for run in runs:
-            if run.phase == worker_state.Phase.PLANNED:
+            if run.phase == run_state.Phase.PLANNED:
                 continue
             result = await client.stop(run.order(), self.owner.token)
             if result.verdict == worker_client.Verdict.FENCED and worker:
@@ -469,7 +470,7 @@
             self.sessions.pop(worker_id).scope.cancel()
             for run in lost:
                 worker.remove(run)
-                if run.phase != worker_state.Phase.PLANNED:
+                if run.phase != run_state.Phase.PLANNED:
                     self.owner.backlog.requeue(run.task)
             for run in worker.lapsed_runs + lost:
                 self.owner.close_failed_job(run.task.job)
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -5,6 +5,7 @@
 from turmerichall import outcomes
 from turmerichall.dispatch import backlog as backlogs
 from turmerichall.dispatch import preemption
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -158,7 +159,7 @@
         )
 
 
-def _age(run: worker_state.Run, at: float) -> str:
+def _age(run: run_state.Run, at: float) -> str:
     """Return for how long a run had been at work, or its phase before that."""
     if not run.confirmed_at:
         return run.phase.value
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -5,6 +5,7 @@
 import trio
 
 from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import tail_latency_controller
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
@@ -52,14 +53,10 @@
     ) -> None:
         """Commit ends of runs, and free the resources of the runs."""
 
-    def spawn_start(
-        self, session: "WorkerSession", run: worker_state.Run
-    ) -> None:
+    def spawn_start(self, session: "WorkerSession", run: run_state.Run) -> None:
         """Start a run in the background, unless this was done before."""
 
-    def spawn_stop(
-        self, session: "WorkerSession", run: worker_state.Run
-    ) -> None:
+    def spawn_stop(self, session: "WorkerSession", run: run_state.Run) -> None:
         """Stop a run in the background."""
 
     def move_stragglers(self, session: "WorkerSession") -> None:
@@ -68,11 +65,11 @@
     def request_placement(self) -> None:
         """Wake up placement, because the room on some worker has changed."""
 
-    def record_run_time(self, run: worker_state.Run, seconds: float) -> None:
+    def record_run_time(self, run: run_state.Run, seconds: float) -> None:
         """Record the duration in seconds of a run that completed its task."""
 
     def ticket_refused(
-        self, worker: worker_state.Worker, run: worker_state.Run
+        self, worker: worker_state.Worker, run: run_state.Run
     ) -> None:
         """Discard the ticket of a start that a worker refused."""
 
@@ -160,8 +157,7 @@
             worker.long_running_count and worker.cpu_best_effort
         )
         has_unconfirmed = any(
-            run.phase != worker_state.Phase.RUNNING
-            for run in worker.runs.values()
+            run.phase != run_state.Phase.RUNNING for run in worker.runs.values()
         )
         return (
             SHORT_WAIT_MS
@@ -195,7 +191,7 @@
             rows = [
                 self._ended(run, changes.Ending.LOST)
                 for run in worker.runs.values()
-                if run.phase != worker_state.Phase.PLANNED
+                if run.phase != run_state.Phase.PLANNED
             ]
             owner.log.info(
                 "lease ran out", worker=worker.record.id, runs=len(rows)
@@ -247,8 +243,8 @@
                 await self._stop_unexpected(row)
                 continue
             listed[row.task] = row
-            if run.phase == worker_state.Phase.ORDERED:
-                run.phase = worker_state.Phase.RUNNING
+            if run.phase == run_state.Phase.ORDERED:
+                run.phase = run_state.Phase.RUNNING
             if not run.confirmed_at:
                 run.confirmed_at = now
             run.load = row.recent_load
@@ -258,9 +254,9 @@
             return
         rows = []
         for task, run in list(worker.runs.items()):
-            if task in listed or run.phase == worker_state.Phase.PLANNED:
+            if task in listed or run.phase == run_state.Phase.PLANNED:
                 continue
-            if run.phase == worker_state.Phase.ORDERED:
+            if run.phase == run_state.Phase.ORDERED:
                 if not run.start_spawned:
                     # This start was committed in an earlier term, and perhaps
                     # never sent.
@@ -279,7 +275,7 @@
             await owner.commit_ends(worker, rows)
 
     def _ended(
-        self, run: worker_state.Run, ending: changes.Ending
+        self, run: run_state.Run, ending: changes.Ending
     ) -> changes.EndedRun:
         return changes.EndedRun(run.task, run.number, ending, run.checkpoint)
 
@@ -304,7 +300,7 @@
             self.owner.fenced(self.worker)
 
     async def start(
-        self, run: worker_state.Run, order: worker_client.Order
+        self, run: run_state.Run, order: worker_client.Order
     ) -> None:
         """Send a committed start to the worker.
 
@@ -352,7 +348,7 @@
 
     async def _handle_start_result(
         self,
-        run: worker_state.Run,
+        run: run_state.Run,
         result: worker_client.OrderResult,
         may_be_pending: bool,
     ) -> bool:
@@ -375,8 +371,8 @@
             worker.record_silence(now)
             return False
         if verdict == Verdict.DONE:
-            if run.phase == worker_state.Phase.ORDERED:
-                run.phase = worker_state.Phase.RUNNING
+            if run.phase == run_state.Phase.ORDERED:
+                run.phase = run_state.Phase.RUNNING
                 run.confirmed_at = now
             if run.stopping:
                 await self.stop(run)
@@ -415,7 +411,7 @@
         )
         return True
 
-    async def stop(self, run: worker_state.Run) -> None:
+    async def stop(self, run: run_state.Run) -> None:
         """Tell the worker to stop a run; a later poll reports its end."""
         owner, worker = self.owner, self.worker
         run.stopping = True
--- a/turmerichall/dispatch/straggler_detector.py
+++ b/turmerichall/dispatch/straggler_detector.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import stragglers
 from turmerichall.dispatch import worker_state
 from turmerichall.peers import link
@@ -36,7 +37,7 @@
         # Durations of completed runs in seconds, by job, occurrence and step.
         self._run_seconds: dict[tuple[str, int, int], list[float]] = {}
 
-    def record_run_time(self, run: worker_state.Run, seconds: float) -> None:
+    def record_run_time(self, run: run_state.Run, seconds: float) -> None:
         """Record the duration of a run that completed its task.
 
         Only the first run of a task counts.
@@ -56,7 +57,7 @@
 
     def find_stragglers(
         self, worker: worker_state.Worker, now: float
-    ) -> list[tuple[worker_state.Run, str]]:
+    ) -> list[tuple[run_state.Run, str]]:
         """Return the runs of a worker that are to be moved, with the reason.
 
         Args:
@@ -95,7 +96,7 @@
             found.append((run, reason))
         return found
 
-    def _may_move(self, run: worker_state.Run, reason: str) -> bool:
+    def _may_move(self, run: run_state.Run, reason: str) -> bool:
         """Return whether to move a run; remember tasks moved for being slow.
 
         A task is moved only once for being slow: if it is slow on a second
@@ -107,9 +108,7 @@
             self._moved.add(run.task)
         return True
 
-    def _sibling_seconds(
-        self, run: worker_state.Run, now: float
-    ) -> list[float]:
+    def _sibling_seconds(self, run: run_state.Run, now: float) -> list[float]:
         """Return run times, actual or expected, of other tasks of the step."""
         job = self.queue_state.jobs.get(run.task.job)
         if job is None or not job.open:
--- a/turmerichall/dispatch/tail_latency_controller.py
+++ b/turmerichall/dispatch/tail_latency_controller.py
@@ -6,6 +6,7 @@
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import pacing
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
@@ -108,7 +109,7 @@
             run
             for run in worker.runs.values()
             if run.step.fills
-            and run.phase == worker_state.Phase.RUNNING
+            and run.phase == run_state.Phase.RUNNING
             and not run.stopping
         ]
         if not paced_runs:
@@ -128,7 +129,7 @@
         )
         unanswered = False
         for run, percent in zip(paced_runs, paces):
-            unknown = run.pace_percent == worker_state.UNKNOWN_PACE
+            unknown = run.pace_percent == run_state.UNKNOWN_PACE
             if (
                 unknown
                 or percent in (0, 100)
@@ -141,7 +142,7 @@
                 unanswered = not await self._set_pace(run, run.pace_percent)
 
     def _read_tail(
-        self, run: worker_state.Run, shares: dict[str, float], now: float
+        self, run: run_state.Run, shares: dict[str, float], now: float
     ) -> pacing.LongRunningTask:
         """Learn from the tail latency of one long-running run.
 
@@ -207,7 +208,7 @@
             is_unexplained,
         )
 
-    def _over_seconds(self, run: worker_state.Run, now: float) -> float:
+    def _over_seconds(self, run: run_state.Run, now: float) -> float:
         """Return for how many seconds a tail latency has missed its target."""
         if run.load < run.step.target_ms:
             self._over_since.pop(run.task, None)
@@ -215,7 +216,7 @@
         since = self._over_since.setdefault(run.task, now)
         return max(now - since, 0.001)
 
-    async def _set_pace(self, run: worker_state.Run, percent: int) -> bool:
+    async def _set_pace(self, run: run_state.Run, percent: int) -> bool:
         """Send a run's pace to the worker, unless it is known to be set.
 
         An order without an answer may be carried out late, after newer orders,
@@ -241,7 +242,7 @@
                 leases.steady_seconds() + worker_state.LATE_ORDER_SECONDS
             )
             if changes_pace:
-                run.pace_percent = worker_state.UNKNOWN_PACE
+                run.pace_percent = run_state.UNKNOWN_PACE
         else:
             if verdict == worker_client.Verdict.FENCED:
                 self.owner.fenced(self.worker)
@@ -251,7 +252,7 @@
         return answered
 
 
-def _must_repeat(run: worker_state.Run, now: float) -> bool:
+def _must_repeat(run: run_state.Run, now: float) -> bool:
     """Return whether an unchanged pace is to be sent again at a time."""
     if not run.late_pace_possible():
         return False
--- a/turmerichall/dispatch/tests/test_interference.py
+++ b/turmerichall/dispatch/tests/test_interference.py
@@ -15,6 +15,7 @@
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import pacing
 from turmerichall.dispatch import placement
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import tail_latency_controller
 from turmerichall.dispatch import worker_state
@@ -107,8 +108,8 @@
         task: changes.TaskName,
     ) -> None:
         """Add a running run to a worker."""
-        run = worker_state.Run(task, 1, step, "q")
-        run.phase = worker_state.Phase.RUNNING
+        run = run_state.Run(task, 1, step, "q")
+        run.phase = run_state.Phase.RUNNING
         run.confirmed_at = 0.001
         run.progress_percent = 100
         worker.add(run)
--- a/turmerichall/dispatch/tests/test_lost_pace.py
+++ b/turmerichall/dispatch/tests/test_lost_pace.py
@@ -4,6 +4,7 @@
 import trio
 import trio.testing
 
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import straggler_detector
 from turmerichall.dispatch import tail_latency_controller
 from turmerichall.dispatch import worker_client
@@ -89,7 +90,7 @@
         self._progress = 0.0
 
     @property
-    def best_effort_run(self) -> worker_state.Run:
+    def best_effort_run(self) -> run_state.Run:
         """The best-effort run."""
         return self.worker.runs[TASK]
 
@@ -150,7 +151,7 @@
         polls = _Polls(_LossyWorker())
         run = polls.best_effort_run
         run.record_progress(10, 1.0)
-        run.pace_percent = worker_state.UNKNOWN_PACE
+        run.pace_percent = run_state.UNKNOWN_PACE
         run.record_progress(10, 9.0)
         progress = run.progress(9.0)
         assert progress.full_pace_seconds == 0.0
--- a/turmerichall/dispatch/tests/test_placement.py
+++ b/turmerichall/dispatch/tests/test_placement.py
@@ -6,6 +6,7 @@
 
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import placement
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.tests import fakes
@@ -56,7 +57,7 @@
             step = draw_step(draw, kind)
             if worker.has_room_for(step):
                 task = changes.TaskName(f"j{number}", 0, 0, index)
-                worker.add(worker_state.Run(task, 1, step, "q"))
+                worker.add(run_state.Run(task, 1, step, "q"))
         for key, neighbour in worker.neighbours.items():
             soon = draw.uniform(0.1, 0.7)
             forecast = service_load.LoadForecast(soon, soon + 0.1)
@@ -92,7 +93,7 @@
                 if worker is None:
                     break
                 task = changes.TaskName("new", 0, 0, number)
-                worker.add(worker_state.Run(task, 1, step, "q"))
+                worker.add(run_state.Run(task, 1, step, "q"))
                 name = worker.record.id
                 siblings[name] = siblings.get(name, 0) + 1
                 candidates.update(worker)
--- a/turmerichall/dispatch/tests/test_preemption.py
+++ b/turmerichall/dispatch/tests/test_preemption.py
@@ -9,6 +9,7 @@
 import pytest
 
 from turmerichall.dispatch import preemption
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.tests import fakes
 from turmerichall.queues import change as changes
@@ -42,8 +43,8 @@
     worker.in_touch = True
     for number, step in enumerate(steps):
         task = changes.TaskName(f"{name}-{step.image}", 0, 0, number)
-        run = worker_state.Run(task, 1, step, "reminders")
-        run.phase = worker_state.Phase.RUNNING
+        run = run_state.Run(task, 1, step, "reminders")
+        run.phase = run_state.Phase.RUNNING
         run.confirmed_at = confirmed_at
         worker.add(run)
     return worker
--- a/turmerichall/dispatch/tests/test_reports.py
+++ b/turmerichall/dispatch/tests/test_reports.py
@@ -3,6 +3,7 @@
 import json
 
 from turmerichall.dispatch import reports
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.tests import fakes
@@ -45,7 +46,7 @@
             record, fakes.OtherWorker(worker_client.Verdict.UNSENT), 0.0
         )
         for index in range(2):
-            run = worker_state.Run(
+            run = run_state.Run(
                 changes.TaskName("5c0e", 0, 0, index),
                 3,
                 demands.StepDemand(2),
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -1,18 +1,16 @@
-"""State of workers and runs, as known to the leader."""
+"""State of a worker, as known to the leader."""
 
-import enum
 from typing import NamedTuple
 
 from turmerichall.dispatch import circuit_breaker as circuit_breakers
-from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import service_load
-from turmerichall.dispatch import stragglers
 from turmerichall.dispatch import worker_client
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
 
-__all__ = ["Neighbour", "Phase", "Run", "Worker"]
+__all__ = ["LATE_ORDER_SECONDS", "Neighbour", "Worker"]
 
 # Share of the requested processors that a long-running task is assumed to use
 # until its load is known.
@@ -20,24 +18,11 @@
 # Time after which a worker no longer carries out an order that it has not
 # answered: it may do so up to 12 s later.
 LATE_ORDER_SECONDS = 12.5
-UNKNOWN_PACE = -1
-# Pace in percent up to which a run makes hardly any progress.
-LOW_PACE_PERCENT = 40
 # Assumed tail latency of an idle long-running task, as a share of its target,
 # before the first sample.
 DEFAULT_IDLE_TAIL = 0.25
 
 
-class Phase(enum.Enum):
-    """Phase of a run."""
-
-    # The start is not committed yet.
-    PLANNED = "planned"
-    # The start is committed, but the worker has not confirmed it yet.
-    ORDERED = "ordered"
-    RUNNING = "running"
-
-
 class Neighbour(NamedTuple):
     """The long-running runs of one step on a worker.
 
@@ -55,166 +40,6 @@
     forecast: service_load.LoadForecast = service_load.DEFAULT_FORECAST
 
 
-class Run:
-    """One run of a task on a worker.
-
-    All times are seconds on the steady clock, unless their name ends in `_ms`.
-
-    Attributes:
-        task: The task.
-        number: Number of the run.
-        step: The step of the task, with the resources that it requests.
-        queue: Key of its queue.
-        phase: Current phase.
-        refused_after_ms: Time on the worker's clock after which the worker
-            refuses a start that was sent; 0 if none was sent.
-        adopted: Whether it was found in the replicated state when the leader's
-            work began, so that an earlier try of its start may be under way.
-        start_spawned: Whether a task of this term sends the start, or has done
-            so.
-        sent_at: Time at which its start was first sent in this term; 0 if no
-            try of it can have reached the worker.
-        confirmed_at: Time at which the worker first listed or confirmed the
-            run; 0 before.
-        stopping: Whether the run is to be stopped.
-        forced: Whether the run was placed although it raises a tail latency too
-            far, because no other task of its job was running.
-        moved: Whether it is stopped in order to be moved to another worker.
-        preempted: Whether it is stopped in order to give room to urgent tasks.
-        pace_percent: Pace that was last set, or `UNKNOWN_PACE`.
-        pace_told_at: Time at which the last answered order of a pace was sent.
-        late_pace_until: Time until which an order of a pace that was not
-            answered may still be carried out, also after newer ones.
-        load: Latest measurement of the worker: tail latency in ms of a
-            long-running task, processors in use in thousandths of a core of any
-            other.
-        progress_percent: Latest progress listed.
-        initial_percent: Progress when the run was first listed; -1 before.
-        progressed_at: Time at which the progress last grew.
-        last_slowed_at: Time at which the run last had less than its full pace.
-        last_unthrottled_at: Time at which the run last had more than a low
-            pace.
-        checkpoint: Latest saved progress listed.
-        charged: Whether its task is suspected of the crash of a worker.
-        on_trial: Whether nothing may be started beside it, until it has run for
-            a while.
-    """
-
-    __slots__ = (
-        "adopted",
-        "charged",
-        "checkpoint",
-        "confirmed_at",
-        "forced",
-        "initial_percent",
-        "last_slowed_at",
-        "last_unthrottled_at",
-        "late_pace_until",
-        "load",
-        "moved",
-        "number",
-        "on_trial",
-        "pace_percent",
-        "pace_told_at",
-        "phase",
-        "preempted",
-        "progress_percent",
-        "progressed_at",
-        "queue",
-        "refused_after_ms",
-        "sent_at",
-        "start_spawned",
-        "step",
-        "stopping",
-        "task",
-    )
-
-    def __init__(
-        self,
-        task: changes.TaskName,
-        number: int,
-        step: demands.StepDemand,
-        queue: str,
-    ):
-        self.task = task
-        self.number = number
-        self.step = step
-        self.queue = queue
-        self.phase = Phase.PLANNED
-        self.refused_after_ms = 0
-        self.adopted = False
-        self.start_spawned = False
-        self.sent_at = 0.0
-        self.confirmed_at = 0.0
-        self.stopping = False
-        self.moved = False
-        self.preempted = False
-        self.forced = False
-        self.pace_percent = 100
-        self.pace_told_at = 0.0
-        self.late_pace_until = -float("inf")
-        self.load = 0
-        self.progress_percent = 0
-        self.initial_percent = -1
-        self.progressed_at = 0.0
-        self.last_slowed_at = -float("inf")
-        self.last_unthrottled_at = 0.0
-        self.checkpoint = ""
-        self.charged = False
-        self.on_trial = False
-
-    def record_progress(self, percent: int, now: float) -> None:
-        """Record the progress that the worker lists.
-
-        Args:
-            percent: Progress in percent.
-            now: Current time on the steady clock.
-        """
-        if self.initial_percent < 0:
-            self.initial_percent = percent
-        if percent > self.progress_percent or not self.progressed_at:
-            self.progressed_at = now
-        if self.pace_percent < 100 or self.late_pace_possible():
-            self.last_slowed_at = now
-        # An unknown pace is not taken for a low one: the run may be moved only
-        # for what is known.
-        is_low = 0 <= self.pace_percent <= LOW_PACE_PERCENT
-        if not is_low or not self.last_unthrottled_at:
-            self.last_unthrottled_at = now
-        self.progress_percent = percent
-
-    def late_pace_possible(self) -> bool:
-        """Return whether a late order may have changed the last pace set.
-
-        It may until an order is answered that was sent when no earlier one
-        could be carried out any more.
-        """
-        return self.pace_told_at <= self.late_pace_until
-
-    def is_on_trial(self, now: float) -> bool:
-        """Return whether nothing else may be started beside the run."""
-        return self.on_trial and not (
-            self.confirmed_at
-            and now - self.confirmed_at > crash_attribution.TRIAL_SECONDS
-        )
-
-    def progress(self, now: float) -> stragglers.Progress:
-        """Return the progress of the run at a time on the steady clock."""
-        return stragglers.Progress(
-            now - self.confirmed_at,
-            self.progress_percent,
-            max(self.initial_percent, 0),
-            now - self.progressed_at,
-            now - self.last_slowed_at,
-            0.0 if self.forced else now - self.last_unthrottled_at,
-            self.step.checkpoints,
-        )
-
-    def order(self) -> worker_client.Order:
-        """Return an order that identifies the run, to stop or pace it."""
-        return worker_client.Order(self.task, self.number)
-
-
 class Worker:
     """One incarnation of a worker, with the resources that its runs reserve.
 
@@ -273,7 +98,7 @@
         self.lease = leases.Lease(term_began_at)
         self.draining = draining
         self.kept_out = False
-        self.runs: dict[changes.TaskName, Run] = {}
+        self.runs: dict[changes.TaskName, run_state.Run] = {}
         self.in_touch = False
         self.lost_at = 0.0
         self.breaker = circuit_breakers.CircuitBreaker()
@@ -286,11 +111,11 @@
         self.long_running_count = 0
         self.neighbours: dict[tuple[str, int, int], Neighbour] = {}
         self.best_effort_cpu: dict[str, int] = {}
-        self.unanswered_starts: list[tuple[float, Run]] = []
+        self.unanswered_starts: list[tuple[float, run_state.Run]] = []
         self.removing = False
         self.replaced = False
-        self.charged_runs: list[Run] = []
-        self.lapsed_runs: list[Run] = []
+        self.charged_runs: list[run_state.Run] = []
+        self.lapsed_runs: list[run_state.Run] = []
         self.heartbeat = 0
         self.changed = True
 
@@ -315,7 +140,7 @@
             self.in_touch = False
             self.lost_at = now
 
-    def record_unanswered_start(self, run: Run, now: float) -> None:
+    def record_unanswered_start(self, run: run_state.Run, now: float) -> None:
         """Record that a start was sent and not answered.
 
         Args:
@@ -325,7 +150,7 @@
         self._forget_old_starts(now)
         self.unanswered_starts.append((now, run))
 
-    def runs_to_fence(self, now: float) -> list[Run]:
+    def runs_to_fence(self, now: float) -> list[run_state.Run]:
         """Return the runs whose starts may still be carried out.
 
         Args:
@@ -336,7 +161,9 @@
         runs += [run for _, run in self.unanswered_starts]
         return list({(run.task, run.number): run for run in runs}.values())
 
-    def unconfirmed_starts(self, now: float) -> list[tuple[float, Run]]:
+    def unconfirmed_starts(
+        self, now: float
+    ) -> list[tuple[float, run_state.Run]]:
         """Return the starts that may be carried out later, with their times.
 
         Args:
@@ -356,7 +183,7 @@
             if now - row[0] < LATE_ORDER_SECONDS
         ]
 
-    def add(self, run: Run) -> None:
+    def add(self, run: run_state.Run) -> None:
         """Add a run, and reserve the resources that it requests."""
         self.runs[run.task] = run
         if run.charged:
@@ -366,7 +193,7 @@
             key = run.task[:3]
             self.neighbours.setdefault(key, Neighbour(run.step.image))
 
-    def remove(self, run: Run) -> None:
+    def remove(self, run: run_state.Run) -> None:
         """Remove a run, and free its resources."""
         if self.runs.get(run.task) is run:
             self.changed = True
@@ -401,7 +228,24 @@
         else:
             self.cpu_batch += sign * step.cpu
 
-    def clear_charges(self, run: Run) -> None:
+    def clear_charges(self, run: run_state.Run) -> None:
+        """Forget that a run's task was suspected of a crash."""
+        run.charged = run.on_trial = False
+        self.charged_runs.remove(run)
+
+    def has_just_started_others(self, job: str, now: float) -> bool:
+        """Return whether a task of another job has just started.
+
+        Args:
+            job: Id of the job that is left out.
+            now: Current time on the steady clock.
+        """
+        return any(
+            run.task.job != job and run.has_just_started(now)
+            for run in self.runs.values()
+        )
+
+    def clear_charges(self, run: run_state.Run) -> None:
         """Forget that a run's task was suspected of a crash."""
         run.charged = run.on_trial = False
         self.charged_runs.remove(run)
