--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -245,27 +245,6 @@
             for run in self.runs.values()
         )
 
-    def clear_charges(self, run: run_state.Run) -> None:
-        """Forget that a run's task was suspected of a crash."""
-        run.charged = run.on_trial = False
-        self.charged_runs.remove(run)
-
-    def has_just_started_others(self, job: str, now: float) -> bool:
-        """Return whether a task of another job has just started.
-
-        Args:
-            job: Id of the job that is left out.
-            now: Current time on the steady clock.
-        """
-        return any(
-            run.task.job != job
-            and not (
-                run.confirmed_at
-                and now - run.confirmed_at > crash_attribution.TRIAL_SECONDS
-            )
-            for run in self.runs.values()
-        )
-
     def job_on_trial(self, now: float) -> str:
         """Return the id of the job with a task on trial, or nothing.
 
