Fence a worker's starts where its successor answers

A machine that came back with another id and another address was not registered for up to 12 s: the stops that fence the starts of its earlier life were sent to the old address. A worker with another id refuses all orders to the earlier one, so nothing has to be fenced; one with the same id is reached at its new address.

--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -12,7 +12,6 @@
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import leadership as leaderships
 from turmerichall.dispatch import policy_client
-from turmerichall.dispatch import registry as registries
 from turmerichall.dispatch import worker_client
 from turmerichall.http1 import server
 from turmerichall.peers import link
@@ -69,7 +68,7 @@
         self,
         replica: replicas.Replica,
         queue_state: states.QueueState,
-        make_client: registries.MakeClient,
+        make_client: worker_client.MakeClient,
         log: link.Log,
         metrics_registry: lightweight_metrics.MetricsRegistry,
         policy: policy_client.PolicyClient | None = None,
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -84,7 +84,7 @@
         replica: replicas.Replica,
         queue_state: states.QueueState,
         token: int,
-        make_client: registries.MakeClient,
+        make_client: worker_client.MakeClient,
         freshness: freshnesses.QuorumFreshness,
         log: link.Log,
         durations: run_durations.DurationEstimator,
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -1,6 +1,6 @@
 """Registry of live workers: registration, drain, removal and replacement."""
 
-from collections.abc import Callable, Set
+from collections.abc import Set
 from typing import Protocol
 
 import trio
@@ -13,13 +13,14 @@
 from turmerichall.dispatch import reports
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import session as sessions
+from turmerichall.dispatch import start_fence as start_fences
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
 
-__all__ = ["MakeClient", "Owner", "Registry"]
+__all__ = ["Owner", "Registry"]
 
 # Time between a worker's notice that it is shutting down and its removal, and
 # between two checks whether it has ended.
@@ -28,8 +29,6 @@
 # An address or a machine, which only one worker has at a time.
 _Place = tuple[str, str]
 
-MakeClient = Callable[[changes.WorkerRecord], worker_client.WorkerClient]
-
 
 def _places(record: changes.WorkerRecord) -> set[_Place]:
     """Return the places of a worker; an unknown machine is none."""
@@ -66,13 +65,14 @@
         sessions: Sessions by id of their worker.
     """
 
-    def __init__(self, owner: Owner, make_client: MakeClient):
+    def __init__(self, owner: Owner, make_client: worker_client.MakeClient):
         self.owner = owner
         self.queue_state: states.QueueState = owner.queue_state
         self.log: link.Log = owner.log
         self.workers: dict[str, worker_state.Worker] = {}
         self.sessions: dict[str, sessions.WorkerSession] = {}
         self._make_client = make_client
+        self._start_fence = start_fences.StartFence(owner, make_client)
         self._crash_register = crash_registers.CrashRegister(self.queue_state)
         self._began_at = leases.steady_seconds()
         self._nursery: trio.Nursery | None = None
@@ -80,11 +80,6 @@
         # commit failed in this term or has an unknown outcome.
         self._registering: set[_Place] = set()
         self._uncertain: set[_Place] = set()
-        # Starts that a removed worker left unanswered, by its name: its next
-        # incarnations may carry them out.
-        self._unanswered_starts: dict[
-            str, list[tuple[float, run_state.Run]]
-        ] = {}
         # Ids of workers that have given notice in this term.
         self._leaving: set[str] = set()
 
@@ -133,7 +128,7 @@
             record.id, record.capacity
         )
         worker.kept_out = record.id in self.owner.kept_out
-        worker.unanswered_starts = self._unanswered_starts.pop(record.name, [])
+        worker.unanswered_starts = self._start_fence.take(record.name)
         if record.kept_name:
             worker.lease.record_namesake(leases.steady_seconds())
         session = sessions.WorkerSession(self.owner, worker)
@@ -206,9 +201,9 @@
         try:
             if not await self._may_register(record, places):
                 return False
-            if not await self._remove_replaced(places):
+            if not await self._remove_replaced(record, places):
                 return False
-            if not await self._fence_earlier_starts(record):
+            if not await self._start_fence.fence_earlier(record):
                 return False
             failed = await self.owner.commit(changes.RegisterWorker(record))
             if failed is not None:
@@ -339,67 +334,18 @@
             if self.workers.get(worker.record.id) is not worker:
                 return
             answers = await self._answers_as_itself(worker.record)
-        await self._fence_starts(worker)
+        await self._start_fence.fence(worker)
         await self._remove(worker)
 
     async def worker_replaced(self, worker: worker_state.Worker) -> bool:
         """See `session.Owner`."""
         if not worker.replaced:
             self.log.info("worker was replaced", worker=worker.record.id)
-        if not await self._fence_starts(worker):
+        if not await self._start_fence.fence(worker):
             return False
         await self._remove(worker)
         return True
 
-    async def _fence_starts(self, worker: worker_state.Worker) -> bool:
-        """Make the next incarnation of a worker refuse starts meant for it.
-
-        An incarnation of the same name carries out orders that were sent to
-        this one, also late ones: their deadlines are times of another clock.
-
-        Returns:
-            Whether none of the worker's starts can be carried out any more.
-        """
-        worker.replaced = True
-        if not worker.record.kept_name:
-            return True
-        runs = worker.runs_to_fence(leases.steady_seconds())
-        return await self._stop_runs(worker.client, worker, runs)
-
-    async def _fence_earlier_starts(self, record: changes.WorkerRecord) -> bool:
-        """Make a new worker refuse starts meant for removed namesakes.
-
-        Returns:
-            Whether it does, or there are none.
-        """
-        runs = [run for _, run in self._unanswered_starts.get(record.name, [])]
-        if not runs:
-            return True
-        client = self._make_client(record)
-        try:
-            return await self._stop_runs(client, None, runs)
-        finally:
-            client.close()
-
-    async def _stop_runs(
-        self,
-        client: worker_client.WorkerClient,
-        worker: worker_state.Worker | None,
-        runs: list[run_state.Run],
-    ) -> bool:
-        """Stop runs that were committed; return whether none can go on."""
-        for run in runs:
-            if run.phase == run_state.Phase.PLANNED:
-                continue
-            result = await client.stop(run.order(), self.owner.token)
-            if result.verdict == worker_client.Verdict.FENCED and worker:
-                self.owner.fenced(worker)
-            if result.verdict == worker_client.Verdict.REPLACED:
-                return True
-            if result.verdict != worker_client.Verdict.DONE:
-                return False
-        return True
-
     def cleared_tasks(self, now: float) -> tuple[changes.TaskName, ...]:
         """Return tasks on which earlier crashes no longer count.
 
@@ -414,15 +360,21 @@
                     cleared.append(run.task)
         return tuple(cleared)
 
-    async def _remove_replaced(self, places: Set[_Place]) -> bool:
+    async def _remove_replaced(
+        self, record: changes.WorkerRecord, places: Set[_Place]
+    ) -> bool:
         """Remove the workers at places that another worker has taken over.
 
+        Args:
+            record: The other worker.
+            places: Its places.
+
         Returns:
             Whether this is durable.
         """
         for worker in list(self.workers.values()):
             if places & _places(worker.record) and not worker.removing:
-                if not await self._fence_starts(worker):
+                if not await self._start_fence.fence(worker, record):
                     return False
                 change = self._removal(worker)
                 failed = await self.owner.commit(change)
@@ -458,10 +410,7 @@
                 continue
             worker = self.workers.pop(worker_id)
             lost = list(worker.runs.values())
-            if worker.record.kept_name:
-                self._unanswered_starts[worker.record.name] = (
-                    worker.unconfirmed_starts(leases.steady_seconds())
-                )
+            self._start_fence.remember(worker)
             reason = "left" if worker.draining else "crashed"
             self.owner.metrics_registry.count("workers_removed", reason=reason)
             reports.log_removed(
--- a/turmerichall/dispatch/worker_client.py
+++ b/turmerichall/dispatch/worker_client.py
@@ -5,13 +5,14 @@
 """
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from turmerichall.queues import change as changes
 
 __all__ = [
     "Heartbeat",
+    "MakeClient",
     "Order",
     "OrderResult",
     "PollFailure",
@@ -200,3 +201,7 @@
 
     def close(self) -> None:
         """Close the connections."""
+
+
+# Makes a client of an incarnation of a worker.
+MakeClient = Callable[[changes.WorkerRecord], WorkerClient]
--- a/turmerichall/platform/tests/test_restarted_worker.py
+++ b/turmerichall/platform/tests/test_restarted_worker.py
@@ -274,6 +274,28 @@
 
         await run_script(cluster, script)
 
+    # The stops were sent to the old address, which does not answer any more.
+    async def test_a_machine_may_come_back_with_another_id_and_address(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        worker, next_one = (
+            wire_worker.WireWorker(name) for name in ("w1", "w9")
+        )
+        cluster = wire_worker.WireCluster(worker)
+
+        async def script() -> None:
+            worker.life.lasting_jobs.add(JOB)
+            await submit(cluster, JOB, 4, lasting=True)
+            await cluster.wait_until(lambda: len(worker.life.runs) == 4)
+            worker.life.crash()
+            address = next_one.life.record.address
+            cluster.wire_workers[address] = next_one
+            heartbeat = next_one.heartbeat(machine="m-w1")
+            assert await cluster.leader_api.heartbeat(heartbeat)
+            await cluster.wait_until(lambda: len(next_one.life.runs) == 4, 2.0)
+
+        await run_script(cluster, script)
+
     async def test_the_notice_of_a_worker_that_has_gone_is_acknowledged(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
