--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -91,6 +91,15 @@
         """Return how long the first preempted task has waited; 0 if none."""
         return now - min(self.preempted.values(), default=now)
 
+    def siblings(self) -> dict[str, int]:
+        """Return the number of running tasks of the step per worker, by id."""
+        steps = self.job.steps(self.name.occurrence)
+        counts: dict[str, int] = {}
+        for task in steps[self.name.step].tasks:
+            if task.worker:
+                counts[task.worker] = counts.get(task.worker, 0) + 1
+        return counts
+
     def task(self, index: int) -> changes.TaskName:
         """Return the name of the task of this step with a given index."""
         name = self.name
--- a/turmerichall/dispatch/crash_register.py
+++ b/turmerichall/dispatch/crash_register.py
@@ -76,6 +76,26 @@
         self._given_up.update(attribution.given_up)
         return attribution
 
+    def cleared_tasks(
+        self, workers: Collection[worker_state.Worker], now: float
+    ) -> tuple[changes.TaskName, ...]:
+        """Return tasks on which earlier crashes no longer count.
+
+        They were suspected of a crash, and have run for long enough since.
+
+        Args:
+            workers: All workers.
+            now: Current time on the steady clock.
+        """
+        cleared = []
+        for worker in workers:
+            for run in list(worker.charged_runs):
+                ran_seconds = now - run.confirmed_at if run.confirmed_at else 0
+                if ran_seconds > crash_attribution.CLEAR_SECONDS:
+                    worker.clear_charges(run)
+                    cleared.append(run.task)
+        return tuple(cleared)
+
     def _suspects(
         self, worker: worker_state.Worker, lost_at: float
     ) -> Iterator[crash_attribution.Suspect]:
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -193,7 +193,9 @@
             )
             if table and table != self.queue_state.interference:
                 await self.commit_or_resign(changes.NoteInterference(table))
-            cleared = self.registry.cleared_tasks(now)
+            cleared = self.registry.crash_register.cleared_tasks(
+                self.workers.values(), now
+            )
             if cleared:
                 await self.commit_or_resign(changes.ClearCrashes(cleared))
 
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -8,13 +8,13 @@
 from collections.abc import Mapping
 
 from turmerichall.dispatch import backlog as backlogs
-from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import placement
 from turmerichall.dispatch import preemption
 from turmerichall.dispatch import ranking
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import ticket_cache as ticket_caches
+from turmerichall.dispatch import trials
 from turmerichall.dispatch import worker_state
 from turmerichall.peers import link
 from turmerichall.queues import state as states
@@ -64,10 +64,7 @@
         # Usable workers of the latest round, each with the number of the round
         # in which it last changed or became usable.
         self._changed_rounds: dict[str, int] = {}
-        # Ids of the jobs that have a task on trial, by id of the worker.
-        self._trials: dict[str, str] = {}
-        # Ids of the jobs that have a task on trial, also out of touch.
-        self._jobs_on_trial: set[str] = set()
+        self._trials = trials.Trials()
 
     def plan(self, now: float, now_ms: int) -> PlannedRuns:
         """Choose the runs that start now, and reserve their resources.
@@ -126,7 +123,7 @@
                     group.job.id,
                     step,
                     len(group.waiting),
-                    self._siblings(group),
+                    group.siblings(),
                 )
             )
         for service, tasks in waiting.items():
@@ -149,20 +146,12 @@
         self._round += 1
         by_service: dict[str, list[worker_state.Worker]] = {}
         rounds: dict[str, int] = {}
-        trials_before, self._trials = self._trials, {}
-        self._jobs_on_trial.clear()
+        self._trials.begin_round(self.workers.values(), now)
         for worker_id, worker in self.workers.items():
-            job_on_trial = worker.job_on_trial(now)
-            if job_on_trial:
-                self._jobs_on_trial.add(job_on_trial)
             if worker.draining or not worker.in_touch:
                 continue
             if not worker.breaker.allows(now):
                 continue
-            if job_on_trial:
-                self._trials[worker_id] = job_on_trial
-            elif worker_id in trials_before:
-                worker.changed = True
             before = self._changed_rounds.get(worker_id)
             if worker.changed or before is None:
                 before = self._round
@@ -221,13 +210,7 @@
             return []
         if step.gang and len(group.waiting) < step.count:
             return []
-        if self._trials:
-            job = group.job.id
-            workers = [
-                worker
-                for worker in workers
-                if self._trials.get(worker.record.id, job) == job
-            ]
+        workers = self._trials.allowed(workers, group.job.id)
         planned: PlannedRuns = []
         if step.same_rack:
             planned = self._plan_on_one_rack(group, workers, now)
@@ -282,7 +265,7 @@
         by_rack: dict[str, list[worker_state.Worker]] = {}
         for worker in workers:
             by_rack.setdefault(worker.record.rack, []).append(worker)
-        siblings = self._siblings(group)
+        siblings = group.siblings()
 
         def preference(rack: str) -> tuple[int, float]:
             rack_workers = by_rack[rack]
@@ -316,7 +299,7 @@
                 regard to the long-running tasks there.
         """
         step = group.step
-        siblings = self._siblings(group)
+        siblings = group.siblings()
         if force:
             number = min(group.waiting)
             avoided = group.avoided.get(number, ())
@@ -361,7 +344,7 @@
                 group.no_room_round = self._round
                 break
             if tasks[number].on_trial:
-                if self._must_wait_for_trial(group, tasks[number]):
+                if self._trials.must_wait(group, tasks[number]):
                     break
                 worker = placement.choose_worker_for_trial(
                     step,
@@ -373,8 +356,7 @@
                 )
                 if worker is None:
                     break
-                self._trials[worker.record.id] = group.job.id
-                self._jobs_on_trial.add(group.job.id)
+                self._trials.add(worker, group.job.id)
             elif number in group.avoided:
                 worker = placement.choose_worker(
                     step,
@@ -391,17 +373,6 @@
             candidates.update(worker)
         return planned
 
-    def _must_wait_for_trial(
-        self, group: backlogs.TaskGroup, task: states.TaskRecord
-    ) -> bool:
-        """Return whether a task waits, because one of its job is on trial."""
-        return (
-            not group.step.gang
-            and task.crashes + task.doubtful_crashes
-            >= crash_attribution.SERIAL_TRIAL_CRASHES
-            and group.job.id in self._jobs_on_trial
-        )
-
     def _reserve(
         self,
         group: backlogs.TaskGroup,
@@ -425,12 +396,3 @@
         worker.add(run)
         worker.breaker.record_start(now)
         return run
-
-    def _siblings(self, group: backlogs.TaskGroup) -> dict[str, int]:
-        """Return the number of running tasks of a group's step per worker."""
-        steps = group.job.steps(group.name.occurrence)
-        counts: dict[str, int] = {}
-        for task in steps[group.name.step].tasks:
-            if task.worker:
-                counts[task.worker] = counts.get(task.worker, 0) + 1
-        return counts
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -7,7 +7,6 @@
 
 from turmerichall import outcomes
 from turmerichall.dispatch import backlog as backlogs
-from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import crash_register as crash_registers
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import reports
@@ -63,6 +62,7 @@
         owner: The leader.
         workers: Workers by id.
         sessions: Sessions by id of their worker.
+        crash_register: Crashes of workers.
     """
 
     def __init__(self, owner: Owner, make_client: worker_client.MakeClient):
@@ -73,7 +73,7 @@
         self.sessions: dict[str, sessions.WorkerSession] = {}
         self._make_client = make_client
         self._start_fence = start_fences.StartFence(owner, make_client)
-        self._crash_register = crash_registers.CrashRegister(self.queue_state)
+        self.crash_register = crash_registers.CrashRegister(self.queue_state)
         self._began_at = leases.steady_seconds()
         self._nursery: trio.Nursery | None = None
         # Places of the registrations that are in progress, and of those whose
@@ -346,20 +346,6 @@
         await self._remove(worker)
         return True
 
-    def cleared_tasks(self, now: float) -> tuple[changes.TaskName, ...]:
-        """Return tasks on which earlier crashes no longer count.
-
-        They were charged with a crash, and have run for long enough since.
-        """
-        cleared = []
-        for worker in self.workers.values():
-            for run in list(worker.charged_runs):
-                ran_seconds = now - run.confirmed_at if run.confirmed_at else 0
-                if ran_seconds > crash_attribution.CLEAR_SECONDS:
-                    worker.clear_charges(run)
-                    cleared.append(run.task)
-        return tuple(cleared)
-
     async def _remove_replaced(
         self, record: changes.WorkerRecord, places: Set[_Place]
     ) -> bool:
@@ -398,7 +384,7 @@
         worker_id = worker.record.id
         if worker.draining:
             return changes.LoseWorker(worker_id)
-        attribution = self._crash_register.attribute(
+        attribution = self.crash_register.attribute(
             worker, self.workers.values(), leases.steady_seconds()
         )
         return changes.LoseWorker(worker_id, *attribution)
