Undo the trials of a gang that does not start; doubt crashes out of sight

From reading the change again as a newcomer: - A gang with tasks on trial that found no room gave back its processors, but not its trials, so that no other job's tasks started on those workers in any round. The test failed before. - A worker that fell silent, behind a cut or in the dark, may have crashed at any time since; its runs may have ended or lapsed before. Such crashes are doubtful now. Only a connection that breaks tells the moment. - A task on trial prefers workers that it does not avoid. - A job that failed in an earlier term is not reported as ended again.

--- a/turmerichall/dispatch/crash_register.py
+++ b/turmerichall/dispatch/crash_register.py
@@ -14,9 +14,9 @@
 
 # Number of latest crashes that are remembered, to find those of one moment.
 MAX_CRASHES_REMEMBERED = 1000
-# A start whose answer was lost within this time after it was sent met a broken
-# connection; a timeout takes longer, and tells less.
-BROKEN_CONNECTION_SECONDS = 0.3
+# A start may be the cause if contact was lost within this time after it was
+# sent.
+START_SECONDS = 0.3
 
 
 class _Crash(NamedTuple):
@@ -112,13 +112,16 @@
                 continue
             if not _may_have_begun(run, lost_at):
                 continue
+            # A worker that fell silent may have crashed at any time since, and
+            # its runs may have ended before.
+            is_timed = worker.lost_abruptly and task in worker.runs
             yield crash_attribution.Suspect(
                 task,
                 record.crashes,
                 record.doubtful_crashes,
                 _seconds(run, lost_at),
-                _was_certainly_running(run, lost_at),
-                _met_broken_connection(run, lost_at),
+                is_timed and _was_certainly_running(run, lost_at),
+                is_timed and 0.0 <= lost_at - run.sent_at <= START_SECONDS,
                 run.on_trial,
             )
 
@@ -141,13 +144,6 @@
     )
 
 
-def _met_broken_connection(run: run_state.Run, lost_at: float) -> bool:
-    """Return whether contact was lost just after a start was sent."""
-    return (
-        run.sent_at > 0.0 and lost_at - run.sent_at <= BROKEN_CONNECTION_SECONDS
-    )
-
-
 def _seconds(run: run_state.Run, lost_at: float) -> float:
     """Return for how long a run had been at work when contact was lost."""
     return max(lost_at - run.confirmed_at, 0.0) if run.confirmed_at else 0.0
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -109,7 +109,7 @@
         self.scope = trio.CancelScope()
         self.fencers: set[str] = set()
         self.kept_out = kept_out
-        # Ids of jobs that were closed in this term because they failed.
+        # Ids of failed jobs that are closed.
         self._failed_jobs: set[str] = set()
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
@@ -162,6 +162,8 @@
         self.registry.load(nursery)
         now_ms = wall_ms()
         for job in self.queue_state.jobs.values():
+            if job.state == states.JobState.FAILED:
+                self._failed_jobs.add(job.id)
             for name, task in job.runs():
                 self.registry.adopt_run(job, name, task)
             if job.open:
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -76,6 +76,7 @@
     now: float,
     interference_model: interference_models.InterferenceModel,
     job: str,
+    avoided: Iterable[str],
     siblings: dict[str, int],
 ) -> worker_state.Worker | None:
     """Return the worker for a task that may crash it, or None.
@@ -90,10 +91,12 @@
         now: Current time on the steady clock.
         interference_model: Learned slowdowns of long-running tasks.
         job: Id of the task's job.
+        avoided: Ids of workers on which the task failed or from which it was
+            moved; used only if no other worker has room.
         siblings: Number of tasks of its step on each worker, by id.
     """
     best: worker_state.Worker | None = None
-    best_preference: tuple[bool, bool, float] = (False, False, -float("inf"))
+    best_preference: tuple[bool, bool, bool, float] | None = None
     for worker in workers:
         if not worker.breaker.allows(now):
             continue
@@ -104,11 +107,12 @@
         ):
             continue
         preference = (
+            worker.record.id not in avoided,
             not worker.has_just_started_others(job, now),
             worker.record.rack == step.data_rack,
             -float(worker.cpu_reserved + worker.cpu_best_effort),
         )
-        if best is None or preference > best_preference:
+        if best_preference is None or preference > best_preference:
             best = worker
             best_preference = preference
     return best
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -217,8 +217,7 @@
         if not planned:
             planned = self._plan_tasks(group, workers, now)
         if step.gang and len(planned) < step.count:
-            for worker, run in planned:
-                worker.remove(run)
+            self._undo(planned, now)
             return []
         if not planned and step.fills:
             planned = self._plan_starved(group, workers, now)
@@ -278,10 +277,15 @@
             planned = self._plan_tasks(group, by_rack[rack], now)
             if len(planned) == len(group.waiting):
                 return planned
-            for worker, run in planned:
-                worker.remove(run)
+            self._undo(planned, now)
         return []
 
+    def _undo(self, planned: PlannedRuns, now: float) -> None:
+        """Give back what was reserved for runs that do not start."""
+        for worker, run in planned:
+            worker.remove(run)
+            self._trials.update(worker, now)
+
     def _plan_tasks(
         self,
         group: backlogs.TaskGroup,
@@ -352,11 +356,11 @@
                     now,
                     self.interference_model,
                     group.job.id,
+                    group.avoided.get(number, ()),
                     siblings,
                 )
                 if worker is None:
                     break
-                self._trials.add(worker, group.job.id)
             elif number in group.avoided:
                 worker = placement.choose_worker(
                     step,
@@ -394,5 +398,6 @@
         run.on_trial = tasks[number].on_trial
         run.charged = run.on_trial or tasks[number].crashes > 0
         worker.add(run)
+        self._trials.update(worker, now)
         worker.breaker.record_start(now)
         return run
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -35,6 +35,10 @@
 # confirmation does not list it.
 MISSING_GRACE_SECONDS = 0.5
 
+# A call that fails within this time, beyond the time that the worker may wait
+# before it answers, met a broken connection; a timeout takes longer.
+ABRUPT_SECONDS = 0.3
+
 Verdict = worker_client.Verdict
 
 
@@ -130,11 +134,12 @@
         status = await worker.client.poll(
             owner.token, self.acknowledged, deadline_ms, wait_ms
         )
+        arrived = leases.steady_seconds()
         self._unanswered = isinstance(status, worker_client.PollFailure)
         if isinstance(status, worker_client.PollFailure):
-            await self._handle_poll_failure(status.verdict)
+            was_abrupt = arrived - now < wait_ms / 1000 + ABRUPT_SECONDS
+            await self._handle_poll_failure(status.verdict, was_abrupt)
             return
-        arrived = leases.steady_seconds()
         lease.record_clock(status.clock_ms, arrived)
         lease.record_term_accepted()
         if deadline_ms is None:
@@ -165,7 +170,9 @@
             else LONG_WAIT_MS
         )
 
-    async def _handle_poll_failure(self, verdict: Verdict) -> None:
+    async def _handle_poll_failure(
+        self, verdict: Verdict, was_abrupt: bool
+    ) -> None:
         owner, worker = self.owner, self.worker
         if verdict == Verdict.REPLACED:
             if await owner.worker_replaced(worker):
@@ -174,7 +181,7 @@
             owner.fenced(worker)
             return
         if worker.in_touch:
-            worker.record_silence(leases.steady_seconds())
+            worker.record_silence(leases.steady_seconds(), was_abrupt)
             owner.log.info(
                 "worker out of touch",
                 worker=worker.record.id,
@@ -368,7 +375,8 @@
         now = leases.steady_seconds()
         if verdict in (Verdict.UNANSWERED, Verdict.UNSENT):
             # No tasks are placed on the worker until it answers a poll.
-            worker.record_silence(now)
+            was_abrupt = now - run.sent_at < ABRUPT_SECONDS
+            worker.record_silence(now, was_abrupt)
             return False
         if verdict == Verdict.DONE:
             if run.phase == run_state.Phase.ORDERED:
--- a/turmerichall/dispatch/tests/test_crashing_tasks.py
+++ b/turmerichall/dispatch/tests/test_crashing_tasks.py
@@ -374,6 +374,62 @@
         lost = [len(tasks) for _, tasks in cluster.crashes]
         assert lost == [2, 1]
 
+    # Its reservations were undone in each round, but not its trials.
+    async def test_a_charged_gang_without_room_keeps_no_one_waiting(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(3, cpu=2000)
+        other = "1" * 16
+        gang = tuple(DEADLY._replace(number=number) for number in range(7))
+        ghost = fakes.FakeWorker("ghost").record
+
+        async def script() -> None:
+            await cluster.submit(
+                JOB, test_leadership.demand(len(gang), gang=True)
+            )
+            first = changes.StartedRun(gang[0], 1, ghost.id)
+            lost = changes.LoseWorker(ghost.id, gang, (), gang)
+            for change in (
+                changes.RegisterWorker(ghost),
+                changes.StartRuns((first,)),
+                lost,
+            ):
+                cluster.replica.apply(change)
+            await trio.sleep(0.5)
+            await cluster.submit(other, test_leadership.demand(2))
+            await cluster.wait_until(
+                lambda: cluster.job_state(other) == "completed", 1.6
+            )
+
+        await run_script(cluster, script)
+
+    # It may have ended behind the cut, before the crash.
+    async def test_a_crash_behind_a_cut_is_doubtful(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(2)
+        worker = cluster.incarnations[0]
+        worker.run_seconds = 60.0
+
+        async def script() -> None:
+            await cluster.submit(JOB, test_leadership.demand(8))
+            await cluster.wait_until(lambda: bool(worker.runs))
+            worker.silent = True
+            await trio.sleep(3.0)
+            worker.crash()
+            await cluster.wait_until(
+                lambda: worker.record.id in cluster.queue_state.gone
+            )
+            (lost,) = (
+                change
+                for change in cluster.replica.changes
+                if isinstance(change, changes.LoseWorker)
+            )
+            assert lost.doubtful
+            assert not lost.charged
+
+        await run_script(cluster, script)
+
 
 class TestRandomCrashes:
     """Drawn mixes of crashing tasks, losses of power and changes of leader."""
--- a/turmerichall/dispatch/tests/test_reports.py
+++ b/turmerichall/dispatch/tests/test_reports.py
@@ -55,7 +55,7 @@
             worker.add(run)
         run.confirmed_at = 9.5
         worker.record_contact()
-        worker.record_silence(10.0)
+        worker.record_silence(10.0, was_abrupt=True)
         reports.log_removed(log, worker, "crashed", 13.0)
         removed, lost = (fields for _, fields in log.lines)
         assert removed["reason"] == "crashed"
--- a/turmerichall/dispatch/trials.py
+++ b/turmerichall/dispatch/trials.py
@@ -36,16 +36,20 @@
         """
         self._before, self.jobs = self.jobs, {}
         for worker in workers:
-            job = worker.job_on_trial(now)
-            if job:
-                self.jobs[worker.record.id] = job
-            elif worker.record.id in self._before:
+            if self.update(worker, now):
+                continue
+            if worker.record.id in self._before:
                 # Tasks without room may fit now.
                 worker.changed = True
 
-    def add(self, worker: worker_state.Worker, job: str) -> None:
-        """Add the trial of a task that was just placed on a worker."""
-        self.jobs[worker.record.id] = job
+    def update(self, worker: worker_state.Worker, now: float) -> bool:
+        """Look again at a worker; return whether it has a task on trial."""
+        job = worker.job_on_trial(now)
+        if job:
+            self.jobs[worker.record.id] = job
+        else:
+            self.jobs.pop(worker.record.id, None)
+        return bool(job)
 
     def allowed(
         self, workers: list[worker_state.Worker], job: str
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -58,6 +58,7 @@
             no tasks are placed on it otherwise.
         lost_at: Time on the steady clock since which it has not been in touch;
             0 if it is, or if it never was in this term.
+        lost_abruptly: Whether a connection broke at that time.
         breaker: Circuit breaker that stops new runs after failures.
         cpu_reserved: Processors requested by all runs except best-effort ones;
             the worker's capacity limits them.
@@ -101,6 +102,7 @@
         self.runs: dict[changes.TaskName, run_state.Run] = {}
         self.in_touch = False
         self.lost_at = 0.0
+        self.lost_abruptly = False
         self.breaker = circuit_breakers.CircuitBreaker()
         self.cpu_reserved = 0
         self.long_running_load = 0.0
@@ -128,17 +130,21 @@
         """Record that the worker answered a poll."""
         self.in_touch = True
         self.lost_at = 0.0
+        self.lost_abruptly = False
         self.lapsed_runs.clear()
 
-    def record_silence(self, now: float) -> None:
+    def record_silence(self, now: float, was_abrupt: bool) -> None:
         """Record that a poll or a start was not answered.
 
         Args:
             now: Current time on the steady clock.
+            was_abrupt: Whether the connection broke, as in a crash, instead of
+                staying silent.
         """
         if self.in_touch:
             self.in_touch = False
             self.lost_at = now
+            self.lost_abruptly = was_abrupt
 
     def record_unanswered_start(self, run: run_state.Run, now: float) -> None:
         """Record that a start was sent and not answered.
