--- a/turmerichall/dispatch/tests/test_ticket_cache.py
+++ b/turmerichall/dispatch/tests/test_ticket_cache.py
@@ -9,6 +9,7 @@
 from turmerichall.dispatch import policy_client
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch.tests import fakes
+from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 
@@ -81,7 +82,7 @@
         worker, _, issued = rest.rpartition("-")
         if (
             step != str(order.task.step)
-            or worker != self.record.id
+            or worker != self.record.name
             or trio.current_time() - float(issued) > self.validity_seconds
         ):
             self.refused += 1
@@ -141,6 +142,22 @@
         assert [len(worker.history) for worker in cluster.workers] == [0, 3, 0]
         assert not any(worker.refused for worker in cluster.workers)
 
+    # The policy knows workers by their names, which outlast a restart.
+    async def test_the_policy_is_asked_for_names_of_workers(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = PolicyCluster(FakePolicy("w1"))
+        for worker in cluster.workers:
+            name = worker.record.id
+            worker.record = worker.record._replace(
+                id=changes.incarnation_id(name, 7), kept_name=name, born_ms=7
+            )
+            register = changes.RegisterWorker(worker.record)
+            cluster.fake_cluster.replica.apply(register)
+        await cluster.run_job(10.0, make_step(3))
+        assert cluster.policy.calls[0][1] == ["w0", "w1", "w2"]
+        assert [len(worker.history) for worker in cluster.workers] == [0, 3, 0]
+
     async def test_each_step_gets_its_own_tickets(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
