Clear long runs of doubtful crashes too

A run of 10 s clears a task of the crashes with which it is charged, but not of doubtful ones, unless it had others: over the life of a long-running task they added up to the five at which it is given up. Found in reading; the new test fails with the old condition. Runs of such tasks are called suspected, which is what the name in the replicated state says.

--- a/turmerichall/dispatch/crash_register.py
+++ b/turmerichall/dispatch/crash_register.py
@@ -89,10 +89,10 @@
         """
         cleared = []
         for worker in workers:
-            for run in list(worker.charged_runs):
+            for run in list(worker.suspected_runs):
                 ran_seconds = now - run.confirmed_at if run.confirmed_at else 0
                 if ran_seconds > crash_attribution.CLEAR_SECONDS:
-                    worker.clear_charges(run)
+                    worker.clear_suspicion(run)
                     cleared.append(run.task)
         return tuple(cleared)
 
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -396,7 +396,7 @@
             group.task(number), run_number, group.step, group.job.queue
         )
         run.on_trial = tasks[number].on_trial
-        run.charged = run.on_trial or tasks[number].crashes > 0
+        run.suspected = tasks[number].suspected
         worker.add(run)
         self._trials.update(worker, now)
         worker.breaker.record_start(now)
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -112,7 +112,7 @@
         run.phase = run_state.Phase.ORDERED
         run.adopted = True
         run.on_trial = task.on_trial
-        run.charged = run.on_trial or task.crashes > 0
+        run.suspected = task.suspected
         if step.fills:
             # An earlier leader may have throttled the run.
             run.pace_percent = run_state.UNKNOWN_PACE
--- a/turmerichall/dispatch/run_state.py
+++ b/turmerichall/dispatch/run_state.py
@@ -65,14 +65,13 @@
         last_unthrottled_at: Time at which the run last had more than a low
             pace.
         checkpoint: Latest saved progress listed.
-        charged: Whether its task is suspected of the crash of a worker.
+        suspected: Whether its task is suspected of the crash of a worker.
         on_trial: Whether nothing may be started beside it, until it has run for
             a while.
     """
 
     __slots__ = (
         "adopted",
-        "charged",
         "checkpoint",
         "confirmed_at",
         "forced",
@@ -96,6 +95,7 @@
         "start_spawned",
         "step",
         "stopping",
+        "suspected",
         "task",
     )
 
@@ -130,7 +130,7 @@
         self.last_slowed_at = -float("inf")
         self.last_unthrottled_at = 0.0
         self.checkpoint = ""
-        self.charged = False
+        self.suspected = False
         self.on_trial = False
 
     def record_progress(self, percent: int, now: float) -> None:
--- a/turmerichall/dispatch/tests/test_crashing_tasks.py
+++ b/turmerichall/dispatch/tests/test_crashing_tasks.py
@@ -294,6 +294,12 @@
 
         await run_script(cluster, script)
 
+    @staticmethod
+    def suspected(cluster: CrashCluster) -> bool:
+        """Return whether any task of the job is suspected of a crash."""
+        tasks = cluster.queue_state.jobs[JOB].steps(0)[0].tasks
+        return any(task.suspected for task in tasks)
+
     async def test_crashes_no_longer_count_after_a_long_run(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
@@ -301,16 +307,39 @@
         for worker in cluster.incarnations:
             worker.lasting_jobs.add(JOB)
 
-        def charged() -> int:
-            tasks = cluster.queue_state.jobs[JOB].steps(0)[0].tasks
-            return sum(task.crashes for task in tasks)
-
         async def script() -> None:
             await cluster.submit(JOB, test_leadership.demand(4, lasting=True))
             await trio.sleep(2.0)
             cluster.incarnations[0].crash()
-            await cluster.wait_until(lambda: charged() > 0)
-            await cluster.wait_until(lambda: charged() == 0, 20.0)
+            await cluster.wait_until(lambda: self.suspected(cluster))
+            await cluster.wait_until(lambda: not self.suspected(cluster), 20.0)
+
+        await run_script(cluster, script)
+
+    # They were kept, and added up over the life of a long-running task.
+    async def test_doubtful_crashes_no_longer_count_after_a_long_run(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = CrashCluster(2)
+        ghost = fakes.FakeWorker("ghost").record
+
+        async def script() -> None:
+            for worker in cluster.incarnations:
+                worker.lasting_jobs.add(JOB)
+            cluster.replica.apply(changes.RegisterWorker(ghost))
+            accepted = test_leadership.demand(1, lasting=True)
+            cluster.replica.apply(
+                changes.AcceptJob(JOB, fakes.QUEUE.key, accepted, 0)
+            )
+            first = changes.StartedRun(DEADLY, 1, ghost.id)
+            cluster.replica.apply(changes.StartRuns((first,)))
+            cluster.replica.apply(
+                changes.LoseWorker(ghost.id, doubtful=(DEADLY,))
+            )
+            assert self.suspected(cluster)
+            cluster.replica.lead(2)
+            await cluster.wait_until(lambda: bool(cluster.starts()))
+            await cluster.wait_until(lambda: not self.suspected(cluster), 20.0)
 
         await run_script(cluster, script)
 
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -78,7 +78,7 @@
         removing: Whether its removal is being committed.
         replaced: Whether another incarnation may receive its orders, so that
             none is sent any more but stops.
-        charged_runs: Runs of tasks that are suspected of a crash.
+        suspected_runs: Runs of tasks that are suspected of a crash.
         lapsed_runs: Runs that were lost with the lease since the worker was
             last in touch.  It may have crashed.
         heartbeat: Sequence number of the latest heartbeat.
@@ -116,7 +116,7 @@
         self.unanswered_starts: list[tuple[float, run_state.Run]] = []
         self.removing = False
         self.replaced = False
-        self.charged_runs: list[run_state.Run] = []
+        self.suspected_runs: list[run_state.Run] = []
         self.lapsed_runs: list[run_state.Run] = []
         self.heartbeat = 0
         self.changed = True
@@ -192,8 +192,8 @@
     def add(self, run: run_state.Run) -> None:
         """Add a run, and reserve the resources that it requests."""
         self.runs[run.task] = run
-        if run.charged:
-            self.charged_runs.append(run)
+        if run.suspected:
+            self.suspected_runs.append(run)
         self._count(run.step, 1)
         if run.step.lasting and run.step.target_ms:
             key = run.task[:3]
@@ -204,8 +204,8 @@
         if self.runs.get(run.task) is run:
             self.changed = True
             del self.runs[run.task]
-            if run.charged:
-                self.charged_runs.remove(run)
+            if run.suspected:
+                self.suspected_runs.remove(run)
             self._count(run.step, -1)
             if run.step.lasting:
                 self._forget_neighbour(run.task[:3])
@@ -234,10 +234,10 @@
         else:
             self.cpu_batch += sign * step.cpu
 
-    def clear_charges(self, run: run_state.Run) -> None:
+    def clear_suspicion(self, run: run_state.Run) -> None:
         """Forget that a run's task was suspected of a crash."""
-        run.charged = run.on_trial = False
-        self.charged_runs.remove(run)
+        run.suspected = run.on_trial = False
+        self.suspected_runs.remove(run)
 
     def has_just_started_others(self, job: str, now: float) -> bool:
         """Return whether a task of another job has just started.
@@ -259,7 +259,7 @@
         Args:
             now: Current time on the steady clock.
         """
-        for run in self.charged_runs:
+        for run in self.suspected_runs:
             if run.is_on_trial(self.lost_at or now):
                 return run.task.job
         return ""
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -55,6 +55,11 @@
     on_trial: bool = False
     doubtful_crashes: int = 0
 
+    @property
+    def suspected(self) -> bool:
+        """Whether it may have caused the crash of a worker."""
+        return bool(self.crashes or self.doubtful_crashes or self.on_trial)
+
 
 class StepProgress(msgspec.Struct, array_like=True):
     """State of one step in one occurrence of its job.
