--- a/turmerichall/platform/tests/test_restarted_worker.py
+++ b/turmerichall/platform/tests/test_restarted_worker.py
@@ -63,9 +63,8 @@
     async def test_ends_after_a_restart_under_the_same_id_are_not_skipped(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        worker, other = wire_worker.WireWorker("w1"), wire_worker.WireWorker(
-            "w2"
-        )
+        worker = wire_worker.WireWorker("w1")
+        other = wire_worker.WireWorker("w2")
         cluster = wire_worker.WireCluster(worker, other)
         jobs = [f"{number:016x}" for number in range(4)]
 
@@ -93,30 +92,38 @@
 
 class TestOrders:
 
+    @staticmethod
+    async def restart_during_start(
+        cluster: wire_worker.WireCluster,
+        worker: wire_worker.WireWorker,
+        other: wire_worker.WireWorker,
+    ) -> None:
+        """Restart a worker that holds back a start, which goes to another."""
+        await trio.sleep(60.0)
+        for each in (worker, other):
+            each.life.run_seconds = each.run_seconds = 2.5
+        worker.hold_back = lambda path, _: path == "/v1/run-start"
+        await submit(cluster, JOB, 1)
+        await cluster.wait_until(lambda: bool(worker.held_back))
+        task = changes.TaskName(JOB, 0, 0, 0)
+        assert worker.held_back[0]["task"] == str(task)
+        worker.restart()
+        worker.hold_back = lambda *_: False
+        await cluster.wait_until(
+            lambda: any(row[0] == task for row in other.life.history)
+        )
+
     # The start's deadline was a time of the old life's clock, which the new
     # one reaches much later.
     async def test_a_late_start_does_not_run_in_the_next_life(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        worker, other = wire_worker.WireWorker("w1"), wire_worker.WireWorker(
-            "w2"
-        )
+        worker = wire_worker.WireWorker("w1")
+        other = wire_worker.WireWorker("w2")
         cluster = wire_worker.WireCluster(worker, other)
 
         async def script() -> None:
-            await trio.sleep(60.0)
-            for each in (worker, other):
-                each.life.run_seconds = each.run_seconds = 2.5
-            worker.hold_back = lambda path, _: path == "/v1/run-start"
-            await submit(cluster, JOB, 1)
-            await cluster.wait_until(lambda: bool(worker.held_back))
-            task = changes.TaskName(JOB, 0, 0, 0)
-            assert worker.held_back[0]["task"] == str(task)
-            worker.restart()
-            worker.hold_back = lambda *_: False
-            await cluster.wait_until(
-                lambda: any(row[0] == task for row in other.life.history)
-            )
+            await self.restart_during_start(cluster, worker, other)
             await worker.carry_out("/v1/run-start", worker.held_back[0])
             await cluster.wait_until(
                 lambda: cluster.job_state(JOB) == "completed"
@@ -148,21 +155,12 @@
     async def test_a_late_start_does_not_run_two_lives_later(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        worker, other = wire_worker.WireWorker("w1"), wire_worker.WireWorker(
-            "w2"
-        )
+        worker = wire_worker.WireWorker("w1")
+        other = wire_worker.WireWorker("w2")
         cluster = wire_worker.WireCluster(worker, other)
 
         async def script() -> None:
-            await trio.sleep(60.0)
-            for each in (worker, other):
-                each.life.run_seconds = each.run_seconds = 2.5
-            worker.hold_back = lambda path, _: path == "/v1/run-start"
-            await submit(cluster, JOB, 1)
-            await cluster.wait_until(lambda: bool(worker.held_back))
-            worker.restart()
-            worker.hold_back = lambda *_: False
-            await cluster.wait_until(lambda: bool(other.life.history))
+            await self.restart_during_start(cluster, worker, other)
             worker.restart()
             await trio.sleep(1.6)
             await worker.carry_out("/v1/run-start", worker.held_back[0])
