--- a/turmerichall/agreement/disk_recovery.py
+++ b/turmerichall/agreement/disk_recovery.py
@@ -13,8 +13,6 @@
 # Time between two tries of a disk that failed.  An instance has to take part
 # again within some seconds after the end of a fault.
 RETRY_SECONDS = 0.5
-# Time between two log lines on a disk that still fails.
-REPORT_SECONDS = 5.0
 
 
 class DiskRecovery:
@@ -37,7 +35,7 @@
         self.folder = folder
         self.snapshots = own_snapshots
         self.failed_at = trio.current_time()
-        self._limit = repeat_limit.RepeatLimit(REPORT_SECONDS)
+        self._limit = repeat_limit.RepeatLimit()
 
     async def wait_for_disk(self) -> None:
         """Try the disk until it works."""
--- a/turmerichall/agreement/election.py
+++ b/turmerichall/agreement/election.py
@@ -22,9 +22,6 @@
 
 __all__ = ["Election"]
 
-# Minimum time between two log lines about elections that were not won.
-LOG_INTERVAL_SECONDS = 5.0
-
 
 class Election:
     """Campaigns when no leader is heard from, and leads when elected.
@@ -42,7 +39,7 @@
         self.state = state
         self.replication = own_replication
         self._leader_watch = leader_watch.LeaderWatch(state, own_replication)
-        self._failure_limit = repeat_limit.RepeatLimit(LOG_INTERVAL_SECONDS)
+        self._failure_limit = repeat_limit.RepeatLimit()
         # The `leader_contact_at` after which silence was logged, if any.
         self._silent_since: float | None = None
         self._led_until = -float("inf")
--- a/turmerichall/agreement/leader_watch.py
+++ b/turmerichall/agreement/leader_watch.py
@@ -11,7 +11,6 @@
 
 # Time after its election within which a leader should have a current state.
 CURRENT_SECONDS = 2.0
-LOG_INTERVAL_SECONDS = 5.0
 # Voters that answered within this time are listed.
 ANSWERED_SECONDS = 1.0
 
@@ -31,7 +30,7 @@
     ):
         self.state = state
         self.replication = own_replication
-        self._limit = repeat_limit.RepeatLimit(LOG_INTERVAL_SECONDS)
+        self._limit = repeat_limit.RepeatLimit()
 
     async def run(self) -> None:
         """Wait until this leader's state is current; log when it is."""
--- a/turmerichall/dispatch/term_watch.py
+++ b/turmerichall/dispatch/term_watch.py
@@ -11,7 +11,6 @@
 __all__ = ["TermWatch"]
 
 CHECK_INTERVAL_SECONDS = 1.0
-LOG_INTERVAL_SECONDS = 5.0
 
 
 class TermWatch:
@@ -32,7 +31,7 @@
         self.replica = replica
         self.is_work_under_way = is_work_under_way
         self.log = log
-        self._limit = repeat_limit.RepeatLimit(LOG_INTERVAL_SECONDS)
+        self._limit = repeat_limit.RepeatLimit()
 
     async def run(self) -> None:
         """Check once a second, until cancelled."""
--- a/turmerichall/telemetry/repeat_limit.py
+++ b/turmerichall/telemetry/repeat_limit.py
@@ -1,6 +1,8 @@
 """Limit on how often a message that repeats is logged."""
 
-__all__ = ["RepeatLimit"]
+__all__ = ["DEFAULT_INTERVAL_SECONDS", "RepeatLimit"]
+
+DEFAULT_INTERVAL_SECONDS = 5.0
 
 
 class RepeatLimit:
@@ -11,12 +13,12 @@
         next_at: Earliest time of the next message.
 
     Examples:
-        >>> limit = RepeatLimit(5.0)
+        >>> limit = RepeatLimit()
         >>> [limit.count(now) for now in (0.0, 2.0, 4.0, 6.0)]
         [1, 0, 0, 3]
     """
 
-    def __init__(self, interval_seconds: float):
+    def __init__(self, interval_seconds: float = DEFAULT_INTERVAL_SECONDS):
         self.interval_seconds = interval_seconds
         self.next_at = -float("inf")
         self._last_at = -float("inf")
