Ask the replica's state when a voter last answered

The leader's watch, the choice of a successor, removals and the time of the last quorum each looked it up in the progress of members. No change of behaviour.

--- a/turmerichall/agreement/leader_watch.py
+++ b/turmerichall/agreement/leader_watch.py
@@ -56,6 +56,7 @@
     def _warn(self, elected_at: float) -> None:
         state = self.state
         voters = member.voters(state.members)
+        recent = trio.current_time() - ANSWERED_SECONDS
         state.log.warning(
             "leader's state is not current",
             term=state.term,
@@ -64,11 +65,9 @@
             term_start=self.replication.term_start,
             seconds=round(trio.current_time() - elected_at, 3),
             voters=len(voters),
-            answered=[each.name for each in voters if self._answered(each)],
+            answered=[
+                each.name
+                for each in voters
+                if state.answered_at(each) >= recent
+            ],
         )
-
-    def _answered(self, voter: member.Member) -> bool:
-        """Return whether another voter answered this leader recently."""
-        progress = self.state.progress.get(voter.identity)
-        recent = trio.current_time() - ANSWERED_SECONDS
-        return progress is not None and progress.acked_sent_at >= recent
--- a/turmerichall/agreement/membership.py
+++ b/turmerichall/agreement/membership.py
@@ -381,11 +381,9 @@
         state = self.state
         recent = trio.current_time() - state.timing.election_seconds
         voters = member.voters(members)
-        live = 0
-        for voter in voters:
-            progress = state.progress.get(voter.identity)
-            if voter.identity == state.identity:
-                live += 1
-            elif progress is not None and progress.acked_sent_at > recent:
-                live += 1
+        live = sum(
+            voter.identity == state.identity
+            or state.answered_at(voter) > recent
+            for voter in voters
+        )
         return live > len(voters) // 2
--- a/turmerichall/agreement/replica_state.py
+++ b/turmerichall/agreement/replica_state.py
@@ -350,15 +350,23 @@
         has answered a message sent at or after it.
         """
         now = trio.current_time()
-        times = []
-        for voter in member.voters(self.members):
-            if voter.identity == self.identity:
-                times.append(now)
-            elif voter.identity in self.progress:
-                times.append(self.progress[voter.identity].acked_sent_at)
-            else:
-                times.append(-float("inf"))
-        return member.majority_value(times)
+        return member.majority_value(
+            [
+                now
+                if voter.identity == self.identity
+                else self.answered_at(voter)
+                for voter in member.voters(self.members)
+            ]
+        )
+
+    def answered_at(self, other: member.Member) -> float:
+        """Return when the last message that a member answered was sent.
+
+        Only for a leader: the trio time; minus infinity if the member is not
+        known.
+        """
+        progress = self.progress.get(other.identity)
+        return -float("inf") if progress is None else progress.acked_sent_at
 
     def observe_term(self, term: int) -> None:
         """Become a follower in a term that is newer than the current one.
--- a/turmerichall/agreement/replication.py
+++ b/turmerichall/agreement/replication.py
@@ -340,8 +340,7 @@
         others = [
             voter
             for voter in member.voters(state.members)
-            if voter.identity in state.progress
-            and state.progress[voter.identity].acked_sent_at > recent
+            if state.answered_at(voter) > recent
         ]
         return max(
             others,
