Look only at suspected runs for trials

Each placing round asked every worker for a task on trial, and so did each reservation. No change of behaviour.

--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -284,7 +284,7 @@
         """Give back what was reserved for runs that do not start."""
         for worker, run in planned:
             worker.remove(run)
-            self._trials.update(worker, now)
+            self._trials.record_change(worker, run, now)
 
     def _plan_tasks(
         self,
@@ -347,6 +347,7 @@
             if worker is None:
                 group.no_room_round = self._round
                 break
+            avoided = group.avoided.get(number, ())
             if tasks[number].on_trial:
                 if self._trials.must_wait(group, tasks[number]):
                     break
@@ -356,22 +357,20 @@
                     now,
                     self.interference_model,
                     group.job.id,
-                    group.avoided.get(number, ()),
+                    avoided,
                     siblings,
                 )
-                if worker is None:
-                    break
-            elif number in group.avoided:
+            elif avoided:
                 worker = placement.choose_worker(
                     step,
                     workers,
                     now,
                     self.interference_model,
-                    group.avoided[number],
+                    avoided,
                     siblings,
                 )
-                if worker is None:
-                    break
+            if worker is None:
+                break
             planned.append((worker, self._reserve(group, number, worker, now)))
             siblings[worker.record.id] = siblings.get(worker.record.id, 0) + 1
             candidates.update(worker)
@@ -398,6 +397,6 @@
         run.on_trial = tasks[number].on_trial
         run.suspected = tasks[number].suspected
         worker.add(run)
-        self._trials.update(worker, now)
+        self._trials.record_change(worker, run, now)
         worker.breaker.record_start(now)
         return run
--- a/turmerichall/dispatch/trials.py
+++ b/turmerichall/dispatch/trials.py
@@ -8,6 +8,7 @@
 
 from turmerichall.dispatch import backlog as backlogs
 from turmerichall.dispatch import crash_attribution
+from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
 from turmerichall.queues import state as states
 
@@ -23,7 +24,6 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, str] = {}
-        self._before: dict[str, str] = {}
 
     def begin_round(
         self, workers: Iterable[worker_state.Worker], now: float
@@ -34,22 +34,28 @@
             workers: All workers.
             now: Current time on the steady clock.
         """
-        self._before, self.jobs = self.jobs, {}
+        before, self.jobs = self.jobs, {}
         for worker in workers:
-            if self.update(worker, now):
-                continue
-            if worker.record.id in self._before:
+            if worker.suspected_runs:
+                self._update(worker, now)
+            worker_id = worker.record.id
+            if worker_id in before and worker_id not in self.jobs:
                 # Tasks without room may fit now.
                 worker.changed = True
 
-    def update(self, worker: worker_state.Worker, now: float) -> bool:
-        """Look again at a worker; return whether it has a task on trial."""
+    def record_change(
+        self, worker: worker_state.Worker, run: run_state.Run, now: float
+    ) -> None:
+        """Record that a run was added to a worker, or removed from it."""
+        if run.on_trial:
+            self._update(worker, now)
+
+    def _update(self, worker: worker_state.Worker, now: float) -> None:
         job = worker.job_on_trial(now)
         if job:
             self.jobs[worker.record.id] = job
         else:
             self.jobs.pop(worker.record.id, None)
-        return bool(job)
 
     def allowed(
         self, workers: list[worker_state.Worker], job: str
