Choose workers for trials from the same eligible workers as others

choose_worker_for_trial repeated choose_worker's loop with another preference. The states of a step's tasks, and what a run takes over of them, were also written out twice. No change of behaviour.

--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -91,11 +91,14 @@
         """Return how long the first preempted task has waited; 0 if none."""
         return now - min(self.preempted.values(), default=now)
 
+    def records(self) -> list[states.TaskRecord]:
+        """Return the states of the step's tasks, by index."""
+        return self.job.steps(self.name.occurrence)[self.name.step].tasks
+
     def siblings(self) -> dict[str, int]:
         """Return the number of running tasks of the step per worker, by id."""
-        steps = self.job.steps(self.name.occurrence)
         counts: dict[str, int] = {}
-        for task in steps[self.name.step].tasks:
+        for task in self.records():
             if task.worker:
                 counts[task.worker] = counts.get(task.worker, 0) + 1
         return counts
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -6,7 +6,7 @@
 next peak of load.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 import heapq
 
 from turmerichall.dispatch import interference_model as interference_models
@@ -51,17 +51,9 @@
     """
     best: worker_state.Worker | None = None
     best_score = -float("inf")
-    for worker in workers:
-        if worker.draining or not worker.in_touch:
-            continue
-        if not worker.breaker.allows(now):
-            continue
-        count = siblings.get(worker.record.id, 0) if siblings else 0
-        score = _score_if_eligible(
-            step, worker, interference_model, count, force
-        )
-        if score is None:
-            continue
+    for worker, score in _eligible(
+        step, workers, now, interference_model, siblings, force
+    ):
         if worker.record.id in avoided:
             score -= 10 * worker.capacity.cpu
         if score > best_score:
@@ -87,7 +79,7 @@
 
     Args:
         step: The step of the task.
-        workers: Workers that are in touch and are not draining.
+        workers: Workers of its service.
         now: Current time on the steady clock.
         interference_model: Learned slowdowns of long-running tasks.
         job: Id of the task's job.
@@ -95,27 +87,46 @@
             moved; used only if no other worker has room.
         siblings: Number of tasks of its step on each worker, by id.
     """
-    best: worker_state.Worker | None = None
-    best_preference: tuple[bool, bool, bool, float] | None = None
-    for worker in workers:
-        if not worker.breaker.allows(now):
-            continue
-        count = siblings.get(worker.record.id, 0)
-        if (
-            _score_if_eligible(step, worker, interference_model, count, False)
-            is None
-        ):
-            continue
-        preference = (
+    return max(
+        (
+            worker
+            for worker, _ in _eligible(
+                step, workers, now, interference_model, siblings, False
+            )
+        ),
+        key=lambda worker: (
             worker.record.id not in avoided,
             not worker.has_just_started_others(job, now),
             worker.record.rack == step.data_rack,
-            -float(worker.cpu_reserved + worker.cpu_best_effort),
+            -(worker.cpu_reserved + worker.cpu_best_effort),
+        ),
+        default=None,
+    )
+
+
+def _eligible(
+    step: demands.StepDemand,
+    workers: Iterable[worker_state.Worker],
+    now: float,
+    interference_model: interference_models.InterferenceModel,
+    siblings: dict[str, int] | None,
+    force: bool,
+) -> Iterator[tuple[worker_state.Worker, float]]:
+    """Yield the workers that a task may go to, each with its score.
+
+    See `choose_worker` for the arguments.
+    """
+    for worker in workers:
+        if worker.draining or not worker.in_touch:
+            continue
+        if not worker.breaker.allows(now):
+            continue
+        count = siblings.get(worker.record.id, 0) if siblings else 0
+        score = _score_if_eligible(
+            step, worker, interference_model, count, force
         )
-        if best_preference is None or preference > best_preference:
-            best = worker
-            best_preference = preference
-    return best
+        if score is not None:
+            yield worker, score
 
 
 class Candidates:
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -25,7 +25,6 @@
 # one is placed even where it slows long-running tasks too far.  The daily
 # report counts a job as idle after 3 s.
 STARVATION_SECONDS = 1.0
-
 # Time for which a preempted long-running task may wait while urgent tasks get
 # room before it.  The platform reports a task as lost 9 s after its last run.
 MAX_PAUSE_SECONDS = 4.0
@@ -331,7 +330,7 @@
             step, workers, now, self.interference_model, siblings
         )
         planned: PlannedRuns = []
-        tasks = group.job.steps(group.name.occurrence)[group.name.step].tasks
+        tasks = group.records()
         # Tasks on trial, and tasks that avoid workers, come last: their choices
         # are made one by one.
         for number in sorted(
@@ -384,7 +383,7 @@
         now: float,
     ) -> run_state.Run:
         """Reserve the resources for a run of a task on a worker."""
-        tasks = group.job.steps(group.name.occurrence)[group.name.step].tasks
+        tasks = group.records()
         # The tasks of a gang, which start together, have the same run number.
         run_number = (
             max(task.run for task in tasks)
@@ -394,8 +393,7 @@
         run = run_state.Run(
             group.task(number), run_number, group.step, group.job.queue
         )
-        run.on_trial = tasks[number].on_trial
-        run.suspected = tasks[number].suspected
+        run.record_suspicion(tasks[number])
         worker.add(run)
         self._trials.record_change(worker, run, now)
         worker.breaker.record_start(now)
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -111,8 +111,7 @@
         run = run_state.Run(name, task.run, step, job.queue)
         run.phase = run_state.Phase.ORDERED
         run.adopted = True
-        run.on_trial = task.on_trial
-        run.suspected = task.suspected
+        run.record_suspicion(task)
         if step.fills:
             # An earlier leader may have throttled the run.
             run.pace_percent = run_state.UNKNOWN_PACE
--- a/turmerichall/dispatch/run_state.py
+++ b/turmerichall/dispatch/run_state.py
@@ -7,6 +7,7 @@
 from turmerichall.dispatch import worker_client
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
+from turmerichall.queues import state as states
 
 __all__ = ["UNKNOWN_PACE", "Phase", "Run"]
 
@@ -161,6 +162,11 @@
         """
         return self.pace_told_at <= self.late_pace_until
 
+    def record_suspicion(self, task: states.TaskRecord) -> None:
+        """Take over whether the task may have caused the crash of a worker."""
+        self.suspected = task.suspected
+        self.on_trial = task.on_trial
+
     def is_on_trial(self, now: float) -> bool:
         """Return whether nothing else may be started beside the run."""
         return self.on_trial and self.has_just_started(now)
