Say once how long a run was at work, what shares a place, how one is removed

The age of a run stood in three places, the test for the same address or machine in the replicated state and in the registry, and the two ways to remove a worker differed in the commit alone. No change of behaviour, but that a worker already gone from the state is not removed, and its crash not logged, a second time.

--- a/turmerichall/dispatch/crash_attribution.py
+++ b/turmerichall/dispatch/crash_attribution.py
@@ -119,17 +119,12 @@
     cause = _cause(recent)
     if cause and not has_common_cause:
         # The other tasks are cleared of this crash.
-        return Attribution(
-            tuple(each.task for each in cause),
-            tuple(
-                {
-                    each.task.job
-                    for each in cause
-                    if each.crashes or _has_many_crashes(each)
-                }
-            ),
-            tuple(each.task for each in cause),
+        tasks = tuple(each.task for each in cause)
+        is_given_up = any(
+            each.crashes or _has_many_crashes(each) for each in cause
         )
+        job = cause[0].task.job
+        return Attribution(tasks, (job,) if is_given_up else (), tasks)
     certain = [each for each in recent if each.certain]
     most = max((each.crashes for each in certain), default=0) + 1
     accused = {each.task.job for each in certain if each.crashes + 1 == most}
--- a/turmerichall/dispatch/crash_register.py
+++ b/turmerichall/dispatch/crash_register.py
@@ -90,8 +90,7 @@
         cleared = []
         for worker in workers:
             for run in list(worker.suspected_runs):
-                ran_seconds = now - run.confirmed_at if run.confirmed_at else 0
-                if ran_seconds > crash_attribution.CLEAR_SECONDS:
+                if run.seconds_at_work(now) > crash_attribution.CLEAR_SECONDS:
                     worker.clear_suspicion(run)
                     cleared.append(run.task)
         return tuple(cleared)
@@ -105,12 +104,10 @@
         runs.update(worker.runs)
         for task, run in runs.items():
             job = self.queue_state.jobs.get(task.job)
-            if job is None or not job.open or job.task(task).done:
+            if job is None or not job.open or task.job in self._given_up:
                 continue
             record = job.task(task)
-            if task.job in self._given_up:
-                continue
-            if not _may_have_begun(run, lost_at):
+            if record.done or not _may_have_begun(run, lost_at):
                 continue
             # A worker that fell silent may have crashed at any time since, and
             # its runs may have ended before.
@@ -119,7 +116,7 @@
                 task,
                 record.crashes,
                 record.doubtful_crashes,
-                _seconds(run, lost_at),
+                run.seconds_at_work(lost_at),
                 is_timed and _was_certainly_running(run, lost_at),
                 is_timed and 0.0 <= lost_at - run.sent_at <= START_SECONDS,
                 run.on_trial,
@@ -139,11 +136,5 @@
     One that had run for a while may have ended without the worker telling.
     """
     return bool(run.confirmed_at) and (
-        run.step.lasting
-        or _seconds(run, lost_at) <= crash_attribution.TRIAL_SECONDS
+        run.step.lasting or run.has_just_started(lost_at)
     )
-
-
-def _seconds(run: run_state.Run, lost_at: float) -> float:
-    """Return for how long a run had been at work when contact was lost."""
-    return max(lost_at - run.confirmed_at, 0.0) if run.confirmed_at else 0.0
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -1,6 +1,6 @@
 """Registry of live workers: registration, drain, removal and replacement."""
 
-from collections.abc import Set
+from collections.abc import Awaitable, Callable, Set
 from typing import Protocol
 
 import trio
@@ -25,16 +25,7 @@
 # between two checks whether it has ended.
 LEAVING_GRACE_SECONDS = 0.3
 
-# An address or a machine, which only one worker has at a time.
-_Place = tuple[str, str]
-
-
-def _places(record: changes.WorkerRecord) -> set[_Place]:
-    """Return the places of a worker; an unknown machine is none."""
-    places = {("address", record.address)}
-    if record.machine:
-        places.add(("machine", record.machine))
-    return places
+_Commit = Callable[[changes.Change], Awaitable[object]]
 
 
 class Owner(sessions.Owner, Protocol):
@@ -78,8 +69,8 @@
         self._nursery: trio.Nursery | None = None
         # Places of the registrations that are in progress, and of those whose
         # commit failed in this term or has an unknown outcome.
-        self._registering: set[_Place] = set()
-        self._uncertain: set[_Place] = set()
+        self._registering: set[changes.Place] = set()
+        self._uncertain: set[changes.Place] = set()
         # Ids of workers that have given notice in this term.
         self._leaving: set[str] = set()
 
@@ -169,14 +160,7 @@
         """Take over a worker's capacity; return whether this is durable."""
         worker_id = worker.record.id
         if capacity != worker.capacity:
-            self.log.info(
-                "worker reports another capacity",
-                worker=worker_id,
-                before=worker.capacity,
-                now=capacity,
-                cpu_reserved=worker.cpu_reserved,
-                memory_reserved=worker.memory_reserved,
-            )
+            reports.log_resized(self.log, worker, capacity)
             worker.resize(capacity)
             self.owner.request_placement()
         if capacity == self.queue_state.capacities.get(
@@ -193,14 +177,14 @@
         remove the worker of the first before the leader knows it.
         """
         record = heartbeat.worker
-        places = _places(record)
+        places = record.places
         if places & self._registering:
             return False
         self._registering |= places
         try:
             if not await self._may_register(record, places):
                 return False
-            if not await self._remove_replaced(record, places):
+            if not await self._remove_replaced(record):
                 return False
             if not await self._start_fence.fence_earlier(record):
                 return False
@@ -217,19 +201,11 @@
             and record.id not in self.workers
         ):
             self._add_worker(record, False)
-            self.log.info(
-                "worker registered",
-                worker=record.id,
-                address=record.address,
-                zone=record.zone,
-                cpu=record.cpu,
-                memory_mb=record.memory_mb,
-                labels=record.labels,
-            )
+            reports.log_registered(self.log, record)
         return True
 
     async def _may_register(
-        self, record: changes.WorkerRecord, places: Set[_Place]
+        self, record: changes.WorkerRecord, places: Set[changes.Place]
     ) -> bool:
         """Return whether a worker may replace those at its place.
 
@@ -239,7 +215,7 @@
         known = [
             other.id
             for other in self.queue_state.workers.values()
-            if places & _places(other)
+            if record.shares_place(other)
         ]
         if not known and not places & self._uncertain:
             return True
@@ -293,10 +269,6 @@
         Returns:
             Whether to acknowledge the notice.
         """
-        was_known = any(
-            changes.is_incarnation_of(gone, name)
-            for gone in self.queue_state.gone
-        )
         worker = next(
             (
                 each
@@ -306,13 +278,13 @@
             None,
         )
         if worker is None:
-            return was_known
-        if (
-            was_known
-            and not worker.draining
+            return self._had_incarnation(name)
+        may_be_late = (
+            not worker.draining
             and leases.steady_seconds() < worker.lease.misdirected_until
-        ):
-            # A late notice of an earlier incarnation; this one has only begun.
+        )
+        if may_be_late and self._had_incarnation(name):
+            # The notice of an earlier incarnation; this one has only begun.
             return True
         if not await self._drain(worker):
             return False
@@ -322,6 +294,13 @@
             self._nursery.start_soon(self._remove_after_end, worker)
         return True
 
+    def _had_incarnation(self, name: str) -> bool:
+        """Return whether an incarnation of a worker was removed."""
+        return any(
+            changes.is_incarnation_of(gone, name)
+            for gone in self.queue_state.gone
+        )
+
     async def _remove_after_end(self, worker: worker_state.Worker) -> None:
         """Remove a worker that is leaving, once it does not answer any more.
 
@@ -334,7 +313,7 @@
                 return
             answers = await self._answers_as_itself(worker.record)
         await self._start_fence.fence(worker)
-        await self._remove(worker)
+        await self._remove(worker, self.owner.commit_or_resign)
 
     async def worker_replaced(self, worker: worker_state.Worker) -> bool:
         """See `session.Owner`."""
@@ -342,40 +321,42 @@
             self.log.info("worker was replaced", worker=worker.record.id)
         if not await self._start_fence.fence(worker):
             return False
-        await self._remove(worker)
-        return True
+        return await self._remove(worker, self.owner.commit_or_resign)
 
-    async def _remove_replaced(
-        self, record: changes.WorkerRecord, places: Set[_Place]
-    ) -> bool:
-        """Remove the workers at places that another worker has taken over.
+    async def _remove_replaced(self, record: changes.WorkerRecord) -> bool:
+        """Remove the workers whose place another worker has taken over.
 
         Args:
             record: The other worker.
-            places: Its places.
 
         Returns:
             Whether this is durable.
         """
         for worker in list(self.workers.values()):
-            if places & _places(worker.record) and not worker.removing:
+            if record.shares_place(worker.record) and not worker.removing:
                 if not await self._start_fence.fence(worker, record):
                     return False
-                change = self._removal(worker)
-                failed = await self.owner.commit(change)
-                if failed is not None:
-                    worker.removing = False
+                if not await self._remove(worker, self.owner.commit):
                     return False
-                reports.log_crash(self.log, change)
-        await self._drop_removed()
         return True
 
-    async def _remove(self, worker: worker_state.Worker) -> None:
+    async def _remove(
+        self, worker: worker_state.Worker, commit: _Commit
+    ) -> bool:
+        """Remove a worker; return whether this is durable.
+
+        Args:
+            worker: The worker.
+            commit: Commits the change; returns None, or why it failed.
+        """
         if worker.record.id in self.queue_state.workers and not worker.removing:
             change = self._removal(worker)
-            await self.owner.commit_or_resign(change)
+            if await commit(change) is not None:
+                worker.removing = False
+                return False
             reports.log_crash(self.log, change)
         await self._drop_removed()
+        return True
 
     def _removal(self, worker: worker_state.Worker) -> changes.LoseWorker:
         """Return the change that removes a worker, to be committed now."""
@@ -386,7 +367,7 @@
         attribution = self.crash_register.attribute(
             worker, self.workers.values(), leases.steady_seconds()
         )
-        return changes.LoseWorker(worker_id, *attribution)
+        return changes.LoseWorker(worker_id, **attribution._asdict())
 
     async def _drop_removed(self) -> None:
         """Forget workers removed from the state; requeue the tasks they ran."""
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -19,7 +19,9 @@
     "log_ends",
     "log_preempted",
     "log_refused",
+    "log_registered",
     "log_removed",
+    "log_resized",
     "log_starts",
     "log_state",
     "log_step_done",
@@ -127,6 +129,33 @@
             )
 
 
+def log_registered(log: link.Log, record: changes.WorkerRecord) -> None:
+    """Log that a worker was registered."""
+    log.info(
+        "worker registered",
+        worker=record.id,
+        address=record.address,
+        zone=record.zone,
+        cpu=record.cpu,
+        memory_mb=record.memory_mb,
+        labels=record.labels,
+    )
+
+
+def log_resized(
+    log: link.Log, worker: worker_state.Worker, capacity: changes.Capacity
+) -> None:
+    """Log that a worker reports another capacity than before."""
+    log.info(
+        "worker reports another capacity",
+        worker=worker.record.id,
+        before=worker.capacity,
+        now=capacity,
+        cpu_reserved=worker.cpu_reserved,
+        memory_reserved=worker.memory_reserved,
+    )
+
+
 def log_removed(
     log: link.Log, worker: worker_state.Worker, reason: str, now: float
 ) -> None:
@@ -163,7 +192,7 @@
     """Return for how long a run had been at work, or its phase before that."""
     if not run.confirmed_at:
         return run.phase.value
-    return f"{max(at - run.confirmed_at, 0.0):.3f}s"
+    return f"{run.seconds_at_work(at):.3f}s"
 
 
 def log_crash(log: link.Log, change: changes.LoseWorker) -> None:
--- a/turmerichall/dispatch/run_state.py
+++ b/turmerichall/dispatch/run_state.py
@@ -173,9 +173,15 @@
 
     def has_just_started(self, now: float) -> bool:
         """Return whether the run has not been at work for a trial's time."""
-        if not self.confirmed_at:
-            return True
-        return now - self.confirmed_at <= crash_attribution.TRIAL_SECONDS
+        return self.seconds_at_work(now) <= crash_attribution.TRIAL_SECONDS
+
+    def seconds_at_work(self, now: float) -> float:
+        """Return for how long the run has been at work; 0 if not confirmed.
+
+        Args:
+            now: Time on the steady clock.
+        """
+        return max(now - self.confirmed_at, 0.0) if self.confirmed_at else 0.0
 
     def progress(self, now: float) -> stragglers.Progress:
         """Return the progress of the run at a time on the steady clock."""
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -20,6 +20,7 @@
     "Ending",
     "LoseWorker",
     "NoteInterference",
+    "Place",
     "RegisterWorker",
     "ResizeWorker",
     "SetConfiguration",
@@ -76,6 +77,10 @@
     UNSTARTED = 6
 
 
+# Kind and name of an address or a machine.
+Place: TypeAlias = tuple[str, str]
+
+
 def incarnation_id(name: str, born_ms: int) -> str:
     """Return the id of an incarnation of a worker that keeps its name.
 
@@ -154,6 +159,22 @@
         """Name by which orders and the worker itself call it."""
         return self.kept_name or self.id
 
+    @property
+    def places(self) -> frozenset[Place]:
+        """Places that only one worker has at a time.
+
+        These are its address and its machine; an unknown machine is none.
+        """
+        address = ("address", self.address)
+        if not self.machine:
+            return frozenset((address,))
+        return frozenset((address, ("machine", self.machine)))
+
+    def shares_place(self, other: "WorkerRecord") -> bool:
+        """Return whether another worker has the same address or machine."""
+        is_same_machine = bool(self.machine) and self.machine == other.machine
+        return self.address == other.address or is_same_machine
+
     @property
     def capacity(self) -> Capacity:
         """Capacity at the registration."""
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -236,11 +236,9 @@
             case changes.LoseWorker():
                 self._lose_worker(change)
             case changes.ClearCrashes():
-                for name in change.tasks:
-                    task = self._find_task(name)
-                    if task is not None:
-                        task.crashes = task.doubtful_crashes = 0
-                        task.on_trial = False
+                for task in self._find_tasks(change.tasks):
+                    task.crashes = task.doubtful_crashes = 0
+                    task.on_trial = False
             case changes.ResizeWorker():
                 if change.worker in self.workers:
                     self.capacities[change.worker] = change.capacity
@@ -296,6 +294,15 @@
             return None
         return job.task(name)
 
+    def _find_tasks(
+        self, names: Iterable[changes.TaskName]
+    ) -> Iterator[TaskRecord]:
+        """Yield the states of those tasks that ever started."""
+        for name in names:
+            task = self._find_task(name)
+            if task is not None:
+                yield task
+
     def _end(self, ended: changes.EndedRun) -> None:
         task = self._find_task(ended.task)
         if task is None:
@@ -337,26 +344,19 @@
         if worker.id in self.gone or worker.id in self.workers:
             return
         for other in list(self.workers.values()):
-            same_machine = worker.machine and other.machine == worker.machine
-            if other.address == worker.address or same_machine:
+            if worker.shares_place(other):
                 self._remove_worker(other.id)
         self.workers[worker.id] = worker
 
     def _lose_worker(self, change: changes.LoseWorker) -> None:
         if change.worker not in self.workers:
             return
-        for name in change.charged:
-            task = self._find_task(name)
-            if task is not None:
-                task.crashes += 1
-        for name in change.doubtful:
-            task = self._find_task(name)
-            if task is not None:
-                task.doubtful_crashes += 1
-        for name in change.on_trial:
-            task = self._find_task(name)
-            if task is not None:
-                task.on_trial = True
+        for task in self._find_tasks(change.charged):
+            task.crashes += 1
+        for task in self._find_tasks(change.doubtful):
+            task.doubtful_crashes += 1
+        for task in self._find_tasks(change.on_trial):
+            task.on_trial = True
         for job in change.given_up:
             self._close(job, JobState.FAILED)
         self._remove_worker(change.worker)
