--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -14,6 +14,7 @@
 from turmerichall.dispatch import worker_client
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
+from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
 from turmerichall.telemetry import lightweight_metrics
 
@@ -453,6 +454,18 @@
             while not condition():
                 await trio.sleep(0.01)
 
+    async def submit(self, job: str, demand: demands.JobDemand) -> None:
+        """Submit a job, which is accepted."""
+        assert await self.leader_api.submit(QUEUE, job, demand) is None
+
+    async def wait_for_state(
+        self, state: str, *jobs: str, seconds: float = 30.0
+    ) -> None:
+        """Wait until jobs are in a state, as `wait_until` does."""
+        await self.wait_until(
+            lambda: all(self.job_state(job) == state for job in jobs), seconds
+        )
+
     def job_state(self, job: str) -> str:
         """Return the state of a job."""
         return self.queue_state.jobs[job].state.value
--- a/turmerichall/dispatch/tests/test_capacity.py
+++ b/turmerichall/dispatch/tests/test_capacity.py
@@ -56,7 +56,7 @@
         async def script() -> None:
             await cluster.report(8000)
             await cluster.report(3000)
-            await test_leadership.submit(cluster, test_leadership.demand(12))
+            await cluster.submit(JOB, test_leadership.demand(12))
             assert await cluster.most_runs(3.0) == 3
             await cluster.report(8000, memory_mb=200)
             assert await cluster.most_runs(2.0) <= 3
@@ -70,23 +70,14 @@
         cluster.worker.lasting_jobs.add(JOB)
 
         async def script() -> None:
-            await test_leadership.submit(
-                cluster, test_leadership.demand(5, lasting=True)
-            )
+            await cluster.submit(JOB, test_leadership.demand(5, lasting=True))
             await cluster.wait_until(lambda: len(cluster.worker.runs) == 5)
             await cluster.report(3000)
-            assert (
-                await cluster.leader_api.submit(
-                    fakes.QUEUE, OTHER_JOB, test_leadership.demand(1)
-                )
-                is None
-            )
+            await cluster.submit(OTHER_JOB, test_leadership.demand(1))
             await trio.sleep(2.0)
             assert cluster.job_state(OTHER_JOB) == "queued"
             assert await cluster.leader_api.cancel(JOB) is None
-            await cluster.wait_until(
-                lambda: cluster.job_state(OTHER_JOB) == "completed"
-            )
+            await cluster.wait_for_state("completed", OTHER_JOB)
 
         await test_leadership.run_script(cluster, script)
 
@@ -102,7 +93,7 @@
                 lambda: cluster.leader_api.leadership is not None
                 and cluster.leader_api.leadership.token == 2
             )
-            await test_leadership.submit(cluster, test_leadership.demand(12))
+            await cluster.submit(JOB, test_leadership.demand(12))
             assert await cluster.most_runs(3.0) == 3
 
         await test_leadership.run_script(cluster, script)
@@ -117,7 +108,7 @@
             await cluster.report(3000)
             late = worker_client.Heartbeat(cluster.worker.record, False, 1, 1)
             assert await cluster.leader_api.heartbeat(late)
-            await test_leadership.submit(cluster, test_leadership.demand(12))
+            await cluster.submit(JOB, test_leadership.demand(12))
             assert await cluster.most_runs(3.0) == 3
 
         await test_leadership.run_script(cluster, script)
@@ -148,15 +139,11 @@
 
         async def script() -> None:
             await cluster.report(3000)
-            await test_leadership.submit(
-                cluster, test_leadership.demand(1, cpu=6000)
-            )
+            await cluster.submit(JOB, test_leadership.demand(1, cpu=6000))
             await trio.sleep(1.0)
             assert not cluster.starts()
             await cluster.report(8000)
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "completed"
-            )
+            await cluster.wait_for_state("completed", JOB)
 
         await test_leadership.run_script(cluster, script)
 
@@ -169,7 +156,7 @@
         cluster = _Cluster()
 
         async def script() -> None:
-            await test_leadership.submit(cluster, test_leadership.demand(24))
+            await cluster.submit(JOB, test_leadership.demand(24))
             await cluster.wait_until(lambda: len(cluster.worker.runs) == 8)
             await cluster.report(12000)
             assert await cluster.most_runs(2.0) == 12
@@ -183,11 +170,7 @@
 
         async def script() -> None:
             await cluster.report(12000)
-            await test_leadership.submit(
-                cluster, test_leadership.demand(1, cpu=10000)
-            )
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "completed"
-            )
+            await cluster.submit(JOB, test_leadership.demand(1, cpu=10000))
+            await cluster.wait_for_state("completed", JOB)
 
         await test_leadership.run_script(cluster, script)
--- a/turmerichall/dispatch/tests/test_crashing_tasks.py
+++ b/turmerichall/dispatch/tests/test_crashing_tasks.py
@@ -1,7 +1,5 @@
 """Tests of tasks that crash the workers that start them."""
 
-from collections.abc import Awaitable, Callable
-import random
 from typing import Any
 
 import pytest
@@ -10,111 +8,37 @@
 
 from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import worker_client
+from turmerichall.dispatch.tests import crash_cluster
 from turmerichall.dispatch.tests import fakes
 from turmerichall.dispatch.tests import test_leadership
 from turmerichall.queues import change as changes
-from turmerichall.queues import demand as demands
 
 # Tests name the fixture as an argument, which makes them run on its clock.
 # pylint: disable=unused-argument
 
 JOB = test_leadership.JOB
 DEADLY = changes.TaskName(JOB, 0, 0, 0)
-# Time from the crash of a worker until it has started again.
-RESTART_SECONDS = 3.0
 # Starts after the third crash at which a task counts as never given up.
 STARTS_AFTER_THIRD_CRASH = 3
 
 
-class CrashCluster(fakes.FakeCluster):
-    """A cluster whose workers start again after a crash, under another id.
-
-    Attributes:
-        deadly_tasks: Tasks that crash each worker that starts them.
-        crashes: Time of each crash, with the runs that ended with it.
-        gangs: Ids of jobs whose tasks end if one of them does.
-        incarnations: All workers that there ever were.
-    """
-
-    def __init__(self, count: int, cpu: int = 8000):
-        self.deadly_tasks: set[changes.TaskName] = set()
-        self.crashes: list[tuple[float, list[changes.TaskName]]] = []
-        self.gangs: set[str] = set()
-        workers = [self._make(f"w{number}", cpu) for number in range(count)]
-        self.incarnations = list(workers)
-        super().__init__(*workers)
-
-    def _make(self, worker_id: str, cpu: int) -> fakes.FakeWorker:
-        worker = fakes.FakeWorker(worker_id, cpu)
-        worker.deadly_tasks = self.deadly_tasks
-        return worker
-
-    async def restart_crashed(self) -> None:
-        """Restart workers that have crashed, until cancelled."""
-        seen: set[str] = set()
-        async with trio.open_nursery() as nursery:
-            while True:
-                for worker in self.incarnations:
-                    if worker.down and worker.record.id not in seen:
-                        seen.add(worker.record.id)
-                        nursery.start_soon(self._restart, worker)
-                await trio.sleep(0.01)
-
-    async def _restart(self, old: fakes.FakeWorker) -> None:
-        lost = old.crashed_runs
-        self.crashes.append((trio.current_time(), lost))
-        for worker in self.workers.values():
-            for task in list(worker.runs):
-                if task.job in self.gangs and task[:3] in {t[:3] for t in lost}:
-                    worker.end(task, changes.Ending.BROKEN)
-        await trio.sleep(RESTART_SECONDS)
-        name, _, number = old.record.id.partition(".")
-        new = self._make(f"{name}.{int(number or 0) + 1}", old.record.cpu)
-        new.record = new.record._replace(address=old.record.address)
-        new.lasting_jobs = old.lasting_jobs
-        new.run_seconds = old.run_seconds
-        self.incarnations.append(new)
-        self.workers[old.record.address] = new
-        sequence = 0
-        while new.record.id not in self.queue_state.workers:
-            sequence += 1
-            await self.leader_api.heartbeat(
-                worker_client.Heartbeat(
-                    new.record, False, sequence, new.clock_ms()
-                )
-            )
-            await trio.sleep(0.5)
-
-    def starts(self) -> list[tuple[changes.TaskName, int, float]]:
-        """See `FakeCluster`."""
-        found = [row for each in self.incarnations for row in each.history]
-        return sorted(found, key=lambda row: row[2])
-
-    def crashes_under(self, task: changes.TaskName) -> int:
-        """Return how many workers have crashed while they ran a task."""
-        return sum(task in lost for _, lost in self.crashes)
-
-    def starts_of(self, task: changes.TaskName) -> int:
-        """Return how often a task was started."""
-        return sum(row[0] == task for row in self.starts())
-
-    async def submit(self, job: str, demand: demands.JobDemand) -> None:
-        """Submit a job, which is accepted."""
-        assert await self.leader_api.submit(fakes.QUEUE, job, demand) is None
-
-
-async def run_script(
-    cluster: CrashCluster, script: Callable[[], Awaitable[None]]
+def suspect(
+    cluster: crash_cluster.CrashCluster, **tasks: tuple[changes.TaskName, ...]
 ) -> None:
-    """Run the leader and the restarts until a script is done."""
+    """Commit the crash of a worker that the leader doesn't know.
 
-    async def with_restarts() -> None:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(cluster.restart_crashed)
-            await script()
-            nursery.cancel_scope.cancel()
-
-    await test_leadership.run_script(cluster, with_restarts)
+    Args:
+        cluster: The cluster, in which the deadly task's job was accepted.
+        **tasks: Fields of `LoseWorker`.
+    """
+    ghost = fakes.FakeWorker("ghost").record
+    started = changes.StartedRun(DEADLY, 1, ghost.id)
+    for change in (
+        changes.RegisterWorker(ghost),
+        changes.StartRuns((started,)),
+        changes.LoseWorker(ghost.id, **tasks),  # type: ignore[arg-type]
+    ):
+        cluster.replica.apply(change)
 
 
 class TestGivenUp:
@@ -124,37 +48,33 @@
     async def test_a_task_that_crashes_its_workers_is_given_up(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(6)
+        cluster = crash_cluster.CrashCluster(6)
         cluster.deadly_tasks.add(DEADLY)
 
         async def script() -> None:
             await cluster.submit(JOB, test_leadership.demand(4))
             with trio.move_on_after(60.0):
-                await cluster.wait_until(
-                    lambda: cluster.job_state(JOB) == "failed", 99.0
-                )
+                await cluster.wait_for_state("failed", JOB, seconds=99.0)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
         assert cluster.starts_of(DEADLY) < 3 + STARTS_AFTER_THIRD_CRASH
         assert cluster.job_state(JOB) == "failed"
 
     async def test_it_is_given_up_once_and_its_other_tasks_are_stopped(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(6)
+        cluster = crash_cluster.CrashCluster(6)
         cluster.deadly_tasks.add(DEADLY)
         for worker in cluster.incarnations:
             worker.run_seconds = 60.0
 
         async def script() -> None:
             await cluster.submit(JOB, test_leadership.demand(4))
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "failed", 60.0
-            )
+            await cluster.wait_for_state("failed", JOB, seconds=60.0)
             await trio.sleep(1.0)
             assert not any(each.runs for each in cluster.workers.values())
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
         ended = [
             fields
             for message, fields in cluster.log.lines
@@ -165,19 +85,17 @@
     async def test_crashes_before_a_new_leader_count(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(6)
+        cluster = crash_cluster.CrashCluster(6)
         cluster.deadly_tasks.add(DEADLY)
 
         async def script() -> None:
             await cluster.submit(JOB, test_leadership.demand(4))
             for term in (2, 3, 4, 5):
-                await trio.sleep(RESTART_SECONDS + 0.5)
+                await trio.sleep(crash_cluster.RESTART_SECONDS + 0.5)
                 cluster.replica.lead(term)
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "failed", 30.0
-            )
+            await cluster.wait_for_state("failed", JOB, seconds=30.0)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
         assert cluster.starts_of(DEADLY) < 3 + STARTS_AFTER_THIRD_CRASH
 
     @pytest.mark.parametrize(
@@ -186,25 +104,23 @@
     async def test_tasks_of_each_kind_are_given_up(
         self, mocked_clocks: trio.testing.MockClock, step: dict[str, Any]
     ) -> None:
-        cluster = CrashCluster(6)
+        cluster = crash_cluster.CrashCluster(6)
         cluster.deadly_tasks.add(DEADLY)
         if "gang" in step:
             cluster.gangs.add(JOB)
 
         async def script() -> None:
             await cluster.submit(JOB, test_leadership.demand(4, **step))
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "failed", 60.0
-            )
+            await cluster.wait_for_state("failed", JOB, seconds=60.0)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
         assert cluster.starts_of(DEADLY) < 3 + STARTS_AFTER_THIRD_CRASH
 
     # They crash their workers at the same moment, like a loss of power.
     async def test_a_job_whose_tasks_all_crash_their_workers_is_given_up(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(8)
+        cluster = crash_cluster.CrashCluster(8)
         tasks = [DEADLY._replace(number=number) for number in range(6)]
         cluster.deadly_tasks.update(tasks)
 
@@ -212,11 +128,9 @@
             await cluster.submit(
                 JOB, test_leadership.demand(6, max_per_worker=1)
             )
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "failed", 60.0
-            )
+            await cluster.wait_for_state("failed", JOB, seconds=60.0)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
         assert len(cluster.crashes) < 3 * len(tasks)
         for task in tasks:
             assert cluster.starts_of(task) < 3 + STARTS_AFTER_THIRD_CRASH
@@ -227,7 +141,7 @@
     async def test_jobs_beside_a_task_that_is_given_up_are_completed(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(3, cpu=20000)
+        cluster = crash_cluster.CrashCluster(3, cpu=20000)
         cluster.deadly_tasks.add(DEADLY)
         others = [f"{number:016x}" for number in range(6)]
 
@@ -235,22 +149,16 @@
             for job in others:
                 await cluster.submit(job, test_leadership.demand(6))
             await cluster.submit(JOB, test_leadership.demand(2))
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "failed", 60.0
-            )
-            await cluster.wait_until(
-                lambda: all(
-                    cluster.job_state(job) == "completed" for job in others
-                )
-            )
+            await cluster.wait_for_state("failed", JOB, seconds=60.0)
+            await cluster.wait_for_state("completed", *others)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
 
     # Losses of power 4 s apart hit tasks that are on trial again.
     async def test_losses_of_power_fail_no_job(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(6)
+        cluster = crash_cluster.CrashCluster(6)
         for worker in cluster.incarnations:
             worker.run_seconds = 2.0
         jobs = [f"{number:016x}" for number in range(8)]
@@ -262,20 +170,15 @@
                 await trio.sleep(0.4)
                 for worker in list(cluster.workers.values())[:4]:
                     worker.crash()
-                await trio.sleep(RESTART_SECONDS + 0.6)
-            await cluster.wait_until(
-                lambda: all(
-                    cluster.job_state(job) == "completed" for job in jobs
-                ),
-                60.0,
-            )
+                await trio.sleep(crash_cluster.RESTART_SECONDS + 0.6)
+            await cluster.wait_for_state("completed", *jobs, seconds=60.0)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
 
     async def test_a_worker_that_leaves_charges_no_task(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(2)
+        cluster = crash_cluster.CrashCluster(2)
         worker = cluster.incarnations[0]
 
         async def script() -> None:
@@ -292,10 +195,10 @@
             tasks = cluster.queue_state.jobs[JOB].steps(0)[0].tasks
             assert not any(task.crashes for task in tasks)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
 
     @staticmethod
-    def suspected(cluster: CrashCluster) -> bool:
+    def suspected(cluster: crash_cluster.CrashCluster) -> bool:
         """Return whether any task of the job is suspected of a crash."""
         tasks = cluster.queue_state.jobs[JOB].steps(0)[0].tasks
         return any(task.suspected for task in tasks)
@@ -303,7 +206,7 @@
     async def test_crashes_no_longer_count_after_a_long_run(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(2)
+        cluster = crash_cluster.CrashCluster(2)
         for worker in cluster.incarnations:
             worker.lasting_jobs.add(JOB)
 
@@ -314,34 +217,28 @@
             await cluster.wait_until(lambda: self.suspected(cluster))
             await cluster.wait_until(lambda: not self.suspected(cluster), 20.0)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
 
     # They were kept, and added up over the life of a long-running task.
     async def test_doubtful_crashes_no_longer_count_after_a_long_run(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(2)
-        ghost = fakes.FakeWorker("ghost").record
+        cluster = crash_cluster.CrashCluster(2)
 
         async def script() -> None:
             for worker in cluster.incarnations:
                 worker.lasting_jobs.add(JOB)
-            cluster.replica.apply(changes.RegisterWorker(ghost))
             accepted = test_leadership.demand(1, lasting=True)
             cluster.replica.apply(
                 changes.AcceptJob(JOB, fakes.QUEUE.key, accepted, 0)
             )
-            first = changes.StartedRun(DEADLY, 1, ghost.id)
-            cluster.replica.apply(changes.StartRuns((first,)))
-            cluster.replica.apply(
-                changes.LoseWorker(ghost.id, doubtful=(DEADLY,))
-            )
+            suspect(cluster, doubtful=(DEADLY,))
             assert self.suspected(cluster)
             cluster.replica.lead(2)
             await cluster.wait_until(lambda: bool(cluster.starts()))
             await cluster.wait_until(lambda: not self.suspected(cluster), 20.0)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
 
 
 class TestTrial:
@@ -351,7 +248,7 @@
     async def test_nothing_is_started_beside_a_charged_task(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(5, cpu=20000)
+        cluster = crash_cluster.CrashCluster(5, cpu=20000)
         charged: set[changes.TaskName] = set()
 
         async def script() -> None:
@@ -365,7 +262,7 @@
                 await trio.sleep(0.1)
             await trio.sleep(2.0)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
         assert len(charged) > 2
         beside = []
         for worker in cluster.incarnations:
@@ -383,7 +280,7 @@
     async def test_a_charged_task_starts_where_least_runs(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(5)
+        cluster = crash_cluster.CrashCluster(5)
         cluster.deadly_tasks.add(DEADLY)
         busy = "0" * 16
 
@@ -399,7 +296,7 @@
             await cluster.submit(JOB, test_leadership.demand(1, lasting=True))
             await cluster.wait_until(lambda: len(cluster.crashes) == 2)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
         lost = [len(tasks) for _, tasks in cluster.crashes]
         assert lost == [2, 1]
 
@@ -407,36 +304,26 @@
     async def test_a_charged_gang_without_room_keeps_no_one_waiting(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(3, cpu=2000)
+        cluster = crash_cluster.CrashCluster(3, cpu=2000)
         other = "1" * 16
         gang = tuple(DEADLY._replace(number=number) for number in range(7))
-        ghost = fakes.FakeWorker("ghost").record
 
         async def script() -> None:
             await cluster.submit(
                 JOB, test_leadership.demand(len(gang), gang=True)
             )
-            first = changes.StartedRun(gang[0], 1, ghost.id)
-            lost = changes.LoseWorker(ghost.id, gang, (), gang)
-            for change in (
-                changes.RegisterWorker(ghost),
-                changes.StartRuns((first,)),
-                lost,
-            ):
-                cluster.replica.apply(change)
+            suspect(cluster, charged=gang, on_trial=gang)
             await trio.sleep(0.5)
             await cluster.submit(other, test_leadership.demand(2))
-            await cluster.wait_until(
-                lambda: cluster.job_state(other) == "completed", 1.6
-            )
+            await cluster.wait_for_state("completed", other, seconds=1.6)
 
-        await run_script(cluster, script)
+        await crash_cluster.run_script(cluster, script)
 
     # It may have ended behind the cut, before the crash.
     async def test_a_crash_behind_a_cut_is_doubtful(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        cluster = CrashCluster(2)
+        cluster = crash_cluster.CrashCluster(2)
         worker = cluster.incarnations[0]
         worker.run_seconds = 60.0
 
@@ -457,66 +344,4 @@
             assert lost.doubtful
             assert not lost.charged
 
-        await run_script(cluster, script)
-
-
-class TestRandomCrashes:
-    """Drawn mixes of crashing tasks, losses of power and changes of leader."""
-
-    JOBS = 14
-
-    @pytest.mark.parametrize("seed", range(16))
-    async def test_only_jobs_with_two_crashes_fail(
-        self, mocked_clocks: trio.testing.MockClock, seed: int
-    ) -> None:
-        draw = random.Random(seed)
-        cluster = CrashCluster(8, cpu=6000)
-        jobs = [f"{number:016x}" for number in range(self.JOBS)]
-        for job in draw.sample(jobs, 3):
-            for number in range(draw.choice((1, 1, 4))):
-                cluster.deadly_tasks.add(changes.TaskName(job, 0, 0, number))
-
-        async def disturb() -> None:
-            term = 1
-            for _ in range(draw.randrange(1, 5)):
-                await trio.sleep(draw.uniform(0.2, 5.0))
-                if draw.random() < 0.5:
-                    alive = [w for w in cluster.workers.values() if not w.down]
-                    count = min(len(alive), draw.choice((1, 2, 5)))
-                    for worker in draw.sample(alive, count):
-                        worker.crash()
-                else:
-                    term += 1
-                    cluster.replica.lead(term)
-
-        async def script() -> None:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(disturb)
-                for job in jobs:
-                    asked = test_leadership.demand(draw.choice((1, 4, 8)))
-                    with trio.move_on_after(20.0):
-                        while (
-                            await cluster.leader_api.submit(
-                                fakes.QUEUE, job, asked
-                            )
-                            is not None
-                        ):
-                            await trio.sleep(0.1)
-                    await trio.sleep(draw.uniform(0.0, 0.4))
-            await cluster.wait_until(
-                lambda: not any(
-                    cluster.queue_state.jobs[job].open for job in jobs
-                ),
-                120.0,
-            )
-
-        await run_script(cluster, script)
-        for job in jobs:
-            if cluster.job_state(job) != "failed":
-                continue
-            assert any(
-                cluster.crashes_under(changes.TaskName(job, 0, 0, number)) >= 2
-                for number in range(8)
-            ), job
-        for task in cluster.deadly_tasks:
-            assert cluster.starts_of(task) < 3 + STARTS_AFTER_THIRD_CRASH
+        await crash_cluster.run_script(cluster, script)
--- a/turmerichall/dispatch/tests/test_leadership.py
+++ b/turmerichall/dispatch/tests/test_leadership.py
@@ -41,7 +41,7 @@
 
 
 async def submit(cluster: fakes.FakeCluster, asked: demands.JobDemand) -> None:
-    assert await cluster.leader_api.submit(fakes.QUEUE, JOB, asked) is None
+    await cluster.submit(JOB, asked)
 
 
 def commit_start(cluster: fakes.FakeCluster) -> None:
--- a/turmerichall/platform/tests/test_restarted_worker.py
+++ b/turmerichall/platform/tests/test_restarted_worker.py
@@ -7,7 +7,6 @@
 import trio.testing
 
 from turmerichall.dispatch import lease as leases
-from turmerichall.dispatch.tests import fakes
 from turmerichall.dispatch.tests import test_leadership
 from turmerichall.platform.tests import wire_worker
 from turmerichall.queues import change as changes
@@ -38,13 +37,6 @@
     await test_leadership.run_script(cluster, with_heartbeats)
 
 
-async def submit(
-    cluster: wire_worker.WireCluster, job: str, count: int, **step: object
-) -> None:
-    demand = test_leadership.demand(count, **step)  # type: ignore[arg-type]
-    assert await cluster.leader_api.submit(fakes.QUEUE, job, demand) is None
-
-
 def started_after_done(cluster: wire_worker.WireCluster) -> list[object]:
     """Return the starts of tasks that an earlier run had done."""
     done: dict[object, float] = {}
@@ -69,7 +61,7 @@
         jobs = [f"{number:016x}" for number in range(4)]
 
         async def script() -> None:
-            await submit(cluster, jobs[0], 16)
+            await cluster.submit(jobs[0], test_leadership.demand(16))
             await cluster.wait_until(
                 lambda: cluster.job_state(jobs[0]) == "completed"
             )
@@ -77,13 +69,9 @@
             await trio.sleep(0.6)
             worker.restart()
             for job in jobs[1:]:
-                await submit(cluster, job, 8)
+                await cluster.submit(job, test_leadership.demand(8))
                 await trio.sleep(0.7)
-            await cluster.wait_until(
-                lambda: all(
-                    cluster.job_state(job) == "completed" for job in jobs
-                )
-            )
+            await cluster.wait_for_state("completed", *jobs)
 
         await run_script(cluster, script)
         assert not started_after_done(cluster)
@@ -103,7 +91,7 @@
         for each in (worker, other):
             each.life.run_seconds = each.run_seconds = 2.5
         worker.hold_back = lambda path, _: path == "/v1/run-start"
-        await submit(cluster, JOB, 1)
+        await cluster.submit(JOB, test_leadership.demand(1))
         await cluster.wait_until(lambda: bool(worker.held_back))
         task = changes.TaskName(JOB, 0, 0, 0)
         assert worker.held_back[0]["task"] == str(task)
@@ -125,9 +113,7 @@
         async def script() -> None:
             await self.restart_during_start(cluster, worker, other)
             await worker.carry_out("/v1/run-start", worker.held_back[0])
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "completed"
-            )
+            await cluster.wait_for_state("completed", JOB)
             assert not cluster.overlaps()
 
         await run_script(cluster, script)
@@ -142,10 +128,8 @@
             await trio.sleep(60.0)
             worker.restart()
             await trio.sleep(4.0)
-            await submit(cluster, JOB, 4)
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "completed"
-            )
+            await cluster.submit(JOB, test_leadership.demand(4))
+            await cluster.wait_for_state("completed", JOB)
 
         await run_script(cluster, script)
         assert worker.life.history
@@ -165,9 +149,7 @@
             await trio.sleep(1.6)
             await worker.carry_out("/v1/run-start", worker.held_back[0])
             assert not worker.life.history
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "completed"
-            )
+            await cluster.wait_for_state("completed", JOB)
 
         await run_script(cluster, script)
 
@@ -180,7 +162,7 @@
 
         async def script() -> None:
             for number, job in enumerate(jobs):
-                await submit(cluster, job, 8)
+                await cluster.submit(job, test_leadership.demand(8))
                 while cluster.job_state(job) != "completed":
                     await trio.sleep(0.05)
                 worker.restart()
@@ -239,10 +221,8 @@
             worker.life.crash()
             await trio.sleep(2.0)
             worker.restart()
-            await submit(cluster, JOB, 4)
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "completed"
-            )
+            await cluster.submit(JOB, test_leadership.demand(4))
+            await cluster.wait_for_state("completed", JOB)
 
         await run_script(cluster, script)
 
@@ -265,10 +245,8 @@
             await trio.sleep(2.0)
             assert set(cluster.queue_state.workers) == {live}
             assert not cluster.queue_state.draining
-            await submit(cluster, JOB, 4)
-            await cluster.wait_until(
-                lambda: cluster.job_state(JOB) == "completed"
-            )
+            await cluster.submit(JOB, test_leadership.demand(4))
+            await cluster.wait_for_state("completed", JOB)
 
         await run_script(cluster, script)
 
@@ -283,7 +261,7 @@
 
         async def script() -> None:
             worker.life.lasting_jobs.add(JOB)
-            await submit(cluster, JOB, 4, lasting=True)
+            await cluster.submit(JOB, test_leadership.demand(4, lasting=True))
             await cluster.wait_until(lambda: len(worker.life.runs) == 4)
             worker.life.crash()
             address = next_one.life.record.address
@@ -343,10 +321,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(restart_crashed)
                 await trio.sleep(0.1)
-                await submit(cluster, JOB, 4)
-                await cluster.wait_until(
-                    lambda: cluster.job_state(JOB) == "failed"
-                )
+                await cluster.submit(JOB, test_leadership.demand(4))
+                await cluster.wait_for_state("failed", JOB)
                 nursery.cancel_scope.cancel()
 
         await run_script(cluster, script)
