Evacuation of an availability zone: state, requests, placement; seams of the parts

Cause: POST /v1/evacuation/ZONE/begin and /finish were answered 404, so an operator could not empty a zone. Begin and finish are now replicated changes of the queue scheduler's state; no start is planned, committed unsent, resent or adopted for a worker of an evacuated zone, and a restored zone is opened in steps.

--- /dev/null
+++ b/turmerichall/dispatch/admission_control/__init__.py
@@ -0,0 +1,3 @@
+"""Admission control of jobs; called by the leadership for each submission."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/dispatch/colocation/__init__.py
@@ -0,0 +1,3 @@
+"""Best-effort tasks beside long-running ones; called by pacing, placement."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/turmerichall/dispatch/forecasts/__init__.py
@@ -0,0 +1,3 @@
+"""Forecasts of run times; called by placement order, backfill and admission."""
+
+__all__: list[str] = []
--- a/turmerichall/dispatch/job_estimate.py
+++ b/turmerichall/dispatch/job_estimate.py
@@ -38,7 +38,7 @@
     best_effort = all(step.fills for step in demand.steps)
     rate = 0.0
     for worker in workers:
-        if worker.in_touch and not worker.draining:
+        if worker.in_touch and not (worker.draining or worker.evacuated):
             rate += worker.obtainable_cpu(best_effort) / 1000
     critical_path = demand.critical_path_ms() / 1000
     return admission.JobEstimate(
--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -13,12 +13,14 @@
 from turmerichall.dispatch import leadership as leaderships
 from turmerichall.dispatch import policy_client
 from turmerichall.dispatch import worker_client
+from turmerichall.dispatch.evacuation import requests as evacuation_requests
 from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
+from turmerichall.settings import queue_settings
 from turmerichall.telemetry import lightweight_metrics
 
 __all__ = ["Failure", "Leader", "LeaderApi"]
@@ -72,6 +74,8 @@
         log: link.Log,
         metrics_registry: lightweight_metrics.MetricsRegistry,
         policy: policy_client.PolicyClient | None = None,
+        scheduling: queue_settings.Scheduling = queue_settings.Scheduling(),
+        zone_names: tuple[str, ...] = (),
     ):
         self.replica = replica
         self.queue_state = queue_state
@@ -81,6 +85,8 @@
         self._log = log
         self._metrics_registry = metrics_registry
         self._policy = policy
+        self._scheduling = scheduling
+        self._zone_names = zone_names
         self._fence_response = fence_responses.FenceResponse(replica, log)
         self._durations = run_durations.DurationEstimator()
         self._interference_model = interference_models.InterferenceModel()
@@ -110,6 +116,8 @@
                 self._metrics_registry,
                 self._policy,
                 kept_out,
+                self._zone_names,
+                self._scheduling,
             )
             try:
                 await leadership.run()
@@ -252,6 +260,27 @@
             )
         return failed
 
+    async def begin_evacuation(self, zone: str) -> Failure | None:
+        """Put an availability zone in evacuation.
+
+        Returns None once this is durable, or the failure.
+        """
+        refusal = await self._confirm()
+        if refusal is not None or self.leadership is None:
+            return refusal or NOT_LEADER
+        return await evacuation_requests.begin(
+            self.leadership, zone, leaderships.wall_ms()
+        )
+
+    async def finish_evacuation(self, zone: str) -> Failure | None:
+        """Take an availability zone back; see `begin_evacuation`."""
+        refusal = await self._confirm()
+        if refusal is not None or self.leadership is None:
+            return refusal or NOT_LEADER
+        return await evacuation_requests.finish(
+            self.leadership, zone, leaderships.wall_ms()
+        )
+
     async def document(self) -> bytes | outcomes.Refusal:
         """Return the configuration as the operator sent it, or a refusal."""
         refusal = await self._confirm()
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -7,12 +7,10 @@
 
 from turmerichall import outcomes
 from turmerichall.agreement import replica as replicas
-from turmerichall.dispatch import admission
 from turmerichall.dispatch import backlog as backlogs
 from turmerichall.dispatch import durations as run_durations
 from turmerichall.dispatch import freshness as freshnesses
 from turmerichall.dispatch import interference_model as interference_models
-from turmerichall.dispatch import job_estimate as job_estimates
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import planner as planners
 from turmerichall.dispatch import policy_client
@@ -26,11 +24,15 @@
 from turmerichall.dispatch import ticket_cache as ticket_caches
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.admission_control import controller
+from turmerichall.dispatch.admission_control import selection
+from turmerichall.dispatch.forecasts import forecast
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
+from turmerichall.settings import queue_settings
 from turmerichall.telemetry import lightweight_metrics
 
 __all__ = ["Leadership", "wall_ms"]
@@ -67,6 +69,7 @@
         registry: Live workers and their sessions.
         backlog: Waiting tasks.
         durations: Learned run times.
+        forecaster: Forecasts of run times.
         interference_model: Learned slowdowns of long-running tasks.
         load_tracker: Load of long-running jobs.
         tickets: Permissions to run steps on workers, for queues with a policy.
@@ -76,6 +79,7 @@
         fencers: Ids of workers that refused the token, which ends the work.
         kept_out: Ids of workers that are not used, because they refused the
             token although a quorum confirmed the term.
+        zone_names: Availability zones that the settings name.
         scope: Cancel scope that ends the term's work.
     """
 
@@ -92,6 +96,8 @@
         metrics_registry: lightweight_metrics.MetricsRegistry,
         policy: policy_client.PolicyClient | None = None,
         kept_out: Set[str] = frozenset(),
+        zone_names: tuple[str, ...] = (),
+        scheduling: queue_settings.Scheduling = queue_settings.Scheduling(),
     ):
         self.replica = replica
         self.queue_state = queue_state
@@ -104,11 +110,18 @@
         self.metrics_registry = metrics_registry
         self.tickets = ticket_caches.TicketCache(policy, log, metrics_registry)
         self.backlog = backlogs.Backlog(queue_state)
+        self.forecaster = forecast.Forecaster(durations)
+        self._admission: controller.AdmissionController = (
+            selection.make_controller(
+                scheduling, self.backlog, durations, self.forecaster
+            )
+        )
         self.registry = registries.Registry(self, make_client)
         self.workers = self.registry.workers
         self.scope = trio.CancelScope()
         self.fencers: set[str] = set()
         self.kept_out = kept_out
+        self.zone_names = zone_names
         # Ids of failed jobs that are closed.
         self._failed_jobs: set[str] = set()
         self._wake = trio.Event()
@@ -126,6 +139,8 @@
             interference_model,
             self.tickets,
             log,
+            scheduling,
+            self.forecaster,
         )
 
     # Begin and end of the term, and commits.
@@ -265,7 +280,7 @@
         """See `session.Owner`."""
         if run.step.lasting:
             return
-        self.durations.record((run.queue, run.step.image), seconds)
+        self.forecaster.record(run, seconds)
         self._straggler_detector.record_run_time(run, seconds)
 
     def ticket_refused(
@@ -426,21 +441,26 @@
         await self.commit_or_resign(changes.StartRuns(rows))
         self.metrics_registry.count("runs_started", len(rows))
         reports.log_starts(self.log, rows)
-        canceled: planners.PlannedRuns = []
+        unsent: planners.PlannedRuns = []
         for worker, run in planned:
             session = self.registry.sessions.get(worker.record.id)
             job = self.queue_state.jobs.get(run.task.job)
             if session is None:
                 worker.remove(run)
                 self.backlog.requeue(run.task)
-            elif job is not None and job.open:
+            elif (
+                job is not None
+                and job.open
+                and worker.record.zone not in self.queue_state.evacuations
+            ):
                 run.phase = run_state.Phase.ORDERED
                 self.spawn_start(session, run)
             else:
-                canceled.append((worker, run))
-        # The jobs were canceled in the meantime; these starts are never sent,
-        # so the runs stay planned until their ends are committed.
-        for worker, run in canceled:
+                unsent.append((worker, run))
+        # The jobs were canceled or the zones evacuated in the meantime; these
+        # starts are never sent, so the runs stay planned until their ends are
+        # committed.
+        for worker, run in unsent:
             ended = changes.EndedRun(
                 run.task, run.number, changes.Ending.UNSTARTED, ""
             )
@@ -464,11 +484,10 @@
         """Accept a job; return None once it is durable, or the failure."""
         if job_id in self.queue_state.jobs:
             return None
-        workers = self.workers.values()
-        refusal = admission.admit(
-            job_estimates.estimate_job(
-                job_id, queue, demand, workers, self.backlog, self.durations
-            )
+        refusal = self._admission.decide(
+            controller.Submission(job_id, queue, demand),
+            self.workers.values(),
+            leases.steady_seconds(),
         )
         if refusal is not None:
             self.metrics_registry.count(
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -5,7 +5,7 @@
 the caller commits the starts.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from turmerichall.dispatch import backlog as backlogs
 from turmerichall.dispatch import interference_model as interference_models
@@ -16,8 +16,13 @@
 from turmerichall.dispatch import ticket_cache as ticket_caches
 from turmerichall.dispatch import trials
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.evacuation import zone_states
+from turmerichall.dispatch.forecasts import forecast
+from turmerichall.dispatch.waiting_order import order
+from turmerichall.dispatch.waiting_order import selection
 from turmerichall.peers import link
 from turmerichall.queues import state as states
+from turmerichall.settings import queue_settings
 
 __all__ = ["PlannedRuns", "Planner"]
 
@@ -25,9 +30,6 @@
 # one is placed even where it slows long-running tasks too far.  The daily
 # report counts a job as idle after 3 s.
 STARVATION_SECONDS = 1.0
-# Time for which a preempted long-running task may wait while urgent tasks get
-# room before it.  The platform reports a task as lost 9 s after its last run.
-MAX_PAUSE_SECONDS = 4.0
 
 PlannedRuns = list[tuple[worker_state.Worker, run_state.Run]]
 
@@ -41,6 +43,8 @@
         workers: Workers by id.
         interference_model: Learned slowdowns of long-running tasks.
         tickets: Permissions to run steps on workers, for queues with a policy.
+        scheduling: Decisions that the deployment's settings ask for.
+        forecaster: Forecasts of run times.
     """
 
     def __init__(
@@ -51,6 +55,8 @@
         interference_model: interference_models.InterferenceModel,
         tickets: ticket_caches.TicketCache,
         log: link.Log,
+        scheduling: queue_settings.Scheduling,
+        forecaster: forecast.Forecaster,
     ):
         self.queue_state = queue_state
         self.backlog = backlog
@@ -58,12 +64,16 @@
         self.interference_model = interference_model
         self.tickets = tickets
         self.stops: list[preemption.Stop] = []
+        self.scheduling = scheduling
+        self.forecaster = forecaster
+        self._order = selection.make_order(scheduling, queue_state, forecaster)
         self._log = log
         self._round = 0
         # Usable workers of the latest round, each with the number of the round
         # in which it last changed or became usable.
         self._changed_rounds: dict[str, int] = {}
         self._trials = trials.Trials()
+        self._zone_states = zone_states.ZoneStates(queue_state)
 
     def plan(self, now: float, now_ms: int) -> PlannedRuns:
         """Choose the runs that start now, and reserve their resources.
@@ -76,16 +86,8 @@
         self.stops = []
         if not groups:
             return []
-        ranked = sorted(
-            (
-                (
-                    ranking.rank(self._rank_factors(group, now, now_ms)),
-                    number,
-                    group,
-                )
-                for number, group in enumerate(groups)
-            )
-        )
+        ranked = self._order.ranked(groups, now, now_ms)
+        self._zone_states.begin_round(self.workers.values(), now, now_ms)
         by_service = self._usable_workers(now)
         planned: PlannedRuns = []
         for rank, _, group in ranked:
@@ -105,7 +107,7 @@
 
     def _choose_stops(
         self,
-        ranked: list[tuple[tuple[int, int, float], int, backlogs.TaskGroup]],
+        ranked: Sequence[order.RankedGroup],
         by_service: Mapping[str, list[worker_state.Worker]],
         now: float,
     ) -> None:
@@ -147,7 +149,7 @@
         rounds: dict[str, int] = {}
         self._trials.begin_round(self.workers.values(), now)
         for worker_id, worker in self.workers.items():
-            if worker.draining or not worker.in_touch:
+            if worker.draining or worker.evacuated or not worker.in_touch:
                 continue
             if not worker.breaker.allows(now):
                 continue
@@ -180,24 +182,6 @@
         )
         return eligible
 
-    def _rank_factors(
-        self, group: backlogs.TaskGroup, now: float, now_ms: int
-    ) -> ranking.Factors:
-        queue = self.queue_state.queues[group.job.queue]
-        group.queue = queue
-        step = group.step
-        group.waiting_since = min(group.waiting_since, now)
-        return ranking.Factors(
-            queue.priority,
-            step.lasting,
-            step.lasting and group.job.started,
-            group.preempted_seconds(now) > MAX_PAUSE_SECONDS,
-            now - group.waiting_since,
-            (now_ms - group.began_at_ms) / 1000,
-            queue.objective_seconds(group.critical_path_seconds),
-            step.estimate_ms / 1000,
-        )
-
     def _plan_group(
         self,
         group: backlogs.TaskGroup,
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -146,6 +146,7 @@
         if heartbeat.sequence < worker.heartbeat:
             return True
         worker.heartbeat = heartbeat.sequence
+        worker.cold_until = leases.steady_seconds() + heartbeat.cold_ms / 1000
         if heartbeat.clock_ms >= 0 and not worker.lease.known:
             worker.lease.record_clock(
                 heartbeat.clock_ms, leases.steady_seconds()
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -10,6 +10,7 @@
 from turmerichall.dispatch import leader_api as leader_apis
 from turmerichall.dispatch import replica_gauges
 from turmerichall.dispatch import term_watch
+from turmerichall.dispatch.evacuation import gauges as evacuation_gauges
 from turmerichall.entry import calls
 from turmerichall.http1 import message
 from turmerichall.http1 import metrics
@@ -92,6 +93,8 @@
             self.log,
             self.metrics_registry,
             http_policy_client.HttpPolicyClient(policy) if policy else None,
+            settings.scheduling,
+            settings.zones.names,
         )
         self.term_watch = term_watch.TermWatch(
             self.replica, self._is_work_under_way, self.log
@@ -99,6 +102,7 @@
         replica_gauges.register(
             self.metrics_registry, self.replica, self._is_work_under_way
         )
+        evacuation_gauges.register(self.metrics_registry, self.queue_state)
         self.metrics = metrics.make_server(self.metrics_registry)
         self.control = server.Server(self._answer, lambda: CONTROL_LIMITS)
 
--- a/turmerichall/dispatch/worker_client.py
+++ b/turmerichall/dispatch/worker_client.py
@@ -156,12 +156,14 @@
         draining: Whether the worker is about to leave.
         sequence: Number that grows with each heartbeat of an incarnation.
         clock_ms: Reading of the worker's clock, or -1 if it is missing.
+        cold_ms: Time for which the worker remains slow after its start, in ms.
     """
 
     worker: changes.WorkerRecord
     draining: bool
     sequence: int
     clock_ms: int = -1
+    cold_ms: int = 0
 
 
 class WorkerClient(Protocol):
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -82,6 +82,13 @@
         lapsed_runs: Runs that were lost with the lease since the worker was
             last in touch.  It may have crashed.
         heartbeat: Sequence number of the latest heartbeat.
+        evacuated: Whether its availability zone was in evacuation in the latest
+            placing round.
+        start_budget: Processors for which runs may still start there, beside
+            its capacity; infinite unless its zone has just returned from an
+            evacuation.
+        cold_until: Time on the steady clock until which it is slow after its
+            start.
         changed: Whether its runs or loads changed since the latest placing
             round, so that tasks without room may fit now.
     """
@@ -119,6 +126,9 @@
         self.suspected_runs: list[run_state.Run] = []
         self.lapsed_runs: list[run_state.Run] = []
         self.heartbeat = 0
+        self.evacuated = False
+        self.start_budget = float("inf")
+        self.cold_until = -float("inf")
         self.changed = True
 
     def resize(self, capacity: changes.Capacity) -> None:
@@ -192,6 +202,7 @@
     def add(self, run: run_state.Run) -> None:
         """Add a run, and reserve the resources that it requests."""
         self.runs[run.task] = run
+        self.start_budget -= run.step.cpu
         if run.suspected:
             self.suspected_runs.append(run)
         self._count(run.step, 1)
@@ -270,6 +281,8 @@
         Best-effort tasks need no free processors.
         """
         capacity = self.capacity
+        if step.cpu > self.start_budget:
+            return False
         if self.memory_reserved + step.memory_mb > capacity.memory_mb:
             return False
         if self.gpu_reserved + step.gpu > capacity.gpu:
--- a/turmerichall/platform/control_requests.py
+++ b/turmerichall/platform/control_requests.py
@@ -5,7 +5,9 @@
 defaults.
 """
 
+from collections.abc import Awaitable, Callable
 from typing import Any
+import urllib.parse
 
 import msgspec
 
@@ -24,6 +26,7 @@
 __all__ = ["configuration_from_wire", "handle", "heartbeat_from_wire"]
 
 INSTANCES = "/v1/instances/"
+EVACUATION = "/v1/evacuation/"
 CONFIG_REPLACE = "/v1/config/replace"
 CONFIG_READ = "/v1/config/read"
 
@@ -44,6 +47,22 @@
     return "" if "/" in worker else worker
 
 
+def _evacuated_zone(path: str, verb: str) -> str | None:
+    """Return the zone from the path of an operator's evacuation request.
+
+    Returns:
+        The zone, which may be empty; None if the path has another form.
+
+    Examples:
+        >>> _evacuated_zone("/v1/evacuation/ikeja-a/begin", "/begin")
+        'ikeja-a'
+    """
+    if not path.startswith(EVACUATION) or not path.endswith(verb):
+        return None
+    zone = path[len(EVACUATION) : -len(verb)]
+    return None if "/" in zone else urllib.parse.unquote(zone)
+
+
 def _is_address(value: object) -> bool:
     host, colon, port = lenient_json.text(value).rpartition(":")
     return bool(host and colon and port.isdecimal())
@@ -99,6 +118,7 @@
         state == "draining",
         lenient_json.integer(document.get("seq")),
         lenient_json.integer(document.get("clock_ms"), -1),
+        max(lenient_json.integer(document.get("cold_remaining_ms")), 0),
     )
 
 
@@ -294,6 +314,13 @@
             )
         if path == CONFIG_REPLACE:
             return await _configure(leader_api, request.body, log)
+        for verb, change_zone in (
+            ("/begin", leader_api.begin_evacuation),
+            ("/finish", leader_api.finish_evacuation),
+        ):
+            zone = _evacuated_zone(path, verb)
+            if zone is not None:
+                return await _evacuate(change_zone, zone, request.body, log)
     if request.method == "GET" and path == CONFIG_READ:
         document = await leader_api.document()
         if isinstance(document, outcomes.Refusal):
@@ -321,6 +348,29 @@
     return message.Response(200, msgspec.json.encode({"heartbeat_url": url}))
 
 
+async def _evacuate(
+    change_zone: Callable[[str], Awaitable[leader_apis.Failure | None]],
+    zone: str,
+    body: bytes,
+    log: link.Log,
+) -> message.Response | outcomes.Refusal:
+    """Handle an operator's request to evacuate a zone, or to take it back."""
+    reason = ""
+    if body:
+        reason = "expected no body"
+    elif not zone.isprintable() or not zone:
+        reason = f"zone name {zone!r} is not text"
+    failure = None if reason else await change_zone(zone)
+    if isinstance(failure, outcomes.Refusal) and (
+        failure.reason == outcomes.RefusalReason.MALFORMED
+    ):
+        reason = failure.detail
+    if reason:
+        log.info("evacuation request rejected", zone=zone, reason=reason)
+        return message.Response(400, msgspec.json.encode({"error": [reason]}))
+    return client_requests.to_response(failure)
+
+
 async def _configure(
     leader_api: leader_apis.LeaderApi, body: bytes, log: link.Log
 ) -> message.Response | outcomes.Refusal:
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -10,11 +10,13 @@
 
 __all__ = [
     "AcceptJob",
+    "BeginEvacuation",
     "CancelJob",
     "Capacity",
     "Change",
     "ClearCrashes",
     "DrainWorker",
+    "EndEvacuation",
     "EndRuns",
     "EndedRun",
     "Ending",
@@ -321,6 +323,29 @@
     capacity: Capacity
 
 
+class BeginEvacuation(_Tagged, frozen=True, array_like=True, tag=12):
+    """Change that evacuates an availability zone: nothing starts there.
+
+    Attributes:
+        zone: Name of the zone.
+        at_ms: Time of the operator's request in ms since 1970, by the leader's
+            clock.
+    """
+
+    zone: str
+    at_ms: int
+
+
+class EndEvacuation(_Tagged, frozen=True, array_like=True, tag=13):
+    """Change that takes an availability zone back after an evacuation.
+
+    The attributes are as in `BeginEvacuation`.
+    """
+
+    zone: str
+    at_ms: int
+
+
 Change: TypeAlias = (
     SetConfiguration
     | AcceptJob
@@ -333,6 +358,8 @@
     | NoteInterference
     | ClearCrashes
     | ResizeWorker
+    | BeginEvacuation
+    | EndEvacuation
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -147,6 +147,8 @@
     gone: list[str]
     interference: dict[str, dict[str, float]]
     capacities: dict[str, changes.Capacity] = {}
+    evacuations: dict[str, int] = {}
+    restored: dict[str, int] = {}
 
 
 def _empty_snapshot() -> _Snapshot:
@@ -170,6 +172,10 @@
         interference: Learned slowdowns, by long-running and best-effort image.
         capacities: Capacities that changed after the registration, by id of the
             worker.
+        evacuations: When the evacuation of each availability zone in evacuation
+            began, in ms since 1970, by name of the zone.
+        restored: When each availability zone that was in evacuation was taken
+            back, in ms since 1970, by name of the zone.
         waiting: Ids of open jobs of which no task has started, by key of the
             queue.
     """
@@ -187,6 +193,8 @@
         self.gone = set(state.gone)
         self.interference = state.interference
         self.capacities = state.capacities
+        self.evacuations = state.evacuations
+        self.restored = state.restored
         self.waiting: dict[str, set[str]] = {}
         for job in self.jobs.values():
             if job.state == JobState.QUEUED:
@@ -205,6 +213,8 @@
                 sorted(self.gone),
                 self.interference,
                 self.capacities,
+                self.evacuations,
+                self.restored,
             )
         )
 
@@ -244,6 +254,12 @@
                     self.capacities[change.worker] = change.capacity
             case changes.NoteInterference():
                 self.interference = change.added
+            case changes.BeginEvacuation():
+                self.evacuations.setdefault(change.zone, change.at_ms)
+                self.restored.pop(change.zone, None)
+            case changes.EndEvacuation():
+                if self.evacuations.pop(change.zone, None) is not None:
+                    self.restored[change.zone] = change.at_ms
         return b""
 
     def _configure(self, change: changes.SetConfiguration) -> None:
--- a/turmerichall/settings/queue_settings.py
+++ b/turmerichall/settings/queue_settings.py
@@ -14,7 +14,9 @@
     "Policy",
     "QueueSettings",
     "Replicas",
+    "Scheduling",
     "Timing",
+    "Zones",
     "load",
 ]
 
@@ -116,6 +118,37 @@
     grace_seconds: float = 6.0
 
 
+class Scheduling(NamedTuple):
+    """Decisions of the scheduler that a deployment asks for.
+
+    Attributes:
+        order: Order of waiting batch tasks: `slack`, by the time left to their
+            objective, or `remaining_work`, by the work that their job still
+            needs.
+        backfill: Whether waiting tasks that fit nowhere hold claims on the room
+            that will be free first.
+        admission: `backlog`, by the waiting work as a whole, or `fair`, by
+            predicted finish, returns and shares.
+        colocation: `plain`, or `careful`: best-effort tasks start slowly beside
+            long-running ones that they may disturb.
+    """
+
+    order: str = "slack"
+    backfill: bool = False
+    admission: str = "backlog"
+    colocation: str = "plain"
+
+
+class Zones(NamedTuple):
+    """Availability zones of the deployment.
+
+    Attributes:
+        names: Names of the zones; if empty, any zone of a worker is known.
+    """
+
+    names: tuple[str, ...] = ()
+
+
 class QueueSettings(NamedTuple):
     """All settings of a daemon that serves queues."""
 
@@ -124,6 +157,8 @@
     replicas: Replicas
     timing: Timing = Timing()
     policy: Policy = Policy()
+    scheduling: Scheduling = Scheduling()
+    zones: Zones = Zones()
     logs: settings.Logs = settings.Logs()
 
 
@@ -177,6 +212,22 @@
         Policy,
         {"address": reader.Key("address", _optional_address)},
     ),
+    "scheduling": reader.Schema(
+        Scheduling,
+        {
+            "order": reader.Key(
+                "order", values.choice("slack", "remaining_work")
+            ),
+            "backfill": reader.Key("backfill", values.flag),
+            "admission": reader.Key(
+                "admission", values.choice("backlog", "fair")
+            ),
+            "colocation": reader.Key(
+                "colocation", values.choice("plain", "careful")
+            ),
+        },
+    ),
+    "zones": reader.Schema(Zones, {"names": reader.Key("names", values.names)}),
     "logs": reader.SECTIONS["logs"],
 }
 
