--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -21,6 +21,7 @@
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import session as sessions
 from turmerichall.dispatch import straggler_detector as straggler_detectors
+from turmerichall.dispatch import term_report
 from turmerichall.dispatch import ticket_cache as ticket_caches
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
@@ -49,9 +50,6 @@
 PLACEMENT_INTERVAL_SECONDS = 0.25
 # Time between two checks whether occurrences of recurring jobs are due.
 SCHEDULE_INTERVAL_SECONDS = 0.05
-# Time between two log lines on the backlog and workers; the interference model
-# is stored as often.
-REPORT_INTERVAL_SECONDS = 5.0
 
 
 def wall_ms() -> int:
@@ -162,7 +160,7 @@
                 nursery.start_soon(self.tickets.run, self.request_placement)
                 nursery.start_soon(self._watch_schedule)
                 nursery.start_soon(self._watch_leadership)
-                nursery.start_soon(self._report)
+                nursery.start_soon(term_report.run, self)
                 try:
                     await trio.sleep_forever()
                 finally:
@@ -199,23 +197,6 @@
         self.log.info("term ends", term=self.token)
         self.scope.cancel()
 
-    async def _report(self) -> None:
-        """Log backlog and workers regularly; store the interference model."""
-        while True:
-            await trio.sleep(REPORT_INTERVAL_SECONDS)
-            now = leases.steady_seconds()
-            table = self.interference_model.table()
-            reports.log_state(
-                self.log, self.backlog, self.workers.values(), table, now
-            )
-            if table and table != self.queue_state.interference:
-                await self.commit_or_resign(changes.NoteInterference(table))
-            cleared = self.registry.crash_register.cleared_tasks(
-                self.workers.values(), now
-            )
-            if cleared:
-                await self.commit_or_resign(changes.ClearCrashes(cleared))
-
     def may_renew(self) -> bool:
         """See `session.Owner`."""
         return self.freshness.may_renew()
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -7,6 +7,7 @@
 from turmerichall.dispatch import preemption
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.evacuation import zone_states
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
@@ -20,6 +21,7 @@
     "log_preempted",
     "log_refused",
     "log_registered",
+    "log_held_groups",
     "log_removed",
     "log_resized",
     "log_starts",
@@ -86,6 +88,20 @@
         log.info("learnt interference", lasting=image, added=added)
 
 
+def log_held_groups(
+    log: link.Log, held: Sequence[zone_states.HeldGroup]
+) -> None:
+    """Log the tasks that wait for evacuated zones, which alone can run them."""
+    for first in range(0, len(held), MAX_RUNS_PER_LINE):
+        part = held[first : first + MAX_RUNS_PER_LINE]
+        log.info(
+            "tasks wait for evacuated zones",
+            jobs=sorted({each.group.job.id for each in part}),
+            tasks=sum(len(each.group.waiting) for each in part),
+            zones=sorted({zone for each in part for zone in each.zones}),
+        )
+
+
 def log_starts(log: link.Log, rows: Sequence[changes.StartedRun]) -> None:
     """Log the starts of runs that were committed."""
     for first in range(0, len(rows), MAX_RUNS_PER_LINE):
