--- a/turmerichall/dispatch/evacuation/zone_states.py
+++ b/turmerichall/dispatch/evacuation/zone_states.py
@@ -56,10 +56,6 @@
     def __init__(self, queue_state: states.QueueState):
         self.queue_state = queue_state
 
-    def is_evacuated(self, worker: worker_state.Worker) -> bool:
-        """Return whether the zone of a worker is in evacuation."""
-        return worker.record.zone in self.queue_state.evacuations
-
     def begin_round(
         self,
         workers: Iterable[worker_state.Worker],
@@ -73,11 +69,10 @@
             now: Current time on the steady clock.
             now_ms: Current time in ms since 1970.
         """
-        evacuations = self.queue_state.evacuations
         restored = self.queue_state.restored
         for worker in workers:
             zone = worker.record.zone
-            is_evacuated = zone in evacuations
+            is_evacuated = self.queue_state.is_evacuated(worker.record)
             if worker.evacuated and not is_evacuated:
                 # Tasks without room may fit now.
                 worker.changed = True
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -432,7 +432,7 @@
             elif (
                 job is not None
                 and job.open
-                and worker.record.zone not in self.queue_state.evacuations
+                and not self.queue_state.is_evacuated(worker.record)
             ):
                 run.phase = run_state.Phase.ORDERED
                 self.spawn_start(session, run)
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -327,7 +327,7 @@
         for _ in range(START_TRIES):
             if run.stopping or worker.runs.get(run.task) is not run:
                 break
-            if worker.replaced or self._is_evacuated():
+            if worker.replaced or owner.queue_state.is_evacuated(worker.record):
                 break
             first_try = not run.sent_at
             run.sent_at = run.sent_at or leases.steady_seconds()
@@ -353,10 +353,6 @@
             run=run.number,
         )
 
-    def _is_evacuated(self) -> bool:
-        zone = self.worker.record.zone
-        return zone in self.owner.queue_state.evacuations
-
     async def _handle_start_result(
         self,
         run: run_state.Run,
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -262,6 +262,10 @@
                     self.restored[change.zone] = change.at_ms
         return b""
 
+    def is_evacuated(self, worker: changes.WorkerRecord) -> bool:
+        """Return whether the availability zone of a worker is in evacuation."""
+        return worker.zone in self.evacuations
+
     def _configure(self, change: changes.SetConfiguration) -> None:
         if change.configuration.version <= self.configuration.version:
             return
