Let operators evacuate and restore an availability zone

Cause: operators could drain single backend servers only; to keep new work out of a whole zone they had to drain each, which also moves what runs there.

Starts in an evacuated zone are refused when the log is applied; the placement authority plans none, withholds start commands and ends attempts that did not start. The gateway prefers servers of other zones.

Tested: folders state, zones, operators, command_line, gateway, backend_servers, placement and telemetry. One test fails there, also without this change: telemetry TestGauges.test_each_has_one_row, since docs/METRICS.md lacks the rows of workers_evacuated and zones_evacuated of the queue side.

--- a/turmerichall/cli.py
+++ b/turmerichall/cli.py
@@ -20,6 +20,7 @@
 from turmerichall.command_line import requests
 from turmerichall.command_line import session as sessions
 from turmerichall.command_line import settings_files
+from turmerichall.command_line import zones
 from turmerichall.settings import values
 
 __all__ = ["main", "parse", "run", "turmerichall"]
@@ -48,6 +49,7 @@
       quota           set, list
       job             submit, status, list, cancel, explain
       backend-server  list, drain, resume, start, stop
+      zone            list, evacuate, restore
       placement       show
       instance        list, add, remove
       requests        send
@@ -104,6 +106,7 @@
         "quota": configuration.Quotas(session),
         "job": jobs.Jobs(session),
         "backend-server": backend_servers.BackendServers(session),
+        "zone": zones.Zones(session),
         "placement": placement.Placement(session),
         "instance": instances.Instances(session),
         "requests": requests.Requests(options),
--- a/turmerichall/command_line/tests/test_cli.py
+++ b/turmerichall/command_line/tests/test_cli.py
@@ -18,6 +18,7 @@
 from turmerichall.gateway import server
 from turmerichall.operators.tests import fake_daemon
 from turmerichall.placement import inspection
+from turmerichall.state import change as changes
 from turmerichall.telemetry import counters
 from turmerichall.zones import epoch_state as epoch_states
 from turmerichall.zones import placement_queries
@@ -125,6 +126,7 @@
             ("job", "status", "j1"),
             ("placement", "show"),
             ("backend-server", "list"),
+            ("zone", "list"),
             ("instance", "list"),
             ("status",),
         ):
@@ -134,6 +136,25 @@
         shown = capsys.readouterr().out
         assert shown.index("accepted") < shown.index("cancelled")
 
+    def test_zone_is_evacuated_listed_and_restored(
+        self, listener: Listener, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        grant = changes.TakeGrant("z1", "i1", 0, 0)
+        listener.daemon.machine.apply(1, changes.encode(grant))
+        assert _run("zone", "evacuate", "z1", "--operator", "ann") == 0
+        capsys.readouterr()
+        assert _run("zone", "list", "--format", "json") == 0
+        (item,) = json.loads(capsys.readouterr().out)["items"]
+        assert (item["state"], item["set_by"]) == ("evacuated", "ann")
+        assert _run("zone", "list") == 0
+        assert "evacuated  20" in capsys.readouterr().out
+        assert _run("zone", "restore", "z1", "--base-version", "0") == 3
+        assert _run("zone", "restore", "z1") == 0
+        assert _run("zone", "evacuate", "z9") == 1
+        refused = capsys.readouterr().err
+        assert "refused (unknown_name)" in refused
+        assert "known zones: z1" in refused
+
     def test_placement_is_shown_for_each_zone(
         self, listener: Listener, capsys: pytest.CaptureFixture[str]
     ) -> None:
--- a/turmerichall/command_line/tests/test_pages.py
+++ b/turmerichall/command_line/tests/test_pages.py
@@ -11,7 +11,8 @@
 ROOT = pathlib.Path(__file__).parents[3]
 PAGES = sorted(ROOT.glob("*.md")) + sorted(ROOT.glob("docs/**/*.md"))
 NOUNS = (
-    "template|customer|quota|job|backend-server|instance|requests|config|status"
+    "template|customer|quota|job|backend-server|zone|instance|requests|config"
+    "|status"
 )
 # A command in a code span, or at the start of a line indented by 4 spaces.
 COMMAND = re.compile(rf"(?:`|^ {{4}})turmerichall ((?:{NOUNS})\b[^`\n]*)", re.M)
--- a/turmerichall/gateway/application.py
+++ b/turmerichall/gateway/application.py
@@ -101,6 +101,7 @@
             self.loans.old_loans_expired,
             self.telemetry.record_ejection,
             lease,
+            self._evacuated_zones,
         )
         self.dispatcher = dispatchers.Dispatcher(
             self.fleet,
@@ -119,6 +120,9 @@
         )
         self._add_gauges(counters)
 
+    def _evacuated_zones(self) -> frozenset[str]:
+        return self.machine.configuration.evacuated_zones()
+
     def _add_gauges(self, counters: request_telemetry.Counters) -> None:
         admission = self.dispatcher.admission
         counters.gauge(
--- a/turmerichall/gateway/fleet.py
+++ b/turmerichall/gateway/fleet.py
@@ -1,6 +1,6 @@
 """The backend servers that an entry instance sends requests to."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import trio
 
@@ -43,6 +43,8 @@
         on_ejection: Called with the name of an ejected server and for how many
             seconds it is ejected.
         share_lease: Lease needed to use more than the reserved part of a share.
+        evacuated_zones: Returns the names of the zones that operators have
+            evacuated.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         old_loans_expired: Callable[[], bool],
         on_ejection: Callable[[str, float], None],
         lease: share_leases.ShareLease = share_leases.PermanentShareLease(),
+        evacuated_zones: Callable[[], Collection[str]] = frozenset,
     ):
         self.directory = directory
         self.shares = shares
@@ -62,6 +65,7 @@
         self.old_loans_expired = old_loans_expired
         self.on_ejection = on_ejection
         self.share_lease = lease
+        self.evacuated_zones = evacuated_zones
         self.pools: dict[str, pools.Pool] = {}
         self.discovery_ends_at = trio.current_time() + DISCOVERY_SECONDS
 
@@ -114,13 +118,27 @@
     def pools_serving(
         self, customer: str, service: str, now: float
     ) -> list[pools.Pool]:
-        """Return the pools of the servers that accept new work of a service."""
-        found = self.directory.find_servers(customer, service, now)
+        """Return the pools of the servers that may run a service's requests."""
+        found = self._find_servers(customer, service, now)
         return [self.get_pool(each) for each in found]
 
+    def _find_servers(
+        self, customer: str, service: str, now: float
+    ) -> list[announcements.Announcement]:
+        """Return the servers that accept new work of a service.
+
+        Servers of evacuated zones are left out while another zone has one, so
+        that a service is not interrupted where it runs only in such a zone.
+        """
+        found = self.directory.find_servers(customer, service, now)
+        evacuated = self.evacuated_zones()
+        if not evacuated:
+            return found
+        return [each for each in found if each.zone not in evacuated] or found
+
     def eligible_servers(self, request: requests.Request) -> frozenset[str]:
         """Return the names of the servers that may run a request."""
-        serving = self.directory.find_servers(
+        serving = self._find_servers(
             request.customer, request.service, trio.current_time()
         )
         return frozenset(announcement.name for announcement in serving)
--- a/turmerichall/gateway/tests/test_fleet.py
+++ b/turmerichall/gateway/tests/test_fleet.py
@@ -79,3 +79,32 @@
             "w", "z1", ANNOUNCEMENT.connections, MORE_MEMBERS
         )["i1"]
         assert pool.max_connections() == smaller_share
+
+
+class TestEvacuatedZone:
+
+    async def test_its_servers_are_used_only_if_no_other_zone_has_one(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        del autojump_clock
+        fleet = _IdleInstance().fleet
+        evacuated: set[str] = set()
+        fleet.evacuated_zones = lambda: evacuated
+        running = announcements.ReportedState.RUNNING
+        report = announcements.TaskReport("svc:c/s/z1/0", 1, running)
+        now = trio.current_time()
+        for name, zone in (("w1", "z1"), ("w2", "z2")):
+            announced = ANNOUNCEMENT._replace(
+                name=name, zone=zone, tasks=(report,), address=f"{name}:1"
+            )
+            assert fleet.directory.accept(announced, now) is None
+
+        def names() -> list[str]:
+            pools = fleet.pools_serving("c", "s", now)
+            return [pool.announcement.name for pool in pools]
+
+        assert names() == ["w1", "w2"]
+        evacuated.add("z1")
+        assert names() == ["w2"]
+        fleet.directory.remove("w2")
+        assert names() == ["w1"]
--- a/turmerichall/operators/backend_servers.py
+++ b/turmerichall/operators/backend_servers.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import trio
 
@@ -31,17 +31,6 @@
 ]
 
 
-class IntentionDocument(NamedTuple):
-    """Body of a request that sets the intention for a backend server.
-
-    Attributes:
-        base_version: Version of the intention that the change is based on; None
-            for the version that is current when the request arrives.
-    """
-
-    base_version: int | None = None
-
-
 async def list_backend_servers(
     services: services_module.Services, request: exchange.Request
 ) -> exchange.Response | outcomes.Refusal:
@@ -99,9 +88,9 @@
     ) -> exchange.Response | outcomes.Refusal:
         operation = operations.read_operation(request)
         name = request.parameters["name"]
-        document = IntentionDocument()
+        document = operations.StateDocument()
         if request.body:
-            document = operations.decode_body(request, IntentionDocument)
+            document = operations.decode_body(request, operations.StateDocument)
         base_version = document.base_version
         if base_version is None:
             refused = await services.replica.barrier()
--- a/turmerichall/operators/gauges.py
+++ b/turmerichall/operators/gauges.py
@@ -59,6 +59,11 @@
         "Epoch of the placing authority, by zone.",
         lambda: {zone: held.epoch for zone, held in machine.grants.items()},
     )
+    gauge(
+        "evacuated_zones",
+        "Availability zones in which operators let no task start.",
+        lambda: len(machine.configuration.evacuated_zones()),
+    )
     gauge(
         "backend_servers",
         "Backend servers known here, by whether they take new work.",
--- a/turmerichall/operators/operations.py
+++ b/turmerichall/operators/operations.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 from turmerichall import documents
 from turmerichall import errors
@@ -16,12 +16,30 @@
 from turmerichall.state import change as changes
 from turmerichall.templates import template
 
-__all__ = ["OPERATION_ID_HEADER", "OPERATOR_HEADER", "read_operation", "submit"]
+__all__ = [
+    "OPERATION_ID_HEADER",
+    "OPERATOR_HEADER",
+    "StateDocument",
+    "decode_body",
+    "read_operation",
+    "submit",
+]
 
 OPERATION_ID_HEADER = "turmerichall-operation-id"
 OPERATOR_HEADER = "turmerichall-operator"
 
 
+class StateDocument(NamedTuple):
+    """Body of a request for the state of a backend server or a zone.
+
+    Attributes:
+        base_version: Version of the state that the change is based on; None
+            for the version that is current when the request arrives.
+    """
+
+    base_version: int | None = None
+
+
 def read_operation(request: exchange.Request) -> changes.Operation:
     """Return the operation of a request, as its header fields give it.
 
--- a/turmerichall/operators/routes.py
+++ b/turmerichall/operators/routes.py
@@ -13,6 +13,7 @@
 from turmerichall.operators import placement
 from turmerichall.operators import services as services_module
 from turmerichall.operators import workers
+from turmerichall.operators import zones
 
 __all__ = ["Access", "ROUTES", "Route", "find"]
 
@@ -57,6 +58,7 @@
 
 
 _SERVERS = "/v1/backend-servers"
+_ZONES = "/v1/zones"
 
 ROUTES: tuple[Route, ...] = (
     Route("GET", "/healthz", instances.healthz, Access.ANYONE),
@@ -80,6 +82,15 @@
         )
         for verb, intention in backend_servers.INTENTIONS.items()
     ),
+    Route("GET", _ZONES, zones.list_zones),
+    *(
+        Route(
+            "POST",
+            f"{_ZONES}/{NAME_PARAMETER}/{verb}",
+            zones.state_handler(state),
+        )
+        for verb, state in zones.STATES.items()
+    ),
     Route("GET", "/v1/instances", instances.list_instances),
     Route("POST", "/v1/instances", instances.add),
     Route("DELETE", f"/v1/instances/{NAME_PARAMETER}", instances.remove),
--- a/turmerichall/operators/tests/test_fuzz.py
+++ b/turmerichall/operators/tests/test_fuzz.py
@@ -39,6 +39,7 @@
         "deadline_wall_seconds": 9.0,
     },
     ("POST", "/v1/backend-servers/w1/drain"): {"base_version": 0},
+    ("POST", "/v1/zones/z1/evacuate"): {"base_version": 0},
     ("POST", "/v1/instances"): {"name": "i4", "address": "127.0.0.1:5"},
     ("POST", "/v1/workers/announce"): {
         "name": "w1",
--- a/turmerichall/outcomes.py
+++ b/turmerichall/outcomes.py
@@ -51,6 +51,7 @@
     STALE_EPOCH = "stale_epoch"
     STALE_ANCHOR = "stale_anchor"
     WRONG_STATE = "wrong_state"
+    ZONE_EVACUATED = "zone_evacuated"
     # Refusals because another daemon can't be reached or does not answer.
     UNREACHABLE = "unreachable"
     TIMEOUT = "timeout"
--- a/turmerichall/state/change.py
+++ b/turmerichall/state/change.py
@@ -15,7 +15,9 @@
 from turmerichall.customers import customer
 from turmerichall.instances import instance
 from turmerichall.instances import presence as presences
+from turmerichall.state import operation as operations
 from turmerichall.state import packing
+from turmerichall.state import zone_change
 from turmerichall.templates import template
 
 __all__ = [
@@ -25,6 +27,7 @@
     "EndTasks",
     "EvictTasks",
     "ForgetInstance",
+    "Operation",
     "PublishTemplate",
     "RecordDecisions",
     "RegisterInstance",
@@ -42,18 +45,7 @@
 ]
 
 
-class Operation(NamedTuple):
-    """The origin of a change, and its idempotency key.
-
-    Attributes:
-        operation_id: Idempotency key; a retry of the operation has the same.
-        operator: Name of the operator or instance that requested the change.
-        wall_seconds: When the change was requested, Unix time.
-    """
-
-    operation_id: str
-    operator: str
-    wall_seconds: float
+Operation = operations.Operation
 
 
 class PublishTemplate(NamedTuple):
@@ -371,6 +363,7 @@
     | ForgetInstance
     | ReleaseGrant
     | SetPresence
+    | zone_change.SetZoneState
 )
 
 # The kind numbers are part of the log format: never renumber them.
@@ -393,6 +386,7 @@
     # Kinds 16 and 17 are the packed forms of kinds 9 and 10; see
     # `_PACKED_STARTS` and `_PACKED_ENDS`.
     18: SetPresence,
+    19: zone_change.SetZoneState,
 }
 _KIND_BY_TYPE = {change_type: kind for kind, change_type in _KINDS.items()}
 # Kinds whose batches of several starts or ends are packed by `packing.pack`.  A
--- a/turmerichall/state/configuration.py
+++ b/turmerichall/state/configuration.py
@@ -1,13 +1,15 @@
-"""Versioned configuration: templates, customers, quotas and intentions.
+"""Versioned configuration: templates, customers, quotas, intentions and zones.
 
 An intention is the state that operators request for a backend server.
 """
 
+from collections.abc import Iterable
 from typing import Generic, NamedTuple, TypeVar
 
 from turmerichall import outcomes
 from turmerichall.customers import customer
 from turmerichall.state import change as changes
+from turmerichall.state import zone_change
 from turmerichall.templates import template
 
 __all__ = [
@@ -18,12 +20,14 @@
     "Snapshot",
     "TEMPLATES",
     "Versioned",
+    "ZONES",
 ]
 
 TEMPLATES = "templates"
 CUSTOMERS = "customers"
 QUOTAS = "quotas"
 INTENTIONS = "intentions"
+ZONES = "zones"
 
 MAX_TASKS_PER_JOB = 10_000
 
@@ -54,6 +58,7 @@
     customers: dict[str, Versioned[customer.Customer]]
     quotas: dict[str, Versioned[customer.Quota]]
     intentions: dict[str, Versioned[changes.Intention]]
+    zones: dict[str, Versioned[zone_change.ZoneState]] | None = None
 
 
 class Configuration:
@@ -66,6 +71,8 @@
         quotas: Quotas by team.
         intentions: States that operators request for backend servers, by
             name of the server.
+        zones: States that operators request for availability zones, by name
+            of the zone; a zone without an entry is serving.
     """
 
     def __init__(self) -> None:
@@ -74,6 +81,7 @@
         self.customers: dict[str, Versioned[customer.Customer]] = {}
         self.quotas: dict[str, Versioned[customer.Quota]] = {}
         self.intentions: dict[str, Versioned[changes.Intention]] = {}
+        self.zones: dict[str, Versioned[zone_change.ZoneState]] = {}
 
     @classmethod
     def from_snapshot(cls, snapshot: Snapshot) -> "Configuration":
@@ -84,6 +92,7 @@
         restored.customers = snapshot.customers
         restored.quotas = snapshot.quotas
         restored.intentions = snapshot.intentions
+        restored.zones = snapshot.zones or {}
         return restored
 
     def snapshot(self) -> Snapshot:
@@ -94,6 +103,7 @@
             self.customers,
             self.quotas,
             self.intentions,
+            self.zones,
         )
 
     def compare_and_set(
@@ -136,6 +146,44 @@
         )
         return changes.Result(changes.Status.APPLIED, version + 1)
 
+    def set_zone_state(
+        self, request: zone_change.SetZoneState
+    ) -> changes.Result:
+        """Set the state of a zone, or change nothing if it is in that state.
+
+        Returns:
+            The version of the state, or a conflict with the current version
+            and the operator who wrote it.
+        """
+        current = self.zones.get(request.zone)
+        if self.zone_state(request.zone) == request.state:
+            version = current.version if current else 0
+            return changes.Result(changes.Status.APPLIED, version)
+        return self.compare_and_set(
+            ZONES,
+            request.zone,
+            request.state,
+            request.base_version,
+            request.operation,
+        )
+
+    def zone_state(self, zone: str) -> zone_change.ZoneState:
+        """Return the requested state of a zone; default SERVING."""
+        found = self.zones.get(zone)
+        return found.body if found else zone_change.ZoneState.SERVING
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether operators have evacuated a zone."""
+        return self.zone_state(zone) == zone_change.ZoneState.EVACUATED
+
+    def serving_zones(self, zones: Iterable[str]) -> tuple[str, ...]:
+        """Return those of some zones that are not evacuated, in their order."""
+        return tuple(zone for zone in zones if not self.is_evacuated(zone))
+
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the names of the evacuated zones."""
+        return frozenset(filter(self.is_evacuated, self.zones))
+
     def job_refusal(self, request: changes.AcceptJob) -> changes.Result | None:
         """Return why the configuration forbids a job; None if it does not."""
         if request.customer not in self.customers:
--- a/turmerichall/state/machine.py
+++ b/turmerichall/state/machine.py
@@ -17,6 +17,7 @@
 from turmerichall.state import change as changes
 from turmerichall.state import configuration
 from turmerichall.state import job_store
+from turmerichall.state import zone_change
 from turmerichall.zones import grant as grants
 
 __all__ = ["StateMachine", "Watcher"]
@@ -43,7 +44,8 @@
 
     Attributes:
         applied_index: Index in the log of the last applied change.
-        configuration: Templates, customers, quotas and intentions.
+        configuration: Templates, customers, quotas, intentions and
+            requested states of zones.
         job_store: Jobs, tasks and recorded decisions.
         grants: Current grant of each zone.
         instances: Entry instances by name.
@@ -126,6 +128,7 @@
             changes.RegisterInstance: self._register_instance,
             changes.ForgetInstance: self._forget_instance,
             changes.SetPresence: self._set_presence,
+            zone_change.SetZoneState: self._set_zone_state,
         }
 
     def _publish_template(
@@ -170,6 +173,11 @@
             change.operation,
         )
 
+    def _set_zone_state(
+        self, _: int, change: zone_change.SetZoneState
+    ) -> changes.Result:
+        return self.configuration.set_zone_state(change)
+
     def _accept_job(
         self, index: int, change: changes.AcceptJob
     ) -> changes.Result:
@@ -228,6 +236,7 @@
         self, index: int, change: changes.StartTasks
     ) -> changes.Result:
         refusal = self._stale_epoch_refusal(change.zone, change.epoch)
+        refusal = refusal or self._evacuation_refusal(change.zone)
         return refusal or self.job_store.start(index, change)
 
     def _end_tasks(
@@ -303,6 +312,23 @@
             f"zone {zone} is at epoch {current.epoch}, not {epoch}",
         )
 
+    def _evacuation_refusal(self, zone: str) -> changes.Result | None:
+        """Return why no task may start in a zone; None if one may.
+
+        The order of the log decides: an authority that planned a start before
+        it applied the evacuation can't record it after the evacuation.
+        """
+        if not self.configuration.is_evacuated(zone):
+            return None
+        entry = self.configuration.zones[zone]
+        return changes.Result(
+            changes.Status.REFUSED,
+            entry.version,
+            entry.operator,
+            outcomes.RefusalReason.ZONE_EVACUATED,
+            f"zone {zone} was evacuated by {entry.operator}",
+        )
+
     async def wait_applied(self, index: int) -> None:
         """Wait until the change at an index of the log is applied here."""
         while self.applied_index < index:
--- a/turmerichall/zones/planner_feed.py
+++ b/turmerichall/zones/planner_feed.py
@@ -157,7 +157,11 @@
         if view is None or self.zone not in view.zones:
             self.planner.drop_waiting(task.task_id)
             return
-        preferred = task_views.preferred_zone(task.task_id, view.zones)
+        # Zones that may start the task don't wait for an evacuated one.
+        serving = self.machine.configuration.serving_zones(view.zones)
+        preferred = task_views.preferred_zone(
+            task.task_id, serving or view.zones
+        )
         if preferred == self.zone:
             self.planner.put_waiting(view)
         else:
--- a/turmerichall/zones/scheduler.py
+++ b/turmerichall/zones/scheduler.py
@@ -25,6 +25,7 @@
 from turmerichall.zones import grant_holder
 from turmerichall.zones import reconciliation
 from turmerichall.zones import replies
+from turmerichall.zones import start_hold
 
 __all__ = ["ZoneScheduler"]
 
@@ -49,6 +50,7 @@
         make_planner: Creates the planner of a new epoch.
         unschedulable_reporter: Decides what to record for tasks that no
             worker of the zone can hold.
+        start_hold: Holds back starts while the zone is evacuated.
         epoch_state: State of the held epoch; None if no epoch is held.
     """
 
@@ -73,6 +75,9 @@
                 holder.zone, machine, feasibility_checker
             )
         )
+        self.start_hold = start_hold.StartHold(
+            holder.zone, machine, feasibility_checker
+        )
         self.epoch_state: epoch_states.EpochState | None = None
         self._wakeup = trio.Event()
         self._leases_checked_at = -math.inf
@@ -128,9 +133,17 @@
         if measured is None:
             measured = announcement.tasks
         reconciled = epoch_state.apply_announcement(announcement, measured, now)
+        if self.start_hold.is_active():
+            for end in self.start_hold.withhold(
+                reconciled.missing, announcement.tasks, now
+            ):
+                epoch_state.add_end(end)
+        else:
+            self._resend_missing_starts(
+                epoch_state, announcement, reconciled, now
+            )
         if epoch_state.ends:
             self.wake()
-        self._resend_missing_starts(epoch_state, announcement, reconciled, now)
         return replies.make_reply(epoch_state, announcement, reconciled, now)
 
     def needs_full_announcement(self, zone: str, worker: str) -> bool:
@@ -168,6 +181,9 @@
         worker: str,
         names: list[str],
     ) -> None:
+        # The zone may have been evacuated since the starts were recorded.
+        if self.start_hold.is_active():
+            return
         await self.executor.push_starts(epoch_state, worker, names)
         if epoch_state.ends:
             self.wake()
@@ -191,6 +207,7 @@
         epoch_state = self._current_epoch_state()
         now = trio.current_time()
         epoch_state.feed.sync(now)
+        self.start_hold.update()
         if now - self._leases_checked_at >= LEASE_CHECK_PERIOD_SECONDS:
             self._leases_checked_at = now
             epoch_state.detect_lost_tasks(now)
@@ -199,8 +216,11 @@
         now = trio.current_time()
         if not epoch_state.is_current() or not self.holder.may_start(now):
             return
+        # In an evacuated zone the planner still throttles and evicts batch
+        # tasks to protect services, but it makes no room for waiting tasks.
+        evacuated = self.start_hold.is_active()
         plan = epoch_state.feed.planner.plan(
-            now, time.time(), MAX_STARTS_PER_STEP
+            now, time.time(), 0 if evacuated else MAX_STARTS_PER_STEP
         )
         await self._execute_plan(epoch_state, plan)
 
@@ -228,6 +248,7 @@
         waits = self.unschedulable_reporter.filter_waits(
             plan.waits, trio.current_time()
         )
+        waits += self.start_hold.waits(trio.current_time())
         if waits:
             await self.executor.record_waits(epoch_state, waits)
         for throttle in plan.throttles:
