Run the tests of withheld starts on the mock clock

Cause: an autouse fixture asked for the autojump clock, which pytest-trio takes only from a test's own fixtures, so that the tests waited in real time; with the machine busy, two trials were cut off without a result.

Change: each test asks for the clock, as the other tests of the scheduler do.

Tested: four tests pass within seconds; one fails without the planner's limit, and without the report of waiting jobs (both tried).

--- a/turmerichall/zones/tests/test_start_hold.py
+++ b/turmerichall/zones/tests/test_start_hold.py
@@ -3,8 +3,6 @@
 import io
 import json
 
-import pytest
-import trio
 import trio.testing
 
 from turmerichall.backend_servers import announcement as announcements
@@ -15,11 +13,6 @@
 from turmerichall.zones.tests import scheduled_zone
 
 
-@pytest.fixture(autouse=True)
-def _clock(autojump_clock: trio.testing.MockClock) -> None:
-    del autojump_clock
-
-
 def _set(
     zone: scheduled_zone.Zone,
     state: zone_change.ZoneState = zone_change.ZoneState.EVACUATED,
@@ -44,7 +37,7 @@
 class TestEvacuatedZone:
 
     async def test_waiting_job_starts_only_after_the_restore(
-        self, zone: scheduled_zone.Zone
+        self, zone: scheduled_zone.Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         # The first configured stream also gets earlier lines.
         logs.configure(stream=io.StringIO())
@@ -71,7 +64,7 @@
         assert "j1/0" in _started(zone)
 
     async def test_running_task_continues(
-        self, zone: scheduled_zone.Zone
+        self, zone: scheduled_zone.Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         await zone.run_job()
         _set(zone)
@@ -83,7 +76,7 @@
 
     # The worker may still get the first command until the lease has ended.
     async def test_lost_start_is_not_resent_and_ends_with_its_lease(
-        self, zone: scheduled_zone.Zone
+        self, zone: scheduled_zone.Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         await zone.run_job()
         _set(zone)
@@ -97,7 +90,7 @@
         assert len(zone.sender.sent) == sent
 
     async def test_recorded_start_is_not_sent(
-        self, zone: scheduled_zone.Zone
+        self, zone: scheduled_zone.Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
         def evacuate(change: changes.Change, _: changes.Result) -> None:
             if isinstance(change, changes.StartTasks):
