Order waiting batch jobs by forecast and remaining work

A burst of batch jobs above capacity gives each job a share under the slack order, and all become late together. With [scheduling] order = remaining_work, jobs whose whole remainder can be on time go first, those with the least work left before others; jobs that can only be late follow, and a job without a running task for three objectives has a turn.

The planner hands its workers and log to the order.

TestGauges::test_each_has_one_row fails, as before this change, for the gauges of evacuation that have no rows.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -110,7 +110,7 @@
         self.metrics_registry = metrics_registry
         self.tickets = ticket_caches.TicketCache(policy, log, metrics_registry)
         self.backlog = backlogs.Backlog(queue_state)
-        self.forecaster = forecast.Forecaster(durations)
+        self.forecaster = forecast.Forecaster(durations, metrics_registry)
         self._admission: controller.AdmissionController = (
             selection.make_controller(
                 scheduling, self.backlog, durations, self.forecaster
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -66,7 +66,9 @@
         self.stops: list[preemption.Stop] = []
         self.scheduling = scheduling
         self.forecaster = forecaster
-        self._order = selection.make_order(scheduling, queue_state, forecaster)
+        self._order = selection.make_order(
+            scheduling, queue_state, forecaster, workers, log
+        )
         self._log = log
         self._round = 0
         # Usable workers of the latest round, each with the number of the round
--- /dev/null
+++ b/turmerichall/dispatch/waiting_order/remainder.py
@@ -0,0 +1,144 @@
+"""What is left to do of a job: its time, and the share of its work."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from turmerichall.dispatch import run_state
+from turmerichall.dispatch.forecasts import forecast
+from turmerichall.queues import change as changes
+from turmerichall.queues import demand as demands
+from turmerichall.queues import state as states
+
+__all__ = ["Remainder", "remainder"]
+
+FindRun = Callable[[changes.TaskName, str], run_state.Run | None]
+
+
+class Remainder(NamedTuple):
+    """What is left to do of one occurrence of a job.
+
+    Attributes:
+        seconds: Forecast time until its last step is done, if the service's
+            workers run nothing else.
+        waiting_seconds: Part of that time that does not pass while only the
+            tasks that have a run now are running.
+        fraction: Share of its work that is not done, from 0 to 1, in
+            core-seconds by the forecast.
+        running: Number of its tasks that have a run.
+    """
+
+    seconds: float
+    waiting_seconds: float
+    fraction: float
+    running: int
+
+    def seconds_after(self, elapsed_seconds: float) -> float:
+        """Return the remaining time some seconds after the estimate.
+
+        Examples:
+            >>> estimate = Remainder(3.0, 2.0, 0.5, 4)
+            >>> estimate.seconds_after(0.5), estimate.seconds_after(1.5)
+            (2.5, 2.0)
+        """
+        return max(self.seconds - elapsed_seconds, self.waiting_seconds)
+
+
+def remainder(
+    job: states.Job,
+    occurrence: int,
+    forecaster: forecast.Forecaster,
+    find_run: FindRun,
+    slots_of: Callable[[demands.StepDemand], float],
+    now: float,
+) -> Remainder:
+    """Return what is left to do of one occurrence of a job.
+
+    Args:
+        job: The job.
+        occurrence: The occurrence.
+        forecaster: Forecasts of run times.
+        find_run: Returns the run of a task on a worker, by the worker's id.
+        slots_of: Returns how many tasks of a step the workers of the service
+            run at the same time.
+        now: Current time on the steady clock.
+    """
+    ends: list[float] = []
+    waiting_ends: list[float] = []
+    whole_work = work_left = 0.0
+    running = 0
+    for number, (step, progress) in enumerate(
+        zip(job.demand.steps, job.steps(occurrence))
+    ):
+        begins = max((ends[other] for other in step.after), default=0.0)
+        waiting_begins = max(
+            (waiting_ends[other] for other in step.after), default=0.0
+        )
+        kind = (job.queue, step.image)
+        seconds = forecaster.expected_of_step(
+            (job.id, occurrence, number), kind, step.estimate_ms / 1000
+        ).typical_seconds
+        count = len(progress.tasks)
+        whole_work += step.cpu * seconds * count
+        if progress.done == count:
+            ends.append(0.0)
+            waiting_ends.append(0.0)
+            continue
+        rests: list[float] = []
+        waiting = count - progress.done
+        if waiting and job.started:
+            for index, task in enumerate(progress.tasks):
+                if not task.worker or task.done:
+                    continue
+                name = changes.TaskName(job.id, occurrence, number, index)
+                run = find_run(name, task.worker)
+                rests.append(
+                    forecaster.remaining(run, now).typical_seconds
+                    if run
+                    else seconds
+                )
+            waiting -= len(rests)
+        running += len(rests)
+        # A running task counts for no more than a whole one: a run that
+        # outlives its forecast doesn't add to the work of its job.
+        work_left += step.cpu * (
+            waiting * seconds + sum(min(rest, seconds) for rest in rests)
+        )
+        slots = slots_of(step)
+        ends.append(begins + _step_seconds(waiting, rests, seconds, slots))
+        waiting_ends.append(
+            waiting_begins + _step_seconds(waiting, [], seconds, slots)
+        )
+    fraction = work_left / whole_work if whole_work else 1.0
+    return Remainder(
+        max(ends, default=0.0),
+        max(waiting_ends, default=0.0),
+        fraction,
+        running,
+    )
+
+
+def _step_seconds(
+    waiting: int, rests: list[float], seconds: float, slots: float
+) -> float:
+    """Return the time until the tasks of a step are done.
+
+    Args:
+        waiting: Number of its waiting tasks.
+        rests: Remaining times of its running tasks.
+        seconds: Time of a task.
+        slots: Number of its tasks that run at the same time.
+
+    Examples:
+        >>> _step_seconds(10, [], 2.0, 100.0)
+        2.0
+        >>> _step_seconds(10, [1.0], 2.0, 4.0)
+        5.25
+        >>> _step_seconds(0, [1.0, 7.0], 2.0, 4.0)
+        7.0
+    """
+    longest = max(rests, default=0.0)
+    if not waiting:
+        return longest
+    # The rests of running tasks take part of the slots' time.
+    all_seconds = waiting * seconds + sum(rests)
+    return max(longest, seconds, all_seconds / max(slots, 1.0))
--- a/turmerichall/telemetry/lightweight_metrics.py
+++ b/turmerichall/telemetry/lightweight_metrics.py
@@ -29,19 +29,41 @@
 _Labels = tuple[tuple[str, str], ...]
 
 
-class _Latency:
-    """Histogram of the durations of one operation, in seconds.
+class _Histogram:
+    """Histogram of observations of one kind.
 
     Attributes:
+        bounds: Upper bounds of the buckets except the last, ascending.
         counts: Number of observations per bucket; the last bucket has no upper
             bound.
         total: Sum of the observations.
     """
 
-    def __init__(self) -> None:
-        self.counts = [0] * (len(LATENCY_BOUNDS_SECONDS) + 1)
+    def __init__(self, bounds: tuple[float, ...]) -> None:
+        self.bounds = bounds
+        self.counts = [0] * (len(bounds) + 1)
         self.total = 0.0
 
+    def record(self, value: float) -> None:
+        """Add an observation."""
+        self.counts[bisect.bisect_left(self.bounds, value)] += 1
+        self.total += value
+
+    def family(self, name: str, description: str) -> Any:
+        """Return the histogram as a Prometheus metric family."""
+        # pylint: disable-next=import-outside-toplevel
+        from prometheus_client import core
+
+        buckets = []
+        cumulative_count = 0
+        bounds = [str(bound) for bound in self.bounds] + ["+Inf"]
+        for bound, bucket_count in zip(bounds, self.counts):
+            cumulative_count += bucket_count
+            buckets.append((bound, cumulative_count))
+        return core.HistogramMetricFamily(
+            name, description, buckets=buckets, sum_value=self.total
+        )
+
 
 class _Gauge(NamedTuple):
     """Gauge whose value is read at each scrape."""
@@ -51,7 +73,7 @@
 
 
 class MetricsRegistry:
-    """Counters, gauges and latency histograms of one process.
+    """Counters, gauges and histograms of one process.
 
     Examples:
         >>> metrics = MetricsRegistry()
@@ -66,7 +88,8 @@
         self._counts: collections.Counter[tuple[str, _Labels]] = (
             collections.Counter()
         )
-        self._latencies: dict[str, _Latency] = {}
+        self._latencies: dict[str, _Histogram] = {}
+        self._ratios: dict[str, _Histogram] = {}
         self._gauges: dict[str, _Gauge] = {}
 
     def count(self, name: str, times: int = 1, **labels: str) -> None:
@@ -88,9 +111,24 @@
         """
         latency = self._latencies.get(name)
         if latency is None:
-            latency = self._latencies[name] = _Latency()
-        latency.counts[bisect.bisect_left(LATENCY_BOUNDS_SECONDS, seconds)] += 1
-        latency.total += seconds
+            latency = self._latencies[name] = _Histogram(LATENCY_BOUNDS_SECONDS)
+        latency.record(seconds)
+
+    def record_ratio(
+        self, name: str, ratio: float, bounds: tuple[float, ...]
+    ) -> None:
+        """Add an observation to a histogram of ratios.
+
+        Args:
+            name: Name of the histogram without unit, such as `forecast_error`.
+            ratio: The observation.
+            bounds: Upper bounds of the buckets, ascending; those of the first
+                observation stay.
+        """
+        histogram = self._ratios.get(name)
+        if histogram is None:
+            histogram = self._ratios[name] = _Histogram(bounds)
+        histogram.record(ratio)
 
     def add_gauge(
         self, name: str, description: str, read: Callable[[], float]
@@ -139,17 +177,12 @@
                 PREFIX + name, gauge.description, value=gauge.read()
             )
         for name, latency in sorted(self._latencies.items()):
-            buckets = []
-            cumulative_count = 0
-            bounds = [str(bound) for bound in LATENCY_BOUNDS_SECONDS] + ["+Inf"]
-            for bound, bucket_count in zip(bounds, latency.counts):
-                cumulative_count += bucket_count
-                buckets.append((bound, cumulative_count))
-            yield core.HistogramMetricFamily(
-                f"{PREFIX}{name}_seconds",
-                f"Latency of a {name}.",
-                buckets=buckets,
-                sum_value=latency.total,
+            yield latency.family(
+                f"{PREFIX}{name}_seconds", f"Latency of a {name}."
+            )
+        for name, histogram in sorted(self._ratios.items()):
+            yield histogram.family(
+                f"{PREFIX}{name}_ratio", f"Ratio of a {name}."
             )
 
 
