--- a/turmerichall/dispatch/forecasts/forecast.py
+++ b/turmerichall/dispatch/forecasts/forecast.py
@@ -50,6 +50,8 @@
         metrics_registry: Metrics of this process; None if nothing is measured.
         kind_ratios: Learned ratios of measured to declared time, by kind.
         step_ratios: The same of single steps, from the runs of each.
+        spreads: Ratios of a run's time to that of other runs of its step, by
+            kind.
 
     Examples:
         >>> forecaster = Forecaster(run_durations.DurationEstimator())
@@ -70,6 +72,7 @@
         self.metrics_registry = metrics_registry
         self.kind_ratios = ratios.KindRatios()
         self.step_ratios = ratios.StepRatios()
+        self.spreads = ratios.KindRatios()
 
     def expected(self, kind: Kind, declared_seconds: float) -> RunForecast:
         """Return the forecast for a run that has not started.
@@ -105,6 +108,21 @@
             declared_seconds * max(high, blended),
         )
 
+    def slowest(self, kind: Kind, typical_seconds: float, count: int) -> float:
+        """Return the expected time of the slowest of some runs of one step.
+
+        Runs of many times the usual length, which are moved to other workers,
+        are not expected.
+
+        Args:
+            kind: Key of the queue, and image of the step.
+            typical_seconds: Expected time of each run.
+            count: Number of runs.
+        """
+        share = min(count / (count + 1), ratios.HIGH_QUANTILE)
+        spread = self.spreads.quantile(kind, share)
+        return typical_seconds * max(spread or 1.0, 1.0)
+
     def remaining(self, run: run_state.Run, now: float) -> RunForecast:
         """Return the forecast of the rest of a run.
 
@@ -137,6 +155,11 @@
             self.metrics_registry.record_ratio(
                 "run_forecast_error", seconds / forecast, ERROR_BOUNDS
             )
+        step_mean = self.step_ratios.mean(run.task[:3])
+        if step_mean:
+            self.spreads.record(
+                kind, seconds / declared / step_mean, run.confirmed_at + seconds
+            )
         self.step_ratios.record(run.task[:3], seconds / declared)
         self.kind_ratios.record(
             kind, seconds / declared, run.confirmed_at + seconds
--- a/turmerichall/dispatch/forecasts/ratios.py
+++ b/turmerichall/dispatch/forecasts/ratios.py
@@ -21,6 +21,9 @@
 # Maximum number of kinds, and time after which an unseen one is evicted.
 MAX_KINDS = 512
 KEPT_SECONDS = 600.0
+# Number of runs from which on the mean of a step's ratios is taken for what its
+# runs have in common.
+MIN_STEP_RUNS = 3
 # Maximum number of steps, each of a job, of which ratios are kept.
 MAX_STEPS = 4096
 # Number of runs that the ratio of a kind counts for beside those of a step.
@@ -106,12 +109,21 @@
     def typical_and_high(self, kind: Kind) -> tuple[float, float] | None:
         """Return the median and the 90th percentile of a kind's ratios.
 
+        None before `MIN_RUNS` runs were recorded.
+        """
+        typical = self.quantile(kind, 0.5)
+        high = self.quantile(kind, HIGH_QUANTILE)
+        return None if typical is None or high is None else (typical, high)
+
+    def quantile(self, kind: Kind, share: float) -> float | None:
+        """Return the ratio that a share of a kind's runs does not exceed.
+
         None before `MIN_RUNS` runs were recorded.
         """
         window = self._windows.get(kind)
         if window is None or len(window.ordered) < MIN_RUNS:
             return None
-        return window.quantile(0.5), window.quantile(HIGH_QUANTILE)
+        return window.quantile(share)
 
 
 class StepRatios:
@@ -147,6 +159,11 @@
         if len(self._steps) > MAX_STEPS:
             del self._steps[next(iter(self._steps))]
 
+    def mean(self, step: tuple[str, int, int]) -> float | None:
+        """Return the mean ratio of a step; None if too few runs ended."""
+        known = self._steps.get(step, ())
+        return sum(known) / len(known) if len(known) >= MIN_STEP_RUNS else None
+
     def blended(self, step: tuple[str, int, int], kind_ratio: float) -> float:
         """Return the mean of the ratios of a step and that of its kind."""
         known = self._steps.get(step)
--- a/turmerichall/dispatch/waiting_order/remainder.py
+++ b/turmerichall/dispatch/waiting_order/remainder.py
@@ -11,6 +11,10 @@
 
 __all__ = ["Remainder", "remainder"]
 
+# Time from the end of a step, or from room for a task, until the task is at
+# work: a commit, an order to the worker and the report of the end.
+START_SECONDS = 0.1
+
 FindRun = Callable[[changes.TaskName, str], run_state.Run | None]
 
 
@@ -104,9 +108,10 @@
             waiting * seconds + sum(min(rest, seconds) for rest in rests)
         )
         slots = slots_of(step)
-        ends.append(begins + _step_seconds(waiting, rests, seconds, slots))
+        slowest = START_SECONDS + forecaster.slowest(kind, seconds, waiting)
+        ends.append(begins + _step_seconds(waiting, rests, slowest, slots))
         waiting_ends.append(
-            waiting_begins + _step_seconds(waiting, [], seconds, slots)
+            waiting_begins + _step_seconds(waiting, [], slowest, slots)
         )
     fraction = work_left / whole_work if whole_work else 1.0
     return Remainder(
