Keep the rank of a batch job until its class or its work changes

The rank names the time at which a job must go on, which doesn't change while it waits, and is kept for up to 1 s.

--- a/turmerichall/dispatch/waiting_order/remainder.py
+++ b/turmerichall/dispatch/waiting_order/remainder.py
@@ -36,16 +36,6 @@
     fraction: float
     running: int
 
-    def seconds_after(self, elapsed_seconds: float) -> float:
-        """Return the remaining time some seconds after the estimate.
-
-        Examples:
-            >>> estimate = Remainder(3.0, 2.0, 0.5, 4)
-            >>> estimate.seconds_after(0.5), estimate.seconds_after(1.5)
-            (2.5, 2.0)
-        """
-        return max(self.seconds - elapsed_seconds, self.waiting_seconds)
-
 
 def remainder(
     job: states.Job,
--- a/turmerichall/dispatch/waiting_order/remaining_work.py
+++ b/turmerichall/dispatch/waiting_order/remaining_work.py
@@ -43,17 +43,37 @@
 
     Attributes:
         remainder: What is left to do.
-        made_at: Time of the estimate on the steady clock.
-        done: Number of its tasks that were done then.
+        factors: Factors of its rank.
+        rank: Rank of its groups.
+        good_until: Time on the steady clock until which the rank holds if no
+            task ends.
+        done: Number of tasks that were done when it was made.
         seen_round: Number of the latest round in which it had waiting tasks.
     """
 
-    __slots__ = ("done", "made_at", "remainder", "seen_round")
+    __slots__ = (
+        "done",
+        "factors",
+        "good_until",
+        "rank",
+        "remainder",
+        "seen_round",
+    )
 
-    def __init__(self) -> None:
-        self.remainder = remainders.Remainder(0.0, 0.0, 1.0, 0)
-        self.made_at = -math.inf
-        self.done = 0
+    def __init__(
+        self,
+        remainder: remainders.Remainder,
+        factors: batch_rank.BatchFactors,
+        done: int,
+    ):
+        self.remainder = remainder
+        self.factors = factors
+        self.rank = batch_rank.rank_batch(factors)
+        self.good_until = min(
+            factors.now + ESTIMATE_SECONDS,
+            batch_rank.class_ends_at(factors, remainder.waiting_seconds),
+        )
+        self.done = done
         self.seen_round = 0
 
 
@@ -127,72 +147,58 @@
         """See `order.WaitingOrder`."""
         self._round += 1
         self._slots.count(self.workers.values(), now)
-        self._turns.begin_round()
-        rows: list[batch_rank.BatchFactors | order.Rank] = []
-        for group in groups:
-            factors = self._slack_order.factors(group, now, now_ms)
-            if factors.lasting or factors.priority == 0:
-                rows.append(ranking.rank(factors))
+        queues = self.queue_state.queues
+        ranked: list[order.RankedGroup] = []
+        for number, group in enumerate(groups):
+            if group.step.lasting or not queues[group.job.queue].priority:
+                rank = ranking.rank(
+                    self._slack_order.factors(group, now, now_ms)
+                )
             else:
-                rows.append(self._batch_factors(group, factors, now))
-        if self._turns.end_round(now):
-            self._log_turn(now)
+                rank = self._estimate(group, now, now_ms).rank
+            ranked.append(order.RankedGroup(rank, number, group))
         self._forget_absent()
-        ranked: list[order.RankedGroup] = []
-        counts = dict.fromkeys(CLASS_NAMES, 0)
-        for number, (group, row) in enumerate(zip(groups, rows)):
-            if isinstance(row, batch_rank.BatchFactors):
-                if group.name[:2] == self._turns.holder:
-                    row = row._replace(starved=True)
-                row = batch_rank.rank_batch(row)
-                counts[row[1]] += 1
-            ranked.append(order.RankedGroup(row, number, group))
+        if self._turns.update(now):
+            self._log_turn(now)
+        if self._turns.holder is not None:
+            self._rank_starved(ranked, self._turns.holder)
         ranked.sort()
-        self.class_counts = counts
+        self._count_classes(ranked)
         if now - self._logged_at >= LOG_INTERVAL_SECONDS:
             self._log_counts(ranked, now)
         return ranked
 
-    def _batch_factors(
-        self, group: backlogs.TaskGroup, factors: ranking.Factors, now: float
-    ) -> batch_rank.BatchFactors:
-        """Return the factors of a group of batch tasks; record its wait."""
-        name = group.name[:2]
-        estimate = self._estimate(group, now)
-        remainder = estimate.remainder
-        self._turns.record(
-            name,
-            remainder.running > 0,
-            starvation.wait_limit(factors.objective_seconds),
-            now,
-        )
-        return batch_rank.BatchFactors(
-            factors.priority,
-            factors.age_seconds,
-            factors.objective_seconds,
-            remainder.seconds_after(now - estimate.made_at),
-            remainder.fraction,
-        )
+    def _rank_starved(
+        self, ranked: list[order.RankedGroup], holder: starvation.JobName
+    ) -> None:
+        """Put the groups of the job that has a turn first."""
+        for number, row in enumerate(ranked):
+            if row.group.name[:2] == holder:
+                estimate = self._estimates.get(holder)
+                if estimate is not None:
+                    factors = estimate.factors._replace(starved=True)
+                    rank = batch_rank.rank_batch(factors)
+                    ranked[number] = row._replace(rank=rank)
 
-    def _estimate(self, group: backlogs.TaskGroup, now: float) -> _Estimate:
+    def _estimate(
+        self, group: backlogs.TaskGroup, now: float, now_ms: int
+    ) -> _Estimate:
         """Return the estimate of a group's job, made anew if it is old."""
         name = group.name[:2]
-        estimate = self._estimates.get(name)
-        if estimate is None:
-            estimate = self._estimates[name] = _Estimate()
-        elif estimate.seen_round == self._round:
-            return estimate
-        estimate.seen_round = self._round
+        group.queue = self.queue_state.queues[group.job.queue]
         done = 0
         for progress in group.job.steps(group.name.occurrence):
             done += progress.done
+        estimate = self._estimates.get(name)
         if (
-            done != estimate.done
-            or now - estimate.made_at >= ESTIMATE_SECONDS
+            estimate is None
+            or done != estimate.done
+            or now >= estimate.good_until
             # A turn ends as soon as a task of the job is running.
             or name == self._turns.holder
         ):
-            estimate.remainder = remainders.remainder(
+            factors = self._slack_order.factors(group, now, now_ms)
+            remainder = remainders.remainder(
                 group.job,
                 group.name.occurrence,
                 self.forecaster,
@@ -200,8 +206,25 @@
                 functools.partial(self._slots.slots, group.queue.service),
                 now,
             )
-            estimate.made_at = now
-            estimate.done = done
+            self._turns.record(
+                name,
+                remainder.running > 0,
+                starvation.wait_limit(factors.objective_seconds),
+                now,
+            )
+            estimate = self._estimates[name] = _Estimate(
+                remainder,
+                batch_rank.BatchFactors(
+                    now,
+                    factors.priority,
+                    factors.age_seconds,
+                    factors.objective_seconds,
+                    remainder.seconds,
+                    remainder.fraction,
+                ),
+                done,
+            )
+        estimate.seen_round = self._round
         return estimate
 
     def _find_run(
@@ -218,6 +241,15 @@
             if estimate.seen_round != self._round
         ]:
             del self._estimates[name]
+            self._turns.forget(name)
+
+    def _count_classes(self, ranked: Sequence[order.RankedGroup]) -> None:
+        """Count the groups of batch tasks by class."""
+        counts = dict.fromkeys(CLASS_NAMES, 0)
+        for rank, _, group in ranked:
+            if rank[0] and not group.step.lasting:
+                counts[rank[1]] += 1
+        self.class_counts = counts
 
     def _log_turn(self, now: float) -> None:
         """Log which job goes first because it has waited for too long."""
--- a/turmerichall/dispatch/waiting_order/starvation.py
+++ b/turmerichall/dispatch/waiting_order/starvation.py
@@ -35,6 +35,21 @@
     return max(ranking.LATE_FACTOR * objective_seconds, MIN_WAIT_SECONDS)
 
 
+class _Wait:
+    """Waiting time of a job.
+
+    Attributes:
+        served_at: Time at which it last had a running task, or was first seen.
+        limit_seconds: For how long it may wait without one.
+    """
+
+    __slots__ = ("limit_seconds", "served_at")
+
+    def __init__(self, now: float):
+        self.served_at = now
+        self.limit_seconds = 0.0
+
+
 class Turns:
     """Waiting times of jobs, and the job that has a turn.
 
@@ -44,9 +59,8 @@
     Examples:
         >>> turns = Turns()
         >>> for now in (0.0, 9.0, 11.0):
-        ...     turns.begin_round()
         ...     turns.record(("a", 0), False, 10.0, now)
-        ...     print(turns.end_round(now), turns.holder)
+        ...     print(turns.update(now), turns.holder)
         False None
         False None
         True ('a', 0)
@@ -55,17 +69,8 @@
     def __init__(self) -> None:
         self.holder: JobName | None = None
         self._began_at = -math.inf
-        # When each waiting job last had a running task, or was first seen.
-        self._served_at: dict[JobName, float] = {}
-        self._seen: set[JobName] = set()
-        self._longest_excess = 0.0
-        self._candidate: JobName | None = None
-
-    def begin_round(self) -> None:
-        """Begin a placing round."""
-        self._seen.clear()
-        self._candidate = None
-        self._longest_excess = 0.0
+        self._checked_at = -math.inf
+        self._waits: dict[JobName, _Wait] = {}
 
     def record(
         self, job: JobName, running: bool, limit_seconds: float, now: float
@@ -78,41 +83,44 @@
             limit_seconds: For how long it may wait without one.
             now: Current time on the steady clock.
         """
-        self._seen.add(job)
+        wait = self._waits.get(job)
+        if wait is None:
+            wait = self._waits[job] = _Wait(now)
+        wait.limit_seconds = limit_seconds
         if running:
-            self._served_at[job] = now
-            return
-        excess = now - self._served_at.setdefault(job, now) - limit_seconds
-        if excess > self._longest_excess:
-            self._longest_excess = excess
-            self._candidate = job
+            wait.served_at = now
+
+    def forget(self, job: JobName) -> None:
+        """Forget a job that has no waiting tasks."""
+        self._waits.pop(job, None)
 
     def waited_seconds(self, job: JobName, now: float) -> float:
         """Return for how long a job has had no running task."""
-        return now - self._served_at.get(job, now)
+        return now - self._waits[job].served_at if job in self._waits else 0.0
 
-    def end_round(self, now: float) -> bool:
+    def update(self, now: float) -> bool:
         """Decide which job has a turn; return whether a turn begins.
 
-        Call this after all waiting jobs were recorded; the others are
-        forgotten.
+        Called in each placing round, after the waiting jobs were recorded.
         """
-        if len(self._seen) < len(self._served_at):
-            for job in self._served_at.keys() - self._seen:
-                del self._served_at[job]
         if self.holder is not None:
-            served_at = self._served_at.get(self.holder, now)
-            if served_at <= self._began_at:
+            wait = self._waits.get(self.holder)
+            if wait is not None and wait.served_at <= self._began_at:
                 if now - self._began_at < TURN_SECONDS:
                     return False
                 # It waits for its next turn from now on.
-                self._served_at[self.holder] = now
+                wait.served_at = now
             self.holder = None
+        if now - max(self._began_at, self._checked_at) < TURN_INTERVAL_SECONDS:
             return False
-        if now - self._began_at < TURN_INTERVAL_SECONDS:
-            return False
-        if self._candidate is None:
+        self._checked_at = now
+        longest = 0.0
+        for job, wait in self._waits.items():
+            excess = now - wait.served_at - wait.limit_seconds
+            if excess > longest:
+                longest = excess
+                self.holder = job
+        if self.holder is None:
             return False
-        self.holder = self._candidate
         self._began_at = now
         return True
