Count the wait for slots in the remaining time of a step

A large job that was started with just enough time needed more slots than were free, and missed its objective while it waited for them. Tasks beyond the free slots now count with the rate at which slots become free.

--- a/turmerichall/dispatch/forecasts/forecast.py
+++ b/turmerichall/dispatch/forecasts/forecast.py
@@ -13,7 +13,7 @@
 from turmerichall.dispatch.forecasts import ratios
 from turmerichall.telemetry import lightweight_metrics
 
-__all__ = ["Forecaster", "Kind", "RunForecast"]
+__all__ = ["Forecaster", "Kind", "RunForecast", "remaining_of"]
 
 Kind = ratios.Kind
 
@@ -24,6 +24,9 @@
 # its forecast.  If run times have a heavy tail, the expected rest grows in
 # proportion to the age.
 OUTLIVED_SHARE = 0.5
+# Pace below which a forecast doesn't count, in percent; the run is stopped or
+# moved soon.
+MIN_PACE_PERCENT = 10
 # Bounds of the histogram of measured to forecast time.
 ERROR_BOUNDS = (0.1, 0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 8.0)
 # Declared times below this are taken for it, in seconds.
@@ -188,9 +191,17 @@
         # What was listed first was made by this run.
         initial = 0
     whole_left = 1.0 - initial / 100
-    rests = [
-        _rest_by_forecast(seconds * whole_left, at_work) for seconds in whole
-    ]
+    if 0 <= run.pace_percent < 100:
+        # Its age tells nothing of what a throttled run has done.
+        left = (100 - run.progress_percent) / max(
+            run.pace_percent, MIN_PACE_PERCENT
+        )
+        rests = [seconds * left for seconds in whole]
+    else:
+        rests = [
+            _rest_by_forecast(seconds * whole_left, at_work)
+            for seconds in whole
+        ]
     gained = run.progress_percent - initial
     listed_after = run.progressed_at - run.confirmed_at
     if gained < MIN_PROGRESS_PERCENT or listed_after <= 0:
--- a/turmerichall/dispatch/waiting_order/remainder.py
+++ b/turmerichall/dispatch/waiting_order/remainder.py
@@ -5,6 +5,7 @@
 
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch.forecasts import forecast
+from turmerichall.dispatch.waiting_order import slots
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
@@ -22,8 +23,8 @@
     """What is left to do of one occurrence of a job.
 
     Attributes:
-        seconds: Forecast time until its last step is done, if the service's
-            workers run nothing else.
+        seconds: Forecast time until its last step is done, if its tasks get
+            the next slots that become free.
         waiting_seconds: Part of that time that does not pass while only the
             tasks that have a run now are running.
         fraction: Share of its work that is not done, from 0 to 1, in
@@ -42,7 +43,7 @@
     occurrence: int,
     forecaster: forecast.Forecaster,
     find_run: FindRun,
-    slots_of: Callable[[demands.StepDemand], float],
+    room_for: Callable[[demands.StepDemand], slots.Room],
     now: float,
 ) -> Remainder:
     """Return what is left to do of one occurrence of a job.
@@ -52,8 +53,7 @@
         occurrence: The occurrence.
         forecaster: Forecasts of run times.
         find_run: Returns the run of a task on a worker, by the worker's id.
-        slots_of: Returns how many tasks of a step the workers of the service
-            run at the same time.
+        room_for: Returns the slots of the service for tasks of a step.
         now: Current time on the steady clock.
     """
     ends: list[float] = []
@@ -68,9 +68,10 @@
             (waiting_ends[other] for other in step.after), default=0.0
         )
         kind = (job.queue, step.image)
-        seconds = forecaster.expected_of_step(
+        whole = forecaster.expected_of_step(
             (job.id, occurrence, number), kind, step.estimate_ms / 1000
-        ).typical_seconds
+        )
+        seconds = whole.typical_seconds
         count = len(progress.tasks)
         whole_work += step.cpu * seconds * count
         if progress.done == count:
@@ -86,7 +87,7 @@
                 name = changes.TaskName(job.id, occurrence, number, index)
                 run = find_run(name, task.worker)
                 rests.append(
-                    forecaster.remaining(run, now).typical_seconds
+                    forecast.remaining_of(run, whole, now).typical_seconds
                     if run
                     else seconds
                 )
@@ -97,11 +98,11 @@
         work_left += step.cpu * (
             waiting * seconds + sum(min(rest, seconds) for rest in rests)
         )
-        slots = slots_of(step)
+        room = room_for(step)
         slowest = START_SECONDS + forecaster.slowest(kind, seconds, waiting)
-        ends.append(begins + _step_seconds(waiting, rests, slowest, slots))
+        ends.append(begins + _step_seconds(waiting, rests, slowest, room))
         waiting_ends.append(
-            waiting_begins + _step_seconds(waiting, [], slowest, slots)
+            waiting_begins + _step_seconds(waiting, [], slowest, room)
         )
     fraction = work_left / whole_work if whole_work else 1.0
     return Remainder(
@@ -113,27 +114,31 @@
 
 
 def _step_seconds(
-    waiting: int, rests: list[float], seconds: float, slots: float
+    waiting: int, rests: list[float], seconds: float, room: slots.Room
 ) -> float:
     """Return the time until the tasks of a step are done.
 
+    Tasks that find no free slot get the ones that other tasks leave, of which
+    all slots together leave one each `seconds`.
+
     Args:
         waiting: Number of its waiting tasks.
         rests: Remaining times of its running tasks.
         seconds: Time of a task.
-        slots: Number of its tasks that run at the same time.
+        room: Slots for its tasks.
 
     Examples:
-        >>> _step_seconds(10, [], 2.0, 100.0)
+        >>> _step_seconds(10, [], 2.0, slots.Room(100.0, 50.0))
         2.0
-        >>> _step_seconds(10, [1.0], 2.0, 4.0)
-        5.25
-        >>> _step_seconds(0, [1.0, 7.0], 2.0, 4.0)
+        >>> _step_seconds(10, [1.0], 2.0, slots.Room(100.0, 0.0))
+        2.2
+        >>> _step_seconds(10, [], 2.0, slots.Room(4.0, 4.0))
+        5.0
+        >>> _step_seconds(0, [1.0, 7.0], 2.0, slots.Room(4.0, 0.0))
         7.0
     """
     longest = max(rests, default=0.0)
     if not waiting:
         return longest
-    # The rests of running tasks take part of the slots' time.
-    all_seconds = waiting * seconds + sum(rests)
-    return max(longest, seconds, all_seconds / max(slots, 1.0))
+    queued = max(waiting - room.free, 0.0)
+    return max(longest, seconds * (1.0 + queued / max(room.slots, 1.0)))
--- a/turmerichall/dispatch/waiting_order/remaining_work.py
+++ b/turmerichall/dispatch/waiting_order/remaining_work.py
@@ -203,7 +203,7 @@
                 group.name.occurrence,
                 self.forecaster,
                 self._find_run,
-                functools.partial(self._slots.slots, group.queue.service),
+                functools.partial(self._slots.room, group.queue.service),
                 now,
             )
             self._turns.record(
