--- a/turmerichall/dispatch/waiting_order/tests/replay.py
+++ b/turmerichall/dispatch/waiting_order/tests/replay.py
@@ -1,6 +1,8 @@
 """Replay of batch jobs on a number of slots, with a clock of its own."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
+import math
+import random
 from typing import NamedTuple
 
 from turmerichall.dispatch import backlog as backlogs
@@ -17,6 +19,7 @@
 from turmerichall.settings import queue_settings
 
 CPU = 1000
+SLOTS = 100
 TICK_MS = 50
 QUEUE = configurations.Queue(
     "batch",
@@ -39,14 +42,14 @@
         at_ms: Time of its arrival.
         counts: Number of tasks of each step; each step follows the one before.
         run_seconds: Run times of the tasks, which are used in turn.
-        declared_seconds: What its caller declares for each task.
+        declared: Time in seconds that its caller declares for a task.
         cancel_at_ms: Time at which it is canceled; 0 if it isn't.
     """
 
     at_ms: int
     counts: tuple[int, ...]
     run_seconds: tuple[float, ...]
-    declared_seconds: float
+    declared: float
     cancel_at_ms: int = 0
 
     def demand(self) -> demands.JobDemand:
@@ -57,7 +60,7 @@
                 demands.StepDemand(
                     count,
                     CPU,
-                    estimate_ms=round(self.declared_seconds * 1000),
+                    estimate_ms=round(self.declared * 1000),
                     after=(number - 1,) if number else (),
                 )
                 for number, count in enumerate(self.counts)
@@ -73,10 +76,10 @@
         starts: Tasks in the order of their starts, with the time.
     """
 
-    def __init__(self, order: str, slots: int):
+    def __init__(self, order: str):
         self.queue_state = states.QueueState()
         self.log = fakes.RecordingLog()
-        fake = fakes.FakeWorker("w", slots * CPU)
+        fake = fakes.FakeWorker("w", SLOTS * CPU)
         self.worker = worker_state.Worker(fake.record, fake, 0.0)
         self.worker.in_touch = True
         self.forecaster = forecast.Forecaster(run_durations.DurationEstimator())
@@ -160,37 +163,74 @@
                 self.starts.append((now_ms, task))
 
 
-def replay(
-    order: str,
-    slots: int,
-    jobs: Mapping[str, ReplayedJob],
-    until_ms: int = 90_000,
-) -> Replay:
-    """Return a replay of jobs that has run."""
-    done = Replay(order, slots)
-    done.run(jobs, until_ms)
+class Burst(NamedTuple):
+    """A drawn load of 30 s with a burst of 2.5 times for 4 s.
+
+    Attributes:
+        load: Load before and after the burst, as a share of the slots.
+        sizes: Factors of the number of tasks, drawn with equal chance.
+        error: Maximum error of declared times, as a share.
+        slow_share: Share of runs that take seven times as long.
+    """
+
+    load: float = 1.0
+    sizes: tuple[float, ...] = (1.0,)
+    error: float = 0.0
+    slow_share: float = 0.0
+
+    def draw(self, seed: int) -> dict[str, ReplayedJob]:
+        """Return jobs of two steps by id, from a seed."""
+        draw = random.Random(seed)
+        jobs: dict[str, ReplayedJob] = {}
+        at = 0.0
+        while at < 30.0:
+            size = 20 * draw.choice(self.sizes)
+            seconds = 1.7 * draw.uniform(0.6, 1.4)
+            counts = tuple(
+                max(1, round(size * draw.uniform(0.7, 1.3))) for _ in range(2)
+            )
+            run_seconds = tuple(
+                seconds
+                * draw.uniform(0.85, 1.15)
+                * (7 if draw.random() < self.slow_share else 1)
+                for _ in range(sum(counts))
+            )
+            declared = seconds * (1 + self.error * draw.uniform(-1, 1))
+            at_ms = round(at * 1000) // TICK_MS * TICK_MS
+            jobs[f"j{len(jobs):03}"] = ReplayedJob(
+                at_ms, counts, run_seconds, declared
+            )
+            rate = SLOTS * self.load * (2.5 if 8 <= at < 12 else 1)
+            at += sum(counts) * seconds / rate * draw.expovariate(1)
+        return jobs
+
+
+def replay(order: str, jobs: Mapping[str, ReplayedJob]) -> Replay:
+    """Return a replay of jobs that has run for 90 s."""
+    done = Replay(order)
+    done.run(jobs, 90_000)
     return done
 
 
-def value(job: ReplayedJob, finished_ms: int | None) -> float:
-    """Return the value of a job, as callers count it, from 0 to 1."""
-    if finished_ms is None:
-        return 0.0
-    objective = QUEUE.objective_seconds(job.declared_seconds * len(job.counts))
-    seconds = (finished_ms - job.at_ms) / 1000
-    if seconds <= objective:
-        return 1.0
-    return 1 / 7 if seconds <= 3 * objective else 0.0
+def largest(jobs: Mapping[str, ReplayedJob]) -> list[str]:
+    """Return the ids of the largest tenth of jobs, by declared work."""
+    names = sorted(
+        jobs, key=lambda name: sum(jobs[name].counts) * jobs[name].declared
+    )
+    return names[-max(1, len(names) // 10) :]
+
 
+def share(done: Replay, jobs: Mapping[str, ReplayedJob]) -> float:
+    """Return the value that jobs earned, as a share of all their work.
 
-def share(
-    done: Replay, jobs: Mapping[str, ReplayedJob], names: Sequence[str]
-) -> float:
-    """Return the value earned by some jobs as a share of all their work."""
+    As callers count it: all of it within the objective, a seventh within three.
+    """
     earned = total = 0.0
-    for name in names:
-        job = jobs[name]
+    for name, job in jobs.items():
         work = sum(job.counts) * sum(job.run_seconds) / len(job.run_seconds)
-        earned += work * value(job, done.finished_ms.get(name))
         total += work
+        objective = QUEUE.objective_seconds(job.declared * len(job.counts))
+        finished_ms = done.finished_ms.get(name, math.inf)
+        lateness = (finished_ms - job.at_ms) / 1000 / objective
+        earned += work * (1 if lateness <= 1 else lateness <= 3 and 1 / 7)
     return earned / total
--- /dev/null
+++ b/turmerichall/dispatch/waiting_order/tests/test_replays.py
@@ -0,0 +1,117 @@
+"""Replays of batch load above capacity, without a network."""
+
+import pytest
+
+from turmerichall.dispatch.waiting_order import starvation
+from turmerichall.dispatch.waiting_order.tests import replay
+
+SEEDS = range(6)
+
+
+def mean_share(order: str, load: replay.Burst, largest: bool = False) -> float:
+    """Return the mean share of value earned, by all or the largest jobs."""
+    shares = []
+    for seed in SEEDS:
+        jobs = load.draw(seed)
+        done = replay.replay(order, jobs)
+        if largest:
+            jobs = {name: jobs[name] for name in replay.largest(jobs)}
+        shares.append(replay.share(done, jobs))
+    return sum(shares) / len(shares)
+
+
+class TestBursts:
+
+    # Each job got a share of the workers, and all became late together.  The
+    # order by slack stays below each limit.
+    @pytest.mark.parametrize(
+        "load, least",
+        [
+            (replay.Burst(), 0.70),
+            (replay.Burst(1.3, error=0.9, slow_share=0.03), 0.22),
+            (replay.Burst(1.1, sizes=(0.1,) * 9 + (2.0,)), 0.65),
+        ],
+        ids=["burst", "wrong times", "small beside large"],
+    )
+    def test_more_work_is_done_in_time(
+        self, load: replay.Burst, least: float
+    ) -> None:
+        slack = mean_share("slack", load)
+        assert slack < least <= mean_share("remaining_work", load)
+
+    # A large job needs more slots at once than become free for small ones.
+    def test_largest_jobs_get_half_of_what_all_get(self) -> None:
+        load = replay.Burst(1.1, sizes=(0.1,) * 9 + (2.0,))
+        every = mean_share("remaining_work", load)
+        assert mean_share("remaining_work", load, largest=True) >= every / 2
+
+
+def block(count: int, at_ms: int = 0, **fields: int) -> replay.ReplayedJob:
+    """Return a job of two steps of the same number of tasks of 2 s."""
+    return replay.ReplayedJob(at_ms, (count, count), (2.0,), 2.0, **fields)
+
+
+class TestCancellation:
+
+    # What the canceled job had come first for is left to the next one that is
+    # furthest, not to new jobs.
+    def test_next_job_takes_the_place_of_a_canceled_head(self) -> None:
+        jobs = {
+            "head": block(50, cancel_at_ms=2500),
+            "next": block(50),
+            "blocker": replay.ReplayedJob(100, (100,), (0.5,), 9.0),
+            "new": replay.ReplayedJob(100, (100,), (2.0,), 2.0),
+        }
+        starts = {}
+        for order in ("slack", "remaining_work"):
+            done = replay.replay(order, jobs)
+            assert all(
+                task.job != "head" or at_ms < 2500
+                for at_ms, task in done.starts
+            )
+            starts[order] = [
+                at_ms
+                for at_ms, task in done.starts
+                if task[:3] == ("next", 0, 1)
+            ]
+        assert max(starts["remaining_work"]) <= 2500
+        assert max(starts["slack"]) > 2500
+
+
+class TestStarvation:
+
+    # Jobs that can only be late would wait for as long as others can be on
+    # time.
+    def test_late_job_runs_beside_a_steady_stream(self) -> None:
+        jobs = {
+            f"j{number}": replay.ReplayedJob(number * 500, (30,), (2.0,), 2.0)
+            for number in range(120)
+        }
+        jobs["late"] = block(300, 2000)
+        done = replay.replay("remaining_work", jobs)
+        first_ms = min(
+            at_ms for at_ms, task in done.starts if task.job == "late"
+        )
+        limit = starvation.wait_limit(9.0)
+        assert first_ms <= 2000 + (limit + starvation.TURN_SECONDS) * 1000
+        turns = [
+            fields["job"]
+            for message, fields in done.log.lines
+            if message == "starved job goes first"
+        ]
+        assert turns[0] == "late"
+
+    # The first job of those that are starved may fit nowhere.
+    def test_turn_that_finds_no_room_passes_on(self) -> None:
+        turns = starvation.Turns()
+        holders = []
+        for second in range(20):
+            for name in ("a", "b"):
+                turns.record((name, 0), False, 10.0, float(second))
+            turns.update(float(second))
+            holders.append(turns.holder)
+        assert {("a", 0), ("b", 0)} < set(holders)
+        turns.forget(("a", 0))
+        turns.forget(("b", 0))
+        turns.update(30.0)
+        assert turns.holder is None
