--- a/turmerichall/dispatch/waiting_order/slots.py
+++ b/turmerichall/dispatch/waiting_order/slots.py
@@ -59,10 +59,12 @@
             self._add(
                 (service, True), worker.cpu_best_effort, worker.free_cpu()
             )
+            # Long-running tasks are stopped for others that can be on time, so
+            # what they reserve counts as free.
             self._add(
                 (service, False),
                 worker.cpu_batch,
-                worker.capacity.cpu - worker.cpu_reserved,
+                worker.capacity.cpu - worker.cpu_batch,
             )
 
     def _add(self, key: tuple[str, bool], used: float, free: float) -> None:
--- a/turmerichall/dispatch/waiting_order/tests/test_replays.py
+++ b/turmerichall/dispatch/waiting_order/tests/test_replays.py
@@ -2,8 +2,12 @@
 
 import pytest
 
+from turmerichall.dispatch import run_state
+from turmerichall.dispatch.waiting_order import slots
 from turmerichall.dispatch.waiting_order import starvation
 from turmerichall.dispatch.waiting_order.tests import replay
+from turmerichall.queues import change as changes
+from turmerichall.queues import demand as demands
 
 SEEDS = range(6)
 
@@ -51,6 +55,24 @@
     return replay.ReplayedJob(at_ms, (count, count), (2.0,), 2.0, **fields)
 
 
+class TestRoom:
+
+    # A job whose tasks may stop long-running ones was taken for one that must
+    # wait for them, so nothing was stopped for it.
+    def test_long_running_tasks_leave_room_for_batch_tasks(self) -> None:
+        full = replay.Replay("remaining_work")
+        lasting = demands.StepDemand(1, cpu=100_000, lasting=True)
+        task = changes.TaskName("lasting", 0, 0, 0)
+        full.worker.add(run_state.Run(task, 1, lasting, "q"))
+        room = slots.ServiceSlots()
+        room.count([full.worker], 0.0)
+        batch = demands.StepDemand(4, cpu=1000)
+        assert room.room("desk", batch) == (100.0, 100.0)
+        full.worker.in_touch = False
+        room.count([full.worker], 1.0)
+        assert room.room("desk", batch).free == float("inf")
+
+
 class TestCancellation:
 
     # What the canceled job had come first for is left to the next one that is
