Reserve the room that will be free first for blocked groups

Small tasks took each gap as it appeared, so that a large task or a gang found no room while they kept coming. With [scheduling] backfill = yes, a group that found no room for 0.25 s holds reservations, and other work no more urgent starts there only if it ends before, leaves room, or would cost more idle time than the delay it causes.

Without reservations these replays fail.

The planner gets the metrics registry in place of the queue state, which the backlog has; placement.Candidates can leave a worker out.

--- a/turmerichall/dispatch/backfill/__init__.py
+++ b/turmerichall/dispatch/backfill/__init__.py
@@ -1,3 +1,3 @@
-"""Claims of waiting tasks on room that will be free; called by the planner."""
+"""Reservations of room that will be free soon; called by the planner."""
 
 __all__: list[str] = []
--- /dev/null
+++ b/turmerichall/dispatch/backfill/blocked_groups.py
@@ -0,0 +1,174 @@
+"""Groups of waiting tasks that have found no room for some time."""
+
+from collections.abc import Iterable, Sequence
+
+from turmerichall.dispatch import backlog as backlogs
+from turmerichall.dispatch.backfill import claims as claim_sets
+from turmerichall.dispatch.waiting_order import order
+
+__all__ = ["BLOCKED_SECONDS", "BlockedGroups", "urgency_of"]
+
+# Time for which a group finds no room before it gets reservations.  The
+# tightest objective leaves a job 0.25 s and half of its run time to wait.
+BLOCKED_SECONDS = 0.25
+# Maximum number of groups with reservations: as many of the first in rank as of
+# those that have waited longest.
+MAX_GROUPS_PER_CHOICE = 3
+# Time after the first promised start from which a group gives its reservations
+# up and must be blocked again.
+OVERDUE_SECONDS = 30.0
+# Lowest class of rank of long-running tasks that go before others because
+# urgent work kept them waiting; see `ranking.rank`.
+MIN_LASTING_CLASS = 3
+
+
+def urgency_of(ranked: order.RankedGroup) -> claim_sets.Urgency:
+    """Return the urgency of a group, by which reservations bind it.
+
+    A group that goes before others of its class only because its job has less
+    time left is as urgent as they are.  Reservations of long-running tasks
+    bind no urgent ones, which may preempt those.
+    """
+    priority, rank_class, _ = ranked.rank
+    if ranked.group.step.lasting:
+        rank_class = max(rank_class, MIN_LASTING_CLASS)
+    return priority, rank_class
+
+
+class _Blocked:
+    """What is known of a blocked group.
+
+    Attributes:
+        since: Time since which none of its tasks has been placed.
+        promised: Earliest times for which it has had reservations, ascending.
+        held: Ids of the workers of its latest reservations.
+    """
+
+    __slots__ = ("held", "promised", "since")
+
+    def __init__(self, since: float):
+        self.since = since
+        self.promised: tuple[float, ...] = ()
+        self.held: frozenset[str] = frozenset()
+
+
+class BlockedGroups:
+    """The blocked groups of one term's leader."""
+
+    def __init__(self) -> None:
+        self._blocked: dict[backlogs.GroupName, _Blocked] = {}
+
+    def since(self, name: backlogs.GroupName) -> float:
+        """Return the time since which a group is blocked; infinite if not."""
+        blocked = self._blocked.get(name)
+        return blocked.since if blocked else float("inf")
+
+    def choose(
+        self, ranked: Sequence[order.RankedGroup], now: float
+    ) -> list[claim_sets.BlockedGroup]:
+        """Return the groups that get reservations, in the order of the rank.
+
+        Args:
+            ranked: The waiting groups in the order in which they are placed.
+            now: Current time on the steady clock.
+        """
+        if not self._blocked:
+            return []
+        eligible = [
+            each
+            for each in ranked
+            if now - self.since(each.group.name) >= BLOCKED_SECONDS
+            and _may_be_blocked(each.group, now)
+        ]
+        longest = sorted(
+            eligible[MAX_GROUPS_PER_CHOICE:],
+            key=lambda each: (each.group.waiting_since, each.number),
+        )
+        chosen = eligible[:MAX_GROUPS_PER_CHOICE]
+        chosen += sorted(longest[:MAX_GROUPS_PER_CHOICE])
+        return [self._describe(each) for each in chosen]
+
+    def _describe(self, ranked: order.RankedGroup) -> claim_sets.BlockedGroup:
+        group = ranked.group
+        blocked = self._blocked[group.name]
+        return claim_sets.BlockedGroup(
+            group.name,
+            group.queue.service,
+            group.step,
+            len(group.waiting),
+            group.siblings(),
+            urgency_of(ranked),
+            blocked.promised,
+            blocked.held,
+        )
+
+    def record_claims(
+        self, claims: Iterable[claim_sets.Claim], now: float
+    ) -> None:
+        """Record the reservations of a round.
+
+        Args:
+            claims: The reservations.
+            now: Current time on the steady clock.
+        """
+        by_group: dict[backlogs.GroupName, list[claim_sets.Claim]] = {}
+        for claim in claims:
+            by_group.setdefault(claim.group, []).append(claim)
+        for name, blocked in self._blocked.items():
+            rows = by_group.get(name, [])
+            blocked.held = frozenset(claim.worker_id for claim in rows)
+            if rows:
+                blocked.promised = tuple(
+                    sorted(claim.promised_at for claim in rows)
+                )
+            if blocked.promised and now - blocked.promised[0] > OVERDUE_SECONDS:
+                blocked.since = now
+                blocked.promised = ()
+
+    def record_placed(self, name: backlogs.GroupName, count: int) -> None:
+        """Record that tasks of a group were placed.
+
+        The rest of a group that holds reservations keeps them; another group is
+        not blocked any more.
+
+        Args:
+            name: Name of the group.
+            count: Number of placed tasks.
+        """
+        blocked = self._blocked.get(name)
+        if blocked is None:
+            return
+        if blocked.held:
+            blocked.promised = blocked.promised[count:]
+        else:
+            del self._blocked[name]
+
+    def end_round(
+        self, ranked: Sequence[order.RankedGroup], now: float
+    ) -> None:
+        """Record which groups are blocked after a placing round.
+
+        Args:
+            ranked: The groups of the round.
+            now: Current time on the steady clock.
+        """
+        before = self._blocked
+        self._blocked = {}
+        for each in ranked:
+            group = each.group
+            if _may_be_blocked(group, now):
+                blocked = before.get(group.name)
+                self._blocked[group.name] = blocked or _Blocked(now)
+
+
+def _may_be_blocked(group: backlogs.TaskGroup, now: float) -> bool:
+    """Return whether a group waits for nothing but room.
+
+    The policy of a queue grants workers for a short time only, so groups with a
+    policy hold no reservations.
+    """
+    if not group.waiting or now < group.paused_until:
+        return False
+    if group.queue.advice is not None:
+        return False
+    return not group.step.gang or len(group.waiting) == group.step.count
--- /dev/null
+++ b/turmerichall/dispatch/backfill/tests/test_replays.py
@@ -0,0 +1,174 @@
+"""Replays of loads that fragment a fleet; each fails without reservations."""
+
+import random
+
+import pytest
+
+from turmerichall.dispatch.backfill.tests import replay as replays
+from turmerichall.queues import change as changes
+from turmerichall.queues import demand as demands
+
+SMALL = demands.StepDemand(
+    2, cpu=1800, memory_mb=100, estimate_ms=1700, image="small"
+)
+
+
+def play_stream(
+    backfill: bool,
+    big: demands.StepDemand,
+    small: demands.StepDemand = SMALL,
+    outlier_share: float = 0.0,
+    small_queue: str = replays.BATCH,
+) -> replays.Replay:
+    """Play a large job that arrives in a stream of small ones for 50 s."""
+    replay = replays.Replay(replays.make_workers(8), backfill)
+    draw = random.Random(1)
+
+    def seconds_of(_: changes.TaskName, step: demands.StepDemand) -> float:
+        factor = 7.0 if draw.random() < outlier_share else 1.0
+        return factor * draw.uniform(0.8, 1.2) * step.estimate_ms / 1000
+
+    replay.seconds_of = seconds_of
+    replays.stream(replay, small, 0.12, 50.0, small_queue)
+    replay.submit("big", replays.BATCH, big, 8.0)
+    replay.run(60.0)
+    return replay
+
+
+def done_seconds(replay: replays.Replay, job: str, arrived: float) -> float:
+    done_at = replay.done_at.get(job, float("inf"))
+    return done_at - replays.BEGIN_SECONDS - arrived
+
+
+class TestWideJobBesideSmallOnes:
+
+    @pytest.mark.parametrize("fills", [False, True])
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_is_not_starved_by_them(self, fills: bool, gang: bool) -> None:
+        big = demands.StepDemand(
+            4, 6000, 100, estimate_ms=1700, gang=gang, fills=fills, image="big"
+        )
+        small = SMALL
+        if fills:
+            small = demands.StepDemand(
+                2, 1800, 100, estimate_ms=1700, fills=True, image="small"
+            )
+        before, after = (
+            done_seconds(play_stream(each, big, small), "big", 8.0)
+            for each in (False, True)
+        )
+        assert before > 8.0
+        # A wait for the end of the runs there, and the run itself.
+        assert after < 5.0
+
+    def test_small_jobs_are_hardly_delayed(self) -> None:
+        big = demands.StepDemand(4, 6000, 100, estimate_ms=1700, image="big")
+        replay = play_stream(True, big)
+        waits = [
+            done_seconds(replay, job, int(job[1:]) * 0.12)
+            for job in replay.done_at
+            if job != "big"
+        ]
+        assert len(waits) == 416
+        assert sum(waits) / len(waits) < 2.1
+        assert max(waits) < 4.4
+
+    def test_runs_of_seven_times_the_forecast_delay_it_little(self) -> None:
+        big = demands.StepDemand(4, 6000, 100, estimate_ms=1700, image="big")
+        replay = play_stream(True, big, outlier_share=0.03)
+        assert done_seconds(replay, "big", 8.0) < 8.0
+
+
+class TestUrgentStream:
+
+    def test_is_not_held_back_by_reservations_of_batch_work(self) -> None:
+        # Urgent tasks that could start must not wait for less urgent ones.
+        big = demands.StepDemand(4, 6000, 100, estimate_ms=1700, image="big")
+        starts = [
+            {
+                (job, at)
+                for job, at, _ in play_stream(
+                    backfill, big, small_queue=replays.URGENT
+                ).starts
+                if job != "big"
+            }
+            for backfill in (False, True)
+        ]
+        assert starts[0] == starts[1]
+
+
+class TestSizes:
+
+    def test_tasks_of_one_and_a_half_times_the_size_wait_no_longer(
+        self,
+    ) -> None:
+        # Two tasks of 2,000 leave the gap in which none of 3,000 fits.
+        waits = []
+        for backfill in (False, True):
+            replay = replays.Replay(replays.make_workers(8, cpu=6000), backfill)
+            small = demands.StepDemand(
+                2, 2000, 100, estimate_ms=1700, image="small"
+            )
+            replays.stream(replay, small, 0.155, 40.0)
+            large = demands.StepDemand(
+                1, 3000, 100, estimate_ms=1700, image="large"
+            )
+            for number in range(20):
+                replay.submit(f"l{number:04}", replays.BATCH, large, number + 5)
+            replay.run(50.0)
+            seconds = [
+                done_seconds(replay, f"l{number:04}", number + 5)
+                for number in range(20)
+            ]
+            waits.append(sum(seconds) / len(seconds))
+        assert waits[1] < 0.7 * waits[0]
+
+
+class TestEnds:
+
+    def test_canceled_holders_give_their_room_back(self) -> None:
+        replay = replays.Replay(replays.make_workers(8), True)
+        replays.stream(replay, SMALL, 0.12, 20.0)
+        big = demands.StepDemand(
+            8, 8000, 100, estimate_ms=1700, gang=True, image="big"
+        )
+        for number in range(6):
+            replay.submit(f"b{number}", replays.BATCH, big, 5.0)
+        replay.run(5.6)
+        assert reservations(replay) == 8
+        for number in range(6):
+            replay.cancel(f"b{number}")
+        replay.step()
+        assert not {
+            claim.group.job for claim in backfiller_of(replay).claims.all()
+        } & {f"b{number}" for number in range(6)}
+        replay.run(0.5)
+        assert len([at for _, at, _ in replay.starts if at > 105.6]) >= 8
+
+    @pytest.mark.parametrize("fault", ["draining", "lost", "shrunk"])
+    def test_a_worker_out_of_use_holds_none(self, fault: str) -> None:
+        replay = replays.Replay(replays.make_workers(3), True)
+        replays.stream(replay, SMALL, 0.3, 20.0)
+        big = demands.StepDemand(1, 8000, 100, estimate_ms=1700, image="big")
+        replay.submit("big", replays.BATCH, big, 3.0)
+        while not reservations(replay):
+            replay.step()
+        (claim,) = backfiller_of(replay).claims.all()
+        worker = replay.workers[claim.worker_id]
+        if fault == "draining":
+            worker.draining = True
+        elif fault == "lost":
+            worker.record_silence(replay.now, True)
+        else:
+            worker.resize(worker.capacity._replace(cpu=4000))
+        replay.step()
+        (claim,) = backfiller_of(replay).claims.all()
+        assert claim.worker_id != worker.record.id
+
+
+def backfiller_of(replay: replays.Replay):  # type: ignore[no-untyped-def]
+    return replay.planner._backfill  # pylint: disable=protected-access
+
+
+def reservations(replay: replays.Replay) -> int:
+    return len(backfiller_of(replay).claims.all())
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -133,7 +133,7 @@
             queue_state, self.workers, log
         )
         self._planner = planners.Planner(
-            queue_state,
+            metrics_registry,
             self.backlog,
             self.workers,
             interference_model,
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -210,6 +210,12 @@
         if entry is not None:
             heapq.heappush(self._heap, entry)
 
+    def remove(self, worker: worker_state.Worker) -> None:
+        """Leave a worker out, on which no more tasks may be placed."""
+        self._versions[worker.record.id] = (
+            self._versions.get(worker.record.id, 0) + 1
+        )
+
 
 def _score_if_eligible(
     step: demands.StepDemand,
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -16,13 +16,14 @@
 from turmerichall.dispatch import ticket_cache as ticket_caches
 from turmerichall.dispatch import trials
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.backfill import backfiller
 from turmerichall.dispatch.evacuation import zone_states
 from turmerichall.dispatch.forecasts import forecast
 from turmerichall.dispatch.waiting_order import order
 from turmerichall.dispatch.waiting_order import selection
 from turmerichall.peers import link
-from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
+from turmerichall.telemetry import lightweight_metrics
 
 __all__ = ["PlannedRuns", "Planner"]
 
@@ -38,7 +39,6 @@
     """Planner that chooses workers for waiting tasks.
 
     Attributes:
-        queue_state: The replicated state.
         backlog: Waiting tasks.
         workers: Workers by id.
         interference_model: Learned slowdowns of long-running tasks.
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        queue_state: states.QueueState,
+        metrics_registry: lightweight_metrics.MetricsRegistry,
         backlog: backlogs.Backlog,
         workers: Mapping[str, worker_state.Worker],
         interference_model: interference_models.InterferenceModel,
@@ -58,7 +58,6 @@
         scheduling: queue_settings.Scheduling,
         forecaster: forecast.Forecaster,
     ):
-        self.queue_state = queue_state
         self.backlog = backlog
         self.workers = workers
         self.interference_model = interference_model
@@ -66,14 +65,19 @@
         self.stops: list[preemption.Stop] = []
         self.scheduling = scheduling
         self.forecaster = forecaster
-        self._order = selection.make_order(scheduling, queue_state, forecaster)
+        self._order = selection.make_order(
+            scheduling, backlog.queue_state, forecaster
+        )
+        self._backfill = backfiller.make_backfiller(
+            scheduling, forecaster, interference_model, log, metrics_registry
+        )
         self._log = log
         self._round = 0
         # Usable workers of the latest round, each with the number of the round
         # in which it last changed or became usable.
         self._changed_rounds: dict[str, int] = {}
         self._trials = trials.Trials()
-        self._zone_states = zone_states.ZoneStates(queue_state)
+        self._zone_states = zone_states.ZoneStates(backlog.queue_state)
 
     def plan(self, now: float, now_ms: int) -> PlannedRuns:
         """Choose the runs that start now, and reserve their resources.
@@ -85,10 +89,12 @@
         groups = self.backlog.ready()
         self.stops = []
         if not groups:
+            self._backfill.clear()
             return []
         ranked = self._order.ranked(groups, now, now_ms)
         self._zone_states.begin_round(self.workers.values(), now, now_ms)
         by_service = self._usable_workers(now)
+        self._backfill.begin_round(ranked, by_service, now)
         planned: PlannedRuns = []
         for rank, _, group in ranked:
             workers = by_service.get(group.queue.service, [])
@@ -103,6 +109,7 @@
                 eligible = self._eligible_workers(group, workers)
                 self.tickets.request(group.name, rank, advice, eligible, now)
         self._choose_stops(ranked, by_service, now)
+        self._backfill.end_round(now)
         return planned
 
     def _choose_stops(
@@ -194,6 +201,7 @@
         if step.gang and len(group.waiting) < step.count:
             return []
         workers = self._trials.allowed(workers, group.job.id)
+        workers = self._backfill.allowed(group, workers, now)
         planned: PlannedRuns = []
         if step.same_rack:
             planned = self._plan_on_one_rack(group, workers, now)
@@ -206,6 +214,7 @@
             planned = self._plan_starved(group, workers, now)
         elif planned:
             group.starved_since = float("inf")
+        self._backfill.record_placed(group, planned, now)
         for _, run in planned:
             group.waiting.discard(run.task.number)
             group.preempted.pop(run.task.number, None)
@@ -309,6 +318,7 @@
                 worker
                 for worker in workers
                 if self._changed_rounds[worker.record.id] > since
+                or self._backfill.was_denied(worker)
             ]
         candidates = placement.Candidates(
             step, workers, now, self.interference_model, siblings
@@ -356,7 +366,11 @@
                 break
             planned.append((worker, self._reserve(group, number, worker, now)))
             siblings[worker.record.id] = siblings.get(worker.record.id, 0) + 1
-            candidates.update(worker)
+            if self._backfill.permits(group, worker, now):
+                candidates.update(worker)
+            else:
+                candidates.remove(worker)
+                workers.remove(worker)
         return planned
 
     def _reserve(
