Weigh idle time against the wait so far, and urgent work by time left

A gang of one rack beside a stream of small tasks still started after the stream had ended (17.8 s): each small task delays it by next to nothing, but one follows the other. The wait so far now stands for the delay that those that follow would cause.

Work of priority 0 waits only for work with less time left. The replay moves to benchmarks, which use it too. Tests of dispatch/backfill pass.

--- a/turmerichall/benchmarks/dispatch.py
+++ b/turmerichall/benchmarks/dispatch.py
@@ -21,7 +21,7 @@
 from turmerichall.dispatch import preemption
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
-from turmerichall.dispatch.backfill.tests import replay as replays
+from turmerichall.benchmarks import placing_replay as replays
 from turmerichall.dispatch.tests import fakes
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
--- a/turmerichall/dispatch/backfill/backfiller.py
+++ b/turmerichall/dispatch/backfill/backfiller.py
@@ -269,7 +269,7 @@
         for worker, _ in planned:
             self.claims.release(group.name, worker.record.id)
         if planned:
-            self._blocked.record_placed(group.name, len(planned))
+            self._blocked.record_placed(group.name, now)
             self._reports.record_placed(group, len(planned), now)
 
     def end_round(self, now: float) -> None:
--- a/turmerichall/dispatch/backfill/blocked_groups.py
+++ b/turmerichall/dispatch/backfill/blocked_groups.py
@@ -14,41 +14,48 @@
 # Maximum number of groups with reservations: as many of the first in rank as of
 # those that have waited longest.
 MAX_GROUPS_PER_CHOICE = 3
-# Time after the first promised start from which a group gives its reservations
-# up and must be blocked again.
-OVERDUE_SECONDS = 30.0
+# Time after which a group without a start gives its reservations up, so that a
+# wrong forecast does not bind others for ever, and must be blocked again.
+MAX_HOLD_SECONDS = 30.0
 # Lowest class of rank of long-running tasks that go before others because
 # urgent work kept them waiting; see `ranking.rank`.
 MIN_LASTING_CLASS = 3
+HIGHEST_PRIORITY = 0
 
 
 def urgency_of(ranked: order.RankedGroup) -> claim_types.Urgency:
     """Return the urgency of a group, by which reservations bind it.
 
-    A group that goes before others of its class only because its job has less
-    time left is as urgent as they are.  Reservations of long-running tasks
-    bind no urgent ones, which may preempt those.
+    Work of the highest priority waits only for work that has less time left, as
+    its objectives leave it no time for more.  Other work is as urgent as the
+    rest of its class.  Reservations of long-running tasks bind no urgent ones,
+    which may preempt those.
     """
-    priority, rank_class, _ = ranked.rank
+    priority, rank_class, order_in_class = ranked.rank
     if ranked.group.step.lasting:
         rank_class = max(rank_class, MIN_LASTING_CLASS)
-    return priority, rank_class
+    if priority > HIGHEST_PRIORITY:
+        order_in_class = 0.0
+    return priority, rank_class, order_in_class
 
 
 class _Blocked:
     """What is known of a blocked group.
 
     Attributes:
-        since: Time since which none of its tasks has been placed.
-        promised: Earliest times for which it has had reservations, ascending.
+        since: Time since which it is blocked.
+        waits_since: Time since which none of its tasks has started.
+        held_since: Time since which it holds reservations; infinite if it holds
+            none.
         held: Ids of the workers of its latest reservations.
     """
 
-    __slots__ = ("held", "promised", "since")
+    __slots__ = ("held", "held_since", "since", "waits_since")
 
     def __init__(self, since: float):
         self.since = since
-        self.promised: tuple[float, ...] = ()
+        self.waits_since = since
+        self.held_since = float("inf")
         self.held: frozenset[str] = frozenset()
 
 
@@ -99,7 +106,7 @@
             len(group.waiting),
             group.siblings(),
             urgency_of(ranked),
-            blocked.promised,
+            blocked.waits_since,
             blocked.held,
         )
 
@@ -118,15 +125,13 @@
         for name, blocked in self._blocked.items():
             rows = by_group.get(name, [])
             blocked.held = frozenset(claim.worker_id for claim in rows)
-            if rows:
-                blocked.promised = tuple(
-                    sorted(claim.promised_at for claim in rows)
-                )
-            if blocked.promised and now - blocked.promised[0] > OVERDUE_SECONDS:
+            blocked.held_since = (
+                min(blocked.held_since, now) if rows else float("inf")
+            )
+            if now - blocked.held_since > MAX_HOLD_SECONDS:
                 blocked.since = now
-                blocked.promised = ()
 
-    def record_placed(self, name: backlogs.GroupName, count: int) -> None:
+    def record_placed(self, name: backlogs.GroupName, now: float) -> None:
         """Record that tasks of a group were placed.
 
         The rest of a group that holds reservations keeps them; another group is
@@ -134,13 +139,13 @@
 
         Args:
             name: Name of the group.
-            count: Number of placed tasks.
+            now: Current time on the steady clock.
         """
         blocked = self._blocked.get(name)
         if blocked is None:
             return
         if blocked.held:
-            blocked.promised = blocked.promised[count:]
+            blocked.waits_since = blocked.held_since = now
         else:
             del self._blocked[name]
 
--- a/turmerichall/dispatch/backfill/claim.py
+++ b/turmerichall/dispatch/backfill/claim.py
@@ -7,8 +7,9 @@
 
 __all__ = ["BlockedGroup", "Claim", "Urgency"]
 
-# Priority of the queue, and class of the rank within it; the lowest goes first.
-Urgency = tuple[int, int]
+# Priority of the queue, class of the rank within it, and for the highest priority
+# the time left; the lowest goes first.
+Urgency = tuple[int, int, float]
 
 
 class BlockedGroup(NamedTuple):
@@ -21,8 +22,8 @@
         waiting: Number of waiting tasks.
         siblings: Number of running tasks of the step on each worker, by id.
         urgency: Its urgency.
-        promised: Earliest times for which its tasks have had reservations so
-            far, ascending.
+        waits_since: Time on the steady clock since which none of its tasks has
+            started.
         held: Ids of the workers on which it held reservations before.
     """
 
@@ -32,7 +33,7 @@
     waiting: int
     siblings: dict[str, int]
     urgency: Urgency
-    promised: tuple[float, ...] = ()
+    waits_since: float
     held: frozenset[str] = frozenset()
 
 
@@ -46,7 +47,7 @@
         urgency: Urgency of the group.
         starts_at: Time on the steady clock from which the task is expected to
             fit.
-        promised_at: Earliest such time so far; later ones are delays.
+        waits_since: Time since which none of the group's tasks has started.
     """
 
     group: backlogs.GroupName
@@ -54,4 +55,4 @@
     step: demands.StepDemand
     urgency: Urgency
     starts_at: float
-    promised_at: float
+    waits_since: float
--- a/turmerichall/dispatch/backfill/claims.py
+++ b/turmerichall/dispatch/backfill/claims.py
@@ -17,9 +17,11 @@
 
 __all__ = ["Claims", "IsSuitable", "make_claims"]
 
-# Idle time that a reservation may cause, as a share of the delay of its task
-# that it prevents.
-IDLE_SHARE = 0.5
+# Idle time that a reservation may cause, as a share of the time that it saves.
+IDLE_SHARE = 0.75
+# Share of the time to its start for which reserved room is idle on average, as
+# the runs there end one by one.
+MEAN_IDLE = 0.5
 # Maximum time from now to the start of a reservation.
 HORIZON_SECONDS = 30.0
 # Maximum number of tasks with reservations, per group that isn't a gang and in
@@ -98,9 +100,14 @@
         for claim in binding:
             if ends_at <= claim.starts_at:
                 continue
-            idle_seconds = claim.starts_at - now
-            delay_seconds = ends_at - claim.promised_at
-            if idle_seconds > IDLE_SHARE * delay_seconds:
+            # A task that starts now delays the reserved one until its end.
+            # Others will follow it as they did before, so the wait so far
+            # stands for the delay that they would cause.
+            idle_seconds = MEAN_IDLE * (claim.starts_at - now)
+            saved_seconds = (ends_at - claim.starts_at) + (
+                now - claim.waits_since
+            )
+            if idle_seconds > IDLE_SHARE * saved_seconds:
                 continue
             if not self._leaves_room(worker, step, claim, binding):
                 return False
@@ -260,15 +267,16 @@
                 return
             latest = max(at for at, _ in chosen)
             chosen = [(latest, worker) for _, worker in chosen]
-        chosen.sort(key=lambda row: row[0])
-        for number, (at, worker) in enumerate(chosen):
-            promised = at
-            if number < len(group.promised):
-                promised = min(group.promised[number], at)
+        for at, worker in chosen:
             worker_id = worker.record.id
             self.claims.append(
                 claim_types.Claim(
-                    group.name, worker_id, step, group.urgency, at, promised
+                    group.name,
+                    worker_id,
+                    step,
+                    group.urgency,
+                    at,
+                    group.waits_since,
                 )
             )
             self._reserved[worker_id] = self._reserved.get(
--- a/turmerichall/dispatch/backfill/tests/test_replays.py
+++ b/turmerichall/dispatch/backfill/tests/test_replays.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from turmerichall.dispatch.backfill.tests import replay as replays
+from turmerichall.dispatch.backfill import blocked_groups
+from turmerichall.benchmarks import placing_replay as replays
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
 
@@ -96,6 +97,40 @@
         ]
         assert starts[0] == starts[1]
 
+    def test_wide_urgent_job_is_not_starved_by_small_urgent_ones(self) -> None:
+        done = []
+        for backfill in (False, True):
+            replay = replays.Replay(replays.make_workers(8), backfill)
+            replays.stream(replay, SMALL, 0.12, 50.0, replays.URGENT)
+            wide = demands.StepDemand(
+                4, 6000, 100, estimate_ms=1700, gang=True, image="wide"
+            )
+            replay.submit("wide", replays.URGENT, wide, 8.0)
+            replay.run(60.0)
+            done.append(done_seconds(replay, "wide", 8.0))
+        assert done[0] > 20.0
+        assert done[1] < 5.0
+
+    def test_reservations_leave_preemption_to_urgent_tasks(self) -> None:
+        # All processors are requested by long-running tasks, one of which each
+        # urgent task may stop; a gang holds reservations for what they free.
+        replay = replays.Replay(replays.make_workers(4), True)
+        service = demands.StepDemand(16, 2000, 100, lasting=True, image="s")
+        replay.submit("service", replays.BATCH, service)
+        gang = demands.StepDemand(
+            4, 4000, 100, estimate_ms=1000, gang=True, image="gang"
+        )
+        replay.submit("gang", replays.BATCH, gang, 0.5)
+        urgent = demands.StepDemand(1, 1800, 100, estimate_ms=600, image="u")
+        jobs = replays.stream(replay, urgent, 0.5, 10.0, replays.URGENT)
+        replay.run(15.0)
+        waits = [
+            done_seconds(replay, job, number * 0.5)
+            for number, job in enumerate(jobs)
+        ][6:]
+        # A stop, two rounds, and the run.
+        assert max(waits) < 0.4 + 0.1 + 0.6 + 0.3
+
 
 class TestSizes:
 
@@ -124,6 +159,76 @@
         assert waits[1] < 0.7 * waits[0]
 
 
+class TestRacks:
+
+    def test_many_reservations_on_one_rack_leave_the_others_free(
+        self,
+    ) -> None:
+        replay = replays.Replay(replays.make_workers(12), True)
+        replays.stream(replay, SMALL, 0.085, 20.0)
+        wide = demands.StepDemand(
+            4, 8000, 100, estimate_ms=1700, same_rack=True, gang=True, image="w"
+        )
+        for number in range(3):
+            replay.submit(f"wide{number}", replays.BATCH, wide, 5.0)
+        racks: dict[str, set[str]] = {}
+        while replay.now < replays.BEGIN_SECONDS + 30.0:
+            for worker, run in replay.step():
+                if run.task.job.startswith("wide"):
+                    racks.setdefault(run.task.job, set()).add(
+                        worker.record.rack
+                    )
+        assert {len(names) for names in racks.values()} == {1}
+        assert (
+            max(
+                done_seconds(replay, f"wide{number}", 5.0)
+                for number in range(3)
+            )
+            < 13.0
+        )
+        small = [
+            done_seconds(replay, job, int(job[1:]) * 0.085)
+            for job in replay.done_at
+            if job.startswith("s")
+        ]
+        assert len(small) == 235
+        assert max(small) < 12.0
+
+
+class TestNewLeader:
+
+    def test_has_no_reservations_until_groups_are_blocked(self) -> None:
+        replay = replays.Replay(replays.make_workers(1), True)
+        big = demands.StepDemand(3, 8000, 100, estimate_ms=1700, image="big")
+        replay.submit("big", replays.BATCH, big)
+        replay.step()
+        while not reservations(replay):
+            replay.step()
+        waited = replay.now - replays.BEGIN_SECONDS
+        assert blocked_groups.BLOCKED_SECONDS <= waited < 0.5
+
+
+class TestReports:
+
+    def test_job_is_told_when_it_will_start_at_most_every_5_s(self) -> None:
+        big = demands.StepDemand(4, 8000, 100, estimate_ms=9000, image="big")
+        replay = replays.Replay(replays.make_workers(2), True)
+        replay.submit("first", replays.BATCH, big)
+        replay.submit("second", replays.BATCH, big)
+        replay.run(8.0)
+        lines = [
+            fields
+            for message, fields in replay.log.lines
+            if message == "job waits for room"
+        ]
+        assert [line["job"] for line in lines].count("first") == 2
+        assert 8.0 < float(str(lines[0]["expected_start_seconds"])) < 9.0
+        exposition = replay.metrics.exposition().decode()
+        assert "turmerichall_backfill_reservations 2.0" in exposition
+        assert "turmerichall_backfill_idle_cores 0.0" in exposition
+        assert "turmerichall_task_wait_rest_seconds_count" in exposition
+
+
 class TestEnds:
 
     def test_canceled_holders_give_their_room_back(self) -> None:
