Take runs to go on for at least a quarter of their age

The plain forecast says that a run which outlived it ends now, so reservations stayed with such a run for as long as it went on. The new test fails without the share. A test covers workers in an evacuated zone. Tests of dispatch and benchmarks pass.

--- a/turmerichall/dispatch/backfill/room.py
+++ b/turmerichall/dispatch/backfill/room.py
@@ -17,8 +17,10 @@
 # Expected time until a run that is being stopped has ended; 0.2 to 0.9 s were
 # measured (docs/design/scale.md).
 STOP_SECONDS = 0.5
-# Minimum remaining time of a run, also of one that outlived its forecast.
+# Minimum remaining time of a run, and as a share of its age.  Otherwise,
+# reservations stay with runs that outlive forecasts without a correction.
 MIN_REMAINING_SECONDS = 0.05
+MIN_REMAINING_SHARE = 0.25
 
 
 class Room(NamedTuple):
@@ -171,5 +173,8 @@
     """Return the time at which a run is expected to end."""
     if run.stopping:
         return now + STOP_SECONDS
-    remaining = forecaster.remaining(run, now).typical_seconds
-    return now + max(remaining, MIN_REMAINING_SECONDS)
+    return now + max(
+        forecaster.remaining(run, now).typical_seconds,
+        MIN_REMAINING_SECONDS,
+        MIN_REMAINING_SHARE * run.seconds_at_work(now),
+    )
--- a/turmerichall/dispatch/backfill/tests/test_plans.py
+++ b/turmerichall/dispatch/backfill/tests/test_plans.py
@@ -181,6 +181,7 @@
             + max(
                 replay.forecaster.remaining(run, replay.now).typical_seconds,
                 room.MIN_REMAINING_SECONDS,
+                room.MIN_REMAINING_SHARE * run.seconds_at_work(replay.now),
             )
             > claim.starts_at
         )
--- a/turmerichall/dispatch/backfill/tests/test_replays.py
+++ b/turmerichall/dispatch/backfill/tests/test_replays.py
@@ -6,6 +6,7 @@
 
 from turmerichall.dispatch.backfill import blocked_groups
 from turmerichall.benchmarks import placing_replay as replays
+from turmerichall.dispatch.forecasts import forecast
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
 
@@ -20,17 +21,19 @@
     small: demands.StepDemand = SMALL,
     outlier_share: float = 0.0,
     small_queue: str = replays.BATCH,
+    interval: float = 0.12,
+    seed: int = 1,
 ) -> replays.Replay:
     """Play a large job that arrives in a stream of small ones for 50 s."""
     replay = replays.Replay(replays.make_workers(8), backfill)
-    draw = random.Random(1)
+    draw = random.Random(seed)
 
     def seconds_of(_: changes.TaskName, step: demands.StepDemand) -> float:
         factor = 7.0 if draw.random() < outlier_share else 1.0
         return factor * draw.uniform(0.8, 1.2) * step.estimate_ms / 1000
 
     replay.seconds_of = seconds_of
-    replays.stream(replay, small, 0.12, 50.0, small_queue)
+    replays.stream(replay, small, interval, 50.0, small_queue)
     replay.submit("big", replays.BATCH, big, 8.0)
     replay.run(60.0)
     return replay
@@ -74,6 +77,17 @@
         assert sum(waits) / len(waits) < 2.1
         assert max(waits) < 4.4
 
+    @pytest.mark.parametrize("seed", range(5))
+    def test_runs_that_outlive_a_plain_forecast_delay_it_little(
+        self, seed: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The plain forecast says that such a run ends now, for as long as it
+        # goes on; reservations must not stay with it.
+        monkeypatch.setattr(replays, "GrowingForecaster", forecast.Forecaster)
+        big = demands.StepDemand(4, 6000, 100, estimate_ms=1700, image="big")
+        replay = play_stream(True, big, SMALL, 0.03, interval=0.13, seed=seed)
+        assert done_seconds(replay, "big", 8.0) < 13.0
+
     def test_runs_of_seven_times_the_forecast_delay_it_little(self) -> None:
         big = demands.StepDemand(4, 6000, 100, estimate_ms=1700, image="big")
         replay = play_stream(True, big, outlier_share=0.03)
@@ -250,7 +264,9 @@
         replay.run(0.5)
         assert len([at for _, at, _ in replay.starts if at > 105.6]) >= 8
 
-    @pytest.mark.parametrize("fault", ["draining", "lost", "shrunk"])
+    @pytest.mark.parametrize(
+        "fault", ["draining", "lost", "shrunk", "evacuated"]
+    )
     def test_a_worker_out_of_use_holds_none(self, fault: str) -> None:
         replay = replays.Replay(replays.make_workers(3), True)
         replays.stream(replay, SMALL, 0.3, 20.0)
@@ -264,6 +280,10 @@
             worker.draining = True
         elif fault == "lost":
             worker.record_silence(replay.now, True)
+        elif fault == "evacuated":
+            worker.record = worker.record._replace(zone="other")
+            at_ms = int(replay.now * 1000)
+            replay.apply(changes.BeginEvacuation("other", at_ms))
         else:
             worker.resize(worker.capacity._replace(cpu=4000))
         replay.step()
