--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -16,13 +16,14 @@
 from turmerichall.dispatch import ticket_cache as ticket_caches
 from turmerichall.dispatch import trials
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.backfill import backfiller
 from turmerichall.dispatch.evacuation import zone_states
 from turmerichall.dispatch.forecasts import forecast
 from turmerichall.dispatch.waiting_order import order
 from turmerichall.dispatch.waiting_order import selection
 from turmerichall.peers import link
-from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
+from turmerichall.telemetry import lightweight_metrics
 
 __all__ = ["PlannedRuns", "Planner"]
 
@@ -38,7 +39,6 @@
     """Planner that chooses workers for waiting tasks.
 
     Attributes:
-        queue_state: The replicated state.
         backlog: Waiting tasks.
         workers: Workers by id.
         interference_model: Learned slowdowns of long-running tasks.
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        queue_state: states.QueueState,
+        metrics_registry: lightweight_metrics.MetricsRegistry,
         backlog: backlogs.Backlog,
         workers: Mapping[str, worker_state.Worker],
         interference_model: interference_models.InterferenceModel,
@@ -58,7 +58,6 @@
         scheduling: queue_settings.Scheduling,
         forecaster: forecast.Forecaster,
     ):
-        self.queue_state = queue_state
         self.backlog = backlog
         self.workers = workers
         self.interference_model = interference_model
@@ -67,7 +66,10 @@
         self.scheduling = scheduling
         self.forecaster = forecaster
         self._order = selection.make_order(
-            scheduling, queue_state, forecaster, workers, log
+            scheduling, backlog.queue_state, forecaster, workers, log
+        )
+        self._backfill = backfiller.make_backfiller(
+            scheduling, forecaster, interference_model, log, metrics_registry
         )
         self._log = log
         self._round = 0
@@ -75,7 +77,7 @@
         # in which it last changed or became usable.
         self._changed_rounds: dict[str, int] = {}
         self._trials = trials.Trials()
-        self._zone_states = zone_states.ZoneStates(queue_state)
+        self._zone_states = zone_states.ZoneStates(backlog.queue_state)
 
     def plan(self, now: float, now_ms: int) -> PlannedRuns:
         """Choose the runs that start now, and reserve their resources.
@@ -87,10 +89,14 @@
         groups = self.backlog.ready()
         self.stops = []
         if not groups:
+            self._backfill.clear()
             return []
         ranked = self._order.ranked(groups, now, now_ms)
         self._zone_states.begin_round(self.workers.values(), now, now_ms)
         by_service = self._usable_workers(now)
+        for worker_id in self._backfill.begin_round(ranked, by_service, now):
+            if worker_id in self._changed_rounds:
+                self._changed_rounds[worker_id] = self._round
         planned: PlannedRuns = []
         for rank, _, group in ranked:
             workers = by_service.get(group.queue.service, [])
@@ -105,6 +111,7 @@
                 eligible = self._eligible_workers(group, workers)
                 self.tickets.request(group.name, rank, advice, eligible, now)
         self._choose_stops(ranked, by_service, now)
+        self._backfill.end_round(now)
         return planned
 
     def _choose_stops(
@@ -208,6 +215,7 @@
             planned = self._plan_starved(group, workers, now)
         elif planned:
             group.starved_since = float("inf")
+        self._backfill.record_placed(group, planned, now)
         for _, run in planned:
             group.waiting.discard(run.task.number)
             group.preempted.pop(run.task.number, None)
@@ -294,7 +302,7 @@
             avoided = group.avoided.get(number, ())
             worker = placement.choose_worker(
                 step,
-                workers,
+                self._backfill.allowed(group, workers, now),
                 now,
                 self.interference_model,
                 avoided,
@@ -328,7 +336,7 @@
                 number,
             ),
         ):
-            worker = candidates.best()
+            worker = self._backfill.best(candidates, group, now)
             if worker is None:
                 group.no_room_round = self._round
                 break
@@ -338,7 +346,7 @@
                     break
                 worker = placement.choose_worker_for_trial(
                     step,
-                    workers,
+                    self._backfill.allowed(group, workers, now),
                     now,
                     self.interference_model,
                     group.job.id,
@@ -348,7 +356,7 @@
             elif avoided:
                 worker = placement.choose_worker(
                     step,
-                    workers,
+                    self._backfill.allowed(group, workers, now),
                     now,
                     self.interference_model,
                     avoided,
