Careful colocation: first pace of unknown pairs, hysteresis of pace orders

With [scheduling] colocation = careful, a pair without enough evidence is taken for a harmful one and limited to what the present load tolerates; at most two unknown images are observed beside one long-running task. Reductions are sent at once with a reserve, increases at most every 0.8 s and only if they gain 0.3 core seconds.

--- a/turmerichall/dispatch/interference_model.py
+++ b/turmerichall/dispatch/interference_model.py
@@ -14,8 +14,13 @@
     Non-negative Least Squares Problem", 2005: the sweeps of `_Fit.solve`.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 import math
+import types
+
+from turmerichall.dispatch.colocation import first_pace
+from turmerichall.queues import change as changes
+from turmerichall.queues import state as states
 
 __all__ = ["InterferenceModel"]
 
@@ -27,6 +32,10 @@
 PRIOR_STRENGTH = 0.015
 # Weight of a prior that an earlier leader learned, in the same unit.
 RESTORED_STRENGTH = 0.15
+# Maximum strength that is recorded as evidence and stored for the next leader.
+# It is that of single images, which is too high for images that always ran
+# together.
+MAX_EVIDENCE = 1.5
 # Factor on the weight of all earlier samples at each new sample.
 DECAY = 0.9998
 SWEEPS = 3
@@ -44,6 +53,7 @@
 # disturbed ones of a step.
 INTERCEPT_STRENGTH = 1e-3
 _INTERCEPT = ""
+_NO_STRENGTHS: Mapping[str, Mapping[str, float]] = types.MappingProxyType({})
 # Standard deviation of a sample from the fit if the tail latency is exact.
 NOISE = 0.15
 # Number of standard deviations by which the upper estimate of a weight exceeds
@@ -61,6 +71,9 @@
             shares of the processors, by both images.
         products: Weighted sums over the samples of the products of an image's
             share and the slowdown, by image.
+        evidence: Strength of each weight, in the unit of `PRIOR_STRENGTH`; it
+            does not decay, so that a pair that was not seen for some time stays
+            known.
     """
 
     def __init__(self) -> None:
@@ -69,15 +82,21 @@
         self.products: dict[str, float] = {}
         self._samples = 0
         self._scale = 1.0
+        self.evidence: dict[str, float] = {}
         self._add_term(_INTERCEPT, 0.0, INTERCEPT_STRENGTH)
 
-    def restore(self, weights: Mapping[str, float]) -> None:
-        """Add weights that an earlier leader learned."""
+    def restore(
+        self, weights: Mapping[str, float], strengths: Mapping[str, float]
+    ) -> None:
+        """Add weights that an earlier leader learned, with their strengths."""
         for image, weight in weights.items():
-            self._add_term(image, weight, RESTORED_STRENGTH)
+            strength = strengths.get(image, RESTORED_STRENGTH)
+            strength = min(max(strength, PRIOR_STRENGTH), MAX_EVIDENCE)
+            self._add_term(image, weight, strength)
 
     def _add_term(self, image: str, weight: float, strength: float) -> None:
         self.weights[image] = weight
+        self.evidence[image] = strength
         self.squares[image] = {image: strength * self._scale}
         self.products[image] = strength * self._scale * weight
 
@@ -94,7 +113,8 @@
         """
         self._scale /= DECAY
         slowdown = max(-1.0, min(slowdown, MAX_SLOWDOWN))
-        sample_weight = self._scale * (NOISE / max(noise, NOISE)) ** 2
+        quality = (NOISE / max(noise, NOISE)) ** 2
+        sample_weight = self._scale * quality
         expected = self.weights[_INTERCEPT]
         for image, share in shares.items():
             if image not in self.weights:
@@ -106,6 +126,9 @@
         for image, share in terms:
             row = self.squares[image]
             weight = share * sample_weight
+            self.evidence[image] = min(
+                self.evidence[image] + share**2 * quality, MAX_EVIDENCE
+            )
             for other, other_share in terms:
                 row[other] = row.get(other, 0.0) + weight * other_share
             self.products[image] += weight * slowdown
@@ -151,8 +174,15 @@
         True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_careful: bool = False) -> None:
+        """Create a model that has not learned anything.
+
+        Args:
+            is_careful: Whether pairs that were hardly observed are told from
+                others, by this leader and the next.
+        """
         self._fits: dict[str, _Fit] = {}
+        self._is_careful = is_careful
 
     def learn(
         self,
@@ -197,7 +227,81 @@
         weight = fit.weights.get(best_effort, PRIOR_WEIGHT)
         return weight + CAUTION_DEVIATIONS * fit.standard_deviation(best_effort)
 
-    def restore(self, table: Mapping[str, Mapping[str, float]]) -> None:
+    def strength(self, long_running: str, best_effort: str) -> float:
+        """Return the strength of the evidence for what `weight` returns.
+
+        It is the sum of the squared shares of a worker's processors that the
+        best-effort image used in the samples, including the prior.
+        """
+        fit = self._fits.get(long_running)
+        return (
+            fit.evidence.get(best_effort, PRIOR_STRENGTH)
+            if fit
+            else PRIOR_STRENGTH
+        )
+
+    def pair(self, long_running: str, best_effort: str) -> first_pace.Pair:
+        """Return what was learned about a pair of images."""
+        return first_pace.Pair(
+            self.weight(long_running, best_effort),
+            self.strength(long_running, best_effort),
+        )
+
+    def is_unknown(self, long_running: str, best_effort: str) -> bool:
+        """Return whether a pair was hardly observed; no, if not careful."""
+        return (
+            self._is_careful
+            and self.strength(long_running, best_effort)
+            < first_pace.KNOWN_STRENGTH
+        )
+
+    def admits(
+        self, long_running: str, best_effort: str, others: Collection[str]
+    ) -> bool:
+        """Return whether a best-effort image may join others on a worker.
+
+        Args:
+            long_running: Image of a long-running task there.
+            best_effort: Image of the task to place.
+            others: Images of the best-effort tasks there.
+        """
+        return not self._is_careful or not first_pace.is_one_too_many(
+            best_effort,
+            others,
+            lambda image: self.is_unknown(long_running, image),
+        )
+
+    def note(self) -> changes.NoteInterference:
+        """Return the change that stores the model for the next leader."""
+        return changes.NoteInterference(self.table(), self.strengths())
+
+    def restore_from(self, queue_state: states.QueueState) -> None:
+        """Take over what an earlier leader stored."""
+        self.restore(
+            queue_state.interference, queue_state.interference_strengths
+        )
+
+    def strengths(self) -> dict[str, dict[str, float]]:
+        """Return the strengths to store, by long-running and best-effort image.
+
+        Empty if the model is not careful.
+        """
+        if not self._is_careful:
+            return {}
+        return {
+            long_running: {
+                image: round(strength, 3)
+                for image, strength in fit.evidence.items()
+                if image != _INTERCEPT
+            }
+            for long_running, fit in self._fits.items()
+        }
+
+    def restore(
+        self,
+        table: Mapping[str, Mapping[str, float]],
+        strengths: Mapping[str, Mapping[str, float]] = _NO_STRENGTHS,
+    ) -> None:
         """Take over the weights of an earlier leader.
 
         This replica may have led before that leader did; what it learned then
@@ -205,6 +309,8 @@
 
         Args:
             table: Weights as returned by `table`.
+            strengths: Strengths as returned by `strengths`; weights without one
+                count as observed.
 
         Examples:
             >>> model = InterferenceModel()
@@ -217,7 +323,9 @@
         for long_running, weights in table.items():
             if own.get(long_running) != weights:
                 self._fits[long_running] = _Fit()
-                self._fits[long_running].restore(weights)
+                self._fits[long_running].restore(
+                    weights, strengths.get(long_running, {})
+                )
 
     def table(self) -> dict[str, dict[str, float]]:
         """Return likely slowdowns by long-running and best-effort image."""
--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -89,7 +89,9 @@
         self._zone_names = zone_names
         self._fence_response = fence_responses.FenceResponse(replica, log)
         self._durations = run_durations.DurationEstimator()
-        self._interference_model = interference_models.InterferenceModel()
+        self._interference_model = interference_models.InterferenceModel(
+            is_careful=scheduling.colocation == "careful"
+        )
 
     async def run(self) -> None:
         """Do the leader's work in every term in which this replica leads."""
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -26,6 +26,7 @@
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.admission_control import controller
 from turmerichall.dispatch.admission_control import selection
+from turmerichall.dispatch.colocation import careful_policy
 from turmerichall.dispatch.forecasts import forecast
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -72,6 +73,8 @@
         forecaster: Forecasts of run times.
         interference_model: Learned slowdowns of long-running tasks.
         load_tracker: Load of long-running jobs.
+        colocation: Policy for best-effort tasks beside long-running ones; None
+            for the plain one.
         tickets: Permissions to run steps on workers, for queues with a policy.
         metrics_registry: Metrics of this process.
         freshness: Age of the latest quorum contact, which limits lease
@@ -111,10 +114,11 @@
         self.tickets = ticket_caches.TicketCache(policy, log, metrics_registry)
         self.backlog = backlogs.Backlog(queue_state)
         self.forecaster = forecast.Forecaster(durations)
-        self._admission: controller.AdmissionController = (
-            selection.make_controller(
-                scheduling, self.backlog, durations, self.forecaster
-            )
+        self._admission = selection.make_controller(
+            scheduling, self.backlog, durations, self.forecaster
+        )
+        self.colocation = careful_policy.make_policy(
+            scheduling, interference_model, metrics_registry, log
         )
         self.registry = registries.Registry(self, make_client)
         self.workers = self.registry.workers
@@ -130,7 +134,7 @@
             queue_state, self.backlog
         )
         self._straggler_detector = straggler_detectors.StragglerDetector(
-            queue_state, self.workers, log
+            queue_state, self.workers, log, self.colocation
         )
         self._planner = planners.Planner(
             queue_state,
@@ -173,7 +177,7 @@
 
     def _load_state(self, nursery: trio.Nursery) -> None:
         """Load the workers, runs and jobs from the replicated state."""
-        self.interference_model.restore(self.queue_state.interference)
+        self.interference_model.restore_from(self.queue_state)
         self.registry.load(nursery)
         now_ms = wall_ms()
         for job in self.queue_state.jobs.values():
@@ -209,7 +213,7 @@
                 self.log, self.backlog, self.workers.values(), table, now
             )
             if table and table != self.queue_state.interference:
-                await self.commit_or_resign(changes.NoteInterference(table))
+                await self.commit_or_resign(self.interference_model.note())
             cleared = self.registry.crash_register.cleared_tasks(
                 self.workers.values(), now
             )
@@ -376,12 +380,7 @@
         if job.state == states.JobState.FAILED:
             self._failed_jobs.add(job.id)
         self.metrics_registry.count("jobs_ended", state=job.state.value)
-        self.log.info(
-            "job ended",
-            job=job.id,
-            state=job.state.value,
-            age_ms=wall_ms() - job.at_ms,
-        )
+        reports.log_job_ended(self.log, job, wall_ms() - job.at_ms)
         self._close_job(job.id)
 
     def close_failed_job(self, job_id: str) -> None:
--- a/turmerichall/dispatch/pacing.py
+++ b/turmerichall/dispatch/pacing.py
@@ -107,6 +107,8 @@
     spare: float,
     weight: SlowdownWeight,
     upper_weight: SlowdownWeight,
+    limits: Sequence[int] = (),
+    max_rise_percent: int = MAX_RISE_PERCENT,
 ) -> list[int]:
     """Return the pace of each best-effort task, in percent.
 
@@ -121,6 +123,9 @@
         weight: Returns the likely slowdown of a long-running image by a
             best-effort image that uses all processors of the worker.
         upper_weight: Returns a cautious upper estimate of the same slowdown.
+        limits: Highest pace of each best-effort task, in percent; none if
+            empty.
+        max_rise_percent: Maximum rise of a pace, in percent.
 
     Examples:
         >>> def weight(long_running, best_effort):
@@ -135,9 +140,11 @@
         [0, 74]
     """
     paces = [
-        min(100, max(0, task.percent) + MAX_RISE_PERCENT)
+        min(100, max(0, task.percent) + max_rise_percent)
         for task in best_effort_tasks
     ]
+    if limits:
+        paces = [min(pace, limit) for pace, limit in zip(paces, limits)]
     overcommit = sum(task.share for task in best_effort_tasks) - max(spare, 0.0)
     for long_running in long_running_tasks:
         if long_running.over_seconds > STOP_AFTER_SECONDS:
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -261,6 +261,10 @@
     )
     for neighbour in worker.neighbours.values():
         image = neighbour.image
+        if not force and not interference_model.admits(
+            image, step.image, worker.best_effort_cpu
+        ):
+            return None
         added_slowdown = (
             interference_model.upper_weight(image, step.image) * step.cpu / cpu
         )
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -11,12 +11,14 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
+from turmerichall.queues import state as states
 
 __all__ = [
     "describe",
     "log_accepted",
     "log_crash",
     "log_ends",
+    "log_job_ended",
     "log_preempted",
     "log_refused",
     "log_registered",
@@ -231,6 +233,17 @@
     )
 
 
+def log_job_ended(log: link.Log, job: states.Job, age_ms: int) -> None:
+    """Log that a job was completed, or failed.
+
+    Args:
+        log: Log to write to.
+        job: The job.
+        age_ms: Its age in ms.
+    """
+    log.info("job ended", job=job.id, state=job.state.value, age_ms=age_ms)
+
+
 def log_refused(
     log: link.Log,
     job_id: str,
--- a/turmerichall/dispatch/straggler_detector.py
+++ b/turmerichall/dispatch/straggler_detector.py
@@ -5,6 +5,7 @@
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import stragglers
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.colocation import careful_policy
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
@@ -28,10 +29,12 @@
         queue_state: states.QueueState,
         workers: Mapping[str, worker_state.Worker],
         log: link.Log,
+        colocation: careful_policy.CarefulPolicy | None = None,
     ):
         self.queue_state = queue_state
         self.workers = workers
         self._log = log
+        self._colocation = colocation
         # Tasks that were moved because they were slow.
         self._moved: set[changes.TaskName] = set()
         # Durations of completed runs in seconds, by job, occurrence and step.
--- a/turmerichall/dispatch/tail_latency_controller.py
+++ b/turmerichall/dispatch/tail_latency_controller.py
@@ -10,7 +10,10 @@
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.colocation import careful_policy
+from turmerichall.dispatch.colocation import pace_orders
 from turmerichall.queues import change as changes
+from turmerichall.telemetry import lightweight_metrics
 
 __all__ = ["Owner", "TailLatencyController"]
 
@@ -25,6 +28,8 @@
 # Standard deviation of the rounding error of tail latencies, which workers
 # report in whole milliseconds.
 ROUNDING_MS = 0.29
+# Largest standard deviation of a slowdown from which careful colocation learns.
+MAX_NOISE = 1.3 * interference_models.NOISE
 # Utilization of a step up to which tail latencies say too little about
 # interference to learn from them.
 MIN_STEP_LOAD = 0.1
@@ -43,6 +48,8 @@
     token: int
     interference_model: interference_models.InterferenceModel
     load_tracker: service_load.LoadTracker
+    metrics_registry: lightweight_metrics.MetricsRegistry
+    colocation: careful_policy.CarefulPolicy | None
 
     def fenced(self, worker: worker_state.Worker) -> None:
         """End the leader's work, because a worker obeys a newer term."""
@@ -114,6 +121,12 @@
         ]
         if not paced_runs:
             return
+        model, colocation = self.owner.interference_model, self.owner.colocation
+        limits, max_rise = [], pacing.MAX_RISE_PERCENT
+        now = leases.steady_seconds()
+        if colocation is not None:
+            limits = colocation.first_paces(worker, paced_runs, now)
+            max_rise = careful_policy.MAX_RISE_PERCENT
         paces = pacing.pace_percents(
             [
                 pacing.BestEffortTask(
@@ -124,22 +137,27 @@
             self._long_running_tasks,
             pacing.UNCONTENDED_SHARE
             - (worker.long_running_load + worker.cpu_batch) / cpu,
-            self.owner.interference_model.weight,
-            self.owner.interference_model.upper_weight,
+            model.weight,
+            model.upper_weight,
+            limits,
+            max_rise,
         )
         unanswered = False
         for run, percent in zip(paced_runs, paces):
-            unknown = run.pace_percent == run_state.UNKNOWN_PACE
-            if (
-                unknown
-                or percent in (0, 100)
-                or abs(percent - run.pace_percent) >= PACE_STEP_PERCENT
-            ):
-                unanswered |= not await self._set_pace(run, percent)
+            if colocation is not None:
+                order = colocation.next_order(run, percent, now)
+            else:
+                order = _plain_order(run, percent)
+            if order is not None:
+                unanswered |= not await self._set_pace(
+                    run, order.percent, order.reason
+                )
             elif not unanswered:
                 # Each order without an answer delays the next poll, which
                 # renews the lease.
-                unanswered = not await self._set_pace(run, run.pace_percent)
+                unanswered = not await self._set_pace(
+                    run, run.pace_percent, "repeat"
+                )
 
     def _read_tail(
         self, run: run_state.Run, shares: dict[str, float], now: float
@@ -175,6 +193,10 @@
             noise = math.hypot(interference_models.NOISE, 1.4 * rounding)
             slowdown = utilization / step_load - 1
             is_queueing = run.load > QUEUEING_RATIO * target_ms
+            if self.owner.colocation is not None:
+                # Paces that follow the load are high where tail latencies are
+                # low, and their rounding would count as interference.
+                is_settled &= noise < MAX_NOISE
             if is_settled and (slowdown > known_slowdown or not is_queueing):
                 interference_model.learn(
                     long_running_image, shares, slowdown, noise
@@ -216,12 +238,19 @@
         since = self._over_since.setdefault(run.task, now)
         return max(now - since, 0.001)
 
-    async def _set_pace(self, run: run_state.Run, percent: int) -> bool:
+    async def _set_pace(
+        self, run: run_state.Run, percent: int, reason: str
+    ) -> bool:
         """Send a run's pace to the worker, unless it is known to be set.
 
         An order without an answer may be carried out late, after newer orders,
         so the pace is repeated until that can no longer happen.
 
+        Args:
+            run: The run.
+            percent: The pace.
+            reason: Why it is set, for the counter of orders.
+
         Returns:
             False if an order was sent and not answered.
         """
@@ -229,6 +258,7 @@
         changes_pace = run.pace_percent != percent
         if not changes_pace and not _must_repeat(run, now):
             return True
+        self.owner.metrics_registry.count("pace_orders", reason=reason)
         result = await self.worker.client.pace(
             run.order(), percent, self.owner.token
         )
@@ -252,6 +282,21 @@
         return answered
 
 
+def _plain_order(
+    run: run_state.Run, percent: int
+) -> pace_orders.PaceOrder | None:
+    """Return the order of a pace that differs enough from the last one."""
+    unknown = run.pace_percent == run_state.UNKNOWN_PACE
+    if (
+        unknown
+        or percent in (0, 100)
+        or abs(percent - run.pace_percent) >= PACE_STEP_PERCENT
+    ):
+        reason = "cut" if percent < run.pace_percent else "rise"
+        return pace_orders.PaceOrder(percent, "unknown" if unknown else reason)
+    return None
+
+
 def _must_repeat(run: run_state.Run, now: float) -> bool:
     """Return whether an unchanged pace is to be sent again at a time."""
     if not run.late_pace_possible():
--- a/turmerichall/dispatch/tests/test_interference.py
+++ b/turmerichall/dispatch/tests/test_interference.py
@@ -19,9 +19,11 @@
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import tail_latency_controller
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.colocation import careful_policy
 from turmerichall.dispatch.tests import fakes
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
+from turmerichall.telemetry import lightweight_metrics
 
 # Tests name the fixture as an argument, which makes them run on its clock.
 # pylint: disable=unused-argument
@@ -58,6 +60,8 @@
         self.token = 1
         self.interference_model = interference_models.InterferenceModel()
         self.load_tracker = service_load.LoadTracker()
+        self.metrics_registry = lightweight_metrics.MetricsRegistry()
+        self.colocation: careful_policy.CarefulPolicy | None = None
         self.fences = 0
 
     def fenced(self, _: worker_state.Worker) -> None:
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -305,9 +305,12 @@
         added: Slowdown of a long-running image by a best-effort image that
             uses all processors of the worker, by long-running and then
             best-effort image.
+        strengths: Strength of the evidence for each of them, in squared shares
+            of a worker's processors; empty in changes of earlier releases.
     """
 
     added: dict[str, dict[str, float]]
+    strengths: dict[str, dict[str, float]] = {}
 
 
 class ClearCrashes(_Tagged, frozen=True, array_like=True, tag=10):
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -149,6 +149,7 @@
     capacities: dict[str, changes.Capacity] = {}
     evacuations: dict[str, int] = {}
     restored: dict[str, int] = {}
+    interference_strengths: dict[str, dict[str, float]] = {}
 
 
 def _empty_snapshot() -> _Snapshot:
@@ -170,6 +171,7 @@
         draining: Ids of workers that are about to leave.
         gone: Ids of workers that were removed.
         interference: Learned slowdowns, by long-running and best-effort image.
+        interference_strengths: Strength of the evidence for each slowdown.
         capacities: Capacities that changed after the registration, by id of the
             worker.
         evacuations: When the evacuation of each availability zone in evacuation
@@ -192,6 +194,7 @@
         self.draining = set(state.draining)
         self.gone = set(state.gone)
         self.interference = state.interference
+        self.interference_strengths = state.interference_strengths
         self.capacities = state.capacities
         self.evacuations = state.evacuations
         self.restored = state.restored
@@ -215,6 +218,7 @@
                 self.capacities,
                 self.evacuations,
                 self.restored,
+                self.interference_strengths,
             )
         )
 
@@ -254,6 +258,7 @@
                     self.capacities[change.worker] = change.capacity
             case changes.NoteInterference():
                 self.interference = change.added
+                self.interference_strengths = change.strengths
             case changes.BeginEvacuation():
                 self.evacuations.setdefault(change.zone, change.at_ms)
                 self.restored.pop(change.zone, None)
