Careful colocation: limits on moves, evidence for the next leader, replays

A throttled run was moved after a second whatever the work since its checkpoint, and met the same peak on the next worker. It now moves once it has lost as much by staying as the move costs, and at most twice per task.

Replays observe the load for one wave before best-effort runs arrive.

--- a/turmerichall/dispatch/colocation/careful_policy.py
+++ b/turmerichall/dispatch/colocation/careful_policy.py
@@ -9,8 +9,10 @@
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.colocation import first_pace
+from turmerichall.dispatch.colocation import move_limits
 from turmerichall.dispatch.colocation import pace_orders
 from turmerichall.peers import link
+from turmerichall.queues import change as changes
 from turmerichall.settings import queue_settings
 from turmerichall.telemetry import lightweight_metrics
 
@@ -38,8 +40,9 @@
 class CarefulPolicy:
     """Policy for best-effort tasks beside long-running ones in one term.
 
-    It keeps only what throttles log lines and counts first encounters; what is
-    known about pairs is in the interference model.
+    What is known about pairs is in the interference model.  The policy itself
+    keeps the time of first encounters and the number of moves, which a new
+    leader counts from zero.
     """
 
     def __init__(
@@ -54,6 +57,9 @@
         # Time of the first encounter of each unknown pair, and of the latest
         # log line on it.
         self._met_at: dict[tuple[str, str], float] = {}
+        # Number of moves of each throttled task, and runs that may not move.
+        self._moves: dict[changes.TaskName, int] = {}
+        self._refused: set[tuple[changes.TaskName, int]] = set()
         self._logged_at: dict[tuple[str, str], float] = {}
 
     def first_paces(
@@ -149,3 +155,46 @@
             ),
             tolerable_percent,
         )
+
+    def may_move(
+        self,
+        run: run_state.Run,
+        throttled_seconds: float,
+        typical_seconds: float,
+    ) -> bool:
+        """Return whether a throttled run is moved to another worker.
+
+        Args:
+            run: The run, which saves checkpoints.
+            throttled_seconds: Time for which it has been throttled.
+            typical_seconds: Time that its whole work takes at full pace.
+        """
+        moves = self._moves.get(run.task, 0)
+        pace = run.pace_percent
+        # A resumed run starts from its checkpoint.
+        since_checkpoint = run.progress_percent - max(
+            run.checkpoint_percent, run.initial_percent
+        )
+        reason = move_limits.reason_to_stay(
+            move_limits.ThrottledRun(
+                moves,
+                throttled_seconds,
+                100 if pace == run_state.UNKNOWN_PACE else pace,
+                typical_seconds * (100 - run.progress_percent) / 100,
+                typical_seconds * max(since_checkpoint, 0) / 100,
+            )
+        )
+        if not reason:
+            self._moves[run.task] = moves + 1
+        elif (run.task, run.number) not in self._refused:
+            self._refused.add((run.task, run.number))
+            self._metrics_registry.count(
+                "moves_refused", reason=reason.replace(" ", "_")
+            )
+        return not reason
+
+    def forget_job(self, job_id: str) -> None:
+        """Forget the tasks of a job that has ended."""
+        for task in [task for task in self._moves if task.job == job_id]:
+            del self._moves[task]
+        self._refused = {row for row in self._refused if row[0].job != job_id}
--- a/turmerichall/dispatch/colocation/first_pace.py
+++ b/turmerichall/dispatch/colocation/first_pace.py
@@ -37,7 +37,7 @@
 # 5).  In replays, 3 and 4 cost four harmless pairs more work than they save
 # time over the target beside a heavy one; so does the load of the next peak in
 # place of the present one.
-UNKNOWN_SLOWDOWN = 2.0
+UNKNOWN_SLOWDOWN = 4.0
 # Share of a worker's processors that all unknown best-effort tasks beside one
 # long-running task may use in any case.  The most harmful recorded pair then
 # slows it by 0.12.
@@ -90,9 +90,9 @@
 
     Examples:
         >>> assumed_weight(Pair(1.0, 0.015)), assumed_weight(Pair(0.1, 0.15))
-        (3.0, 0.1)
+        (5.0, 0.1)
         >>> round(assumed_weight(Pair(0.2, 0.06)), 2)
-        0.74
+        1.28
     """
     if not pair.is_unknown:
         return pair.weight
@@ -121,11 +121,11 @@
         >>> pairs = {"known": known, "a": unknown, "b": unknown, "c": unknown}
         >>> tasks = [NewTask(image, 0.1, 0.0) for image in pairs]
         >>> pace_limits(tasks[:2], pairs.__getitem__, 0.3)
-        [100, 100]
+        [100, 50]
         >>> pace_limits(tasks[:2], pairs.__getitem__, -0.1)
         [100, 25]
         >>> pace_limits(tasks, pairs.__getitem__, 0.3)
-        [100, 50, 50, 0]
+        [100, 25, 25, 0]
     """
     pairs = {task.image: pair_of(task.image) for task in tasks}
     observed: dict[str, float] = {}
--- a/turmerichall/dispatch/colocation/tests/replays.py
+++ b/turmerichall/dispatch/colocation/tests/replays.py
@@ -33,7 +33,7 @@
 TAIL_NOISE = 0.04
 
 
-class _Owner(interference.FakeOwner):
+class Owner(interference.FakeOwner):
     """A leader with or without careful colocation."""
 
     def __init__(self, colocation: str) -> None:
@@ -48,6 +48,14 @@
             logs.Log("replay"),
         )
 
+    def first_encounters(self) -> int:
+        """Return the number of unknown pairs that were met."""
+        return sum(
+            family.samples[0].value
+            for family in self.metrics_registry.metric_families()
+            if family.name.endswith("first_encounters")
+        )
+
 
 class _Worker(fakes.FakeWorker):
     """A worker that applies paces late, and may not answer."""
@@ -100,7 +108,7 @@
         load: Callable[[float], float] = interference.SimulatedCluster.load,
         seed: int = 1,
     ):
-        self.owner = _Owner(colocation)
+        self.owner = Owner(colocation)
         self.weights = weights
         self.load = load
         self._random = random.Random(seed)
@@ -119,7 +127,7 @@
                 changes.TaskName("desk", 0, 0, number),
             )
             self.workers.append((worker, client, images))
-        self.elect(self.owner)
+        self.elect(colocation)
         self._tails = [interference.IDLE_MS for _ in self.workers]
         self._busy = [
             collections.deque[float](maxlen=TAIL_STEPS) for _ in self.workers
@@ -131,13 +139,17 @@
         """Number of pace orders that were sent."""
         return sum(client.orders for _, client, _ in self.workers)
 
-    def elect(self, owner: _Owner) -> None:
+    def elect(self, colocation: str) -> None:
         """Let another leader take over, which knows what is stored."""
+        owner = Owner(colocation)
         owner.interference_model.restore(
             self.owner.interference_model.table(),
             self.owner.interference_model.strengths(),
         )
         self.owner = owner
+        for worker, _, _ in self.workers:
+            for run in worker.runs.values():
+                run.pace_percent = run_state.UNKNOWN_PACE
         self.controllers = [
             tail_latency_controller.TailLatencyController(owner, worker)
             for worker, _, _ in self.workers
@@ -158,9 +170,9 @@
         run.confirmed_at = max(leases.steady_seconds(), 0.001)
         worker.add(run)
 
-    async def _advance(self, index: int) -> None:
+    async def _advance(self, index: int, images: tuple[str, ...]) -> None:
         """Bring one worker up to date, a step of the simulated time later."""
-        worker, client, images = self.workers[index]
+        worker, client, _ = self.workers[index]
         now = leases.steady_seconds()
         slowdown = 1.0
         started = False
@@ -191,11 +203,17 @@
         if started:
             await self.controllers[index].pace()
 
-    async def run(self, seconds: float) -> None:
-        """Run the replay for some simulated time."""
-        for tick in range(round(seconds / STEP_SECONDS)):
-            for index, (worker, _, _) in enumerate(self.workers):
-                await self._advance(index)
+    async def run(self, seconds: float, warm_up_seconds: float = 0.0) -> None:
+        """Run the replay for some simulated time.
+
+        Args:
+            seconds: Time for which there are best-effort runs.
+            warm_up_seconds: Time before that.
+        """
+        warm_up = round(warm_up_seconds / STEP_SECONDS)
+        for tick in range(warm_up + round(seconds / STEP_SECONDS)):
+            for index, (worker, _, images) in enumerate(self.workers):
+                await self._advance(index, images if tick >= warm_up else ())
                 if tick % TICKS_PER_POLL != index % TICKS_PER_POLL:
                     continue
                 for run in worker.runs.values():
--- a/turmerichall/dispatch/run_state.py
+++ b/turmerichall/dispatch/run_state.py
@@ -66,6 +66,7 @@
         last_unthrottled_at: Time at which the run last had more than a low
             pace.
         checkpoint: Latest saved progress listed.
+        checkpoint_percent: Progress when that was first listed.
         suspected: Whether its task is suspected of the crash of a worker.
         on_trial: Whether nothing may be started beside it, until it has run for
             a while.
@@ -74,6 +75,7 @@
     __slots__ = (
         "adopted",
         "checkpoint",
+        "checkpoint_percent",
         "confirmed_at",
         "forced",
         "initial_percent",
@@ -131,6 +133,7 @@
         self.last_slowed_at = -float("inf")
         self.last_unthrottled_at = 0.0
         self.checkpoint = ""
+        self.checkpoint_percent = 0
         self.suspected = False
         self.on_trial = False
 
@@ -154,6 +157,12 @@
             self.last_unthrottled_at = now
         self.progress_percent = percent
 
+    def record_checkpoint(self, checkpoint: str) -> None:
+        """Record the saved progress that the worker lists."""
+        if checkpoint != self.checkpoint:
+            self.checkpoint = checkpoint
+            self.checkpoint_percent = self.progress_percent
+
     def late_pace_possible(self) -> bool:
         """Return whether a late order may have changed the last pace set.
 
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -256,7 +256,7 @@
                 run.confirmed_at = now
             run.load = row.recent_load
             run.record_progress(row.progress_percent, now)
-            run.checkpoint = row.checkpoint
+            run.record_checkpoint(row.checkpoint)
         if not status.complete:
             return
         rows = []
--- a/turmerichall/dispatch/straggler_detector.py
+++ b/turmerichall/dispatch/straggler_detector.py
@@ -1,6 +1,7 @@
 """Detection of stragglers: runs that are to be moved to another worker."""
 
 from collections.abc import Mapping
+import statistics
 
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import stragglers
@@ -55,6 +56,8 @@
     def forget_job(self, job_id: str) -> None:
         """Forget a job that has ended."""
         self._moved = {task for task in self._moved if task.job != job_id}
+        if self._colocation is not None:
+            self._colocation.forget_job(job_id)
         for step in [step for step in self._run_seconds if step[0] == job_id]:
             del self._run_seconds[step]
 
@@ -79,7 +82,7 @@
             reason = stragglers.reason_to_move(
                 progress, self._sibling_seconds(run, now), STARTUP_SECONDS
             )
-            if not reason or not self._may_move(run, reason):
+            if not reason or not self._may_move(run, reason, progress):
                 continue
             self._log.info(
                 "run is moved",
@@ -99,12 +102,26 @@
             found.append((run, reason))
         return found
 
-    def _may_move(self, run: run_state.Run, reason: str) -> bool:
+    def _may_move(
+        self,
+        run: run_state.Run,
+        reason: str,
+        progress: stragglers.Progress,
+    ) -> bool:
         """Return whether to move a run; remember tasks moved for being slow.
 
         A task is moved only once for being slow: if it is slow on a second
         worker too, the cause is the task itself.
         """
+        if reason == stragglers.THROTTLED and self._colocation is not None:
+            seconds = self._run_seconds.get(run.task[:3])
+            return self._colocation.may_move(
+                run,
+                progress.throttled_seconds,
+                statistics.median(seconds)
+                if seconds
+                else run.step.estimate_ms / 1000,
+            )
         if reason == stragglers.SLOW:
             if run.task in self._moved:
                 return False
--- a/turmerichall/dispatch/tests/test_interference_model.py
+++ b/turmerichall/dispatch/tests/test_interference_model.py
@@ -1,6 +1,10 @@
 """Tests of the model of interference across terms."""
 
+import msgspec
+
 from turmerichall.dispatch import interference_model as interference_models
+from turmerichall.queues import change as changes
+from turmerichall.queues import state as states
 
 
 def learn(model: interference_models.InterferenceModel, weight: float) -> None:
@@ -33,3 +37,32 @@
         certain = model.upper_weight("desk", "scan")
         model.restore(model.table())
         assert model.upper_weight("desk", "scan") == certain
+
+
+class TestStrengths:
+
+    def test_reach_the_next_leader_through_the_state(self) -> None:
+        # A pair that was hardly observed must not count as known.
+        model = interference_models.InterferenceModel(is_careful=True)
+        learn(model, 3.0)
+        model.learn("desk", {"sort": 0.1}, 0.0)
+        state = states.QueueState()
+        state.apply(1, changes.encode(model.note()))
+        restored = states.QueueState()
+        restored.restore(state.snapshot())
+        other = interference_models.InterferenceModel(is_careful=True)
+        other.restore_from(restored)
+        assert other.strengths() == model.strengths()
+        assert other.is_unknown("desk", "sort")
+        assert not other.is_unknown("desk", "scan")
+
+    def test_are_not_needed_in_changes_of_earlier_releases(self) -> None:
+        note = changes.decode(
+            msgspec.msgpack.encode([9, {"desk": {"sort": 2.0}}])
+        )
+        assert note == changes.NoteInterference({"desk": {"sort": 2.0}})
+        state = states.QueueState()
+        state.apply(1, changes.encode(note))
+        model = interference_models.InterferenceModel(is_careful=True)
+        model.restore_from(state)
+        assert not model.is_unknown("desk", "sort")
