--- a/turmerichall/dispatch/colocation/pace_orders.py
+++ b/turmerichall/dispatch/colocation/pace_orders.py
@@ -35,8 +35,8 @@
 MIN_SECONDS_BEFORE_RISE = 0.8
 # Time for which an increase is expected to last, a fifth of a wave of load.
 RISE_LASTS_SECONDS = 2.0
-# Work that an increase must gain, in core seconds; chosen, not measured: twice as
-# much made no difference in replays.
+# Work that an increase must gain, in core seconds; chosen, not measured: twice
+# as much made no difference in replays.
 MIN_GAIN_CORE_SECONDS = 0.3
 
 
