--- a/turmerichall/dispatch/term_report.py
+++ b/turmerichall/dispatch/term_report.py
@@ -48,7 +48,7 @@
             owner.log, zone_states.held_groups(owner.backlog.ready(), workers)
         )
         if table and table != owner.queue_state.interference:
-            await owner.commit_or_resign(changes.NoteInterference(table))
+            await owner.commit_or_resign(owner.interference_model.note())
         cleared = owner.registry.crash_register.cleared_tasks(workers, now)
         if cleared:
             await owner.commit_or_resign(changes.ClearCrashes(cleared))
