--- a/turmerichall/dispatch/job_estimate.py
+++ b/turmerichall/dispatch/job_estimate.py
@@ -9,7 +9,7 @@
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 
-__all__ = ["estimate_job"]
+__all__ = ["estimate_job", "unschedulable_reason"]
 
 
 def estimate_job(
@@ -44,7 +44,7 @@
     return admission.JobEstimate(
         job_id,
         demand.lasting or demand.schedule is not None,
-        _unschedulable_reason(demand, workers),
+        unschedulable_reason(demand, workers),
         queue.objective_seconds(critical_path),
         critical_path,
         _work_ahead(queue, best_effort, backlog, durations),
@@ -52,7 +52,7 @@
     )
 
 
-def _unschedulable_reason(
+def unschedulable_reason(
     demand: demands.JobDemand, workers: list[worker_state.Worker]
 ) -> str:
     """Describe the first step whose tasks no worker could ever run.
--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -13,6 +13,7 @@
 from turmerichall.dispatch import leadership as leaderships
 from turmerichall.dispatch import policy_client
 from turmerichall.dispatch import worker_client
+from turmerichall.dispatch.admission_control import controller
 from turmerichall.dispatch.evacuation import requests as evacuation_requests
 from turmerichall.http1 import server
 from turmerichall.peers import link
@@ -179,12 +180,23 @@
         queue: configurations.Queue,
         job_id: str,
         demand: demands.JobDemand,
+        caller_zone: str = "",
     ) -> Failure | None:
-        """Accept a job; return None once it is durable, or the failure."""
+        """Accept a job; return None once it is durable, or the failure.
+
+        Args:
+            queue: Its queue.
+            job_id: Id of the job.
+            demand: The job as its caller described it.
+            caller_zone: Availability zone of the entry instance that received
+                the call; empty if unknown.
+        """
         leadership = self.leadership
         if leadership is None:
             return NOT_LEADER
-        return await leadership.submit(job_id, queue, demand)
+        return await leadership.submit(
+            controller.Submission(job_id, queue, demand, caller_zone)
+        )
 
     def job_state(self, job_id: str) -> states.JobState | outcomes.Refusal:
         """Return the state of a job, or a refusal if it is unknown.
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -29,8 +29,6 @@
 from turmerichall.dispatch.forecasts import forecast
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
-from turmerichall.queues import configuration as configurations
-from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
 from turmerichall.telemetry import lightweight_metrics
@@ -111,10 +109,14 @@
         self.tickets = ticket_caches.TicketCache(policy, log, metrics_registry)
         self.backlog = backlogs.Backlog(queue_state)
         self.forecaster = forecast.Forecaster(durations)
-        self._admission: controller.AdmissionController = (
-            selection.make_controller(
-                scheduling, self.backlog, durations, self.forecaster
-            )
+        self._admission = selection.make_controller(
+            scheduling,
+            self.backlog,
+            durations,
+            self.forecaster,
+            log,
+            metrics_registry,
+            wall_ms,
         )
         self.registry = registries.Registry(self, make_client)
         self.workers = self.registry.workers
@@ -476,18 +478,14 @@
                 self._wake.set()
 
     async def submit(
-        self,
-        job_id: str,
-        queue: configurations.Queue,
-        demand: demands.JobDemand,
+        self, submission: controller.Submission
     ) -> outcomes.Refusal | outcomes.Unknown | None:
         """Accept a job; return None once it is durable, or the failure."""
+        job_id, queue, demand, _ = submission
         if job_id in self.queue_state.jobs:
             return None
         refusal = self._admission.decide(
-            controller.Submission(job_id, queue, demand),
-            self.workers.values(),
-            leases.steady_seconds(),
+            submission, self.workers.values(), leases.steady_seconds()
         )
         if refusal is not None:
             self.metrics_registry.count(
--- a/turmerichall/entry/calls.py
+++ b/turmerichall/entry/calls.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "Answer",
+    "CALLER_ZONE_HEADER",
     "CLIENT_CALL",
     "CONTROL_CALL",
     "Kind",
@@ -19,6 +20,7 @@
     "decode_request",
     "encode",
     "not_leading",
+    "with_caller_zone",
     "wrap_response",
 ]
 
@@ -28,6 +30,9 @@
 CLIENT_CALL = "queue_call"
 CONTROL_CALL = "control_call"
 LEADER_QUERY = "queue_leader"
+# Header field of a forwarded call with the availability zone of the entry
+# instance.  Replicas of older versions ignore it.
+CALLER_ZONE_HEADER = "turmerichall-caller-zone"
 
 
 class Kind(enum.IntEnum):
@@ -62,6 +67,25 @@
         return message.Response(self.status, self.body, self.headers)
 
 
+def with_caller_zone(request: message.Request, zone: str) -> message.Request:
+    """Return a call with the zone of the entry instance that received it.
+
+    A zone that the client claims itself is replaced.
+
+    Args:
+        request: The call.
+        zone: Availability zone of the entry instance.
+
+    Examples:
+        >>> call = message.Request("GET", "/", {CALLER_ZONE_HEADER: "claimed"})
+        >>> with_caller_zone(call, "b").headers[CALLER_ZONE_HEADER]
+        'b'
+    """
+    return request._replace(
+        headers={**request.headers, CALLER_ZONE_HEADER: zone}
+    )
+
+
 def wrap_response(response: message.Response) -> Answer:
     """Return the answer that carries an HTTP response of the leader."""
     return Answer(
--- a/turmerichall/entry/entry_daemon.py
+++ b/turmerichall/entry/entry_daemon.py
@@ -105,7 +105,9 @@
         )
         began_at = trio.current_time()
         response = await self.leader_client.forward(
-            calls.CLIENT_CALL, request, timeout_seconds
+            calls.CLIENT_CALL,
+            calls.with_caller_zone(request, self.settings.instance.zone),
+            timeout_seconds,
         )
         self.metrics_registry.count(
             "calls", method=request.method, status=str(response.status)
--- a/turmerichall/platform/client_requests.py
+++ b/turmerichall/platform/client_requests.py
@@ -7,6 +7,7 @@
 from turmerichall import errors
 from turmerichall import outcomes
 from turmerichall.dispatch import leader_api as leader_apis
+from turmerichall.entry import calls
 from turmerichall.http1 import message
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
@@ -162,7 +163,7 @@
         return failure_response(queue)
     job_id = path[len(queue.path_prefix) :]
     if request.method == "POST" and job_id:
-        return await _submit(leader_api, queue, job_id, request.body)
+        return await _submit(leader_api, queue, job_id, request)
     if request.method == "GET" and not job_id:
         return message.Response(
             200, _encode({"pending": leader_api.pending(queue)})
@@ -182,12 +183,15 @@
     leader_api: leader_apis.LeaderApi,
     queue: configurations.Queue,
     job_id: str,
-    body: bytes,
+    request: message.Request,
 ) -> message.Response | outcomes.Refusal:
-    demand = demand_from_wire(body)
+    demand = demand_from_wire(request.body)
     if isinstance(demand, errors.Finding):
         return message.Response(400, _encode({"error": str(demand)}))
-    return to_response(await leader_api.submit(queue, job_id, demand))
+    caller_zone = request.headers.get(calls.CALLER_ZONE_HEADER, "")
+    return to_response(
+        await leader_api.submit(queue, job_id, demand, caller_zone)
+    )
 
 
 def to_response(
