Fair admission: remember the age of worthless jobs, shares by what can be on time

Cause: callers of worthless jobs returned after the burst, were taken for new and used capacity for nothing; shares compared accepted work, so that a group whose jobs were accepted but late was not protected; free processors that no waiting task gets were counted as capacity, so that jobs predicted just on time were late.

--- a/turmerichall/dispatch/admission_control/decision.py
+++ b/turmerichall/dispatch/admission_control/decision.py
@@ -19,11 +19,13 @@
 # A job is taken for worthless only if its predicted wait is more than this many
 # times the longest wait after which it has value; as in `admission`.
 WAIT_MARGIN = 1.25
-# Share of the wait up to which a new job is on time that jobs of groups over
-# their share, and jobs that can't be on time themselves, may use.  The rest of
-# the line is left to new jobs of other groups; it is also the time that a
-# refused caller has to return.
-RESERVED_WINDOW = 0.5
+# Share of the wait up to which a new job is on time that a group over its share
+# may use; the rest of the line is left to others.  With 0.5 and less, groups
+# over their share lost more in replays than the others gained.
+RESERVED_WINDOW = 0.65
+# Share of the same wait up to which a job that can't be on time is accepted;
+# new jobs that follow it can still be on time.
+LATE_WINDOW = 0.25
 # Callers retry up to four times, so that a job that was refused this often is
 # refused again only if it would be worthless.
 MAX_REFUSALS = 3
@@ -61,8 +63,10 @@
         wait_seconds: Wait behind jobs that can be on time, and behind places of
             such jobs.
         long_wait_seconds: Wait behind all waiting jobs and places.
-        return_seconds: Time until the jobs that were refused before it, and are
-            not back yet, can have been served after all waiting jobs.
+        on_time_return_seconds: As `wait_seconds`, with all jobs that were
+            refused, are not back yet and can be on time.
+        return_seconds: As `long_wait_seconds`, with all jobs that were refused
+            and are not back yet.
         has_spare: Whether processors are free that no waiting task can use.
         is_over_share: Whether its group has had more than its share.
         late_jobs_yield: Whether placement serves a job that can't be on time
@@ -76,6 +80,7 @@
     service_seconds: float
     wait_seconds: float
     long_wait_seconds: float
+    on_time_return_seconds: float
     return_seconds: float
     has_spare: bool
     is_over_share: bool
@@ -119,11 +124,11 @@
 
     Examples:
         >>> calm = Inputs(
-        ...     "a7", 6.6, 0.0, 2.8, 1.0, 1.0, 1.0, False, True, False)
+        ...     "a7", 6.6, 0.0, 2.8, 1.0, 1.0, 1.0, 1.0, False, True, False)
         >>> decide(calm).cause
         <Cause.ON_TIME: 'on_time'>
         >>> busy = calm._replace(
-        ...     wait_seconds=3.0, long_wait_seconds=3.0, return_seconds=3.0)
+        ...     wait_seconds=3.6, on_time_return_seconds=3.6)
         >>> decide(busy)
         Decision(cause=<Cause.OVER_SHARE: 'over_share'>, retry_seconds=2, \
 can_succeed=True)
@@ -132,6 +137,8 @@
         >>> decide(busy._replace(has_spare=True)).cause
         <Cause.SPARE: 'spare'>
     """
+    if inputs.refusals and inputs.useful_wait <= 0:
+        return Decision(Cause.WORTHLESS, MAX_RETRY_SECONDS, False)
     if inputs.has_spare:
         return Decision(Cause.SPARE)
     if inputs.wait_seconds <= inputs.on_time_wait:
@@ -141,9 +148,9 @@
     # A late job displaces none that are on time if those still find a short
     # line.
     if (
-        inputs.late_jobs_yield
-        or inputs.refusals >= MAX_REFUSALS
-        or inputs.wait_seconds <= RESERVED_WINDOW * inputs.new_on_time_wait
+        inputs.refusals >= MAX_REFUSALS
+        or inputs.wait_seconds <= LATE_WINDOW * inputs.new_on_time_wait
+        or (inputs.late_jobs_yield and not inputs.is_over_share)
     ):
         return Decision(Cause.LATE)
     retry_seconds = math.ceil(max(inputs.return_seconds, MIN_RETRY_SECONDS))
@@ -152,7 +159,8 @@
         retry_seconds = _spread_return(inputs)
     if retry_seconds > inputs.useful_wait:
         return Decision(Cause.LATE)
-    return Decision(Cause.DISPLACING, retry_seconds)
+    cause = Cause.OVER_SHARE if inputs.is_over_share else Cause.DISPLACING
+    return Decision(cause, retry_seconds)
 
 
 def _decide_on_time(inputs: Inputs) -> Decision:
@@ -164,7 +172,7 @@
         and inputs.wait_seconds > limit
     ):
         retry_seconds = math.ceil(
-            max(inputs.return_seconds - limit, MIN_RETRY_SECONDS)
+            max(inputs.on_time_return_seconds - limit, MIN_RETRY_SECONDS)
         )
         if retry_seconds <= min(inputs.on_time_wait, MAX_RETRY_SECONDS):
             return Decision(Cause.OVER_SHARE, retry_seconds)
--- a/turmerichall/dispatch/admission_control/fair_controller.py
+++ b/turmerichall/dispatch/admission_control/fair_controller.py
@@ -70,6 +70,7 @@
         self._refreshed_at = -float("inf")
         self._jobs: list[prediction.WaitingJob] = []
         self._capacities: dict[job_places.Pool, capacities.Capacity] = {}
+        self._unusable: dict[job_places.Pool, capacities.UnusableFree] = {}
         self._ahead: dict[job_places.Pool, prediction.WorkAhead] = {}
         report.register_gauges(
             lambda: len(self.places.by_job),
@@ -105,10 +106,7 @@
         pool = (queue.service, best_effort, queue.priority)
         capacity = self._capacities.get(pool)
         if capacity is None:
-            capacity = capacities.capacity(
-                of_service, best_effort, queue.priority
-            )
-            self._capacities[pool] = capacity
+            capacity = self._capacity(pool, of_service)
         if capacity.rate <= 0:
             return None
         shape = prediction.job_shape(
@@ -131,7 +129,8 @@
                     "used" if place.is_due(now) else "early"
                 )
             self.places.drop(submission.job_id)
-            shares.record_accepted(group, shape.work, now)
+            if made.cause != decision.Cause.LATE:
+                shares.record_accepted(group, shape.work, now)
             self._accept(submission.job_id, pool, inputs, shape, now)
             return None
         if place is not None and not place.is_due(now):
@@ -157,13 +156,13 @@
         wait = ahead.on_time / rate
         long_wait = (ahead.on_time + ahead.late) / rate
         # Returns go before newcomers that would be served after they are due.
-        before = before_late = after = 0.0
+        before = before_late = after = after_late = 0.0
         if self.places.by_job:
             find = self.places.work
             if place is None or not place.is_due(now):
                 before, _ = find(pool, submission.job_id, now + wait)
                 _, before_late = find(pool, submission.job_id, now + long_wait)
-            _, after = find(pool, submission.job_id, float("inf"))
+            after, after_late = find(pool, submission.job_id, float("inf"))
         declared_chain = submission.demand.critical_path_ms() / 1000
         return decision.Inputs(
             submission.job_id,
@@ -172,13 +171,30 @@
             prediction.service_seconds(shape, rate),
             wait + before / rate,
             long_wait + before_late / rate,
-            long_wait + after / rate,
+            wait + after / rate,
+            long_wait + after_late / rate,
             capacity.free > ahead.ready_cores,
-            self.shares[pool].is_over(group, rate, now),
+            self.shares[pool].is_over(group, now),
             self._late_jobs_yield,
             place.refusals if place is not None else 0,
         )
 
+    def _capacity(
+        self, pool: job_places.Pool, workers: list[worker_state.Worker]
+    ) -> capacities.Capacity:
+        """Return the capacity of a pool, without what tasks can't use."""
+        _, best_effort, priority = pool
+        capacity = capacities.capacity(workers, best_effort, priority)
+        free = self._unusable.setdefault(pool, capacities.UnusableFree())
+        ready_cores = self._work_ahead(pool, capacity.rate).ready_cores
+        unusable = free.record(capacity.free, ready_cores)
+        capacity = capacity._replace(
+            rate=max(capacity.rate - unusable, capacity.rate / 2)
+        )
+        self._capacities[pool] = capacity
+        del self._ahead[pool]
+        return capacity
+
     def _work_ahead(
         self, pool: job_places.Pool, rate: float
     ) -> prediction.WorkAhead:
@@ -252,17 +268,19 @@
         work: float,
         now: float,
     ) -> None:
-        """Keep a place for a refused job if its return can have value."""
-        if made.retry_seconds is None or not made.can_succeed:
-            self.places.drop(inputs.job)
-            return
+        """Keep a place for a refused job.
+
+        Nothing is reserved for a job whose return can't have value, but its age
+        is known when it returns.
+        """
+        assert made.retry_seconds is not None
         place = job_places.Place(
             pool,
-            work,
+            work if made.can_succeed else 0.0,
             now - inputs.age_seconds,
             now + made.retry_seconds,
             inputs.refusals + 1,
-            made.cause == decision.Cause.OVER_SHARE,
+            inputs.wait_seconds <= inputs.on_time_wait,
         )
         is_kept = self.places.keep(inputs.job, place)
         self._report.count_place("kept" if is_kept else "full")
--- a/turmerichall/dispatch/admission_control/shares.py
+++ b/turmerichall/dispatch/admission_control/shares.py
@@ -16,10 +16,11 @@
 
 # Time constant of the demand to which capacity is given: the length of a burst.
 RECENT_SECONDS = 5.0
-# Time constant of the demand by which groups are weighted; it spans several
-# periods of the callers' waves, the longest known of which is 13 s.
-USUAL_SECONDS = 60.0
-# A group is over its share if it has been given this many times its share: it
+# Time constant of the demand by which groups are weighted.  It spans many
+# periods of the callers' waves, the longest known of which is 13 s; with 60 s,
+# a surge of 10 s raised the share of its own group too much in replays.
+USUAL_SECONDS = 180.0
+# A group has too little if its share is this many times what it was given; it
 # lies between the callers' waves of 15 %, which every line absorbs, and those
 # of 55 %, which make the jobs of other zones late.
 TOLERANCE = 1.25
@@ -148,30 +149,31 @@
         usage.usual.add(work, now)
 
     def record_accepted(self, group: Group, work: float, now: float) -> None:
-        """Record that a job was accepted; see `record_demand`."""
+        """Record that a job was accepted and can be on time.
+
+        See `record_demand` for the arguments.
+        """
         self.usage.setdefault(group, _Usage()).accepted.add(work, now)
 
-    def is_over(self, group: Group, capacity: float, now: float) -> bool:
-        """Return whether a group was given more than its share.
+    def is_over(self, group: Group, now: float) -> bool:
+        """Return whether a group has too much and another too little.
 
         The work of the job that is decided upon does not count, so that large
         jobs are not treated worse than small ones.
 
         Args:
             group: The group.
-            capacity: Capacity that all groups share, in cores.
             now: Current time on the steady clock.
         """
-        rates = fair_rates(self._loads(now), capacity)
         accepted = {
             each: usage.accepted.rate(now) for each, usage in self.usage.items()
         }
-        total = sum(accepted.values())
-        fair_total = sum(rates.values())
-        if len(rates) < 2 or total <= 0 or fair_total <= 0:
+        rates = fair_rates(self._loads(now), sum(accepted.values()))
+        if accepted.get(group, 0.0) <= rates.get(group, 0.0):
             return False
-        share = accepted.get(group, 0.0) / total
-        return share > TOLERANCE * rates.get(group, 0.0) / fair_total
+        return any(
+            accepted[other] * TOLERANCE < rate for other, rate in rates.items()
+        )
 
     def lowest_acceptance(self, now: float) -> float:
         """Return the lowest ratio of accepted to demanded work of a group.
