--- a/turmerichall/dispatch/admission_control/decision.py
+++ b/turmerichall/dispatch/admission_control/decision.py
@@ -69,8 +69,6 @@
             and are not back yet.
         has_spare: Whether processors are free that no waiting task can use.
         is_over_share: Whether its group has had more than its share.
-        late_jobs_yield: Whether placement serves a job that can't be on time
-            only after those that can.
         refusals: Number of times that it was refused before.
     """
 
@@ -84,7 +82,6 @@
     return_seconds: float
     has_spare: bool
     is_over_share: bool
-    late_jobs_yield: bool
     refusals: int = 0
 
     @property
@@ -124,7 +121,7 @@
 
     Examples:
         >>> calm = Inputs(
-        ...     "a7", 6.6, 0.0, 2.8, 1.0, 1.0, 1.0, 1.0, False, True, False)
+        ...     "a7", 6.6, 0.0, 2.8, 1.0, 1.0, 1.0, 1.0, False, True)
         >>> decide(calm).cause
         <Cause.ON_TIME: 'on_time'>
         >>> busy = calm._replace(
@@ -150,7 +147,6 @@
     if (
         inputs.refusals >= MAX_REFUSALS
         or inputs.wait_seconds <= LATE_WINDOW * inputs.new_on_time_wait
-        or (inputs.late_jobs_yield and not inputs.is_over_share)
     ):
         return Decision(Cause.LATE)
     retry_seconds = math.ceil(max(inputs.return_seconds, MIN_RETRY_SECONDS))
--- a/turmerichall/dispatch/admission_control/fair_controller.py
+++ b/turmerichall/dispatch/admission_control/fair_controller.py
@@ -22,7 +22,7 @@
 # Time for which the waiting work and the capacity are taken as unchanged but
 # for the jobs that are accepted meanwhile: computing them takes time linear in
 # the number of waiting jobs and workers.
-REFRESH_SECONDS = 0.2
+REFRESH_SECONDS = 0.25
 # Time for which an accepted job that is not in the replicated state is counted
 # as waiting, and accepted again.  A commit whose outcome was unknown to the
 # caller may still succeed in the same term.
@@ -155,27 +155,25 @@
         ahead = self._work_ahead(pool, rate)
         wait = ahead.on_time / rate
         long_wait = (ahead.on_time + ahead.late) / rate
-        # Returns go before newcomers that would be served after they are due.
-        before = before_late = after = after_late = 0.0
-        if self.places.by_job:
-            find = self.places.work
-            if place is None or not place.is_due(now):
-                before, _ = find(pool, submission.job_id, now + wait)
-                _, before_late = find(pool, submission.job_id, now + long_wait)
-            after, after_late = find(pool, submission.job_id, float("inf"))
+        placed = self.places.work(
+            pool, submission.job_id, now + wait, now + long_wait
+        )
+        if place is not None and place.is_due(now):
+            # Returns go before newcomers, and before each other in the order in
+            # which they come.
+            placed = placed._replace(on_time_due=0.0, due=0.0)
         declared_chain = submission.demand.critical_path_ms() / 1000
         return decision.Inputs(
             submission.job_id,
             submission.queue.objective_seconds(declared_chain),
             now - place.first_seen_at if place is not None else 0.0,
             prediction.service_seconds(shape, rate),
-            wait + before / rate,
-            long_wait + before_late / rate,
-            wait + after / rate,
-            long_wait + after_late / rate,
+            wait + placed.on_time_due / rate,
+            long_wait + placed.due / rate,
+            wait + placed.on_time / rate,
+            long_wait + placed.total / rate,
             capacity.free > ahead.ready_cores,
             self.shares[pool].is_over(group, now),
-            self._late_jobs_yield,
             place.refusals if place is not None else 0,
         )
 
--- a/turmerichall/dispatch/admission_control/places.py
+++ b/turmerichall/dispatch/admission_control/places.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["Place", "Places", "Pool"]
+__all__ = ["Place", "PlacedWork", "Places", "Pool"]
 
 # Maximum number of places.
 MAX_PLACES = 512
@@ -47,6 +47,22 @@
         return now >= self.due_at - EARLY_SECONDS
 
 
+class PlacedWork(NamedTuple):
+    """Work for which places are kept, in core-seconds.
+
+    Attributes:
+        on_time_due: Work of jobs that are due by a time and can be on time.
+        due: Work of all jobs that are due by a time.
+        on_time: Work of all jobs that can be on time.
+        total: Work of all jobs.
+    """
+
+    on_time_due: float = 0.0
+    due: float = 0.0
+    on_time: float = 0.0
+    total: float = 0.0
+
+
 class Places:
     """All places.
 
@@ -90,22 +106,26 @@
             self.find(job, now)
 
     def work(
-        self, pool: Pool, besides: str, until: float
-    ) -> tuple[float, float]:
-        """Return the work for which places are kept, in core-seconds.
+        self, pool: Pool, besides: str, on_time_until: float, until: float
+    ) -> PlacedWork:
+        """Return the work for which places are kept.
 
         Args:
             pool: Pool of the jobs.
             besides: Id of a job that is left out.
-            until: Time on the steady clock; jobs that are due later are left
-                out.
-
-        Returns:
-            The work of jobs that can be on time, and that of all.
+            on_time_until: Time on the steady clock; `on_time_due` counts jobs
+                that are due no later.
+            until: As `on_time_until`, for `due`.
         """
-        on_time = total = 0.0
+        on_time_due = due = on_time = total = 0.0
         for job, place in self.by_job.items():
-            if place.pool == pool and place.due_at <= until and job != besides:
-                total += place.work
-                on_time += place.work * place.can_be_on_time
-        return on_time, total
+            if place.pool != pool or job == besides:
+                continue
+            total += place.work
+            if place.due_at <= until:
+                due += place.work
+            if place.can_be_on_time:
+                on_time += place.work
+                if place.due_at <= on_time_until:
+                    on_time_due += place.work
+        return PlacedWork(on_time_due, due, on_time, total)
