--- a/turmerichall/dispatch/admission_control/capacity.py
+++ b/turmerichall/dispatch/admission_control/capacity.py
@@ -13,8 +13,8 @@
 # Share of the processors of long-running tasks that urgent tasks are assumed to
 # get by preemption.  Jobs may limit how many of their tasks pause at a time.
 PREEMPTIBLE_SHARE = 0.5
-# Number of observations in a row, 0.25 s apart or more, in which processors must
-# have been free beside waiting tasks: placement starts tasks within 0.25 s.
+# Number of observations in a row, at least 0.25 s apart, in which processors
+# must have been free beside waiting tasks: placement runs every 0.25 s.
 OBSERVATIONS = 3
 
 
--- a/turmerichall/dispatch/admission_control/decision.py
+++ b/turmerichall/dispatch/admission_control/decision.py
@@ -20,12 +20,12 @@
 # times the longest wait after which it has value; as in `admission`.
 WAIT_MARGIN = 1.25
 # Share of the wait up to which a new job is on time that a group over its share
-# may use; the rest of the line is left to others.  With 0.5 and less, groups
-# over their share lost more in replays than the others gained.
-RESERVED_WINDOW = 0.65
-# Share of the same wait up to which a job that can't be on time is accepted;
-# new jobs that follow it can still be on time.
-LATE_WINDOW = 0.25
+# may use; the rest of the line is left to others.  In replays of a zone beside
+# one that surges, 0.65 gained the zone little more than half as much.
+RESERVED_WINDOW = 0.5
+# Share of its objective up to which a job that can't be on time may wait; jobs
+# that are new can still be on time behind it.
+LATE_WINDOW = 0.15
 # Callers retry up to four times, so that a job that was refused this often is
 # refused again only if it would be worthless.
 MAX_REFUSALS = 3
@@ -84,15 +84,10 @@
     is_over_share: bool
     refusals: int = 0
 
-    @property
-    def new_on_time_wait(self) -> float:
-        """Longest wait after which such a job is on time if it is new."""
-        return self.objective_seconds - self.service_seconds
-
     @property
     def on_time_wait(self) -> float:
         """Longest wait after which the job is on time; may be negative."""
-        return self.new_on_time_wait - self.age_seconds
+        return self.objective_seconds - self.age_seconds - self.service_seconds
 
     @property
     def useful_wait(self) -> float:
@@ -125,7 +120,7 @@
         >>> decide(calm).cause
         <Cause.ON_TIME: 'on_time'>
         >>> busy = calm._replace(
-        ...     wait_seconds=3.6, on_time_return_seconds=3.6)
+        ...     wait_seconds=3.0, on_time_return_seconds=3.0)
         >>> decide(busy)
         Decision(cause=<Cause.OVER_SHARE: 'over_share'>, retry_seconds=2, \
 can_succeed=True)
@@ -146,7 +141,7 @@
     # line.
     if (
         inputs.refusals >= MAX_REFUSALS
-        or inputs.wait_seconds <= LATE_WINDOW * inputs.new_on_time_wait
+        or inputs.wait_seconds <= LATE_WINDOW * inputs.objective_seconds
     ):
         return Decision(Cause.LATE)
     retry_seconds = math.ceil(max(inputs.return_seconds, MIN_RETRY_SECONDS))
