--- a/turmerichall/dispatch/admission_control/tests/test_submissions.py
+++ b/turmerichall/dispatch/admission_control/tests/test_submissions.py
@@ -13,7 +13,6 @@
 from turmerichall.dispatch.admission_control import places
 from turmerichall.dispatch.admission_control import selection
 from turmerichall.dispatch.admission_control import shares
-from turmerichall.dispatch.tests import clocks
 from turmerichall.dispatch.tests import fakes
 from turmerichall.dispatch.tests import test_leadership
 from turmerichall.entry import calls
@@ -21,8 +20,6 @@
 from turmerichall.platform import client_requests
 from turmerichall.queues import change as changes
 
-mocked_clocks = clocks.mocked_clocks
-
 # Tests that name the fixture as an argument run on its clock.
 # pylint: disable=unused-argument
 
