--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -31,8 +31,6 @@
 from turmerichall.dispatch.forecasts import forecast
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
-from turmerichall.queues import configuration as configurations
-from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
 from turmerichall.telemetry import lightweight_metrics
@@ -113,7 +111,13 @@
         self.backlog = backlogs.Backlog(queue_state)
         self.forecaster = forecast.Forecaster(durations, metrics_registry)
         self._admission = selection.make_controller(
-            scheduling, self.backlog, durations, self.forecaster
+            scheduling,
+            self.backlog,
+            durations,
+            self.forecaster,
+            log,
+            metrics_registry,
+            wall_ms,
         )
         self.colocation = careful_policy.make_policy(
             scheduling, interference_model, metrics_registry, log
@@ -456,18 +460,14 @@
                 self._wake.set()
 
     async def submit(
-        self,
-        job_id: str,
-        queue: configurations.Queue,
-        demand: demands.JobDemand,
+        self, submission: controller.Submission
     ) -> outcomes.Refusal | outcomes.Unknown | None:
         """Accept a job; return None once it is durable, or the failure."""
+        job_id, queue, demand, _ = submission
         if job_id in self.queue_state.jobs:
             return None
         refusal = self._admission.decide(
-            controller.Submission(job_id, queue, demand),
-            self.workers.values(),
-            leases.steady_seconds(),
+            submission, self.workers.values(), leases.steady_seconds()
         )
         if refusal is not None:
             self.metrics_registry.count(
