--- a/turmerichall/dispatch/forecasts/forecast.py
+++ b/turmerichall/dispatch/forecasts/forecast.py
@@ -223,12 +223,14 @@
     """Return the rest of a run by its age alone.
 
     A run that is older than its forecast is one that the forecast is wrong
-    about: its expected rest grows with its age.
+    about: its expected rest grows with its age.  Before that age it must not,
+    or the end of each run recedes, and a gang never gets the room of several.
 
     Examples:
-        >>> [_rest_by_forecast(2.0, age) for age in (0.0, 1.5, 4.0, 8.0)]
-        [2.0, 0.75, 2.0, 4.0]
+        >>> [_rest_by_forecast(2.0, age) for age in (0.0, 1.5, 3.0, 4.0, 8.0)]
+        [2.0, 0.5, 1.0, 2.0, 4.0]
     """
-    return max(
-        whole_seconds - at_work_seconds, at_work_seconds * OUTLIVED_SHARE
-    )
+    over_seconds = at_work_seconds - whole_seconds
+    if over_seconds <= 0:
+        return -over_seconds
+    return min(over_seconds, at_work_seconds * OUTLIVED_SHARE)
