Check queue configurations for entries without effect; one decoder

Operators learn of unreachable routes, unused services and contradictory limits only from the load that goes wrong. queues.configuration_check finds them in the decoded configuration, queues.configuration_difference compares two, and platform.configuration_document decodes for server and command line (control_requests: 382 lines to 262). The server logs warnings once per new version, bounded to 8 of 200 characters.

--- a/turmerichall/platform/client_requests.py
+++ b/turmerichall/platform/client_requests.py
@@ -13,7 +13,6 @@
 
 __all__ = ["demand_from_wire", "failure_response", "handle", "to_response"]
 
-MAX_SPEC_BYTES = 4096
 MAX_TASKS = 10_000
 
 
@@ -68,9 +67,9 @@
         job = _DECODER.decode(body)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         return errors.Finding("job", str(error))
-    if len(job.spec.encode()) > MAX_SPEC_BYTES:
+    if len(job.spec.encode()) > demands.MAX_SPEC_BYTES:
         return errors.Finding(
-            "job.spec", f"is longer than {MAX_SPEC_BYTES} bytes"
+            "job.spec", f"is longer than {demands.MAX_SPEC_BYTES} bytes"
         )
     steps = []
     for number, step in enumerate(job.steps):
--- a/turmerichall/platform/control_requests.py
+++ b/turmerichall/platform/control_requests.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import Any
 import urllib.parse
 
 import msgspec
@@ -16,19 +15,21 @@
 from turmerichall.dispatch import leader_api as leader_apis
 from turmerichall.dispatch import worker_client
 from turmerichall.http1 import message
-from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.platform import client_requests
+from turmerichall.platform import configuration_document
 from turmerichall.platform import lenient_json
 from turmerichall.queues import change as changes
-from turmerichall.queues import configuration as configurations
 
-__all__ = ["configuration_from_wire", "handle", "heartbeat_from_wire"]
+__all__ = ["handle", "heartbeat_from_wire"]
 
 INSTANCES = "/v1/instances/"
 EVACUATION = "/v1/evacuation/"
 CONFIG_REPLACE = "/v1/config/replace"
 CONFIG_READ = "/v1/config/read"
+# Bounds on the findings about one configuration in a log line.
+MAX_LOGGED = 8
+MAX_LOGGED_CHARS = 200
 
 
 def _worker_id(path: str, verb: str) -> str:
@@ -141,144 +142,6 @@
     return changes.Capacity(cpu, memory_mb, gpu)
 
 
-def configuration_from_wire(
-    body: bytes,
-) -> configurations.Configuration | list[errors.Finding]:
-    """Decode and validate a complete configuration.
-
-    Returns:
-        The configuration, or all findings if it is invalid.
-    """
-    document = lenient_json.decode_object(body)
-    if document is None:
-        return [errors.Finding("configuration", "is not a JSON object")]
-    findings: list[errors.Finding] = []
-
-    def add_finding(place: str, reason: str) -> None:
-        findings.append(errors.Finding(place, reason))
-
-    version = document.get("version")
-    if isinstance(version, bool) or not isinstance(version, int):
-        add_finding("version", "expected a whole number")
-    services = _services(document.get("services"), add_finding)
-    service_names = {service.name for service in services}
-    queues = _queues(document.get("routes"), service_names, add_finding)
-    limits = document.get("limits")
-    if limits is not None and not isinstance(limits, dict):
-        add_finding("limits", "expected an object")
-    if findings:
-        return findings
-    return configurations.Configuration(
-        lenient_json.integer(version),
-        tuple(queues),
-        tuple(services),
-        _limits(limits or {}),
-    )
-
-
-def _rows(value: object, place: str, add_finding: Any) -> list[dict[str, Any]]:
-    if not isinstance(value, list):
-        add_finding(place, "expected a list")
-        return []
-    rows = []
-    for number, row in enumerate(value):
-        if isinstance(row, dict):
-            rows.append(row)
-        else:
-            add_finding(f"{place}[{number}]", "expected an object")
-    return rows
-
-
-def _services(value: object, add_finding: Any) -> list[configurations.Service]:
-    services = []
-    for number, row in enumerate(_rows(value, "services", add_finding)):
-        if not lenient_json.text(row.get("name")):
-            add_finding(f"services[{number}].name", "expected a name")
-            continue
-        services.append(
-            configurations.Service(
-                row["name"],
-                lenient_json.text(row.get("health_path")),
-                lenient_json.integer(row.get("max_conns"), 64),
-                bool(row.get("rejects_overload", False)),
-                bool(row.get("standby", False)),
-            )
-        )
-    return services
-
-
-def _queues(
-    value: object, service_names: set[str], add_finding: Any
-) -> list[configurations.Queue]:
-    queues: list[configurations.Queue] = []
-    seen_routes: set[tuple[str, str]] = set()
-    for number, row in enumerate(_rows(value, "routes", add_finding)):
-        place = f"routes[{number}]"
-        host = lenient_json.text(row.get("host")).lower()
-        prefix = lenient_json.text(row.get("path_prefix"))
-        if not host or not prefix.startswith("/"):
-            add_finding(place, "expected host and path_prefix")
-            continue
-        if (host, prefix) in seen_routes:
-            add_finding(place, f"another route with {host}{prefix} exists")
-        seen_routes.add((host, prefix))
-        if lenient_json.text(row.get("service")) not in service_names:
-            add_finding(
-                f"{place}.service", f"unknown service {row.get('service')!r}"
-            )
-            continue
-        timeout_ms = lenient_json.integer(row.get("timeout_ms"), 3000)
-        if timeout_ms <= 0:
-            add_finding(
-                f"{place}.timeout_ms", "expected a number greater than 0"
-            )
-        queues.append(
-            configurations.Queue(
-                lenient_json.text(row.get("name")),
-                host,
-                prefix,
-                row["service"],
-                lenient_json.integer(row.get("priority"), 0),
-                max(lenient_json.integer(row.get("max_attempts"), 1), 1),
-                _float(row.get("stretch"), 2.0),
-                lenient_json.integer(row.get("target_latency_ms"), 1000),
-                timeout_ms,
-                _advice(row.get("advice")),
-            )
-        )
-    return queues
-
-
-def _float(value: object, default: float) -> float:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        return default
-    return float(value)
-
-
-def _advice(value: object) -> configurations.Advice | None:
-    if not isinstance(value, dict) or not value:
-        return None
-    return configurations.Advice(
-        lenient_json.integer(value.get("decision_ms")),
-        lenient_json.integer(value.get("per_worker_ms")),
-        lenient_json.integer(value.get("validity_ms")),
-    )
-
-
-def _limits(document: dict[str, Any]) -> server.Limits:
-    defaults = server.Limits()
-    return server.Limits(
-        lenient_json.integer(
-            document.get("max_header_bytes"), defaults.header_bytes
-        ),
-        lenient_json.integer(
-            document.get("max_body_bytes"), defaults.body_bytes
-        ),
-        lenient_json.integer(document.get("header_timeout_ms"), 3000) / 1000,
-        lenient_json.integer(document.get("idle_timeout_ms"), 15000) / 1000,
-    )
-
-
 async def handle(
     leader_api: leader_apis.LeaderApi,
     request: message.Request,
@@ -374,9 +237,26 @@
 async def _configure(
     leader_api: leader_apis.LeaderApi, body: bytes, log: link.Log
 ) -> message.Response | outcomes.Refusal:
-    parsed = configuration_from_wire(body)
-    if isinstance(parsed, list):
-        reasons = [str(finding) for finding in parsed]
-        log.info("configuration rejected", findings=reasons[:8])
+    document = configuration_document.decode(body)
+    if document.errors:
+        reasons = [str(finding) for finding in document.errors]
+        log.info("configuration rejected", findings=_excerpt(reasons))
         return message.Response(400, msgspec.json.encode({"error": reasons}))
-    return client_requests.to_response(await leader_api.configure(parsed, body))
+    configuration = document.configuration
+    # A repeated command changes nothing, and its warnings were logged before.
+    is_new = (
+        configuration.version > leader_api.queue_state.configuration.version
+    )
+    failure = await leader_api.configure(configuration, body)
+    if failure is None and is_new and document.findings:
+        log.warning(
+            "configuration accepted with warnings",
+            version=configuration.version,
+            warnings=len(document.findings),
+            findings=_excerpt([str(each) for each in document.findings]),
+        )
+    return client_requests.to_response(failure)
+
+
+def _excerpt(reasons: list[str]) -> list[str]:
+    return [reason[:MAX_LOGGED_CHARS] for reason in reasons[:MAX_LOGGED]]
--- a/turmerichall/platform/lenient_json.py
+++ b/turmerichall/platform/lenient_json.py
@@ -20,10 +20,12 @@
         {'a': 1}
         >>> decode_object(b"[]"), decode_object(b"\\xff")
         (None, None)
+        >>> decode_object(b"[" * 100_000) is None
+        True
     """
     try:
         document = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     return document if isinstance(document, dict) else None
 
--- a/turmerichall/platform/tests/test_wire_formats.py
+++ b/turmerichall/platform/tests/test_wire_formats.py
@@ -15,10 +15,10 @@
 from turmerichall.http1 import message
 from turmerichall.http1 import server
 from turmerichall.platform import client_requests
+from turmerichall.platform import configuration_document
 from turmerichall.platform import control_requests
 from turmerichall.platform import http_worker_client
 from turmerichall.queues import change as changes
-from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 
 TASK = changes.TaskName("5c0e7a21d94b36f8", 0, 1, 17)
@@ -241,10 +241,9 @@
 class TestConfigurations:
 
     def test_valid_configuration_is_decoded(self) -> None:
-        configuration = control_requests.configuration_from_wire(
-            encoded(CONFIGURATION)
-        )
-        assert isinstance(configuration, configurations.Configuration)
+        document = configuration_document.decode(encoded(CONFIGURATION))
+        assert not document.errors
+        configuration = document.configuration
         assert configuration.version == 7
         assert configuration.queues[0].key == "a.example/jobs/"
         assert configuration.limits.body_bytes == 1000
@@ -267,11 +266,11 @@
         self, change: dict[str, Any]
     ) -> None:
         body = encoded({**CONFIGURATION, **change})
-        assert isinstance(control_requests.configuration_from_wire(body), list)
+        assert configuration_document.decode(body).errors
 
     def test_truncated_document_is_rejected(self) -> None:
         body = encoded(CONFIGURATION)[:-9]
-        assert isinstance(control_requests.configuration_from_wire(body), list)
+        assert configuration_document.decode(body).errors
 
 
 class TestJobs:
--- a/turmerichall/queues/demand.py
+++ b/turmerichall/queues/demand.py
@@ -2,7 +2,10 @@
 
 import msgspec
 
-__all__ = ["JobDemand", "Schedule", "StepDemand"]
+__all__ = ["JobDemand", "MAX_SPEC_BYTES", "Schedule", "StepDemand"]
+
+# Maximum size of the text of a job that the platform admits.
+MAX_SPEC_BYTES = 4096
 
 
 class StepDemand(msgspec.Struct, frozen=True, array_like=True):
