--- a/turmerichall/cli.py
+++ b/turmerichall/cli.py
@@ -14,6 +14,7 @@
 from turmerichall.command_line import backend_servers
 from turmerichall.command_line import commands
 from turmerichall.command_line import configuration
+from turmerichall.command_line import configuration_files
 from turmerichall.command_line import instances
 from turmerichall.command_line import jobs
 from turmerichall.command_line import placement
@@ -53,13 +54,16 @@
       placement       show
       instance        list, add, remove
       requests        send
-      config          check
+      config          check (settings of a daemon)
+      configuration   check (configuration document of queues)
       status
 
     `turmerichall NOUN VERB --help` shows the arguments of a command.
 
     Exit codes: 0 done; 1 refused or errors found, nothing was changed; 2 usage
     error; 3 conflict with another version; 4 unreachable or unknown outcome.
+    `configuration check` has its own: 0 nothing found; 1 findings; 2 usage
+    error, a document can't be read, or no replica answered.
 
     The operators' key is read from $TURMERICHALL_KEY or from the file that
     --key-file or $TURMERICHALL_KEY_FILE names, never from an argument.
@@ -111,6 +115,7 @@
         "instance": instances.Instances(session),
         "requests": requests.Requests(options),
         "config": settings_files.SettingsFiles(output_format),
+        "configuration": configuration_files.ConfigurationFiles(options),
         "status": status,
     }
 
--- a/turmerichall/command_line/commands.py
+++ b/turmerichall/command_line/commands.py
@@ -57,11 +57,11 @@
 class Command:
     """A command whose arguments were accepted, to be run later."""
 
-    def __init__(self, run: Callable[[], ExitCode]):
+    def __init__(self, run: Callable[[], enum.IntEnum]):
         self._run = run
 
-    def run(self) -> ExitCode:
-        """Run the command."""
+    def run(self) -> enum.IntEnum:
+        """Run the command and return its exit code."""
         return self._run()
 
     def __str__(self) -> str:
--- a/turmerichall/command_line/tests/test_pages.py
+++ b/turmerichall/command_line/tests/test_pages.py
@@ -12,7 +12,7 @@
 PAGES = sorted(ROOT.glob("*.md")) + sorted(ROOT.glob("docs/**/*.md"))
 NOUNS = (
     "template|customer|quota|job|backend-server|zone|instance|requests|config"
-    "|status"
+    "|configuration|status"
 )
 # A command in a code span, or at the start of a line indented by 4 spaces.
 COMMAND = re.compile(rf"(?:`|^ {{4}})turmerichall ((?:{NOUNS})\b[^`\n]*)", re.M)
@@ -20,6 +20,9 @@
 # Placeholders in the documentation, and the values that replace them here.
 PLACEHOLDERS = {
     "FILE.ini": "d.ini",
+    "FILE": "c.json",
+    "[--against": "--against",
+    "current|FILE2]": "current",
     "NOUN": "template",
     "VERB": "list",
     "...": "",
