Answer 400 to jobs that are nested too deeply or hold numbers beyond 64 bits

A body nested 100,000 levels deep, or a number that the log can't hold, raised in the handler of callers' requests, so that the caller got no answer.

--- a/turmerichall/platform/client_requests.py
+++ b/turmerichall/platform/client_requests.py
@@ -15,6 +15,8 @@
 __all__ = ["demand_from_wire", "failure_response", "handle", "to_response"]
 
 MAX_TASKS = 10_000
+# Largest number that a change in the log can hold.
+MAX_NUMBER = 2**63 - 1
 
 
 class _Step(msgspec.Struct):
@@ -66,7 +68,12 @@
     """
     try:
         job = _DECODER.decode(body)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except (
+        msgspec.DecodeError,
+        msgspec.ValidationError,
+        RecursionError,
+        UnicodeDecodeError,
+    ) as error:
         return errors.Finding("job", str(error))
     if len(job.spec.encode()) > demands.MAX_SPEC_BYTES:
         return errors.Finding(
@@ -78,6 +85,21 @@
             return errors.Finding(
                 f"job.steps[{number}]", "count is out of range"
             )
+        if any(
+            abs(value) > MAX_NUMBER
+            for value in (
+                step.cpu,
+                step.mem_mb,
+                step.gpu,
+                step.est_duration_ms,
+                step.max_per_server,
+                step.target_ms,
+                step.may_miss or 0,
+            )
+        ):
+            return errors.Finding(
+                f"job.steps[{number}]", "a number is out of range"
+            )
         if any(earlier < 0 or earlier >= number for earlier in step.after):
             return errors.Finding(
                 f"job.steps[{number}].after",
@@ -86,6 +108,9 @@
         steps.append(_step(step))
     if not steps:
         return errors.Finding("job.steps", "expected at least one step")
+    timing = (job.repeat_count, job.start_at_ms, job.interval_ms)
+    if any(abs(value) > MAX_NUMBER for value in timing):
+        return errors.Finding("job", "a number is out of range")
     schedule = None
     if job.repeat_count > 0:
         schedule = demands.Schedule(
--- a/turmerichall/platform/tests/test_wire_formats.py
+++ b/turmerichall/platform/tests/test_wire_formats.py
@@ -310,6 +310,12 @@
             b'{"steps":[{"count":0}]}',
             b'{"steps":[{"count":1,"after":[0]}]}',
             b'{"steps":[{"count":1}],"spec":"' + b"x" * 5000 + b'"}',
+            # These raised in the handler, and no answer was sent.
+            b'{"steps":[{"count":1}],"x":' + b"[" * 100_000,
+            b'{"steps":[{"count":1}],"spec":"\xff"}',
+            b'{"steps":[{"count":1,"cpu":99999999999999999999}]}',
+            b'{"steps":[{"count":1,"target_ms":1e300}]}',
+            b'{"steps":[{"count":1}],"interval_ms":99999999999999999999}',
         ],
     )
     def test_invalid_job_is_rejected(self, body: bytes) -> None:
