Log the attempts of forwarded calls, failed commits, and the loop's delay

The logs of an untrue refusal could not tell which attempt of a call met what, which replica answered in which term, or whether the leader was committing the job. Answers of replicas carry their term now; an entry instance logs each attempt of a call that was not served or took several; a leader logs submissions whose commit failed or is unknown, and how late its event loop runs. No decision changes.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -34,6 +34,7 @@
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
 from turmerichall.telemetry import lightweight_metrics
+from turmerichall.telemetry import loop_delay as loop_delays
 
 __all__ = ["Leadership", "wall_ms"]
 
@@ -80,6 +81,7 @@
             token although a quorum confirmed the term.
         zone_names: Availability zones that the settings name.
         scope: Cancel scope that ends the term's work.
+        loop_delay: Delay of the event loop while this replica leads.
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         self.registry = registries.Registry(self, make_client)
         self.workers = self.registry.workers
         self.scope = trio.CancelScope()
+        self.loop_delay = loop_delays.LoopDelay(metrics_registry)
         self.fencers: set[str] = set()
         self.kept_out = kept_out
         self.zone_names = zone_names
@@ -169,6 +172,7 @@
                 nursery.start_soon(self._watch_schedule)
                 nursery.start_soon(self._watch_leadership)
                 nursery.start_soon(term_report.run, self)
+                nursery.start_soon(self.loop_delay.run)
                 try:
                     await trio.sleep_forever()
                 finally:
@@ -478,6 +482,7 @@
         change = changes.AcceptJob(job_id, queue.key, demand, wall_ms())
         failed = await self.commit(change)
         if failed is not None:
+            reports.log_uncommitted(self.log, job_id, self.token, failed)
             return failed
         self.metrics_registry.count("jobs_accepted", queue=queue.name)
         reports.log_accepted(self.log, job_id, queue, demand)
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -168,10 +168,10 @@
     def _encode_answer(
         self, answer: message.Response | outcomes.Refusal
     ) -> bytes:
+        state = self.replica.state
         if isinstance(answer, outcomes.Refusal):
-            leader = self.replica.state.leader
-            return calls.encode(calls.not_leading(leader))
-        return calls.encode(calls.wrap_response(answer))
+            return calls.encode(calls.not_leading(state.leader, state.term))
+        return calls.encode(calls.wrap_response(answer, state.term))
 
     async def _answer(self, request: message.Request) -> message.Response:
         """Answer a worker or an operator, or forward to the leader."""
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -29,6 +29,7 @@
     "log_starts",
     "log_state",
     "log_step_done",
+    "log_uncommitted",
 ]
 
 # Number of runs that one log line lists: readers cut lines at 8 KB.
@@ -277,6 +278,22 @@
     )
 
 
+def log_uncommitted(
+    log: link.Log,
+    job_id: str,
+    term: int,
+    failure: outcomes.Refusal | outcomes.Unknown,
+) -> None:
+    """Log that a submitted job was not committed, or may not have been."""
+    log.info(
+        "job not known to be committed",
+        job=job_id,
+        term=term,
+        reason=failure.reason.value,
+        detail=failure.detail,
+    )
+
+
 def log_accepted(
     log: link.Log,
     job_id: str,
--- a/turmerichall/dispatch/term_report.py
+++ b/turmerichall/dispatch/term_report.py
@@ -14,6 +14,7 @@
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
+from turmerichall.telemetry import loop_delay as loop_delays
 
 __all__ = ["Owner", "run"]
 
@@ -31,6 +32,7 @@
     registry: registries.Registry
     interference_model: interference_models.InterferenceModel
     log: link.Log
+    loop_delay: loop_delays.LoopDelay
 
     async def commit_or_resign(self, change: changes.Change) -> None:
         """Commit a change, or end the term's work if that fails."""
@@ -44,6 +46,8 @@
         workers = owner.workers.values()
         table = owner.interference_model.table()
         reports.log_state(owner.log, owner.backlog, workers, table, now)
+        delay_ms = round(1000 * owner.loop_delay.take_worst())
+        owner.log.info("delay of the event loop", worst_ms=delay_ms)
         reports.log_held_groups(
             owner.log, zone_states.held_groups(owner.backlog.ready(), workers)
         )
--- a/turmerichall/entry/calls.py
+++ b/turmerichall/entry/calls.py
@@ -54,6 +54,7 @@
         headers: Header fields of the response.
         leader: Address of the leader if the replica is not the leader; empty
             if it doesn't know the leader.
+        term: Term of the replica; 0 from replicas of older versions.
     """
 
     kind: Kind
@@ -61,6 +62,7 @@
     body: bytes
     headers: dict[str, str]
     leader: str = ""
+    term: int = 0
 
     def response(self) -> message.Response:
         """Return the HTTP response that the answer carries to the caller."""
@@ -86,20 +88,30 @@
     )
 
 
-def wrap_response(response: message.Response) -> Answer:
-    """Return the answer that carries an HTTP response of the leader."""
+def wrap_response(response: message.Response, term: int = 0) -> Answer:
+    """Return the answer that carries an HTTP response of the leader.
+
+    Args:
+        response: The response.
+        term: Term of the leader.
+    """
     return Answer(
-        Kind.ANSWERED, response.status, response.body, dict(response.headers)
+        Kind.ANSWERED,
+        response.status,
+        response.body,
+        dict(response.headers),
+        term=term,
     )
 
 
-def not_leading(leader: str) -> Answer:
+def not_leading(leader: str, term: int = 0) -> Answer:
     """Return the answer of a replica that is not the leader.
 
     Args:
         leader: Address of the leader; empty if it is not known.
+        term: Term of the replica.
     """
-    return Answer(Kind.NOT_LEADING, 0, b"", {}, leader)
+    return Answer(Kind.NOT_LEADING, 0, b"", {}, leader, term)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/entry/entry_daemon.py
+++ b/turmerichall/entry/entry_daemon.py
@@ -115,17 +115,6 @@
         self.metrics_registry.record_latency(
             "call", trio.current_time() - began_at
         )
-        if response.status >= 429:
-            self.log.info(
-                "call not served",
-                method=request.method,
-                target=request.target,
-                status=response.status,
-                leader=self.leader_client.leader.address,
-                heard_seconds_ago=round(
-                    trio.current_time() - self.leader_client.leader_seen_at, 2
-                ),
-            )
         return response
 
 
--- a/turmerichall/entry/leader_client.py
+++ b/turmerichall/entry/leader_client.py
@@ -7,6 +7,7 @@
 
 from turmerichall import outcomes
 from turmerichall.dispatch import leader_api as leader_apis
+from turmerichall.entry import attempts as attempt_records
 from turmerichall.entry import calls
 from turmerichall.http1 import message
 from turmerichall.peers import link
@@ -41,6 +42,7 @@
             first one.
         leader_seen_at: When the poll that led to `leader` was sent, trio time;
             -inf before the first answer of a leader.
+        log: Where to log.
     """
 
     def __init__(
@@ -50,7 +52,7 @@
         self.seeds = tuple(seeds)
         self.leader = leader_apis.Leader("", False)
         self.leader_seen_at = -float("inf")
-        self._log = log
+        self.log = log
         self._leader_hint = ""
         self._leader_lost = False
 
@@ -94,7 +96,7 @@
                 text = (
                     "no leader in reach" if leader_lost else "leader in reach"
                 )
-                self._log.info(text, leader=self._leader_hint)
+                self.log.info(text, leader=self._leader_hint)
             await trio.sleep(POLL_SECONDS if found else POLL_RETRY_SECONDS)
 
     async def _poll(self, address: str) -> bool:
@@ -108,7 +110,7 @@
         try:
             reported = calls.decode_leader(reply)
         except msgspec.DecodeError as error:
-            self._log.warning(
+            self.log.warning(
                 "malformed answer to a query for the leader",
                 peer=address,
                 reason=str(error),
@@ -138,6 +140,45 @@
             The leader's response; 503 if no replica can have processed the
             call, 504 if one may have but did not answer.
         """
+        began_at = trio.current_time()
+        attempts: list[attempt_records.Attempt] = []
+        response = await self._try_replicas(
+            kind, request, caller_timeout_seconds, attempts
+        )
+        self._log_attempts(request, response, attempts, began_at)
+        return response
+
+    def _log_attempts(
+        self,
+        request: message.Request,
+        response: message.Response,
+        attempts: list[attempt_records.Attempt],
+        began_at: float,
+    ) -> None:
+        """Log a call that was not served, or took several attempts."""
+        if response.status < 429 and len(attempts) < 2:
+            return
+        now = trio.current_time()
+        served = response.status < 429
+        self.log.info(
+            "call took several attempts" if served else "call not served",
+            method=request.method,
+            target=request.target,
+            status=response.status,
+            seconds=round(now - began_at, 2),
+            attempts=attempt_records.describe(attempts),
+            leader=self.leader.address,
+            heard_seconds_ago=round(now - self.leader_seen_at, 2),
+        )
+
+    async def _try_replicas(
+        self,
+        kind: str,
+        request: message.Request,
+        caller_timeout_seconds: float,
+        attempts: list[attempt_records.Attempt],
+    ) -> message.Response:
+        """Do the work of `forward`, and append each attempt to a list."""
         body = calls.encode(request)
         began_at = trio.current_time()
         deadline = began_at + caller_timeout_seconds
@@ -150,24 +191,31 @@
             timeout_seconds = max(
                 0.0, min(ATTEMPT_TIMEOUT_SECONDS, remaining_seconds)
             )
+            sent_at = trio.current_time()
             reply = await self.network.call(
                 address, kind, body, timeout_seconds
             )
-            if not isinstance(reply, outcomes.Refusal):
+            now = trio.current_time()
+            made = attempt_records.Attempt(
+                address, sent_at - began_at, now - sent_at
+            )
+            attempt += 1
+            if isinstance(reply, outcomes.Refusal):
+                attempts.append(made._replace(result=reply.reason.value))
+                possibly_sent = possibly_sent or reply.reason != (
+                    outcomes.RefusalReason.UNREACHABLE
+                )
+            else:
                 answer = calls.decode_answer(reply)
+                made = made._replace(term=answer.term)
                 if answer.kind == calls.Kind.ANSWERED:
+                    attempts.append(made._replace(result=str(answer.status)))
                     return answer.response()
-                attempt += 1
+                attempts.append(made._replace(result="not_leading"))
                 if answer.leader and answer.leader != address:
                     self._leader_hint = answer.leader
                     self._update_connections()
                     attempt = 0
-            else:
-                attempt += 1
-                possibly_sent = possibly_sent or reply.reason != (
-                    outcomes.RefusalReason.UNREACHABLE
-                )
-            now = trio.current_time()
             give_up_at = (
                 deadline if possibly_sent else began_at + LEADER_WAIT_SECONDS
             )
--- a/turmerichall/entry/tests/test_leader_client.py
+++ b/turmerichall/entry/tests/test_leader_client.py
@@ -136,3 +136,25 @@
             await trio.sleep(leader_clients.MAX_LEADER_AGE_SECONDS + 0.1)
             assert not client.ready()
             nursery.cancel_scope.cancel()
+
+
+class TestLog:
+
+    async def test_tells_the_attempts_of_a_call_apart(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        network = FakeNetwork()
+        refused = calls.wrap_response(message.Response(503), term=7)
+        network.replies = {"a": TIMEOUT, "b": calls.encode(refused)}
+        client = make_client(network)
+        await client.forward(calls.CLIENT_CALL, REQUEST, 3.0)
+        log = client.log
+        assert isinstance(log, fakes.RecordingLog)
+        attempts = next(
+            fields["attempts"]
+            for text, fields in log.lines
+            if text == "call not served"
+        )
+        assert isinstance(attempts, list)
+        assert attempts[0].startswith("a timeout at 0.00+1.20 s")
+        assert attempts[1].startswith("b 503 (term 7) at 1.25+")
