--- a/turmerichall/entry/calls.py
+++ b/turmerichall/entry/calls.py
@@ -15,6 +15,7 @@
     "CONTROL_CALL",
     "Kind",
     "LEADER_QUERY",
+    "TERM_HEADER",
     "decode_answer",
     "decode_leader",
     "decode_request",
@@ -33,6 +34,9 @@
 # Header field of a forwarded call with the availability zone of the entry
 # instance.  Replicas of older versions ignore it.
 CALLER_ZONE_HEADER = "turmerichall-caller-zone"
+# Header field of an answer with the term of the replica.  It is not a field of
+# `Answer`, because entry instances of older versions reject unknown fields.
+TERM_HEADER = "turmerichall-term"
 
 
 class Kind(enum.IntEnum):
@@ -54,7 +58,6 @@
         headers: Header fields of the response.
         leader: Address of the leader if the replica is not the leader; empty
             if it doesn't know the leader.
-        term: Term of the replica; 0 from replicas of older versions.
     """
 
     kind: Kind
@@ -62,11 +65,21 @@
     body: bytes
     headers: dict[str, str]
     leader: str = ""
-    term: int = 0
+
+    @property
+    def term(self) -> int:
+        """Term of the replica; 0 from replicas of older versions."""
+        text = self.headers.get(TERM_HEADER, "")
+        return int(text) if text.isdecimal() else 0
 
     def response(self) -> message.Response:
         """Return the HTTP response that the answer carries to the caller."""
-        return message.Response(self.status, self.body, self.headers)
+        headers = {
+            name: value
+            for name, value in self.headers.items()
+            if name != TERM_HEADER
+        }
+        return message.Response(self.status, self.body, headers)
 
 
 def with_caller_zone(request: message.Request, zone: str) -> message.Request:
@@ -99,8 +112,7 @@
         Kind.ANSWERED,
         response.status,
         response.body,
-        dict(response.headers),
-        term=term,
+        {**response.headers, TERM_HEADER: str(term)},
     )
 
 
@@ -111,7 +123,7 @@
         leader: Address of the leader; empty if it is not known.
         term: Term of the replica.
     """
-    return Answer(Kind.NOT_LEADING, 0, b"", {}, leader, term)
+    return Answer(Kind.NOT_LEADING, 0, b"", {TERM_HEADER: str(term)}, leader)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/entry/tests/test_leader_client.py
+++ b/turmerichall/entry/tests/test_leader_client.py
@@ -1,5 +1,6 @@
 """Tests of finding the leader and forwarding calls to it."""
 
+import pytest
 import trio
 
 from turmerichall import outcomes
@@ -158,3 +159,19 @@
         assert isinstance(attempts, list)
         assert attempts[0].startswith("a timeout at 0.00+1.20 s")
         assert attempts[1].startswith("b 503 (term 7) at 1.25+")
+
+
+class TestUntrueRefusal:
+
+    # A job ran though its caller had been told that it was refused: the first
+    # attempt was proposed and committed late, and the second one was refused.
+    @pytest.mark.parametrize("status", (429, 503, 404))
+    async def test_refusal_after_an_unanswered_attempt_is_not_passed_on(
+        self, autojump_clock: trio.testing.MockClock, status: int
+    ) -> None:
+        network = FakeNetwork()
+        network.replies = {"a": TIMEOUT, "b": response_bytes(status)}
+        answer = await make_client(network).forward(
+            calls.CLIENT_CALL, REQUEST, 3.0
+        )
+        assert answer.status == 504
