Refuse a call only if none of its attempts can have an effect

Cause: one call is tried again after 1.2 s, and the caller got what the last attempt met. A leader without processor time held the first attempt, with its commit under way, while it refused the second one: admission control and the barrier know only applied jobs. The logs show it: 'timeout at 0.00+1.20 s', then '503 (term 2)' of the same leader. Class: the outcome of the last attempt taken for the outcome of the call.

Change: a call has an id and each attempt the term of the leader that may process it, so that an attempt read late is not processed in another term. A leader commits a job once for all attempts in progress together, gives a call that it has refused the same refusal again, and does not refuse what its log may hold. An entry instance passes a refusal on only if it holds for the earlier attempts too, and asks again otherwise; 504 at the deadline. The commit of a job goes on when its caller no longer waits: before, a job that was committed after 2.5 s was in the state and in no queue, so that nothing started it in that term.

--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -15,6 +15,7 @@
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch.admission_control import controller
 from turmerichall.dispatch.evacuation import requests as evacuation_requests
+from turmerichall.dispatch.submissions import submission_register
 from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -26,11 +27,9 @@
 
 __all__ = ["Failure", "Leader", "LeaderApi"]
 
-RETRY_SECONDS = 0.5
 BARRIER_SECONDS = 0.8
-NOT_LEADER = outcomes.Refusal(
-    outcomes.RefusalReason.NOT_LEADER, "not the leader", RETRY_SECONDS
-)
+RETRY_SECONDS = leaderships.RETRY_SECONDS
+NOT_LEADER = leaderships.NOT_LEADER
 NO_QUORUM = outcomes.Refusal(
     outcomes.RefusalReason.NO_QUORUM, "no quorum answered", RETRY_SECONDS
 )
@@ -156,6 +155,10 @@
             return NO_QUORUM
         return None if self.leadership is not None else NOT_LEADER
 
+    def leads_in(self, term: int) -> bool:
+        """Return whether this replica does the leader's work in a term."""
+        return self.leadership is not None and self.leadership.token == term
+
     async def find_queue(
         self, host: str, path: str
     ) -> configurations.Queue | outcomes.Refusal:
@@ -177,12 +180,40 @@
             )
         return queue
 
+    def refuse(
+        self, refusal: outcomes.Refusal, job_id: str, call_id: str
+    ) -> Failure:
+        """Return how a call about a job fails that is to be refused.
+
+        A refusal promises that the call has no effect, so it must hold for
+        the other attempts of the call: they get it too when they come to be
+        processed, and the outcome is unknown if one may have been accepted.
+
+        Args:
+            refusal: The refusal.
+            job_id: Id of the job.
+            call_id: Id of the call, the same for all its attempts; empty if
+                unknown.
+        """
+        leadership = self.leadership
+        if leadership is None:
+            return NOT_LEADER
+        submissions = leadership.submissions
+        if job_id in self.queue_state.jobs or (
+            job_id in submissions.in_progress
+        ):
+            return submission_register.may_have_accepted(
+                "the job may have been accepted from an earlier attempt"
+            )
+        return submissions.refuse(call_id, refusal, trio.current_time())
+
     async def submit(
         self,
         queue: configurations.Queue,
         job_id: str,
         demand: demands.JobDemand,
         caller_zone: str = "",
+        call_id: str = "",
     ) -> Failure | None:
         """Accept a job; return None once it is durable, or the failure.
 
@@ -192,13 +223,23 @@
             demand: The job as its caller described it.
             caller_zone: Availability zone of the entry instance that received
                 the call; empty if unknown.
+            call_id: Id of the call, the same for all its attempts; empty if
+                unknown.
         """
         leadership = self.leadership
         if leadership is None:
             return NOT_LEADER
-        return await leadership.submit(
+        refused = leadership.submissions.refusal(call_id)
+        if refused is not None:
+            return refused
+        failure = await leadership.submit(
             controller.Submission(job_id, queue, demand, caller_zone)
         )
+        if isinstance(failure, outcomes.Refusal) and (
+            failure.reason != outcomes.RefusalReason.NOT_LEADER
+        ):
+            return self.refuse(failure, job_id, call_id)
+        return failure
 
     def job_state(self, job_id: str) -> states.JobState | outcomes.Refusal:
         """Return the state of a job, or a refusal if it is unknown.
@@ -218,6 +259,11 @@
         leadership = self.leadership
         if leadership is None:
             return NOT_LEADER
+        in_progress = leadership.submissions.in_progress.get(job_id)
+        if in_progress is not None:
+            failure = await in_progress.wait(leaderships.CALLER_COMMIT_SECONDS)
+            if failure is not None:
+                return failure
         if job_id not in self.queue_state.jobs:
             return outcomes.Refusal(
                 outcomes.RefusalReason.UNKNOWN_NAME, "no such job"
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -29,6 +29,9 @@
 from turmerichall.dispatch.admission_control import selection
 from turmerichall.dispatch.colocation import careful_policy
 from turmerichall.dispatch.forecasts import forecast
+from turmerichall.dispatch.submissions import (
+    submission_register as submission_registers,
+)
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
@@ -36,7 +39,13 @@
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import loop_delay as loop_delays
 
-__all__ = ["Leadership", "wall_ms"]
+__all__ = ["Leadership", "NOT_LEADER", "RETRY_SECONDS", "wall_ms"]
+
+# Time after which a caller that found no leader may try again.
+RETRY_SECONDS = 0.5
+NOT_LEADER = outcomes.Refusal(
+    outcomes.RefusalReason.NOT_LEADER, "not the leader", RETRY_SECONDS
+)
 
 # Timeout of the leader's own commits; it ends its term if one of them fails.
 OWN_COMMIT_SECONDS = 20.0
@@ -81,6 +90,7 @@
             token although a quorum confirmed the term.
         zone_names: Availability zones that the settings name.
         scope: Cancel scope that ends the term's work.
+        submissions: Jobs that callers submit in this term.
         loop_delay: Delay of the event loop while this replica leads.
     """
 
@@ -127,6 +137,7 @@
         self.registry = registries.Registry(self, make_client)
         self.workers = self.registry.workers
         self.scope = trio.CancelScope()
+        self.submissions = submission_registers.SubmissionRegister()
         self.loop_delay = loop_delays.LoopDelay(metrics_registry)
         self.fencers: set[str] = set()
         self.kept_out = kept_out
@@ -467,30 +478,58 @@
         self, submission: controller.Submission
     ) -> outcomes.Refusal | outcomes.Unknown | None:
         """Accept a job; return None once it is durable, or the failure."""
-        job_id, queue, demand, _ = submission
+        job_id = submission.job_id
         if job_id in self.queue_state.jobs:
             return None
-        refusal = self._admission.decide(
-            submission, self.workers.values(), leases.steady_seconds()
+        in_progress = self.submissions.in_progress.get(job_id)
+        if in_progress is None:
+            if self._nursery is None:
+                return NOT_LEADER
+            refusal = self._admission.decide(
+                submission, self.workers.values(), leases.steady_seconds()
+            )
+            if refusal is not None:
+                self.metrics_registry.count(
+                    "jobs_refused", reason=refusal.reason.value
+                )
+                reports.log_refused(self.log, job_id, submission.queue, refusal)
+                return refusal
+            in_progress = self.submissions.begin(job_id)
+            self._nursery.start_soon(self._accept, submission)
+        return await in_progress.wait(CALLER_COMMIT_SECONDS)
+
+    async def _accept(self, submission: controller.Submission) -> None:
+        """Commit a job, also when its caller no longer waits."""
+        job_id, queue, demand, _ = submission
+        failure: outcomes.Refusal | outcomes.Unknown | None = (
+            submission_registers.may_have_accepted("the term ended")
         )
-        if refusal is not None:
-            self.metrics_registry.count(
-                "jobs_refused", reason=refusal.reason.value
+        try:
+            failure = await self.commit(
+                changes.AcceptJob(job_id, queue.key, demand, wall_ms()),
+                OWN_COMMIT_SECONDS,
             )
-            reports.log_refused(self.log, job_id, queue, refusal)
-            return refusal
-        change = changes.AcceptJob(job_id, queue.key, demand, wall_ms())
-        failed = await self.commit(change)
-        if failed is not None:
-            reports.log_uncommitted(self.log, job_id, self.token, failed)
-            return failed
+            if failure is None:
+                self._add_job(submission)
+            elif failure.reason == outcomes.RefusalReason.NO_QUORUM:
+                # Another leader's entry took the place of this one.
+                failure = NOT_LEADER
+        finally:
+            self.submissions.end(job_id, failure)
+        if failure is not None:
+            reports.log_uncommitted(self.log, job_id, self.token, failure)
+        if isinstance(failure, outcomes.Unknown):
+            self.scope.cancel()
+
+    def _add_job(self, submission: controller.Submission) -> None:
+        """Let the tasks of an accepted job wait for their placement."""
+        job_id, queue, demand, _ = submission
         self.metrics_registry.count("jobs_accepted", queue=queue.name)
         reports.log_accepted(self.log, job_id, queue, demand)
         job = self.queue_state.jobs[job_id]
         if job.open and not job.started:
             self._recurring_jobs.add(job, wall_ms())
             self._wake.set()
-        return None
 
     async def cancel(
         self, job_id: str
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -150,6 +150,9 @@
 
     async def _on_client(self, _: str, body: bytes) -> bytes:
         request = calls.decode_request(body)
+        term = calls.addressed_term(request)
+        if term and not self.leader_api.leads_in(term):
+            return self._encode_answer(leader_apis.NOT_LEADER)
         return self._encode_answer(
             await client_requests.handle(self.leader_api, request)
         )
@@ -171,7 +174,9 @@
         state = self.replica.state
         if isinstance(answer, outcomes.Refusal):
             return calls.encode(calls.not_leading(state.leader, state.term))
-        return calls.encode(calls.wrap_response(answer, state.term))
+        leadership = self.leader_api.leadership
+        term = 0 if leadership is None else leadership.token
+        return calls.encode(calls.wrap_response(answer, term))
 
     async def _answer(self, request: message.Request) -> message.Response:
         """Answer a worker or an operator, or forward to the leader."""
--- a/turmerichall/dispatch/tests/test_repeated_submissions.py
+++ b/turmerichall/dispatch/tests/test_repeated_submissions.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from turmerichall import outcomes
+from turmerichall.dispatch import leader_api as leader_apis
 from turmerichall.dispatch.tests import fakes
 from turmerichall.queues import demand as demands
 
@@ -19,13 +20,19 @@
 
 
 class SlowReplica(fakes.FakeReplica):
-    """A replica whose commits take 1.5 s."""
+    """A replica whose commits take a while.
+
+    Attributes:
+        delay_seconds: How long a commit takes.
+    """
+
+    delay_seconds = 1.5
 
     async def propose_in_term(
         self, change: bytes, term: int, timeout_seconds: float = 5.0
     ) -> bytes | outcomes.Refusal | outcomes.Unknown:
         """See `fakes.FakeReplica`."""
-        await trio.sleep(1.5)
+        await trio.sleep(self.delay_seconds)
         return await super().propose_in_term(change, term, timeout_seconds)
 
 
@@ -33,6 +40,7 @@
     """A cluster whose leader commits slowly."""
 
     make_replica = SlowReplica
+    replica: SlowReplica
 
 
 class TestSubmissionInProgress:
@@ -53,3 +61,62 @@
             await cluster.wait_until(lambda: "a1" in cluster.queue_state.jobs)
             nursery.cancel_scope.cancel()
         assert not isinstance(second, outcomes.Refusal)
+
+    async def test_job_whose_caller_no_longer_waits_is_started(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = SlowCluster(fakes.FakeWorker("w1"))
+        leader_api = cluster.leader_api
+        cluster.replica.delay_seconds = 4.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader_api.run)
+            await cluster.wait_until(lambda: leader_api.leadership is not None)
+            first = await leader_api.submit(fakes.QUEUE, "a1", DEMAND)
+            cluster.replica.delay_seconds = 0.01
+            await cluster.wait_until(lambda: "a1" in cluster.queue_state.jobs)
+            await cluster.wait_for_state("completed", "a1")
+            nursery.cancel_scope.cancel()
+        assert isinstance(first, outcomes.Unknown)
+
+
+class TestRefusedCall:
+
+    async def test_late_attempt_of_a_refused_call_is_refused_too(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = fakes.FakeCluster(fakes.FakeWorker("w1"))
+        leader_api = cluster.leader_api
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader_api.run)
+            await cluster.wait_until(lambda: leader_api.leadership is not None)
+            failures = [
+                await leader_api.submit(
+                    fakes.QUEUE, "a1", demand, call_id=call_id
+                )
+                for demand, call_id in (
+                    (TOO_LARGE, "c1"),
+                    (DEMAND, "c1"),
+                    (DEMAND, "c2"),
+                )
+            ]
+            nursery.cancel_scope.cancel()
+        assert isinstance(failures[0], outcomes.Refusal)
+        assert failures[1] == failures[0]
+        assert failures[2] is None
+
+    async def test_job_in_the_log_is_not_refused_for_lack_of_a_quorum(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = fakes.FakeCluster(fakes.FakeWorker("w1"))
+        leader_api = cluster.leader_api
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader_api.run)
+            await cluster.wait_until(lambda: leader_api.leadership is not None)
+            await cluster.submit("a1", DEMAND)
+            failures = [
+                leader_api.refuse(leader_apis.NO_QUORUM, job, "c")
+                for job in ("a1", "a2")
+            ]
+            nursery.cancel_scope.cancel()
+        assert isinstance(failures[0], outcomes.Unknown)
+        assert failures[1] == leader_apis.NO_QUORUM
--- a/turmerichall/entry/calls.py
+++ b/turmerichall/entry/calls.py
@@ -11,15 +11,18 @@
 __all__ = [
     "Answer",
     "CALLER_ZONE_HEADER",
+    "CALL_ID_HEADER",
     "CLIENT_CALL",
     "CONTROL_CALL",
     "Kind",
     "LEADER_QUERY",
     "TERM_HEADER",
+    "addressed_term",
     "decode_answer",
     "decode_leader",
     "decode_request",
     "encode",
+    "for_attempt",
     "not_leading",
     "with_caller_zone",
     "wrap_response",
@@ -34,9 +37,14 @@
 # Header field of a forwarded call with the availability zone of the entry
 # instance.  Replicas of older versions ignore it.
 CALLER_ZONE_HEADER = "turmerichall-caller-zone"
-# Header field of an answer with the term of the replica.  It is not a field of
+# Header field of a forwarded call with its id, which all attempts of it have.
+CALL_ID_HEADER = "turmerichall-call"
+# Header field of a forwarded call with the term of the leader that may process
+# it, and of an answer with the term of the replica.  It is not a field of
 # `Answer`, because entry instances of older versions reject unknown fields.
 TERM_HEADER = "turmerichall-term"
+# Digits of the largest term.
+MAX_DIGITS = 19
 
 
 class Kind(enum.IntEnum):
@@ -69,8 +77,7 @@
     @property
     def term(self) -> int:
         """Term of the replica; 0 from replicas of older versions."""
-        text = self.headers.get(TERM_HEADER, "")
-        return int(text) if text.isdecimal() else 0
+        return _term(self.headers)
 
     def response(self) -> message.Response:
         """Return the HTTP response that the answer carries to the caller."""
@@ -101,6 +108,31 @@
     )
 
 
+def for_attempt(
+    request: message.Request, call_id: str, term: int
+) -> message.Request:
+    """Return a call as it is sent in one attempt.
+
+    Args:
+        request: The call.
+        call_id: Id of the call, the same for all its attempts.
+        term: Term of the leader that may process it; 0 for any leader.
+    """
+    headers = {**request.headers, CALL_ID_HEADER: call_id}
+    headers[TERM_HEADER] = str(term)
+    return request._replace(headers=headers)
+
+
+def addressed_term(request: message.Request) -> int:
+    """Return the term of the leader that may process a call; 0 for any."""
+    return _term(request.headers)
+
+
+def _term(headers: message.Headers) -> int:
+    text = headers.get(TERM_HEADER, "")
+    return int(text) if text.isdecimal() and len(text) <= MAX_DIGITS else 0
+
+
 def wrap_response(response: message.Response, term: int = 0) -> Answer:
     """Return the answer that carries an HTTP response of the leader.
 
--- a/turmerichall/entry/leader_client.py
+++ b/turmerichall/entry/leader_client.py
@@ -1,6 +1,7 @@
 """Discovery of the leader, and forwarding of calls to it."""
 
 from collections.abc import Iterable
+import secrets
 
 import msgspec
 import trio
@@ -24,6 +25,10 @@
 # since that may be the leader by then.
 ATTEMPT_TIMEOUT_SECONDS = 1.2
 RETRY_DELAY_SECONDS = 0.05
+# Delay after an answer that does not tell the outcome of the call.
+UNRESOLVED_RETRY_DELAY_SECONDS = 0.25
+# Methods of calls that change nothing, so that any attempt may answer them.
+SAFE_METHODS = ("GET", "HEAD")
 # How long a call is retried while no leader is found and no replica can have
 # processed the call.
 LEADER_WAIT_SECONDS = 1.2
@@ -54,6 +59,10 @@
         self.leader_seen_at = -float("inf")
         self.log = log
         self._leader_hint = ""
+        # Term of the leader at `_leader_hint`; 0 if unknown.
+        self._leader_term = 0
+        self._call_prefix = f"{secrets.token_hex(8)}-"
+        self._calls = 0
         self._leader_lost = False
 
     def ready(self) -> bool:
@@ -117,12 +126,13 @@
             )
             return False
         if reported.serving:
-            self._leader_hint = address
+            if self._leader_hint != address:
+                self._leader_hint, self._leader_term = address, 0
             self.leader = reported
             self.leader_seen_at = sent_at
             return True
-        if reported.address:
-            self._leader_hint = reported.address
+        if reported.address and reported.address != self._leader_hint:
+            self._leader_hint, self._leader_term = reported.address, 0
         return False
 
     async def forward(
@@ -138,7 +148,8 @@
 
         Returns:
             The leader's response; 503 if no replica can have processed the
-            call, 504 if one may have but did not answer.
+            call; 504 if one may have and the outcome is not known, also if a
+            later attempt was refused (see `attempts.is_conclusive`).
         """
         began_at = trio.current_time()
         attempts: list[attempt_records.Attempt] = []
@@ -179,52 +190,87 @@
         attempts: list[attempt_records.Attempt],
     ) -> message.Response:
         """Do the work of `forward`, and append each attempt to a list."""
-        body = calls.encode(request)
+        self._calls += 1
+        call_id = f"{self._call_prefix}{self._calls}"
         began_at = trio.current_time()
         deadline = began_at + caller_timeout_seconds
-        possibly_sent = False
-        attempt = 0
+        index = 0
         while True:
             replicas = self._replicas()
-            address = replicas[attempt % len(replicas)] if replicas else ""
-            remaining_seconds = deadline - trio.current_time()
-            timeout_seconds = max(
-                0.0, min(ATTEMPT_TIMEOUT_SECONDS, remaining_seconds)
-            )
+            address = replicas[index % len(replicas)] if replicas else ""
             sent_at = trio.current_time()
+            term = self._leader_term
             reply = await self.network.call(
-                address, kind, body, timeout_seconds
+                address,
+                kind,
+                calls.encode(calls.for_attempt(request, call_id, term)),
+                max(0.0, min(ATTEMPT_TIMEOUT_SECONDS, deadline - sent_at)),
             )
             now = trio.current_time()
             made = attempt_records.Attempt(
-                address, sent_at - began_at, now - sent_at
+                address, sent_at - began_at, now - sent_at, addressed_term=term
             )
-            attempt += 1
+            index += 1
+            delay_seconds = RETRY_DELAY_SECONDS
             if isinstance(reply, outcomes.Refusal):
                 attempts.append(made._replace(result=reply.reason.value))
-                possibly_sent = possibly_sent or reply.reason != (
-                    outcomes.RefusalReason.UNREACHABLE
-                )
             else:
                 answer = calls.decode_answer(reply)
                 made = made._replace(term=answer.term)
                 if answer.kind == calls.Kind.ANSWERED:
+                    if answer.term:
+                        self._leader_hint = address
+                        self._leader_term = answer.term
+                    is_outcome = self._may_pass_on(request, answer, attempts)
                     attempts.append(made._replace(result=str(answer.status)))
-                    return answer.response()
-                attempts.append(made._replace(result="not_leading"))
-                if answer.leader and answer.leader != address:
-                    self._leader_hint = answer.leader
-                    self._update_connections()
-                    attempt = 0
-            give_up_at = (
-                deadline if possibly_sent else began_at + LEADER_WAIT_SECONDS
-            )
-            if remaining_seconds <= 0 or now + RETRY_DELAY_SECONDS >= min(
-                deadline, give_up_at
-            ):
+                    if is_outcome:
+                        return answer.response()
+                    delay_seconds = UNRESOLVED_RETRY_DELAY_SECONDS
+                    index = 0
+                else:
+                    attempts.append(
+                        made._replace(result=attempt_records.NOT_LEADING)
+                    )
+                    if self._learn_leader(address, answer):
+                        index = 0
+            give_up_at = deadline
+            if not any(each.may_have_effect for each in attempts):
+                give_up_at = min(deadline, began_at + LEADER_WAIT_SECONDS)
+            if now + delay_seconds >= give_up_at:
                 break
-            await trio.sleep(RETRY_DELAY_SECONDS)
-        if possibly_sent:
+            await trio.sleep(delay_seconds)
+        if any(each.may_have_effect for each in attempts):
             return message.Response(504)
         headers = {"retry-after": str(RETRY_AFTER_SECONDS)}
         return message.Response(503, b"", headers)
+
+    def _may_pass_on(
+        self,
+        request: message.Request,
+        answer: calls.Answer,
+        earlier: list[attempt_records.Attempt],
+    ) -> bool:
+        """Return whether a leader's answer is the outcome of the call."""
+        if request.method in SAFE_METHODS or answer.status < 300:
+            return True
+        return answer.status != 504 and attempt_records.is_conclusive(
+            earlier, answer.term
+        )
+
+    def _learn_leader(self, address: str, answer: calls.Answer) -> bool:
+        """Take the leader from the answer of a replica that does not lead.
+
+        Args:
+            address: Address of that replica.
+            answer: Its answer.
+
+        Returns:
+            Whether the answer names a leader or a term that was not known.
+        """
+        if not answer.leader:
+            return False
+        is_new = answer.leader != address or answer.term != self._leader_term
+        self._leader_hint = answer.leader
+        self._leader_term = answer.term
+        self._update_connections()
+        return is_new
--- a/turmerichall/platform/client_requests.py
+++ b/turmerichall/platform/client_requests.py
@@ -182,9 +182,11 @@
     path = request.target.partition("?")[0]
     queue = await leader_api.find_queue(request.host, path)
     if isinstance(queue, outcomes.Refusal):
-        if queue.reason == outcomes.RefusalReason.NOT_LEADER:
-            return queue
-        return failure_response(queue)
+        if request.method != "POST":
+            return to_response(queue)
+        call_id = request.headers.get(calls.CALL_ID_HEADER, "")
+        job_id = path.rpartition("/")[2]
+        return to_response(leader_api.refuse(queue, job_id, call_id))
     job_id = path[len(queue.path_prefix) :]
     if request.method == "POST" and job_id:
         return await _submit(leader_api, queue, job_id, request)
@@ -213,8 +215,9 @@
     if isinstance(demand, errors.Finding):
         return message.Response(400, _encode({"error": str(demand)}))
     caller_zone = request.headers.get(calls.CALLER_ZONE_HEADER, "")
+    call_id = request.headers.get(calls.CALL_ID_HEADER, "")
     return to_response(
-        await leader_api.submit(queue, job_id, demand, caller_zone)
+        await leader_api.submit(queue, job_id, demand, caller_zone, call_id)
     )
 
 
