Pass calls on that wait for a barrier when leadership ends

Cause: a barrier that fails was answered 'no quorum' whether or not the replica still leads; only 'not the leader' makes the entry instance look for the next one. The test failed before with NO_QUORUM.

--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -151,9 +151,10 @@
             return NOT_LEADER
         if self.freshness.may_read():
             return None
-        if await self.replica.barrier(BARRIER_SECONDS) is not None:
-            return NO_QUORUM
-        return None if self.leadership is not None else NOT_LEADER
+        refusal = await self.replica.barrier(BARRIER_SECONDS)
+        if self.leadership is None:
+            return NOT_LEADER
+        return None if refusal is None else NO_QUORUM
 
     def leads_in(self, term: int) -> bool:
         """Return whether this replica does the leader's work in a term."""
--- a/turmerichall/dispatch/tests/test_leader_api.py
+++ b/turmerichall/dispatch/tests/test_leader_api.py
@@ -4,6 +4,7 @@
 import trio
 import trio.testing
 
+from turmerichall.dispatch import leader_api as leader_apis
 from turmerichall.dispatch.tests import fakes
 
 pytestmark = pytest.mark.usefixtures("mocked_clocks")
@@ -41,3 +42,20 @@
                 )
                 replica.lead(0)
             nursery.cancel_scope.cancel()
+
+
+class TestLostLeadership:
+
+    # Callers were refused, though another leader could have served them.
+    async def test_call_in_a_barrier_is_passed_on_to_the_next_leader(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = fakes.FakeCluster()
+        replica, leader_api = cluster.replica, cluster.leader_api
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader_api.run)
+            await cluster.wait_until(lambda: leader_api.leadership is not None)
+            replica.lead(0)
+            found = await leader_api.find_queue("a.example", "/jobs/1")
+            nursery.cancel_scope.cancel()
+        assert found == leader_apis.NOT_LEADER
