Do not send calls whose callers wait no longer for an answer

Cause: the call was sent with a timeout of 0 s. It is refused now, truthfully, since it was never sent. The former test asked for 504 and that the call is made; it asks for 503 and no call now.

--- a/turmerichall/entry/leader_client.py
+++ b/turmerichall/entry/leader_client.py
@@ -195,7 +195,7 @@
         began_at = trio.current_time()
         deadline = began_at + caller_timeout_seconds
         index = 0
-        while True:
+        while trio.current_time() < deadline:
             replicas = self._replicas()
             address = replicas[index % len(replicas)] if replicas else ""
             sent_at = trio.current_time()
@@ -204,7 +204,7 @@
                 address,
                 kind,
                 calls.encode(calls.for_attempt(request, call_id, term)),
-                max(0.0, min(ATTEMPT_TIMEOUT_SECONDS, deadline - sent_at)),
+                min(ATTEMPT_TIMEOUT_SECONDS, deadline - sent_at),
             )
             now = trio.current_time()
             made = attempt_records.Attempt(
--- a/turmerichall/entry/tests/test_leader_client.py
+++ b/turmerichall/entry/tests/test_leader_client.py
@@ -105,7 +105,9 @@
         )
         assert answer.status == 201
 
-    async def test_ends_when_the_deadline_has_passed(
+    # Such calls were sent, though nobody waited for the outcome, and their
+    # callers got 504: "the job may run".
+    async def test_call_without_time_for_an_answer_is_not_sent(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         network = FakeNetwork()
@@ -113,7 +115,8 @@
         answer = await make_client(network).forward(
             calls.CLIENT_CALL, REQUEST, -0.5
         )
-        assert answer.status == 504
+        assert answer.status == 503
+        assert not network.called
 
 
 class TestReadiness:
