Answer 504 when a removed replica stays in the list of instances

What callers saw: DELETE /v1/instances/NAME answered 503 with the outcome "not run" although the replica had been removed from the replica group.

Cause: the handler makes two changes, of the replica group and of the list of instances. If the second one was refused, its refusal was the answer to the whole request.

Evidence: a test removes a member and then lets the submission of the second change be refused with no_quorum. Without the fix it fails: the answer is (503, "not run") while the fake daemon has no member left.

Why this works: once the replica group was changed, a refusal of the second change becomes an unknown outcome. A resend with the same operation id finds the name no longer in the group and makes only the second change.

--- a/turmerichall/operators/instances.py
+++ b/turmerichall/operators/instances.py
@@ -152,7 +152,8 @@
     """Remove an instance from the replica group and the list of instances."""
     operation = operations.read_operation(request)
     name = request.parameters["name"]
-    if name in _roles(services.replica.status()):
+    was_member = name in _roles(services.replica.status())
+    if was_member:
         response = await _change_members(
             services, message.MemberAction.REMOVE, name
         )
@@ -161,9 +162,21 @@
         if name not in services.machine.instances:
             return response
     change = changes.ForgetInstance(operation, name)
-    return await operations.submit(
+    outcome = await operations.submit(
         services, change, operation, instance_name=name
     )
+    if was_member and isinstance(outcome, outcomes.Refusal):
+        # A refusal would say that nothing was changed, but the replica group
+        # was.
+        return _unknown(
+            services,
+            outcomes.Unknown(
+                outcomes.UnknownReason.LEADER_LOST,
+                f"{name} was removed from the replica group, but not from the"
+                f" list of instances: {outcome.detail}",
+            ),
+        )
+    return outcome
 
 
 async def _change_members(
@@ -176,8 +189,7 @@
     if isinstance(outcome, outcomes.Refusal):
         return outcome
     if isinstance(outcome, outcomes.Unknown):
-        services.counters.unknown(services_module.PART, outcome.reason)
-        return replies.unknown(outcome)
+        return _unknown(services, outcome)
     services.log.info(
         "members changed", action=action.value, instance_name=name
     )
@@ -188,3 +200,11 @@
             "members": sorted({member.name for member in outcome}),
         }
     )
+
+
+def _unknown(
+    services: services_module.Services, unknown: outcomes.Unknown
+) -> exchange.Response:
+    """Count an unknown outcome and return the response to it."""
+    services.counters.unknown(services_module.PART, unknown.reason)
+    return replies.unknown(unknown)
--- a/turmerichall/operators/tests/test_application.py
+++ b/turmerichall/operators/tests/test_application.py
@@ -281,6 +281,34 @@
         assert removed.status == 200
         assert list(client.daemon.machine.instances) == ["i1"]
 
+    async def test_removed_member_whose_entry_stays_is_not_told_as_not_run(
+        self, client: in_process.Client, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        daemon = client.daemon
+        daemon.members = (member.Member("i2", "", "127.0.0.1:5"),)
+        body = instance.Instance("i2", "r", "z1", "", "", "", False)
+        await daemon.submit(changes.RegisterInstance(body))
+        change_members = daemon.change_members
+
+        async def lose_quorum_afterwards(*arguments: Any) -> Any:
+            members = await change_members(*arguments)
+            daemon.outcome = outcomes.Refusal(outcomes.RefusalReason.NO_QUORUM)
+            return members
+
+        monkeypatch.setattr(daemon, "change_members", lose_quorum_afterwards)
+        fields = in_process.OPERATOR | {"turmerichall-operation-id": "same"}
+        path = "/v1/instances/i2"
+        response = await client.call("DELETE", path, headers=fields)
+        assert not daemon.members
+        assert (response.status, response.document["outcome"]) == (
+            504,
+            "unknown",
+        )
+        daemon.outcome = None
+        resent = await client.call("DELETE", path, headers=fields)
+        assert resent.status == 200
+        assert not daemon.machine.instances
+
 
 class TestHealth:
 
