Answer a removal that is resent to an instance that lags behind

What callers saw: DELETE /v1/instances/NAME that was carried out, and then sent again with the same operation id to an instance that still listed the replica, was answered with 404 unknown_name and the outcome "not run".

Cause: the roles that decide whether the replica group has to be changed are those that the instance knows. The leader refused to remove a replica that is not a member, and this refusal was the answer, although the result of the operation is in the replicated state.

Evidence: a test removes a member, lets the instance list it again and the leader refuse its removal, and resends. Without the fix it fails: the answer is (404, "not run") instead of (200, "ran").

Why this works: a leader that doesn't know the member shows that only the list of instances is left to change. That change carries the operation id, so a resend gets the result of the first one, and an unknown name is refused by the state machine as before.

--- a/turmerichall/operators/instances.py
+++ b/turmerichall/operators/instances.py
@@ -152,15 +152,20 @@
     """Remove an instance from the replica group and the list of instances."""
     operation = operations.read_operation(request)
     name = request.parameters["name"]
-    was_member = name in _roles(services.replica.status())
-    if was_member:
+    was_member = False
+    if name in _roles(services.replica.status()):
         response = await _change_members(
             services, message.MemberAction.REMOVE, name
         )
-        if isinstance(response, outcomes.Refusal) or response.status != 200:
-            return response
-        if name not in services.machine.instances:
+        if isinstance(response, exchange.Response):
+            listed = name in services.machine.instances
+            if response.status != 200 or not listed:
+                return response
+            was_member = True
+        elif response.reason != outcomes.RefusalReason.UNKNOWN_NAME:
             return response
+        # The roles here are out of date if the leader doesn't know the member:
+        # an earlier request, perhaps with this operation id, has removed it.
     change = changes.ForgetInstance(operation, name)
     outcome = await operations.submit(
         services, change, operation, instance_name=name
--- a/turmerichall/operators/tests/test_application.py
+++ b/turmerichall/operators/tests/test_application.py
@@ -309,6 +309,28 @@
         assert resent.status == 200
         assert not daemon.machine.instances
 
+    async def test_removal_resent_to_a_lagging_instance_is_not_told_as_not_run(
+        self, client: in_process.Client, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        daemon = client.daemon
+        daemon.members = (member.Member("i2", "", "127.0.0.1:5"),)
+        body = instance.Instance("i2", "r", "z1", "", "", "", False)
+        await daemon.submit(changes.RegisterInstance(body))
+        fields = in_process.OPERATOR | {"turmerichall-operation-id": "same"}
+        path = "/v1/instances/i2"
+        first = await client.call("DELETE", path, headers=fields)
+        assert first.status == 200
+
+        async def refuse(*_: Any) -> outcomes.Refusal:
+            reason = outcomes.RefusalReason.UNKNOWN_NAME
+            return outcomes.Refusal(reason, "i2 is not a member")
+
+        # The other instance still lists the member; the leader does not.
+        daemon.members = (member.Member("i2", "", "127.0.0.1:5"),)
+        monkeypatch.setattr(daemon, "change_members", refuse)
+        resent = await client.call("DELETE", path, headers=fields)
+        assert (resent.status, resent.document["outcome"]) == (200, "ran")
+
 
 class TestHealth:
 
