Report an unknown outcome if a refusal follows a lost answer

What callers saw: `turmerichall` printed "refused (...)" with exit code 1 for a change that had been carried out.

Cause: a change whose answer is lost is sent again to the next instance. Any answer but 502, 503 and 504 ended the attempts and was reported alone, also one that says nothing about the earlier attempt, such as 401, 408 or 404 for a path that the instance doesn't know.

Evidence: a test publishes a template at an instance whose answer is lost, followed by one with another key.

Why this works: refusals by the state machine hold for every request with the operation id, because their result is remembered with it, and say so by the new field `recorded`. After an attempt that may have been carried out, other refusals become an unknown outcome that names both. Reads are not affected. An instance of an earlier version sends no `recorded`; its refusals after a lost answer are reported as unknown.

--- a/turmerichall/command_line/client.py
+++ b/turmerichall/command_line/client.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeGuard
 
 import httpcore
 import msgspec
@@ -26,7 +26,10 @@
 # HTTP statuses after which another instance is tried: no quorum, or an unknown
 # outcome.
 _RETRYABLE_STATUSES = (502, 503, 504)
+_DONE_STATUS = 200
 _UNKNOWN_OUTCOME_STATUS = 504
+# Precedence of the outcome of an attempt that may have been carried out.
+_MAY_HAVE_RUN = 2
 
 
 class Answer(NamedTuple):
@@ -96,14 +99,13 @@
             for server in self.options.servers:
                 outcome = self._send_once(server, method, target, body)
                 if _is_final(outcome):
-                    return outcome
+                    return _combined(method, outcomes, outcome)
                 outcomes.append(outcome)
             if round_number + 1 >= MAX_UNREACHABLE_ROUNDS and not any(
                 map(_precedence, outcomes)
             ):
                 break
-        decisive: Outcome = max(reversed(outcomes), key=_precedence)
-        return decisive
+        return _decisive(outcomes)
 
     def _send_once(
         self, server: str, method: str, target: str, body: bytes
@@ -174,13 +176,51 @@
         return AnswerLost(f"{url}: {type(error).__name__} {error}".strip())
 
 
-def _is_final(outcome: Outcome) -> bool:
+def _is_final(outcome: Outcome) -> TypeGuard[Answer]:
     return (
         isinstance(outcome, Answer)
         and outcome.status not in _RETRYABLE_STATUSES
     )
 
 
+def _combined(method: str, earlier: list[Outcome], last: Answer) -> Outcome:
+    """Return the outcome of a request whose last attempt had a final answer.
+
+    If an earlier attempt of a change may have been carried out, a refusal is
+    conclusive only if it is recorded with the operation id: an instance can
+    refuse a request without knowing what became of another one.
+
+    Args:
+        method: HTTP method of the request.
+        earlier: Outcomes of the earlier attempts.
+        last: The answer to the last attempt.
+    """
+    decisive = _decisive(earlier)
+    if (
+        method == "GET"
+        or last.status == _DONE_STATUS
+        or last.document.get("recorded") is True
+        or _precedence(decisive) < _MAY_HAVE_RUN
+    ):
+        return last
+    before = (
+        decisive.document.get("detail", "")
+        if isinstance(decisive, Answer)
+        else decisive.detail
+    )
+    reason = last.document.get("error", last.status)
+    return AnswerLost(
+        f"{before}; then {last.server} refused the resent request ({reason}):"
+        f" {last.document.get('detail')}"
+    )
+
+
+def _decisive(outcomes: list[Outcome]) -> Outcome:
+    """Return the outcome of several attempts that is reported."""
+    decisive: Outcome = max(reversed(outcomes), key=_precedence)
+    return decisive
+
+
 def _precedence(outcome: Outcome) -> int:
     """Return the rank of an outcome among those of several attempts.
 
@@ -194,5 +234,5 @@
     ):
         # This attempt may have been carried out, so a refusal of another
         # attempt must not be reported instead.
-        return 2
+        return _MAY_HAVE_RUN
     return 1
--- a/turmerichall/command_line/tests/test_cli.py
+++ b/turmerichall/command_line/tests/test_cli.py
@@ -187,6 +187,35 @@
         assert listener.daemon.machine.applied_index == 2
         assert listener.daemon.machine.configuration.revision == 1
 
+    def test_refusal_after_a_lost_answer_is_not_reported_as_not_run(
+        self,
+        listener: Listener,
+        capsys: pytest.CaptureFixture[str],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        other_keys = fake_daemon.KEYS._replace(operators="other-key")
+        monkeypatch.setattr(fake_daemon, "KEYS", other_keys)
+        listener.loses_answers = True
+        with Listener(fake_daemon.FakeDaemon()) as listener_with_other_key:
+            servers = f"{listener.address},{listener_with_other_key.address}"
+            options = ("--server", servers, "--timeout", "500 ms")
+            code = _run("template", "publish", "r", *PUBLISH, *options)
+        assert listener.daemon.machine.configuration.revision == 1
+        messages = capsys.readouterr().err
+        assert (code, "unknown outcome" in messages) == (4, True), messages
+        assert "unauthorized" in messages
+
+    def test_recorded_refusal_after_a_lost_answer_is_not_told_as_unknown(
+        self, listener: Listener, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert _run("template", "publish", "r", *PUBLISH) == 0
+        with Listener(listener.daemon) as listener_without_answers:
+            listener_without_answers.loses_answers = True
+            servers = f"{listener_without_answers.address},{listener.address}"
+            options = ("--server", servers, "--timeout", "500 ms")
+            assert _run("template", "publish", "r", *PUBLISH, *options) == 3
+        assert "version 1 was set by" in capsys.readouterr().err
+
     def test_instance_without_a_quorum_is_skipped(
         self, listener: Listener
     ) -> None:
--- a/turmerichall/operators/replies.py
+++ b/turmerichall/operators/replies.py
@@ -2,7 +2,9 @@
 
 The body of an error response is a JSON document with `error` (the reason, as
 counted in metrics), `outcome` (`not run`, or `unknown` if the change may or may
-not be applied), `detail` and, for invalid input, `findings`.
+not be applied), `detail` and, for invalid input, `findings`.  `not run` speaks
+of the request that is answered.  Only if `recorded` is true, it holds for all
+requests with the same operation id, since the state machine remembers it.
 """
 
 from collections.abc import Mapping
@@ -129,4 +131,6 @@
     }
     if change_result.status != changes.Status.CONFLICT:
         current = {}
-    return refusal(refused, extra_fields={**current, **extra_fields})
+    return refusal(
+        refused, extra_fields={"recorded": True, **current, **extra_fields}
+    )
