Answer a refused resend with the result that the state holds

What callers saw: a change that had been carried out, sent again with its operation id to learn the outcome, was answered with 503 no_quorum and the outcome "not run", by an instance whose own copy of the state held the result of that operation.

Cause: the results by operation id were looked up only when a change was applied. A resend that was refused before, by the barrier or by the log, did not get that far.

Why this works: before a change is refused, the result is looked up in the local state. That state holds only applied, and so committed, changes. If it doesn't hold the result, the refusal speaks of the resent request alone.

--- a/turmerichall/operators/backend_servers.py
+++ b/turmerichall/operators/backend_servers.py
@@ -91,20 +91,15 @@
         document = operations.StateDocument()
         if request.body:
             document = operations.decode_body(request, operations.StateDocument)
+        about = {"backend_server": name, "intention": intention.value}
         base_version = document.base_version
         if base_version is None:
             refused = await services.replica.barrier()
             if refused is not None:
-                return refused
+                return operations.refuse(services, operation, refused, **about)
             current = services.machine.configuration.intentions.get(name)
             base_version = current.version if current else 0
         change = changes.SetIntention(operation, base_version, name, intention)
-        return await operations.submit(
-            services,
-            change,
-            operation,
-            backend_server=name,
-            intention=intention.value,
-        )
+        return await operations.submit(services, change, operation, **about)
 
     return handle
--- a/turmerichall/operators/instances.py
+++ b/turmerichall/operators/instances.py
@@ -163,7 +163,9 @@
                 return response
             was_member = True
         elif response.reason != outcomes.RefusalReason.UNKNOWN_NAME:
-            return response
+            return operations.refuse(
+                services, operation, response, instance_name=name
+            )
         # The roles here are out of date if the leader doesn't know the member:
         # an earlier request, perhaps with this operation id, has removed it.
     change = changes.ForgetInstance(operation, name)
--- a/turmerichall/operators/operations.py
+++ b/turmerichall/operators/operations.py
@@ -22,6 +22,7 @@
     "StateDocument",
     "decode_body",
     "read_operation",
+    "refuse",
     "submit",
 ]
 
@@ -95,11 +96,37 @@
         )
         return replies.unknown(outcome)
     if isinstance(outcome, outcomes.Refusal):
-        return outcome
+        return refuse(services, operation, outcome, **about)
     _record_result(services, outcome, name, fields | about)
     return replies.result(outcome, about)
 
 
+def refuse(
+    services: services_module.Services,
+    operation: changes.Operation,
+    refusal: outcomes.Refusal,
+    **about: Any,
+) -> exchange.Response | outcomes.Refusal:
+    """Return what a request is answered that was refused before it was logged.
+
+    If the replicated state holds the result of an earlier request with the same
+    operation id, such as one whose answer was lost, a refusal would be untrue.
+
+    Args:
+        services: Parts of the daemon.
+        operation: Id of the operation.
+        refusal: Why the request was refused.
+        **about: As for `submit`.
+
+    Returns:
+        The response with the earlier result if there is one, or the refusal.
+    """
+    result = services.machine.operations.get(operation.operation_id)
+    if result is None:
+        return refusal
+    return replies.result(result, about)
+
+
 def _record_result(
     services: services_module.Services,
     outcome: changes.Result,
--- a/turmerichall/operators/zones.py
+++ b/turmerichall/operators/zones.py
@@ -92,9 +92,10 @@
         if request.body:
             document = operations.decode_body(request, operations.StateDocument)
         # An instance that lags behind may not know the zone or its version.
+        about = {"zone": zone, "state": state.value}
         refused = await services.replica.barrier()
         if refused is not None:
-            return refused
+            return operations.refuse(services, operation, refused, **about)
         if zone not in _known_zones(services):
             return _unknown_zone(services, zone)
         base_version = document.base_version
@@ -102,9 +103,7 @@
             current = services.machine.configuration.zones.get(zone)
             base_version = current.version if current else 0
         change = zone_change.SetZoneState(operation, base_version, zone, state)
-        return await operations.submit(
-            services, change, operation, zone=zone, state=state.value
-        )
+        return await operations.submit(services, change, operation, **about)
 
     return handle
 
