Hand claims over to one instance only, if its answer is lost

What callers could see: a request that is not idempotent, sent again with its id, could run twice, since one replica of the id granted two claims.

Cause: an instance that is stopped sends its claims to another one. If the answer was lost, it sent them to the next one too, although the first may have stored them.

Evidence: a test loses the answer of the first instance, restarts while it is unreachable, claims an id, restarts again and claims the id with another token. Without the fix it fails for claims 4 s and 7 s after the restart: both are granted. For 1 s and 9 s it passes with and without the fix.

If the first instance can't be reached after the restart, there is none to restore, and claims are granted only after the retention time, as before for an unplanned restart. A store call that is delayed beyond the retention time is still not covered.

--- a/turmerichall/gateway/claim_handover.py
+++ b/turmerichall/gateway/claim_handover.py
@@ -113,24 +113,34 @@
     async def hand_over(self) -> bool:
         """Stop granting claims and send a snapshot of them to one instance.
 
+        After a call without an answer no other instance is tried: the first one
+        may have stored the snapshot.  If it were unreachable after the restart,
+        the copy of the other one would be restored at once, and a later restart
+        could restore the outdated first copy.
+
         Returns:
-            Whether an instance has stored the snapshot.
+            Whether an instance is known to have stored the snapshot.
         """
         self.claims.store.abstain_reason = STOPPING
         chunks = self._encode_chunks()
         for name in self._others():
-            if await self._send_snapshot(name, chunks):
+            refusal = await self._send_snapshot(name, chunks)
+            if refusal is None:
                 return True
+            if refusal.reason == outcomes.RefusalReason.TIMEOUT:
+                return False
         return False
 
-    async def _send_snapshot(self, name: str, chunks: list[bytes]) -> bool:
+    async def _send_snapshot(
+        self, name: str, chunks: list[bytes]
+    ) -> outcomes.Refusal | None:
         for chunk in chunks:
             reply = await self.network.call(
                 name, STORE, chunk, CALL_TIMEOUT_SECONDS
             )
             if isinstance(reply, outcomes.Refusal):
-                return False
-        return True
+                return reply
+        return None
 
     def _others(self) -> list[str]:
         zone = self.claims.members.get(self.name, "")
--- a/turmerichall/gateway/tests/test_claim_handover.py
+++ b/turmerichall/gateway/tests/test_claim_handover.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import pytest
 import trio
 import trio.testing
 
@@ -21,6 +22,7 @@
     def __init__(self) -> None:
         self.handlers: dict[tuple[str, str], Any] = {}
         self.down: set[str] = set()
+        self.loses_answers: set[str] = set()
 
 
 class _FakeNetwork:
@@ -44,6 +46,8 @@
             return outcomes.Refusal(outcomes.RefusalReason.UNREACHABLE)
         handler = self.hub.handlers[(instance, kind)]
         reply: bytes = await handler(self.name, body)
+        if instance in self.hub.loses_answers:
+            return outcomes.Refusal(outcomes.RefusalReason.TIMEOUT)
         return reply
 
     def send(self, instance: str, kind: str, body: bytes) -> bool:
@@ -181,6 +185,31 @@
             == claim_store.ClaimState.ABSTAINED
         )
 
+    @pytest.mark.parametrize("seconds", [1, 4, 7, 9])
+    async def test_snapshot_whose_answer_was_lost_is_not_restored_later(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        nursery: trio.Nursery,
+        seconds: int,
+    ) -> None:
+        instances = _Instances()
+        await instances.start_all()
+        request_id = _new_id()
+        instances.hub.loses_answers.add("b")
+        await instances.stop("a")
+        instances.hub.loses_answers.clear()
+        instances.hub.down.add("b")
+        nursery.start_soon(instances.start("a").restore)
+        await trio.sleep(seconds)
+        first = instances.claim("a", request_id, "t1")
+        instances.hub.down.discard("b")
+        await instances.start("a").restore()
+        second = instances.claim("a", request_id, "t2")
+        assert (first, second) != (
+            claim_store.ClaimState.GRANTED,
+            claim_store.ClaimState.GRANTED,
+        )
+
     async def test_restore_waits_while_a_snapshot_may_be_unreachable(
         self, autojump_clock: trio.testing.MockClock, nursery: trio.Nursery
     ) -> None:
