Send no start to another incarnation than the one that holds the lease

What was seen: an attempt of a task was recorded as refused, and the task was started again elsewhere, while an earlier incarnation of the worker on another host could still run the attempt.

Cause: a start was sent to the worker as it announced itself last, and named that incarnation. A worker that moved to another host between the decision to send and the sending refused it, or ran it without a lease. The refusal ended the attempt at once, although an earlier send of the same start, whose answer may have been lost, had reached the earlier incarnation.

Evidence: two tests let a worker announce itself without its task, which calls for a resend, and then from another host with a higher incarnation. Without the fix both fail: attempt 1 has ended and the task is at attempt 51 of refused ones within 2 s, and the start is sent to incarnation 2.

Why this works: a start is only sent to the incarnation that the attempt is leased to. An attempt of an earlier incarnation ends as lost, at once on the same host and otherwise once its lease has ended, as it did before.

--- a/turmerichall/zones/executor.py
+++ b/turmerichall/zones/executor.py
@@ -151,14 +151,16 @@
             epoch_state: State of the held epoch.
             worker: Name of the worker.
             task_ids: Ids of the tasks.  Tasks that no longer run on the worker
-                are skipped.
+                are skipped.  So are tasks that an earlier incarnation of the
+                worker holds: it may run the attempt, which a refusal by the
+                present one would end.
         """
         announcement = epoch_state.workers.records[worker].announcement
         kind = announcements.CommandKind.START
         created = [
             epoch_state.make_command(kind, task_id, announcement)
             for task_id in task_ids
-            if self._is_running_on(task_id, worker)
+            if self._is_running_on(task_id, announcement)
         ]
         commands = [command for command in created if command is not None]
         if not commands:
@@ -175,9 +177,14 @@
             if not answer.accepted:
                 epoch_state.add_end(_refused_end(answer, worker))
 
-    def _is_running_on(self, task_id: str, worker: str) -> bool:
+    def _is_running_on(
+        self, task_id: str, announcement: announcements.Announcement
+    ) -> bool:
         task = self.machine.job_store.tasks.get(task_id)
-        if task is None or task.held is None or task.held.worker != worker:
+        if task is None or task.held is None:
+            return False
+        leased_to = (task.held.worker, task.held.incarnation)
+        if leased_to != (announcement.name, announcement.incarnation):
             return False
         return task.state == job.TaskState.RUNNING
 
--- a/turmerichall/zones/tests/scheduled_zone.py
+++ b/turmerichall/zones/tests/scheduled_zone.py
@@ -99,10 +99,12 @@
         worker: str = "w1",
         incarnation: int = 1,
         epoch: int = 1,
+        host: str = "",
     ) -> announcement.Reply:
         """Send an announcement of a worker and return the reply."""
+        address = f"{host or worker}:1"
         announced = announcement.Announcement(
-            worker, incarnation, sequence, "z1", "r1", f"{worker}:1", ROOM
+            worker, incarnation, sequence, "z1", "r1", address, ROOM
         )
         reply = self.scheduler.announce(
             announced._replace(tasks=tasks, epoch=epoch)
--- a/turmerichall/zones/tests/test_scheduler.py
+++ b/turmerichall/zones/tests/test_scheduler.py
@@ -72,6 +72,27 @@
         assert [c.attempt for c in sent] == [1, 1]
         assert sent[-1].anchor == 2
 
+    async def test_refusal_by_a_later_incarnation_does_not_end_the_attempt(
+        self, zone: scheduled_zone.Zone, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        await zone.run_job()
+        zone.sender.accept = False
+        zone.announce(2)
+        zone.announce(1, incarnation=2, host="w1-moved")
+        await zone.settle()
+        task = zone.task()
+        assert (task.state, task.attempt) == (job.TaskState.RUNNING, 1)
+
+    async def test_start_is_not_sent_to_a_later_incarnation(
+        self, zone: scheduled_zone.Zone, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        await zone.run_job()
+        zone.announce(2)
+        zone.announce(1, incarnation=2, host="w1-moved")
+        await zone.settle()
+        sent = [c for _, c in zone.sender.sent if c.task_id == "j1/0"]
+        assert [c.incarnation for c in sent] == [1]
+
     async def test_no_start_without_a_quorum(
         self, zone: scheduled_zone.Zone, autojump_clock: trio.testing.MockClock
     ) -> None:
