Do not call the refusal of a removal recorded for its operation

What callers saw: a removal of a replica that isn't in the list of instances, first answered as unknown and then carried out, was answered to its resend with 404 and `recorded`, as if no request with that operation id had changed anything. `turmerichall` would report it as refused.

Cause: `recorded` was set for every refusal by the state machine. A removal also changes the replica group, whose result is not stored by operation id.

Evidence: a test answers the first removal as unknown, lets it take effect and resends it. Without the fix it fails: `recorded` is true.

Why this works: the refusal of that change is not marked, so that the command line reports an unknown outcome. For the same reason, a refused request gets an earlier result from the local state only if the change was applied.

--- a/turmerichall/operators/operations.py
+++ b/turmerichall/operators/operations.py
@@ -98,7 +98,10 @@
     if isinstance(outcome, outcomes.Refusal):
         return refuse(services, operation, outcome, **about)
     _record_result(services, outcome, name, fields | about)
-    return replies.result(outcome, about)
+    # The removal of an instance also changes the replica group, which is not
+    # recorded with the operation id.
+    recorded = not isinstance(change, changes.ForgetInstance)
+    return replies.result(outcome, about, recorded)
 
 
 def refuse(
@@ -109,8 +112,8 @@
 ) -> exchange.Response | outcomes.Refusal:
     """Return what a request is answered that was refused before it was logged.
 
-    If the replicated state holds the result of an earlier request with the same
-    operation id, such as one whose answer was lost, a refusal would be untrue.
+    If the change was applied for an earlier request with the same operation id,
+    such as one whose answer was lost, a refusal would be untrue.
 
     Args:
         services: Parts of the daemon.
@@ -122,7 +125,7 @@
         The response with the earlier result if there is one, or the refusal.
     """
     result = services.machine.operations.get(operation.operation_id)
-    if result is None:
+    if result is None or result.status != changes.Status.APPLIED:
         return refusal
     return replies.result(result, about)
 
--- a/turmerichall/operators/replies.py
+++ b/turmerichall/operators/replies.py
@@ -102,7 +102,9 @@
 
 
 def result(
-    change_result: changes.Result, extra_fields: Mapping[str, Any]
+    change_result: changes.Result,
+    extra_fields: Mapping[str, Any],
+    recorded: bool = True,
 ) -> exchange.Response:
     """Return the HTTP response for a change that was applied or rejected.
 
@@ -110,6 +112,8 @@
         change_result: Result of the change.
         extra_fields: Further fields of the document, such as the id of the job
             that is changed.
+        recorded: Whether a refusal holds for all requests with the same
+            operation id.
 
     Returns:
         The response; for a version conflict, with the current version and the
@@ -132,5 +136,5 @@
     if change_result.status != changes.Status.CONFLICT:
         current = {}
     return refusal(
-        refused, extra_fields={"recorded": True, **current, **extra_fields}
+        refused, extra_fields={"recorded": recorded, **current, **extra_fields}
     )
--- a/turmerichall/operators/tests/test_resent_changes.py
+++ b/turmerichall/operators/tests/test_resent_changes.py
@@ -72,3 +72,19 @@
             503,
             "not run",
         )
+
+    async def test_refused_removal_is_not_told_as_recorded(
+        self, client: in_process.Client
+    ) -> None:
+        daemon = client.daemon
+        path = "/v1/instances/i9"
+        daemon.members = (member.Member("i9", "", "127.0.0.1:5"),)
+        daemon.outcome = outcomes.Unknown(outcomes.UnknownReason.LEADER_LOST)
+        first = await client.call("DELETE", path, None, FIELDS)
+        assert first.document["outcome"] == "unknown"
+        daemon.outcome = None
+        # The removal is committed after its answer.
+        daemon.members = ()
+        resent = await client.call("DELETE", path, None, FIELDS)
+        assert resent.document["error"] == "unknown_name"
+        assert not resent.document["recorded"]
