--- a/turmerichall/operators/instances.py
+++ b/turmerichall/operators/instances.py
@@ -152,18 +152,38 @@
     """Remove an instance from the replica group and the list of instances."""
     operation = operations.read_operation(request)
     name = request.parameters["name"]
+    was_member = False
     if name in _roles(services.replica.status()):
         response = await _change_members(
             services, message.MemberAction.REMOVE, name
         )
-        if isinstance(response, outcomes.Refusal) or response.status != 200:
-            return response
-        if name not in services.machine.instances:
-            return response
+        if isinstance(response, exchange.Response):
+            listed = name in services.machine.instances
+            if response.status != 200 or not listed:
+                return response
+            was_member = True
+        elif response.reason != outcomes.RefusalReason.UNKNOWN_NAME:
+            return operations.refuse(
+                services, operation, response, instance_name=name
+            )
+        # The roles here are out of date if the leader doesn't know the member:
+        # an earlier request, perhaps with this operation id, has removed it.
     change = changes.ForgetInstance(operation, name)
-    return await operations.submit(
+    outcome = await operations.submit(
         services, change, operation, instance_name=name
     )
+    if was_member and isinstance(outcome, outcomes.Refusal):
+        # A refusal would say that nothing was changed, but the replica group
+        # was.
+        return _unknown(
+            services,
+            outcomes.Unknown(
+                outcomes.UnknownReason.LEADER_LOST,
+                f"{name} was removed from the replica group, but not from the"
+                f" list of instances: {outcome.detail}",
+            ),
+        )
+    return outcome
 
 
 async def _change_members(
@@ -176,8 +196,7 @@
     if isinstance(outcome, outcomes.Refusal):
         return outcome
     if isinstance(outcome, outcomes.Unknown):
-        services.counters.unknown(services_module.PART, outcome.reason)
-        return replies.unknown(outcome)
+        return _unknown(services, outcome)
     services.log.info(
         "members changed", action=action.value, instance_name=name
     )
@@ -188,3 +207,11 @@
             "members": sorted({member.name for member in outcome}),
         }
     )
+
+
+def _unknown(
+    services: services_module.Services, unknown: outcomes.Unknown
+) -> exchange.Response:
+    """Count an unknown outcome and return the response to it."""
+    services.counters.unknown(services_module.PART, unknown.reason)
+    return replies.unknown(unknown)
--- a/turmerichall/operators/replies.py
+++ b/turmerichall/operators/replies.py
@@ -2,7 +2,9 @@
 
 The body of an error response is a JSON document with `error` (the reason, as
 counted in metrics), `outcome` (`not run`, or `unknown` if the change may or may
-not be applied), `detail` and, for invalid input, `findings`.
+not be applied), `detail` and, for invalid input, `findings`.  `not run` speaks
+of the request that is answered.  Only if `recorded` is true, it holds for all
+requests with the same operation id, since the state machine remembers it.
 """
 
 from collections.abc import Mapping
@@ -100,7 +102,9 @@
 
 
 def result(
-    change_result: changes.Result, extra_fields: Mapping[str, Any]
+    change_result: changes.Result,
+    extra_fields: Mapping[str, Any],
+    recorded: bool = True,
 ) -> exchange.Response:
     """Return the HTTP response for a change that was applied or rejected.
 
@@ -108,6 +112,8 @@
         change_result: Result of the change.
         extra_fields: Further fields of the document, such as the id of the job
             that is changed.
+        recorded: Whether a refusal holds for all requests with the same
+            operation id.
 
     Returns:
         The response; for a version conflict, with the current version and the
@@ -129,4 +135,6 @@
     }
     if change_result.status != changes.Status.CONFLICT:
         current = {}
-    return refusal(refused, extra_fields={**current, **extra_fields})
+    return refusal(
+        refused, extra_fields={"recorded": recorded, **current, **extra_fields}
+    )
