Ask a quorum after a restart from a term that the replica may have led

Callers saw: a leader whose disk was slow applied and showed a change that its disk lacked. Killed and cut off right then, it restarted without the change and claimed to be as recent as before.

At the restart, the end of its log was taken for the end of what it had applied.

Now the vote for itself, which is durable before a replica leads, tells that it may have led.

Weighed: applying only what the own disk holds, by which its stall would stop all changes; a bound written ahead, which is always beyond the end of the log.

Given up: a leader killed and at once cut off is not recovered until it reaches a quorum.

Three tests are new: a second restart after a newer term was seen, a restart of all, a cut-off leader that stepped down and restarts.

--- a/turmerichall/agreement/disk_recovery.py
+++ b/turmerichall/agreement/disk_recovery.py
@@ -1,4 +1,4 @@
-"""Return of a replica to consensus once its failed disk works again."""
+"""Data folders that may lack applied changes, and disks that work again."""
 
 import trio
 
@@ -8,7 +8,7 @@
 from turmerichall.storage import data_folder
 from turmerichall.telemetry import repeat_limit
 
-__all__ = ["DiskRecovery"]
+__all__ = ["DiskRecovery", "run_journal"]
 
 # Time between two tries of a disk that failed.  An instance has to take part
 # again within some seconds after the end of a fault.
@@ -86,3 +86,19 @@
     def _seconds(self) -> float:
         """Return the time since the disk failed."""
         return round(trio.current_time() - self.failed_at, 2)
+
+
+async def run_journal(state: replica_state.ReplicaState) -> None:
+    """Write the records of the journal, until cancelled.
+
+    If the data folder may lack changes that were applied before a restart, it
+    is marked first.  The vote state may be the only sign of that, and the
+    records that are written here replace it.
+
+    Raises:
+        StorageError: The mark, or a write or a sync of the journal, failed.
+    """
+    assert state.folder is not None
+    if state.recovery_index == replica_state.NOT_RECOVERED:
+        await state.folder.mark_incomplete()
+    await state.folder.journal.run()
--- a/turmerichall/agreement/election.py
+++ b/turmerichall/agreement/election.py
@@ -58,6 +58,19 @@
                 await trio.sleep(self.state.timing.heartbeat_seconds)
             elif await self._campaign():
                 await self._lead()
+            self._save_resignation()
+
+    def _save_resignation(self) -> None:
+        """Record that this replica leads no more in the term of its own vote.
+
+        After a restart it then trusts its disk, also while it is cut off.
+
+        Raises:
+            StorageError: The journal failed earlier.
+        """
+        raft_log = self.state.raft_log
+        if raft_log.vote_state.may_lead(self.state.identity):
+            raft_log.save_vote(raft_log.vote_state._replace(resigned=True))
 
     async def _lead(self) -> None:
         async with trio.open_nursery() as nursery:
--- a/turmerichall/agreement/entry_log.py
+++ b/turmerichall/agreement/entry_log.py
@@ -41,10 +41,22 @@
         term: Newest term that the replica has seen.
         voted_for: Identity of the candidate that it voted for in that term;
             empty if it has not voted.
+        resigned: Whether a replica that voted for itself neither leads nor
+            campaigns any longer in that term.
     """
 
     term: int = 0
     voted_for: str = ""
+    resigned: bool = False
+
+    def may_lead(self, identity: str) -> bool:
+        """Return whether the replica with an identity may lead in the term.
+
+        A leader applies entries once a majority of the voters holds them, so
+        its own journal may lack some of them.  If the journal holds a later
+        vote state, it also holds all entries that were appended before.
+        """
+        return self.voted_for == identity and not self.resigned
 
 
 class _Configuration(NamedTuple):
--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -244,7 +244,7 @@
         snapshot, complete = await folder.files.run_blocking(load)
         if snapshot is not None:
             snapshots.apply_snapshot(state, snapshot)
-        if complete:
+        if complete and not state.raft_log.vote_state.may_lead(state.identity):
             state.recovery_index = state.raft_log.last_index
         state.advance_commit(state.raft_log.commit)
         state.raft_log.rewrite()
@@ -267,7 +267,7 @@
         self._register("barrier", self._proposer.on_barrier)
         self._register("change_members", self._proposer.on_change_members)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(state.raft_log.journal.run)
+            nursery.start_soon(disk_recovery.run_journal, state)
             nursery.start_soon(self._applier.run)
             nursery.start_soon(self._applier.run_persisting_commit)
             nursery.start_soon(self._snapshots.run_taking)
--- a/turmerichall/agreement/tests/test_recovery.py
+++ b/turmerichall/agreement/tests/test_recovery.py
@@ -171,6 +171,59 @@
         went_back = cluster.values(leader).get("k") != "1"
         assert not (went_back and again.status().recovered)
 
+    # The newer term of the others replaces the vote by which the first restart
+    # tells that the disk may lack something.
+    async def test_second_restart_does_not_claim_to_be_recovered_either(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        cluster, old, rest = await _start(nursery)
+        await trio.sleep(2.0)
+        cluster.files[old].sync_seconds = 5.0
+        await cluster.put(old, "k=1")
+        cluster.kill(old)
+        leader = await cluster.wait_for_leader(set(rest))
+        cluster.hub.isolate(old, {leader})
+        again = await cluster.start(old)
+        term = cluster.replicas[leader].status().term
+        await cluster.wait_until(lambda: again.status().term == term)
+        await trio.sleep(1.0)
+        assert not again.status().recovered
+        cluster.kill(old)
+        cluster.hub.isolate(old, set(cluster.names))
+        again = await cluster.start(old)
+        await trio.sleep(1.0)
+        assert not again.status().recovered
+        cluster.hub.heal()
+        await cluster.wait_until(lambda: again.status().recovered)
+        assert cluster.values(old)["k"] == "1"
+
+    # Nobody but the replicas themselves can tell them what is committed.
+    async def test_restart_of_all_recovers(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        cluster, leader, _ = await _start(nursery)
+        cluster.files[leader].sync_seconds = 5.0
+        await cluster.put(leader, "k=1")
+        for name in cluster.names:
+            cluster.kill(name)
+        await cluster.start_all()
+        await cluster.wait_until(
+            lambda: all(r.status().recovered for r in cluster.replicas.values())
+        )
+        assert all(cluster.values(n)["k"] == "1" for n in cluster.names)
+
+    # A leader that lost its quorum leads no more, and its disk has caught up.
+    async def test_cut_off_leader_serves_its_state_after_a_restart(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        cluster, leader, _ = await _start(nursery)
+        cluster.hub.isolate(leader, set(cluster.names))
+        await trio.sleep(10.0)
+        cluster.kill(leader)
+        again = await cluster.start(leader)
+        assert again.status().recovered
+        assert cluster.values(leader)["k"] == "0"
+
 
 class TestFullDisk:
 
