Measure the processor time of a leader's decisions by part

make bench-dispatch drives a whole leader over fakes with the load of a large site: long-running tasks on 95 % of the cores, urgent jobs that preempt them, and best-effort jobs.

--- a/turmerichall/benchmarks/dispatch.py
+++ b/turmerichall/benchmarks/dispatch.py
@@ -7,8 +7,9 @@
 workers a task (`choose_worker`) and with one look at each worker a step
 (`Candidates`), and the choice of the long-running runs that give room to urgent
 tasks.  A second measurement plays a load above capacity, with tasks of several
-sizes, and takes the time of a placing round with and without backfill.  The
-tables go to standard output.
+sizes, and takes the time of a placing round with and without backfill.  A third
+drives a whole leader over fakes with the load of a large site, and takes the
+time of its decisions by part.  The tables go to standard output.
 """
 
 import math
@@ -21,6 +22,7 @@
 from turmerichall.dispatch import preemption
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
+from turmerichall.benchmarks import leader_load
 from turmerichall.benchmarks import placing_replay as replays
 from turmerichall.dispatch.tests import fakes
 from turmerichall.queues import change as changes
@@ -29,6 +31,7 @@
 __all__ = ["make_fleet", "measure", "measure_round"]
 
 FLEET_SIZES = (30, 100, 270, 790)
+LEADER_SIZES = (30, 100, 246, 500, 790)
 WORKER_CPU = 32000
 LONG_RUNNING_TASKS = 5
 LONG_RUNNING_IMAGES = 16
@@ -192,6 +195,20 @@
             floatfmt=".3f",
         )
     )
+    parts = [leader_load.measure_parts(size) for size in LEADER_SIZES]
+    rows_by_part = [
+        (part, *(row[part] for row in parts)) for part in leader_load.PARTS
+    ]
+    rows_by_part.append(("all", *(sum(row.values()) for row in parts)))
+    print("Decisions, ms a started task, by number of workers")
+    print(
+        tabulate.tabulate(
+            rows_by_part,
+            ("part", *map(str, LEADER_SIZES)),
+            tablefmt="github",
+            floatfmt=".3f",
+        )
+    )
 
 
 if __name__ == "__main__":
