Extrapolate the load of a long-running step when its history grows

The forecast of a step was made anew for each of its tasks at each poll, although its history grows every 0.4 s.

--- a/turmerichall/dispatch/service_load.py
+++ b/turmerichall/dispatch/service_load.py
@@ -109,9 +109,10 @@
         latest: The latest sample of each task.
         history: Times and loads of the step, oldest first.
         first_sample_at: Time of the first sample on the steady clock.
+        extrapolated: Forecast from the history alone; None while that is empty.
     """
 
-    __slots__ = ("first_sample_at", "history", "latest")
+    __slots__ = ("extrapolated", "first_sample_at", "history", "latest")
 
     def __init__(self, now: float):
         self.latest: dict[changes.TaskName, _Sample] = {}
@@ -119,6 +120,7 @@
             collections.deque()
         )
         self.first_sample_at = now
+        self.extrapolated: LoadForecast | None = None
 
     def undisturbed_load(
         self, now: float, excluded_worker: str
@@ -161,6 +163,20 @@
         self.history.append((now, step_load))
         while now - self.history[0][0] > PEAK_WINDOW_SECONDS:
             self.history.popleft()
+        self.extrapolated = self._extrapolate()
+
+    def _extrapolate(self) -> LoadForecast:
+        """Return the load expected soon, and the peak in the history."""
+        at, step_load = self.history[-1]
+        slope = 0.0
+        for earlier, load in reversed(self.history):
+            if at - earlier >= FORECAST_SECONDS:
+                slope = (step_load - load) / (at - earlier)
+                break
+        slope = max(-MAX_SLOPE_PER_SECOND, min(MAX_SLOPE_PER_SECOND, slope))
+        soon = max(0.0, step_load + slope * FORECAST_SECONDS)
+        peak = max(load for _, load in self.history)
+        return LoadForecast(soon, max(peak, soon))
 
 
 class LoadTracker:
@@ -246,20 +262,13 @@
             now: Current time on the steady clock.
         """
         step = self._steps.get(task[:3])
-        if step is None or not step.history:
+        if step is None or step.extrapolated is None:
             return DEFAULT_FORECAST
-        at, step_load = step.history[-1]
-        slope = 0.0
-        for earlier, load in reversed(step.history):
-            if at - earlier >= FORECAST_SECONDS:
-                slope = (step_load - load) / (at - earlier)
-                break
-        slope = max(-MAX_SLOPE_PER_SECOND, min(MAX_SLOPE_PER_SECOND, slope))
-        soon = max(0.0, step_load + slope * FORECAST_SECONDS)
-        peak = max(load for _, load in step.history)
-        if now - step.first_sample_at < PEAK_WINDOW_SECONDS:
-            peak = max(peak, DEFAULT_PEAK)
-        return LoadForecast(soon, max(peak, soon))
+        forecast = step.extrapolated
+        is_new = now - step.first_sample_at < PEAK_WINDOW_SECONDS
+        if is_new and forecast.peak < DEFAULT_PEAK:
+            return forecast._replace(peak=DEFAULT_PEAK)
+        return forecast
 
     def forget_job(self, job_id: str) -> None:
         """Forget the steps of a job that has ended."""
