Look up the tasks beside a run only if it can be slow

Each poll compared each run older than 1.2 s with all tasks of its step, also runs so nearly done that no comparison moves them.

--- a/turmerichall/dispatch/straggler_detector.py
+++ b/turmerichall/dispatch/straggler_detector.py
@@ -74,13 +74,17 @@
         for run in list(worker.runs.values()):
             if run.step.lasting or run.stopping or not run.confirmed_at:
                 continue
-            progress = run.progress(now)
-            # Most runs end before `STALL_SECONDS`; looking up the other tasks
-            # of their step would be wasted.
-            if progress.seconds < stragglers.STALL_SECONDS:
+            # Most runs end before `STALL_SECONDS`.
+            if now - run.confirmed_at < stragglers.STALL_SECONDS:
                 continue
+            progress = run.progress(now)
+            siblings = (
+                self._sibling_seconds(run, now)
+                if stragglers.may_be_slow(progress)
+                else []
+            )
             reason = stragglers.reason_to_move(
-                progress, self._sibling_seconds(run, now), STARTUP_SECONDS
+                progress, siblings, STARTUP_SECONDS
             )
             if not reason or not self._may_move(run, reason, progress):
                 continue
--- a/turmerichall/dispatch/stragglers.py
+++ b/turmerichall/dispatch/stragglers.py
@@ -11,7 +11,14 @@
 import statistics
 from typing import NamedTuple
 
-__all__ = ["Progress", "SLOW", "STALLED", "STALL_SECONDS", "reason_to_move"]
+__all__ = [
+    "Progress",
+    "SLOW",
+    "STALLED",
+    "STALL_SECONDS",
+    "may_be_slow",
+    "reason_to_move",
+]
 
 # Time without progress at full pace, after start-up, after which a run has
 # stalled.
@@ -26,6 +33,9 @@
 MIN_GAINED_PERCENT = 5
 # Time that a move costs in addition to the run itself.
 MOVE_COST_SECONDS = 0.8
+# A slow run is moved if what is left here takes more than this many times as
+# long as elsewhere.
+MOVE_FACTOR = 1.5
 # Number of other tasks of a step whose actual or expected times a comparison
 # needs.
 MIN_SIBLINGS = 2
@@ -69,6 +79,25 @@
         return self.seconds * 100 / gained
 
 
+def may_be_slow(run: Progress) -> bool:
+    """Return whether other tasks of its step can show that a run is slow.
+
+    It is cheaper than looking up these tasks: none of them is so fast that a
+    run which is nearly done would be moved.
+
+    Examples:
+        >>> run = Progress(3.0, 10, 0, 0.1, math.inf, 0.0, True)
+        >>> may_be_slow(run), may_be_slow(run._replace(percent=80))
+        (True, False)
+    """
+    expected = run.expected_seconds()
+    if run.full_pace_seconds < math.inf or expected is None:
+        return False
+    return (
+        expected * (100 - run.percent) / 100 > MOVE_FACTOR * MOVE_COST_SECONDS
+    )
+
+
 def reason_to_move(
     run: Progress,
     siblings: Sequence[float],
@@ -110,6 +139,9 @@
     left_here = expected * (100 - run.percent) / 100
     kept = run.percent / 100 if run.checkpoints else 0.0
     left_there = median_seconds * (1 - kept) + MOVE_COST_SECONDS
-    if expected > SLOW_FACTOR * median_seconds and left_here > 1.5 * left_there:
+    if (
+        expected > SLOW_FACTOR * median_seconds
+        and left_here > MOVE_FACTOR * left_there
+    ):
         return SLOW
     return ""
