Compute what preemption costs on a worker only where it may be least

While urgent tasks wait for stops that were already ordered, each round sorted the long-running runs of all workers for each waiting step. A lower bound from the free processors now decides first.

--- a/turmerichall/dispatch/preemption.py
+++ b/turmerichall/dispatch/preemption.py
@@ -64,37 +64,52 @@
         worker: The worker.
         cpu: Processors that no run asks for, in thousandths of a core.
         memory_mb: Memory that no run asks for.
-        candidates: Long-running runs that may be stopped, the preferred ones
-            first.
     """
 
-    __slots__ = ("candidates", "cpu", "memory_mb", "worker")
+    __slots__ = ("_candidates", "_now", "cpu", "memory_mb", "worker")
 
     def __init__(self, worker: worker_state.Worker, now: float):
         self.worker = worker
         self.cpu = worker.capacity.cpu - worker.cpu_reserved
         self.memory_mb = worker.capacity.memory_mb - worker.memory_reserved
-        self.candidates: list[run_state.Run] = []
+        self._now = now
+        self._candidates: list[run_state.Run] | None = None
         for run in worker.runs.values():
             if run.stopping:
                 if not run.step.fills:
                     self.cpu += run.step.cpu
                 self.memory_mb += run.step.memory_mb
-            elif (
-                run.step.lasting
-                and run.phase == run_state.Phase.RUNNING
-                and now - run.confirmed_at >= MIN_RUN_SECONDS
-            ):
-                self.candidates.append(run)
+
+    @property
+    def candidates(self) -> list[run_state.Run]:
+        """Long-running runs that may be stopped, the preferred ones first.
+
+        They are found when they are first needed: mostly, earlier stops have
+        made enough room for all that waits.
+        """
+        if self._candidates is None:
+            self._candidates = self._find_candidates()
+        return self._candidates
+
+    def _find_candidates(self) -> list[run_state.Run]:
+        candidates = [
+            run
+            for run in self.worker.runs.values()
+            if run.step.lasting
+            and not run.stopping
+            and run.phase == run_state.Phase.RUNNING
+            and self._now - run.confirmed_at >= MIN_RUN_SECONDS
+        ]
         # Workers with few images have room for more kinds of best-effort tasks,
         # so images of which the worker runs little go first.
         cpu_by_image: dict[str, int] = {}
-        for run in self.candidates:
+        for run in candidates:
             image = run.step.image
             cpu_by_image[image] = cpu_by_image.get(image, 0) + run.step.cpu
-        self.candidates.sort(
+        candidates.sort(
             key=lambda run: (cpu_by_image[run.step.image], run.step.cpu)
         )
+        return candidates
 
     def fits(self, step: demands.StepDemand) -> bool:
         """Return whether a task fits into the room."""
@@ -186,6 +201,8 @@
 
     def cost(room: _Room) -> float | None:
         """Return the processors to free for a task; None if it can't fit."""
+        if not room.worker.could_ever_run(step):
+            return None
         worker_id = room.worker.record.id
         if (
             step.max_per_worker
@@ -197,29 +214,31 @@
         runs = room.cheapest(step, may_stop)
         return sum(run.step.cpu for run in runs) if runs else None
 
-    heap: list[tuple[float, int]] = []
+    # Cost, number of the room, and whether that is the cost and not only a
+    # lower bound of it.  The cost of a room is computed when no other can be
+    # lower.
+    heap: list[tuple[float, int, bool]] = []
+    cpu = step.cpu
     for number, room in enumerate(rooms):
-        if room.worker.could_ever_run(step):
-            room_cost = cost(room)
-            if room_cost is not None:
-                heap.append((room_cost, number))
+        lacking = cpu - room.cpu
+        heap.append((lacking if lacking > 0 else 0, number, False))
     heapq.heapify(heap)
     stops: list[Stop] = []
-    for _ in range(count):
-        if not heap:
-            break
-        _, number = heap[0]
+    while count and heap:
+        _, number, is_exact = heap[0]
         room = rooms[number]
-        if not room.fits(step):
-            for run in room.cheapest(step, may_stop):
-                room.free(run)
-                stops.append(Stop(room.worker, run, tasks.job))
-        room.claim(step)
-        worker_id = room.worker.record.id
-        siblings[worker_id] = siblings.get(worker_id, 0) + 1
+        if is_exact:
+            count -= 1
+            if not room.fits(step):
+                for run in room.cheapest(step, may_stop):
+                    room.free(run)
+                    stops.append(Stop(room.worker, run, tasks.job))
+            room.claim(step)
+            worker_id = room.worker.record.id
+            siblings[worker_id] = siblings.get(worker_id, 0) + 1
         room_cost = cost(room)
         if room_cost is None:
             heapq.heappop(heap)
         else:
-            heapq.heapreplace(heap, (room_cost, number))
+            heapq.heapreplace(heap, (room_cost, number, True))
     return stops
--- a/turmerichall/dispatch/tests/test_preemption.py
+++ b/turmerichall/dispatch/tests/test_preemption.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import random
 
 import pytest
 
@@ -146,3 +147,100 @@
         stops = choose([waiting(4, step)], make_fleet(3))
         assert len(stops) == 3
         assert len({stop.worker.record.id for stop in stops}) == 3
+
+
+def plain_choice(
+    tasks: preemption.WaitingTasks, workers: list[worker_state.Worker]
+) -> list[tuple[str, changes.TaskName]]:
+    """Choose stops for one step by comparing all workers for each task."""
+    step, siblings = tasks.step, dict(tasks.siblings)
+    stopped: set[changes.TaskName] = set()
+    claimed: collections.Counter[str] = collections.Counter()
+    chosen = []
+
+    def stops_on(worker: worker_state.Worker) -> list[run_state.Run] | None:
+        name = worker.record.id
+        most = step.max_per_worker
+        if not worker.could_ever_run(step) or (
+            most and siblings.get(name, 0) >= most
+        ):
+            return None
+        runs = list(worker.runs.values())
+        gone = [r for r in runs if r.stopping or r.task in stopped]
+        cpu = worker.cpu_reserved + (claimed[name] + 1) * step.cpu
+        cpu -= worker.capacity.cpu + sum(r.step.cpu for r in gone)
+        if cpu <= 0:
+            return []
+        left = [
+            r
+            for r in runs
+            if r not in gone and r.step.lasting and r.confirmed_at <= NOW - 2
+        ]
+        by_image: collections.Counter[str] = collections.Counter()
+        for r in runs:
+            is_new = not r.step.lasting or r.confirmed_at > NOW - 2
+            if not r.stopping and not is_new:
+                by_image[r.step.image] += r.step.cpu
+        left.sort(key=lambda r: (by_image[r.step.image], r.step.cpu))
+        left = [r for r in left if r.step.max_unavailable < 0]
+        for r in left:
+            if r.step.cpu >= cpu:
+                return [r]
+        several = []
+        for r in sorted(left, key=lambda r: r.step.cpu, reverse=True):
+            several.append(r)
+            cpu -= r.step.cpu
+            if cpu <= 0:
+                return several
+        return None
+
+    for _ in range(tasks.waiting):
+        found = [
+            (sum(r.step.cpu for r in runs), number, runs)
+            for number, worker in enumerate(workers)
+            if (runs := stops_on(worker)) is not None
+        ]
+        if not found:
+            break
+        _, number, runs = min(found, key=lambda row: row[:2])
+        name = workers[number].record.id
+        stopped |= {r.task for r in runs}
+        chosen += [(name, r.task) for r in runs]
+        claimed[name] += 1
+        siblings[name] = siblings.get(name, 0) + 1
+    return chosen
+
+
+class TestDrawnFleets:
+
+    @pytest.mark.parametrize("seed", range(30))
+    def test_the_cheapest_worker_is_chosen_for_each_task(
+        self, seed: int
+    ) -> None:
+        """Guards against a bound that hides a worker which costs less."""
+        drawn = random.Random(seed)
+        fleet = []
+        for number in range(12):
+            steps = [
+                long_running_step(
+                    drawn.choice((3000, 5000, 6400, 7000)),
+                    drawn.choice("abc"),
+                    drawn.choice((-1, -1, -1, 1)),
+                )
+                for _ in range(drawn.randrange(3, 6))
+            ]
+            worker = make_worker(f"w{number}", steps)
+            for run in worker.runs.values():
+                run.stopping = drawn.random() < 0.1
+                run.confirmed_at = drawn.choice((0.0, 0.0, 0.0, NOW - 1))
+            fleet.append(worker)
+        step = demands.StepDemand(
+            drawn.randrange(1, 20),
+            cpu=drawn.choice((2000, 6400, 9000, 14000)),
+            max_per_worker=drawn.choice((0, 1, 2)),
+        )
+        tasks = waiting(step.count, step)
+        assert [
+            (stop.worker.record.id, stop.run.task)
+            for stop in choose([tasks], fleet)
+        ] == plain_choice(tasks, fleet)
