--- a/turmerichall/dispatch/interference_model.py
+++ b/turmerichall/dispatch/interference_model.py
@@ -141,11 +141,10 @@
         weights = self.weights
         for _ in range(SWEEPS):
             for image, row in self.squares.items():
-                others = sum(
-                    value * weights[other]
-                    for other, value in row.items()
-                    if other != image
-                )
+                others = 0.0
+                for other, value in row.items():
+                    if other != image:
+                        others += value * weights[other]
                 best = (self.products[image] - others) / row[image]
                 weights[image] = min(max(0.0, best), MAX_WEIGHT)
 
