Score a worker for a step only when no other can be better

Each waiting step scored every worker with room, although free processors are an upper bound of the score and workers without enough are seen at once.

--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -26,6 +26,8 @@
 # free core; cores used by long-running tasks of other images are deducted.
 IMAGE_WEIGHT = 2.0
 
+_Entry = tuple[float, int, int, bool, worker_state.Worker]
+
 
 def choose_worker(
     step: demands.StepDemand,
@@ -133,8 +135,8 @@
     """The workers that could take tasks of one step, best first.
 
     Placing a task changes the score of one worker only, so the tasks of a step
-    cost one look at each worker together, and not one look each.  The choices
-    are those that `choose_worker` makes for one task after the other.
+    cost at most one look at each worker together, and not one look each.  The
+    choices are those that `choose_worker` makes for one task after the other.
 
     Attributes:
         step: The step.
@@ -166,18 +168,33 @@
         # Positions of the workers, and how often each was scored again.
         self._numbers: dict[str, int] = {}
         self._versions: dict[str, int] = {}
-        # Negative score, position, version of the score, and the worker.
-        self._heap: list[tuple[float, int, int, worker_state.Worker]] = []
+        # Negative score or a lower bound of it, position, version of the score,
+        # whether it is the score, and the worker.  Most workers are never
+        # chosen, so a worker is scored when no other can be better.
+        self._heap: list[_Entry] = []
+        fills = step.fills and not step.lasting
+        cpu = step.cpu
         for number, worker in enumerate(workers):
+            free = worker.free_cpu()
+            # Most workers lack the processors for a task.
+            if fills:
+                if free < cpu:
+                    continue
+            elif not step.fills and (
+                worker.cpu_reserved + cpu > worker.capacity.cpu
+            ):
+                continue
             self._numbers[worker.record.id] = number
+            if not step.lasting:
+                # Everything else lowers the score.
+                self._heap.append((-free, number, 0, False, worker))
+                continue
             entry = self._entry(number, worker)
             if entry is not None:
                 self._heap.append(entry)
         heapq.heapify(self._heap)
 
-    def _entry(
-        self, number: int, worker: worker_state.Worker
-    ) -> tuple[float, int, int, worker_state.Worker] | None:
+    def _entry(self, number: int, worker: worker_state.Worker) -> _Entry | None:
         if not worker.breaker.allows(self._now):
             return None
         score = _score_if_eligible(
@@ -190,15 +207,22 @@
         if score is None:
             return None
         version = self._versions.get(worker.record.id, 0)
-        return -score, number, version, worker
+        return -score, number, version, True, worker
 
     def best(self) -> worker_state.Worker | None:
         """Return the best worker for the next task, or None if none fits."""
         while self._heap:
-            _, _, version, worker = self._heap[0]
-            if version == self._versions.get(worker.record.id, 0):
+            _, number, version, is_scored, worker = self._heap[0]
+            if version != self._versions.get(worker.record.id, 0):
+                heapq.heappop(self._heap)
+                continue
+            if is_scored:
                 return worker
-            heapq.heappop(self._heap)
+            entry = self._entry(number, worker)
+            if entry is None:
+                heapq.heappop(self._heap)
+            else:
+                heapq.heapreplace(self._heap, entry)
         return None
 
     def update(self, worker: worker_state.Worker) -> None:
