Keep upper estimates of interference until the next sample

Placing and pacing asked for the same estimate for each worker, neighbour and waiting step. The slowdown by present neighbours is summed from shares of the processors, so it may differ in its last digit.

--- a/turmerichall/dispatch/interference_model.py
+++ b/turmerichall/dispatch/interference_model.py
@@ -59,6 +59,10 @@
 # Number of standard deviations by which the upper estimate of a weight exceeds
 # the likely weight.
 CAUTION_DEVIATIONS = 1.5
+# Upper estimate of a weight before any samples.
+PRIOR_UPPER_WEIGHT = PRIOR_WEIGHT + CAUTION_DEVIATIONS * NOISE / math.sqrt(
+    PRIOR_STRENGTH
+)
 
 
 class _Fit:
@@ -82,6 +86,8 @@
         self.products: dict[str, float] = {}
         self._samples = 0
         self._scale = 1.0
+        # Upper estimates since the latest sample.
+        self._upper_weights: dict[str, float] = {}
         self.evidence: dict[str, float] = {}
         self._add_term(_INTERCEPT, 0.0, INTERCEPT_STRENGTH)
 
@@ -99,6 +105,7 @@
         self.evidence[image] = strength
         self.squares[image] = {image: strength * self._scale}
         self.products[image] = strength * self._scale * weight
+        self._upper_weights.clear()
 
     def learn(
         self, shares: Mapping[str, float], slowdown: float, noise: float
@@ -111,6 +118,7 @@
             slowdown: Measured slowdown.
             noise: Standard deviation of the slowdown.
         """
+        self._upper_weights.clear()
         self._scale /= DECAY
         slowdown = max(-1.0, min(slowdown, MAX_SLOWDOWN))
         quality = (NOISE / max(noise, NOISE)) ** 2
@@ -138,6 +146,7 @@
 
     def solve(self) -> None:
         """Improve the weights by coordinate descent."""
+        self._upper_weights.clear()
         weights = self.weights
         for _ in range(SWEEPS):
             for image, row in self.squares.items():
@@ -154,6 +163,16 @@
         strength = row[image] / self._scale if row else PRIOR_STRENGTH
         return NOISE / math.sqrt(strength)
 
+    def upper_weight(self, image: str) -> float:
+        """Return a cautious upper estimate of a best-effort image's weight."""
+        upper = self._upper_weights.get(image)
+        if upper is None:
+            deviation = self.standard_deviation(image)
+            weight = self.weights.get(image, PRIOR_WEIGHT)
+            upper = weight + CAUTION_DEVIATIONS * deviation
+            self._upper_weights[image] = upper
+        return upper
+
 
 class InterferenceModel:
     """Model of the slowdowns of long-running images by best-effort images.
@@ -220,11 +239,25 @@
         """Return a cautious upper estimate of what `weight` returns."""
         fit = self._fits.get(long_running)
         if fit is None:
-            return PRIOR_WEIGHT + CAUTION_DEVIATIONS * NOISE / math.sqrt(
-                PRIOR_STRENGTH
-            )
-        weight = fit.weights.get(best_effort, PRIOR_WEIGHT)
-        return weight + CAUTION_DEVIATIONS * fit.standard_deviation(best_effort)
+            return PRIOR_UPPER_WEIGHT
+        return fit.upper_weight(best_effort)
+
+    def slowdown(
+        self, long_running: str, best_effort: Mapping[str, float]
+    ) -> float:
+        """Return the likely slowdown of a long-running image.
+
+        Args:
+            long_running: The image.
+            best_effort: Share of a worker's processors that each best-effort
+                image uses.
+        """
+        fit = self._fits.get(long_running)
+        weights = fit.weights if fit else {}
+        total = 0.0
+        for image, share in best_effort.items():
+            total += weights.get(image, PRIOR_WEIGHT) * share
+        return total
 
     def strength(self, long_running: str, best_effort: str) -> float:
         """Return the strength of the evidence for what `weight` returns.
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -289,10 +289,16 @@
     overcommit = max(
         0.0, (step.cpu - free) / cpu + 1.0 - pacing.UNCONTENDED_SHARE
     )
+    if not worker.neighbours:
+        return free
+    shares = {
+        image: best_effort_cpu / cpu
+        for image, best_effort_cpu in worker.best_effort_cpu.items()
+    }
     for neighbour in worker.neighbours.values():
         image = neighbour.image
         if not force and not interference_model.admits(
-            image, step.image, worker.best_effort_cpu
+            image, step.image, shares
         ):
             return None
         added_slowdown = (
@@ -305,12 +311,7 @@
             total_slowdown = (
                 added_slowdown
                 + pacing.CONTENTION_FACTOR * overcommit
-                + sum(
-                    interference_model.weight(image, other)
-                    * best_effort_cpu
-                    / cpu
-                    for other, best_effort_cpu in worker.best_effort_cpu.items()
-                )
+                + interference_model.slowdown(image, shares)
             )
             forecast = neighbour.forecast
             idle_tail = neighbour.idle_tail
--- a/turmerichall/dispatch/tail_latency_controller.py
+++ b/turmerichall/dispatch/tail_latency_controller.py
@@ -179,10 +179,7 @@
         long_running_image, target_ms = run.step.image, run.step.target_ms
         idle_ms = load_tracker.update_idle_ms(long_running_image, run.load)
         utilization = service_load.estimate_utilization(run.load, idle_ms)
-        known_slowdown = sum(
-            interference_model.weight(long_running_image, image) * share
-            for image, share in shares.items()
-        )
+        known_slowdown = interference_model.slowdown(long_running_image, shares)
         step_load = load_tracker.undisturbed_load(
             now, run.task, self.worker.record.id
         )
--- a/turmerichall/dispatch/tests/test_interference_model.py
+++ b/turmerichall/dispatch/tests/test_interference_model.py
@@ -1,6 +1,9 @@
-"""Tests of the model of interference across terms."""
+"""Tests of the model of interference, and of what it keeps across terms."""
+
+import random
 
 import msgspec
+import pytest
 
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.queues import change as changes
@@ -66,3 +69,29 @@
         model = interference_models.InterferenceModel(is_careful=True)
         model.restore_from(state)
         assert not model.is_unknown("desk", "sort")
+
+
+class TestKeptEstimates:
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_are_those_of_a_model_that_was_never_asked(self, seed: int) -> None:
+        """Guards against an estimate that outlives a sample."""
+        drawn = random.Random(seed)
+        asked = interference_models.InterferenceModel()
+        changes_made: list[tuple[str, tuple[object, ...]]] = []
+        for _ in range(60):
+            if drawn.random() < 0.05:
+                tables = {"desk": {"scan": drawn.uniform(0.0, 5.0)}}
+                changes_made.append(("restore", (tables,)))
+            else:
+                images = drawn.sample(("scan", "sort", "pack"), 2)
+                shares = {image: drawn.uniform(0.0, 0.3) for image in images}
+                place = drawn.choice(("desk", "mail"))
+                changes_made.append(("learn", (place, shares, drawn.random())))
+            method, arguments = changes_made[-1]
+            getattr(asked, method)(*arguments)
+            fresh = interference_models.InterferenceModel()
+            for method, arguments in changes_made:
+                getattr(fresh, method)(*arguments)
+            for pair in (("desk", "scan"), ("mail", "sort"), ("mail", "new")):
+                assert asked.upper_weight(*pair) == fresh.upper_weight(*pair)
