--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -382,6 +382,8 @@
         self.tickets.forget_job(job_id)
         self.load_tracker.forget_job(job_id)
         for session in self.registry.sessions.values():
+            if job_id not in session.worker.runs_by_job:
+                continue
             for run in list(session.worker.runs.values()):
                 if (
                     run.task.job == job_id
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -54,6 +54,7 @@
         kept_out: Whether it is kept out of use because it refuses the term; its
             runs end with its lease.
         runs: Runs by task, from their plan until their end is committed.
+        runs_by_job: Number of runs, by id of the job.
         in_touch: Whether it answered the latest poll, and every start since;
             no tasks are placed on it otherwise.
         lost_at: Time on the steady clock since which it has not been in touch;
@@ -107,6 +108,7 @@
         self.draining = draining
         self.kept_out = False
         self.runs: dict[changes.TaskName, run_state.Run] = {}
+        self.runs_by_job: dict[str, int] = {}
         self.in_touch = False
         self.lost_at = 0.0
         self.lost_abruptly = False
@@ -202,6 +204,8 @@
     def add(self, run: run_state.Run) -> None:
         """Add a run, and reserve the resources that it requests."""
         self.runs[run.task] = run
+        job = run.task.job
+        self.runs_by_job[job] = self.runs_by_job.get(job, 0) + 1
         self.start_budget -= run.step.cpu
         if run.suspected:
             self.suspected_runs.append(run)
@@ -215,6 +219,10 @@
         if self.runs.get(run.task) is run:
             self.changed = True
             del self.runs[run.task]
+            job = run.task.job
+            self.runs_by_job[job] -= 1
+            if not self.runs_by_job[job]:
+                del self.runs_by_job[job]
             if run.suspected:
                 self.suspected_runs.remove(run)
             self._count(run.step, -1)
