Skip the limits of zones and the trials of a round where there are none

In the load of make bench-dispatch, finding the usable workers of a round takes 0.02 instead of 0.04 ms a started task at 246 workers and 0.03 instead of 0.06 at 790; all orders are the same.

--- a/turmerichall/dispatch/evacuation/zone_states.py
+++ b/turmerichall/dispatch/evacuation/zone_states.py
@@ -55,6 +55,8 @@
 
     def __init__(self, queue_state: states.QueueState):
         self.queue_state = queue_state
+        # Whether any worker may differ from one of a zone that always served.
+        self._limits_any = True
 
     def begin_round(
         self,
@@ -69,10 +71,15 @@
             now: Current time on the steady clock.
             now_ms: Current time in ms since 1970.
         """
+        evacuations = self.queue_state.evacuations
         restored = self.queue_state.restored
+        limits_before = self._limits_any
+        self._limits_any = bool(evacuations or restored)
+        if not self._limits_any and not limits_before:
+            return
         for worker in workers:
             zone = worker.record.zone
-            is_evacuated = self.queue_state.is_evacuated(worker.record)
+            is_evacuated = zone in evacuations
             if worker.evacuated and not is_evacuated:
                 # Tasks without room may fit now.
                 worker.changed = True
--- a/turmerichall/dispatch/trials.py
+++ b/turmerichall/dispatch/trials.py
@@ -38,6 +38,8 @@
         for worker in workers:
             if worker.suspected_runs:
                 self._update(worker, now)
+            if not before:
+                continue
             worker_id = worker.record.id
             if worker_id in before and worker_id not in self.jobs:
                 # Tasks without room may fit now.
