Place tasks for changed room at most a quarter of the time

Each answered poll and each end of a run requested a placement, hundreds a second on a large site, so that a leader short of processor time placed tasks all the time. Such requests now wait for three times as long as the placement before took, at most 0.25 s. New jobs, steps that become ready and ends of preempted runs are placed at once as before.

Decisions of a placement are the same, but some come later.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -12,6 +12,7 @@
 from turmerichall.dispatch import freshness as freshnesses
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import placement_trigger
 from turmerichall.dispatch import planner as planners
 from turmerichall.dispatch import policy_client
 from turmerichall.dispatch import recurring_jobs as recurring_job_sets
@@ -44,9 +45,8 @@
 # Time from a request for a placement to the placement, so that tasks that
 # arrive together are placed together.
 PLACEMENT_BATCH_SECONDS = 0.005
-# Maximum time between two placements: changes of tail latencies and circuit
-# breakers affect placement, but don't request one.
-PLACEMENT_INTERVAL_SECONDS = 0.25
+# Maximum time between two checks whether the replica still leads.
+LEADERSHIP_INTERVAL_SECONDS = 0.25
 # Time between two checks whether occurrences of recurring jobs are due.
 SCHEDULE_INTERVAL_SECONDS = 0.05
 
@@ -130,7 +130,7 @@
         self.zone_names = zone_names
         # Ids of failed jobs that are closed.
         self._failed_jobs: set[str] = set()
-        self._wake = trio.Event()
+        self._wake = placement_trigger.PlacementTrigger()
         self._nursery: trio.Nursery | None = None
         self._recurring_jobs = recurring_job_sets.RecurringJobs(
             queue_state, self.backlog
@@ -200,7 +200,7 @@
     async def _watch_leadership(self) -> None:
         while self.replica.leader_term() == self.token and not self.fencers:
             await self.replica.state.role_changed.wait(
-                trio.current_time() + PLACEMENT_INTERVAL_SECONDS
+                trio.current_time() + LEADERSHIP_INTERVAL_SECONDS
             )
         self.log.info("term ends", term=self.token)
         self.scope.cancel()
@@ -263,7 +263,7 @@
 
     def request_placement(self) -> None:
         """See `session.Owner`."""
-        self._wake.set()
+        self._wake.set_room_changed()
 
     def record_run_time(self, run: run_state.Run, seconds: float) -> None:
         """See `session.Owner`."""
@@ -333,6 +333,8 @@
             worker.remove(run)
             if row.ending == changes.Ending.DONE:
                 if self.backlog.record_done(row.task):
+                    # The steps after it may start.
+                    self._wake.set()
                     self._straggler_detector.forget_step(row.task)
                     self.tickets.forget_step(row.task[:3])
                     accepted_at_ms = self.queue_state.jobs[row.task.job].at_ms
@@ -347,6 +349,8 @@
                 )
                 if run.preempted:
                     self.backlog.pause(row.task, leases.steady_seconds())
+                    # Urgent tasks wait for its room.
+                    self._wake.set()
         for row in rows:
             self.metrics_registry.count(
                 "runs_ended", ending=row.ending.name.lower()
@@ -356,7 +360,7 @@
             job = self.queue_state.jobs[job_id]
             if was_open and not job.open:
                 self._close_ended_job(job)
-        self._wake.set()
+        self._wake.set_room_changed()
 
     def _close_ended_job(self, job: states.Job) -> None:
         """Close a job that was completed, or failed."""
@@ -395,13 +399,14 @@
 
     async def _place_tasks(self) -> None:
         while True:
-            with trio.move_on_after(PLACEMENT_INTERVAL_SECONDS):
-                await self._wake.wait()
+            await self._wake.wait()
             await trio.sleep(PLACEMENT_BATCH_SECONDS)
-            self._wake = trio.Event()
+            self._wake.begin_placement()
             if not self.may_renew():
                 continue
+            began_at = time.perf_counter()
             planned = self._planner.plan(leases.steady_seconds(), wall_ms())
+            self._wake.end_placement(time.perf_counter() - began_at)
             self._stop_for_urgent_tasks()
             if planned:
                 await self._start_runs(planned)
