--- a/turmerichall/dispatch/pacing.py
+++ b/turmerichall/dispatch/pacing.py
@@ -173,6 +173,8 @@
 ) -> list[float]:
     """Return the share of its full pace that each best-effort task gives up.
 
+    Empty if none has to give up anything.
+
     Args:
         best_effort_tasks: The best-effort tasks.
         slowdowns: Slowdown of the long-running task by each best-effort task,
@@ -181,19 +183,20 @@
         overcommit: Processors that the best-effort tasks request beyond those
             that other tasks leave unused, as a share of the worker's.
     """
-    cuts = [0.0] * len(best_effort_tasks)
     # If the load alone raises the tail latency above its target, throttling
     # tasks that add little would not help.
-    if tolerable_slowdown(long_running.idle_tail, long_running.load, 1.0) <= 0:
+    idle_tail, load = long_running.idle_tail, long_running.load
+    if overcommit and tolerable_slowdown(idle_tail, load, 1.0) <= 0:
         overcommit = 0.0
     added = [
         slow * task.share if slow * task.share > NEGLIGIBLE_SLOWDOWN else 0.0
         for slow, task in zip(slowdowns, best_effort_tasks)
     ]
-    headroom = max(
-        tolerable_slowdown(long_running.idle_tail, long_running.load), 0.0
-    )
+    headroom = max(tolerable_slowdown(idle_tail, load), 0.0)
     excess = sum(added) + CONTENTION_FACTOR * overcommit - headroom
+    if excess <= 0:
+        return []
+    cuts = [0.0] * len(best_effort_tasks)
     order = sorted(
         range(len(best_effort_tasks)), key=lambda i: slowdowns[i], reverse=True
     )
