--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: bench-dispatch bench-in-force venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
+.PHONY: bench-control-io bench-dispatch bench-in-force venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
 
 venv: $(VENV)/.ready
 
@@ -50,3 +50,6 @@
 
 bench-dispatch: venv
 	$(BIN)/python -m turmerichall.benchmarks.dispatch
+
+bench-control-io: venv
+	$(BIN)/python -m turmerichall.benchmarks.control_io
