Wake only tasks whose predicate is true on a notification

Each appended entry and each new commit index woke all tasks that wait for something to send: seven senders, the watchers of the log and of the members.

--- a/turmerichall/agreement/replica_state.py
+++ b/turmerichall/agreement/replica_state.py
@@ -118,17 +118,29 @@
     """Condition variable for tasks of one event loop, without a lock."""
 
     def __init__(self) -> None:
-        self._event = trio.Event()
+        self._notified: trio.Event | None = None
+        # Predicates of the waiting tasks, by the event that wakes each task.
+        self._predicates: dict[trio.Event, Callable[[], bool]] = {}
 
     def notify_all(self) -> None:
-        """Wake all tasks that are waiting."""
-        self._event.set()
-        self._event = trio.Event()
+        """Wake the waiting tasks, except those whose predicate is false.
+
+        A predicate is called here, since waking a task costs far more than that
+        and most are woken in vain.  What it reads must have changed before.
+        """
+        if self._notified is not None:
+            self._notified.set()
+            self._notified = None
+        for event, predicate in self._predicates.items():
+            if predicate():
+                event.set()
 
     async def wait(self, deadline: float = float("inf")) -> None:
         """Wait for the next `notify_all`, or until a deadline (trio time)."""
+        if self._notified is None:
+            self._notified = trio.Event()
         with trio.CancelScope(deadline=deadline):
-            await self._event.wait()
+            await self._notified.wait()
 
     async def wait_for(
         self, condition: Callable[[], bool], deadline: float = float("inf")
@@ -136,17 +148,32 @@
         """Wait until a predicate is true, or until a deadline (trio time).
 
         Args:
-            condition: The predicate; checked again after each notification.
+            condition: The predicate; checked again at each notification, and
+                without effects.
             deadline: When to give up, trio time.
 
         Returns:
             Whether the predicate is true.
         """
+        if condition():
+            return True
+        if trio.current_time() >= deadline:
+            return False
+        if deadline == float("inf"):
+            await self._wait_until(condition)
+            return True
+        with trio.CancelScope(deadline=deadline):
+            await self._wait_until(condition)
+        return condition()
+
+    async def _wait_until(self, condition: Callable[[], bool]) -> None:
         while not condition():
-            if trio.current_time() >= deadline:
-                return False
-            await self.wait(deadline)
-        return True
+            event = trio.Event()
+            self._predicates[event] = condition
+            try:
+                await event.wait()
+            finally:
+                del self._predicates[event]
 
 
 class Progress:
