Send the entries of 10 ms to a member in one message

A message costs the leader far more than an entry in it, and each change was sent as soon as the member had answered. The first change after a pause, a barrier and the entries of a member that catches up are not delayed.

--- a/turmerichall/agreement/proposer.py
+++ b/turmerichall/agreement/proposer.py
@@ -8,6 +8,7 @@
 from turmerichall import errors
 from turmerichall import outcomes
 from turmerichall.agreement import applier
+from turmerichall.agreement import condition as conditions
 from turmerichall.agreement import membership
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
@@ -45,7 +46,7 @@
         self.replication = own_replication
         self.membership = own_membership
         self.pending = 0
-        self.pending_changed = replica_state.Condition()
+        self.pending_changed = conditions.Condition()
 
     async def propose(
         self, change: bytes, timeout_seconds: float
--- a/turmerichall/agreement/replica_state.py
+++ b/turmerichall/agreement/replica_state.py
@@ -9,6 +9,7 @@
 import trio
 
 from turmerichall import outcomes
+from turmerichall.agreement import condition
 from turmerichall.agreement import entry_log
 from turmerichall.agreement import member
 from turmerichall.agreement import message
@@ -16,7 +17,6 @@
 from turmerichall.storage import data_folder
 
 __all__ = [
-    "Condition",
     "NOT_RECOVERED",
     "Network",
     "Progress",
@@ -96,6 +96,9 @@
             log, for members that lag.
         commit_delay_seconds: How long the leader delays announcing a new
             commit index, so that the next entries can carry it.
+        append_interval_seconds: Minimum time between two messages with entries
+            from the leader to a member, so that one message carries the entries
+            of that time.
         commit_save_seconds: Delay before a new commit index is recorded in
             the journal.
         max_proposals: Maximum number of pending changes at the leader.
@@ -110,72 +113,11 @@
     snapshot_entries: int = 20_000
     retained_entries: int = 5_000
     commit_delay_seconds: float = 0.05
+    append_interval_seconds: float = 0.0
     commit_save_seconds: float = 0.5
     max_proposals: int = 4096
 
 
-class Condition:
-    """Condition variable for tasks of one event loop, without a lock."""
-
-    def __init__(self) -> None:
-        self._notified: trio.Event | None = None
-        # Predicates of the waiting tasks, by the event that wakes each task.
-        self._predicates: dict[trio.Event, Callable[[], bool]] = {}
-
-    def notify_all(self) -> None:
-        """Wake the waiting tasks, except those whose predicate is false.
-
-        A predicate is called here, since waking a task costs far more than that
-        and most are woken in vain.  What it reads must have changed before.
-        """
-        if self._notified is not None:
-            self._notified.set()
-            self._notified = None
-        for event, predicate in self._predicates.items():
-            if predicate():
-                event.set()
-
-    async def wait(self, deadline: float = float("inf")) -> None:
-        """Wait for the next `notify_all`, or until a deadline (trio time)."""
-        if self._notified is None:
-            self._notified = trio.Event()
-        with trio.CancelScope(deadline=deadline):
-            await self._notified.wait()
-
-    async def wait_for(
-        self, condition: Callable[[], bool], deadline: float = float("inf")
-    ) -> bool:
-        """Wait until a predicate is true, or until a deadline (trio time).
-
-        Args:
-            condition: The predicate; checked again at each notification, and
-                without effects.
-            deadline: When to give up, trio time.
-
-        Returns:
-            Whether the predicate is true.
-        """
-        if condition():
-            return True
-        if trio.current_time() >= deadline:
-            return False
-        if deadline == float("inf"):
-            await self._wait_until(condition)
-            return True
-        with trio.CancelScope(deadline=deadline):
-            await self._wait_until(condition)
-        return condition()
-
-    async def _wait_until(self, condition: Callable[[], bool]) -> None:
-        while not condition():
-            event = trio.Event()
-            self._predicates[event] = condition
-            try:
-                await event.wait()
-            finally:
-                del self._predicates[event]
-
-
 class Progress:
     """Replication progress of one member, as the leader sees it.
 
@@ -298,12 +240,12 @@
         self.observed_members: member.Members = ()
         self.observed_term = 0
         self.up_to_date_at = -float("inf")
-        self.commit_advanced = Condition()
-        self.applied_advanced = Condition()
-        self.role_changed = Condition()
-        self.send_needed = Condition()
-        self.acknowledged = Condition()
-        self.election_requested = Condition()
+        self.commit_advanced = condition.Condition()
+        self.applied_advanced = condition.Condition()
+        self.role_changed = condition.Condition()
+        self.send_needed = condition.Condition()
+        self.acknowledged = condition.Condition()
+        self.election_requested = condition.Condition()
 
     @property
     def identity(self) -> str:
--- a/turmerichall/agreement/replication.py
+++ b/turmerichall/agreement/replication.py
@@ -154,6 +154,7 @@
                 request = self._next_append(other, progress)
                 sent_at = trio.current_time()
                 sent_round = state.barrier_round
+                last_index = state.raft_log.last_index
                 answer = await state.network.call(
                     other.name,
                     "append",
@@ -179,10 +180,31 @@
                 if request.snapshot:
                     await trio.sleep(RETRY_SECONDS)
                     continue
+                if request.entries and progress.next > last_index:
+                    await self._wait_for_more_entries(sent_at, sent_round)
                 await self._wait_until_send_due(
                     progress, request, sent_round, due
                 )
 
+    async def _wait_for_more_entries(
+        self, sent_at: float, sent_round: int
+    ) -> None:
+        """Wait until the next message with entries may follow one with entries.
+
+        Each message costs the leader far more than an entry in it.  A message
+        after a pause is not delayed, and neither is a barrier, nor the next
+        entries for a member that catches up.
+
+        Args:
+            sent_at: When the last message was sent to the member, trio time.
+            sent_round: Value of `barrier_round` at that time.
+        """
+        state = self.state
+        next_at = sent_at + state.timing.append_interval_seconds
+        await state.send_needed.wait_for(
+            lambda: state.barrier_round > sent_round, next_at
+        )
+
     async def _wait_until_send_due(
         self,
         progress: replica_state.Progress,
--- a/turmerichall/agreement/snapshots.py
+++ b/turmerichall/agreement/snapshots.py
@@ -8,6 +8,7 @@
 
 from turmerichall import errors
 from turmerichall import outcomes
+from turmerichall.agreement import condition as conditions
 from turmerichall.agreement import entry_log
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
@@ -33,7 +34,7 @@
         self.state = state
         self.index = 0
         self.source = ""
-        self._requested = replica_state.Condition()
+        self._requested = conditions.Condition()
         self._saving = trio.Lock()
 
     def load(self) -> message.Snapshot | None:
--- a/turmerichall/agreement/tests/test_condition.py
+++ b/turmerichall/agreement/tests/test_condition.py
@@ -3,7 +3,7 @@
 import trio
 import trio.testing
 
-from turmerichall.agreement import replica_state
+from turmerichall.agreement import condition as conditions
 
 
 class TestCondition:
@@ -11,7 +11,7 @@
 
     async def test_wakes_only_tasks_whose_predicate_is_true(self) -> None:
         """Waking all tasks at each log entry costs a leader's processor."""
-        condition = replica_state.Condition()
+        condition = conditions.Condition()
         reached = 0
         woken: list[int] = []
 
@@ -36,7 +36,7 @@
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         """Another task may undo the change before the woken one runs."""
-        condition = replica_state.Condition()
+        condition = conditions.Condition()
         is_true = False
         results: list[bool] = []
 
@@ -56,7 +56,7 @@
 
     async def test_wakes_plain_waiters_at_any_notification(self) -> None:
         """A candidate waits for an event, not for a state."""
-        condition = replica_state.Condition()
+        condition = conditions.Condition()
         with trio.fail_after(5.0):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(condition.wait)
--- a/turmerichall/agreement/tests/test_replication.py
+++ b/turmerichall/agreement/tests/test_replication.py
@@ -112,6 +112,34 @@
     return len(message.encode(heartbeat))
 
 
+class TestEntriesOfManyChanges:
+    """Messages each with few entries cost a busy leader its processor."""
+
+    async def test_are_sent_together_within_the_interval(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        timing = TIMING._replace(append_interval_seconds=0.2)
+        cluster, leader, name = await _start_cluster(nursery, timing)
+        recorder = Recorder(cluster, leader, name)
+        async with trio.open_nursery() as writers:
+            for _ in range(10):
+                writers.start_soon(_write, cluster, leader, MEASURED_SECONDS)
+        with_entries = [each for each in recorder.requests if each.entries]
+        limit = MEASURED_SECONDS / timing.append_interval_seconds
+        assert limit / 2 < len(with_entries) <= limit + 2
+
+    async def test_a_change_after_a_pause_and_a_barrier_are_not_delayed(
+        self, nursery: trio.Nursery, autojump_clock: Clock
+    ) -> None:
+        timing = TIMING._replace(append_interval_seconds=5.0)
+        cluster, leader, _ = await _start_cluster(nursery, timing)
+        await trio.sleep(timing.append_interval_seconds)
+        began_at = trio.current_time()
+        await cluster.put(leader, "k=1")
+        assert await cluster.replicas[leader].barrier(1.0) is None
+        assert trio.current_time() - began_at < 2 * ANSWER_SECONDS
+
+
 class TestMemberThatDoesNotAnswer:
 
     # With the shortest time between two calls to such a member.
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -34,6 +34,7 @@
     election_jitter_seconds=0.6,
     call_seconds=0.8,
     commit_delay_seconds=0.02,
+    append_interval_seconds=0.01,
 )
 CONNECTION_TIMING = link.ConnectionTiming(1.0, 2.0, 1.0, 0.5)
 # Timeout for a request of a worker or an operator that is forwarded to the
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -8,7 +8,7 @@
 import trio
 
 from turmerichall import outcomes
-from turmerichall.agreement import replica_state
+from turmerichall.agreement import condition as conditions
 from turmerichall.dispatch import leader_api as leader_apis
 from turmerichall.dispatch import policy_client
 from turmerichall.dispatch import worker_client
@@ -316,8 +316,8 @@
         self.committing = True
         self.changes: list[changes.Change] = []
         self.state = types.SimpleNamespace(
-            role_changed=replica_state.Condition(),
-            applied_advanced=replica_state.Condition(),
+            role_changed=conditions.Condition(),
+            applied_advanced=conditions.Condition(),
             leader="self",
             members=(),
         )
