Commit the ends of runs that arrive during a commit in one change

Each poll that listed an end made an entry of its own in the log. An end now waits for at most the commit under way; without load it is committed at once. An end is still acknowledged to its worker only after its own commit.

--- a/turmerichall/benchmarks/control_io.py
+++ b/turmerichall/benchmarks/control_io.py
@@ -6,7 +6,9 @@
 is charged: its sessions with workers over HTTP, the handler of heartbeats, the
 log, and the replication of the log to seven followers.  Each cost is the least
 of several repeats.  The last column weighs it with the counts of a played day
-of 50 s at 246 workers.  `--profile` prints where one operation spends its time.
+of 50 s at 246 workers.  An entry is measured as if each end of a run had one of
+its own, and an end as it is committed, together with others.  `--profile`
+prints where one operation spends its time.
 """
 
 import contextlib
@@ -30,6 +32,7 @@
 
 from turmerichall.agreement import replica as replicas
 from turmerichall.benchmarks import control_io_peers as peers
+from turmerichall.dispatch import end_commits
 from turmerichall.dispatch import leadership as leaderships
 from turmerichall.dispatch import replica_daemon
 from turmerichall.dispatch import run_state
@@ -44,6 +47,7 @@
 from turmerichall.platform import http_worker_client
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
+from turmerichall.queues import state as states
 from turmerichall.storage import files as storage_files
 from turmerichall.telemetry import logs
 
@@ -55,9 +59,8 @@
 CALLS = 40
 HEARTBEATS = 1500
 LOG_LINES = 800
-# Entries proposed at the rate of the played day: an end of a run each, and the
-# starts of a placing round.
-ENTRIES_PER_SECOND = 500
+# Rate of the ends of runs, as on the played day.
+ENDS_PER_SECOND = 430
 REPLICATION_SECONDS = 3.0
 FOLLOWERS = 7
 # Longer than a stall of a busy machine.
@@ -264,21 +267,27 @@
         return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
 
 
-async def _propose(
-    replica: replicas.Replica, number: int, latencies: list[float]
+Commit = Callable[[changes.EndedRun], Awaitable[object]]
+
+
+async def _commit_end(
+    commit: Commit, number: int, latencies: list[float]
 ) -> None:
     began = trio.current_time()
-    ended = changes.EndedRun(
-        changes.TaskName(f"{number:016x}", 0, 1, 3), 1, changes.Ending.DONE, ""
+    task = changes.TaskName(f"{number:016x}", 0, 1, 3)
+    await commit(changes.EndedRun(task, 1, changes.Ending.DONE, ""))
+    latencies.append(trio.current_time() - began)
+
+
+async def _propose(replica: replicas.Replica, change: changes.Change) -> None:
+    answer = await replica.propose_in_term(
+        changes.encode(change), replica.leader_term(), 5.0
     )
-    change = changes.encode(changes.EndRuns((ended,)))
-    answer = await replica.propose_in_term(change, replica.leader_term(), 5.0)
     assert isinstance(answer, bytes), answer
-    latencies.append(trio.current_time() - began)
 
 
-async def _replicate(seeds: list[str]) -> float:
-    count = int(ENTRIES_PER_SECOND * REPLICATION_SECONDS)
+async def _replicate(seeds: list[str], batched: bool) -> float:
+    count = int(ENDS_PER_SECOND * REPLICATION_SECONDS)
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             replica = await peers.start_replica(
@@ -294,24 +303,34 @@
                 while not replica.leader_term():
                     await trio.sleep(0.1)
             await trio.sleep(1.0)
+            propose = functools.partial(_propose, replica)
+            ends = end_commits.EndCommits(states.QueueState(), propose)
+            nursery.start_soon(ends.run)
             latencies: list[float] = []
             began, spent = trio.current_time(), time.process_time()
             async with trio.open_nursery() as proposals:
                 for number in range(count):
-                    proposals.start_soon(_propose, replica, number, latencies)
-                    await trio.sleep_until(began + number / ENTRIES_PER_SECOND)
+                    proposals.start_soon(
+                        _commit_end,
+                        (lambda row: ends.commit([row]))
+                        if batched
+                        else (lambda row: propose(changes.EndRuns((row,)))),
+                        number,
+                        latencies,
+                    )
+                    await trio.sleep_until(began + number / ENDS_PER_SECOND)
             spent = time.process_time() - spent
             median = statistics.median(latencies) * 1000
             print(f"median latency of a commit: {median:.1f} ms")
             nursery.cancel_scope.cancel()
-    return spent / count / FOLLOWERS
+    return spent / count
 
 
-def _measure_replication() -> float:
+def _measure_replication(batched: bool) -> float:
     # The replica with the first name founds the cluster.
     seeds = sorted(_free_addresses(1 + FOLLOWERS))
     with _peer("followers", *seeds):
-        return trio.run(_replicate, seeds)
+        return trio.run(_replicate, seeds, batched)
 
 
 OPERATIONS = {
@@ -320,9 +339,8 @@
     "pace order": Operation(functools.partial(_measure_calls, _pace), 13_700),
     "heartbeat": Operation(lambda: trio.run(_receive_heartbeats), 11_200),
     "log line": Operation(_measure_log, 10_000),
-    "entry a follower": Operation(
-        _measure_replication, ENTRIES_PER_SECOND * 50 * FOLLOWERS
-    ),
+    "entry": Operation(functools.partial(_measure_replication, False), 21_400),
+    "end": Operation(functools.partial(_measure_replication, True), 21_400),
 }
 
 
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -9,6 +9,7 @@
 from turmerichall.agreement import replica as replicas
 from turmerichall.dispatch import backlog as backlogs
 from turmerichall.dispatch import durations as run_durations
+from turmerichall.dispatch import end_commits
 from turmerichall.dispatch import freshness as freshnesses
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import lease as leases
@@ -138,6 +139,9 @@
         self._straggler_detector = straggler_detectors.StragglerDetector(
             queue_state, self.workers, log, self.colocation
         )
+        self._end_commits = end_commits.EndCommits(
+            queue_state, self.commit_or_resign
+        )
         self._planner = planners.Planner(
             metrics_registry,
             self.backlog,
@@ -164,6 +168,7 @@
                     jobs=len(self.queue_state.jobs),
                     runs=sum(len(w.runs) for w in self.workers.values()),
                 )
+                nursery.start_soon(self._end_commits.run)
                 nursery.start_soon(self._place_tasks)
                 nursery.start_soon(self.tickets.run, self.request_placement)
                 nursery.start_soon(self._watch_schedule)
@@ -320,12 +325,7 @@
         """See `session.Owner`."""
         if not rows:
             return
-        open_before = {
-            row.task.job: self.queue_state.jobs[row.task.job].open
-            for row in rows
-            if row.task.job in self.queue_state.jobs
-        }
-        await self.commit_or_resign(changes.EndRuns(tuple(rows)))
+        batch = await self._end_commits.commit(rows)
         for row in rows:
             run = worker.runs.get(row.task)
             if run is None or run.number != row.run:
@@ -352,10 +352,8 @@
                 "runs_ended", ending=row.ending.name.lower()
             )
         reports.log_ends(self.log, worker, rows)
-        for job_id, was_open in open_before.items():
-            job = self.queue_state.jobs[job_id]
-            if was_open and not job.open:
-                self._close_ended_job(job)
+        for job in batch.take_closed():
+            self._close_ended_job(job)
         self._wake.set()
 
     def _close_ended_job(self, job: states.Job) -> None:
