Decode polls of the published form straight into types

Anything else still goes to the lenient decoder. The names of tasks that the last poll listed are not parsed again.

--- a/turmerichall/platform/http_worker_client.py
+++ b/turmerichall/platform/http_worker_client.py
@@ -46,6 +46,20 @@
 
 _ENCODER = msgspec.json.Encoder()
 
+_TasksByName = dict[str, changes.TaskName]
+
+
+class _Poll(msgspec.Struct):
+    """Answer to a poll that has exactly the published form."""
+
+    clock_ms: int
+    running: list[tuple[str, int, str, int, int]] = []
+    ended_runs: list[tuple[int, str, int, str, str]] = []
+    born: int = 0
+
+
+_POLL_DECODER = msgspec.json.Decoder(_Poll)
+
 
 def task_to_wire(task: changes.TaskName) -> str:
     """Format the name of a task for HTTP, as job.occurrence.step.number.
@@ -90,6 +104,7 @@
     def __init__(self, worker: changes.WorkerRecord):
         self.client = http_client.Client(worker.address)
         self.born_ms = worker.born_ms
+        self._known_tasks: _TasksByName = {}
         self._headers = {
             "expect-instance": worker.name,
             "content-type": message.JSON,
@@ -171,7 +186,7 @@
             POLL_MARGIN_SECONDS + wait_ms / 1000,
         )
         if isinstance(answer, message.Response) and answer.status == 200:
-            status = _worker_status(answer.body)
+            status = _worker_status(answer.body, self._known_tasks)
             if status is not None:
                 if self.born_ms and status.born_ms not in (0, self.born_ms):
                     return worker_client.PollFailure(
@@ -206,7 +221,45 @@
     return worker_client.OrderResult(failure, clock_ms, answer.resent)
 
 
-def _worker_status(body: bytes) -> worker_client.WorkerStatus | None:
+def _worker_status(
+    body: bytes, known_tasks: _TasksByName
+) -> worker_client.WorkerStatus | None:
+    """Decode the answer to a poll; return None if it can't be used.
+
+    Args:
+        body: Body of the answer.
+        known_tasks: Tasks that the previous answer listed, by name; replaced by
+            those of this one.
+    """
+    try:
+        poll = _POLL_DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return _lenient_status(body)
+    tasks = {}
+    running = []
+    for name, run, checkpoint, percent, load in poll.running:
+        task = known_tasks.get(name) or task_from_wire(name)
+        if task is not None:
+            tasks[name] = task
+        running.append(
+            worker_client.RunningTask(
+                task, name, run, checkpoint, percent, load
+            )
+        )
+    known_tasks.clear()
+    known_tasks.update(tasks)
+    ends = [_run_end(list(row)) for row in poll.ended_runs]
+    return worker_client.WorkerStatus(
+        poll.clock_ms,
+        running,
+        [end for end in ends if end is not None],
+        len(poll.ended_runs) < MAX_ENDED_RUNS,
+        poll.born,
+    )
+
+
+def _lenient_status(body: bytes) -> worker_client.WorkerStatus | None:
+    """Decode an answer in which rows or fields have an unexpected form."""
     document = lenient_json.decode_object(body) or {}
     clock_ms = document.get("clock_ms")
     running = document.get("running", [])
--- a/turmerichall/platform/tests/test_wire_formats.py
+++ b/turmerichall/platform/tests/test_wire_formats.py
@@ -185,6 +185,34 @@
             "wait_ms": 20,
         }
 
+    async def test_a_malformed_row_changes_nothing_about_the_others(
+        self,
+    ) -> None:
+        """An answer of the published form is decoded by another decoder."""
+        running: list[Any] = [
+            ["5c0e7a21d94b36f8.0.1.17", 2, "0bb8", 41, 12],
+            ["5c0e.0.1", 1, "", 0, 0],
+        ]
+        ended: list[Any] = [
+            [0, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""],
+            [58, "5c0e7a21d94b36f8.0.1.9", 1, "failed", "0c"],
+            [59, "5c0e.0.1", 1, "done", ""],
+            [60, "5c0e7a21d94b36f8.0.1.8", 1, "vanished", ""],
+        ]
+        answers = []
+        async with _worker_client() as (stub, worker):
+            for extra in ([], [], ["no row"]):
+                stub.body = {
+                    "clock_ms": 482113,
+                    "running": running + extra,
+                    "ended_runs": ended + extra,
+                    "more": {},
+                }
+                answers.append(await worker.poll(7, 57, 486000, 20))
+        assert isinstance(answers[0], worker_client.WorkerStatus)
+        assert [end.sequence for end in answers[0].ends] == [58, 59, 60]
+        assert answers[0] == answers[1] == answers[2]
+
     async def test_malformed_poll_response_is_a_failure(self) -> None:
         async with _worker_client() as (stub, worker):
             stub.body = ["nothing"]
