Request no placement after a poll that brings no end

Each poll of each worker requested a placing round, so that hundreds of workers kept the leader planning. Ends, accepted jobs, returning workers and resized ones still request a round at once; what else polls show, such as the load of long-running tasks, is used at the next round, now 0.1 s later at most instead of 0.25 s.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -46,8 +46,8 @@
 # arrive together are placed together.
 PLACEMENT_BATCH_SECONDS = 0.005
 # Maximum time between two placements: changes of tail latencies and circuit
-# breakers affect placement, but don't request one.
-PLACEMENT_INTERVAL_SECONDS = 0.25
+# breakers affect placement, but don't request one, since each poll brings some.
+PLACEMENT_INTERVAL_SECONDS = 0.1
 # Time between two checks whether occurrences of recurring jobs are due.
 SCHEDULE_INTERVAL_SECONDS = 0.05
 
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -148,11 +148,11 @@
         if not worker.in_touch:
             worker.record_contact()
             owner.log.info("worker in touch", worker=worker.record.id)
+            owner.request_placement()
         await self._commit_ends(status)
         await self._reconcile(status, now)
         await self._tail_controller.adjust()
         owner.move_stragglers(self)
-        owner.request_placement()
 
     def _wait_ms(self) -> int:
         worker = self.worker
