--- a/turmerichall/dispatch/placement_trigger.py
+++ b/turmerichall/dispatch/placement_trigger.py
@@ -5,7 +5,7 @@
 __all__ = ["PlacementTrigger"]
 
 # Maximum time between two placements: changes of tail latencies and circuit
-# breakers affect placement, but don't request one.
+# breakers affect placement, but don't request one, since each poll brings some.
 INTERVAL_SECONDS = 0.25
 # Minimum time from a placement to the next one that only changed room requests,
 # as a multiple of the time that it took.  Room changes hundreds of times a
