Let a starved batch task use the whole margin of services

Customers saw: a batch template that had slowed a service by half, as much as its margin allows, was never started again where all workers hold the service, though its deadline passed.

Cause: what is measured does not change while the template does not run, and waiting work may use only half of the margin. That share grew with the work relative to the time until the deadline, so for one short task it reached the whole margin only after the task was late.

Now a task that is at risk of its deadline and has waited for 600 s may use the whole margin, if no task of its template runs. Its ranking of workers is its own. Services stay within the margin that they are estimated to have, so a template beyond the whole margin is still not tried beside the service again.

Evidence: TestSlowingTemplate failed before (no start until 6600 s) and passes.

--- a/turmerichall/placement/scheduling_cycle.py
+++ b/turmerichall/placement/scheduling_cycle.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from turmerichall import outcomes
+from turmerichall import resources
 from turmerichall.placement import decisions
 from turmerichall.placement import priority as priorities
 from turmerichall.placement import selection
@@ -12,6 +13,11 @@
 
 __all__ = ["RefusedTask", "SchedulingCycle"]
 
+# A task that is at risk of its deadline may use the whole margin of services
+# only after this wait.  Without it, urgent tasks that came later on a small
+# fleet waited for up to 18 s instead of 10 s.
+MIN_WAIT_SECONDS = 600.0
+
 QueueEntry = tuple[priorities.Priority, waiting.BucketKey]
 
 
@@ -125,12 +131,13 @@
         task = bucket.head()
         assert task is not None
         size = self.selector.fleet.size_of(task)
-        chosen = self.refusals.get(key.shape) or self.selector.select(
-            task, size, self.now, self.headroom
-        )
+        chosen = self._select(task, size, key.shape)
+        if isinstance(chosen, outcomes.Refusal) and self._is_starved(
+            priority, task
+        ):
+            shape = key.shape._replace(at_risk=True)
+            chosen = self._select(task._replace(at_risk=True), size, shape)
         if isinstance(chosen, outcomes.Refusal):
-            if chosen.reason == outcomes.RefusalReason.NO_CAPACITY:
-                self.refusals[key.shape] = chosen
             self.refused.append(RefusedTask(key, task, priority, chosen))
             return False
         if (
@@ -145,3 +152,37 @@
         if not task.service:
             self.headroom -= size.processors
         return True
+
+    def _is_starved(
+        self, priority: priorities.Priority, task: views.TaskView
+    ) -> bool:
+        """Return whether a task at risk has waited for long.
+
+        It has not if another task of its template runs.
+        """
+        if (
+            priority.priority_class != priorities.PriorityClass.AT_RISK
+            or self.wall_now - task.submitted_wall_seconds < MIN_WAIT_SECONDS
+        ):
+            return False
+        workers = self.selector.fleet.workers.values()
+        return all(
+            task.template not in each.use_by_template for each in workers
+        )
+
+    def _select(
+        self,
+        task: views.TaskView,
+        size: resources.Resources,
+        shape: waiting.Shape,
+    ) -> selection.Selection | outcomes.Refusal:
+        """Select a worker, unless the shape was refused in this cycle."""
+        chosen = self.refusals.get(shape) or self.selector.select(
+            task, size, self.now, self.headroom
+        )
+        if (
+            isinstance(chosen, outcomes.Refusal)
+            and chosen.reason == outcomes.RefusalReason.NO_CAPACITY
+        ):
+            self.refusals[shape] = chosen
+        return chosen
--- a/turmerichall/placement/scoring.py
+++ b/turmerichall/placement/scoring.py
@@ -166,7 +166,8 @@
         load = state.load()
         load_step = (load + share) ** 2 - load**2
         margin = self.weights.service_margin - 1.0
-        margin *= self.fleet.margin_share
+        if not task.at_risk:
+            margin *= self.fleet.margin_share
         excess = self.fleet.excess_on(state, now)
         estimator = self.fleet.estimator
         cost = 0.0
--- a/turmerichall/placement/views.py
+++ b/turmerichall/placement/views.py
@@ -57,6 +57,8 @@
         evicted: Whether the last attempt was evicted or lost.
         failures: Number of failed attempts.
         zones: Availability zones that it may run in; empty for all.
+        at_risk: Whether it may use the whole margin of services, since it
+            would otherwise miss its deadline; set by the planner.
     """
 
     task_id: str
@@ -74,6 +76,7 @@
     evicted: bool = False
     failures: int = 0
     zones: tuple[str, ...] = ()
+    at_risk: bool = False
 
 
 class UsageReport(NamedTuple):
--- a/turmerichall/placement/waiting.py
+++ b/turmerichall/placement/waiting.py
@@ -28,6 +28,7 @@
         size: Resources declared for the task.
         zones: Availability zones that it may run in; empty for all.
         is_high_priority: Whether it is a service task or urgent.
+        at_risk: Whether it may use the whole margin of services.
     """
 
     template: str
@@ -35,6 +36,7 @@
     size: resources.Resources
     zones: tuple[str, ...]
     is_high_priority: bool
+    at_risk: bool = False
 
     @classmethod
     def of(cls, task: views.TaskView) -> "Shape":
@@ -46,6 +48,7 @@
             task.size,
             task.zones,
             is_high_priority(task),
+            task.at_risk,
         )
 
 
