--- a/turmerichall/entry/attempts.py
+++ b/turmerichall/entry/attempts.py
@@ -8,12 +8,21 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ["Attempt", "describe", "is_conclusive"]
+from turmerichall import outcomes
+
+__all__ = [
+    "Attempt",
+    "NOT_LEADING",
+    "describe",
+    "is_conclusive",
+    "is_outcome",
+]
 
 NOT_LEADING = "not_leading"
-UNREACHABLE = "unreachable"
-# Results after which the call may have an effect, or may have one later.
-_UNRESOLVED_STATUS = "504"
+# HTTP status of a leader that does not know the outcome itself.
+UNKNOWN_OUTCOME = 504
+# Methods of calls that change nothing, so that any attempt may answer them.
+SAFE_METHODS = ("GET", "HEAD")
 
 
 class Attempt(NamedTuple):
@@ -42,8 +51,11 @@
     def may_have_effect(self) -> bool:
         """Whether a leader may have processed the attempt, or yet may."""
         if self.result.isdecimal():
-            return self.result == _UNRESOLVED_STATUS
-        return self.result not in (NOT_LEADING, UNREACHABLE)
+            return int(self.result) == UNKNOWN_OUTCOME
+        return self.result not in (
+            NOT_LEADING,
+            outcomes.RefusalReason.UNREACHABLE,
+        )
 
 
 def is_conclusive(earlier: Iterable[Attempt], term: int) -> bool:
@@ -73,6 +85,31 @@
     )
 
 
+def is_outcome(
+    method: str, status: int, term: int, earlier: Iterable[Attempt]
+) -> bool:
+    """Return whether a leader's answer to an attempt is that to the call.
+
+    Args:
+        method: HTTP method of the call.
+        status: HTTP status of the answer.
+        term: Term of the leader; 0 if unknown.
+        earlier: The attempts before this one.
+
+    Examples:
+        >>> lost = Attempt("a", 0.0, 1.2, "timeout")
+        >>> is_outcome("POST", 200, 4, [lost])
+        True
+        >>> is_outcome("POST", 429, 4, [lost]), is_outcome("POST", 429, 4, [])
+        (False, True)
+        >>> is_outcome("GET", 410, 4, [lost])
+        True
+    """
+    if method in SAFE_METHODS or status < 300:
+        return True
+    return status != UNKNOWN_OUTCOME and is_conclusive(earlier, term)
+
+
 def describe(attempts: Iterable[Attempt]) -> list[str]:
     """Return one short text for each attempt, for a log line.
 
--- a/turmerichall/entry/leader_client.py
+++ b/turmerichall/entry/leader_client.py
@@ -27,8 +27,6 @@
 RETRY_DELAY_SECONDS = 0.05
 # Delay after an answer that does not tell the outcome of the call.
 UNRESOLVED_RETRY_DELAY_SECONDS = 0.25
-# Methods of calls that change nothing, so that any attempt may answer them.
-SAFE_METHODS = ("GET", "HEAD")
 # How long a call is retried while no leader is found and no replica can have
 # processed the call.
 LEADER_WAIT_SECONDS = 1.2
@@ -221,7 +219,9 @@
                     if answer.term:
                         self._leader_hint = address
                         self._leader_term = answer.term
-                    is_outcome = self._may_pass_on(request, answer, attempts)
+                    is_outcome = attempt_records.is_outcome(
+                        request.method, answer.status, answer.term, attempts
+                    )
                     attempts.append(made._replace(result=str(answer.status)))
                     if is_outcome:
                         return answer.response()
@@ -244,19 +244,6 @@
         headers = {"retry-after": str(RETRY_AFTER_SECONDS)}
         return message.Response(503, b"", headers)
 
-    def _may_pass_on(
-        self,
-        request: message.Request,
-        answer: calls.Answer,
-        earlier: list[attempt_records.Attempt],
-    ) -> bool:
-        """Return whether a leader's answer is the outcome of the call."""
-        if request.method in SAFE_METHODS or answer.status < 300:
-            return True
-        return answer.status != 504 and attempt_records.is_conclusive(
-            earlier, answer.term
-        )
-
     def _learn_leader(self, address: str, answer: calls.Answer) -> bool:
         """Take the leader from the answer of a replica that does not lead.
 
