--- a/turmerichall/benchmarks/leader_load.py
+++ b/turmerichall/benchmarks/leader_load.py
@@ -7,7 +7,7 @@
 """
 
 import collections
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 import contextlib
 import functools
 import heapq
@@ -20,6 +20,7 @@
 import unittest.mock
 
 from turmerichall.dispatch import durations
+from turmerichall.dispatch import end_commits
 from turmerichall.dispatch import freshness as freshnesses
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import leadership as leaderships
@@ -166,6 +167,22 @@
         self.apply(change)
 
 
+class _EndCommits:
+    """Commits the ends of runs at once; see `end_commits.EndCommits`."""
+
+    def __init__(self, replica: _Replica):
+        self.replica = replica
+
+    async def commit(
+        self, rows: Sequence[changes.EndedRun]
+    ) -> end_commits.Batch:
+        """Commit ends in a batch of their own."""
+        batch = end_commits.Batch(self.replica.queue_state)
+        batch.add(rows)
+        self.replica.apply(changes.EndRuns(tuple(rows)))
+        return batch
+
+
 class _Client:
     """Orders to a worker, which carries them out at once."""
 
@@ -244,6 +261,7 @@
         )
         setattr(self.leadership, "_nursery", self)
         setattr(self.leadership, "commit", self._replica.commit)
+        setattr(self.leadership, "_end_commits", _EndCommits(self._replica))
         self.planner = getattr(self.leadership, "_planner")
         self.leadership.registry.load(self)  # type: ignore[arg-type]
         self.wrap_parts()
@@ -271,7 +289,7 @@
         """Count the time of the parts."""
         leadership, planner = self.leadership, self.planner
         for owner, method, part in (
-            (leadership, "submit", "admission"),
+            (leadership.job_requests.admission, "decide", "admission"),
             (leadership, "commit", _COMMIT),
             (leadership, "commit_ends", "ends"),
             (leadership, "_close_job", "closing"),
@@ -309,15 +327,22 @@
         steps: tuple[demands.StepDemand, ...],
         schedule: demands.Schedule | None,
     ) -> None:
-        _finish(
-            self.leadership.submit(
-                controller.Submission(
-                    f"{next(self._numbers):016x}",
-                    self._queues[queue],
-                    demands.JobDemand("", steps, schedule),
-                )
-            )
+        submission = controller.Submission(
+            f"{next(self._numbers):016x}",
+            self._queues[queue],
+            demands.JobDemand("", steps, schedule),
         )
+        job_id, its_queue, demand, _ = submission
+        leadership = self.leadership
+        refusal = leadership.job_requests.admission.decide(
+            submission, leadership.workers.values(), self.now
+        )
+        if refusal is None:
+            wall_ms = leaderships.wall_ms()
+            self._replica.apply(
+                changes.AcceptJob(job_id, its_queue.key, demand, wall_ms)
+            )
+            leadership.job_accepted(job_id)
 
     def _submit_urgent(self) -> None:
         steps = tuple(
