Keep refusals true when the leader's work begins anew, and at late processing

Causes, found by the review of the fix, each shown by a call: the register of requests was new whenever the leader's work began anew in the same term, and the log was not applied to its end by then, so that a job could be in the log and in no register; and the term of an attempt was checked before the barrier only.

Change: the register lives as long as the term, the work begins once the whole log is applied, and the term is checked after the last wait. A call that changes something is sent again, with the term, if the instance did not know it; refused calls about a job that is stored are answered 200; 400 and 410 always hold; calls that a replica never handled have no effect; replicas that name each other do not keep a call from the others. A call without time left is still not sent, but answered 504: an earlier call about the job may be pending. Cancellations are carried out like submissions: one that was committed after 2.5 s stood in the state, and the runs went on.

--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -368,6 +368,17 @@
         begun = 0 < self._replication.term_start <= state.applied
         return state.term if leads and begun else 0
 
+    async def wait_log_applied(self, term: int) -> None:
+        """Wait until the whole log is applied, or a term is over.
+
+        Args:
+            term: The term in which this replica leads.
+        """
+        last_index = self.state.raft_log.last_index
+        await self.state.applied_advanced.wait_for(
+            lambda: self.state.applied >= last_index or self.state.term != term
+        )
+
     def resign(self, term: int) -> None:
         """Stop leading, if this replica leads in a term.
 
--- a/turmerichall/dispatch/job_requests/__init__.py
+++ b/turmerichall/dispatch/job_requests/__init__.py
@@ -1,3 +1,3 @@
-"""Submissions of jobs to the leader, which may arrive more than once."""
+"""Callers' requests to accept and cancel jobs, which may arrive repeatedly."""
 
 __all__: list[str] = []
--- a/turmerichall/dispatch/job_requests/request_register.py
+++ b/turmerichall/dispatch/job_requests/request_register.py
@@ -1,19 +1,19 @@
-"""Submissions of one term: those being committed, and the refused calls.
+"""Callers' requests of one term: those being committed, and refused calls.
 
 Answers calls that are tried again, by the same instance or another one, before
 their first attempt has ended: a leader without processor time, or one whose
 commits are slow, holds several attempts of a call at once.  A refusal promises
 that the job does not run, so it must hold for each of these attempts.
 
-`leadership.Leadership` submits through it; `leader_api.LeaderApi` records the
-refusals.
+`job_requests.JobRequests` commits through it; `leader_api.LeaderApi` records
+the refusals.
 """
 
 import trio
 
 from turmerichall import outcomes
 
-__all__ = ["Failure", "Submission", "SubmissionRegister", "may_have_accepted"]
+__all__ = ["Failure", "PendingChange", "RequestRegister", "unknown_outcome"]
 
 Failure = outcomes.Refusal | outcomes.Unknown
 
@@ -23,24 +23,24 @@
 REFUSED_CALL_SECONDS = 30.0
 
 
-def may_have_accepted(detail: str) -> outcomes.Unknown:
-    """Return the failure of a call whose job may run."""
+def unknown_outcome(detail: str) -> outcomes.Unknown:
+    """Return the failure of a request that may have been carried out."""
     return outcomes.Unknown(outcomes.UnknownReason.LEADER_LOST, detail)
 
 
-class Submission:
-    """A submission that is being committed.
+class PendingChange:
+    """A change that is being committed for callers.
 
     Attributes:
         done: Set once `failure` is known.
-        failure: Why the job was not committed, or may not have been; None if
-            it was committed.
+        failure: Why it was not committed, or may not have been; None if it
+            was committed.
     """
 
     def __init__(self) -> None:
         self.done = trio.Event()
-        self.failure: Failure | None = may_have_accepted(
-            "the job is being committed"
+        self.failure: Failure | None = unknown_outcome(
+            "the change is being committed"
         )
 
     def resolve(self, failure: Failure | None) -> None:
@@ -55,32 +55,25 @@
         return self.failure
 
 
-class SubmissionRegister:
-    """Register of the submissions that a leader got in its term.
+class RequestRegister:
+    """Register of the callers' requests that a leader got in its term.
 
     Attributes:
-        in_progress: Submissions that are being committed, by job.
+        submissions: Jobs that are being accepted, by id.
+        cancellations: Jobs that are being canceled, by id.
         refused_calls: Time in seconds and refusal, by id of the call; the
             oldest first.
     """
 
     def __init__(self) -> None:
-        self.in_progress: dict[str, Submission] = {}
+        self.submissions: dict[str, PendingChange] = {}
+        self.cancellations: dict[str, PendingChange] = {}
         self.refused_calls: dict[str, tuple[float, outcomes.Refusal]] = {}
 
-    def begin(self, job_id: str) -> Submission:
-        """Register a submission whose commit begins."""
-        submission = self.in_progress[job_id] = Submission()
-        return submission
-
-    def end(self, job_id: str, failure: Failure | None) -> None:
-        """Give the outcome of a submission to all callers that wait for it."""
-        self.in_progress.pop(job_id).resolve(failure)
-
-    def refuse(
+    def record_refusal(
         self, call_id: str, refusal: outcomes.Refusal, now: float
-    ) -> outcomes.Refusal:
-        """Record that a call was refused, and return the refusal.
+    ) -> None:
+        """Record that a call was refused.
 
         Args:
             call_id: Id of the call, the same for all its attempts; empty if
@@ -95,7 +88,6 @@
             del self.refused_calls[oldest]
         if call_id:
             self.refused_calls.setdefault(call_id, (now, refusal))
-        return refusal
 
     def refusal(self, call_id: str) -> outcomes.Refusal | None:
         """Return the refusal of an earlier attempt of a call, if any."""
--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -15,7 +15,8 @@
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch.admission_control import controller
 from turmerichall.dispatch.evacuation import requests as evacuation_requests
-from turmerichall.dispatch.submissions import submission_register
+from turmerichall.dispatch.job_requests import job_requests
+from turmerichall.dispatch.job_requests import request_register
 from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -25,15 +26,18 @@
 from turmerichall.settings import queue_settings
 from turmerichall.telemetry import lightweight_metrics
 
-__all__ = ["Failure", "Leader", "LeaderApi"]
+__all__ = ["ANY_TERM", "Attempt", "Failure", "Leader", "LeaderApi"]
 
 BARRIER_SECONDS = 0.8
-RETRY_SECONDS = leaderships.RETRY_SECONDS
-NOT_LEADER = leaderships.NOT_LEADER
+RETRY_SECONDS = job_requests.RETRY_SECONDS
+NOT_LEADER = job_requests.NOT_LEADER
 NO_QUORUM = outcomes.Refusal(
     outcomes.RefusalReason.NO_QUORUM, "no quorum answered", RETRY_SECONDS
 )
 
+# Any leader may process an attempt: instances of older versions name no term.
+ANY_TERM = -1
+
 Failure = outcomes.Refusal | outcomes.Unknown
 
 
@@ -56,6 +60,19 @@
     configured: bool = False
 
 
+class Attempt(NamedTuple):
+    """One attempt of a caller's call, as an entry instance forwards it.
+
+    Attributes:
+        call_id: Id of the call, the same for all its attempts; empty if
+            unknown.
+        term: Term of the leader that may process it, or `ANY_TERM`.
+    """
+
+    call_id: str = ""
+    term: int = ANY_TERM
+
+
 class LeaderApi:
     """Interface for the requests that only the leader may answer.
 
@@ -98,6 +115,7 @@
         replica = self.replica
         term = 0
         kept_out: frozenset[str] = frozenset()
+        register = request_register.RequestRegister()
         while True:
             # A leader's state becomes current only by applying an entry.
             await replica.state.applied_advanced.wait_for(
@@ -106,6 +124,9 @@
             if term != replica.leader_term():
                 term = replica.leader_term()
                 kept_out = frozenset()
+                register = request_register.RequestRegister()
+            # What earlier work in this term proposed may not be applied yet.
+            await replica.wait_log_applied(term)
             leadership = self.leadership = leaderships.Leadership(
                 self.replica,
                 self.queue_state,
@@ -120,6 +141,7 @@
                 kept_out,
                 self._zone_names,
                 self._scheduling,
+                register,
             )
             try:
                 await leadership.run()
@@ -156,9 +178,15 @@
             return NOT_LEADER
         return None if refusal is None else NO_QUORUM
 
-    def leads_in(self, term: int) -> bool:
-        """Return whether this replica does the leader's work in a term."""
-        return self.leadership is not None and self.leadership.token == term
+    def may_process(self, attempt: Attempt) -> bool:
+        """Return whether this replica is the leader that an attempt is for.
+
+        To be asked after the last wait before the attempt has an effect.
+        """
+        leadership = self.leadership
+        return leadership is not None and (
+            attempt.term in (ANY_TERM, leadership.token)
+        )
 
     async def find_queue(
         self, host: str, path: str
@@ -181,32 +209,34 @@
             )
         return queue
 
-    def refuse(
-        self, refusal: outcomes.Refusal, job_id: str, call_id: str
-    ) -> Failure:
-        """Return how a call about a job fails that is to be refused.
+    async def refuse(
+        self, refusal: outcomes.Refusal, job_id: str, attempt: Attempt
+    ) -> Failure | None:
+        """Refuse to accept a job, unless it is accepted.
 
-        A refusal promises that the call has no effect, so it must hold for
-        the other attempts of the call: they get it too when they come to be
-        processed, and the outcome is unknown if one may have been accepted.
+        A refusal promises that the job does not run, so it must hold for the
+        other attempts of the call: they get it too when they come to be
+        processed, and it is not given if one of them was accepted.
 
         Args:
             refusal: The refusal.
             job_id: Id of the job.
-            call_id: Id of the call, the same for all its attempts; empty if
-                unknown.
+            attempt: The attempt of the caller's call.
+
+        Returns:
+            The refusal; None if the job is durable; or another failure.
         """
         leadership = self.leadership
-        if leadership is None:
+        if leadership is None or not self.may_process(attempt):
             return NOT_LEADER
-        submissions = leadership.submissions
-        if job_id in self.queue_state.jobs or (
-            job_id in submissions.in_progress
-        ):
-            return submission_register.may_have_accepted(
-                "the job may have been accepted from an earlier attempt"
-            )
-        return submissions.refuse(call_id, refusal, trio.current_time())
+        register = leadership.job_requests.register
+        if job_id in self.queue_state.jobs:
+            return None
+        submission = register.submissions.get(job_id)
+        if submission is not None:
+            return await submission.wait(job_requests.CALLER_WAIT_SECONDS)
+        register.record_refusal(attempt.call_id, refusal, trio.current_time())
+        return refusal
 
     async def submit(
         self,
@@ -214,7 +244,7 @@
         job_id: str,
         demand: demands.JobDemand,
         caller_zone: str = "",
-        call_id: str = "",
+        attempt: Attempt = Attempt(),
     ) -> Failure | None:
         """Accept a job; return None once it is durable, or the failure.
 
@@ -224,22 +254,21 @@
             demand: The job as its caller described it.
             caller_zone: Availability zone of the entry instance that received
                 the call; empty if unknown.
-            call_id: Id of the call, the same for all its attempts; empty if
-                unknown.
+            attempt: The attempt of the caller's call.
         """
         leadership = self.leadership
-        if leadership is None:
+        if leadership is None or not self.may_process(attempt):
             return NOT_LEADER
-        refused = leadership.submissions.refusal(call_id)
+        refused = leadership.job_requests.register.refusal(attempt.call_id)
         if refused is not None:
             return refused
-        failure = await leadership.submit(
+        failure = await leadership.job_requests.submit(
             controller.Submission(job_id, queue, demand, caller_zone)
         )
         if isinstance(failure, outcomes.Refusal) and (
             failure.reason != outcomes.RefusalReason.NOT_LEADER
         ):
-            return self.refuse(failure, job_id, call_id)
+            return await self.refuse(failure, job_id, attempt)
         return failure
 
     def job_state(self, job_id: str) -> states.JobState | outcomes.Refusal:
@@ -260,16 +289,7 @@
         leadership = self.leadership
         if leadership is None:
             return NOT_LEADER
-        in_progress = leadership.submissions.in_progress.get(job_id)
-        if in_progress is not None:
-            failure = await in_progress.wait(leaderships.CALLER_COMMIT_SECONDS)
-            if failure is not None:
-                return failure
-        if job_id not in self.queue_state.jobs:
-            return outcomes.Refusal(
-                outcomes.RefusalReason.UNKNOWN_NAME, "no such job"
-            )
-        return await leadership.cancel(job_id)
+        return await leadership.job_requests.cancel(job_id)
 
     def pending(self, queue: configurations.Queue) -> int:
         """Return the number of jobs of a queue that have not started."""
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -1,6 +1,6 @@
 """A leader's work in one term: places tasks and sends orders to workers."""
 
-from collections.abc import Set
+from collections.abc import Awaitable, Callable, Set
 import time
 
 import trio
@@ -27,13 +27,11 @@
 from turmerichall.dispatch import ticket_cache as ticket_caches
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
-from turmerichall.dispatch.admission_control import controller
 from turmerichall.dispatch.admission_control import selection
 from turmerichall.dispatch.colocation import careful_policy
 from turmerichall.dispatch.forecasts import forecast
-from turmerichall.dispatch.submissions import (
-    submission_register as submission_registers,
-)
+from turmerichall.dispatch.job_requests import job_requests as job_request_sets
+from turmerichall.dispatch.job_requests import request_register
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
@@ -41,13 +39,7 @@
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import loop_delay as loop_delays
 
-__all__ = ["Leadership", "NOT_LEADER", "RETRY_SECONDS", "wall_ms"]
-
-# Time after which a caller that found no leader may try again.
-RETRY_SECONDS = 0.5
-NOT_LEADER = outcomes.Refusal(
-    outcomes.RefusalReason.NOT_LEADER, "not the leader", RETRY_SECONDS
-)
+__all__ = ["Leadership", "wall_ms"]
 
 # Timeout of the leader's own commits; it ends its term if one of them fails.
 OWN_COMMIT_SECONDS = 20.0
@@ -91,7 +83,7 @@
             token although a quorum confirmed the term.
         zone_names: Availability zones that the settings name.
         scope: Cancel scope that ends the term's work.
-        submissions: Jobs that callers submit in this term.
+        job_requests: Callers' requests to accept and cancel jobs.
         loop_delay: Delay of the event loop while this replica leads.
     """
 
@@ -110,6 +102,7 @@
         kept_out: Set[str] = frozenset(),
         zone_names: tuple[str, ...] = (),
         scheduling: queue_settings.Scheduling = queue_settings.Scheduling(),
+        register: request_register.RequestRegister | None = None,
     ):
         self.replica = replica
         self.queue_state = queue_state
@@ -123,13 +116,18 @@
         self.tickets = ticket_caches.TicketCache(policy, log, metrics_registry)
         self.backlog = backlogs.Backlog(queue_state)
         self.forecaster = forecast.Forecaster(durations, metrics_registry)
-        self._admission = selection.make_controller(
-            scheduling,
-            self.backlog,
-            durations,
-            self.forecaster,
-            log,
-            metrics_registry,
+        self.job_requests = job_request_sets.JobRequests(
+            self,
+            selection.make_controller(
+                scheduling,
+                self.backlog,
+                durations,
+                self.forecaster,
+                log,
+                metrics_registry,
+                wall_ms,
+            ),
+            register or request_register.RequestRegister(),
             wall_ms,
         )
         self.colocation = careful_policy.make_policy(
@@ -138,7 +136,6 @@
         self.registry = registries.Registry(self, make_client)
         self.workers = self.registry.workers
         self.scope = trio.CancelScope()
-        self.submissions = submission_registers.SubmissionRegister()
         self.loop_delay = loop_delays.LoopDelay(metrics_registry)
         self.fencers: set[str] = set()
         self.kept_out = kept_out
@@ -479,75 +476,26 @@
             if self._recurring_jobs.advance(wall_ms()):
                 self._wake.set()
 
-    async def submit(
-        self, submission: controller.Submission
-    ) -> outcomes.Refusal | outcomes.Unknown | None:
-        """Accept a job; return None once it is durable, or the failure."""
-        job_id = submission.job_id
-        if job_id in self.queue_state.jobs:
-            return None
-        in_progress = self.submissions.in_progress.get(job_id)
-        if in_progress is None:
-            if self._nursery is None:
-                return NOT_LEADER
-            refusal = self._admission.decide(
-                submission, self.workers.values(), leases.steady_seconds()
-            )
-            if refusal is not None:
-                self.metrics_registry.count(
-                    "jobs_refused", reason=refusal.reason.value
-                )
-                reports.log_refused(self.log, job_id, submission.queue, refusal)
-                return refusal
-            in_progress = self.submissions.begin(job_id)
-            self._nursery.start_soon(self._accept, submission)
-        return await in_progress.wait(CALLER_COMMIT_SECONDS)
-
-    async def _accept(self, submission: controller.Submission) -> None:
-        """Commit a job, also when its caller no longer waits."""
-        job_id, queue, demand, _ = submission
-        failure: outcomes.Refusal | outcomes.Unknown | None = (
-            submission_registers.may_have_accepted("the term ended")
-        )
-        try:
-            failure = await self.commit(
-                changes.AcceptJob(job_id, queue.key, demand, wall_ms()),
-                OWN_COMMIT_SECONDS,
-            )
-            if failure is None:
-                self._add_job(submission)
-            elif failure.reason == outcomes.RefusalReason.NO_QUORUM:
-                # Another leader's entry took the place of this one.
-                failure = NOT_LEADER
-        finally:
-            self.submissions.end(job_id, failure)
-        if failure is not None:
-            reports.log_uncommitted(self.log, job_id, self.token, failure)
-        if isinstance(failure, outcomes.Unknown):
-            self.scope.cancel()
-
-    def _add_job(self, submission: controller.Submission) -> None:
-        """Let the tasks of an accepted job wait for their placement."""
-        job_id, queue, demand, _ = submission
-        self.metrics_registry.count("jobs_accepted", queue=queue.name)
-        reports.log_accepted(self.log, job_id, queue, demand)
+    def spawn(
+        self, function: Callable[..., Awaitable[None]], *args: object
+    ) -> bool:
+        """See `job_requests.Owner`."""
+        if self._nursery is None:
+            return False
+        self._nursery.start_soon(function, *args)
+        return True
+
+    def job_accepted(self, job_id: str) -> None:
+        """See `job_requests.Owner`."""
         job = self.queue_state.jobs[job_id]
         if job.open and not job.started:
             self._recurring_jobs.add(job, wall_ms())
             self._wake.set()
 
-    async def cancel(
-        self, job_id: str
-    ) -> outcomes.Refusal | outcomes.Unknown | None:
-        """Cancel a job and stop its runs.
+    def job_canceled(self, job_id: str) -> None:
+        """See `job_requests.Owner`."""
+        self._close_job(job_id)
 
-        Returns None once this is durable, or the failure.
-        """
-        job = self.queue_state.jobs[job_id]
-        if not job.open:
-            return None
-        failed = await self.commit(changes.CancelJob(job_id))
-        if failed is None:
-            self.log.info("job canceled", job=job_id)
-            self._close_job(job_id)
-        return failed
+    def end_work(self) -> None:
+        """See `job_requests.Owner`."""
+        self.scope.cancel()
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -151,8 +151,7 @@
 
     async def _on_client(self, _: str, body: bytes) -> bytes:
         request = calls.decode_request(body)
-        term = calls.addressed_term(request)
-        if term and not self.leader_api.leads_in(term):
+        if not self.leader_api.may_process(calls.attempt(request)):
             return self._encode_answer(leader_apis.NOT_LEADER)
         return self._encode_answer(
             await client_requests.handle(self.leader_api, request)
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -326,6 +326,9 @@
         """See `agreement.replica.Replica`."""
         return self.term
 
+    async def wait_log_applied(self, term: int) -> None:
+        """See `agreement.replica.Replica`."""
+
     def lead(self, term: int) -> None:
         """Become leader in another term; 0 makes it a follower."""
         self.term = term
--- a/turmerichall/entry/attempts.py
+++ b/turmerichall/entry/attempts.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from turmerichall import outcomes
+from turmerichall.entry import calls
 
 __all__ = [
     "Attempt",
@@ -21,8 +22,15 @@
 NOT_LEADING = "not_leading"
 # HTTP status of a leader that does not know the outcome itself.
 UNKNOWN_OUTCOME = 504
-# Methods of calls that change nothing, so that any attempt may answer them.
-SAFE_METHODS = ("GET", "HEAD")
+# HTTP statuses that depend on the call alone, or say that there is no such job,
+# which an earlier attempt can't have accepted then.
+CERTAIN = (400, 405, 410, 413)
+# Reasons why an attempt was not handled at all.
+_UNHANDLED = (
+    outcomes.RefusalReason.UNREACHABLE,
+    outcomes.RefusalReason.OVERLOADED,
+    outcomes.RefusalReason.UNKNOWN_NAME,
+)
 
 
 class Attempt(NamedTuple):
@@ -52,10 +60,7 @@
         """Whether a leader may have processed the attempt, or yet may."""
         if self.result.isdecimal():
             return int(self.result) == UNKNOWN_OUTCOME
-        return self.result not in (
-            NOT_LEADING,
-            outcomes.RefusalReason.UNREACHABLE,
-        )
+        return self.result not in (NOT_LEADING, *_UNHANDLED)
 
 
 def is_conclusive(earlier: Iterable[Attempt], term: int) -> bool:
@@ -102,10 +107,12 @@
         True
         >>> is_outcome("POST", 429, 4, [lost]), is_outcome("POST", 429, 4, [])
         (False, True)
-        >>> is_outcome("GET", 410, 4, [lost])
+        >>> is_outcome("GET", 503, 4, [lost])
+        True
+        >>> is_outcome("DELETE", 410, 4, [lost])
         True
     """
-    if method in SAFE_METHODS or status < 300:
+    if method in calls.SAFE_METHODS or status < 300 or status in CERTAIN:
         return True
     return status != UNKNOWN_OUTCOME and is_conclusive(earlier, term)
 
--- a/turmerichall/entry/calls.py
+++ b/turmerichall/entry/calls.py
@@ -16,8 +16,9 @@
     "CONTROL_CALL",
     "Kind",
     "LEADER_QUERY",
+    "SAFE_METHODS",
     "TERM_HEADER",
-    "addressed_term",
+    "attempt",
     "decode_answer",
     "decode_leader",
     "decode_request",
@@ -43,6 +44,8 @@
 # it, and of an answer with the term of the replica.  It is not a field of
 # `Answer`, because entry instances of older versions reject unknown fields.
 TERM_HEADER = "turmerichall-term"
+# Methods of calls that change nothing.
+SAFE_METHODS = ("GET", "HEAD")
 # Digits of the largest term.
 MAX_DIGITS = 19
 
@@ -77,7 +80,7 @@
     @property
     def term(self) -> int:
         """Term of the replica; 0 from replicas of older versions."""
-        return _term(self.headers)
+        return _term(self.headers, 0)
 
     def response(self) -> message.Response:
         """Return the HTTP response that the answer carries to the caller."""
@@ -116,21 +119,31 @@
     Args:
         request: The call.
         call_id: Id of the call, the same for all its attempts.
-        term: Term of the leader that may process it; 0 for any leader.
+        term: Term of the leader that may process it; 0 if unknown.
     """
     headers = {**request.headers, CALL_ID_HEADER: call_id}
     headers[TERM_HEADER] = str(term)
     return request._replace(headers=headers)
 
 
-def addressed_term(request: message.Request) -> int:
-    """Return the term of the leader that may process a call; 0 for any."""
-    return _term(request.headers)
+def attempt(request: message.Request) -> leader_apis.Attempt:
+    """Return which attempt of which call a forwarded call is.
+
+    A call that changes something and names no known term, 0, is for no leader:
+    the answer tells the instance the term that it has to name.
+    """
+    headers = request.headers
+    term = _term(headers, leader_apis.ANY_TERM)
+    if term == 0 and request.method in SAFE_METHODS:
+        term = leader_apis.ANY_TERM
+    return leader_apis.Attempt(headers.get(CALL_ID_HEADER, ""), term)
 
 
-def _term(headers: message.Headers) -> int:
+def _term(headers: message.Headers, default: int) -> int:
     text = headers.get(TERM_HEADER, "")
-    return int(text) if text.isdecimal() and len(text) <= MAX_DIGITS else 0
+    if text.isdecimal() and len(text) <= MAX_DIGITS:
+        return int(text)
+    return default
 
 
 def wrap_response(response: message.Response, term: int = 0) -> Answer:
@@ -138,7 +151,7 @@
 
     Args:
         response: The response.
-        term: Term of the leader.
+        term: Term of the leader; 0 if its work has ended.
     """
     return Answer(
         Kind.ANSWERED,
--- a/turmerichall/entry/leader_client.py
+++ b/turmerichall/entry/leader_client.py
@@ -193,6 +193,8 @@
         began_at = trio.current_time()
         deadline = began_at + caller_timeout_seconds
         index = 0
+        # Leaders that replicas named, each with its term.
+        named: set[tuple[str, int]] = set()
         while trio.current_time() < deadline:
             replicas = self._replicas()
             address = replicas[index % len(replicas)] if replicas else ""
@@ -231,7 +233,10 @@
                     attempts.append(
                         made._replace(result=attempt_records.NOT_LEADING)
                     )
-                    if self._learn_leader(address, answer):
+                    self._learn_leader(answer)
+                    leader = (answer.leader, answer.term)
+                    if answer.leader and leader not in named:
+                        named.add(leader)
                         index = 0
             give_up_at = deadline
             if not any(each.may_have_effect for each in attempts):
@@ -239,25 +244,17 @@
             if now + delay_seconds >= give_up_at:
                 break
             await trio.sleep(delay_seconds)
-        if any(each.may_have_effect for each in attempts):
+        # A caller without time left may have sent the call before, which this
+        # instance has not asked about.
+        is_asked = bool(attempts) or request.method in calls.SAFE_METHODS
+        if not is_asked or any(each.may_have_effect for each in attempts):
             return message.Response(504)
         headers = {"retry-after": str(RETRY_AFTER_SECONDS)}
         return message.Response(503, b"", headers)
 
-    def _learn_leader(self, address: str, answer: calls.Answer) -> bool:
-        """Take the leader from the answer of a replica that does not lead.
-
-        Args:
-            address: Address of that replica.
-            answer: Its answer.
-
-        Returns:
-            Whether the answer names a leader or a term that was not known.
-        """
-        if not answer.leader:
-            return False
-        is_new = answer.leader != address or answer.term != self._leader_term
-        self._leader_hint = answer.leader
-        self._leader_term = answer.term
-        self._update_connections()
-        return is_new
+    def _learn_leader(self, answer: calls.Answer) -> None:
+        """Take the leader from the answer of a replica that does not lead."""
+        if answer.leader:
+            self._leader_hint = answer.leader
+            self._leader_term = answer.term
+            self._update_connections()
--- a/turmerichall/platform/client_requests.py
+++ b/turmerichall/platform/client_requests.py
@@ -182,11 +182,14 @@
     path = request.target.partition("?")[0]
     queue = await leader_api.find_queue(request.host, path)
     if isinstance(queue, outcomes.Refusal):
+        # Only the refusal of a submission says that nothing is or will be run.
         if request.method != "POST":
             return to_response(queue)
-        call_id = request.headers.get(calls.CALL_ID_HEADER, "")
-        job_id = path.rpartition("/")[2]
-        return to_response(leader_api.refuse(queue, job_id, call_id))
+        return to_response(
+            await leader_api.refuse(
+                queue, path.rpartition("/")[2], calls.attempt(request)
+            )
+        )
     job_id = path[len(queue.path_prefix) :]
     if request.method == "POST" and job_id:
         return await _submit(leader_api, queue, job_id, request)
@@ -215,9 +218,10 @@
     if isinstance(demand, errors.Finding):
         return message.Response(400, _encode({"error": str(demand)}))
     caller_zone = request.headers.get(calls.CALLER_ZONE_HEADER, "")
-    call_id = request.headers.get(calls.CALL_ID_HEADER, "")
     return to_response(
-        await leader_api.submit(queue, job_id, demand, caller_zone, call_id)
+        await leader_api.submit(
+            queue, job_id, demand, caller_zone, calls.attempt(request)
+        )
     )
 
 
