Acknowledge a repeated order to take back a zone without workers

Operators saw: 400 'unknown zone' for an order whose first answer was lost, since a zone that has neither workers nor a place in the settings is known while it is evacuated only. Found by the review of repeated calls; the test failed before.

--- a/turmerichall/dispatch/evacuation/zone_states.py
+++ b/turmerichall/dispatch/evacuation/zone_states.py
@@ -42,6 +42,7 @@
     return (
         zone in configured
         or zone in queue_state.evacuations
+        or zone in queue_state.restored
         or any(worker.zone == zone for worker in queue_state.workers.values())
     )
 
