--- a/turmerichall/dispatch/evacuation/tests/test_zone_states.py
+++ b/turmerichall/dispatch/evacuation/tests/test_zone_states.py
@@ -11,13 +11,8 @@
     # operator, whose answer was lost, repeated it.
     def test_zone_without_workers_that_was_taken_back_is_known(self) -> None:
         queue_state = states.QueueState()
-        for index, change in enumerate(
-            (
-                changes.BeginEvacuation("z1", 1000),
-                changes.EndEvacuation("z1", 2000),
-            ),
-            1,
-        ):
-            queue_state.apply(index, changes.encode(change))
+        begin = changes.encode(changes.BeginEvacuation("z1", 1000))
+        queue_state.apply(1, begin)
+        queue_state.apply(2, changes.encode(changes.EndEvacuation("z1", 2000)))
         assert zone_states.is_known("z1", (), queue_state)
         assert not zone_states.is_known("z2", (), queue_state)
