--- a/turmerichall/entry/leader_client.py
+++ b/turmerichall/entry/leader_client.py
@@ -195,10 +195,9 @@
         index = 0
         # Leaders that replicas named, each with its term.
         named: set[tuple[str, int]] = set()
-        while trio.current_time() < deadline:
+        while (sent_at := trio.current_time()) < deadline:
             replicas = self._replicas()
             address = replicas[index % len(replicas)] if replicas else ""
-            sent_at = trio.current_time()
             term = self._leader_term
             reply = await self.network.call(
                 address,
--- a/turmerichall/entry/tests/test_leader_client.py
+++ b/turmerichall/entry/tests/test_leader_client.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from turmerichall import outcomes
 from turmerichall.dispatch import leader_api as leader_apis
@@ -118,6 +119,59 @@
         assert not network.called
 
 
+class TickingClock(trio.abc.Clock):
+    """A clock on which 1 ms passes whenever it is read, and none otherwise."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def start_clock(self) -> None:
+        """See `trio.abc.Clock`."""
+
+    def current_time(self) -> float:
+        """See `trio.abc.Clock`."""
+        self.now += 0.001
+        return self.now
+
+    def deadline_to_sleep_time(self, deadline: float) -> float:
+        """See `trio.abc.Clock`."""
+        self.now = max(self.now, min(deadline, self.now + 10.0))
+        return 0.0
+
+
+class TestDeadline:
+
+    # The process ended with ValueError: the deadline passed between two looks
+    # at the clock, so that a replica was called with a negative timeout.
+    @pytest.mark.parametrize("milliseconds", range(1, 9))
+    def test_no_attempt_has_a_negative_timeout(self, milliseconds: int) -> None:
+        timeouts: list[float] = []
+
+        class Network(FakeNetwork):
+            """Records the timeouts."""
+
+            async def call(
+                self,
+                instance: str,
+                kind: str,
+                body: bytes,
+                timeout_seconds: float,
+            ) -> bytes | outcomes.Refusal:
+                timeouts.append(timeout_seconds)
+                return await super().call(
+                    instance, kind, body, max(0.0, timeout_seconds)
+                )
+
+        async def forward() -> message.Response:
+            return await make_client(Network()).forward(
+                calls.CLIENT_CALL, REQUEST, (milliseconds + 0.5) / 1000
+            )
+
+        answer = trio.run(forward, clock=TickingClock())
+        assert answer.status in (503, 504)
+        assert all(seconds > 0 for seconds in timeouts)
+
+
 class TestReadiness:
 
     async def test_needs_a_recent_answer_of_a_configured_leader(
