--- a/turmerichall/benchmarks/leader_load.py
+++ b/turmerichall/benchmarks/leader_load.py
@@ -6,28 +6,23 @@
 parts that it calls.
 """
 
-import collections
-from collections.abc import Callable, Coroutine, Iterator, Sequence
-import contextlib
+from collections.abc import Callable
 import functools
 import heapq
-import inspect
 import itertools
 import math
 import random
-import time
 from typing import Any
 import unittest.mock
 
+from turmerichall.benchmarks import leader_fakes
 from turmerichall.dispatch import durations
-from turmerichall.dispatch import end_commits
 from turmerichall.dispatch import freshness as freshnesses
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import leadership as leaderships
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import session as sessions
-from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.admission_control import controller
 from turmerichall.queues import change as changes
@@ -79,124 +74,6 @@
 # The fake agreement, which is no part of the decisions.
 _COMMIT = "commit"
 
-# Kind of an order, task, number of the run, and worker or pace.
-_Order = tuple[str, changes.TaskName, int, str | int]
-
-
-class _Timers:
-    """Processor time of parts, without that of the parts that they call."""
-
-    def __init__(self) -> None:
-        self.seconds: dict[str, float] = collections.defaultdict(float)
-        self._stack: list[str] = []
-        self._since = 0.0
-
-    @contextlib.contextmanager
-    def part(self, name: str) -> Iterator[None]:
-        """Count the time of a block for a part."""
-        self._switch()
-        self._stack.append(name)
-        try:
-            yield
-        finally:
-            self._switch()
-            self._stack.pop()
-
-    def _switch(self) -> None:
-        now = time.process_time()
-        if self._stack:
-            self.seconds[self._stack[-1]] += now - self._since
-        self._since = now
-
-    def wrap(self, owner: object, method: str, name: str) -> None:
-        """Count the time of a method for a part."""
-        function = getattr(owner, method)
-
-        @functools.wraps(function)
-        def call(*args: Any, **kwargs: Any) -> Any:
-            with self.part(name):
-                return function(*args, **kwargs)
-
-        @functools.wraps(function)
-        async def call_async(*args: Any, **kwargs: Any) -> Any:
-            with self.part(name):
-                return await function(*args, **kwargs)
-
-        is_async = inspect.iscoroutinefunction(function)
-        setattr(owner, method, call_async if is_async else call)
-
-
-def _finish(coroutine: Coroutine[Any, Any, Any]) -> Any:
-    """Return the result of a coroutine that never waits."""
-    try:
-        coroutine.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise AssertionError("a fake waited")
-
-
-class _Log:
-    """A log that drops its lines."""
-
-    def info(self, message: str, **fields: object) -> None:
-        """Drop a message."""
-
-    warning = error = info
-
-
-class _Replica:
-    """A replica that commits at once."""
-
-    def __init__(self, queue_state: states.QueueState):
-        self.queue_state = queue_state
-        self._index = itertools.count(1)
-
-    def seconds_since_quorum(self) -> float:
-        """See `agreement.replica.Replica`."""
-        return 0.0
-
-    def apply(self, change: changes.Change) -> None:
-        """Apply a change as if it were committed."""
-        self.queue_state.apply(next(self._index), changes.encode(change))
-
-    async def commit(
-        self, change: changes.Change, timeout_seconds: float = 0.0
-    ) -> None:
-        """See `leadership.Leadership.commit`, which needs trio's clock."""
-        del timeout_seconds
-        self.apply(change)
-
-
-class _EndCommits:
-    """Commits the ends of runs at once; see `end_commits.EndCommits`."""
-
-    def __init__(self, replica: _Replica):
-        self.replica = replica
-
-    async def commit(
-        self, rows: Sequence[changes.EndedRun]
-    ) -> end_commits.Batch:
-        """Commit ends in a batch of their own."""
-        batch = end_commits.Batch(self.replica.queue_state)
-        batch.add(rows)
-        self.replica.apply(changes.EndRuns(tuple(rows)))
-        return batch
-
-
-class _Client:
-    """Orders to a worker, which carries them out at once."""
-
-    def __init__(self, orders: list[_Order]):
-        self._orders = orders
-
-    async def pace(
-        self, order: worker_client.Order, percent: int, token: int
-    ) -> worker_client.OrderResult:
-        """See `worker_client.WorkerClient`."""
-        del token
-        self._orders.append(("pace", order.task, order.run, percent))
-        return worker_client.OrderResult(worker_client.Verdict.DONE)
-
 
 class Load:
     """A leader and the load of a site.
@@ -211,8 +88,8 @@
 
     def __init__(self, workers: int, seed: int = 1):
         self.now = BEGIN_SECONDS
-        self.timers = _Timers()
-        self.orders: list[_Order] = []
+        self.timers = leader_fakes.Timers()
+        self.orders: list[leader_fakes.Order] = []
         self.started = 0
         self._random = random.Random(seed)
         self._workers = workers
@@ -220,7 +97,7 @@
         # Time, number, and what happens then.
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._queue_state = states.QueueState()
-        self._replica = _Replica(self._queue_state)
+        self._replica = leader_fakes.Replica(self._queue_state)
         self._queues = tuple(
             configurations.Queue(name, "a.example", f"/{name}", "desk", number)
             for name, number in (("urgent", 0), ("batch", 2), ("lasting", 0))
@@ -251,9 +128,9 @@
             self._replica,  # type: ignore[arg-type]
             self._queue_state,
             1,
-            lambda _: _Client(self.orders),  # type: ignore[arg-type,return-value]
+            lambda _: leader_fakes.Client(self.orders),  # type: ignore[arg-type,return-value]
             freshnesses.QuorumFreshness(self._replica),
-            _Log(),
+            leader_fakes.NullLog(),
             durations.DurationEstimator(),
             interference_models.InterferenceModel(),
             lightweight_metrics.MetricsRegistry(),
@@ -261,7 +138,11 @@
         )
         setattr(self.leadership, "_nursery", self)
         setattr(self.leadership, "commit", self._replica.commit)
-        setattr(self.leadership, "_end_commits", _EndCommits(self._replica))
+        setattr(
+            self.leadership,
+            "_end_commits",
+            leader_fakes.EndCommits(self._replica),
+        )
         self.planner = getattr(self.leadership, "_planner")
         self.leadership.registry.load(self)  # type: ignore[arg-type]
         self.wrap_parts()
@@ -399,7 +280,7 @@
         if run.step.lasting:
             return
         if run.step.fills:
-            _finish(getattr(session, "_tail_controller").pace())
+            leader_fakes.finish(getattr(session, "_tail_controller").pace())
         seconds = run.step.estimate_ms / 1000 * self._random.uniform(0.7, 1.3)
         end = functools.partial(
             self._end, session.worker, run, changes.Ending.DONE
@@ -421,7 +302,7 @@
                 self.leadership.record_run_time(run, seconds)
                 worker.breaker.record(True, self.now, run.task.job)
             row = changes.EndedRun(run.task, run.number, ending, "")
-            _finish(self.leadership.commit_ends(worker, [row]))
+            leader_fakes.finish(self.leadership.commit_ends(worker, [row]))
 
     def _poll(self, session: sessions.WorkerSession) -> None:
         """Have a worker answer a poll."""
@@ -442,7 +323,7 @@
                 age_ms = 1000 * (self.now - run.confirmed_at)
                 percent = int(100 * age_ms / run.step.estimate_ms)
                 run.record_progress(min(percent, 99), self.now)
-        _finish(getattr(session, "_tail_controller").adjust())
+        leader_fakes.finish(getattr(session, "_tail_controller").adjust())
         self.leadership.move_stragglers(session)
         self._at(
             self.now + POLL_SECONDS, functools.partial(self._poll, session)
@@ -472,7 +353,9 @@
         with self.timers.part("starts"):
             getattr(self.leadership, "_stop_for_urgent_tasks")()
             if planned:
-                _finish(getattr(self.leadership, "_start_runs")(planned))
+                leader_fakes.finish(
+                    getattr(self.leadership, "_start_runs")(planned)
+                )
 
 
 def measure_parts(workers: int, repeats: int = 2) -> dict[str, float]:
