--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -94,9 +94,7 @@
         }
         role = lab.deploy["roles"][self.role]
         text = (ROOT / role["template"]).read_text()
-        text = re.sub(
-            r"\{\{#zones\}\}.*\{\{/zones\}\}", ",".join(ZONES), text
-        )
+        text = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", ",".join(ZONES), text)
         text = re.sub(
             r"\{\{([a-z_0-9.]+)\}\}", lambda match: fields[match[1]], text
         )
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -11,8 +11,8 @@
 `last_pause_seconds` after its next heartbeat, and ends.  Without an
 acknowledgement it ends `unacknowledged_seconds` later.
 
-Every event is appended to `trail`, one JSON object a line; `at` is the machine's
-steady clock in seconds.
+Every event is appended to `trail`, one JSON object a line; `at` is the steady
+clock of the machine in seconds.
 """
 
 import asyncio
@@ -181,7 +181,7 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 lines = head.decode("latin-1").split("\r\n")
-                method, path, _ = lines[0].split(" ", 2)
+                path = lines[0].split(" ")[1]
                 headers = {
                     name.lower(): value.strip()
                     for name, _, value in (
@@ -190,7 +190,7 @@
                 }
                 size = int(headers.get("content-length", "0"))
                 data = await reader.readexactly(size)
-                status, answer = await self.answer(method, path, headers, data)
+                status, answer = await self.answer(path, headers, data)
                 body = json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\ncontent-type: application/json\r\n"
@@ -203,7 +203,7 @@
             writer.close()
 
     async def answer(
-        self, method: str, path: str, headers: dict[str, str], data: bytes
+        self, path: str, headers: dict[str, str], data: bytes
     ) -> tuple[int, dict[str, Any]]:
         """Return status and body of the answer to a call."""
         if path == "/healthz":
