Log what ended a process, and how its predecessors ended

Callers saw no service while each replica ended again and again. On-call had the last line of a traceback on standard error: no worker, address, change or entry of the log, no count of ends, and two sources of the same error looked alike.

A queue daemon now logs each exception that ends it with its cause, its innermost place in the package and what was being done (worker and address, kind of change, entry of the log), exits with 70, and keeps a record in the data folder: the next process logs it, and two gauges show the ends in all and in a row at one place.

--- a/turmerichall/agreement/applier.py
+++ b/turmerichall/agreement/applier.py
@@ -87,7 +87,15 @@
             )
         result = b""
         if entry.kind == message.EntryKind.CHANGE:
-            result = state.machine.apply(entry.position, entry.data)
+            try:
+                result = state.machine.apply(entry.position, entry.data)
+            except Exception as error:
+                # The state can't be trusted any more, so the process ends.
+                error.add_note(
+                    f"applying entry {entry.position} of term {entry.term},"
+                    f" {len(entry.data)} bytes"
+                )
+                raise
         elif entry.kind == message.EntryKind.MEMBERS:
             state.applied_members = message.decode(entry.data, member.Members)
         state.applied = entry.position
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -36,6 +36,7 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
+from turmerichall.supervision import failure as failures
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import loop_delay as loop_delays
 
@@ -247,9 +248,10 @@
             None, or why the commit failed or is uncertain.
         """
         began_at = trio.current_time()
-        answer = await self.replica.propose_in_term(
-            changes.encode(change), self.token, timeout_seconds
-        )
+        with failures.context(f"commit of {type(change).__name__}"):
+            answer = await self.replica.propose_in_term(
+                changes.encode(change), self.token, timeout_seconds
+            )
         self.metrics_registry.record_latency(
             "commit", trio.current_time() - began_at
         )
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -12,6 +12,7 @@
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
+from turmerichall.supervision import failure as failures
 from turmerichall.telemetry import lightweight_metrics
 
 __all__ = ["Owner", "WorkerSession"]
@@ -111,7 +112,11 @@
 
     async def run(self) -> None:
         """Poll the worker until it is removed or the term ends."""
-        with self.scope:
+        record = self.worker.record
+        with (
+            self.scope,
+            failures.context(f"worker {record.id} at {record.address}"),
+        ):
             try:
                 while True:
                     await self._poll_once()
--- a/turmerichall/queue_daemon.py
+++ b/turmerichall/queue_daemon.py
@@ -16,17 +16,25 @@
 from turmerichall import errors
 from turmerichall.settings import queue_settings
 from turmerichall.settings import settings as common_settings
+from turmerichall.supervision import end_record
+from turmerichall.supervision import failure as failures
 from turmerichall.telemetry import logs
 
 __all__ = ["main", "serve"]
 
 EXIT_SETTINGS = 1
 EXIT_STORAGE = 3
+# Ended by an exception that nothing expected.
+EXIT_ERROR = 70
+# Bound on the log lines about exceptions that ended the process together.
+MAX_LOGGED_FAILURES = 4
 # How long the process waits at its end for buffered log lines to be written.
 LOG_FLUSH_SECONDS = 0.5
 
 
-async def _run(settings: queue_settings.QueueSettings) -> None:
+async def _run(
+    settings: queue_settings.QueueSettings, ends: end_record.EndRecord
+) -> None:
     # Imports only the modules of the configured role, which saves memory and
     # start-up time.
     # pylint: disable=import-outside-toplevel
@@ -39,6 +47,7 @@
         from turmerichall.dispatch import replica_daemon
 
         daemon = replica_daemon.ReplicaDaemon.from_config(settings)
+    end_record.register(daemon.metrics_registry, ends)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_await_signals, daemon, nursery.cancel_scope)
         await daemon.run()
@@ -73,17 +82,40 @@
         return EXIT_SETTINGS
     output = logs.NonBlockingStream(sys.stdout)
     _configure_logs(settings.logs, settings.instance, output)
+    ends = end_record.Ends.from_folder(settings.instance.data_folder)
+    _log_earlier_ends(ends.record)
     status = 0
+    record = ends.record.after_orderly_end()
     try:
-        trio.run(_run, settings)
+        trio.run(_run, settings, ends.record)
     except* errors.StorageError as group:
         for each in group.exceptions:
             logs.Log("daemon").error("storage failed", reason=str(each))
         status = EXIT_STORAGE
+    # What ends the process is logged with its place, whatever it is.
+    except* Exception as group:  # pylint: disable=broad-exception-caught
+        found = [failures.describe(each) for each in failures.leaves(group)]
+        for failure in found[:MAX_LOGGED_FAILURES]:
+            logs.Log("daemon").error("ended by an error", **failure.fields())
+        record = ends.record.after(found[0])
+        status = EXIT_ERROR
+    try:
+        ends.save(record)
+    except OSError as error:
+        logs.Log("daemon").warning(
+            "the record of ends can't be written", reason=str(error)
+        )
     output.drain(LOG_FLUSH_SECONDS)
     return status
 
 
+def _log_earlier_ends(record: end_record.EndRecord) -> None:
+    if record.repeated:
+        logs.Log("daemon").error(
+            "the process before ended by an error", **record._asdict()
+        )
+
+
 def _configure_logs(
     settings: common_settings.Logs,
     instance: queue_settings.Instance,
