Reject heartbeats that name no worker that can be stored and called

Callers saw no service: a heartbeat of another program was acknowledged, committed and loaded by each leader, which ended when it first used the address, or when it encoded a capacity of 1.6e30.

Cause: the check at the control address asked for text, a colon and decimal digits; numbers were truncated to integers of any size; texts and labels were limited by the body alone, so a registration could exceed a frame.

An address is now parsed (IP address and port, no name); numbers are bounded where they are read, below what the log and sums of floats hold; ids are printable ASCII, since they stand in paths and header fields; texts and labels are bounded. What is refused gets 400, with one of few reasons. Values that pass are what every later part can hold, so nothing after the check parses or converts them again.

--- a/turmerichall/platform/control_requests.py
+++ b/turmerichall/platform/control_requests.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 import urllib.parse
 
 import msgspec
@@ -20,6 +21,7 @@
 from turmerichall.platform import configuration_document
 from turmerichall.platform import lenient_json
 from turmerichall.queues import change as changes
+from turmerichall.queues import worker_check
 
 __all__ = ["handle", "heartbeat_from_wire"]
 
@@ -27,6 +29,10 @@
 EVACUATION = "/v1/evacuation/"
 CONFIG_REPLACE = "/v1/config/replace"
 CONFIG_READ = "/v1/config/read"
+# Bounds on what a worker says of itself.
+MAX_TEXT_CHARS = 256
+MAX_LABELS = 64
+MAX_CAPACITY = 10**12
 # Bounds on the findings about one configuration in a log line.
 MAX_LOGGED = 8
 MAX_LOGGED_CHARS = 200
@@ -64,9 +70,8 @@
     return None if "/" in zone else urllib.parse.unquote(zone)
 
 
-def _is_address(value: object) -> bool:
-    host, colon, port = lenient_json.text(value).rpartition(":")
-    return bool(host and colon and port.isdecimal())
+def _is_short_text(value: str) -> bool:
+    return len(value) <= MAX_TEXT_CHARS
 
 
 def heartbeat_from_wire(
@@ -74,23 +79,43 @@
 ) -> worker_client.Heartbeat | errors.Finding:
     """Decode and validate a heartbeat.
 
+    A worker that is accepted can be stored and called.
+
     Returns:
-        The heartbeat, or a finding that says why it can't be used.
+        The heartbeat, or a finding that says why it can't be used; its reason
+        is one of few.
     """
     document = lenient_json.decode_object(body)
-    place = f"heartbeat of {worker}"
+    place = f"heartbeat of {worker[:MAX_TEXT_CHARS]}"
     if document is None:
         return errors.Finding(place, "is not a JSON object")
-    if not _is_address(document.get("address")):
-        return errors.Finding(place, "address is not host:port")
-    if not lenient_json.text(document.get("service")):
-        return errors.Finding(place, "service is missing")
     state = document.get("state")
     if state not in ("ready", "draining"):
-        return errors.Finding(place, f"unknown state {state!r}")
+        return errors.Finding(place, "state is unknown")
+    record = _worker_record(worker, document)
+    if isinstance(record, str):
+        return errors.Finding(place, record)
+    number = lenient_json.bounded
+    clock_ms = number(document.get("clock_ms"))
+    return worker_client.Heartbeat(
+        record,
+        state == "draining",
+        number(document.get("seq")) or 0,
+        -1 if clock_ms is None else clock_ms,
+        number(document.get("cold_remaining_ms")) or 0,
+    )
+
+
+def _worker_record(
+    worker: str, document: dict[str, Any]
+) -> changes.WorkerRecord | str:
+    """Return the worker of a heartbeat, or why it can't be used."""
+    text = lenient_json.text
+    if not text(document.get("service")):
+        return "service is missing"
     capacity = _capacity(document.get("capacity"))
     if capacity is None:
-        return errors.Finding(place, "capacity is missing or malformed")
+        return "capacity is missing or out of range"
     labels_field = document.get("labels")
     labels = tuple(
         label
@@ -99,28 +124,28 @@
     )
     # A worker has the same id after a new start; only this tells its lives
     # apart.
-    born_ms = lenient_json.integer(document.get("born"))
+    born_ms = lenient_json.bounded(document.get("born")) or 0
     record = changes.WorkerRecord(
-        changes.incarnation_id(worker, born_ms) if born_ms > 0 else worker,
-        lenient_json.text(document.get("machine")),
-        lenient_json.text(document["address"]),
-        lenient_json.text(document["service"]),
-        lenient_json.text(document.get("zone")),
+        changes.incarnation_id(worker, born_ms) if born_ms else worker,
+        text(document.get("machine")),
+        text(document.get("address")),
+        text(document.get("service")),
+        text(document.get("zone")),
         # The position of a label in the list says what it means: the first is
         # the kind of the worker, the second its rack.
         labels[1] if len(labels) > 1 else "",
         labels,
         *capacity,
-        worker if born_ms > 0 else "",
-        max(born_ms, 0),
-    )
-    return worker_client.Heartbeat(
-        record,
-        state == "draining",
-        lenient_json.integer(document.get("seq")),
-        lenient_json.integer(document.get("clock_ms"), -1),
-        max(lenient_json.integer(document.get("cold_remaining_ms")), 0),
+        worker if born_ms else "",
+        born_ms,
     )
+    if not all(map(_is_short_text, (record.machine, record.service))):
+        return "machine or service is too long"
+    if not _is_short_text(record.zone):
+        return "zone is too long"
+    if len(labels) > MAX_LABELS or not all(map(_is_short_text, labels)):
+        return "labels are too many or too long"
+    return worker_check.reason_unusable(record) or record
 
 
 def _capacity(value: object) -> changes.Capacity | None:
@@ -134,10 +159,10 @@
     """
     if not isinstance(value, dict):
         return None
-    cpu = lenient_json.integer(value.get("cpu"), -1)
-    memory_mb = lenient_json.integer(value.get("mem_mb"), -1)
-    gpu = lenient_json.integer(value.get("gpu", 0), -1)
-    if min(cpu, memory_mb, gpu) < 0:
+    cpu = lenient_json.bounded(value.get("cpu"), most=MAX_CAPACITY)
+    memory_mb = lenient_json.bounded(value.get("mem_mb"), most=MAX_CAPACITY)
+    gpu = lenient_json.bounded(value.get("gpu", 0), most=MAX_CAPACITY)
+    if cpu is None or memory_mb is None or gpu is None:
         return None
     return changes.Capacity(cpu, memory_mb, gpu)
 
--- a/turmerichall/platform/lenient_json.py
+++ b/turmerichall/platform/lenient_json.py
@@ -3,11 +3,16 @@
 A value of an unexpected type becomes a default instead of an error.
 """
 
+import math
 from typing import Any
 
 import msgspec
 
-__all__ = ["decode_object", "integer", "text"]
+__all__ = ["MAX_NUMBER", "bounded", "decode_object", "integer", "text"]
+
+# Largest number that other programs send exactly (RFC 8259, section 6).  Sums
+# of thousands of them still fit into the log and into floating-point numbers.
+MAX_NUMBER = 2**53 - 1
 
 _DECODER = msgspec.json.Decoder()
 
@@ -42,6 +47,25 @@
     return int(value)
 
 
+def bounded(
+    value: object, least: int = 0, most: int = MAX_NUMBER
+) -> int | None:
+    """Return a number in a range, truncated to an integer.
+
+    Returns:
+        The number; None for any other value and a number out of range.
+
+    Examples:
+        >>> bounded(7.0), bounded(True), bounded(-1), bounded(1e300)
+        (7, None, None, None)
+    """
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return None
+    if isinstance(value, float) and not math.isfinite(value):
+        return None
+    return int(value) if least <= value <= most else None
+
+
 def text(value: object) -> str:
     """Return a string unchanged; an empty string for any other value.
 
