Bound what is taken from the answers of workers

Callers saw leaders end, one after the other, for as long as a worker listed a task whose name has a number of 4,400 digits, and the worker's other numbers (run, clock, percent, sequence, load) could be of any size: a later sum, order or change could not hold them.

Cause: the decoder checked types, not ranges, and converted digits of any length; checkpoints were as long as the body.

The decoder of polls now has ranges, and an answer outside them is read field by field: a name in another form than the scheduler's own is no task, a run without a usable number is listed as unknown (its task is not taken for lost, and not stopped), a longer checkpoint is not kept, a clock that can't be used is no answer. A poll that is answered with an unusable body counts as unanswered instead of done.

--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -7,6 +7,7 @@
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import tail_latency_controller
+from turmerichall.dispatch import unexpected_runs as unexpected_run_sets
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
 from turmerichall.peers import link
@@ -108,6 +109,9 @@
         self._tail_controller = tail_latency_controller.TailLatencyController(
             owner, worker
         )
+        self._unexpected_runs = unexpected_run_sets.UnexpectedRuns(
+            owner, worker
+        )
         self._unanswered = False
 
     async def run(self) -> None:
@@ -249,10 +253,16 @@
         worker, owner = self.worker, self.owner
         listed: dict[changes.TaskName, worker_client.RunningTask] = {}
         now = leases.steady_seconds()
+        unexpected = []
         for row in status.running:
             run = worker.runs.get(row.task) if row.task else None
             if row.task is None or run is None or run.number != row.run:
-                await self._stop_unexpected(row)
+                unexpected.append(row)
+                if row.task is not None and (
+                    row.run == worker_client.UNKNOWN_RUN
+                ):
+                    # It may be the expected run, so that is not lost.
+                    listed[row.task] = row
                 continue
             listed[row.task] = row
             if run.phase == run_state.Phase.ORDERED:
@@ -262,6 +272,8 @@
             run.load = row.recent_load
             run.record_progress(row.progress_percent, now)
             run.record_checkpoint(row.checkpoint)
+        if unexpected:
+            await self._unexpected_runs.handle(unexpected)
         if not status.complete:
             return
         rows = []
@@ -291,26 +303,6 @@
     ) -> changes.EndedRun:
         return changes.EndedRun(run.task, run.number, ending, run.checkpoint)
 
-    async def _stop_unexpected(self, row: worker_client.RunningTask) -> None:
-        """Stop a run that the worker lists and the leader does not expect."""
-        if row.task is None:
-            self.owner.log.warning(
-                "worker lists a task whose name can't be parsed",
-                worker=self.worker.record.id,
-                task=row.name,
-            )
-            return
-        self.owner.log.info(
-            "stopping an unexpected run",
-            worker=self.worker.record.id,
-            task=row.name,
-            run=row.run,
-        )
-        order = worker_client.Order(row.task, row.run)
-        result = await self.worker.client.stop(order, self.owner.token)
-        if result.verdict == Verdict.FENCED:
-            self.owner.fenced(self.worker)
-
     async def start(
         self, run: run_state.Run, order: worker_client.Order
     ) -> None:
--- a/turmerichall/dispatch/worker_client.py
+++ b/turmerichall/dispatch/worker_client.py
@@ -18,6 +18,7 @@
     "PollFailure",
     "RunEnd",
     "RunningTask",
+    "UNKNOWN_RUN",
     "Verdict",
     "WorkerClient",
     "WorkerStatus",
@@ -83,13 +84,17 @@
     may_be_pending: bool = False
 
 
+# Number of a listed run whose number can't be parsed.
+UNKNOWN_RUN = 0
+
+
 class RunningTask(NamedTuple):
     """A run that a worker lists as running.
 
     Attributes:
         task: The task; None if its name can't be parsed.
         name: Name of the task as listed by the worker.
-        run: Number of the run.
+        run: Number of the run, or `UNKNOWN_RUN`.
         checkpoint: Saved progress, or empty.
         progress_percent: Progress in percent; 100 for a long-running task that
             serves requests.
--- a/turmerichall/platform/http_policy_client.py
+++ b/turmerichall/platform/http_policy_client.py
@@ -14,6 +14,8 @@
 # Maximum number of workers in one request; the policy service rejects requests
 # that name more.
 MAX_WORKERS = 100
+# Bound on a ticket, which each start on the worker carries.
+MAX_TICKET_CHARS = 4096
 
 
 class HttpPolicyClient:
@@ -56,7 +58,7 @@
             for row in rows
             if isinstance(row, list)
             and len(row) >= 2
-            and lenient_json.text(row[1])
+            and 0 < len(lenient_json.text(row[1])) <= MAX_TICKET_CHARS
         }
 
     def close(self) -> None:
--- a/turmerichall/platform/http_worker_client.py
+++ b/turmerichall/platform/http_worker_client.py
@@ -1,6 +1,7 @@
 """HTTP client of one worker: sends orders and decodes the responses."""
 
-from typing import Any
+import re
+from typing import Annotated, Any
 
 import msgspec
 
@@ -16,6 +17,9 @@
 # Timeout of a poll beyond the time that it allows the worker to wait before it
 # responds.
 POLL_MARGIN_SECONDS = 0.5
+# Bound on a checkpoint: a change holds the ends of thousands of runs.  A longer
+# one is not stored, so the next run starts from an earlier one.
+MAX_CHECKPOINT_CHARS = 4096
 # Maximum number of ended runs in one response of a worker.  The worker lists an
 # ended run again in each response until the scheduler acknowledges it.
 MAX_ENDED_RUNS = 500
@@ -49,13 +53,25 @@
 _TasksByName = dict[str, changes.TaskName]
 
 
+# Numbers in the canonical form, short enough for the log.
+_TASK_NAME = re.compile(
+    r"([^.]{1,256})\.(0|[1-9][0-9]{0,14})"
+    r"\.(0|[1-9][0-9]{0,8})\.(0|[1-9][0-9]{0,8})"
+)
+
+_Number = Annotated[int, msgspec.Meta(ge=0, le=lenient_json.MAX_NUMBER)]
+_Count = Annotated[int, msgspec.Meta(ge=1, le=lenient_json.MAX_NUMBER)]
+_Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
+_Checkpoint = Annotated[str, msgspec.Meta(max_length=MAX_CHECKPOINT_CHARS)]
+
+
 class _Poll(msgspec.Struct):
     """Answer to a poll that has exactly the published form."""
 
-    clock_ms: int
-    running: list[tuple[str, int, str, int, int]] = []
-    ended_runs: list[tuple[int, str, int, str, str]] = []
-    born: int = 0
+    clock_ms: _Number
+    running: list[tuple[str, _Count, _Checkpoint, _Percent, _Number]] = []
+    ended_runs: list[tuple[_Count, str, _Count, str, _Checkpoint]] = []
+    born: _Number = 0
 
 
 _POLL_DECODER = msgspec.json.Decoder(_Poll)
@@ -80,13 +96,11 @@
         >>> task_from_wire("5c0e") is None
         True
     """
-    if not isinstance(name, str):
-        return None
-    job, *numbers = name.split(".")
-    if len(numbers) != 3 or not all(each.isdecimal() for each in numbers):
+    found = _TASK_NAME.fullmatch(name) if isinstance(name, str) else None
+    if found is None:
         return None
-    occurrence, step, index = (int(each) for each in numbers)
-    return changes.TaskName(job, occurrence, step, index)
+    job, occurrence, step, number = found.groups()
+    return changes.TaskName(job, int(occurrence), int(step), int(number))
 
 
 class HttpWorkerClient:
@@ -185,15 +199,14 @@
             self._headers,
             POLL_MARGIN_SECONDS + wait_ms / 1000,
         )
-        if isinstance(answer, message.Response) and answer.status == 200:
-            status = _worker_status(answer.body, self._known_tasks)
-            if status is not None:
-                if self.born_ms and status.born_ms not in (0, self.born_ms):
-                    return worker_client.PollFailure(
-                        worker_client.Verdict.REPLACED
-                    )
-                return status
-        return worker_client.PollFailure(_order_result(answer).verdict)
+        if isinstance(answer, http_client.CallFailure) or answer.status != 200:
+            return worker_client.PollFailure(_order_result(answer).verdict)
+        status = _worker_status(answer.body, self._known_tasks)
+        if status is None:
+            return worker_client.PollFailure(worker_client.Verdict.UNANSWERED)
+        if self.born_ms and status.born_ms not in (0, self.born_ms):
+            return worker_client.PollFailure(worker_client.Verdict.REPLACED)
+        return status
 
     def close(self) -> None:
         """See `WorkerClient`."""
@@ -209,12 +222,11 @@
             verdict.UNANSWERED if answer.possibly_sent else verdict.UNSENT
         )
     body = lenient_json.decode_object(answer.body) or {}
-    clock = body.get("clock_ms")
-    clock_ms = clock if isinstance(clock, int) else None
+    clock_ms = lenient_json.bounded(body.get("clock_ms"))
     if answer.status == 200:
         return worker_client.OrderResult(verdict.DONE, clock_ms, answer.resent)
     if answer.status == 409:
-        reason = str(body.get("reason"))
+        reason = lenient_json.text(body.get("reason"))
         refusal = _VERDICTS_BY_REASON.get(reason, verdict.UNANSWERED)
         return worker_client.OrderResult(refusal, clock_ms, answer.resent)
     failure = _VERDICTS_BY_STATUS.get(answer.status, verdict.UNANSWERED)
@@ -261,14 +273,12 @@
 def _lenient_status(body: bytes) -> worker_client.WorkerStatus | None:
     """Decode an answer in which rows or fields have an unexpected form."""
     document = lenient_json.decode_object(body) or {}
-    clock_ms = document.get("clock_ms")
     running = document.get("running", [])
     ended = document.get("ended_runs", [])
-    if not (
-        isinstance(clock_ms, int)
-        and isinstance(running, list)
-        and isinstance(ended, list)
-    ):
+    if not (isinstance(running, list) and isinstance(ended, list)):
+        return None
+    clock_ms = lenient_json.bounded(document.get("clock_ms"))
+    if clock_ms is None or clock_ms != document["clock_ms"]:
         return None
     ends = [_run_end(row) for row in ended]
     return worker_client.WorkerStatus(
@@ -280,7 +290,7 @@
         ],
         [end for end in ends if end is not None],
         len(ended) < MAX_ENDED_RUNS,
-        lenient_json.integer(document.get("born")),
+        lenient_json.bounded(document.get("born")) or 0,
     )
 
 
@@ -288,31 +298,33 @@
     padded = row + ["", 0, 0][len(row) - 2 :]
     return worker_client.RunningTask(
         task_from_wire(row[0]),
-        str(row[0]),
-        lenient_json.integer(row[1]),
-        lenient_json.text(padded[2]),
-        lenient_json.integer(padded[3]),
+        lenient_json.text(row[0]),
+        lenient_json.bounded(row[1], 1) or worker_client.UNKNOWN_RUN,
+        _checkpoint(padded[2]),
+        lenient_json.bounded(padded[3], most=100) or 0,
         # For a long-running task, its tail latency in ms; for any other, its
         # processor use in thousandths of a core.
-        lenient_json.integer(padded[4]),
+        lenient_json.bounded(padded[4]) or 0,
     )
 
 
+def _checkpoint(value: object) -> str:
+    checkpoint = lenient_json.text(value)
+    return checkpoint if len(checkpoint) <= MAX_CHECKPOINT_CHARS else ""
+
+
 def _run_end(row: object) -> worker_client.RunEnd | None:
-    if (
-        not isinstance(row, list)
-        or len(row) < 4
-        or not lenient_json.integer(row[0])
-    ):
+    if not isinstance(row, list) or len(row) < 4:
+        return None
+    sequence = lenient_json.bounded(row[0], 1)
+    if sequence is None:
         return None
     task = task_from_wire(row[1])
-    ending = _ENDINGS.get(str(row[3]))
-    if task is None or ending is None:
-        return worker_client.RunEnd(lenient_json.integer(row[0]), None)
-    checkpoint = lenient_json.text(row[4]) if len(row) > 4 else ""
+    run = lenient_json.bounded(row[2], 1)
+    ending = _ENDINGS.get(lenient_json.text(row[3]))
+    if task is None or run is None or ending is None:
+        return worker_client.RunEnd(sequence, None)
+    checkpoint = _checkpoint(row[4]) if len(row) > 4 else ""
     return worker_client.RunEnd(
-        lenient_json.integer(row[0]),
-        changes.EndedRun(
-            task, lenient_json.integer(row[2]), ending, checkpoint
-        ),
+        sequence, changes.EndedRun(task, run, ending, checkpoint)
     )
--- a/turmerichall/platform/tests/test_unusable_messages.py
+++ b/turmerichall/platform/tests/test_unusable_messages.py
@@ -50,6 +50,8 @@
 )
 # Numbers that the log can't hold, or with which later sums overflow.
 UNUSABLE_NUMBERS = (1.6e30, 1e999, 2**63, 2**64, 10**400, -(2**70))
+# Numbers with which a text is not valid JSON for the decoder.
+UNREADABLE_NUMBERS = (1e999,)
 
 
 def _changed(path: str, value: object) -> bytes:
@@ -182,7 +184,12 @@
                     born=number,
                 )
             )
-            assert isinstance(status, worker_client.WorkerStatus)
+            if number in UNREADABLE_NUMBERS:
+                assert status == worker_client.PollFailure(
+                    worker_client.Verdict.UNANSWERED
+                )
+                continue
+            assert isinstance(status, worker_client.WorkerStatus), number
             for row in status.running:
                 assert abs(row.run) < 2**53
                 assert 0 <= row.progress_percent <= 100
