Refuse a change that the log can't hold before it is appended

Callers saw each leader end at a change that could not be encoded (a worker resized to 2**64), or that no replica could read back or send once it was in the log.

Cause: what was accepted was encoded on the way into the log, with nothing between that could say no; an exception ended the process.

Each commit of a term now goes through one function: the change is encoded, is not larger than 12 MiB and decodes again; otherwise the commit is refused as malformed or too large, logged and counted, and nothing is appended.

Before: OverflowError and UnicodeEncodeError out of commit, and changes with a value of another type appended though no replica could decode them.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -23,6 +23,7 @@
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import session as sessions
 from turmerichall.dispatch import straggler_detector as straggler_detectors
+from turmerichall.dispatch import term_commits
 from turmerichall.dispatch import term_report
 from turmerichall.dispatch import ticket_cache as ticket_caches
 from turmerichall.dispatch import worker_client
@@ -36,16 +37,11 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
-from turmerichall.supervision import failure as failures
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import loop_delay as loop_delays
 
 __all__ = ["Leadership", "wall_ms"]
 
-# Timeout of the leader's own commits; it ends its term if one of them fails.
-OWN_COMMIT_SECONDS = 20.0
-# Timeout of a commit that a caller waits for; its outcome is then unknown.
-CALLER_COMMIT_SECONDS = 2.5
 # Time from a request for a placement to the placement, so that tasks that
 # arrive together are placed together.
 PLACEMENT_BATCH_SECONDS = 0.005
@@ -134,6 +130,9 @@
         self.colocation = careful_policy.make_policy(
             scheduling, interference_model, metrics_registry, log
         )
+        self._commits = term_commits.Commits(
+            replica, token, log, metrics_registry
+        )
         self.registry = registries.Registry(self, make_client)
         self.workers = self.registry.workers
         self.scope = trio.CancelScope()
@@ -240,26 +239,14 @@
     async def commit(
         self,
         change: changes.Change,
-        timeout_seconds: float = CALLER_COMMIT_SECONDS,
+        timeout_seconds: float = term_commits.CALLER_COMMIT_SECONDS,
     ) -> outcomes.Refusal | outcomes.Unknown | None:
-        """Commit and apply a change.
-
-        Returns:
-            None, or why the commit failed or is uncertain.
-        """
-        began_at = trio.current_time()
-        with failures.context(f"commit of {type(change).__name__}"):
-            answer = await self.replica.propose_in_term(
-                changes.encode(change), self.token, timeout_seconds
-            )
-        self.metrics_registry.record_latency(
-            "commit", trio.current_time() - began_at
-        )
-        return None if isinstance(answer, bytes) else answer
+        """See `term_commits.Commits.commit`."""
+        return await self._commits.commit(change, timeout_seconds)
 
     async def commit_or_resign(self, change: changes.Change) -> None:
         """Commit a change, or end the term's work if that fails."""
-        failed = await self.commit(change, OWN_COMMIT_SECONDS)
+        failed = await self.commit(change, term_commits.OWN_COMMIT_SECONDS)
         if failed is not None:
             self.log.info(
                 "change not committed; leader ends its term",
