Confine a failure to the session or the term in which it happens

Callers saw no service: whatever one of hundreds of workers made its session raise ended the leader's process, and then that of each next leader.

Cause: sessions, orders and the leader's work run in nurseries up to that of the process, and nothing in between decided what a failure ends.

- A call to a worker that raises counts as unanswered: the worker is out of touch, its lease is not renewed, its tasks move after it, and polls are tried again after a pause of 0.25 to 5 s.
So does any other failure of its session.
- A failure of the leader's work ends that work, which begins anew from the replicated state after a pause; after each third in a row another replica leads.
No state that was half changed in memory stays.
- A failure of the log, votes or applied state ends the process as before.

Each is logged with traceback, place and worker, at most every 5 s a place, and counted in task_failures_total{task,cause}.

--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -12,6 +12,7 @@
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import leadership as leaderships
 from turmerichall.dispatch import policy_client
+from turmerichall.dispatch import term_failures
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch.admission_control import controller
 from turmerichall.dispatch.evacuation import requests as evacuation_requests
@@ -24,6 +25,7 @@
 from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
+from turmerichall.supervision import reporter as reporters
 from turmerichall.telemetry import lightweight_metrics
 
 __all__ = ["ANY_TERM", "Attempt", "Failure", "Leader", "LeaderApi"]
@@ -116,6 +118,10 @@
         term = 0
         kept_out: frozenset[str] = frozenset()
         register = request_register.RequestRegister()
+        failures = term_failures.TermFailures(
+            replica,
+            reporters.FailureReporter(self._log, self._metrics_registry),
+        )
         while True:
             # A leader's state becomes current only by applying an entry.
             await replica.state.applied_advanced.wait_for(
@@ -145,6 +151,11 @@
             )
             try:
                 await leadership.run()
+            # The work begins anew, or another replica leads; the log goes on.
+            # pylint: disable-next=broad-exception-caught
+            except Exception as error:
+                self.leadership = None
+                await failures.handle(term, error)
             finally:
                 self.leadership = None
             if leadership.fencers:
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -23,6 +23,7 @@
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import session as sessions
 from turmerichall.dispatch import straggler_detector as straggler_detectors
+from turmerichall.dispatch import supervised_client
 from turmerichall.dispatch import term_commits
 from turmerichall.dispatch import term_report
 from turmerichall.dispatch import ticket_cache as ticket_caches
@@ -37,6 +38,7 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
+from turmerichall.supervision import reporter as reporters
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import loop_delay as loop_delays
 
@@ -81,6 +83,7 @@
         zone_names: Availability zones that the settings name.
         scope: Cancel scope that ends the term's work.
         job_requests: Callers' requests to accept and cancel jobs.
+        failure_reporter: Reports failures of single sessions.
         loop_delay: Delay of the event loop while this replica leads.
     """
 
@@ -130,10 +133,16 @@
         self.colocation = careful_policy.make_policy(
             scheduling, interference_model, metrics_registry, log
         )
+        self.failure_reporter = reporters.FailureReporter(
+            log, metrics_registry, leases.steady_seconds
+        )
         self._commits = term_commits.Commits(
             replica, token, log, metrics_registry
         )
-        self.registry = registries.Registry(self, make_client)
+        self.registry = registries.Registry(
+            self,
+            supervised_client.supervise(make_client, self.failure_reporter),
+        )
         self.workers = self.registry.workers
         self.scope = trio.CancelScope()
         self.loop_delay = loop_delays.LoopDelay(metrics_registry)
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from turmerichall import errors
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import tail_latency_controller
@@ -13,7 +14,8 @@
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
-from turmerichall.supervision import failure as failures
+from turmerichall.supervision import pause as pauses
+from turmerichall.supervision import reporter as reporters
 from turmerichall.telemetry import lightweight_metrics
 
 __all__ = ["Owner", "WorkerSession"]
@@ -31,6 +33,8 @@
 LONG_WAIT_MS = 1500
 # Time between two tries to reach a worker.
 RETRY_SECONDS = 0.25
+# Longest pause after a failure of this session.
+MAX_FAILURE_PAUSE_SECONDS = 5.0
 # Time between two checks whether a quorum answers again; until then no lease
 # may be renewed.
 NO_QUORUM_RETRY_SECONDS = 0.05
@@ -53,6 +57,7 @@
     queue_state: states.QueueState
     log: link.Log
     metrics_registry: lightweight_metrics.MetricsRegistry
+    failure_reporter: reporters.FailureReporter
 
     def may_renew(self) -> bool:
         """Return whether leases may be renewed."""
@@ -113,20 +118,38 @@
             owner, worker
         )
         self._unanswered = False
+        self._pause = pauses.GrowingPause(
+            RETRY_SECONDS, MAX_FAILURE_PAUSE_SECONDS
+        )
 
     async def run(self) -> None:
         """Poll the worker until it is removed or the term ends."""
-        record = self.worker.record
-        with (
-            self.scope,
-            failures.context(f"worker {record.id} at {record.address}"),
-        ):
+        with self.scope:
             try:
                 while True:
-                    await self._poll_once()
+                    try:
+                        await self._poll_once()
+                        self._pause.reset()
+                    except errors.StorageError:
+                        raise
+                    # Whatever this worker caused ends only its own session.
+                    # pylint: disable-next=broad-exception-caught
+                    except Exception as error:
+                        await self._handle_failure(error)
             finally:
                 self.worker.client.close()
 
+    async def _handle_failure(self, error: Exception) -> None:
+        """Treat the worker as silent until a later poll succeeds."""
+        worker = self.worker
+        self.owner.failure_reporter.report(
+            "session with a worker", error, worker=worker.record.id
+        )
+        self._unanswered = True
+        worker.record_silence(leases.steady_seconds(), False)
+        await self._end_expired_runs()
+        await trio.sleep(self._pause.next_seconds())
+
     async def _poll_once(self) -> None:
         owner, worker = self.owner, self.worker
         if not owner.may_renew():
--- a/turmerichall/dispatch/tests/test_ending_replicas.py
+++ b/turmerichall/dispatch/tests/test_ending_replicas.py
@@ -8,8 +8,8 @@
 import contextlib
 import json
 
-import pytest
 import trio
+import trio.testing
 
 from turmerichall.agreement.tests import cluster as clusters
 from turmerichall.dispatch import leader_api as leader_apis
@@ -30,7 +30,8 @@
     "machine": ("m" * 4_200_000,),
 }
 
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
+# Tests that name the fixture as an argument run on its clock.
+# pylint: disable=unused-argument
 
 
 class Site:
@@ -149,7 +150,9 @@
 
 class TestHeartbeatsOfAnotherWriter:
 
-    async def test_end_no_replica(self) -> None:
+    async def test_end_no_replica(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         async with _site() as site:
             term = site.term()
             for field, values in UNUSABLE.items():
@@ -164,7 +167,9 @@
 
 class TestUnusableRecordInTheLog:
 
-    async def test_ends_no_replica_that_loads_it(self) -> None:
+    async def test_ends_no_replica_that_loads_it(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         async with _site() as site:
             record = fakes.FakeWorker("i-9099other").record._replace(
                 address="10.0.0..9:8080"
--- a/turmerichall/dispatch/tests/test_failing_sessions.py
+++ b/turmerichall/dispatch/tests/test_failing_sessions.py
@@ -9,6 +9,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch.tests import fakes
@@ -20,7 +21,8 @@
 OTHER_JOB = "5c0e7a21d94b36f9"
 LEASE_SECONDS = 12.0
 
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
+# Tests that name the fixture as an argument run on its clock.
+# pylint: disable=unused-argument
 
 
 class RaisingWorker(fakes.FakeWorker):
@@ -48,8 +50,9 @@
         deadline_ms: int | None,
         wait_ms: int,
     ) -> worker_client.WorkerStatus | worker_client.PollFailure:
+        status = await super().poll(token, acknowledged, deadline_ms, wait_ms)
         self._raise("poll")
-        return await super().poll(token, acknowledged, deadline_ms, wait_ms)
+        return status
 
     async def start(
         self, order: worker_client.Order, token: int, deadline_ms: int
@@ -92,9 +95,10 @@
 
     async def test_other_workers_go_on_and_its_tasks_move_after_the_lease(
         self,
+        mocked_clocks: trio.testing.MockClock,
     ) -> None:
         worker, other = RaisingWorker("w1"), fakes.FakeWorker("w2")
-        worker.run_seconds = other.run_seconds = 30.0
+        worker.run_seconds = other.run_seconds = 2.0
         cluster = fakes.FakeCluster(worker, other)
         async with _leading(cluster):
             await cluster.submit(JOB, _demand(4))
@@ -111,7 +115,9 @@
             assert failures[0]["worker"] == "w1"
             assert failures[0]["cause"] == "ValueError"
 
-    async def test_tries_get_rare_and_it_is_used_again_afterwards(self) -> None:
+    async def test_tries_get_rare_and_it_is_used_again_afterwards(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = RaisingWorker("w1")
         cluster = fakes.FakeCluster(worker)
         async with _leading(cluster):
@@ -125,7 +131,9 @@
 
 class TestRaisingOrders:
 
-    async def test_a_start_counts_as_unanswered(self) -> None:
+    async def test_a_start_counts_as_unanswered(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = RaisingWorker("w1")
         cluster = fakes.FakeCluster(worker)
         async with _leading(cluster):
@@ -136,7 +144,9 @@
             # Each was carried out, and none was started a second time.
             assert len(cluster.starts()) == 3
 
-    async def test_a_stop_is_tried_again(self) -> None:
+    async def test_a_stop_is_tried_again(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = RaisingWorker("w1")
         worker.run_seconds = 1000.0
         cluster = fakes.FakeCluster(worker)
@@ -169,7 +179,7 @@
         ids=["host", "port"],
     )
     async def test_a_leader_that_loads_one_serves_and_removes_it(
-        self, address: str
+        self, mocked_clocks: trio.testing.MockClock, address: str
     ) -> None:
         cluster = UnusableCluster(fakes.FakeWorker("w1"))
         record = fakes.FakeWorker("i-9099other").record._replace(
--- a/turmerichall/dispatch/tests/test_unexpected_runs.py
+++ b/turmerichall/dispatch/tests/test_unexpected_runs.py
@@ -1,7 +1,7 @@
 """Tests of what happens to runs that a worker lists unexpectedly."""
 
-import pytest
 import trio
+import trio.testing
 
 from turmerichall.dispatch import unexpected_runs
 from turmerichall.dispatch import worker_client
@@ -10,7 +10,8 @@
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
+# Tests that name the fixture as an argument run on its clock.
+# pylint: disable=unused-argument
 
 
 class Owner:
@@ -35,6 +36,7 @@
 
     async def test_a_list_of_thousands_holds_up_neither_polls_nor_log(
         self,
+        mocked_clocks: trio.testing.MockClock,
     ) -> None:
         worker = fakes.FakeWorker("w1")
         owner = Owner()
@@ -52,7 +54,9 @@
 
 class TestMalformedRows:
 
-    async def test_are_logged_and_not_stopped(self) -> None:
+    async def test_are_logged_and_not_stopped(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         worker = fakes.FakeWorker("w1")
         owner = Owner()
         runs = unexpected_runs.UnexpectedRuns(
