Serve with a worker in the log that can't be called, and remove it

Operators saw no service after the writer of the heartbeats had stopped, and after a restart of all replicas on their data folders: each leader loaded the record of a worker at 10.0.0..9:8080 and ended (11 ends in 15 s with real processes).

Cause: the record stands in the log, so a check at the door does not help such a deployment.

A client whose address can't be connected to says that nothing was sent. A leader lists the registered workers that can't be called (log line each, gauge workers_quarantined), treats them as silent, so that runs that the state shows there end with the lease, and removes each through the log once it has no runs. All replicas keep the same state, and no job is lost.

Before: the tests of a leader and of three replicas that load such a record failed; now they pass, also with a run on that worker.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -16,6 +16,7 @@
 from turmerichall.dispatch import placement_trigger
 from turmerichall.dispatch import planner as planners
 from turmerichall.dispatch import policy_client
+from turmerichall.dispatch import quarantine as quarantines
 from turmerichall.dispatch import recurring_jobs as recurring_job_sets
 from turmerichall.dispatch import registry as registries
 from turmerichall.dispatch import reports
@@ -153,6 +154,7 @@
         self._failed_jobs: set[str] = set()
         self._wake = placement_trigger.PlacementTrigger()
         self._nursery: trio.Nursery | None = None
+        self._quarantine = quarantines.Quarantine(self)
         self._recurring_jobs = recurring_job_sets.RecurringJobs(
             queue_state, self.backlog
         )
@@ -195,6 +197,7 @@
                 nursery.start_soon(self._watch_leadership)
                 nursery.start_soon(term_report.run, self)
                 nursery.start_soon(self.loop_delay.run)
+                nursery.start_soon(self._quarantine.run)
                 try:
                     await trio.sleep_forever()
                 finally:
@@ -265,6 +268,10 @@
             self.scope.cancel()
             await trio.sleep_forever()
 
+    async def remove_unusable(self, worker: worker_state.Worker) -> None:
+        """See `quarantine.Owner`."""
+        await self.registry.remove_unusable(worker)
+
     # Events from sessions.
 
     def move_stragglers(self, session: sessions.WorkerSession) -> None:
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -359,6 +359,13 @@
         await self._drop_removed()
         return True
 
+    async def remove_unusable(self, worker: worker_state.Worker) -> None:
+        """Remove a worker that can't be called and has no runs."""
+        worker.removing = True
+        change = changes.LoseWorker(worker.record.id)
+        await self.owner.commit_or_resign(change)
+        await self._drop_removed()
+
     def _removal(self, worker: worker_state.Worker) -> changes.LoseWorker:
         """Return the change that removes a worker, to be committed now."""
         worker.removing = True
--- a/turmerichall/http1/client.py
+++ b/turmerichall/http1/client.py
@@ -148,7 +148,10 @@
         request = message.Request(
             method, target, {"host": self.address, **headers}, body
         )
-        request_bytes = message.encode_request(request)
+        try:
+            request_bytes = message.encode_request(request)
+        except UnicodeEncodeError:
+            return CallFailure(False, "a header field can't be encoded")
         result = CallFailure(
             False, "no connection became free within the timeout"
         )
@@ -197,7 +200,9 @@
                 stream = await trio.open_tcp_stream(
                     host, int(port), happy_eyeballs_delay=float("inf")
                 )
-        except (OSError, trio.TooSlowError):
+        except (OSError, ValueError, OverflowError, trio.TooSlowError):
+            # Values that are no address raise also UnicodeError, a ValueError,
+            # in the lookup of their host.
             return None
         self.connections_opened += 1
         return _Connection(stream)
