Count rejected messages, and bound the jobs that a leader can bear

Callers could end or stop each leader with one job: target_ms "nan" (an exception out of the handler), 300 steps of 10,000 tasks, or 2**62 occurrences without an interval (minutes in one placing round or in the load of the state, on each next leader).

Cause: the decoder compared sizes, which a NaN passes; tasks were bounded by step, occurrences not at all.

Numbers must lie between 0 and the log's largest, tasks are bounded over all steps, occurrences need an interval, and of a job with thousands of due occurrences, also one that is in the log already, a thousand groups are added at once and the rest as they come due.

--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -109,6 +109,10 @@
         return changes.TaskName(name.job, name.occurrence, name.step, index)
 
 
+# Number of groups from which no further occurrence of a job is added at once.
+MAX_GROUPS_ADDED = 1000
+
+
 class Backlog:
     """All groups of waiting tasks.
 
@@ -125,15 +129,19 @@
     def add_job(self, job: states.Job, now_ms: int) -> int:
         """Add those steps of due occurrences whose dependencies are done.
 
-        Called when the job is accepted and when a leader's term begins.
+        Called when the job is accepted and when a leader's term begins.  Of a
+        job with thousands of due occurrences, only the first are added.
 
         Returns:
-            The number of occurrences that are due.
+            The number of occurrences that are added.
         """
         schedule = job.demand.schedule
+        added_before = len(self.groups)
         for occurrence in range(job.demand.occurrences):
             if schedule and schedule.due_at_ms(occurrence) > now_ms:
                 return occurrence
+            if len(self.groups) - added_before >= MAX_GROUPS_ADDED:
+                return occurrence
             self.add_occurrence(job, occurrence)
         return job.demand.occurrences
 
--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -25,6 +25,7 @@
 from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
+from turmerichall.supervision import rejections
 from turmerichall.supervision import reporter as reporters
 from turmerichall.telemetry import lightweight_metrics
 
@@ -83,6 +84,7 @@
         queue_state: Its replicated state of queues.
         leadership: The work of the current term; None if this replica does
             not lead.
+        rejections: Reports messages that are rejected.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         self.queue_state = queue_state
         self.leadership: leaderships.Leadership | None = None
         self.freshness = freshnesses.QuorumFreshness(replica)
+        self.rejections = rejections.Rejections(log, metrics_registry)
         self._make_client = make_client
         self._log = log
         self._metrics_registry = metrics_registry
--- a/turmerichall/platform/client_requests.py
+++ b/turmerichall/platform/client_requests.py
@@ -14,7 +14,9 @@
 
 __all__ = ["demand_from_wire", "failure_response", "handle", "to_response"]
 
+# Bounds on the tasks of one step, and of all steps of a job.
 MAX_TASKS = 10_000
+MAX_JOB_TASKS = 20_000
 # Largest number that a change in the log can hold.
 MAX_NUMBER = 2**63 - 1
 
@@ -85,8 +87,9 @@
             return errors.Finding(
                 f"job.steps[{number}]", "count is out of range"
             )
-        if any(
-            abs(value) > MAX_NUMBER
+        # A comparison with a number that is not one is false.
+        if not all(
+            0 <= value <= MAX_NUMBER
             for value in (
                 step.cpu,
                 step.mem_mb,
@@ -108,9 +111,15 @@
         steps.append(_step(step))
     if not steps:
         return errors.Finding("job.steps", "expected at least one step")
+    if sum(step.count for step in steps) > MAX_JOB_TASKS:
+        return errors.Finding(
+            "job.steps", f"have more than {MAX_JOB_TASKS} tasks in all"
+        )
     timing = (job.repeat_count, job.start_at_ms, job.interval_ms)
     if any(abs(value) > MAX_NUMBER for value in timing):
         return errors.Finding("job", "a number is out of range")
+    if job.interval_ms < 1 < job.repeat_count:
+        return errors.Finding("job.interval_ms", "expected 1 or more")
     schedule = None
     if job.repeat_count > 0:
         schedule = demands.Schedule(
@@ -216,6 +225,9 @@
 ) -> message.Response | outcomes.Refusal:
     demand = demand_from_wire(request.body)
     if isinstance(demand, errors.Finding):
+        leader_api.rejections.record(
+            "job", "malformed", job=job_id, finding=str(demand)
+        )
         return message.Response(400, _encode({"error": str(demand)}))
     caller_zone = request.headers.get(calls.CALLER_ZONE_HEADER, "")
     return to_response(
--- a/turmerichall/platform/control_requests.py
+++ b/turmerichall/platform/control_requests.py
@@ -191,9 +191,7 @@
     if request.method == "POST":
         worker = _worker_id(path, "/heartbeat")
         if worker:
-            return await _heartbeat(
-                leader_api, worker, request, own_address, log
-            )
+            return await _heartbeat(leader_api, worker, request, own_address)
         worker = _worker_id(path, "/deregister")
         if worker:
             acknowledged = await leader_api.worker_leaving(worker)
@@ -222,12 +220,11 @@
     worker: str,
     request: message.Request,
     own_address: str,
-    log: link.Log,
 ) -> message.Response:
     heartbeat = heartbeat_from_wire(worker, request.body)
     if isinstance(heartbeat, errors.Finding):
-        log.warning(
-            "heartbeat rejected", place=heartbeat.place, reason=heartbeat.reason
+        leader_api.rejections.record(
+            "heartbeat", heartbeat.reason, worker=worker
         )
         return message.Response(400, b"{}")
     if not await leader_api.heartbeat(heartbeat):
--- a/turmerichall/platform/tests/test_unusable_messages.py
+++ b/turmerichall/platform/tests/test_unusable_messages.py
@@ -12,13 +12,17 @@
 import trio
 
 from turmerichall import errors
+from turmerichall.dispatch import backlog as backlogs
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch.tests import fakes
 from turmerichall.http1 import message
 from turmerichall.http1 import server
+from turmerichall.platform import client_requests
 from turmerichall.platform import control_requests
 from turmerichall.platform import http_worker_client
 from turmerichall.queues import change as changes
+from turmerichall.queues import demand as demands
+from turmerichall.queues import state as states
 
 TASK = changes.TaskName("5c0e7a21d94b36f8", 0, 1, 17)
 LONG_NUMBER = "8" * 4400
@@ -229,3 +233,49 @@
             )
             failure = await client.poll(1, 0, None, 0)
             assert isinstance(failure, worker_client.PollFailure), address
+
+
+def _job(**fields: object) -> bytes:
+    step = {"count": 1, "cpu": 500, **fields}
+    return json.dumps({"spec": "(text)", "steps": [step]}).encode()
+
+
+class TestJobs:
+
+    def test_numbers_that_cannot_be_used_are_rejected(self) -> None:
+        for field in ("cpu", "mem_mb", "gpu", "target_ms", "may_miss"):
+            for number in ("nan", "-inf", -1, 2**63, 10**300):
+                demand = client_requests.demand_from_wire(
+                    _job(**{field: number})
+                )
+                assert isinstance(demand, errors.Finding), (field, number)
+
+    # Each leader that loaded such a job was busy with it for minutes.
+    def test_millions_of_tasks_in_all_steps_are_rejected(self) -> None:
+        steps = [{"count": client_requests.MAX_TASKS}] * 300
+        body = json.dumps({"spec": "", "steps": steps}).encode()
+        demand = client_requests.demand_from_wire(body)
+        assert isinstance(demand, errors.Finding)
+
+    def test_occurrences_without_an_interval_are_rejected(self) -> None:
+        document = json.loads(_job())
+        document |= {"repeat_count": 2**62, "start_at_ms": 0, "interval_ms": 0}
+        body = json.dumps(document).encode()
+        demand = client_requests.demand_from_wire(body)
+        assert isinstance(demand, errors.Finding)
+
+
+class TestOverdueOccurrences:
+
+    def test_of_a_stored_job_are_added_a_thousand_at_a_time(self) -> None:
+        schedule = demands.Schedule(0, 0, 2**62)
+        demand = demands.JobDemand("", (demands.StepDemand(1),), schedule)
+        queue_state = states.QueueState()
+        for change in (
+            changes.SetConfiguration(fakes.CONFIGURATION, b"{}"),
+            changes.AcceptJob("j1", fakes.QUEUE.key, demand, 0),
+        ):
+            queue_state.apply(1, changes.encode(change))
+        backlog = backlogs.Backlog(queue_state)
+        added = backlog.add_job(queue_state.jobs["j1"], 1)
+        assert added == len(backlog.groups) == backlogs.MAX_GROUPS_ADDED
--- a/turmerichall/telemetry/logs.py
+++ b/turmerichall/telemetry/logs.py
@@ -194,7 +194,8 @@
             while self._lines:
                 try:
                     self._write_line(self._lines[0])
-                except OSError:
+                except (OSError, ValueError):
+                    # A text that can't be encoded raises a ValueError.
                     self.dropped_count += 1
                 # The line is removed from the buffer only after it is written,
                 # so that `drain` waits for the write.
