Read and rewrite the log as a stream

A replica that had been killed with a large log was killed again at each start: with 171.5 MB of log, after 200 changes of a configuration with 2,700 routes, the start took 726 MB of memory, where running took 217 MB (one run). Callers saw a replica that never came back.

A rewritten log is encoded while it is written, in blocks, in the thread that writes it.

What decides whether a crash explains an unreadable record is as before, and `records.scan` now runs the same code as the stream, so all tests of torn and damaged files apply to it.

A replacement that a crash interrupted stays as `*.new` on the disk; it is now removed when the folder is opened.

--- a/turmerichall/agreement/entry_log.py
+++ b/turmerichall/agreement/entry_log.py
@@ -1,6 +1,7 @@
 """The log of a replica, in memory and in its journal."""
 
 import enum
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -238,12 +239,14 @@
         """
         await self.journal.replace_after_failure(self._records())
 
-    def _records(self) -> list[bytes]:
-        return [
-            _record(RecordKind.VOTE, self.vote_state),
-            _record(RecordKind.COMMIT, self.commit),
-            *(_record(RecordKind.ENTRY, entry) for entry in self.entries),
+    def _records(self) -> Iterator[bytes]:
+        """Return the records of the current state, encoded as they are read."""
+        values: list[tuple[RecordKind, object]] = [
+            (RecordKind.VOTE, self.vote_state),
+            (RecordKind.COMMIT, self.commit),
+            *((RecordKind.ENTRY, entry) for entry in self.entries),
         ]
+        return (_record(kind, value) for kind, value in values)
 
     def load(self, snapshot: message.Snapshot | None) -> None:
         """Restore the log from the journal; blocks on file I/O.
@@ -255,18 +258,21 @@
             CorruptLogError: A record is damaged or out of order.
             StorageError: The file can't be read.
         """
-        records = [_decode_record(data) for data in self.journal.load()]
+        # Entries that a snapshot covers are not needed, but for the last one,
+        # whose term is compared.
+        first = snapshot.position if snapshot else 0
         entries: list[message.Entry] = []
-        for record in records:
+        for record in map(_decode_record, self.journal.load()):
             if record.kind == RecordKind.VOTE:
-                self.vote_state = message.decode(bytes(record.body), VoteState)
+                self.vote_state = message.decode(record.body, VoteState)
             elif record.kind == RecordKind.COMMIT:
-                self.commit = message.decode(bytes(record.body), int)
+                self.commit = message.decode(record.body, int)
             else:
-                entry = message.decode(bytes(record.body), message.Entry)
+                entry = message.decode(record.body, message.Entry)
                 while entries and entries[-1].position >= entry.position:
                     entries.pop()
-                entries.append(entry)
+                if entry.position >= first:
+                    entries.append(entry)
         self._rebuild(entries, snapshot)
         self.commit = min(self.commit, self.last_index)
 
--- a/turmerichall/agreement/message.py
+++ b/turmerichall/agreement/message.py
@@ -352,7 +352,7 @@
     return msgspec.msgpack.encode(value)
 
 
-def decode(data: bytes, value_type: type[T]) -> T:
+def decode(data: bytes | bytearray | memoryview, value_type: type[T]) -> T:
     """Decode a message or an entry.
 
     Raises:
--- a/turmerichall/agreement/snapshots.py
+++ b/turmerichall/agreement/snapshots.py
@@ -125,8 +125,9 @@
 
     async def _save(self, snapshot: message.Snapshot) -> None:
         assert self.state.folder is not None
-        framed = records.frame(message.encode(snapshot))
-        await self.state.folder.save_snapshot(framed)
+        payload = message.encode(snapshot)
+        parts = (records.header(payload), payload)
+        await self.state.folder.save_snapshot(parts)
         self.index = snapshot.position
 
     async def bootstrap(self, snapshot: message.Snapshot) -> None:
@@ -160,7 +161,7 @@
                 await self._install(framed)
             self.source = ""
 
-    async def fetch(self, source: str) -> bytes | None:
+    async def fetch(self, source: str) -> bytearray | None:
         """Fetch the current snapshot of an instance.
 
         Args:
@@ -188,9 +189,9 @@
             index = reply.position
             received += reply.data
             if len(received) >= reply.size:
-                return bytes(received)
+                return received
 
-    async def _install(self, framed: bytes) -> None:
+    async def _install(self, framed: bytearray) -> None:
         state = self.state
         try:
             payload = data_folder.unframe_snapshot(framed)
@@ -204,7 +205,7 @@
             if snapshot.position <= state.applied:
                 return
             assert state.folder is not None
-            await state.folder.save_snapshot(framed)
+            await state.folder.save_snapshot((framed,))
             self.index = snapshot.position
             if snapshot.position > state.applied:
                 self._start_from(snapshot)
@@ -247,7 +248,7 @@
     state.applied_advanced.notify_all()
 
 
-def decode_framed(framed: bytes) -> message.Snapshot:
+def decode_framed(framed: bytearray) -> message.Snapshot:
     """Verify and decode a snapshot that `Snapshots.fetch` returned.
 
     Raises:
@@ -256,5 +257,5 @@
     return _decode(data_folder.unframe_snapshot(framed))
 
 
-def _decode(payload: bytes) -> message.Snapshot:
+def _decode(payload: memoryview) -> message.Snapshot:
     return message.decode(payload, message.Snapshot)
--- a/turmerichall/agreement/tests/test_disk_recovery.py
+++ b/turmerichall/agreement/tests/test_disk_recovery.py
@@ -313,7 +313,7 @@
         await log.replace_after_failure([b"kept"])
         nursery.start_soon(log.run)
         await log.wait_durable(log.append(b"new"))
-        assert log.load() == [b"kept", b"new"]
+        assert list(log.load()) == [b"kept", b"new"]
 
 
 class TestStaysOut:
--- a/turmerichall/storage/data_folder.py
+++ b/turmerichall/storage/data_folder.py
@@ -6,6 +6,7 @@
 """
 
 import uuid
+from collections.abc import Sequence
 
 from turmerichall import errors
 from turmerichall.storage import files as storage_files
@@ -67,6 +68,7 @@
         """
         try:
             files.lock()
+            files.remove_unfinished()
             _check_format(files)
             identity = files.read(IDENTITY_NAME)
             if identity is None:
@@ -76,7 +78,7 @@
             raise storage_files.storage_error("opening", error) from error
         return cls(files, identity.decode(), max_batch_records)
 
-    def load_snapshot(self) -> bytes | None:
+    def load_snapshot(self) -> memoryview | None:
         """Read the snapshot; blocks on file I/O.
 
         Returns:
@@ -98,25 +100,25 @@
         self.snapshot_bytes = len(data)
         return payload
 
-    async def save_snapshot(self, framed: bytes) -> None:
+    async def save_snapshot(self, parts: Sequence[bytes | bytearray]) -> None:
         """Replace the snapshot atomically.
 
         Args:
-            framed: The snapshot as one record, header included; see
-                `records.frame`.
+            parts: Parts of the snapshot as one record: its header, see
+                `records.header`, and its content.
 
         Raises:
             StorageError: The file could not be written.
         """
         try:
             await self.files.run_blocking(
-                lambda: self.files.replace(SNAPSHOT_NAME, framed)
+                lambda: self.files.replace_from(SNAPSHOT_NAME, parts)
             )
         except OSError as error:
             raise storage_files.storage_error(
                 "writing the snapshot", error
             ) from error
-        self.snapshot_bytes = len(framed)
+        self.snapshot_bytes = sum(map(len, parts))
 
     def is_complete(self) -> bool:
         """Return whether the folder includes every change applied here.
@@ -189,20 +191,17 @@
             ) from error
 
 
-def unframe_snapshot(framed: bytes) -> bytes:
+def unframe_snapshot(framed: bytes | bytearray) -> memoryview:
     """Verify the checksum of a snapshot and return its content.
 
     Raises:
         CorruptLogError: The snapshot is truncated or fails its checksum.
 
     Examples:
-        >>> unframe_snapshot(records.frame(b"state"))
+        >>> bytes(unframe_snapshot(records.frame(b"state")))
         b'state'
     """
-    payloads, length = records.scan(framed, SNAPSHOT_NAME)
-    if len(payloads) != 1 or length != len(framed):
-        raise errors.CorruptLogError("snapshot: expected one complete record")
-    return payloads[0]
+    return records.unframe(framed, SNAPSHOT_NAME)
 
 
 def _check_format(files: storage_files.Files) -> None:
--- a/turmerichall/storage/files.py
+++ b/turmerichall/storage/files.py
@@ -4,7 +4,7 @@
 import fcntl
 import os
 import pathlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol, TypeVar
 
 import trio
@@ -16,6 +16,8 @@
 T = TypeVar("T")
 
 LOCK_NAME = "lock"
+# End of the name of a replacement that is being written.
+UNFINISHED_SUFFIX = ".new"
 
 
 class Files(Protocol):
@@ -33,6 +35,9 @@
     def read(self, name: str) -> bytes | None:
         """Return the content of a file; None if it does not exist."""
 
+    def size(self, name: str) -> int:
+        """Return the size of a file in bytes; 0 if it does not exist."""
+
     def read_range(self, name: str, offset: int, size: int) -> bytes:
         """Return up to `size` bytes of a file, starting at a byte offset."""
 
@@ -45,6 +50,14 @@
         A crash leaves either the old or the new content.
         """
 
+    def replace_from(
+        self, name: str, parts: Iterable[bytes | bytearray]
+    ) -> None:
+        """Replace a file by parts that are joined; see `replace`."""
+
+    def remove_unfinished(self) -> None:
+        """Remove what a crash during a replacement left behind."""
+
     def remove(self, name: str) -> None:
         """Remove a file durably, if it exists."""
 
@@ -117,6 +130,14 @@
         except FileNotFoundError:
             return None
 
+    def size(self, name: str) -> int:
+        """See `Files`."""
+        try:
+            with open(self.folder / name, "rb") as file:
+                return file.seek(0, os.SEEK_END)
+        except FileNotFoundError:
+            return 0
+
     def read_range(self, name: str, offset: int, size: int) -> bytes:
         """See `Files`."""
         with open(self.folder / name, "rb") as file:
@@ -135,11 +156,18 @@
 
     def replace(self, name: str, data: bytes) -> None:
         """See `Files`."""
-        temporary = self.folder / f"{name}.new"
+        self.replace_from(name, (data,))
+
+    def replace_from(
+        self, name: str, parts: Iterable[bytes | bytearray]
+    ) -> None:
+        """See `Files`."""
+        temporary = self.folder / f"{name}{UNFINISHED_SUFFIX}"
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
         descriptor = os.open(temporary, flags)
         try:
-            _write_all(descriptor, data)
+            for part in parts:
+                _write_all(descriptor, part)
             os.fsync(descriptor)
         except OSError:
             # On a full disk, what was written would take the room of others.
@@ -153,6 +181,12 @@
         if replaced is not None:
             os.close(replaced)
 
+    def remove_unfinished(self) -> None:
+        """See `Files`."""
+        for name in os.listdir(self.folder):
+            if name.endswith(UNFINISHED_SUFFIX):
+                (self.folder / name).unlink()
+
     def remove(self, name: str) -> None:
         """See `Files`."""
         (self.folder / name).unlink(missing_ok=True)
@@ -170,7 +204,7 @@
         return await trio.to_thread.run_sync(work)
 
 
-def _write_all(descriptor: int, data: bytes) -> None:
+def _write_all(descriptor: int, data: bytes | bytearray) -> None:
     rest = memoryview(data)
     while rest:
         rest = rest[os.write(descriptor, rest) :]
--- a/turmerichall/storage/journal.py
+++ b/turmerichall/storage/journal.py
@@ -6,6 +6,9 @@
 written the whole file again.
 """
 
+import itertools
+from collections.abc import Iterable, Iterator
+
 import trio
 
 from turmerichall import errors
@@ -28,6 +31,7 @@
         sequence: Sequence number of the last queued record.
         durable_sequence: Sequence number of the last durable record.
         failure: The error that stopped the journal; None while it works.
+        file_bytes: Size of the file in bytes.
     """
 
     def __init__(
@@ -39,27 +43,36 @@
         self.failure: errors.StorageError | None = None
         self.sequence = 0
         self.durable_sequence = 0
+        self.file_bytes = 0
         self._pending: list[bytes] = []
-        self._rewriting = False
+        # Payloads of the records that replace the file, before those pending.
+        self._replacement: Iterable[bytes] | None = None
         self._wake = trio.Event()
         self._advanced = trio.Event()
 
-    def load(self) -> list[bytes]:
-        """Return the payloads of all complete records; blocks on file I/O.
+    def load(self) -> Iterator[bytes]:
+        """Yield the payloads of all complete records; blocks on file I/O.
 
-        A record at the end that a crash truncated is left out.
+        The file is read as a stream.  A record at the end that a crash
+        truncated is left out.
 
         Raises:
             CorruptLogError: A record fails its checksum.
             StorageError: The file can't be read.
         """
         try:
-            data = self.files.read(LOG_NAME) or b""
+            self.file_bytes = self.files.size(LOG_NAME)
+            source = records.Source(
+                self.file_bytes,
+                lambda offset, size: self.files.read_range(
+                    LOG_NAME, offset, size
+                ),
+            )
+            yield from records.iterate(source, LOG_NAME)
         except OSError as error:
             raise storage_files.storage_error(
                 "reading the log", error
             ) from error
-        return records.scan(data, LOG_NAME)[0]
 
     def append(self, payload: bytes) -> int:
         """Queue a record.
@@ -80,20 +93,21 @@
         self._wake.set()
         return self.sequence
 
-    def rewrite(self, payloads: list[bytes]) -> int:
+    def rewrite(self, payloads: Iterable[bytes]) -> int:
         """Queue the replacement of the whole file.
 
         Records that are still queued are discarded, so `payloads` must
         include them.
 
         Args:
-            payloads: Content of each record of the new file.
+            payloads: Content of each record of the new file.  They are iterated
+                over in another thread, while they are written.
 
         Returns:
             The sequence number to pass to `wait_durable`.
         """
-        self._pending = [b"".join(map(records.frame, payloads))]
-        self._rewriting = True
+        self._pending.clear()
+        self._replacement = payloads
         self.sequence += 1
         self._wake.set()
         return self.sequence
@@ -107,7 +121,7 @@
             self.failure = error
             self._notify()
 
-    async def replace_after_failure(self, payloads: list[bytes]) -> None:
+    async def replace_after_failure(self, payloads: Iterable[bytes]) -> None:
         """Replace the whole file after a failure, and accept records again.
 
         What the failed write left in the file is unknown, so nothing of it is
@@ -119,17 +133,14 @@
         Raises:
             DiskError: The disk still fails.
         """
-        data = b"".join(map(records.frame, payloads))
         try:
-            await self.files.run_blocking(
-                lambda: self.files.replace(LOG_NAME, data)
-            )
+            await self.files.run_blocking(lambda: self._replace(payloads, b""))
         except OSError as error:
             raise storage_files.storage_error(
                 "writing the log", error
             ) from error
         self._pending.clear()
-        self._rewriting = False
+        self._replacement = None
         self.failure = None
         self.durable_sequence = self.sequence
 
@@ -156,19 +167,25 @@
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
-            while self._pending:
+            while self._pending or self._replacement is not None:
                 await self._write_batch()
 
     async def _write_batch(self) -> None:
         batch = self._pending[: self.max_batch_records]
         del self._pending[: len(batch)]
         covered = self.sequence - len(self._pending)
-        rewriting = self._rewriting
-        self._rewriting = False
+        replacement, self._replacement = self._replacement, None
         data = b"".join(batch)
-        write = self.files.replace if rewriting else self.files.append
+
+        def write() -> None:
+            if replacement is not None:
+                self._replace(replacement, data)
+            else:
+                self.files.append(LOG_NAME, data)
+                self.file_bytes += len(data)
+
         try:
-            await self.files.run_blocking(lambda: write(LOG_NAME, data))
+            await self.files.run_blocking(write)
         except OSError as error:
             failure = storage_files.storage_error("writing the log", error)
             self.fail(failure)
@@ -177,6 +194,19 @@
         self.durable_sequence = covered
         self._notify()
 
+    def _replace(self, payloads: Iterable[bytes], appended: bytes) -> None:
+        """Replace the file by records, and framed records after them."""
+        written = 0
+
+        def counted(block: bytes) -> bytes:
+            nonlocal written
+            written += len(block)
+            return block
+
+        parts = itertools.chain(records.blocks(payloads), (appended,))
+        self.files.replace_from(LOG_NAME, map(counted, parts))
+        self.file_bytes = written
+
     def _notify(self) -> None:
         self._advanced.set()
         self._advanced = trio.Event()
--- a/turmerichall/storage/tests/memory_files.py
+++ b/turmerichall/storage/tests/memory_files.py
@@ -1,7 +1,7 @@
 """In-memory data folder with fault injection, for tests."""
 
 import errno
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TypeVar
 
 import trio
@@ -42,6 +42,9 @@
     def read(self, name: str) -> bytes | None:
         return self.content.get(name)
 
+    def size(self, name: str) -> int:
+        return len(self.content.get(name, b""))
+
     def read_range(self, name: str, offset: int, size: int) -> bytes:
         return self.content[name][offset : offset + size]
 
@@ -62,6 +65,14 @@
             raise OSError(errno.EIO, "input/output error")
         self.content[name] = data
 
+    def replace_from(
+        self, name: str, parts: Iterable[bytes | bytearray]
+    ) -> None:
+        self.replace(name, b"".join(parts))
+
+    def remove_unfinished(self) -> None:
+        """Do nothing, since replacements are atomic here."""
+
     def remove(self, name: str) -> None:
         if self.sync_fails:
             raise OSError(errno.EIO, "input/output error")
--- a/turmerichall/storage/tests/test_journal.py
+++ b/turmerichall/storage/tests/test_journal.py
@@ -34,7 +34,7 @@
         sequence = [journal.append(str(n).encode()) for n in range(200)][-1]
         await journal.wait_durable(sequence)
         assert journal.syncs == 2
-        assert len(journal.load()) == 201
+        assert len(list(journal.load())) == 201
 
     async def test_rewrite_keeps_records_appended_after_it(
         self, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
@@ -45,7 +45,7 @@
         journal.append(b"dropped")
         journal.rewrite([b"kept"])
         await journal.wait_durable(journal.append(b"new"))
-        assert journal.load() == [b"kept", b"new"]
+        assert list(journal.load()) == [b"kept", b"new"]
 
 
 class TestFailingDisk:
@@ -70,7 +70,7 @@
         await _wait_failed(journal, sequence)
         with pytest.raises(errors.StorageError, match=reason):
             journal.append(b"later")
-        assert not journal.load()
+        assert not list(journal.load())
 
 
 class TestDataFolder:
@@ -88,6 +88,8 @@
         assert again.identity == first.identity
         assert files.read("log") == b"abcd"
         assert files.read_range("snapshot", 1, 9) == b"ew"
+        # It would take up space until the next replacement.
+        assert not (tmp_path / "data" / "snapshot.new").exists()
         files.unlock()
 
     def test_empty_folder_has_a_new_identity(
--- a/turmerichall/storage/tests/test_records.py
+++ b/turmerichall/storage/tests/test_records.py
@@ -43,3 +43,29 @@
         damaged = WHOLE[:100] + WHOLE[200:]
         with pytest.raises(errors.CorruptLogError):
             records.scan(damaged, "log")
+
+
+class TestLargeFiles:
+
+    # A record may begin or end anywhere in a block that was read ahead.
+    @pytest.mark.parametrize("missing", [0, 1, 300_000])
+    def test_records_that_cross_blocks_are_read(self, missing: int) -> None:
+        sizes = (records.BLOCK_BYTES - 20, 5, 700_000, 3_000, 300_000)
+        payloads = [bytes([number]) * size for number, size in enumerate(sizes)]
+        data = b"".join(records.blocks(payloads))
+        data = data[: len(data) - missing]
+        longest = 0
+
+        def read(offset: int, size: int) -> bytes:
+            nonlocal longest
+            longest = max(longest, size)
+            return data[offset : offset + size]
+
+        kept = list(records.iterate(records.Source(len(data), read), "log"))
+        assert kept == payloads[: 4 if missing else 5]
+        assert longest == 700_000
+
+    @pytest.mark.parametrize("unwritten", [1024, 2 * records.BLOCK_BYTES])
+    def test_long_tail_of_zeros_is_left_out(self, unwritten: int) -> None:
+        data = WHOLE[:-LAST] + b"\0" * unwritten
+        assert records.scan(data, "log")[0] == PAYLOADS[:2]
