--- a/turmerichall/agreement/entry_log.py
+++ b/turmerichall/agreement/entry_log.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from turmerichall import errors
+from turmerichall.agreement import entry_sizes
 from turmerichall.agreement import member
 from turmerichall.agreement import message
 from turmerichall.agreement import relay_buffer
@@ -89,6 +90,7 @@
         self.base_index = 0
         self.base_term = 0
         self.entries: list[message.Entry] = []
+        self._sizes = entry_sizes.EntrySizes()
         self.vote_state = VoteState()
         self.commit = 0
         self._configurations: list[_Configuration] = []
@@ -147,6 +149,27 @@
         start = index - self.base_index
         return relay_buffer.slice_entries(self.entries, start, max_bytes)
 
+    def bytes_between(self, after: int, last: int) -> int:
+        """Return the approximate size of retained entries, in bytes.
+
+        Args:
+            after: Index of the entry before the first one.
+            last: Index of the last one.
+        """
+        start = max(after - self.base_index, 0)
+        end = min(last - self.base_index, len(self.entries))
+        return self._sizes.between(start, end) if start < end else 0
+
+    def index_within(self, last: int, max_bytes: int) -> int:
+        """Return the lowest index after which the entries fit a size.
+
+        Args:
+            last: Index of the last of these entries, a retained one.
+            max_bytes: Their maximum size in bytes.
+        """
+        end = last - self.base_index
+        return self.base_index + self._sizes.first_within(end, max_bytes)
+
     def append(self, entry: message.Entry) -> int:
         """Append an entry and queue it for the journal.
 
@@ -167,6 +190,7 @@
                 f" {entry.position}"
             )
         self.entries.append(entry)
+        self._sizes.append(relay_buffer.approximate_bytes(entry))
         if entry.kind == message.EntryKind.MEMBERS:
             members = message.decode(entry.data, member.Members)
             self._configurations.append(_Configuration(entry.position, members))
@@ -177,7 +201,9 @@
         Their records stay in the journal.  When it is loaded, the next entry
         with the same index replaces them.
         """
-        del self.entries[index - self.base_index - 1 :]
+        offset = index - self.base_index - 1
+        del self.entries[offset:]
+        self._sizes.truncate(offset)
         self._configurations = [
             kept for kept in self._configurations if kept.position < index
         ]
@@ -205,6 +231,7 @@
         if self.term_at(snapshot.position) == snapshot.term:
             return
         self.entries.clear()
+        self._sizes.truncate(0)
         self.base_index = snapshot.position
         self.base_term = snapshot.term
         self._configurations = [
@@ -219,6 +246,7 @@
         members = self.members_at(index)
         kept = [item for item in self._configurations if item.position > index]
         del self.entries[: index - self.base_index]
+        self._sizes.drop_first(index - self.base_index)
         self.base_index = index
         self.base_term = base_term
         self._configurations = [_Configuration(index, members), *kept]
--- a/turmerichall/agreement/replica_state.py
+++ b/turmerichall/agreement/replica_state.py
@@ -4,7 +4,7 @@
 import enum
 import random
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 import trio
 
@@ -13,6 +13,7 @@
 from turmerichall.agreement import entry_log
 from turmerichall.agreement import member
 from turmerichall.agreement import message
+from turmerichall.agreement import timing as timings
 from turmerichall.peers import link
 from turmerichall.storage import data_folder
 
@@ -27,6 +28,8 @@
 ]
 
 
+Timing = timings.Timing
+
 NOT_RECOVERED = -1
 # Number of recent log indexes whose digests are kept, for comparing the state
 # with that of other replicas.
@@ -79,45 +82,6 @@
     OBSERVER = "observer"
 
 
-class Timing(NamedTuple):
-    """Periods and limits of a replica.
-
-    Attributes:
-        heartbeat_seconds: Longest time between two messages of a leader.
-        election_seconds: Minimum election timeout; also the time after which
-            a leader without a quorum steps down.
-        election_jitter_seconds: Maximum random addition to that timeout.
-        call_seconds: Timeout of a call to another replica.
-        batch_bytes: Maximum size of the entries in one message.
-        part_bytes: Maximum size of a snapshot part in one message.
-        snapshot_entries: Number of applied entries after which a snapshot is
-            taken.
-        retained_entries: Number of entries before a snapshot that stay in the
-            log, for members that lag.
-        commit_delay_seconds: How long the leader delays announcing a new
-            commit index, so that the next entries can carry it.
-        append_interval_seconds: Minimum time between two messages with entries
-            from the leader to a member, so that one message carries the entries
-            of that time.
-        commit_save_seconds: Delay before a new commit index is recorded in
-            the journal.
-        max_proposals: Maximum number of pending changes at the leader.
-    """
-
-    heartbeat_seconds: float = 1.0
-    election_seconds: float = 3.0
-    election_jitter_seconds: float = 2.0
-    call_seconds: float = 2.0
-    batch_bytes: int = 512 * 1024
-    part_bytes: int = 256 * 1024
-    snapshot_entries: int = 20_000
-    retained_entries: int = 5_000
-    commit_delay_seconds: float = 0.05
-    append_interval_seconds: float = 0.0
-    commit_save_seconds: float = 0.5
-    max_proposals: int = 4096
-
-
 class Progress:
     """Replication progress of one member, as the leader sees it.
 
--- a/turmerichall/agreement/snapshots.py
+++ b/turmerichall/agreement/snapshots.py
@@ -8,6 +8,7 @@
 
 from turmerichall import errors
 from turmerichall import outcomes
+from turmerichall.agreement import compaction
 from turmerichall.agreement import condition as conditions
 from turmerichall.agreement import entry_log
 from turmerichall.agreement import message
@@ -56,19 +57,25 @@
         return snapshot
 
     async def run_taking(self) -> None:
-        """Take a snapshot after each `Timing.snapshot_entries` entries.
+        """Take a snapshot whenever one is due, see `compaction`.
 
         Raises:
             StorageError: A snapshot could not be written.
         """
-        state = self.state
-        limit = state.timing.snapshot_entries
         while True:
-            await state.applied_advanced.wait_for(
-                lambda: state.applied - self.index >= limit
-            )
+            await self.state.applied_advanced.wait_for(self._is_due)
             await self.take()
 
+    def _is_due(self) -> bool:
+        state = self.state
+        assert state.folder is not None
+        return compaction.is_snapshot_due(
+            state.timing,
+            state.applied - self.index,
+            state.raft_log.bytes_between(self.index, state.applied),
+            state.folder.snapshot_bytes,
+        )
+
     async def take(self) -> None:
         """Take a snapshot of the applied state and compact the log.
 
@@ -81,11 +88,19 @@
                 return
             snapshot = self._of_applied_state()
             await self._save(snapshot)
-            state.raft_log.compact(
-                snapshot.position - state.timing.retained_entries
-            )
+            self._compact(snapshot.position)
+            # The state was encoded, and may be large.
+            del snapshot
             await state.raft_log.journal.wait_durable(state.raft_log.rewrite())
 
+    def _compact(self, position: int) -> None:
+        timing = self.state.timing
+        raft_log = self.state.raft_log
+        if position <= raft_log.base_index:
+            return
+        within = raft_log.index_within(position, timing.retained_bytes)
+        raft_log.compact(compaction.first_retained(timing, position, within))
+
     def _of_applied_state(self) -> message.Snapshot:
         state = self.state
         return message.Snapshot(
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -37,6 +37,7 @@
     append_interval_seconds=0.01,
 )
 CONNECTION_TIMING = link.ConnectionTiming(1.0, 2.0, 1.0, 0.5)
+BYTES_PER_MB = 1_000_000
 # Timeout for a request of a worker or an operator that is forwarded to the
 # leader; afterwards the client asks another replica.
 FORWARD_TIMEOUT_SECONDS = 0.9
@@ -82,7 +83,10 @@
             machine=self.queue_state,
             bootstrap_members={seed: seed for seed in founders},
             log=logs.Log("agreement"),
-            timing=TIMING,
+            timing=TIMING.fitted_to(
+                settings.limits.disk_mb * BYTES_PER_MB,
+                settings.limits.memory_mb * BYTES_PER_MB,
+            ),
             max_voters=settings.replicas.max_voters,
         )
         self.metrics_registry = lightweight_metrics.MetricsRegistry()
--- a/turmerichall/dispatch/tests/test_replica_daemon.py
+++ b/turmerichall/dispatch/tests/test_replica_daemon.py
@@ -22,6 +22,38 @@
     return replica_daemon.ReplicaDaemon.from_config(settings)
 
 
+def _settings(limits: str) -> queue_settings.QueueSettings:
+    text = (
+        "[instance]\nname = i1\nzone = z1\nrole = replica\ndata_folder = /d\n"
+        f"[listen]\npeers = {HOST}:1\ncontrol = {HOST}:2\n"
+        f"[replicas]\nseeds = {HOST}\nport = 1\nkey = 0123456789abcdef\n"
+    )
+    return queue_settings.parse(text + limits, "q.ini")
+
+
+class TestLimits:
+
+    # The log filled a small disk, since nothing told the replica its size.
+    @pytest.mark.parametrize(
+        ("limits", "snapshot_bytes", "disk_bytes"),
+        [
+            ("", 16 * 1024**2, 0),
+            ("[limits]\ndisk_mb =\nmemory_mb = 0\n", 16 * 1024**2, 0),
+            ("[limits]\ndisk_mb = 64\n", 8_000_000, 64_000_000),
+            ("[limits]\nmemory_mb = 80\n", 5_000_000, 0),
+        ],
+    )
+    def test_bound_the_log(
+        self, limits: str, snapshot_bytes: int, disk_bytes: int
+    ) -> None:
+        daemon = replica_daemon.ReplicaDaemon(_settings(limits))
+        timing = daemon.replica.state.timing
+        assert timing.snapshot_bytes == snapshot_bytes
+        assert timing.disk_bytes == disk_bytes
+        assert timing.retained_bytes == snapshot_bytes // 2
+        assert timing.election_seconds == replica_daemon.TIMING.election_seconds
+
+
 class TestMetrics:
 
     async def test_show_the_replica(
--- a/turmerichall/settings/queue_settings.py
+++ b/turmerichall/settings/queue_settings.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "Instance",
+    "Limits",
     "Listen",
     "Policy",
     "QueueSettings",
@@ -149,6 +150,18 @@
     names: tuple[str, ...] = ()
 
 
+class Limits(NamedTuple):
+    """What the machine gives to this instance.
+
+    Attributes:
+        disk_mb: Size of the disk in MB; 0 if unknown.
+        memory_mb: Memory that the process may use, in MB; 0 if unknown.
+    """
+
+    disk_mb: int = 0
+    memory_mb: int = 0
+
+
 class QueueSettings(NamedTuple):
     """All settings of a daemon that serves queues."""
 
@@ -159,6 +172,7 @@
     policy: Policy = Policy()
     scheduling: Scheduling = Scheduling()
     zones: Zones = Zones()
+    limits: Limits = Limits()
     logs: settings.Logs = settings.Logs()
 
 
@@ -173,6 +187,10 @@
     return values.port_address(text) if text else ""
 
 
+def _optional_count(text: str) -> int:
+    return values.count(text) if text not in ("", "0") else 0
+
+
 def _optional_path(text: str) -> str:
     return values.path(text) if text else ""
 
@@ -228,6 +246,13 @@
         },
     ),
     "zones": reader.Schema(Zones, {"names": reader.Key("names", values.names)}),
+    "limits": reader.Schema(
+        Limits,
+        {
+            key: reader.Key(key, _optional_count)
+            for key in ("disk_mb", "memory_mb")
+        },
+    ),
     "logs": reader.SECTIONS["logs"],
 }
 
