Warn before a replica's disk is full, and refuse what can be refused

A disk that fills up showed itself only by the write that failed: the replica left consensus, and since all replicas have the same log, all of them did so together. Nothing could be refused before that, though an accepted job or change needs the disk and a refused one doesn't.

From 85 % the leader refuses new jobs and changes of 64 KiB and more with 503 and the reason `no_room`, before anything is logged; a job that was accepted before is acknowledged as ever, and starts, ends and cancels go on. Large changes are also refused while too many bytes are not applied yet, since compaction can't remove them.

--- a/turmerichall/agreement/disk_recovery.py
+++ b/turmerichall/agreement/disk_recovery.py
@@ -1,5 +1,7 @@
 """Data folders that may lack applied changes, and disks that work again."""
 
+from collections.abc import Iterator
+
 import trio
 
 from turmerichall import errors
@@ -8,7 +10,7 @@
 from turmerichall.storage import data_folder
 from turmerichall.telemetry import repeat_limit
 
-__all__ = ["DiskRecovery", "run_journal"]
+__all__ = ["DiskRecovery", "decisive_failure", "run_journal"]
 
 # Time between two tries of a disk that failed.  An instance has to take part
 # again within some seconds after the end of a fault.
@@ -102,3 +104,33 @@
     if state.recovery_index == replica_state.NOT_RECOVERED:
         await state.folder.mark_incomplete()
     await state.folder.journal.run()
+
+
+def decisive_failure(
+    group: BaseExceptionGroup[errors.StorageError],
+) -> errors.StorageError:
+    """Return the failure that decides whether a replica may rejoin.
+
+    A removed replica must not rejoin when its disk fails as well.
+
+    Args:
+        group: The failures that ended its part in consensus.
+    """
+    failures = list(_leaves(group))
+    lasting = [
+        failure
+        for failure in failures
+        if not isinstance(failure, errors.DiskError)
+    ]
+    return (lasting or failures)[0]
+
+
+def _leaves(
+    error: errors.StorageError | BaseExceptionGroup[errors.StorageError],
+) -> Iterator[errors.StorageError]:
+    """Yield the exceptions in nested exception groups."""
+    if isinstance(error, BaseExceptionGroup):
+        for each in error.exceptions:
+            yield from _leaves(each)
+    else:
+        yield error
--- a/turmerichall/agreement/proposer.py
+++ b/turmerichall/agreement/proposer.py
@@ -9,6 +9,7 @@
 from turmerichall import outcomes
 from turmerichall.agreement import applier
 from turmerichall.agreement import condition as conditions
+from turmerichall.agreement import disk_pressure
 from turmerichall.agreement import membership
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
@@ -197,6 +198,9 @@
                 outcomes.RefusalReason.OVERLOADED,
                 f"{self.pending} changes are already pending",
             )
+        refused = disk_pressure.refuse_large(state, len(request.change))
+        if refused is not None:
+            return refused
         term = state.term
         index = self.replication.append_entry(
             message.EntryKind.CHANGE, request.change
--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -2,7 +2,7 @@
 
 import pathlib
 import random
-from collections.abc import Awaitable, Callable, Iterator, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import trio
@@ -11,6 +11,7 @@
 from turmerichall import outcomes
 from turmerichall.agreement import append_handler
 from turmerichall.agreement import applier
+from turmerichall.agreement import disk_pressure
 from turmerichall.agreement import disk_recovery
 from turmerichall.agreement import election
 from turmerichall.agreement import entry_log
@@ -184,18 +185,13 @@
 
     async def _run_until_failure(self, task_status: Any) -> errors.StorageError:
         """Take part in consensus; return the error that ended it."""
-        failures: list[errors.StorageError] = []
+        failure: errors.StorageError | None = None
         try:
             await self._run_consensus(task_status)
         except* errors.StorageError as group:
-            failures = list(_leaves(group))
-        # A removed replica must not rejoin when its disk fails as well.
-        lasting = [
-            failure
-            for failure in failures
-            if not isinstance(failure, errors.DiskError)
-        ]
-        return (lasting or failures)[0]
+            failure = disk_recovery.decisive_failure(group)
+        assert failure is not None
+        return failure
 
     async def _rejoin(self, folder: data_folder.DataFolder) -> None:
         """Observe until the disk works, then become a follower."""
@@ -272,6 +268,7 @@
             nursery.start_soon(self._applier.run_persisting_commit)
             nursery.start_soon(self._snapshots.run_taking)
             nursery.start_soon(self._snapshots.run_fetching)
+            nursery.start_soon(disk_pressure.run_watch, state)
             nursery.start_soon(own_election.run)
             nursery.start_soon(self._membership.run)
             nursery.start_soon(self._recover)
@@ -471,6 +468,11 @@
         state = self.state
         await state.applied_advanced.wait_for(lambda: state.applied >= index)
 
+    def is_disk_almost_full(self) -> bool:
+        """Return whether nothing should be accepted that can be refused."""
+        level = disk_pressure.level(self.state)
+        return level == disk_pressure.Level.CRITICAL
+
     def seconds_since_quorum(self) -> float:
         """Return the age of the leader's last known contact with a quorum."""
         return self.state.seconds_since_quorum()
@@ -493,14 +495,3 @@
             state.recovered,
             state.diverged_at,
         )
-
-
-def _leaves(
-    error: errors.StorageError | BaseExceptionGroup[errors.StorageError],
-) -> Iterator[errors.StorageError]:
-    """Yield the exceptions in nested exception groups."""
-    if isinstance(error, BaseExceptionGroup):
-        for each in error.exceptions:
-            yield from _leaves(each)
-    else:
-        yield error
--- a/turmerichall/agreement/snapshots.py
+++ b/turmerichall/agreement/snapshots.py
@@ -10,6 +10,7 @@
 from turmerichall import outcomes
 from turmerichall.agreement import compaction
 from turmerichall.agreement import condition as conditions
+from turmerichall.agreement import disk_pressure
 from turmerichall.agreement import entry_log
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
@@ -74,8 +75,13 @@
             state.applied - self.index,
             state.raft_log.bytes_between(self.index, state.applied),
             state.folder.snapshot_bytes,
+            short_of_room=self._is_short_of_room(),
         )
 
+    def _is_short_of_room(self) -> bool:
+        level = disk_pressure.level(self.state)
+        return level > disk_pressure.Level.NORMAL
+
     async def take(self) -> None:
         """Take a snapshot of the applied state and compact the log.
 
@@ -98,7 +104,9 @@
         raft_log = self.state.raft_log
         if position <= raft_log.base_index:
             return
-        within = raft_log.index_within(position, timing.retained_bytes)
+        short = self._is_short_of_room()
+        retained_bytes = 0 if short else timing.retained_bytes
+        within = raft_log.index_within(position, retained_bytes)
         raft_log.compact(compaction.first_retained(timing, position, within))
 
     def _of_applied_state(self) -> message.Snapshot:
--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -34,6 +34,9 @@
 NO_QUORUM = outcomes.Refusal(
     outcomes.RefusalReason.NO_QUORUM, "no quorum answered", RETRY_SECONDS
 )
+NO_ROOM = outcomes.Refusal(
+    outcomes.RefusalReason.NO_ROOM, "the disk is almost full", RETRY_SECONDS
+)
 
 # Any leader may process an attempt: instances of older versions name no term.
 ANY_TERM = -1
@@ -262,6 +265,10 @@
         refused = leadership.job_requests.register.refusal(attempt.call_id)
         if refused is not None:
             return refused
+        if self.replica.is_disk_almost_full():
+            reason = NO_ROOM.reason.value
+            self._metrics_registry.count("jobs_refused", reason=reason)
+            return await self.refuse(NO_ROOM, job_id, attempt)
         failure = await leadership.job_requests.submit(
             controller.Submission(job_id, queue, demand, caller_zone)
         )
--- a/turmerichall/dispatch/replica_gauges.py
+++ b/turmerichall/dispatch/replica_gauges.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 
+from turmerichall.agreement import disk_pressure
 from turmerichall.agreement import member
 from turmerichall.agreement import replica as replicas
 from turmerichall.agreement import replica_state
@@ -76,3 +77,31 @@
         "Number of voters.",
         lambda: len(member.voters(state.members)),
     )
+    _register_disk(metrics_registry, state)
+
+
+def _register_disk(
+    metrics_registry: lightweight_metrics.MetricsRegistry,
+    state: replica_state.ReplicaState,
+) -> None:
+    add_gauge = metrics_registry.add_gauge
+    add_gauge(
+        "replica_log_bytes",
+        "Size of the log on the disk, in bytes.",
+        lambda: disk_pressure.usage(state).log_bytes,
+    )
+    add_gauge(
+        "replica_snapshot_bytes",
+        "Size of the snapshot on the disk, in bytes.",
+        lambda: disk_pressure.usage(state).snapshot_bytes,
+    )
+    add_gauge(
+        "replica_disk_peak_bytes",
+        "Use of the disk while a snapshot or the log is replaced, in bytes.",
+        lambda: disk_pressure.usage(state).peak_bytes,
+    )
+    add_gauge(
+        "replica_disk_pressure",
+        "0 if the disk has room, 1 if it is filling up, 2 if almost full.",
+        lambda: disk_pressure.level(state),
+    )
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -307,6 +307,7 @@
         queue_state: The state to which changes are applied.
         term: The term in which it leads; 0 if it does not lead.
         committing: Whether changes are committed.
+        disk_almost_full: Whether its disk is almost full.
         changes: All committed changes.
     """
 
@@ -314,6 +315,7 @@
         self.queue_state = queue_state
         self.term = 1
         self.committing = True
+        self.disk_almost_full = False
         self.changes: list[changes.Change] = []
         self.state = types.SimpleNamespace(
             role_changed=conditions.Condition(),
@@ -329,6 +331,10 @@
     async def wait_log_applied(self, term: int) -> None:
         """See `agreement.replica.Replica`."""
 
+    def is_disk_almost_full(self) -> bool:
+        """See `agreement.replica.Replica`."""
+        return self.disk_almost_full
+
     def lead(self, term: int) -> None:
         """Become leader in another term; 0 makes it a follower."""
         self.term = term
--- a/turmerichall/dispatch/tests/test_leader_api.py
+++ b/turmerichall/dispatch/tests/test_leader_api.py
@@ -6,6 +6,7 @@
 
 from turmerichall.dispatch import leader_api as leader_apis
 from turmerichall.dispatch.tests import fakes
+from turmerichall.queues import demand as demands
 
 pytestmark = pytest.mark.usefixtures("mocked_clocks")
 
@@ -59,3 +60,27 @@
             found = await leader_api.find_queue("a.example", "/jobs/1")
             nursery.cancel_scope.cancel()
         assert found == leader_apis.NOT_LEADER
+
+
+class TestAlmostFullDisk:
+
+    # An accepted job was accepted, whatever the disk is like since then.
+    async def test_only_new_jobs_are_refused(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
+        cluster = fakes.FakeCluster()
+        demand = demands.JobDemand("text", (demands.StepDemand(1),))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cluster.leader_api.run)
+            await cluster.wait_until(
+                lambda: cluster.leader_api.leadership is not None
+            )
+            await cluster.submit("old", demand)
+            cluster.replica.disk_almost_full = True
+            await cluster.submit("old", demand)
+            refused = await cluster.leader_api.submit(
+                fakes.QUEUE, "new", demand
+            )
+            nursery.cancel_scope.cancel()
+        assert refused == leader_apis.NO_ROOM
+        assert list(cluster.queue_state.jobs) == ["old"]
--- a/turmerichall/dispatch/tests/test_nothing_served.py
+++ b/turmerichall/dispatch/tests/test_nothing_served.py
@@ -143,6 +143,8 @@
             leader = await site.cluster.wait_for_leader()
             status = site.cluster.replicas[leader].status()
             shown = site.gauges(leader)
+            content = site.cluster.files[leader].content
+            used = len(content["log"]) + len(content["snapshot"])
             assert 0.0 <= shown.pop("quorum_age_seconds") < 1.0
             assert shown == {
                 "term": status.term,
@@ -153,6 +155,10 @@
                 "leader_work": 1,
                 "stopped": 0,
                 "voters": 3,
+                "log_bytes": len(content["log"]),
+                "snapshot_bytes": len(content["snapshot"]),
+                "disk_peak_bytes": 2 * used,
+                "disk_pressure": 0,
             }
             assert status.term > 0 and status.commit > 1
             for name in site.others(leader):
--- a/turmerichall/outcomes.py
+++ b/turmerichall/outcomes.py
@@ -32,6 +32,7 @@
     NO_QUORUM = "no_quorum"
     NOT_LEADER = "not_leader"
     STOPPED = "stopped"
+    NO_ROOM = "no_room"
     # Refusals of callers' requests.
     DRAINING = "draining"
     OVERLOADED = "overloaded"
