--- a/turmerichall/agreement/snapshots.py
+++ b/turmerichall/agreement/snapshots.py
@@ -8,7 +8,9 @@
 
 from turmerichall import errors
 from turmerichall import outcomes
+from turmerichall.agreement import compaction
 from turmerichall.agreement import condition as conditions
+from turmerichall.agreement import disk_pressure
 from turmerichall.agreement import entry_log
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
@@ -56,19 +58,30 @@
         return snapshot
 
     async def run_taking(self) -> None:
-        """Take a snapshot after each `Timing.snapshot_entries` entries.
+        """Take a snapshot whenever one is due, see `compaction`.
 
         Raises:
             StorageError: A snapshot could not be written.
         """
-        state = self.state
-        limit = state.timing.snapshot_entries
         while True:
-            await state.applied_advanced.wait_for(
-                lambda: state.applied - self.index >= limit
-            )
+            await self.state.applied_advanced.wait_for(self._is_due)
             await self.take()
 
+    def _is_due(self) -> bool:
+        state = self.state
+        assert state.folder is not None
+        return compaction.is_snapshot_due(
+            state.timing,
+            state.applied - self.index,
+            state.raft_log.bytes_between(self.index, state.applied),
+            state.folder.snapshot_bytes,
+            short_of_room=self._is_short_of_room(),
+        )
+
+    def _is_short_of_room(self) -> bool:
+        level = disk_pressure.level(self.state)
+        return level > disk_pressure.Level.NORMAL
+
     async def take(self) -> None:
         """Take a snapshot of the applied state and compact the log.
 
@@ -81,11 +94,21 @@
                 return
             snapshot = self._of_applied_state()
             await self._save(snapshot)
-            state.raft_log.compact(
-                snapshot.position - state.timing.retained_entries
-            )
+            self._compact(snapshot.position)
+            # The state was encoded, and may be large.
+            del snapshot
             await state.raft_log.journal.wait_durable(state.raft_log.rewrite())
 
+    def _compact(self, position: int) -> None:
+        timing = self.state.timing
+        raft_log = self.state.raft_log
+        if position <= raft_log.base_index:
+            return
+        short = self._is_short_of_room()
+        retained_bytes = 0 if short else timing.retained_bytes
+        within = raft_log.index_within(position, retained_bytes)
+        raft_log.compact(compaction.first_retained(timing, position, within))
+
     def _of_applied_state(self) -> message.Snapshot:
         state = self.state
         return message.Snapshot(
@@ -125,8 +148,9 @@
 
     async def _save(self, snapshot: message.Snapshot) -> None:
         assert self.state.folder is not None
-        framed = records.frame(message.encode(snapshot))
-        await self.state.folder.save_snapshot(framed)
+        payload = message.encode(snapshot)
+        parts = (records.header(payload), payload)
+        await self.state.folder.save_snapshot(parts)
         self.index = snapshot.position
 
     async def bootstrap(self, snapshot: message.Snapshot) -> None:
@@ -160,7 +184,7 @@
                 await self._install(framed)
             self.source = ""
 
-    async def fetch(self, source: str) -> bytes | None:
+    async def fetch(self, source: str) -> bytearray | None:
         """Fetch the current snapshot of an instance.
 
         Args:
@@ -188,9 +212,9 @@
             index = reply.position
             received += reply.data
             if len(received) >= reply.size:
-                return bytes(received)
+                return received
 
-    async def _install(self, framed: bytes) -> None:
+    async def _install(self, framed: bytearray) -> None:
         state = self.state
         try:
             payload = data_folder.unframe_snapshot(framed)
@@ -204,7 +228,7 @@
             if snapshot.position <= state.applied:
                 return
             assert state.folder is not None
-            await state.folder.save_snapshot(framed)
+            await state.folder.save_snapshot((framed,))
             self.index = snapshot.position
             if snapshot.position > state.applied:
                 self._start_from(snapshot)
@@ -247,7 +271,7 @@
     state.applied_advanced.notify_all()
 
 
-def decode_framed(framed: bytes) -> message.Snapshot:
+def decode_framed(framed: bytearray) -> message.Snapshot:
     """Verify and decode a snapshot that `Snapshots.fetch` returned.
 
     Raises:
@@ -256,5 +280,5 @@
     return _decode(data_folder.unframe_snapshot(framed))
 
 
-def _decode(payload: bytes) -> message.Snapshot:
+def _decode(payload: memoryview) -> message.Snapshot:
     return message.decode(payload, message.Snapshot)
