Free the tasks of a leaving worker only once it has ended

Cause: `Registry._remove_after_end` took any failure of one poll for the end of the worker: a timeout of 0.5 s, a refused connection, and even a refusal, which is an answer. A worker without an acknowledgement goes on for seconds.

A worker with runs whose end is not committed is not removed because it does not answer; the session commits these ends when the worker lists them, or when its lease has expired, and finds another incarnation. So that an orderly leave stays fast, the runs are stopped before the notice is acknowledged: the worker then still answers, and lists their ends.

--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -15,16 +15,13 @@
 from turmerichall.dispatch import start_fence as start_fences
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.departures import leaving
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
 
 __all__ = ["Owner", "Registry"]
 
-# Time between a worker's notice that it is shutting down and its removal, and
-# between two checks whether it has ended.
-LEAVING_GRACE_SECONDS = 0.3
-
 _Commit = Callable[[changes.Change], Awaitable[object]]
 
 
@@ -71,8 +68,9 @@
         # commit failed in this term or has an unknown outcome.
         self._registering: set[changes.Place] = set()
         self._uncertain: set[changes.Place] = set()
-        # Ids of workers that have given notice in this term.
-        self._leaving: set[str] = set()
+        self._leaving = leaving.LeavingWorkers(
+            owner, self.workers, self._poll_as_itself
+        )
 
     def load(self, nursery: trio.Nursery) -> None:
         """Add the workers of the replicated state.
@@ -232,12 +230,18 @@
 
     async def _answers_as_itself(self, record: changes.WorkerRecord) -> bool:
         """Return whether a recorded incarnation answers at its address."""
+        status = await self._poll_as_itself(record)
+        return isinstance(status, worker_client.WorkerStatus)
+
+    async def _poll_as_itself(
+        self, record: changes.WorkerRecord
+    ) -> worker_client.WorkerStatus | worker_client.PollFailure:
+        """Poll a recorded incarnation, on a connection of its own."""
         client = self._make_client(record)
         try:
-            status = await client.poll(self.owner.token, 0, None, 0)
+            return await client.poll(self.owner.token, 0, None, 0)
         finally:
             client.close()
-        return isinstance(status, worker_client.WorkerStatus)
 
     async def _drain(self, worker: worker_state.Worker) -> bool:
         """Commit that a worker drains; return whether this is durable."""
@@ -290,9 +294,10 @@
         if not await self._drain(worker):
             return False
         worker_id = worker.record.id
-        if self._nursery is not None and worker_id not in self._leaving:
-            self._leaving.add(worker_id)
+        if self._nursery is not None and self._leaving.add(worker_id):
             self._nursery.start_soon(self._remove_after_end, worker)
+        if worker_id in self.sessions:
+            await self._leaving.stop_runs(self.sessions[worker_id])
         return True
 
     def _had_incarnation(self, name: str) -> bool:
@@ -303,18 +308,10 @@
         )
 
     async def _remove_after_end(self, worker: worker_state.Worker) -> None:
-        """Remove a worker that is leaving, once it does not answer any more.
-
-        Without an acknowledgement it goes on, and its runs too, for seconds.
-        """
-        answers = True
-        while answers:
-            await trio.sleep(LEAVING_GRACE_SECONDS)
-            if self.workers.get(worker.record.id) is not worker:
-                return
-            answers = await self._answers_as_itself(worker.record)
-        await self._start_fence.fence(worker)
-        await self._remove(worker, self.owner.commit_or_resign)
+        """Remove a worker that is leaving, once it has ended."""
+        if await self._leaving.wait_for_end(worker):
+            await self._start_fence.fence(worker)
+            await self._remove(worker, self.owner.commit_or_resign)
 
     async def worker_replaced(self, worker: worker_state.Worker) -> bool:
         """See `session.Owner`."""
