Let no heartbeat without a start time replace a live worker

Cause: the field missing made another id, which counted as that of another life; the fence of starts then took the answer to a stop for the end of a run. The other way round, a life that was registered without the field lost its runs, without a stop, when it told its start time later. And a poll that verifies a heartbeat was believed if its answer lacked the field.

`departures.identity` decides now, on plain values: a heartbeat without a start time where one is known names no life, is refused and changes nothing; a life without one is replaced by one that tells it only once nothing runs there; an answer must carry the start time that was polled. So the fence's stops go only to lives that are proved to be others.

--- a/turmerichall/dispatch/departures/leaving.py
+++ b/turmerichall/dispatch/departures/leaving.py
@@ -1,6 +1,6 @@
 """Workers that announced their end, from the notice until it is proved."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 
 import trio
 
@@ -8,7 +8,7 @@
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.departures import evidence as evidences
-from turmerichall.queues import change as changes
+from turmerichall.dispatch.departures import probe
 
 __all__ = ["LeavingWorkers"]
 
@@ -33,14 +33,11 @@
         self,
         owner: sessions.Owner,
         workers: Mapping[str, worker_state.Worker],
-        poll: Callable[
-            [changes.WorkerRecord],
-            Awaitable[worker_client.WorkerStatus | worker_client.PollFailure],
-        ],
+        make_client: worker_client.MakeClient,
     ):
         self.owner = owner
         self.workers = workers
-        self._poll = poll
+        self._make_client = make_client
         self._ids: set[str] = set()
 
     def add(self, worker_id: str) -> bool:
@@ -82,7 +79,9 @@
             if worker.runs:
                 # The session finds another incarnation, or the lease's end.
                 continue
-            status = await self._poll(worker.record)
+            status = await probe.poll_once(
+                self._make_client, worker.record, self.owner.token
+            )
             failure = (
                 status.verdict
                 if isinstance(status, worker_client.PollFailure)
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -15,7 +15,9 @@
 from turmerichall.dispatch import start_fence as start_fences
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.departures import identity
 from turmerichall.dispatch.departures import leaving
+from turmerichall.dispatch.departures import probe
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
@@ -68,9 +70,7 @@
         # commit failed in this term or has an unknown outcome.
         self._registering: set[changes.Place] = set()
         self._uncertain: set[changes.Place] = set()
-        self._leaving = leaving.LeavingWorkers(
-            owner, self.workers, self._poll_as_itself
-        )
+        self._leaving = leaving.LeavingWorkers(owner, self.workers, make_client)
 
     def load(self, nursery: trio.Nursery) -> None:
         """Add the workers of the replicated state.
@@ -134,13 +134,16 @@
         record = heartbeat.worker
         if record.id in self.queue_state.gone:
             return True
-        worker = self.workers.get(record.id)
+        worker = self.workers.get(record.id) or self._namesake(record)
         if worker is None:
             if not await self._register(heartbeat):
                 return False
             worker = self.workers.get(record.id)
             if worker is None:
                 return False
+        if identity.identify(record, worker.record) == identity.Sender.UNNAMED:
+            reports.log_unnamed(self.log, record, worker)
+            return False
         if heartbeat.sequence < worker.heartbeat:
             return True
         worker.heartbeat = heartbeat.sequence
@@ -153,6 +156,19 @@
             return False
         return not heartbeat.draining or await self._drain(worker)
 
+    def _namesake(
+        self, record: changes.WorkerRecord
+    ) -> worker_state.Worker | None:
+        """Return the known worker that has sent a heartbeat of another id."""
+        return next(
+            (
+                each
+                for each in self.workers.values()
+                if identity.may_have_sent(record, each.record, len(each.runs))
+            ),
+            None,
+        )
+
     async def _resize(
         self, worker: worker_state.Worker, capacity: changes.Capacity
     ) -> bool:
@@ -230,18 +246,10 @@
 
     async def _answers_as_itself(self, record: changes.WorkerRecord) -> bool:
         """Return whether a recorded incarnation answers at its address."""
-        status = await self._poll_as_itself(record)
-        return isinstance(status, worker_client.WorkerStatus)
-
-    async def _poll_as_itself(
-        self, record: changes.WorkerRecord
-    ) -> worker_client.WorkerStatus | worker_client.PollFailure:
-        """Poll a recorded incarnation, on a connection of its own."""
-        client = self._make_client(record)
-        try:
-            return await client.poll(self.owner.token, 0, None, 0)
-        finally:
-            client.close()
+        status = await probe.poll_once(
+            self._make_client, record, self.owner.token
+        )
+        return identity.confirms(status, record)
 
     async def _drain(self, worker: worker_state.Worker) -> bool:
         """Commit that a worker drains; return whether this is durable."""
@@ -283,12 +291,12 @@
             None,
         )
         if worker is None:
-            return self._had_incarnation(name)
+            return identity.was_known(name, self.queue_state.gone)
         may_be_late = (
             not worker.draining
             and leases.steady_seconds() < worker.lease.misdirected_until
         )
-        if may_be_late and self._had_incarnation(name):
+        if may_be_late and identity.was_known(name, self.queue_state.gone):
             # The notice of an earlier incarnation; this one has only begun.
             return True
         if not await self._drain(worker):
@@ -300,13 +308,6 @@
             await self._leaving.stop_runs(self.sessions[worker_id])
         return True
 
-    def _had_incarnation(self, name: str) -> bool:
-        """Return whether an incarnation of a worker was removed."""
-        return any(
-            changes.is_incarnation_of(gone, name)
-            for gone in self.queue_state.gone
-        )
-
     async def _remove_after_end(self, worker: worker_state.Worker) -> None:
         """Remove a worker that is leaving, once it has ended."""
         if await self._leaving.wait_for_end(worker):
@@ -332,6 +333,10 @@
         """
         for worker in list(self.workers.values()):
             if record.shares_place(worker.record) and not worker.removing:
+                if identity.may_have_sent(
+                    record, worker.record, len(worker.runs)
+                ):
+                    return False
                 if not await self._start_fence.fence(worker, record):
                     return False
                 if not await self._remove(worker, self.owner.commit):
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -30,6 +30,7 @@
     "log_state",
     "log_step_done",
     "log_uncommitted",
+    "log_unnamed",
 ]
 
 # Number of runs that one log line lists: readers cut lines at 8 KB.
@@ -161,6 +162,17 @@
     )
 
 
+def log_unnamed(
+    log: link.Log, record: changes.WorkerRecord, known: worker_state.Worker
+) -> None:
+    """Log that a heartbeat does not tell which life of a worker sent it."""
+    log.info(
+        "heartbeat refused: it lacks the time of the worker's start",
+        worker=record.id,
+        known=known.record.id,
+    )
+
+
 def log_resized(
     log: link.Log, worker: worker_state.Worker, capacity: changes.Capacity
 ) -> None:
