Keep an end that is committed as its worker is removed

A task whose end `done` was committed in the same moment as the removal of its worker was started again, and the steps after it waited for that second run.

Cause: `Registry._drop_removed` puts all runs of a removed worker back to the waiting tasks, also one whose end is committed and only waits for `Leadership.commit_ends`; and it cancels the session in which `commit_ends` waits, so what follows the commit was left out.

`end_commits` now calls what follows a commit itself, so a cancelled session does not matter, and `departures.lost_runs` keeps tasks that are done out of the waiting ones.

--- a/turmerichall/benchmarks/leader_fakes.py
+++ b/turmerichall/benchmarks/leader_fakes.py
@@ -119,13 +119,15 @@
         self.replica = replica
 
     async def commit(
-        self, rows: Sequence[changes.EndedRun]
-    ) -> end_commits.Batch:
+        self,
+        rows: Sequence[changes.EndedRun],
+        action: end_commits.Action | None = None,
+    ) -> None:
         """Commit ends in a batch of their own."""
         batch = end_commits.Batch(self.replica.queue_state)
-        batch.add(rows)
+        batch.add(rows, action)
         self.replica.apply(changes.EndRuns(tuple(rows)))
-        return batch
+        batch.finish()
 
 
 class Client:
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -335,9 +335,16 @@
         self, worker: worker_state.Worker, rows: list[changes.EndedRun]
     ) -> None:
         """See `session.Owner`."""
-        if not rows:
-            return
-        batch = await self._end_commits.commit(rows)
+        await self._end_commits.commit(
+            rows, lambda batch: self._free_runs(worker, rows, batch)
+        )
+
+    def _free_runs(
+        self,
+        worker: worker_state.Worker,
+        rows: list[changes.EndedRun],
+        batch: end_commits.Batch,
+    ) -> None:
         for row in rows:
             run = worker.runs.get(row.task)
             if run is None or run.number != row.run:
@@ -355,19 +362,14 @@
                 if run.step.lasting:
                     self.backlog.requeue(row.task)
             else:
-                avoid_worker = row.ending == changes.Ending.FAILED or run.moved
-                self.backlog.requeue(
-                    row.task, worker.record.id if avoid_worker else ""
-                )
+                is_avoided = row.ending == changes.Ending.FAILED or run.moved
+                avoided = worker.record.id if is_avoided else ""
+                self.backlog.requeue(row.task, avoided)
                 if run.preempted:
                     self.backlog.pause(row.task, leases.steady_seconds())
                     # Urgent tasks wait for its room.
                     self._wake.set()
-        for row in rows:
-            self.metrics_registry.count(
-                "runs_ended", ending=row.ending.name.lower()
-            )
-        reports.log_ends(self.log, worker, rows)
+        reports.record_ends(self.log, self.metrics_registry, worker, rows)
         for job in batch.take_closed():
             self._close_ended_job(job)
         self._wake.set_room_changed()
@@ -399,10 +401,8 @@
             if job_id not in session.worker.runs_by_job:
                 continue
             for run in list(session.worker.runs.values()):
-                if (
-                    run.task.job == job_id
-                    and run.phase != run_state.Phase.PLANNED
-                ):
+                is_planned = run.phase == run_state.Phase.PLANNED
+                if run.task.job == job_id and not is_planned:
                     self.spawn_stop(session, run)
 
     # Placement.
@@ -462,9 +462,8 @@
         # starts are never sent, so the runs stay planned until their ends are
         # committed.
         for worker, run in unsent:
-            ended = changes.EndedRun(
-                run.task, run.number, changes.Ending.UNSTARTED, ""
-            )
+            unstarted = changes.Ending.UNSTARTED
+            ended = changes.EndedRun(run.task, run.number, unstarted, "")
             await self.commit_ends(worker, [ended])
 
     # Jobs.
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -17,6 +17,7 @@
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.departures import identity
 from turmerichall.dispatch.departures import leaving
+from turmerichall.dispatch.departures import lost_runs
 from turmerichall.dispatch.departures import probe
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -387,6 +388,9 @@
             )
             self.sessions.pop(worker_id).scope.cancel()
             for run in lost:
+                if lost_runs.is_done(run.task, self.queue_state.jobs):
+                    # The commit of its end frees it.
+                    continue
                 worker.remove(run)
                 if run.phase != run_state.Phase.PLANNED:
                     self.owner.backlog.requeue(run.task)
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -13,12 +13,12 @@
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
+from turmerichall.telemetry import lightweight_metrics
 
 __all__ = [
     "describe",
     "log_accepted",
     "log_crash",
-    "log_ends",
     "log_job_ended",
     "log_preempted",
     "log_refused",
@@ -31,6 +31,7 @@
     "log_step_done",
     "log_uncommitted",
     "log_unnamed",
+    "record_ends",
 ]
 
 # Number of runs that one log line lists: readers cut lines at 8 KB.
@@ -132,11 +133,16 @@
         )
 
 
-def log_ends(
-    log: link.Log, worker: worker_state.Worker, rows: Iterable[changes.EndedRun]
+def record_ends(
+    log: link.Log,
+    metrics_registry: lightweight_metrics.MetricsRegistry,
+    worker: worker_state.Worker,
+    rows: Iterable[changes.EndedRun],
 ) -> None:
-    """Log the ends of runs that are neither done nor stopped on request."""
+    """Count ends of runs; log those that are neither done nor stopped."""
     for row in rows:
+        ending = row.ending.name.lower()
+        metrics_registry.count("runs_ended", ending=ending)
         if row.ending not in _EXPECTED:
             log.info(
                 "run ended",
@@ -145,7 +151,7 @@
                 index=row.task.number,
                 run=row.run,
                 worker=worker.record.id,
-                ending=row.ending.name.lower(),
+                ending=ending,
             )
 
 
