Give up long-running jobs only for crashes at their starts

A long-running job was shown as `failed` after three crashes of its workers, each 3 s after a start, though no run of it had ended `failed`. Once it was given up for a second crash that had happened before the start was sent, so that the task had never been there.

Cause: crashes were attributed to long-running tasks as to others. Such a task is on some worker at any time, so it is under many crashes; and a start without an answer counted as one that the worker had carried out.

So they are given up only as the cause of a crash during their trial, 0.5 s after a start beside which nothing else was started, and with one crash more if the start was not answered.

--- a/turmerichall/dispatch/crash_attribution.py
+++ b/turmerichall/dispatch/crash_attribution.py
@@ -11,6 +11,9 @@
 once it is charged with two crashes.  Crashes during which a task may have been
 at work, or not, are doubtful; they count only if there are many.
 
+A long-running task is on a worker at any time, and must be restarted however it
+ends, so crashes count against it only as the cause of a crash during a trial.
+
 Workers lost at the same moment, as in a loss of power, are no evidence against
 single tasks: these are charged, but are neither given up nor put on trial
 before a second crash.
@@ -42,6 +45,8 @@
 # Number of other workers lost at the same moment from which the crash of one
 # has a cause outside its tasks.
 COMMON_CAUSE_WORKERS = 2
+# Crashes after which a task is given up if the latest was during a trial.
+MIN_CRASHES = 2
 # Crashes after which a task is given up if no other task on the worker was
 # charged with as many.
 MAX_CRASHES_ALONE = 3
@@ -65,6 +70,7 @@
         certain: Whether it was certainly at work when the worker crashed.
         likely: Whether the connection broke just after the start was sent.
         on_trial: Whether nothing else was started beside it lately.
+        lasting: Whether it is long-running.
     """
 
     task: changes.TaskName
@@ -74,6 +80,7 @@
     certain: bool = True
     likely: bool = False
     on_trial: bool = False
+    lasting: bool = False
 
 
 class Attribution(NamedTuple):
@@ -120,19 +127,22 @@
     if cause and not has_common_cause:
         # The other tasks are cleared of this crash.
         tasks = tuple(each.task for each in cause)
-        is_given_up = any(
-            each.crashes or _has_many_crashes(each) for each in cause
-        )
+        is_given_up = any(_is_given_up(each) for each in cause)
         job = cause[0].task.job
         return Attribution(tasks, (job,) if is_given_up else (), tasks)
     certain = [each for each in recent if each.certain]
     most = max((each.crashes for each in certain), default=0) + 1
     accused = {each.task.job for each in certain if each.crashes + 1 == most}
-    given_up = {each.task.job for each in recent if _has_many_crashes(each)}
+    ending = [each for each in recent if not each.lasting]
+    given_up = {each.task.job for each in ending if _has_many_crashes(each)}
     if most >= MAX_CRASHES or (
         most >= MAX_CRASHES_ALONE and len(accused) == 1 and not has_common_cause
     ):
-        given_up |= accused
+        given_up |= {
+            each.task.job
+            for each in certain
+            if each.crashes + 1 == most and not each.lasting
+        }
     return Attribution(
         tuple(each.task for each in certain),
         tuple(sorted(given_up)),
@@ -146,6 +156,15 @@
     )
 
 
+def _is_given_up(cause: Suspect) -> bool:
+    """Return whether a task that caused a crash is given up."""
+    # A start without an answer may have been sent after the crash, for which
+    # no long-running job may fail.
+    is_sure = cause.certain or not cause.lasting
+    needed = MIN_CRASHES if is_sure else MIN_CRASHES + 1
+    return cause.crashes + 1 >= needed or _has_many_crashes(cause)
+
+
 def _has_many_crashes(suspect: Suspect) -> bool:
     """Return whether a task is given up, however doubtful its crashes are."""
     return suspect.crashes + suspect.doubtful + 1 >= MAX_DOUBTFUL_CRASHES
--- a/turmerichall/dispatch/crash_register.py
+++ b/turmerichall/dispatch/crash_register.py
@@ -120,6 +120,7 @@
                 is_timed and _was_certainly_running(run, lost_at),
                 is_timed and 0.0 <= lost_at - run.sent_at <= START_SECONDS,
                 run.on_trial,
+                run.step.lasting,
             )
 
 
