Start all members of a gang with the same checkpoint

The members of a gang were started again with different checkpoints: the one whose worker had crashed with none, the others with those of their `broken` ends.

Cause: `Leadership.spawn_start` took each task's own checkpoint. `gang_checkpoint` chooses one for all, from the replicated state: the one that most members hold.

Evidence: test_gang_checkpoint.py; without the change the three members of the test's gang carried '', 'b1' and 'b1'.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -11,6 +11,7 @@
 from turmerichall.dispatch import durations as run_durations
 from turmerichall.dispatch import end_commits
 from turmerichall.dispatch import freshness as freshnesses
+from turmerichall.dispatch import gang_checkpoint
 from turmerichall.dispatch import interference_model as interference_models
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch import placement_trigger
@@ -318,7 +319,7 @@
             run.task,
             run.number,
             job.demand.spec,
-            job.task(run.task).checkpoint if job.open else "",
+            gang_checkpoint.choose_checkpoint(job, run.task),
             tickets.get(session.worker.record.id, ""),
         )
         self._nursery.start_soon(session.start, run, order)
