--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -15,16 +15,16 @@
 from turmerichall.dispatch import start_fence as start_fences
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.departures import identity
+from turmerichall.dispatch.departures import leaving
+from turmerichall.dispatch.departures import lost_runs
+from turmerichall.dispatch.departures import probe
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
 
 __all__ = ["Owner", "Registry"]
 
-# Time between a worker's notice that it is shutting down and its removal, and
-# between two checks whether it has ended.
-LEAVING_GRACE_SECONDS = 0.3
-
 _Commit = Callable[[changes.Change], Awaitable[object]]
 
 
@@ -71,8 +71,7 @@
         # commit failed in this term or has an unknown outcome.
         self._registering: set[changes.Place] = set()
         self._uncertain: set[changes.Place] = set()
-        # Ids of workers that have given notice in this term.
-        self._leaving: set[str] = set()
+        self._leaving = leaving.LeavingWorkers(owner, self.workers, make_client)
 
     def load(self, nursery: trio.Nursery) -> None:
         """Add the workers of the replicated state.
@@ -136,13 +135,16 @@
         record = heartbeat.worker
         if record.id in self.queue_state.gone:
             return True
-        worker = self.workers.get(record.id)
+        worker = self.workers.get(record.id) or self._namesake(record)
         if worker is None:
             if not await self._register(heartbeat):
                 return False
             worker = self.workers.get(record.id)
             if worker is None:
                 return False
+        if identity.identify(record, worker.record) == identity.Sender.UNNAMED:
+            reports.log_unnamed(self.log, record, worker)
+            return False
         if heartbeat.sequence < worker.heartbeat:
             return True
         worker.heartbeat = heartbeat.sequence
@@ -155,6 +157,19 @@
             return False
         return not heartbeat.draining or await self._drain(worker)
 
+    def _namesake(
+        self, record: changes.WorkerRecord
+    ) -> worker_state.Worker | None:
+        """Return the known worker that has sent a heartbeat of another id."""
+        return next(
+            (
+                each
+                for each in self.workers.values()
+                if identity.may_have_sent(record, each.record, len(each.runs))
+            ),
+            None,
+        )
+
     async def _resize(
         self, worker: worker_state.Worker, capacity: changes.Capacity
     ) -> bool:
@@ -232,12 +247,10 @@
 
     async def _answers_as_itself(self, record: changes.WorkerRecord) -> bool:
         """Return whether a recorded incarnation answers at its address."""
-        client = self._make_client(record)
-        try:
-            status = await client.poll(self.owner.token, 0, None, 0)
-        finally:
-            client.close()
-        return isinstance(status, worker_client.WorkerStatus)
+        status = await probe.poll_once(
+            self._make_client, record, self.owner.token
+        )
+        return identity.confirms(status, record)
 
     async def _drain(self, worker: worker_state.Worker) -> bool:
         """Commit that a worker drains; return whether this is durable."""
@@ -279,42 +292,28 @@
             None,
         )
         if worker is None:
-            return self._had_incarnation(name)
+            return identity.was_known(name, self.queue_state.gone)
         may_be_late = (
             not worker.draining
             and leases.steady_seconds() < worker.lease.misdirected_until
         )
-        if may_be_late and self._had_incarnation(name):
+        if may_be_late and identity.was_known(name, self.queue_state.gone):
             # The notice of an earlier incarnation; this one has only begun.
             return True
         if not await self._drain(worker):
             return False
         worker_id = worker.record.id
-        if self._nursery is not None and worker_id not in self._leaving:
-            self._leaving.add(worker_id)
+        if self._nursery is not None and self._leaving.add(worker_id):
             self._nursery.start_soon(self._remove_after_end, worker)
+        if worker_id in self.sessions:
+            await self._leaving.stop_runs(self.sessions[worker_id])
         return True
 
-    def _had_incarnation(self, name: str) -> bool:
-        """Return whether an incarnation of a worker was removed."""
-        return any(
-            changes.is_incarnation_of(gone, name)
-            for gone in self.queue_state.gone
-        )
-
     async def _remove_after_end(self, worker: worker_state.Worker) -> None:
-        """Remove a worker that is leaving, once it does not answer any more.
-
-        Without an acknowledgement it goes on, and its runs too, for seconds.
-        """
-        answers = True
-        while answers:
-            await trio.sleep(LEAVING_GRACE_SECONDS)
-            if self.workers.get(worker.record.id) is not worker:
-                return
-            answers = await self._answers_as_itself(worker.record)
-        await self._start_fence.fence(worker)
-        await self._remove(worker, self.owner.commit_or_resign)
+        """Remove a worker that is leaving, once it has ended."""
+        if await self._leaving.wait_for_end(worker):
+            await self._start_fence.fence(worker)
+            await self._remove(worker, self.owner.commit_or_resign)
 
     async def worker_replaced(self, worker: worker_state.Worker) -> bool:
         """See `session.Owner`."""
@@ -335,6 +334,10 @@
         """
         for worker in list(self.workers.values()):
             if record.shares_place(worker.record) and not worker.removing:
+                if identity.may_have_sent(
+                    record, worker.record, len(worker.runs)
+                ):
+                    return False
                 if not await self._start_fence.fence(worker, record):
                     return False
                 if not await self._remove(worker, self.owner.commit):
@@ -392,6 +395,9 @@
             )
             self.sessions.pop(worker_id).scope.cancel()
             for run in lost:
+                if lost_runs.is_done(run.task, self.queue_state.jobs):
+                    # The commit of its end frees it.
+                    continue
                 worker.remove(run)
                 if run.phase != run_state.Phase.PLANNED:
                     self.owner.backlog.requeue(run.task)
