Carry messages larger than a frame in parts

Callers saw: the leader that took a configuration of about 16,000 routes ended with "PeerError: frame of 4248841 bytes exceeds the size limit", and so did each that led later, since the entry was in its log by then.

Cause: an entry holds the document, of up to 4 MiB, and its decoded form; a frame holds 4 MiB. `envelope.encode` raised `PeerError` in the task that sent the message, and nothing caught it up to the nursery of the process. An answer above the limit closed the connection, with all calls on it.

A body of more than 32 KiB now leaves in parts, up to 16 MiB, with other messages between them. A queue of messages returns a refusal for what it can't send: `too_large` to the caller, a line in the log with kind, size and peer, and a counter. An answer that can't be sent is reported as `timeout`, because the handler has run and `too_large` promises that it has not. The timeout of a call starts again with each part. Peers of an earlier release get whole frames only; the handshake tells which these are.

--- a/turmerichall/agreement/proposer.py
+++ b/turmerichall/agreement/proposer.py
@@ -180,8 +180,11 @@
                 reason=outcomes.UnknownReason.LEADER_LOST.value,
                 detail=f"leader {leader} did not answer: {answer.detail}",
             )
+        reason = outcomes.RefusalReason.NO_QUORUM
+        if answer.reason == outcomes.RefusalReason.TOO_LARGE:
+            reason = answer.reason
         return state.refuse(
-            outcomes.RefusalReason.NO_QUORUM,
+            reason,
             f"the request to leader {leader} was refused: {answer.detail}",
         )
 
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+import msgspec
 import trio
 
 from turmerichall import outcomes
@@ -195,6 +196,9 @@
                 forwarded = calls.decode_answer(reply)
                 if forwarded.kind == calls.Kind.ANSWERED:
                     return forwarded.response()
+            elif reply.reason == outcomes.RefusalReason.TOO_LARGE:
+                body = msgspec.json.encode({"error": [reply.detail]})
+                return message.Response(413, body)
             elif reply.reason != outcomes.RefusalReason.UNREACHABLE:
                 return message.Response(504)
         return client_requests.failure_response(leader_apis.NO_QUORUM)
--- a/turmerichall/dispatch/tests/test_replica_daemon.py
+++ b/turmerichall/dispatch/tests/test_replica_daemon.py
@@ -6,7 +6,9 @@
 import pytest
 import trio
 
+from turmerichall import outcomes
 from turmerichall.dispatch import replica_daemon
+from turmerichall.http1 import message
 from turmerichall.settings import queue_settings
 
 HOST = "127.0.0.1"
@@ -60,3 +62,24 @@
             with trio.fail_after(10):
                 await started.wait()
             nursery.cancel_scope.cancel()
+
+
+class TestForwarding:
+
+    async def test_request_too_large_for_the_leader_gets_the_reason(
+        self,
+        daemon: replica_daemon.ReplicaDaemon,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        async def call(*_: object) -> outcomes.Refusal:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.TOO_LARGE, "5 MB are too many"
+            )
+
+        monkeypatch.setattr(daemon.network, "call", call)
+        daemon.replica.state.leader = "other"
+        request = message.Request("POST", "/", {}, b"{}")
+        # pylint: disable-next=protected-access
+        answer = await daemon._answer(request)
+        assert answer.status == 413
+        assert b"5 MB are too many" in answer.body
--- a/turmerichall/entry/attempts.py
+++ b/turmerichall/entry/attempts.py
@@ -29,6 +29,7 @@
 _UNHANDLED = (
     outcomes.RefusalReason.UNREACHABLE,
     outcomes.RefusalReason.OVERLOADED,
+    outcomes.RefusalReason.TOO_LARGE,
     outcomes.RefusalReason.UNKNOWN_NAME,
 )
 
--- a/turmerichall/entry/leader_client.py
+++ b/turmerichall/entry/leader_client.py
@@ -145,7 +145,8 @@
             caller_timeout_seconds: How long the caller waits.
 
         Returns:
-            The leader's response; 503 if no replica can have processed the
+            The leader's response; 413 if the call is too large to be sent; 503
+            if no replica can have processed the
             call; 504 if one may have and the outcome is not known, also if a
             later attempt was refused (see `attempts.is_conclusive`).
         """
@@ -213,6 +214,11 @@
             delay_seconds = RETRY_DELAY_SECONDS
             if isinstance(reply, outcomes.Refusal):
                 attempts.append(made._replace(result=reply.reason.value))
+                is_too_large = reply.reason == outcomes.RefusalReason.TOO_LARGE
+                if is_too_large and not any(
+                    each.may_have_effect for each in attempts
+                ):
+                    return message.Response(413)
             else:
                 answer = calls.decode_answer(reply)
                 made = made._replace(term=answer.term)
--- a/turmerichall/entry/tests/test_leader_client.py
+++ b/turmerichall/entry/tests/test_leader_client.py
@@ -106,6 +106,20 @@
         )
         assert answer.status == 201
 
+    # Such a call ended the process of the entry instance.
+    async def test_call_that_is_too_large_is_rejected_at_once(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        network = FakeNetwork()
+        network.replies = {
+            "a": outcomes.Refusal(outcomes.RefusalReason.TOO_LARGE)
+        }
+        answer = await make_client(network).forward(
+            calls.CLIENT_CALL, REQUEST, 3.0
+        )
+        assert answer.status == 413
+        assert network.called == ["a"]
+
     # Jobs were accepted and run for callers that waited no longer.
     async def test_call_without_time_for_an_answer_is_not_sent(
         self, autojump_clock: trio.testing.MockClock
--- a/turmerichall/peers/envelope.py
+++ b/turmerichall/peers/envelope.py
@@ -36,6 +36,10 @@
     ONE_WAY = 4
     PING = 5
     PONG = 6
+    # Of messages that are too long for one frame; see `message_parts`.  They
+    # are sent only to peers whose hello says that they accept them.
+    BEGIN = 7
+    PART = 8
 
 
 class Envelope(NamedTuple):
@@ -43,8 +47,9 @@
 
     Attributes:
         frame_kind: Kind of the frame.
-        call_number: Number of a call, which its answer or refusal repeats; 0 in
-            other frames.
+        call_number: Number of a call, which its answer or refusal repeats; in a
+            hello, size of the largest message that its sender accepts in parts,
+            in bytes; 0 in other frames.
         kind: Kind of message, which selects the handler; in a refusal, the
             reason.
         body: Input of the handler or its result; in a refusal, the detail.
@@ -136,11 +141,15 @@
     Attributes:
         stream: The underlying stream.
         buffer: Received bytes that are not decoded yet.
+        peer_max_message_bytes: Size of the largest message that the other end
+            accepts in parts; 0 before the handshake, and of a peer of an
+            earlier release, which accepts none.
     """
 
     def __init__(self, stream: trio.abc.Stream):
         self.stream = stream
         self.buffer = bytearray()
+        self.peer_max_message_bytes = 0
 
     async def receive(self) -> Envelope:
         """Wait for the next envelope.
--- a/turmerichall/peers/handshake.py
+++ b/turmerichall/peers/handshake.py
@@ -13,6 +13,7 @@
 
 from turmerichall import errors
 from turmerichall.peers import envelope
+from turmerichall.peers import message_parts
 
 __all__ = ["FORMAT_VERSION", "accept", "dial"]
 
@@ -71,7 +72,10 @@
 
 
 async def _send(connection: envelope.Connection, body: bytes) -> None:
-    frame = envelope.Envelope(envelope.FrameKind.HELLO, body=body)
+    # Earlier releases ignore this number.  They reject a hello of more fields.
+    frame = envelope.Envelope(
+        envelope.FrameKind.HELLO, message_parts.MAX_MESSAGE_BYTES, body=body
+    )
     await connection.send(envelope.encode(frame))
 
 
@@ -79,6 +83,9 @@
     frame = await connection.receive()
     if frame.frame_kind != envelope.FrameKind.HELLO:
         raise errors.PeerError("expected a hello frame")
+    connection.peer_max_message_bytes = min(
+        frame.call_number, message_parts.MAX_MESSAGE_BYTES
+    )
     return frame.body
 
 
--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -5,7 +5,6 @@
 it, and reconnects after a back-off.
 """
 
-import collections
 import random
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -16,6 +15,8 @@
 from turmerichall import outcomes
 from turmerichall.peers import envelope
 from turmerichall.peers import handshake
+from turmerichall.peers import message_parts
+from turmerichall.peers import send_queue
 
 __all__ = [
     "ConnectionTiming",
@@ -32,9 +33,6 @@
 RECEIVE_TIMEOUT_SECONDS = 5.0
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
-MAX_QUEUED_BYTES = 16 * 1024 * 1024
-MAX_QUEUED_FRAMES = 8192
-MAX_WRITE_BYTES = 256 * 1024
 
 
 class ConnectionTiming(NamedTuple):
@@ -103,12 +101,22 @@
     Until the answer arrives, its result is a refusal with the reason `timeout`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, timeout_seconds: float) -> None:
+        self.timeout_seconds = timeout_seconds
+        self.scope = trio.CancelScope()
         self.done = trio.Event()
         self.result: bytes | outcomes.Refusal = outcomes.Refusal(
             outcomes.RefusalReason.TIMEOUT, "no answer within the timeout"
         )
 
+    async def wait(self) -> None:
+        self.restart_timeout()
+        with self.scope:
+            await self.done.wait()
+
+    def restart_timeout(self) -> None:
+        self.scope.deadline = trio.current_time() + self.timeout_seconds
+
     def resolve(self, result: bytes | outcomes.Refusal) -> None:
         self.result = result
         self.done.set()
@@ -160,31 +168,36 @@
         self.scope = trio.CancelScope()
         self.last_received_at = -float("inf")
         self._next_call_number = 1
-        self._queue: collections.deque[bytes] = collections.deque()
-        self._queued_bytes = 0
-        self._queue_filled = trio.Event()
+        self._queue = send_queue.SendQueue()
 
-    def enqueue(self, frame: envelope.Envelope) -> bool:
-        """Add a frame to the send queue.
+    def enqueue(self, message: envelope.Envelope) -> outcomes.Refusal | None:
+        """Add a message to the send queue.
 
         Args:
-            frame: The frame.
+            message: The message.
 
         Returns:
-            Whether the frame was queued; False if the link is not connected or
-            the queue is full.
+            None if the message was queued; otherwise a refusal as of
+            `SendQueue.add`, also `unreachable` if the link is not connected.
         """
-        if not self.connected:
-            return False
-        data = envelope.encode(frame)
-        if len(self._queue) >= MAX_QUEUED_FRAMES:
-            return False
-        if self._queued_bytes + len(data) > MAX_QUEUED_BYTES:
-            return False
-        self._queue.append(data)
-        self._queued_bytes += len(data)
-        self._queue_filled.set()
-        return True
+        refusal: outcomes.Refusal | None = outcomes.Refusal(
+            outcomes.RefusalReason.UNREACHABLE, "not connected"
+        )
+        if self.connected:
+            refusal = self._queue.add(message)
+        if refusal is None:
+            return None
+        if refusal.reason != outcomes.RefusalReason.UNREACHABLE:
+            self.counters.refused("peers", refusal.reason)
+            if self.log is not None:
+                self.log.warning(
+                    "message not sent",
+                    kind=message.kind,
+                    size=len(message.body),
+                    peer=self.peer,
+                    reason=refusal.detail,
+                )
+        return refusal
 
     async def call(
         self, kind: str, body: bytes, timeout_seconds: float
@@ -195,17 +208,19 @@
         frame = envelope.Envelope(
             envelope.FrameKind.CALL, call_number, kind, body
         )
-        if not self.enqueue(frame):
+        refusal = self.enqueue(frame)
+        if refusal is not None:
+            if refusal.reason != outcomes.RefusalReason.UNREACHABLE:
+                return refusal
             return outcomes.Refusal(
                 outcomes.RefusalReason.UNREACHABLE,
                 f"send queue full, or no connection to {self.peer}",
                 MAX_BACKOFF_SECONDS,
             )
-        pending = _PendingCall()
+        pending = _PendingCall(timeout_seconds)
         self.pending_calls[call_number] = pending
         try:
-            with trio.move_on_after(timeout_seconds):
-                await pending.done.wait()
+            await pending.wait()
         finally:
             del self.pending_calls[call_number]
         return pending.result
@@ -263,6 +278,7 @@
         self.log.warning(message, peer=self.peer)
 
     async def _exchange_frames(self, connection: envelope.Connection) -> None:
+        self._queue.max_message_bytes = connection.peer_max_message_bytes
         self.connected = True
         self.last_received_at = trio.current_time()
         self.on_received(self.peer)
@@ -279,7 +295,6 @@
 
     def _discard_pending(self) -> None:
         self._queue.clear()
-        self._queued_bytes = 0
         refusal = outcomes.Refusal(
             outcomes.RefusalReason.TIMEOUT, "connection lost before the answer"
         )
@@ -288,32 +303,37 @@
 
     async def _write(self, connection: envelope.Connection) -> None:
         while True:
-            await self._queue_filled.wait()
-            self._queue_filled = trio.Event()
-            while self._queue:
-                await connection.send(self._take_batch())
-
-    def _take_batch(self) -> bytes:
-        batch = bytearray()
-        while self._queue and len(batch) < MAX_WRITE_BYTES:
-            batch += self._queue.popleft()
-        self._queued_bytes -= len(batch)
-        return bytes(batch)
+            batch = await self._queue.take()
+            await connection.send(batch.data)
+            self._restart_timeout(batch.call_number)
 
     async def _read(self, connection: envelope.Connection) -> None:
+        assembler = message_parts.Assembler(self.timing.receive_timeout_seconds)
         while True:
             frame = await connection.receive()
             self.last_received_at = trio.current_time()
             self.on_received(self.peer)
-            pending = self.pending_calls.get(frame.call_number)
-            if pending is None:
-                continue
-            if frame.frame_kind == envelope.FrameKind.ANSWER:
-                pending.resolve(frame.body)
-            elif frame.frame_kind == envelope.FrameKind.REFUSAL:
-                reason = outcomes.RefusalReason(frame.kind)
-                detail = frame.body.decode("utf-8", "replace")
-                pending.resolve(outcomes.Refusal(reason, detail))
+            message = assembler.add(frame)
+            if message is None:
+                self._restart_timeout(frame.call_number)
+            else:
+                self._resolve_call(message)
+
+    def _restart_timeout(self, call_number: int) -> None:
+        pending = self.pending_calls.get(call_number)
+        if pending is not None:
+            pending.restart_timeout()
+
+    def _resolve_call(self, message: envelope.Envelope) -> None:
+        pending = self.pending_calls.get(message.call_number)
+        if pending is None:
+            return
+        if message.frame_kind == envelope.FrameKind.ANSWER:
+            pending.resolve(message.body)
+        elif message.frame_kind == envelope.FrameKind.REFUSAL:
+            reason = outcomes.RefusalReason(message.kind)
+            detail = message.body.decode("utf-8", "replace")
+            pending.resolve(outcomes.Refusal(reason, detail))
 
     async def _keep_alive(self) -> None:
         """Ping the peer while nothing arrives from it.
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -15,10 +15,13 @@
 from turmerichall.peers import envelope
 from turmerichall.peers import handshake
 from turmerichall.peers import link
+from turmerichall.peers import message_parts
+from turmerichall.peers import send_queue
 
 __all__ = ["Handler", "Network"]
 
 MAX_CONCURRENT_CALLS = 1024
+MAX_DETAIL_BYTES = 4096
 
 Handler = Callable[[str, bytes], Awaitable[bytes | None]]
 
@@ -78,12 +81,14 @@
             instance: Name of the other instance.
             kind: Kind of message.
             body: Input of the handler.
-            timeout_seconds: How long to wait for the answer.
+            timeout_seconds: How long to wait for the answer.  The time starts
+                again with each part that is sent of a long call or received of
+                a long answer.
 
         Returns:
             The result of the handler, or a refusal. After a refusal with the
-            reason `unreachable` the call was never sent; after `timeout` the
-            handler may have run.
+            reason `unreachable` or `too_large` the call was never sent; after
+            `timeout` the handler may have run.
         """
         # Some refusals are returned without waiting.  This checkpoint keeps a
         # caller that retries in a loop from starving other trio tasks.
@@ -109,7 +114,7 @@
         if peer_link is None:
             return False
         frame = envelope.Envelope(envelope.FrameKind.ONE_WAY, 0, kind, body)
-        return peer_link.enqueue(frame)
+        return peer_link.enqueue(frame) is None
 
     def last_heard(self, instance: str) -> float:
         """Return the trio time at which a frame from an instance last arrived.
@@ -232,8 +237,10 @@
         self.peer = peer
         self.connection = connection
         self.handlers_running = 0
-        self.queued_frames: list[bytes] = []
-        self.queue_filled = trio.Event()
+        self.queue = send_queue.SendQueue(
+            send_queue.NO_LIMIT, send_queue.NO_LIMIT
+        )
+        self.queue.max_message_bytes = connection.peer_max_message_bytes
 
     async def run(self) -> None:
         """Serve until the connection ends or nothing arrives for too long.
@@ -249,16 +256,20 @@
             raise envelope.connection_error(group) from None
 
     async def _read(self, nursery: trio.Nursery) -> None:
+        timeout_seconds = self.network.timing.receive_timeout_seconds
+        assembler = message_parts.Assembler(timeout_seconds)
         while True:
             try:
-                timeout_seconds = self.network.timing.receive_timeout_seconds
                 with trio.fail_after(timeout_seconds):
-                    frame = await self.connection.receive()
+                    received = await self.connection.receive()
             except trio.TooSlowError as error:
                 raise errors.PeerError("nothing arrives on it") from error
             self.network.record_received(self.peer)
+            frame = assembler.add(received)
+            if frame is None:
+                continue
             if frame.frame_kind == envelope.FrameKind.PING:
-                self._queue_answer(envelope.Envelope(envelope.FrameKind.PONG))
+                self.queue.add(envelope.Envelope(envelope.FrameKind.PONG))
             elif self.handlers_running >= MAX_CONCURRENT_CALLS:
                 self._queue_refusal(frame, outcomes.RefusalReason.OVERLOADED)
             else:
@@ -272,14 +283,7 @@
                 self._queue_refusal(frame, outcomes.RefusalReason.UNKNOWN_NAME)
                 return
             body = await handler(self.peer, frame.body)
-            if frame.frame_kind == envelope.FrameKind.CALL:
-                self._queue_answer(
-                    envelope.Envelope(
-                        envelope.FrameKind.ANSWER,
-                        frame.call_number,
-                        body=body or b"",
-                    )
-                )
+            self._queue_answer(frame, body or b"")
         except (msgspec.DecodeError, errors.InputError) as error:
             self._queue_refusal(
                 frame, outcomes.RefusalReason.MALFORMED, str(error)
@@ -299,23 +303,44 @@
     ) -> None:
         if frame.frame_kind != envelope.FrameKind.CALL:
             return
-        self._queue_answer(
+        detail_bytes = detail.encode("utf-8", "replace")[:MAX_DETAIL_BYTES]
+        self.queue.add(
             envelope.Envelope(
                 envelope.FrameKind.REFUSAL,
                 frame.call_number,
                 reason.value,
-                detail.encode(),
+                detail_bytes,
             )
         )
 
-    def _queue_answer(self, frame: envelope.Envelope) -> None:
-        self.queued_frames.append(envelope.encode(frame))
-        self.queue_filled.set()
+    def _queue_answer(self, call: envelope.Envelope, body: bytes) -> None:
+        if call.frame_kind != envelope.FrameKind.CALL:
+            return
+        refusal = self.queue.add(
+            envelope.Envelope(
+                envelope.FrameKind.ANSWER, call.call_number, body=body
+            )
+        )
+        if refusal is None:
+            return
+        self.network.counters.refused("peers", refusal.reason)
+        if self.network.log is not None:
+            self.network.log.warning(
+                "answer not sent",
+                kind=call.kind,
+                size=len(body),
+                peer=self.peer,
+                reason=refusal.detail,
+            )
+        # The handler has run, so the caller must not take it for a refusal
+        # without effect.
+        self._queue_refusal(
+            call,
+            outcomes.RefusalReason.TIMEOUT,
+            f"the answer can't be sent: {refusal.detail}",
+        )
 
     async def _write(self) -> None:
         while True:
-            await self.queue_filled.wait()
-            self.queue_filled = trio.Event()
-            batch = b"".join(self.queued_frames)
-            self.queued_frames.clear()
-            await self.connection.send(batch)
+            batch = await self.queue.take()
+            await self.connection.send(batch.data)
