Send heartbeats beside a long message of entries

Callers saw, on a connection on which an entry takes longer than an election timeout (1 s for replicas of queues; 1 MiB takes 4 s at 2 Mbit/s): the members elected another leader while the entry was under way, which then had to send it too.

Cause: a leader has one message to each member under way, and sends the next heartbeat after the answer. Its own contact with a quorum aged as well, so that it stepped down.

While a message of 64 KiB or more waits for its answer, the member now gets heartbeats and barriers besides. Answers may then come out of order, so the time and round that a member has answered don't go back.

Evidence: `TestSlowConnection` sends an entry for 20 s with election timeouts of 3 to 5 s. Before, the leader lost its quorum after 3 s and each leader that followed did so too; the entry was not applied in 50 s. Now the leader stays, barriers are answered meanwhile and the entry is applied by all.

--- a/turmerichall/agreement/replication.py
+++ b/turmerichall/agreement/replication.py
@@ -5,6 +5,7 @@
 import trio
 
 from turmerichall import outcomes
+from turmerichall.agreement import append_call
 from turmerichall.agreement import member
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
@@ -155,11 +156,8 @@
                 sent_at = trio.current_time()
                 sent_round = state.barrier_round
                 last_index = state.raft_log.last_index
-                answer = await state.network.call(
-                    other.name,
-                    "append",
-                    message.encode(request),
-                    state.timing.call_seconds,
+                answer = await append_call.send(
+                    state, other.name, request, progress
                 )
                 if isinstance(answer, outcomes.Refusal):
                     progress.probing = True
@@ -172,8 +170,7 @@
                     await trio.sleep(RETRY_SECONDS)
                     continue
                 progress.probing = False
-                progress.acked_sent_at = sent_at
-                progress.acked_round = sent_round
+                append_call.record_answer(progress, sent_at, sent_round)
                 self._handle_reply(progress, reply)
                 state.acknowledged.notify_all()
                 due = sent_at + state.timing.heartbeat_seconds
--- a/turmerichall/agreement/tests/cluster.py
+++ b/turmerichall/agreement/tests/cluster.py
@@ -24,6 +24,7 @@
     Attributes:
         cut: Pairs (sender, receiver) between which messages are lost.
         networks: Networks of the running instances, by name.
+        bytes_per_second: Rate of each message; messages don't share it.
     """
 
     def __init__(self, nursery: trio.Nursery, rng: random.Random):
@@ -31,6 +32,7 @@
         self.rng = rng
         self.cut: set[tuple[str, str]] = set()
         self.networks: dict[str, "MemoryNetwork"] = {}
+        self.bytes_per_second = float("inf")
 
     def isolate(self, name: str, others: set[str]) -> None:
         """Cut the connections of an instance to others in both directions."""
@@ -60,8 +62,12 @@
     async def call(
         self, instance: str, kind: str, body: bytes, timeout_seconds: float
     ) -> bytes | outcomes.Refusal:
-        """Deliver a call and its answer, each with a random delay."""
+        """Deliver a call and its answer, each with a random delay.
+
+        The timeout begins once the call is sent, as that of a call in parts.
+        """
         hub = self.hub
+        transfer_seconds = len(body) / hub.bytes_per_second
         if hub.networks.get(self.name) is not self:
             # This instance was killed.
             await trio.sleep(timeout_seconds)
@@ -73,7 +79,8 @@
         done = trio.Event()
 
         async def deliver() -> None:
-            await trio.sleep(hub.rng.uniform(0, MAX_DELAY_SECONDS))
+            delay = hub.rng.uniform(0, MAX_DELAY_SECONDS)
+            await trio.sleep(transfer_seconds + delay)
             target = hub.networks.get(instance)
             if target is None or (self.name, instance) in hub.cut:
                 return
@@ -85,7 +92,7 @@
                 done.set()
 
         hub.nursery.start_soon(deliver)
-        with trio.move_on_after(timeout_seconds):
+        with trio.move_on_after(transfer_seconds + timeout_seconds):
             await done.wait()
         if answers:
             return answers[0]
--- a/turmerichall/agreement/tests/test_long_entries.py
+++ b/turmerichall/agreement/tests/test_long_entries.py
@@ -151,3 +151,35 @@
         for each in pair:
             await each.join(nursery, addresses)
         await _wait_until_applied(pair)
+
+
+class TestSlowConnection:
+    """Members that got no heartbeats beside a long entry elected a leader."""
+
+    async def test_leader_stays_while_a_long_entry_is_sent(
+        self, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        cluster = clusters.Cluster(nursery)
+        await cluster.start_all()
+        leader = await cluster.wait_for_leader()
+        await cluster.put(leader, "ready=1")
+        replica = cluster.replicas[leader]
+        term = replica.state.term
+        change = "k=" + "v" * 1024 * 1024
+        seconds = 4 * (
+            cluster.timing.election_seconds
+            + cluster.timing.election_jitter_seconds
+        )
+        cluster.hub.bytes_per_second = len(change) / seconds
+        results: list[object] = []
+
+        async def propose() -> None:
+            results.append(await replica.propose(change.encode(), 2 * seconds))
+
+        nursery.start_soon(propose)
+        await trio.sleep(seconds / 2)
+        assert await replica.barrier(1.0) is None
+        await cluster.wait_until(lambda: bool(results), 2 * seconds)
+        assert isinstance(results[0], bytes)
+        assert replica.state.term == term
+        await cluster.wait_until_applied(change)
