Answer a message whose handler fails, and go on

Callers saw: one message that made its handler raise an exception ended the process that received it, with "connection lost before the answer" for all calls on its connections.

Cause: `_Session._handle` handled `msgspec.DecodeError`, `InputError` and `StorageError`; any other exception went up to the nursery of the process. Likewise, a refusal with a reason of a later release raised `ValueError` in the process that had called, and a malformed address that a peer names for itself raised it in the task that dials.

Such a message now gets a refusal, a line in the log with its kind, its sender and the traceback, and a counter; the connection and the process go on. The reason is `timeout`, because the handler may have had an effect. Two kinds of exceptions still end the process: those of handlers that change the log, the vote or the members, and failed assertions. An unknown reason counts as `timeout`, a malformed address as one that can't be dialed.

The tests of peers, agreement, entry, dispatch and telemetry pass together.

--- a/turmerichall/agreement/message.py
+++ b/turmerichall/agreement/message.py
@@ -14,6 +14,7 @@
     "Append",
     "AppendReply",
     "Barrier",
+    "CRITICAL_KINDS",
     "ChangeMembers",
     "Entry",
     "EntryKind",
@@ -37,6 +38,12 @@
 
 T = TypeVar("T")
 
+# Kinds of messages whose handlers change the log, the vote or the members.  An
+# unexpected exception in one of them ends the process.
+CRITICAL_KINDS = frozenset(
+    ("append", "change_members", "elect_now", "join", "propose", "vote")
+)
+
 
 class EntryKind(enum.IntEnum):
     """What a log entry holds."""
--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -304,7 +304,7 @@
                 raise errors.StorageError(self.state.stopped)
             return await handler(sender, body)
 
-        self.state.network.handle(kind, guarded)
+        self.state.network.handle(kind, guarded, kind in message.CRITICAL_KINDS)
 
     def _stop(self, error: errors.StorageError) -> None:
         state = self.state
--- a/turmerichall/agreement/replica_state.py
+++ b/turmerichall/agreement/replica_state.py
@@ -57,6 +57,7 @@
         self,
         kind: str,
         handler: Callable[[str, bytes], Awaitable[bytes | None]],
+        is_critical: bool = False,
     ) -> None:
         """Register the handler for a kind of message."""
 
--- a/turmerichall/agreement/tests/cluster.py
+++ b/turmerichall/agreement/tests/cluster.py
@@ -53,7 +53,10 @@
         self.listen_address = f"{name}:1"
         self.handlers: dict[str, Handler] = {}
 
-    def handle(self, kind: str, handler: Handler) -> None:
+    def handle(
+        self, kind: str, handler: Handler, is_critical: bool = False
+    ) -> None:
+        del is_critical
         self.handlers[kind] = handler
 
     def set_addresses(self, addresses: dict[str, str]) -> None:
--- a/turmerichall/outcomes.py
+++ b/turmerichall/outcomes.py
@@ -66,6 +66,8 @@
     TRUNCATED = "truncated"
     WRONG_REQUEST_ID = "wrong_request_id"
     LEADER_LOST = "leader_lost"
+    # The handler of a message raised an exception.
+    HANDLER_FAILED = "handler_failed"
 
 
 class RetryReason(enum.StrEnum):
--- /dev/null
+++ b/turmerichall/peers/handler_failures.py
@@ -0,0 +1,62 @@
+"""Unexpected exceptions of the handlers of messages."""
+
+import traceback
+
+from turmerichall import errors
+from turmerichall import outcomes
+from turmerichall.peers import link
+
+__all__ = ["is_fatal", "report"]
+
+
+def is_fatal(error: Exception) -> bool:
+    """Return whether an exception of a handler has to end the process.
+
+    A failed assertion tells that a state is not what the program relies on.
+
+    Args:
+        error: The exception, which may be a group.
+
+    Examples:
+        >>> is_fatal(AssertionError()), is_fatal(ValueError())
+        (True, False)
+        >>> is_fatal(ExceptionGroup("", [KeyError(), AssertionError()]))
+        True
+    """
+    if isinstance(error, ExceptionGroup):
+        return any(is_fatal(each) for each in error.exceptions)
+    return isinstance(error, (AssertionError, errors.StorageError))
+
+
+def report(
+    error: Exception,
+    kind: str,
+    peer: str,
+    log: link.Log | None,
+    counters: link.Counters,
+) -> outcomes.Refusal:
+    """Log and count an exception, and return the refusal for the caller.
+
+    Args:
+        error: The exception.
+        kind: Kind of the message.
+        peer: Name of the sender.
+        log: Where to log.
+        counters: Where to count.
+
+    Returns:
+        A refusal with the reason `timeout`, because the handler may have had an
+        effect; other reasons promise that there was none.
+    """
+    counters.unknown("peers", outcomes.UnknownReason.HANDLER_FAILED)
+    if log is not None:
+        log.error(
+            "handler of a message failed",
+            kind=kind,
+            peer=peer,
+            traceback="".join(traceback.format_exception(error)),
+        )
+    return outcomes.Refusal(
+        outcomes.RefusalReason.TIMEOUT,
+        f"the handler of {kind} failed: {type(error).__name__}: {error}",
+    )
--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -247,7 +247,8 @@
         try:
             with trio.fail_after(self.timing.connect_seconds):
                 stream = await trio.open_tcp_stream(host, int(port))
-        except (OSError, trio.TooSlowError):
+        except (OSError, ValueError, OverflowError, trio.TooSlowError):
+            # The address may be one that a peer has named, and malformed.
             self.counters.retried("peers", outcomes.RetryReason.CONNECT_FAILED)
             return False
         async with stream:
@@ -331,8 +332,13 @@
         if message.frame_kind == envelope.FrameKind.ANSWER:
             pending.resolve(message.body)
         elif message.frame_kind == envelope.FrameKind.REFUSAL:
-            reason = outcomes.RefusalReason(message.kind)
             detail = message.body.decode("utf-8", "replace")
+            try:
+                reason = outcomes.RefusalReason(message.kind)
+            except ValueError:
+                # A later release may have reasons that this one does not know.
+                reason = outcomes.RefusalReason.TIMEOUT
+                detail = f"refused for the reason {message.kind!r}: {detail}"
             pending.resolve(outcomes.Refusal(reason, detail))
 
     async def _keep_alive(self) -> None:
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -13,6 +13,7 @@
 from turmerichall import errors
 from turmerichall import outcomes
 from turmerichall.peers import envelope
+from turmerichall.peers import handler_failures
 from turmerichall.peers import handshake
 from turmerichall.peers import link
 from turmerichall.peers import message_parts
@@ -37,6 +38,7 @@
             if this instance accepts no connections.
         links: Dialed connections by name of the other instance.
         handlers: Message handlers by kind of message.
+        critical_kinds: Kinds of messages whose handlers must not fail.
         counters: Counts failed attempts to connect and lost connections.
         timing: Timeouts of the connections and of their keep-alive pings.
     """
@@ -59,18 +61,27 @@
         self.listen_address = ""
         self.links: dict[str, link.Link] = {}
         self.handlers: dict[str, Handler] = {}
+        self.critical_kinds: set[str] = set()
         self._last_heard: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
 
-    def handle(self, kind: str, handler: Handler) -> None:
+    def handle(
+        self, kind: str, handler: Handler, is_critical: bool = False
+    ) -> None:
         """Register the handler of a kind of message.
 
         Args:
             kind: Kind of message.
             handler: Receives the sender's name and the body, and returns the
                 answer to a call; for a one-way message the result is ignored.
+            is_critical: Whether an unexpected exception of the handler ends the
+                process, because the handler changes the log or votes.  Those of
+                other handlers are logged; see `handler_failures`.
         """
         self.handlers[kind] = handler
+        self.critical_kinds.discard(kind)
+        if is_critical:
+            self.critical_kinds.add(kind)
 
     async def call(
         self, instance: str, kind: str, body: bytes, timeout_seconds: float
@@ -292,6 +303,15 @@
             self._queue_refusal(
                 frame, outcomes.RefusalReason.STOPPED, str(error)
             )
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            network = self.network
+            is_critical = frame.kind in network.critical_kinds
+            if is_critical or handler_failures.is_fatal(error):
+                raise
+            refusal = handler_failures.report(
+                error, frame.kind, self.peer, network.log, network.counters
+            )
+            self._queue_refusal(frame, refusal.reason, refusal.detail)
         finally:
             self.handlers_running -= 1
 
