Replicate only what changes in a configuration

Operators saw: each change of the configuration sent and stored all of it. One route added to 16,000 sent 8.1 MB, 32.5 s at 2 Mbit/s, and put 4.1 MB into the log of each replica.

Cause: `SetConfiguration` holds the document and its decoded form.

A new change, `ReviseConfiguration`, holds edits of both, for one version of the configuration. The leader applies them before it proposes them, and proposes the whole configuration instead if they don't lead to exactly what the operator sent or if more than half of the document differs. Edits for another version than the one in force have no effect; the leader then sends the whole. Replicas of earlier releases end at a change that they don't know, so edits are sent only while all other members are connected and of a release that takes messages in parts. Entries of earlier releases are read as before.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: bench-control-io bench-dispatch bench-in-force venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
+.PHONY: bench-configuration-bytes bench-control-io bench-dispatch bench-in-force venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
 
 venv: $(VENV)/.ready
 
@@ -53,3 +53,6 @@
 
 bench-control-io: venv
 	$(BIN)/python -m turmerichall.benchmarks.control_io
+
+bench-configuration-bytes: venv
+	$(BIN)/python -m turmerichall.benchmarks.configuration_bytes
--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -1,11 +1,13 @@
 """Requests of callers, workers and operators that only the leader answers."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import trio
 
 from turmerichall import outcomes
 from turmerichall.agreement import replica as replicas
+from turmerichall.dispatch import configuration_commits
 from turmerichall.dispatch import durations as run_durations
 from turmerichall.dispatch import fence_response as fence_responses
 from turmerichall.dispatch import freshness as freshnesses
@@ -19,8 +21,8 @@
 from turmerichall.dispatch.job_requests import request_register
 from turmerichall.http1 import server
 from turmerichall.peers import link
-from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
+from turmerichall.queues import configuration_edits
 from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
@@ -81,6 +83,8 @@
         queue_state: Its replicated state of queues.
         leadership: The work of the current term; None if this replica does
             not lead.
+        may_revise: Returns whether all replicas can apply a change of the
+            configuration that holds only what differs.
     """
 
     def __init__(
@@ -93,8 +97,10 @@
         policy: policy_client.PolicyClient | None = None,
         scheduling: queue_settings.Scheduling = queue_settings.Scheduling(),
         zone_names: tuple[str, ...] = (),
+        may_revise: Callable[[], bool] = lambda: False,
     ):
         self.replica = replica
+        self.may_revise = may_revise
         self.queue_state = queue_state
         self.leadership: leaderships.Leadership | None = None
         self.freshness = freshnesses.QuorumFreshness(replica)
@@ -329,8 +335,10 @@
         current_version = self.queue_state.configuration.version
         if configuration.version <= current_version:
             return None
-        failed = await self.leadership.commit(
-            changes.SetConfiguration(configuration, document)
+        failed = await configuration_commits.commit(
+            self.leadership,
+            configuration_edits.Described(configuration, document),
+            self.may_revise(),
         )
         if failed is None:
             self._log.info(
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -97,6 +97,7 @@
             http_policy_client.HttpPolicyClient(policy) if policy else None,
             settings.scheduling,
             settings.zones.names,
+            self._may_revise,
         )
         self.term_watch = term_watch.TermWatch(
             self.replica, self._is_work_under_way, self.log
@@ -144,6 +145,19 @@
         await trio.sleep(DRAIN_NOTICE_SECONDS)
         await self.control.stop()
 
+    def _may_revise(self) -> bool:
+        """Return whether all other replicas are connected and recent.
+
+        Releases that take no messages in parts don't know changes that revise
+        a configuration.
+        """
+        links = self.network.links
+        return all(
+            each.name in links and links[each.name].max_message_bytes > 0
+            for each in self.replica.state.members
+            if each.name != self.network.name
+        )
+
     def _is_work_under_way(self) -> bool:
         return self.leader_api.leadership is not None
 
--- a/turmerichall/dispatch/tests/test_replica_daemon.py
+++ b/turmerichall/dispatch/tests/test_replica_daemon.py
@@ -2,11 +2,13 @@
 
 import pathlib
 import re
+import types
 
 import pytest
 import trio
 
 from turmerichall import outcomes
+from turmerichall.agreement import member
 from turmerichall.dispatch import replica_daemon
 from turmerichall.http1 import message
 from turmerichall.settings import queue_settings
@@ -83,3 +85,20 @@
         answer = await daemon._answer(request)
         assert answer.status == 413
         assert b"5 MB are too many" in answer.body
+
+
+class TestRelease:
+
+    # A replica of an earlier release ends at a change that it does not know.
+    @pytest.mark.parametrize("max_message_bytes", [0, 1000])
+    async def test_revisions_need_recent_replicas(
+        self, daemon: replica_daemon.ReplicaDaemon, max_message_bytes: int
+    ) -> None:
+        daemon.replica.state.observed_members = (
+            member.Member(daemon.network.name, "1", ""),
+            member.Member("other", "2", ""),
+        )
+        assert not daemon.leader_api.may_revise()
+        link = types.SimpleNamespace(max_message_bytes=max_message_bytes)
+        daemon.network.links["other"] = link  # type: ignore[assignment]
+        assert daemon.leader_api.may_revise() == (max_message_bytes > 0)
--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -170,6 +170,14 @@
         self._next_call_number = 1
         self._queue = send_queue.SendQueue()
 
+    @property
+    def max_message_bytes(self) -> int:
+        """Size of the longest message that the peer takes in parts, in bytes.
+
+        0 if the peer is of an earlier release, or the link is not connected.
+        """
+        return self._queue.max_message_bytes if self.connected else 0
+
     def enqueue(self, message: envelope.Envelope) -> outcomes.Refusal | None:
         """Add a message to the send queue.
 
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from turmerichall.queues import configuration as configurations
+from turmerichall.queues import configuration_edits
 from turmerichall.queues import demand as demands
 
 __all__ = [
@@ -363,6 +364,7 @@
     | ResizeWorker
     | BeginEvacuation
     | EndEvacuation
+    | configuration_edits.ReviseConfiguration
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -12,6 +12,8 @@
 
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
+from turmerichall.queues import configuration_edits as edits
+from turmerichall.queues import configuration_revision
 from turmerichall.queues import demand as demands
 
 __all__ = ["Job", "JobState", "QueueState", "StepProgress", "TaskRecord"]
@@ -240,7 +242,7 @@
                 self._accept(change)
             case changes.CancelJob():
                 self._close(change.job, JobState.CANCELED)
-            case changes.SetConfiguration():
+            case changes.SetConfiguration() | edits.ReviseConfiguration():
                 self._configure(change)
             case changes.RegisterWorker():
                 self._register(change.worker)
@@ -271,12 +273,11 @@
         """Return whether the availability zone of a worker is in evacuation."""
         return worker.zone in self.evacuations
 
-    def _configure(self, change: changes.SetConfiguration) -> None:
-        if change.configuration.version <= self.configuration.version:
-            return
-        self.configuration = change.configuration
-        self.document = change.document
-        for queue in change.configuration.queues:
+    def _configure(self, change: configuration_revision.AnyChange) -> None:
+        current = edits.Described(self.configuration, self.document)
+        new = configuration_revision.resolve(change, current)
+        self.configuration, self.document = new
+        for queue in self.configuration.queues:
             self.queues[queue.key] = queue
 
     def _accept(self, change: changes.AcceptJob) -> None:
