--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: bench-control-io bench-dispatch bench-in-force bench-log-size venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
+.PHONY: bench-configuration-bytes bench-control-io bench-dispatch bench-in-force bench-log-size venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
 
 venv: $(VENV)/.ready
 
@@ -56,3 +56,6 @@
 
 bench-log-size: venv
 	$(BIN)/python -m turmerichall.benchmarks.log_size
+
+bench-configuration-bytes: venv
+	$(BIN)/python -m turmerichall.benchmarks.configuration_bytes
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+import msgspec
 import trio
 
 from turmerichall import outcomes
@@ -100,6 +101,7 @@
             http_policy_client.HttpPolicyClient(policy) if policy else None,
             settings.scheduling,
             settings.zones.names,
+            self._may_revise,
         )
         self.term_watch = term_watch.TermWatch(
             self.replica, self._is_work_under_way, self.log
@@ -147,6 +149,19 @@
         await trio.sleep(DRAIN_NOTICE_SECONDS)
         await self.control.stop()
 
+    def _may_revise(self) -> bool:
+        """Return whether all other replicas are connected and recent.
+
+        Releases that take no messages in parts don't know changes that revise
+        a configuration.
+        """
+        links = self.network.links
+        return all(
+            each.name in links and links[each.name].max_message_bytes > 0
+            for each in self.replica.state.members
+            if each.name != self.network.name
+        )
+
     def _is_work_under_way(self) -> bool:
         return self.leader_api.leadership is not None
 
@@ -199,6 +214,9 @@
                 forwarded = calls.decode_answer(reply)
                 if forwarded.kind == calls.Kind.ANSWERED:
                     return forwarded.response()
+            elif reply.reason == outcomes.RefusalReason.TOO_LARGE:
+                body = msgspec.json.encode({"error": [reply.detail]})
+                return message.Response(413, body)
             elif reply.reason != outcomes.RefusalReason.UNREACHABLE:
                 return message.Response(504)
         return client_requests.failure_response(leader_apis.NO_QUORUM)
--- a/turmerichall/dispatch/tests/test_replica_daemon.py
+++ b/turmerichall/dispatch/tests/test_replica_daemon.py
@@ -2,11 +2,15 @@
 
 import pathlib
 import re
+import types
 
 import pytest
 import trio
 
+from turmerichall import outcomes
+from turmerichall.agreement import member
 from turmerichall.dispatch import replica_daemon
+from turmerichall.http1 import message
 from turmerichall.settings import queue_settings
 
 HOST = "127.0.0.1"
@@ -96,3 +100,41 @@
             with trio.fail_after(10):
                 await started.wait()
             nursery.cancel_scope.cancel()
+
+
+class TestForwarding:
+
+    async def test_request_too_large_for_the_leader_gets_the_reason(
+        self,
+        daemon: replica_daemon.ReplicaDaemon,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        async def call(*_: object) -> outcomes.Refusal:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.TOO_LARGE, "5 MB are too many"
+            )
+
+        monkeypatch.setattr(daemon.network, "call", call)
+        daemon.replica.state.leader = "other"
+        request = message.Request("POST", "/", {}, b"{}")
+        # pylint: disable-next=protected-access
+        answer = await daemon._answer(request)
+        assert answer.status == 413
+        assert b"5 MB are too many" in answer.body
+
+
+class TestRelease:
+
+    # A replica of an earlier release ends at a change that it does not know.
+    @pytest.mark.parametrize("max_message_bytes", [0, 1000])
+    async def test_revisions_need_recent_replicas(
+        self, daemon: replica_daemon.ReplicaDaemon, max_message_bytes: int
+    ) -> None:
+        daemon.replica.state.observed_members = (
+            member.Member(daemon.network.name, "1", ""),
+            member.Member("other", "2", ""),
+        )
+        assert not daemon.leader_api.may_revise()
+        link = types.SimpleNamespace(max_message_bytes=max_message_bytes)
+        daemon.network.links["other"] = link  # type: ignore[assignment]
+        assert daemon.leader_api.may_revise() == (max_message_bytes > 0)
