Serve a request that offers another protocol, once

A request with `upgrade: h2c` was answered twice on one connection: 501 with `connection: close`, then the answer of the handler for a body that was cut off. A client that offers h2c with each first request, as that of the Java platform does, could not submit a job: 501, then 400 'Input data was truncated'. `CONNECT` was refused and carried out, too. A malformed request was refused before the answer to a complete one that was sent ahead of it.

httptools stops at the header of such a request, calls it complete, and raises; the server answered both the error and the request. RFC 9110, 7.8 lets a server ignore the offer. The header is read again without it by a second parser, which goes on with the body and with later requests, so a kept or pipelined connection stays usable. Complete requests are answered first, and after an error nothing else is sent.

Besides: `Expect: 100-continue` is answered before the body, a body that is announced as too large is refused at once, and a field without an end is refused at the header limit (the parser kept it for the whole request time).

--- a/turmerichall/http1/server.py
+++ b/turmerichall/http1/server.py
@@ -15,6 +15,9 @@
 # Delay between the call of `Server.stop` and the closing of idle connections,
 # so that requests already in transit are still read.
 IDLE_GRACE_SECONDS = 0.5
+HEADER_END = b"\r\n\r\n"
+CONTINUE = "100-continue"
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Handler = Callable[[message.Request], Awaitable[message.Response]]
 
@@ -39,8 +42,8 @@
     send_seconds: float = 5.0
 
 
-class _TooLarge(Exception):
-    """Error for a request whose size exceeds a limit.
+class _Refused(Exception):
+    """Error for a request that is refused while it is read.
 
     Attributes:
         status: HTTP status of the response.
@@ -54,11 +57,18 @@
 class _RequestReader:
     """Builder of requests from the callbacks of the HTTP parser.
 
+    An offer to switch to another protocol is ignored (RFC 9110, 7.8).  The
+    parser ends at the header of such a request, and takes what follows for the
+    other protocol; another parser then reads the request again without the
+    offer, and goes on.
+
     Attributes:
         limits: Limits on the size and time of the current request.
         requests: Complete requests that wait for the handler, each with whether
             the connection may be kept alive after its response.
         in_request: Whether a request has begun to arrive and is not complete.
+        awaits_continue: Whether the client waits for `CONTINUE_RESPONSE` before
+            it sends the body of the current request.
     """
 
     def __init__(self, limits: Limits):
@@ -67,12 +77,16 @@
             collections.deque()
         )
         self.in_request = False
+        self.awaits_continue = False
         self.parser = httptools.HttpRequestParser(self)
         self._target = b""
         self._headers: message.Headers = {}
         self._body: list[bytes] = []
         self._header_bytes = 0
         self._body_bytes = 0
+        self._parsed_bytes = 0
+        self._unparsed_bytes = 0
+        self._tail = b""
 
     # pylint: disable=missing-function-docstring
     def on_message_begin(self) -> None:
@@ -82,6 +96,8 @@
         self._body = []
         self._header_bytes = 0
         self._body_bytes = 0
+        self._parsed_bytes = 0
+        self._unparsed_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -95,7 +111,7 @@
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
         if self._body_bytes > self.limits.body_bytes:
-            raise _TooLarge(413)
+            raise _Refused(413)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -113,7 +129,7 @@
     def _count_header(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > self.limits.header_bytes:
-            raise _TooLarge(431)
+            raise _Refused(431)
 
     def feed(self, data: bytes) -> int:
         """Parse received bytes.
@@ -122,15 +138,72 @@
             0 if they are valid so far, otherwise the HTTP status of the error.
         """
         try:
-            self.parser.feed_data(data)
+            self._parse(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
-            return cause.status if isinstance(cause, _TooLarge) else 400
-        except httptools.HttpParserUpgrade:
-            return 501
+            return cause.status if isinstance(cause, _Refused) else 400
+        except _Refused as refused:
+            return refused.status
         except httptools.HttpParserError:
             return 400
-        return 0
+        return self._check_incomplete(data) if self.in_request else 0
+
+    def _parse(self, data: bytes) -> None:
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                data = data[offer.args[0] :]
+            # The parser has taken the header for the whole request.
+            request, keeps_alive = self.requests.pop()
+            self.in_request = True
+            if request.method == "CONNECT":
+                raise _Refused(501)
+            head = _head_without_offer(
+                request, self.parser.get_http_version(), keeps_alive
+            )
+            self.parser = httptools.HttpRequestParser(self)
+            self.parser.feed_data(head)
+            if not data:
+                return
+
+    def _check_incomplete(self, data: bytes) -> int:
+        """Check a request that is not complete after the bytes just parsed.
+
+        Returns:
+            413 if its announced body is too large, 431 if a single field is,
+            which the parser keeps until it is complete; otherwise 0.
+        """
+        self._tail = (self._tail + data)[-len(HEADER_END) :]
+        if self._tail == HEADER_END and not self._body_bytes:
+            headers = self._headers
+            if int(headers.get("content-length", 0)) > self.limits.body_bytes:
+                return 413
+            expected = headers.get("expect", "").lower()
+            version = self.parser.get_http_version()
+            self.awaits_continue = expected == CONTINUE and version != "1.0"
+        parsed_bytes = self._header_bytes + self._body_bytes
+        if parsed_bytes != self._parsed_bytes:
+            self._parsed_bytes = parsed_bytes
+            self._unparsed_bytes = 0
+            return 0
+        self._unparsed_bytes += len(data)
+        return 431 if self._unparsed_bytes > self.limits.header_bytes else 0
+
+
+def _head_without_offer(
+    request: message.Request, version: str, keeps_alive: bool
+) -> bytes:
+    """Encode the header of a request without its offer of another protocol."""
+    lines = [f"{request.method} {request.target} HTTP/{version}"]
+    lines += [
+        f"{name}: {value}"
+        for name, value in request.headers.items()
+        if name not in ("upgrade", "connection")
+    ]
+    lines.append(f"connection: {'keep-alive' if keeps_alive else 'close'}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
 class Server:
@@ -202,27 +275,48 @@
         reader = _RequestReader(self.limits())
         while True:
             status = await self._read(stream, reader)
+            if not status and not reader.requests:
+                return
+            # What was complete before the error is answered before it.
+            while reader.requests:
+                request, keep_alive = reader.requests.popleft()
+                close = not keep_alive or self.stopping
+                if await self._respond(stream, reader.limits, request, close):
+                    return
             if status:
-                await self._send(
-                    stream, reader.limits, message.Response(status), close=True
+                refusal = message.encode_response(
+                    message.Response(status), close=True
                 )
-            if not reader.requests:
-                return
-            request, keep_alive = reader.requests.popleft()
-            response = await self.handler(request)
-            close = not keep_alive or self.stopping
-            await self._send(stream, reader.limits, response, close)
-            if close:
+                await self._send(stream, reader.limits, refusal)
                 return
 
-    async def _send(
+    async def _respond(
         self,
         stream: trio.SocketStream,
         limits: Limits,
-        response: message.Response,
+        request: message.Request,
         close: bool,
+    ) -> bool:
+        """Answer a request.
+
+        Args:
+            stream: The connection.
+            limits: Limits on the response.
+            request: The request.
+            close: Whether this is the last request of the connection.
+
+        Returns:
+            Whether the connection has to be closed.
+        """
+        response = await self.handler(request)
+        data = message.encode_response(response, close)
+        await self._send(stream, limits, data)
+        return close
+
+    async def _send(
+        self, stream: trio.SocketStream, limits: Limits, data: bytes
     ) -> None:
-        """Send a response.
+        """Send an encoded response.
 
         Raises:
             trio.BrokenResourceError: The client has disconnected, or has not
@@ -230,7 +324,7 @@
         """
         try:
             with trio.fail_after(limits.send_seconds):
-                await stream.send_all(message.encode_response(response, close))
+                await stream.send_all(data)
         except trio.TooSlowError as error:
             raise trio.BrokenResourceError("send timed out") from error
 
@@ -267,4 +361,7 @@
             status = reader.feed(data)
             if status:
                 return status
+            if reader.awaits_continue and not reader.requests:
+                reader.awaits_continue = False
+                await self._send(stream, limits, CONTINUE_RESPONSE)
         return 0
