Answer 500 if a handler fails, and end its connection alone

Any error that a handler of `http1.server.Server` raised left the nursery of the listener and ended the server, and with it the process; so did a header field of a response that can't be encoded in latin-1.

The caller now gets a 500 and its connection ends. A callback reports the error: by default one log line with target and traceback; `handler_errors.count_and_log` counts it, too. A `StorageError`, also inside a group, still ends the server, as the process has to end then. A header field or target with a line break is an error instead of a second field.

--- a/turmerichall/http1/message.py
+++ b/turmerichall/http1/message.py
@@ -67,13 +67,20 @@
 def encode_request(request: Request) -> bytes:
     """Return the encoded request, with its `content-length`.
 
+    Raises:
+        ValueError: The target or a header field can't be encoded, or contains a
+            line break.
+
     Examples:
         >>> encode_request(Request("GET", "/a", {"host": "b"}))
         b'GET /a HTTP/1.1\\r\\nhost: b\\r\\ncontent-length: 0\\r\\n\\r\\n'
     """
-    head = f"{request.method} {request.target} HTTP/1.1\r\n"
+    target = request.target
+    if "\n" in target or "\r" in target:
+        raise ValueError("the target contains a line break")
+    head = f"{request.method} {target} HTTP/1.1\r\n"
     for name, value in request.headers.items():
-        head += f"{name}: {value}\r\n"
+        head += _encode_field(name, value)
     head += f"content-length: {len(request.body)}\r\n\r\n"
     return head.encode("latin-1") + request.body
 
@@ -85,6 +92,9 @@
         response: The response.
         close: Whether the server closes the connection after this response.
 
+    Raises:
+        ValueError: A header field can't be encoded, or contains a line break.
+
     Examples:
         >>> encode_response(Response(200), close=True)[:36]
         b'HTTP/1.1 200 OK\\r\\ncontent-length: 0\\r\\n'
@@ -95,7 +105,19 @@
     if response.body and "content-type" not in response.headers:
         head += f"content-type: {JSON}\r\n"
     for name, value in response.headers.items():
-        head += f"{name}: {value}\r\n"
+        head += _encode_field(name, value)
     if close:
         head += "connection: close\r\n"
     return (head + "\r\n").encode("latin-1") + response.body
+
+
+def _encode_field(name: str, value: str) -> str:
+    """Return the line of a header field.
+
+    Raises:
+        ValueError: It would be several lines, and so add other fields.
+    """
+    field = f"{name}: {value}"
+    if "\n" in field or "\r" in field:
+        raise ValueError(f"the header field {name!r} contains a line break")
+    return field + "\r\n"
--- a/turmerichall/http1/server.py
+++ b/turmerichall/http1/server.py
@@ -7,6 +7,8 @@
 import httptools
 import trio
 
+from turmerichall import errors
+from turmerichall.http1 import handler_errors
 from turmerichall.http1 import message
 
 __all__ = ["Handler", "Limits", "Server"]
@@ -210,8 +212,11 @@
     """Server on one address.
 
     Attributes:
-        handler: Returns the response to a request; must not raise.
+        handler: Returns the response to a request.  If it raises an error, the
+            client gets a 500 and its connection ends; a `StorageError` ends the
+            server.
         limits: Returns the current limits on requests; called for each request.
+        on_error: Called with the request and the error that its handler raised.
         stopping: Whether connections are closed after their next response.
         stopped: Set once the last connection is closed.
     """
@@ -220,9 +225,11 @@
         self,
         handler: Handler,
         limits: Callable[[], Limits] = Limits,
+        on_error: handler_errors.OnError = handler_errors.log_error,
     ):
         self.handler = handler
         self.limits = limits
+        self.on_error = on_error
         self.stopping = False
         self.stopped = trio.Event()
         self._idle_scopes: set[trio.CancelScope] = set()
@@ -308,8 +315,19 @@
         Returns:
             Whether the connection has to be closed.
         """
-        response = await self.handler(request)
-        data = message.encode_response(response, close)
+        try:
+            response = await self.handler(request)
+            data = message.encode_response(response, close)
+        except errors.StorageError:
+            raise
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            if isinstance(error, ExceptionGroup):
+                storage, _ = error.split(errors.StorageError)
+                if storage is not None:
+                    raise storage from error
+            self.on_error(request, error)
+            close = True
+            data = message.encode_response(message.Response(500), close)
         await self._send(stream, limits, data)
         return close
 
--- a/turmerichall/http1/tests/test_one_answer.py
+++ b/turmerichall/http1/tests/test_one_answer.py
@@ -6,8 +6,11 @@
 import pytest
 import trio
 
+from turmerichall import errors
+from turmerichall.http1 import handler_errors
 from turmerichall.http1 import message
 from turmerichall.http1 import server
+from turmerichall.telemetry import lightweight_metrics
 
 OFFER = b"connection: Upgrade, HTTP2-Settings\r\nupgrade: h2c\r\n"
 NEXT = b"GET /next HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
@@ -18,14 +21,24 @@
 
     Attributes:
         requests: The requests, oldest first.
+        error: Raised by the handler for the target `/raise`.
+        reported: Requests whose handler failed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, error: Exception = ValueError("no such thing")):
         self.requests: list[message.Request] = []
-        self.server = server.Server(self._answer)
+        self.error = error
+        self.reported: list[message.Request] = []
+        self.server = server.Server(
+            self._answer, on_error=lambda each, _: self.reported.append(each)
+        )
 
     async def _answer(self, request: message.Request) -> message.Response:
         self.requests.append(request)
+        if request.target == "/raise":
+            raise self.error
+        if request.target == "/header":
+            return message.Response(200, b"", {"x": "a\r\nset-cookie: b"})
         return message.Response(200, request.target.encode())
 
     @contextlib.asynccontextmanager
@@ -156,3 +169,39 @@
         parts = [b"y" * 10_000] * 3
         received = await service.send(b"GET / HTTP/1.1\r\n" + line, *parts)
         assert _statuses(received) == [431]
+
+
+class TestHandlerThatFails:
+
+    # Any error of a handler ended the server, and with it the process.
+    @pytest.mark.parametrize("target", ["/raise", "/header"])
+    async def test_ends_its_connection_alone(self, target: str) -> None:
+        service = _Service()
+        line = f"GET {target} HTTP/1.1\r\nhost: a\r\n\r\n".encode()
+        async with service.serving() as address:
+            assert _statuses(await _exchange(address, line + NEXT)) == [500]
+            assert _statuses(await _exchange(address, NEXT)) == [200]
+        assert [each.target for each in service.reported] == [target]
+
+    @pytest.mark.parametrize(
+        "error",
+        [
+            errors.DiskError("disk is full"),
+            ExceptionGroup("", [errors.DiskError("disk is full")]),
+        ],
+    )
+    async def test_failure_of_the_storage_ends_the_server(
+        self, error: Exception
+    ) -> None:
+        service = _Service(error)
+        with pytest.raises(ExceptionGroup) as raised:
+            await service.send(b"GET /raise HTTP/1.1\r\nhost: a\r\n\r\n")
+        assert raised.group_contains(errors.StorageError)
+        assert not service.reported
+
+    def test_is_counted(self) -> None:
+        registry = lightweight_metrics.MetricsRegistry()
+        report = handler_errors.count_and_log(registry, "control")
+        report(message.Request("GET", "/", {}), ValueError("a"))
+        counter = b'turmerichall_handler_errors_total{server="control"} 1.0'
+        assert counter in registry.exposition()
