Count errors of handlers and connections of queue daemons

The servers and the network of the queue daemons reported errors of their handlers to the log alone; handler_errors_total, refusals_total, retries_total and unknown_total show them now, and one line in 5 s a server is logged.

--- a/turmerichall/benchmarks/log_size.py
+++ b/turmerichall/benchmarks/log_size.py
@@ -67,7 +67,9 @@
     def __init__(self) -> None:
         self.addresses: dict[str, str] = {}
 
-    def handle(self, kind: str, handler: Any) -> None:
+    def handle(
+        self, kind: str, handler: Any, is_critical: bool = False
+    ) -> None:
         """Ignore a handler, since no message arrives."""
 
     def set_addresses(self, addresses: dict[str, str]) -> None:
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -13,6 +13,7 @@
 from turmerichall.dispatch import term_watch
 from turmerichall.dispatch.evacuation import gauges as evacuation_gauges
 from turmerichall.entry import calls
+from turmerichall.http1 import handler_errors
 from turmerichall.http1 import message
 from turmerichall.http1 import metrics
 from turmerichall.http1 import server
@@ -24,6 +25,7 @@
 from turmerichall.platform import http_worker_client
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
+from turmerichall.telemetry import lightweight_counters
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import logs
 
@@ -66,6 +68,7 @@
     def __init__(self, settings: queue_settings.QueueSettings):
         self.settings = settings
         self.log = logs.Log("dispatch")
+        self.metrics_registry = lightweight_metrics.MetricsRegistry()
         own = settings.listen.peers
         seeds = settings.replicas.addresses()
         self.network = networks.Network(
@@ -73,6 +76,7 @@
             settings.replicas.key.encode(),
             {seed: seed for seed in seeds},
             logs.Log("peers"),
+            lightweight_counters.LightweightCounters(self.metrics_registry),
             timing=CONNECTION_TIMING,
         )
         self.queue_state = states.QueueState()
@@ -90,7 +94,6 @@
             ),
             max_voters=settings.replicas.max_voters,
         )
-        self.metrics_registry = lightweight_metrics.MetricsRegistry()
         policy = settings.policy.address
         self.leader_api = leader_apis.LeaderApi(
             self.replica,
@@ -111,7 +114,11 @@
         )
         evacuation_gauges.register(self.metrics_registry, self.queue_state)
         self.metrics = metrics.make_server(self.metrics_registry)
-        self.control = server.Server(self._answer, lambda: CONTROL_LIMITS)
+        self.control = server.Server(
+            self._answer,
+            lambda: CONTROL_LIMITS,
+            handler_errors.count_and_log(self.metrics_registry, "control"),
+        )
 
     @classmethod
     def from_config(
--- a/turmerichall/entry/entry_daemon.py
+++ b/turmerichall/entry/entry_daemon.py
@@ -4,12 +4,14 @@
 
 from turmerichall.entry import calls
 from turmerichall.entry import leader_client as leader_clients
+from turmerichall.http1 import handler_errors
 from turmerichall.http1 import message
 from turmerichall.http1 import metrics
 from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.peers import network as networks
 from turmerichall.settings import queue_settings
+from turmerichall.telemetry import lightweight_counters
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import logs
 
@@ -46,20 +48,25 @@
         self.settings = settings
         self.draining = False
         self.log = logs.Log("frontdoor")
+        self.metrics_registry = lightweight_metrics.MetricsRegistry()
         self.network = networks.Network(
             settings.instance.name,
             settings.replicas.key.encode(),
             log=logs.Log("peers"),
+            counters=lightweight_counters.LightweightCounters(
+                self.metrics_registry
+            ),
             timing=CONNECTION_TIMING,
         )
         self.leader_client = leader_clients.LeaderClient(
             self.network, settings.replicas.addresses(), self.log
         )
         self.client_server = server.Server(
-            self._answer, lambda: self.leader_client.leader.limits
+            self._answer,
+            lambda: self.leader_client.leader.limits,
+            handler_errors.count_and_log(self.metrics_registry, "clients"),
         )
         self.readiness_server = server.Server(self._answer_ready)
-        self.metrics_registry = lightweight_metrics.MetricsRegistry()
         self.metrics_server = metrics.make_server(self.metrics_registry)
 
     @classmethod
--- a/turmerichall/http1/handler_errors.py
+++ b/turmerichall/http1/handler_errors.py
@@ -1,11 +1,13 @@
 """Reports of errors that the handlers of a server raise."""
 
 from collections.abc import Callable
+import time
 import traceback
 
 from turmerichall.http1 import message
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import logs
+from turmerichall.telemetry import repeat_limit
 
 __all__ = ["OnError", "count_and_log", "log_error"]
 
@@ -30,15 +32,18 @@
 def count_and_log(
     metrics_registry: lightweight_metrics.MetricsRegistry, server: str
 ) -> OnError:
-    """Return a callback that also counts the errors.
+    """Return a callback that counts all errors and logs some of them.
 
     Args:
         metrics_registry: Receives the counter `handler_errors`.
         server: Name of the server, a label of the counter.
     """
 
+    limit = repeat_limit.RepeatLimit()
+
     def report(request: message.Request, error: Exception) -> None:
         metrics_registry.count("handler_errors", server=server)
-        log_error(request, error)
+        if limit.count(time.monotonic()):
+            log_error(request, error)
 
     return report
--- a/turmerichall/http1/metrics.py
+++ b/turmerichall/http1/metrics.py
@@ -1,5 +1,6 @@
 """HTTP endpoint for the metrics of a process."""
 
+from turmerichall.http1 import handler_errors
 from turmerichall.http1 import message
 from turmerichall.http1 import server
 from turmerichall.telemetry import lightweight_metrics
@@ -17,4 +18,7 @@
             200, metrics_registry.exposition(), {"content-type": "text/plain"}
         )
 
-    return server.Server(answer)
+    return server.Server(
+        answer,
+        on_error=handler_errors.count_and_log(metrics_registry, "metrics"),
+    )
