Ping a peer while a long answer arrives from it

Callers saw: a call whose answer takes longer than the receive timeout, 2 s between replicas and 0.5 MB at 2 Mbit/s, ended with "connection lost before the answer" if nothing else was sent on the connection.

Cause: the dialer pinged only while nothing arrived. While parts of a long answer arrive and no other call is made, the end that sends them hears nothing and closes the connection. The time to the next ping was also computed as a difference that rounds to no wait at all on a clock that only moves in waits, as that of the tests.

The dialer now pings as well while it has sent nothing, and waits until a point in time.

Evidence: `test_long_message_alone` sends and receives 5 MiB at 2 Mbit/s with a timeout of 0.8 s and nothing besides. It fails without the pings while nothing is sent, both for echoes and for answers alone, and passes with them.

--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -167,6 +167,7 @@
         self.pending_calls: dict[int, _PendingCall] = {}
         self.scope = trio.CancelScope()
         self.last_received_at = -float("inf")
+        self._last_sent_at = -float("inf")
         self._next_call_number = 1
         self._queue = send_queue.SendQueue()
 
@@ -289,7 +290,7 @@
     async def _exchange_frames(self, connection: envelope.Connection) -> None:
         self._queue.max_message_bytes = connection.peer_max_message_bytes
         self.connected = True
-        self.last_received_at = trio.current_time()
+        self.last_received_at = self._last_sent_at = trio.current_time()
         self.on_received(self.peer)
         try:
             async with trio.open_nursery() as nursery:
@@ -314,6 +315,7 @@
         while True:
             batch = await self._queue.take()
             await connection.send(batch.data)
+            self._last_sent_at = trio.current_time()
             self._restart_timeout(batch.call_number)
 
     async def _read(self, connection: envelope.Connection) -> None:
@@ -350,19 +352,24 @@
             pending.resolve(outcomes.Refusal(reason, detail))
 
     async def _keep_alive(self) -> None:
-        """Ping the peer while nothing arrives from it.
+        """Ping the peer while nothing arrives from it, or is sent to it.
+
+        While a long answer arrives, the peer may have nothing else from which
+        to tell that this end is alive.
 
         Raises:
             PeerError: Nothing has arrived for `receive_timeout_seconds`; this
                 ends the connection.
         """
+        timing = self.timing
         while True:
-            idle = trio.current_time() - self.last_received_at
-            ping_after = self.timing.ping_after_seconds
-            if idle >= self.timing.receive_timeout_seconds:
+            now = trio.current_time()
+            if now >= self.last_received_at + timing.receive_timeout_seconds:
                 raise errors.PeerError("nothing arrives on it")
-            if idle >= ping_after:
+            idle_since = min(self.last_received_at, self._last_sent_at)
+            ping_at = idle_since + timing.ping_after_seconds
+            if now >= ping_at:
                 self.enqueue(envelope.Envelope(envelope.FrameKind.PING))
-                await trio.sleep(ping_after / 2)
+                await trio.sleep(timing.ping_after_seconds / 2)
             else:
-                await trio.sleep(ping_after - idle)
+                await trio.sleep_until(ping_at)
--- a/turmerichall/peers/tests/test_long_messages.py
+++ b/turmerichall/peers/tests/test_long_messages.py
@@ -18,6 +18,8 @@
 CALL_SECONDS = 20.0
 LONG = bytes(range(256)) * (20 * 1024)
 MEGABYTE = 1024 * 1024
+# 2 Mbit/s.
+SLOW_BYTES_PER_SECOND = 250_000.0
 
 
 class _Log:
@@ -139,40 +141,48 @@
         await self.stream.aclose()
 
 
+async def _connect_slowly(
+    nursery: trio.Nursery, log: _Log, monkeypatch: pytest.MonkeyPatch
+) -> network.Network:
+    """Return an instance with a slow connection to another one, `b`."""
+    near, far = (
+        trio.StapledStream(
+            _SlowStream(end.send_stream, SLOW_BYTES_PER_SECOND),
+            end.receive_stream,
+        )
+        for end in trio.testing.memory_stream_pair()
+    )
+
+    async def connect(*_: object) -> trio.abc.Stream:
+        await trio.lowlevel.checkpoint()
+        return near
+
+    monkeypatch.setattr(trio, "open_tcp_stream", connect)
+    timing = link.ConnectionTiming(1.0, 2.0, 1.0, 0.5)
+    left = network.Network("a", KEY, log=log, timing=timing)
+    right = network.Network("b", KEY, log=log, timing=timing)
+    right.handle("echo", _echo)
+    right.handle("grow", _grow)
+    nursery.start_soon(left.run)
+    # pylint: disable-next=protected-access
+    nursery.start_soon(right._accept, far)  # type: ignore[arg-type]
+    await trio.testing.wait_all_tasks_blocked()
+    left.set_addresses({"b": "b:1"})
+    await trio.sleep(0.1)
+    return left
+
+
 class TestSlowConnection:
     """The timeout of a call ended before a long message had been sent."""
 
-    async def test_long_call_is_answered_while_pings_are(
+    async def test_long_call_is_answered_while_short_ones_are(
         self,
         nursery: trio.Nursery,
         autojump_clock: trio.testing.MockClock,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        ends = trio.testing.memory_stream_pair()
-        rate = 250_000.0
-        near, far = (
-            trio.StapledStream(
-                _SlowStream(end.send_stream, rate), end.receive_stream
-            )
-            for end in ends
-        )
-
-        async def connect(*_: object) -> trio.abc.Stream:
-            await trio.lowlevel.checkpoint()
-            return near
-
-        monkeypatch.setattr(trio, "open_tcp_stream", connect)
-        timing = link.ConnectionTiming(1.0, 2.0, 1.0, 0.5)
         log = _Log()
-        left = network.Network("a", KEY, log=log, timing=timing)
-        right = network.Network("b", KEY, log=log, timing=timing)
-        right.handle("echo", _echo)
-        nursery.start_soon(left.run)
-        # pylint: disable-next=protected-access
-        nursery.start_soon(right._accept, far)  # type: ignore[arg-type]
-        await trio.testing.wait_all_tasks_blocked()
-        left.set_addresses({"b": "b:1"})
-        await trio.sleep(0.1)
+        left = await _connect_slowly(nursery, log, monkeypatch)
         began_at = trio.current_time()
         delays: list[float] = []
 
@@ -181,7 +191,8 @@
             nursery.cancel_scope.cancel()
 
         nursery.start_soon(call_long)
-        while trio.current_time() < began_at + 2 * len(LONG) / rate:
+        seconds = 2 * len(LONG) / SLOW_BYTES_PER_SECOND
+        while trio.current_time() < began_at + seconds:
             sent_at = trio.current_time()
             assert await left.call("b", "echo", b"x", 0.8) == b"x"
             delays.append(trio.current_time() - sent_at)
@@ -189,6 +200,24 @@
         assert max(delays) < 0.5
         assert not log.warnings
 
+    # The end that only sends heard nothing for too long and closed the
+    # connection, because the other end pinged only while it received nothing.
+    @pytest.mark.parametrize("kind", ["echo", "grow"])
+    async def test_long_message_alone(
+        self,
+        nursery: trio.Nursery,
+        autojump_clock: trio.testing.MockClock,
+        monkeypatch: pytest.MonkeyPatch,
+        kind: str,
+    ) -> None:
+        log = _Log()
+        left = await _connect_slowly(nursery, log, monkeypatch)
+        body = LONG if kind == "echo" else str(len(LONG)).encode()
+        answer = await left.call("b", kind, body, 0.8)
+        nursery.cancel_scope.cancel()
+        assert isinstance(answer, bytes) and len(answer) == len(LONG)
+        assert not log.warnings
+
 
 def _frames_of(message: envelope.Envelope) -> list[envelope.Envelope]:
     """Return the frames in which a message leaves."""
