--- a/turmerichall/platform/client_requests.py
+++ b/turmerichall/platform/client_requests.py
@@ -156,6 +156,7 @@
     outcomes.RefusalReason.UNKNOWN_SERVICE: 404,
     outcomes.RefusalReason.UNKNOWN_NAME: 410,
     outcomes.RefusalReason.MALFORMED: 400,
+    outcomes.RefusalReason.TOO_LARGE: 413,
     outcomes.RefusalReason.OVERLOADED: 429,
     outcomes.RefusalReason.DEADLINE: 429,
     outcomes.RefusalReason.NEVER_FITS: 429,
