Hand over the vote of a replica that stops

Cause: a caught-up successor stayed a learner until a voter had been silent for 5 s, longer than catch_up_s, and a drain left the vote where it was, so two of three voters were gone.

A replica that gets SIGTERM now tells all others, and runs until a learner has its vote, or the grace less 1.25 s is over. It becomes a learner, which takes the next free vote if it returns. Without a learner a stop does not wait. Each change is still of one member, committed before the next, and is begun only if a majority of the voters after it answers.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: bench-control-io bench-dispatch bench-in-force venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-capacity
+.PHONY: bench-control-io bench-dispatch bench-in-force venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-losses bench-capacity
 
 venv: $(VENV)/.ready
 
@@ -45,6 +45,9 @@
 bench-history: venv
 	$(BIN)/python -m turmerichall.benchmarks.history --seeds 100
 
+bench-losses: venv
+	$(BIN)/python -m turmerichall.benchmarks.losses --seeds 10000
+
 bench-in-force: venv
 	$(BIN)/python -m turmerichall.benchmarks.in_force
 
--- a/turmerichall/agreement/member.py
+++ b/turmerichall/agreement/member.py
@@ -102,19 +102,28 @@
     members: Members,
     caught_up: frozenset[str],
     max_voters: int = 0,
-    unresponsive: frozenset[str] = frozenset(),
+    departing: tuple[str, ...] = (),
+    unresponsive: tuple[str, ...] = (),
+    leader: str = "",
+    lapsed: frozenset[str] = frozenset(),
 ) -> Members | None:
-    """Return the next membership change for learners that have caught up.
+    """Return the next membership change, if one is due.
 
-    If a learner replaces a lost disk, the voter with that disk is removed
-    first; then the learner is promoted to a voter.
+    A voter whose disk is lost, or that does not answer, is removed or demoted
+    before a learner is promoted in its place: otherwise the loss of that
+    learner in the next moment would leave half of an even number of voters.  A
+    voter that still answers and is about to stop is demoted last, so that the
+    loss of another voter leaves a majority at each step.
 
     Args:
         members: The current members.
         caught_up: Identities of the learners that have caught up.
         max_voters: Number of voters at which further learners wait until a
-            voter is unresponsive and can be replaced; 0 for no limit.
-        unresponsive: Identities of the voters that may be replaced.
+            voter can be replaced; 0 for no limit.
+        departing: Identities of the voters that answer and are about to stop.
+        unresponsive: Identities of the voters that do not answer.
+        leader: Identity of the leader, which stays a voter.
+        lapsed: Identities of the learners to remove.
 
     Returns:
         The members after the change; None if no change is due.
@@ -131,31 +140,61 @@
         >>> other = Member("b", "2", "", False)
         >>> next_change((old, other), frozenset(["2"]), 1) is None
         True
-        >>> next_change((old, other), frozenset(["2"]), 1, frozenset(["1"]))
-        (Member(name='b', identity='2', address='', voter=False),)
+        >>> both = next_change((old, other), frozenset(["2"]), 1, ("1",))
+        >>> [each.voter for each in both]
+        [True, True]
+        >>> after = next_change(both, frozenset(), 1, ("1",))
+        >>> [each.voter for each in after]
+        [False, True]
+        >>> after = next_change((old, other), frozenset(["2"]), 1, (), ("1",))
+        >>> [each.voter for each in after]
+        [False, False]
     """
+    count = len(voters(members))
+    # An even number of voters bears no more losses than one voter less.
+    if 0 < max_voters < count and count % 2 == 0:
+        wanted = departing + unresponsive
+        return _demote(members, _surplus_voter(members, wanted, leader))
+    full = 0 < max_voters <= count
     for learner in learners(members):
         if learner.identity not in caught_up:
             continue
         for other in with_name(members, learner.name):
             if other.identity != learner.identity:
                 return without(members, other.identity)
-        if max_voters and len(voters(members)) >= max_voters:
-            replaceable = [
-                each
-                for each in voters(members)
-                if each.identity in unresponsive
-            ]
-            return (
-                without(members, replaceable[0].identity)
-                if replaceable
-                else None
-            )
+        if full and not departing:
+            replaced = [find(members, each) for each in unresponsive[:1]]
+            if replaced and replaced[0] is not None:
+                return _demote(members, replaced[0])
+            continue
         promoted = learner._replace(voter=True)
         return without(members, learner.identity) + (promoted,)
+    for learner in learners(members):
+        if max_voters and learner.identity in lapsed:
+            return without(members, learner.identity)
     return None
 
 
+def _surplus_voter(
+    members: Members, wanted: tuple[str, ...], leader: str
+) -> Member:
+    """Return the voter to demote: the first wanted one, or the newest."""
+    for identity in wanted:
+        found = find(members, identity)
+        if found is not None and found.voter:
+            return found
+    others = [each for each in voters(members) if each.identity != leader]
+    lost = [each for each in others if len(with_name(members, each.name)) > 1]
+    return (lost or others)[-1]
+
+
+def _demote(members: Members, voter: Member) -> Members:
+    return tuple(
+        each._replace(voter=False) if each == voter else each
+        for each in members
+    )
+
+
 def without(members: Members, identity: str) -> Members:
     """Return the members except the one with an identity."""
     return tuple(member for member in members if member.identity != identity)
--- a/turmerichall/agreement/membership.py
+++ b/turmerichall/agreement/membership.py
@@ -12,6 +12,7 @@
 
 from turmerichall import errors
 from turmerichall import outcomes
+from turmerichall.agreement import availability
 from turmerichall.agreement import member
 from turmerichall.agreement import message
 from turmerichall.agreement import replica_state
@@ -20,11 +21,7 @@
 
 __all__ = ["Membership"]
 
-# A learner that lacks at most this many entries counts as caught up.
-MAX_LEARNER_LAG_ENTRIES = 100
 BOOTSTRAP_TERM = 1
-# A learner may replace a voter that has not answered for this long.
-REPLACE_VOTER_AFTER_SECONDS = 5.0
 BOOTSTRAP_INDEX = 1
 # Election timeouts without a leader after which a voter asks whether it still
 # is a member.
@@ -41,6 +38,7 @@
         bootstrap_members: Addresses of the initial members by name.
         max_voters: Number of voters up to which replicas join automatically;
             0 if operators add and remove replicas.
+        availability: Which members this replica can count on as the leader.
     """
 
     def __init__(
@@ -56,6 +54,7 @@
         self.replication = own_replication
         self.snapshots = own_snapshots
         self.bootstrap_members = bootstrap_members
+        self.availability = availability.Availability(state)
         self._changing = trio.Lock()
 
     async def run(self) -> None:
@@ -72,8 +71,10 @@
                 await trio.sleep(period * state.rng.uniform(0.5, 1.0))
         while True:
             member.update_addresses(state.network, state.members)
+            self.availability.observe()
             if state.role == replica_state.Role.LEADER:
-                await self._advance_membership()
+                while await self._advance_membership():
+                    pass
             elif self._may_have_been_dropped():
                 await self._bootstrap_or_join()
                 await trio.sleep(period)
@@ -102,8 +103,20 @@
         names.discard(self.state.name)
         answers: dict[str, message.IdentifyReply | None] = {}
         async with trio.open_nursery() as nursery:
+
+            async def ask(name: str) -> None:
+                await self._identify(name, answers)
+                answer = answers[name]
+                if answer is not None and answer.cluster:
+                    # To wait for seeds that are down would delay the join.
+                    nursery.cancel_scope.deadline = min(
+                        nursery.cancel_scope.deadline,
+                        trio.current_time()
+                        + self.state.timing.heartbeat_seconds / 2,
+                    )
+
             for name in sorted(names):
-                nursery.start_soon(self._identify, name, answers)
+                nursery.start_soon(ask, name)
         found = [answer for answer in answers.values() if answer is not None]
         for each in found:
             member.update_addresses(self.state.network, each.members)
@@ -239,42 +252,27 @@
         )
         return await self._commit(members, members + (learner,))
 
-    async def _advance_membership(self) -> None:
+    async def _advance_membership(self) -> bool:
+        """Commit the next change that is due; return whether it succeeded."""
         state = self.state
         members = state.members
-        now = trio.current_time()
-        caught_up = set()
-        for learner in member.learners(members):
-            progress = state.progress.get(learner.identity)
-            if progress is None:
-                continue
-            lag_is_small = (
-                progress.match
-                >= state.raft_log.last_index - MAX_LEARNER_LAG_ENTRIES
-            )
-            recent = (
-                now - progress.acked_sent_at < state.timing.election_seconds
-            )
-            if progress.match > 0 and lag_is_small and recent:
-                caught_up.add(learner.identity)
         changed = member.next_change(
             members,
-            frozenset(caught_up),
+            self.availability.caught_up(),
             self.max_voters,
-            self._unresponsive_voters(),
-        )
-        if changed is not None:
-            await self._commit(members, changed)
-
-    def _unresponsive_voters(self) -> frozenset[str]:
-        """Return the identities of members that no longer answer the leader."""
-        state = self.state
-        now = trio.current_time()
-        return frozenset(
-            identity
-            for identity, progress in state.progress.items()
-            if now - progress.acked_sent_at > REPLACE_VOTER_AFTER_SECONDS
+            self.availability.departing_voters(),
+            self.availability.unresponsive_voters(),
+            state.identity,
+            self.availability.lapsed_learners(),
         )
+        # A change that no majority of the new voters answers would leave a
+        # cluster that can't commit.
+        if changed is None or not availability.has_live_majority(
+            state, changed
+        ):
+            return False
+        outcome = await self._commit(members, changed)
+        return outcome.kind == message.OutcomeKind.RESULT
 
     async def _commit(
         self, before: member.Members, after: member.Members
@@ -303,8 +301,17 @@
             index = self.replication.append_entry(
                 message.EntryKind.MEMBERS, data
             )
-            names = [f"{each.name}:{each.identity[:8]}" for each in after]
-            state.log.info("members change", index=index, members=names)
+            names = [
+                f"{each.name}:{each.identity[:8]}"
+                for each in member.voters(after) + member.learners(after)
+            ]
+            count = len(member.voters(after))
+            state.log.info(
+                "members change",
+                index=index,
+                voters=names[:count],
+                learners=names[count:],
+            )
             deadline = trio.current_time() + state.timing.election_seconds
             await state.commit_advanced.wait_for(
                 lambda: state.commit >= index or state.term != term, deadline
@@ -370,20 +377,9 @@
                 outcomes.RefusalReason.UNKNOWN_NAME, f"{name} is not a member"
             )
         after = member.without(members, removed[0].identity)
-        if not self._has_live_majority(after):
+        if not availability.has_live_majority(state, after):
             return state.refuse(
                 outcomes.RefusalReason.NO_QUORUM,
                 f"no majority of the other voters answers; can't remove {name}",
             )
         return await self._commit(members, after)
-
-    def _has_live_majority(self, members: member.Members) -> bool:
-        state = self.state
-        recent = trio.current_time() - state.timing.election_seconds
-        voters = member.voters(members)
-        live = sum(
-            voter.identity == state.identity
-            or state.answered_at(voter) > recent
-            for voter in voters
-        )
-        return live > len(voters) // 2
--- a/turmerichall/agreement/message.py
+++ b/turmerichall/agreement/message.py
@@ -15,6 +15,7 @@
     "AppendReply",
     "Barrier",
     "ChangeMembers",
+    "Departing",
     "Entry",
     "EntryKind",
     "Follow",
@@ -347,6 +348,16 @@
     address: str
 
 
+class Departing(NamedTuple):
+    """Notice of a replica that it is about to stop.
+
+    Attributes:
+        identity: Identity of its disk.
+    """
+
+    identity: str
+
+
 def encode(value: NamedTuple) -> bytes:
     """Encode a message or an entry."""
     return msgspec.msgpack.encode(value)
--- a/turmerichall/agreement/replica.py
+++ b/turmerichall/agreement/replica.py
@@ -2,7 +2,7 @@
 
 import pathlib
 import random
-from collections.abc import Awaitable, Callable, Iterator, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import trio
@@ -11,9 +11,11 @@
 from turmerichall import outcomes
 from turmerichall.agreement import append_handler
 from turmerichall.agreement import applier
+from turmerichall.agreement import departure
 from turmerichall.agreement import disk_recovery
 from turmerichall.agreement import election
 from turmerichall.agreement import entry_log
+from turmerichall.agreement import failure
 from turmerichall.agreement import log_stream
 from turmerichall.agreement import member
 from turmerichall.agreement import membership
@@ -171,31 +173,25 @@
             task_status.started()
             await self._observe_out_of_consensus(state.folder)
         while True:
-            failure = await self._run_until_failure(task_status)
+            reason = await self._run_until_failure(task_status)
             task_status = trio.TASK_STATUS_IGNORED
             led = state.role == replica_state.Role.LEADER
-            self._stop(failure)
+            self._stop(reason)
             if led:
                 await self._replication.name_successor()
-            if not isinstance(failure, errors.DiskError):
+            if not isinstance(reason, errors.DiskError):
                 # It was removed, or its data is damaged.
                 await self._observe_out_of_consensus(state.folder)
             await self._rejoin(state.folder)
 
     async def _run_until_failure(self, task_status: Any) -> errors.StorageError:
         """Take part in consensus; return the error that ended it."""
-        failures: list[errors.StorageError] = []
+        ended_by: list[errors.StorageError] = []
         try:
             await self._run_consensus(task_status)
         except* errors.StorageError as group:
-            failures = list(_leaves(group))
-        # A removed replica must not rejoin when its disk fails as well.
-        lasting = [
-            failure
-            for failure in failures
-            if not isinstance(failure, errors.DiskError)
-        ]
-        return (lasting or failures)[0]
+            ended_by.append(failure.main_failure(group))
+        return ended_by[0]
 
     async def _rejoin(self, folder: data_folder.DataFolder) -> None:
         """Observe until the disk works, then become a follower."""
@@ -263,6 +259,7 @@
         self._register("snapshot_part", self._snapshots.on_snapshot_part)
         self._register("follow", stream_server.on_follow)
         self._register("join", self._membership.on_join)
+        self._register("departing", self._membership.availability.on_departing)
         self._register("propose", self._proposer.on_propose)
         self._register("barrier", self._proposer.on_barrier)
         self._register("change_members", self._proposer.on_change_members)
@@ -466,6 +463,19 @@
             lambda: own_proposer.pending == 0, deadline
         )
 
+    async def hand_over_vote(self, timeout_seconds: float) -> bool:
+        """Give the vote of this replica to a learner, before a planned stop.
+
+        Args:
+            timeout_seconds: How long to wait for a learner to take it over.
+
+        Returns:
+            Whether the cluster does not count on the vote of this replica.
+        """
+        return await departure.Departure(
+            self.state, self._replication, self._membership.availability
+        ).hand_over_vote(timeout_seconds)
+
     async def wait_applied(self, index: int) -> None:
         """Wait until all entries up to an index are applied here."""
         state = self.state
@@ -493,14 +503,3 @@
             state.recovered,
             state.diverged_at,
         )
-
-
-def _leaves(
-    error: errors.StorageError | BaseExceptionGroup[errors.StorageError],
-) -> Iterator[errors.StorageError]:
-    """Yield the exceptions in nested exception groups."""
-    if isinstance(error, BaseExceptionGroup):
-        for each in error.exceptions:
-            yield from _leaves(each)
-    else:
-        yield error
--- a/turmerichall/agreement/tests/cluster.py
+++ b/turmerichall/agreement/tests/cluster.py
@@ -24,6 +24,7 @@
     Attributes:
         cut: Pairs (sender, receiver) between which messages are lost.
         networks: Networks of the running instances, by name.
+        silent: Instances without power, so that calls to them time out.
     """
 
     def __init__(self, nursery: trio.Nursery, rng: random.Random):
@@ -31,6 +32,7 @@
         self.rng = rng
         self.cut: set[tuple[str, str]] = set()
         self.networks: dict[str, "MemoryNetwork"] = {}
+        self.silent: set[str] = set()
 
     def isolate(self, name: str, others: set[str]) -> None:
         """Cut the connections of an instance to others in both directions."""
@@ -67,6 +69,9 @@
             await trio.sleep(timeout_seconds)
             return outcomes.Refusal(outcomes.RefusalReason.TIMEOUT)
         if instance not in hub.networks:
+            if instance in hub.silent:
+                await trio.sleep(timeout_seconds)
+                return outcomes.Refusal(outcomes.RefusalReason.TIMEOUT)
             await trio.sleep(0.001)
             return outcomes.Refusal(outcomes.RefusalReason.UNREACHABLE)
         answers: list[bytes | outcomes.Refusal] = []
@@ -155,6 +160,7 @@
         machines: Their state machines by name.
         zones: Zones of the listed instances by name.
         logs: Logs by name, kept when an instance is started again.
+        max_voters: See `replica.Replica`.
     """
 
     def __init__(
@@ -165,6 +171,7 @@
         timing: replica_state.Timing = replica_state.Timing(),
         machine: Callable[[], replica_state.StateMachine] = KeyValueMachine,
         log: Callable[[], link.Log] = NullLog,
+        max_voters: int = 0,
     ):
         self.nursery = nursery
         self.rng = random.Random(seed)
@@ -172,6 +179,7 @@
         self.timing = timing
         self.new_machine = machine
         self.new_log = log
+        self.max_voters = max_voters
         self.logs: dict[str, link.Log] = {}
         self.names = [chr(ord("a") + number) for number in range(size)]
         self.addresses = {name: f"{name}:1" for name in self.names}
@@ -203,6 +211,7 @@
             files,
             random.Random(self.rng.random()),
             zones=lambda: self.zones,
+            max_voters=self.max_voters,
         )
         self.hub.networks[name] = network
         self.machines[name] = machine
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -44,6 +44,8 @@
 # Time between the transfer of leadership in a drain and the close of
 # connections.
 DRAIN_NOTICE_SECONDS = 0.5
+# Part of the grace of a stop that is kept for the close of connections.
+CLOSE_SECONDS = 1.25
 
 
 class ReplicaDaemon:
@@ -138,9 +140,19 @@
         self.log.info("stopped")
 
     async def drain(self) -> None:
-        """Transfer leadership to another replica, then close connections."""
+        """Hand over leadership and the vote, then close connections.
+
+        The vote is handed over if a learner can take it.  A stop for a restart
+        can't be told from one for good.
+        """
+        grace = self.settings.timing.grace_seconds
+        deadline = trio.current_time() + grace - CLOSE_SECONDS
         await self.replica.transfer_leadership(1.0)
-        await trio.sleep(DRAIN_NOTICE_SECONDS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self.replica.hand_over_vote, deadline - trio.current_time()
+            )
+            await trio.sleep(DRAIN_NOTICE_SECONDS)
         await self.control.stop()
 
     def _is_work_under_way(self) -> bool:
--- a/turmerichall/dispatch/replica_gauges.py
+++ b/turmerichall/dispatch/replica_gauges.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 
+from turmerichall.agreement import availability
 from turmerichall.agreement import member
 from turmerichall.agreement import replica as replicas
 from turmerichall.agreement import replica_state
@@ -76,3 +77,13 @@
         "Number of voters.",
         lambda: len(member.voters(state.members)),
     )
+    add_gauge(
+        "replica_learners",
+        "Number of replicas that don't vote, such as standbys.",
+        lambda: len(member.learners(state.members)),
+    )
+    add_gauge(
+        "replica_losses_borne",
+        "Further voters that may be lost, as the leader sees it; -1 elsewhere.",
+        lambda: availability.losses_borne(state),
+    )
--- a/turmerichall/dispatch/tests/test_nothing_served.py
+++ b/turmerichall/dispatch/tests/test_nothing_served.py
@@ -153,6 +153,8 @@
                 "leader_work": 1,
                 "stopped": 0,
                 "voters": 3,
+                "learners": 0,
+                "losses_borne": 1,
             }
             assert status.term > 0 and status.commit > 1
             for name in site.others(leader):
--- a/turmerichall/dispatch/tests/test_replica_daemon.py
+++ b/turmerichall/dispatch/tests/test_replica_daemon.py
@@ -35,6 +35,8 @@
             "leader_work",
             "leads",
             "leads_current",
+            "learners",
+            "losses_borne",
             "quorum_age_seconds",
             "stopped",
             "term",
