--- a/turmerichall/agreement/disk_recovery.py
+++ b/turmerichall/agreement/disk_recovery.py
@@ -1,13 +1,12 @@
 """Data folders that may lack applied changes, and disks that work again."""
 
-from collections.abc import Iterator
-
 import trio
 
 from turmerichall import errors
 from turmerichall.agreement import replica_state
 from turmerichall.agreement import snapshots
 from turmerichall.storage import data_folder
+from turmerichall.supervision import failure as failures
 from turmerichall.telemetry import repeat_limit
 
 __all__ = ["DiskRecovery", "decisive_failure", "run_journal"]
@@ -116,21 +115,10 @@
     Args:
         group: The failures that ended its part in consensus.
     """
-    failures = list(_leaves(group))
-    lasting = [
-        failure
-        for failure in failures
-        if not isinstance(failure, errors.DiskError)
+    found = [
+        each
+        for each in failures.leaves(group)
+        if isinstance(each, errors.StorageError)
     ]
-    return (lasting or failures)[0]
-
-
-def _leaves(
-    error: errors.StorageError | BaseExceptionGroup[errors.StorageError],
-) -> Iterator[errors.StorageError]:
-    """Yield the exceptions in nested exception groups."""
-    if isinstance(error, BaseExceptionGroup):
-        for each in error.exceptions:
-            yield from _leaves(each)
-    else:
-        yield error
+    lasting = [each for each in found if not isinstance(each, errors.DiskError)]
+    return (lasting or found)[0]
--- a/turmerichall/agreement/message.py
+++ b/turmerichall/agreement/message.py
@@ -16,6 +16,7 @@
     "Barrier",
     "CRITICAL_KINDS",
     "ChangeMembers",
+    "Departing",
     "Entry",
     "EntryKind",
     "Follow",
@@ -354,6 +355,16 @@
     address: str
 
 
+class Departing(NamedTuple):
+    """Notice of a replica that it is about to stop.
+
+    Attributes:
+        identity: Identity of its disk.
+    """
+
+    identity: str
+
+
 def encode(value: NamedTuple) -> bytes:
     """Encode a message or an entry."""
     return msgspec.msgpack.encode(value)
--- a/turmerichall/agreement/tests/cluster.py
+++ b/turmerichall/agreement/tests/cluster.py
@@ -25,6 +25,7 @@
         cut: Pairs (sender, receiver) between which messages are lost.
         networks: Networks of the running instances, by name.
         bytes_per_second: Rate of each message; messages don't share it.
+        silent: Instances without power, so that calls to them time out.
     """
 
     def __init__(self, nursery: trio.Nursery, rng: random.Random):
@@ -33,6 +34,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.networks: dict[str, "MemoryNetwork"] = {}
         self.bytes_per_second = float("inf")
+        self.silent: set[str] = set()
 
     def isolate(self, name: str, others: set[str]) -> None:
         """Cut the connections of an instance to others in both directions."""
@@ -76,6 +78,9 @@
             await trio.sleep(timeout_seconds)
             return outcomes.Refusal(outcomes.RefusalReason.TIMEOUT)
         if instance not in hub.networks:
+            if instance in hub.silent:
+                await trio.sleep(timeout_seconds)
+                return outcomes.Refusal(outcomes.RefusalReason.TIMEOUT)
             await trio.sleep(0.001)
             return outcomes.Refusal(outcomes.RefusalReason.UNREACHABLE)
         answers: list[bytes | outcomes.Refusal] = []
@@ -165,6 +170,7 @@
         machines: Their state machines by name.
         zones: Zones of the listed instances by name.
         logs: Logs by name, kept when an instance is started again.
+        max_voters: See `replica.Replica`.
     """
 
     def __init__(
@@ -175,6 +181,7 @@
         timing: replica_state.Timing = replica_state.Timing(),
         machine: Callable[[], replica_state.StateMachine] = KeyValueMachine,
         log: Callable[[], link.Log] = NullLog,
+        max_voters: int = 0,
     ):
         self.nursery = nursery
         self.rng = random.Random(seed)
@@ -182,6 +189,7 @@
         self.timing = timing
         self.new_machine = machine
         self.new_log = log
+        self.max_voters = max_voters
         self.logs: dict[str, link.Log] = {}
         self.names = [chr(ord("a") + number) for number in range(size)]
         self.addresses = {name: f"{name}:1" for name in self.names}
@@ -213,6 +221,7 @@
             files,
             random.Random(self.rng.random()),
             zones=lambda: self.zones,
+            max_voters=self.max_voters,
         )
         self.hub.networks[name] = network
         self.machines[name] = machine
--- a/turmerichall/dispatch/tests/test_nothing_served.py
+++ b/turmerichall/dispatch/tests/test_nothing_served.py
@@ -159,6 +159,8 @@
                 "snapshot_bytes": len(content["snapshot"]),
                 "disk_peak_bytes": 2 * used,
                 "disk_pressure": 0,
+                "learners": 0,
+                "losses_borne": 1,
             }
             assert status.term > 0 and status.commit > 1
             for name in site.others(leader):
