Mend what the review of the incident found

A reviewer who had not seen the work ran these against the merged code:

- One job of 10,000 tasks and 2**62 occurrences took 1 GB; the bound was on groups of tasks.
An occurrence now waits while 1,000 others of its job, or 20,000 tasks, are not finished; an omitted interval is accepted again.
- A heartbeat with clock_ms 2**53 - 1 kept a start open for good and leases from running out.
Leases go by answers of the worker alone.
- An address with an IPv6 scope of 4 MB was accepted; connections use IPv4.
- After a failure in processing an answer, the next polls renewed the lease, so the tasks never moved.
It is renewed after a whole answer was processed.
- 800 checkpoints of 4,096 four-byte characters exceeded a change; they are bounded to 1,024 characters.
- Job ids with dots could not be told from names of tasks; they get 400.
- Log lines about evacuations and handlers held whole messages.

--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -7,7 +7,7 @@
 from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
 
-__all__ = ["Backlog", "GroupName", "TaskGroup"]
+__all__ = ["Backlog", "GroupName", "TaskGroup", "may_begin"]
 
 # Time for which a task that urgent tasks preempted is not restarted: an urgent
 # task runs for about a second, and others follow it.
@@ -109,8 +109,20 @@
         return changes.TaskName(name.job, name.occurrence, name.step, index)
 
 
-# Number of groups from which no further occurrence of a job is added at once.
-MAX_GROUPS_ADDED = 1000
+# Bounds on the occurrences of one job that are not finished, and on their tasks,
+# from which a further one waits although it is due.
+MAX_OPEN_OCCURRENCES = 1000
+MAX_OPEN_TASKS = 20_000
+
+
+def may_begin(job: states.Job) -> bool:
+    """Return whether one more occurrence of a job may be added."""
+    unfinished = len(job.occurrences) - job.finished
+    tasks = sum(step.count for step in job.demand.steps)
+    return unfinished <= 0 or (
+        unfinished < MAX_OPEN_OCCURRENCES
+        and (unfinished + 1) * tasks <= MAX_OPEN_TASKS
+    )
 
 
 class Backlog:
@@ -130,17 +142,16 @@
         """Add those steps of due occurrences whose dependencies are done.
 
         Called when the job is accepted and when a leader's term begins.  Of a
-        job with thousands of due occurrences, only the first are added.
+        job with thousands of due occurrences, the first are added.
 
         Returns:
             The number of occurrences that are added.
         """
         schedule = job.demand.schedule
-        added_before = len(self.groups)
         for occurrence in range(job.demand.occurrences):
             if schedule and schedule.due_at_ms(occurrence) > now_ms:
                 return occurrence
-            if len(self.groups) - added_before >= MAX_GROUPS_ADDED:
+            if occurrence not in job.occurrences and not may_begin(job):
                 return occurrence
             self.add_occurrence(job, occurrence)
         return job.demand.occurrences
--- a/turmerichall/dispatch/recurring_jobs.py
+++ b/turmerichall/dispatch/recurring_jobs.py
@@ -45,7 +45,9 @@
             schedule = job.demand.schedule
             if schedule is None or not job.open:
                 del self._next[job_id]
-            elif schedule.due_at_ms(occurrence) <= now_ms:
+            elif schedule.due_at_ms(occurrence) <= now_ms and (
+                backlogs.may_begin(job)
+            ):
                 self.backlog.add_occurrence(job, occurrence)
                 self._next[job_id] = occurrence + 1
                 if occurrence + 1 >= schedule.count:
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -149,10 +149,6 @@
             return True
         worker.heartbeat = heartbeat.sequence
         worker.cold_until = leases.steady_seconds() + heartbeat.cold_ms / 1000
-        if heartbeat.clock_ms >= 0 and not worker.lease.known:
-            worker.lease.record_clock(
-                heartbeat.clock_ms, leases.steady_seconds()
-            )
         if not await self._resize(worker, record.capacity):
             return False
         return not heartbeat.draining or await self._drain(worker)
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -118,6 +118,8 @@
             owner, worker
         )
         self._unanswered = False
+        # Whether processing the latest answer failed.
+        self._failed = False
         self._pause = pauses.GrowingPause(
             RETRY_SECONDS, MAX_FAILURE_PAUSE_SECONDS
         )
@@ -129,7 +131,6 @@
                 while True:
                     try:
                         await self._poll_once()
-                        self._pause.reset()
                     except errors.StorageError:
                         raise
                     # Whatever this worker caused ends only its own session.
@@ -145,7 +146,7 @@
         self.owner.failure_reporter.report(
             "session with a worker", error, worker=worker.record.id
         )
-        self._unanswered = True
+        self._unanswered = self._failed = True
         worker.record_silence(leases.steady_seconds(), False)
         await self._end_expired_runs()
         await trio.sleep(self._pause.next_seconds())
@@ -163,7 +164,7 @@
         lease = worker.lease
         # A poll without an answer may have renewed the lease, so the next one
         # does not: a worker whose answers don't arrive must lose its lease.
-        renews = lease.known and not self._unanswered
+        renews = lease.known and not self._unanswered and not self._failed
         deadline_ms = lease.grant(now) if renews else None
         wait_ms = self._wait_ms()
         status = await worker.client.poll(
@@ -177,10 +178,10 @@
             return
         lease.record_clock(status.clock_ms, arrived)
         lease.record_term_accepted()
-        if deadline_ms is None:
+        if deadline_ms is None and not self._failed:
             # This poll only read the worker's clock; the next renews the lease.
             return
-        if not worker.in_touch:
+        if deadline_ms is not None and not worker.in_touch:
             worker.record_contact()
             owner.log.info("worker in touch", worker=worker.record.id)
             owner.request_placement()
@@ -188,6 +189,10 @@
         await self._reconcile(status, now)
         await self._tail_controller.adjust()
         owner.move_stragglers(self)
+        if self._failed:
+            # A whole answer was processed, so the worker may be used again.
+            self._failed = False
+            self._pause.reset()
 
     def _wait_ms(self) -> int:
         worker = self.worker
--- a/turmerichall/dispatch/tests/test_failing_sessions.py
+++ b/turmerichall/dispatch/tests/test_failing_sessions.py
@@ -11,6 +11,7 @@
 import trio
 import trio.testing
 
+from turmerichall.dispatch import session as sessions
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch.tests import fakes
 from turmerichall.platform import http_worker_client
@@ -160,6 +161,37 @@
             await cluster.wait_until(lambda: not worker.runs, 10.0)
 
 
+class TestRaisingProcessing:
+
+    # The lease was renewed between failures, so the tasks never moved.
+    async def test_lets_the_lease_run_out(
+        self,
+        mocked_clocks: trio.testing.MockClock,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        worker, other = fakes.FakeWorker("w1"), fakes.FakeWorker("w2")
+        cluster = fakes.FakeCluster(worker, other)
+        # pylint: disable-next=protected-access
+        commit_ends = sessions.WorkerSession._commit_ends
+        failed = 0
+
+        async def fail(
+            session: sessions.WorkerSession, status: worker_client.WorkerStatus
+        ) -> None:
+            nonlocal failed
+            if session.worker.record.id == "w1" and status.ends:
+                failed += 1
+                raise OverflowError("int too large to convert to float")
+            await commit_ends(session, status)
+
+        monkeypatch.setattr(sessions.WorkerSession, "_commit_ends", fail)
+        async with _leading(cluster):
+            await cluster.submit(JOB, _demand(4))
+            await cluster.wait_for_state("completed", JOB, seconds=40.0)
+        assert 0 < failed < 30
+        assert not cluster.overlaps()
+
+
 class UnusableCluster(fakes.FakeCluster):
     """A cluster in whose log a worker with an unusable address stands."""
 
--- a/turmerichall/dispatch/worker_client.py
+++ b/turmerichall/dispatch/worker_client.py
@@ -160,7 +160,8 @@
         worker: The worker.
         draining: Whether the worker is about to leave.
         sequence: Number that grows with each heartbeat of an incarnation.
-        clock_ms: Reading of the worker's clock, or -1 if it is missing.
+        clock_ms: Reading of the worker's clock, or -1 if it is missing.  Leases
+            go by answers of the worker alone, since anybody may send this.
         cold_ms: Time for which the worker remains slow after its start, in ms.
     """
 
--- a/turmerichall/http1/address.py
+++ b/turmerichall/http1/address.py
@@ -13,7 +13,7 @@
     """Address of a server.
 
     Attributes:
-        host: IP address in its usual form.
+        host: IPv4 address in its usual form.
         port: TCP port, from 1.
     """
 
@@ -25,7 +25,7 @@
     """Parse an address that can be connected to without a name lookup.
 
     Args:
-        text: IPv4 address and port, or IPv6 address in brackets and port.
+        text: IPv4 address and port.
 
     Returns:
         The address; None if the text is anything else.
@@ -33,20 +33,14 @@
     Examples:
         >>> parse("10.0.0.9:8080")
         Address(host='10.0.0.9', port=8080)
-        >>> parse("[::1]:80").host
-        '::1'
         >>> parse("10.0.0..9:8080") is None, parse("a.example:80") is None
         (True, True)
     """
     host, _, port = text.rpartition(":")
     if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
         return None
-    ip: ipaddress.IPv4Address | ipaddress.IPv6Address
     try:
-        if host.startswith("[") and host.endswith("]"):
-            ip = ipaddress.IPv6Address(host[1:-1])
-        else:
-            ip = ipaddress.IPv4Address(host)
+        ip = ipaddress.IPv4Address(host)
     except ValueError:
         return None
     if ip.is_unspecified or ip.is_multicast:
--- a/turmerichall/peers/handler_failures.py
+++ b/turmerichall/peers/handler_failures.py
@@ -8,6 +8,9 @@
 
 __all__ = ["is_fatal", "report"]
 
+# An exception may hold the message that led to it.
+MAX_TRACEBACK_CHARS = 8000
+
 
 def is_fatal(error: Exception) -> bool:
     """Return whether an exception of a handler has to end the process.
@@ -54,7 +57,9 @@
             "handler of a message failed",
             kind=kind,
             peer=peer,
-            traceback="".join(traceback.format_exception(error)),
+            traceback="".join(traceback.format_exception(error))[
+                -MAX_TRACEBACK_CHARS:
+            ],
         )
     return outcomes.Refusal(
         outcomes.RefusalReason.TIMEOUT,
--- a/turmerichall/platform/client_requests.py
+++ b/turmerichall/platform/client_requests.py
@@ -1,5 +1,6 @@
 """HTTP requests of clients about jobs, and the responses to them."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -14,6 +15,8 @@
 
 __all__ = ["demand_from_wire", "failure_response", "handle", "to_response"]
 
+# An id stands in the names of tasks, whose parts are separated by dots.
+_JOB_ID = re.compile(r"[!-\-0-~]{1,128}")
 # Bounds on the tasks of one step, and of all steps of a job.
 MAX_TASKS = 10_000
 MAX_JOB_TASKS = 20_000
@@ -116,10 +119,8 @@
             "job.steps", f"have more than {MAX_JOB_TASKS} tasks in all"
         )
     timing = (job.repeat_count, job.start_at_ms, job.interval_ms)
-    if any(abs(value) > MAX_NUMBER for value in timing):
+    if not all(0 <= value <= MAX_NUMBER for value in timing):
         return errors.Finding("job", "a number is out of range")
-    if job.interval_ms < 1 < job.repeat_count:
-        return errors.Finding("job.interval_ms", "expected 1 or more")
     schedule = None
     if job.repeat_count > 0:
         schedule = demands.Schedule(
@@ -224,7 +225,11 @@
     job_id: str,
     request: message.Request,
 ) -> message.Response | outcomes.Refusal:
-    demand = demand_from_wire(request.body)
+    demand: demands.JobDemand | errors.Finding
+    if _JOB_ID.fullmatch(job_id):
+        demand = demand_from_wire(request.body)
+    else:
+        demand = errors.Finding("job", "id is malformed")
     if isinstance(demand, errors.Finding):
         leader_api.rejections.record(
             "job", "malformed", job=job_id, finding=str(demand)
--- a/turmerichall/platform/control_requests.py
+++ b/turmerichall/platform/control_requests.py
@@ -251,7 +251,11 @@
     ):
         reason = failure.detail
     if reason:
-        log.info("evacuation request rejected", zone=zone, reason=reason)
+        log.info(
+            "evacuation request rejected",
+            zone=zone[:MAX_LOGGED_CHARS],
+            reason=reason[:MAX_LOGGED_CHARS],
+        )
         return message.Response(400, msgspec.json.encode({"error": [reason]}))
     return client_requests.to_response(failure)
 
--- a/turmerichall/platform/http_worker_client.py
+++ b/turmerichall/platform/http_worker_client.py
@@ -19,7 +19,7 @@
 POLL_MARGIN_SECONDS = 0.5
 # Bound on a checkpoint: a change holds the ends of thousands of runs.  A longer
 # one is not stored, so the next run starts from an earlier one.
-MAX_CHECKPOINT_CHARS = 4096
+MAX_CHECKPOINT_CHARS = 1024
 # Maximum number of ended runs in one response of a worker.  The worker lists an
 # ended run again in each response until the scheduler acknowledges it.
 MAX_ENDED_RUNS = 500
--- a/turmerichall/supervision/reporter.py
+++ b/turmerichall/supervision/reporter.py
@@ -11,7 +11,7 @@
 __all__ = ["FailureReporter"]
 
 # Bound on the places whose repetitions are tracked.
-MAX_PLACES = 256
+MAX_PLACES = 4096
 
 
 class FailureReporter:
