Run tests of evacuations, submissions and documents on the mocked clock

test_long_running_tasks_keep_their_room and test_a_start_is_not_sent_again failed once each on a machine with a load of 15 to 26 and passed elsewhere. Cause: the files asked for the mocked clock with usefixtures, which pytest-trio does not see, so they ran in real time (62 s for a minute); a busy machine delays the fake's answers beyond the times that the tests name.

On an exact clock the run of 3.0 s without progress in the first test is moved as a straggler at 2.97 s, before it ends; it takes 2.5 s now, and goes on after the evacuation begins as before.

--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -109,8 +109,8 @@
         return changes.TaskName(name.job, name.occurrence, name.step, index)
 
 
-# Bounds on the occurrences of one job that are not finished, and on their tasks,
-# from which a further one waits although it is due.
+# Bounds on the unfinished occurrences of one job, and on their tasks, from
+# which a further one waits although it is due.
 MAX_OPEN_OCCURRENCES = 1000
 MAX_OPEN_TASKS = 20_000
 
--- a/turmerichall/dispatch/evacuation/tests/test_evacuation.py
+++ b/turmerichall/dispatch/evacuation/tests/test_evacuation.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from turmerichall import outcomes
 from turmerichall.dispatch import worker_client
@@ -12,7 +13,8 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
 
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
+# Tests that name the fixture as an argument run on its clock.
+# pylint: disable=unused-argument
 
 JOB = test_leadership.JOB
 ZONE, OTHER = "z", "y"
@@ -58,9 +60,11 @@
 class TestStarts:
 
     # Without the state, tasks went on to be started in the zone.
-    async def test_nothing_starts_in_the_zone_and_runs_go_on(self) -> None:
+    async def test_nothing_starts_in_the_zone_and_runs_go_on(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster()
-        cluster.inside.run_seconds = 3.0
+        cluster.inside.run_seconds = 2.5
 
         async def script() -> None:
             await cluster.submit(JOB, test_leadership.demand(1))
@@ -78,7 +82,9 @@
 
     # A start that is being committed while the evacuation is acknowledged was
     # sent afterwards.
-    async def test_a_start_in_commit_is_withheld(self) -> None:
+    async def test_a_start_in_commit_is_withheld(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster(has_other=True)
         cluster.outside.silent = True
         propose = cluster.replica.propose_in_term
@@ -106,7 +112,9 @@
         await test_leadership.run_script(cluster, script)
 
     # The next tries of a start without an answer reached the zone.
-    async def test_a_start_is_not_sent_again(self) -> None:
+    async def test_a_start_is_not_sent_again(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster()
         tries: list[float] = []
 
@@ -131,7 +139,9 @@
         await test_leadership.run_script(cluster, script)
 
     # A new leader sent the starts that the one before had committed.
-    async def test_a_start_of_an_earlier_leader_is_not_sent(self) -> None:
+    async def test_a_start_of_an_earlier_leader_is_not_sent(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster(has_other=True)
         test_leadership.commit_start(cluster)
         cluster.replica.apply(changes.BeginEvacuation(ZONE, 1))
@@ -142,7 +152,9 @@
 
         await test_leadership.run_script(cluster, script)
 
-    async def test_the_state_outlives_the_leader(self) -> None:
+    async def test_the_state_outlives_the_leader(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster()
 
         async def script() -> None:
@@ -156,7 +168,9 @@
 
     # A long-running task was stopped for an urgent one that may not start in
     # its zone, nor the stopped one again.
-    async def test_long_running_tasks_keep_their_room(self) -> None:
+    async def test_long_running_tasks_keep_their_room(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster()
         cluster.inside.lasting_jobs.add(JOB)
 
@@ -173,7 +187,9 @@
 
         await test_leadership.run_script(cluster, script)
 
-    async def test_a_worker_that_comes_up_there_gets_nothing(self) -> None:
+    async def test_a_worker_that_comes_up_there_gets_nothing(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster()
         newcomer = fakes.FakeWorker("w3")
         cluster.workers[newcomer.record.address] = newcomer
@@ -197,7 +213,9 @@
 
 class TestRequests:
 
-    async def test_repeats_change_nothing(self) -> None:
+    async def test_repeats_change_nothing(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster()
 
         async def script() -> None:
@@ -214,7 +232,9 @@
         await test_leadership.run_script(cluster, script)
 
     # A begin whose commit failed was reported as done, or as refused.
-    async def test_an_uncertain_begin_is_unknown_until_resent(self) -> None:
+    async def test_an_uncertain_begin_is_unknown_until_resent(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster()
 
         async def script() -> None:
@@ -227,7 +247,9 @@
 
         await test_leadership.run_script(cluster, script)
 
-    async def test_no_acknowledgement_without_a_quorum(self) -> None:
+    async def test_no_acknowledgement_without_a_quorum(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = _Cluster()
 
         async def script() -> None:
@@ -274,7 +296,12 @@
         ],
     )
     async def test_requests(
-        self, method: str, path: str, body: bytes, status: int
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        status: int,
+        mocked_clocks: trio.testing.MockClock,
     ) -> None:
         cluster = _Cluster()
 
--- a/turmerichall/dispatch/job_requests/tests/test_job_requests.py
+++ b/turmerichall/dispatch/job_requests/tests/test_job_requests.py
@@ -1,6 +1,5 @@
 """Tests of jobs that are submitted again before the first submission ended."""
 
-import pytest
 import trio
 import trio.testing
 
@@ -9,7 +8,8 @@
 from turmerichall.dispatch.tests import fakes
 from turmerichall.queues import demand as demands
 
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
+# Tests that name the fixture as an argument run on its clock.
+# pylint: disable=unused-argument
 
 # Tests that name the fixture as an argument run on its clock.
 # pylint: disable=unused-argument
--- a/turmerichall/platform/tests/test_configuration_document.py
+++ b/turmerichall/platform/tests/test_configuration_document.py
@@ -4,15 +4,15 @@
 from typing import Any
 
 import pytest
+import trio.testing
 
-from turmerichall.dispatch.tests import clocks
 from turmerichall.dispatch.tests import fakes
 from turmerichall.dispatch.tests import test_leadership
 from turmerichall.http1 import message
 from turmerichall.platform import control_requests
 
-mocked_clocks = clocks.mocked_clocks
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
+# Tests that name the fixture as an argument run on its clock.
+# pylint: disable=unused-argument
 
 ROUTE = {"host": "a.example", "path_prefix": "/a/", "service": "desk"}
 OTHER = {**ROUTE, "path_prefix": "/b/"}
@@ -57,7 +57,10 @@
         ],
     )
     async def test_server_refuses_only_errors(
-        self, change: dict[str, Any], refused_at: str | None
+        self,
+        change: dict[str, Any],
+        refused_at: str | None,
+        mocked_clocks: trio.testing.MockClock,
     ) -> None:
         cluster = fakes.FakeCluster(fakes.FakeWorker("w1"))
         body = json.dumps({**DOCUMENT, **change}).encode()
@@ -78,7 +81,9 @@
 
         await test_leadership.run_script(cluster, script)
 
-    async def test_warnings_are_bounded_and_logged_once(self) -> None:
+    async def test_warnings_are_bounded_and_logged_once(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = fakes.FakeCluster(fakes.FakeWorker("w1"))
         routes = [
             {**ROUTE, "path_prefix": f"/{number}?" + "x" * 5000}
--- a/turmerichall/platform/tests/test_unsupported.py
+++ b/turmerichall/platform/tests/test_unsupported.py
@@ -5,17 +5,16 @@
 
 import json
 
-import pytest
 import trio
+import trio.testing
 
-from turmerichall.dispatch.tests import clocks
 from turmerichall.dispatch.tests import fakes
 from turmerichall.http1 import message
 from turmerichall.platform import control_requests
 from turmerichall.queues import demand as demands
 
-mocked_clocks = clocks.mocked_clocks
-pytestmark = pytest.mark.usefixtures("mocked_clocks")
+# Tests that name the fixture as an argument run on its clock.
+# pylint: disable=unused-argument
 
 
 async def _send_control_request(
@@ -30,7 +29,9 @@
 
 class TestUnsupported:
 
-    async def test_a_maintenance_wave_is_accepted(self) -> None:
+    async def test_a_maintenance_wave_is_accepted(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         cluster = fakes.FakeCluster(fakes.FakeWorker("w1"))
         wave = {"wave": 1, "machines": ["m1"], "duration_s": 20, "max_count": 1}
         async with trio.open_nursery() as nursery:
@@ -44,7 +45,9 @@
             nursery.cancel_scope.cancel()
         assert answer.status == 200
 
-    async def test_same_rack_step_runs_on_one_rack(self) -> None:
+    async def test_same_rack_step_runs_on_one_rack(
+        self, mocked_clocks: trio.testing.MockClock
+    ) -> None:
         workers = [fakes.FakeWorker(f"w{i}", cpu=2000) for i in range(4)]
         for number, worker in enumerate(workers):
             rack = f"r{number % 2}"
