--- a/turmerichall/queue_daemon.py
+++ b/turmerichall/queue_daemon.py
@@ -72,14 +72,23 @@
             await daemon.drain()
 
 
-def serve(settings_file: str) -> int:
-    """Run the daemon until it stops, and return its exit status."""
+def serve(
+    settings_file: str,
+    limits: queue_settings.Limits = queue_settings.Limits(),
+) -> int:
+    """Run the daemon until it stops, and return its exit status.
+
+    Args:
+        settings_file: Path of the settings file.
+        limits: What the machine gives, where the file does not say.
+    """
     try:
         settings = queue_settings.load(settings_file)
     except errors.SettingsError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
         return EXIT_SETTINGS
+    settings = settings._replace(limits=settings.limits.or_else(limits))
     output = logs.NonBlockingStream(sys.stdout)
     _configure_logs(settings.logs, settings.instance, output)
     ends = end_record.Ends.from_folder(settings.instance.data_folder)
--- a/turmerichall/settings/queue_settings.py
+++ b/turmerichall/settings/queue_settings.py
@@ -161,6 +161,17 @@
     disk_mb: int = 0
     memory_mb: int = 0
 
+    def or_else(self, other: "Limits") -> "Limits":
+        """Return these limits, with those of another for unknown ones.
+
+        Examples:
+            >>> Limits(128).or_else(Limits(64, 296))
+            Limits(disk_mb=128, memory_mb=296)
+        """
+        return Limits(
+            self.disk_mb or other.disk_mb, self.memory_mb or other.memory_mb
+        )
+
 
 class QueueSettings(NamedTuple):
     """All settings of a daemon that serves queues."""
