Use one walk over exception groups, and correct a docstring

handler_failures walked nested groups by itself; supervision.failure.leaves does that already. The docstring of the quarantine said that its workers get no session; they have one, which finds them silent.

--- a/turmerichall/dispatch/quarantine.py
+++ b/turmerichall/dispatch/quarantine.py
@@ -1,9 +1,9 @@
 """Registered workers that can't be called.
 
 Earlier releases registered workers at any address, so the log or a snapshot may
-hold such records.  They are the same on each replica.  They get no session of
-their own: the leader treats them as silent, which ends their runs with the
-lease, and then removes them through the log.
+hold such records.  They are the same on each replica.  Their sessions find them
+silent, which ends their runs with the lease; then they are removed through the
+log.
 """
 
 from collections.abc import Iterable
--- a/turmerichall/peers/handler_failures.py
+++ b/turmerichall/peers/handler_failures.py
@@ -5,6 +5,7 @@
 from turmerichall import errors
 from turmerichall import outcomes
 from turmerichall.peers import link
+from turmerichall.supervision import failure as failures
 
 __all__ = ["is_fatal", "report"]
 
@@ -26,9 +27,10 @@
         >>> is_fatal(ExceptionGroup("", [KeyError(), AssertionError()]))
         True
     """
-    if isinstance(error, ExceptionGroup):
-        return any(is_fatal(each) for each in error.exceptions)
-    return isinstance(error, (AssertionError, errors.StorageError))
+    return any(
+        isinstance(each, (AssertionError, errors.StorageError))
+        for each in failures.leaves(error)
+    )
 
 
 def report(
