Keep a lease while a worker's clock contradicts its earlier readings

A task could run twice: the leader judged a worker's lease by the latest reading of the worker's own clock, whatever it was. After one reading far ahead, the next renewal named a time far ahead too; the worker shortens it to 10 s, the leader counted 8 s. A reading that went back was ignored, with the same effect for each later lease.

A reading is now compared with the one before and with the time that has passed between the two requests, of which a sound clock stays below. After an inconsistent one the lease counts as the longest that a worker keeps, the answer is not used, and the next poll renews nothing.

Evidence: TestSessionOfAWorkerWithAWrongClock fails without the change (the task was started elsewhere before the lease had ended on the worker), as do three of the unit tests of TestClockReadings (the fourth needs the new argument). Tests of dispatch and platform pass.

--- a/turmerichall/dispatch/lease.py
+++ b/turmerichall/dispatch/lease.py
@@ -22,6 +22,10 @@
 MAX_LEASE_SECONDS = 10.0
 # A leader renews leases for at most this time after a quorum's answer.
 QUORUM_SECONDS = 1.0
+# How much faster a worker's clock may run than the leader's, and by how much
+# its readings are rounded at most.
+MAX_FAST_RATE = 1.05
+READING_ERROR_MS = 100
 
 
 def steady_seconds() -> float:
@@ -38,6 +42,7 @@
     Attributes:
         clock_ms: Latest reading of the worker's clock; -1 before the first.
         read_at: Time on the steady clock at which that reading arrived.
+        asked_at: Time on the steady clock at which that reading was asked for.
         deadline_ms: Latest end of all leases granted in this term, in ms on the
             worker's clock.
         earlier_lease_until: Time on the steady clock until which a lease that
@@ -51,6 +56,7 @@
     def __init__(self, term_began_at: float):
         self.clock_ms = -1
         self.read_at = 0.0
+        self.asked_at = 0.0
         self.deadline_ms = 0
         self.earlier_lease_until = (
             term_began_at
@@ -65,18 +71,44 @@
         """Whether there is a reading of the worker's clock."""
         return self.clock_ms >= 0
 
-    def record_clock(self, clock_ms: int, now: float) -> None:
+    def record_clock(
+        self, clock_ms: int, now: float, asked_at: float | None = None
+    ) -> bool:
         """Record a reading of the worker's clock that has just arrived.
 
+        After a reading that the clock can't have reached since the one before,
+        or that is behind it, no earlier reading is relied on: the lease counts
+        as one of the maximum length that was granted now.
+
+        Args:
+            clock_ms: The reading.
+            now: Current time on the steady clock.
+            asked_at: Time on the steady clock at which the reading was asked
+                for; `now` if not given.
+
+        Returns:
+            Whether the reading is consistent with the one before.
+
         Examples:
             >>> lease = Lease(0.0)
             >>> lease.record_clock(5000, 10.0)
+            True
             >>> lease.estimate_ms(10.5)
             5500
+            >>> lease.record_clock(1_000_000, 10.5)
+            False
         """
-        if clock_ms > self.clock_ms:
-            self.clock_ms = clock_ms
-            self.read_at = now
+        asked_at = now if asked_at is None else asked_at
+        most_ms = (now - self.asked_at) * 1000 * MAX_FAST_RATE
+        consistent = not self.known or (
+            0 <= clock_ms - self.clock_ms <= most_ms + READING_ERROR_MS
+        )
+        if not consistent:
+            self.deadline_ms = clock_ms + int(MAX_LEASE_SECONDS * 1000)
+        self.clock_ms = clock_ms
+        self.read_at = now
+        self.asked_at = asked_at
+        return consistent
 
     def record_namesake(self, now: float) -> None:
         """Record that orders to another incarnation may have reached this one.
@@ -117,7 +149,7 @@
 
         Examples:
             >>> lease = Lease(0.0)
-            >>> lease.record_clock(5000, 10.0)
+            >>> _ = lease.record_clock(5000, 10.0)
             >>> _ = lease.grant(10.0, 1.0)
             >>> lease.record_term_accepted()
             >>> lease.has_expired(11.0), lease.has_expired(11.2)
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -176,7 +176,18 @@
             was_abrupt = arrived - now < wait_ms / 1000 + ABRUPT_SECONDS
             await self._handle_poll_failure(status.verdict, was_abrupt)
             return
-        lease.record_clock(status.clock_ms, arrived)
+        if not lease.record_clock(status.clock_ms, arrived, now):
+            # Nothing else of this answer is relied on: whether starts can still
+            # be carried out is told by the clock.
+            self._unanswered = True
+            owner.metrics_registry.count("worker_clock_jumps")
+            owner.log.warning(
+                "worker's clock is inconsistent with its earlier readings",
+                worker=worker.record.id,
+                clock_ms=status.clock_ms,
+            )
+            await self._handle_poll_failure(Verdict.UNANSWERED, False)
+            return
         lease.record_term_accepted()
         if deadline_ms is None and not self._failed:
             # This poll only read the worker's clock; the next renews the lease.
