Let what has ended leave the replicated state

Queues that were configured once, removed workers and registered workers without an end added up as well; a writer that registers id after id took memory and polls without a bound.

The leader names what leaves in a change of its own, after a time that it has seen on its steady clock; the change has no effect on what is still needed. No replica decides by its own clock, so states can't differ. Nothing leaves until all replicas tell in the handshake that they can apply the change. Jobs that take a fifth of the memory leave sooner, and new jobs are refused from 35 % on; the estimate falls when jobs leave, so service is back by itself. At 2,000 registered workers a new one takes the place of a silent one.

--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -20,6 +20,8 @@
 from turmerichall.dispatch.evacuation import requests as evacuation_requests
 from turmerichall.dispatch.job_requests import job_requests
 from turmerichall.dispatch.job_requests import request_register
+from turmerichall.dispatch.retention import memory_pressure
+from turmerichall.dispatch.retention import retention as retentions
 from turmerichall.http1 import server
 from turmerichall.peers import link
 from turmerichall.queues import configuration as configurations
@@ -105,6 +107,7 @@
         scheduling: queue_settings.Scheduling = queue_settings.Scheduling(),
         zone_names: tuple[str, ...] = (),
         may_revise: Callable[[], bool] = lambda: False,
+        retention: retentions.Options = retentions.Options(),
     ):
         self.replica = replica
         self.may_revise = may_revise
@@ -118,6 +121,7 @@
         self._policy = policy
         self._scheduling = scheduling
         self._zone_names = zone_names
+        self._retention = retention
         self._fence_response = fence_responses.FenceResponse(replica, log)
         self._durations = run_durations.DurationEstimator()
         self._interference_model = interference_models.InterferenceModel(
@@ -160,6 +164,7 @@
                 self._zone_names,
                 self._scheduling,
                 register,
+                self._retention,
             )
             try:
                 await leadership.run()
@@ -285,10 +290,11 @@
         refused = leadership.job_requests.register.refusal(attempt.call_id)
         if refused is not None:
             return refused
-        if self.replica.is_disk_almost_full():
-            reason = NO_ROOM.reason.value
+        no_room = self._find_shortage()
+        if no_room is not None:
+            reason = no_room.reason.value
             self._metrics_registry.count("jobs_refused", reason=reason)
-            return await self.refuse(NO_ROOM, job_id, attempt)
+            return await self.refuse(no_room, job_id, attempt)
         failure = await leadership.job_requests.submit(
             controller.Submission(job_id, queue, demand, caller_zone)
         )
@@ -298,6 +304,17 @@
             return await self.refuse(failure, job_id, attempt)
         return failure
 
+    def _find_shortage(self) -> outcomes.Refusal | None:
+        """Return why no job can be stored now; None if there is room."""
+        if self.replica.is_disk_almost_full():
+            return NO_ROOM
+        pressure = memory_pressure.level(
+            self.queue_state.jobs_bytes, self._retention.memory_bytes
+        )
+        if pressure == memory_pressure.Level.CRITICAL:
+            return memory_pressure.REFUSAL
+        return None
+
     def job_state(self, job_id: str) -> states.JobState | outcomes.Refusal:
         """Return the state of a job, or a refusal if it is unknown.
 
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -36,8 +36,11 @@
 from turmerichall.dispatch.forecasts import forecast
 from turmerichall.dispatch.job_requests import job_requests as job_request_sets
 from turmerichall.dispatch.job_requests import request_register
+from turmerichall.dispatch.retention import poll_pacing as poll_pacings
+from turmerichall.dispatch.retention import retention as retentions
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
+from turmerichall.queues import forgetting
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
 from turmerichall.supervision import reporter as reporters
@@ -87,6 +90,8 @@
         job_requests: Callers' requests to accept and cancel jobs.
         failure_reporter: Reports failures of single sessions.
         loop_delay: Delay of the event loop while this replica leads.
+        retention: Removal of what has ended from the replicated state.
+        poll_pacing: Pace of the polls of silent workers.
     """
 
     def __init__(
@@ -105,6 +110,7 @@
         zone_names: tuple[str, ...] = (),
         scheduling: queue_settings.Scheduling = queue_settings.Scheduling(),
         register: request_register.RequestRegister | None = None,
+        retention_options: retentions.Options = retentions.Options(),
     ):
         self.replica = replica
         self.queue_state = queue_state
@@ -146,6 +152,7 @@
             supervised_client.supervise(make_client, self.failure_reporter),
         )
         self.workers = self.registry.workers
+        self.poll_pacing = poll_pacings.PollPacing(self.workers)
         self.scope = trio.CancelScope()
         self.loop_delay = loop_delays.LoopDelay(metrics_registry)
         self.fencers: set[str] = set()
@@ -156,6 +163,7 @@
         self._wake = placement_trigger.PlacementTrigger()
         self._nursery: trio.Nursery | None = None
         self._quarantine = quarantines.Quarantine(self)
+        self.retention = retentions.Retention(self, retention_options)
         self._recurring_jobs = recurring_job_sets.RecurringJobs(
             queue_state, self.backlog
         )
@@ -199,6 +207,7 @@
                 nursery.start_soon(term_report.run, self)
                 nursery.start_soon(self.loop_delay.run)
                 nursery.start_soon(self._quarantine.run)
+                nursery.start_soon(self.retention.run)
                 try:
                     await trio.sleep_forever()
                 finally:
@@ -273,6 +282,11 @@
         """See `quarantine.Owner`."""
         await self.registry.remove_unusable(worker)
 
+    async def records_forgotten(self, change: forgetting.Forget) -> None:
+        """See `retention.Owner`."""
+        self._failed_jobs.difference_update(change.jobs)
+        await self.registry.drop_removed()
+
     # Events from sessions.
 
     def move_stragglers(self, session: sessions.WorkerSession) -> None:
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -19,6 +19,7 @@
 from turmerichall.dispatch.departures import leaving
 from turmerichall.dispatch.departures import lost_runs
 from turmerichall.dispatch.departures import probe
+from turmerichall.dispatch.retention import worker_bound
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
@@ -28,7 +29,7 @@
 _Commit = Callable[[changes.Change], Awaitable[object]]
 
 
-class Owner(sessions.Owner, Protocol):
+class Owner(sessions.Owner, worker_bound.Owner, Protocol):
     """Interface of the leader for the registry; `Leadership` implements it."""
 
     backlog: backlogs.Backlog
@@ -200,6 +201,8 @@
                 return False
             if not await self._start_fence.fence_earlier(record):
                 return False
+            if not await worker_bound.make_room(self.owner):
+                return False
             failed = await self.owner.commit(changes.RegisterWorker(record))
             if failed is not None:
                 # The change may be applied later.
@@ -207,7 +210,7 @@
                 return False
         finally:
             self._registering -= places
-        await self._drop_removed()
+        await self.drop_removed()
         if (
             record.id in self.queue_state.workers
             and record.id not in self.workers
@@ -355,7 +358,7 @@
                 worker.removing = False
                 return False
             reports.log_crash(self.log, change)
-        await self._drop_removed()
+        await self.drop_removed()
         return True
 
     async def remove_unusable(self, worker: worker_state.Worker) -> None:
@@ -363,7 +366,7 @@
         worker.removing = True
         change = changes.LoseWorker(worker.record.id)
         await self.owner.commit_or_resign(change)
-        await self._drop_removed()
+        await self.drop_removed()
 
     def _removal(self, worker: worker_state.Worker) -> changes.LoseWorker:
         """Return the change that removes a worker, to be committed now."""
@@ -376,7 +379,7 @@
         )
         return changes.LoseWorker(worker_id, **attribution._asdict())
 
-    async def _drop_removed(self) -> None:
+    async def drop_removed(self) -> None:
         """Forget workers removed from the state; requeue the tasks they ran."""
         for worker_id in list(self.workers):
             if worker_id in self.queue_state.workers:
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -12,6 +12,8 @@
 from turmerichall.dispatch import replica_gauges
 from turmerichall.dispatch import term_watch
 from turmerichall.dispatch.evacuation import gauges as evacuation_gauges
+from turmerichall.dispatch.retention import gauges as retention_gauges
+from turmerichall.dispatch.retention import retention as retentions
 from turmerichall.entry import calls
 from turmerichall.http1 import handler_errors
 from turmerichall.http1 import message
@@ -107,6 +109,11 @@
             settings.scheduling,
             settings.zones.names,
             self._may_revise,
+            retentions.Options(
+                settings.retention.ended_seconds,
+                settings.limits.memory_mb * BYTES_PER_MB,
+                self._may_forget,
+            ),
         )
         self.term_watch = term_watch.TermWatch(
             self.replica, self._is_work_under_way, self.log
@@ -115,6 +122,11 @@
             self.metrics_registry, self.replica, self._is_work_under_way
         )
         evacuation_gauges.register(self.metrics_registry, self.queue_state)
+        retention_gauges.register(
+            self.metrics_registry,
+            self.queue_state,
+            settings.limits.memory_mb * BYTES_PER_MB,
+        )
         self.metrics = metrics.make_server(self.metrics_registry)
         self.control = server.Server(
             self._answer,
@@ -181,6 +193,15 @@
             if each.name != self.network.name
         )
 
+    def _may_forget(self) -> bool:
+        """Return whether all other replicas are connected and recent."""
+        links = self.network.links
+        return all(
+            each.name in links and links[each.name].changes_level > 0
+            for each in self.replica.state.members
+            if each.name != self.network.name
+        )
+
     def _is_work_under_way(self) -> bool:
         return self.leader_api.leadership is not None
 
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -11,6 +11,7 @@
 from turmerichall.dispatch import unexpected_runs as unexpected_run_sets
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.retention import poll_pacing as poll_pacings
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
@@ -58,6 +59,7 @@
     log: link.Log
     metrics_registry: lightweight_metrics.MetricsRegistry
     failure_reporter: reporters.FailureReporter
+    poll_pacing: poll_pacings.PollPacing
 
     def may_renew(self) -> bool:
         """Return whether leases may be renewed."""
@@ -237,7 +239,8 @@
                 runs=len(worker.runs),
             )
         await self._end_expired_runs()
-        await trio.sleep(RETRY_SECONDS)
+        now = leases.steady_seconds()
+        await trio.sleep(owner.poll_pacing.retry_seconds(now))
 
     async def _end_expired_runs(self) -> None:
         """Commit the loss of all runs, if the lease has certainly expired."""
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -14,6 +14,7 @@
 from turmerichall.dispatch import leader_api as leader_apis
 from turmerichall.dispatch import policy_client
 from turmerichall.dispatch import worker_client
+from turmerichall.dispatch.retention import retention as retentions
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
@@ -417,6 +418,7 @@
         self,
         *workers: FakeWorker,
         policy: policy_client.PolicyClient | None = None,
+        retention: retentions.Options = retentions.Options(),
     ):
         self.workers = {each.record.address: each for each in workers}
         self.queue_state = states.QueueState()
@@ -432,6 +434,7 @@
             self.log,
             lightweight_metrics.MetricsRegistry(),
             policy,
+            retention=retention,
         )
 
     def _client(
--- a/turmerichall/peers/envelope.py
+++ b/turmerichall/peers/envelope.py
@@ -144,12 +144,15 @@
         peer_max_message_bytes: Size of the largest message that the other end
             accepts in parts; 0 before the handshake, and of a peer of an
             earlier release, which accepts none.
+        peer_changes_level: Level of the changes that the other end can apply;
+            0 before the handshake, and of a peer of an earlier release.
     """
 
     def __init__(self, stream: trio.abc.Stream):
         self.stream = stream
         self.buffer = bytearray()
         self.peer_max_message_bytes = 0
+        self.peer_changes_level = 0
 
     async def receive(self) -> Envelope:
         """Wait for the next envelope.
--- a/turmerichall/peers/handshake.py
+++ b/turmerichall/peers/handshake.py
@@ -15,9 +15,13 @@
 from turmerichall.peers import envelope
 from turmerichall.peers import message_parts
 
-__all__ = ["FORMAT_VERSION", "accept", "dial"]
+__all__ = ["CHANGES_LEVEL", "FORMAT_VERSION", "accept", "dial"]
 
 FORMAT_VERSION = 1
+# Level of the changes that this release can apply: 1 since it knows changes by
+# which records leave the state, 0 before.
+CHANGES_LEVEL = 1
+MAX_DIGITS = 6
 NONCE_BYTES = 16
 
 
@@ -72,9 +76,13 @@
 
 
 async def _send(connection: envelope.Connection, body: bytes) -> None:
-    # Earlier releases ignore this number.  They reject a hello of more fields.
+    # Earlier releases ignore the number and the kind.  They reject a hello of
+    # more fields.
     frame = envelope.Envelope(
-        envelope.FrameKind.HELLO, message_parts.MAX_MESSAGE_BYTES, body=body
+        envelope.FrameKind.HELLO,
+        message_parts.MAX_MESSAGE_BYTES,
+        str(CHANGES_LEVEL),
+        body,
     )
     await connection.send(envelope.encode(frame))
 
@@ -86,6 +94,9 @@
     connection.peer_max_message_bytes = min(
         frame.call_number, message_parts.MAX_MESSAGE_BYTES
     )
+    kind = frame.kind
+    is_level = kind.isascii() and kind.isdigit() and len(kind) <= MAX_DIGITS
+    connection.peer_changes_level = int(kind) if is_level else 0
     return frame.body
 
 
--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -170,6 +170,15 @@
         self._last_sent_at = -float("inf")
         self._next_call_number = 1
         self._queue = send_queue.SendQueue()
+        self._changes_level = 0
+
+    @property
+    def changes_level(self) -> int:
+        """Level of the changes that the peer can apply.
+
+        0 if the peer is of an earlier release, or the link is not connected.
+        """
+        return self._changes_level if self.connected else 0
 
     @property
     def max_message_bytes(self) -> int:
@@ -289,6 +298,7 @@
 
     async def _exchange_frames(self, connection: envelope.Connection) -> None:
         self._queue.max_message_bytes = connection.peer_max_message_bytes
+        self._changes_level = connection.peer_changes_level
         self.connected = True
         self.last_received_at = self._last_sent_at = trio.current_time()
         self.on_received(self.peer)
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -8,6 +8,7 @@
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import configuration_edits
 from turmerichall.queues import demand as demands
+from turmerichall.queues import forgetting
 
 __all__ = [
     "AcceptJob",
@@ -365,6 +366,7 @@
     | BeginEvacuation
     | EndEvacuation
     | configuration_edits.ReviseConfiguration
+    | forgetting.Forget
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -15,6 +15,8 @@
 from turmerichall.queues import configuration_edits as edits
 from turmerichall.queues import configuration_revision
 from turmerichall.queues import demand as demands
+from turmerichall.queues import forgetting
+from turmerichall.queues import job_size
 
 __all__ = ["Job", "JobState", "QueueState", "StepProgress", "TaskRecord"]
 
@@ -166,7 +168,7 @@
         configuration: The configuration in force.
         document: The configuration document as the operator sent it; empty if
             there is none.
-        queues: Every queue that was ever configured, by key, in its latest
+        queues: Queues that are configured, or were, by key, in their latest
             version.
         jobs: Jobs by id.
         workers: Workers that were not removed, by id.
@@ -182,6 +184,7 @@
             back, in ms since 1970, by name of the zone.
         waiting: Ids of open jobs of which no task has started, by key of the
             queue.
+        jobs_bytes: Estimated memory of the jobs, in bytes.
     """
 
     def __init__(self) -> None:
@@ -201,6 +204,7 @@
         self.evacuations = state.evacuations
         self.restored = state.restored
         self.waiting: dict[str, set[str]] = {}
+        self.jobs_bytes = sum(map(job_size.estimate_bytes, self.jobs.values()))
         for job in self.jobs.values():
             if job.state == JobState.QUEUED:
                 self.waiting.setdefault(job.queue, set()).add(job.id)
@@ -264,6 +268,8 @@
             case changes.BeginEvacuation():
                 self.evacuations.setdefault(change.zone, change.at_ms)
                 self.restored.pop(change.zone, None)
+            case forgetting.Forget():
+                self._forget(change)
             case changes.EndEvacuation():
                 if self.evacuations.pop(change.zone, None) is not None:
                     self.restored[change.zone] = change.at_ms
@@ -285,6 +291,7 @@
             return
         job = Job(change.job, change.queue, change.demand, change.at_ms)
         self.jobs[job.id] = job
+        self.jobs_bytes += job_size.estimate_bytes(job)
         self.waiting.setdefault(job.queue, set()).add(job.id)
 
     def _close(self, job_id: str, state: JobState) -> None:
@@ -296,8 +303,10 @@
         if state == JobState.COMPLETED:
             # Frees the memory of the job's demand and tasks; none of the tasks
             # runs or starts any more.
+            self.jobs_bytes -= job_size.estimate_bytes(job)
             job.demand = _NO_DEMAND
             job.occurrences = {}
+            self.jobs_bytes += job_size.estimate_bytes(job)
 
     def _start(self, started: changes.StartedRun) -> None:
         job = self.jobs.get(started.task.job)
@@ -366,6 +375,27 @@
             if job.finished >= job.demand.occurrences:
                 self._close(job.id, JobState.COMPLETED)
 
+    def _forget(self, change: forgetting.Forget) -> None:
+        for job in forgetting.forget_jobs(self.jobs, change.jobs):
+            self.jobs_bytes -= job_size.estimate_bytes(job)
+        self.gone.difference_update(change.gone)
+        if change.silent:
+            busy = {
+                task.worker
+                for job in self.jobs.values()
+                for _, task in job.runs()
+            }
+            for worker in set(change.silent) - busy:
+                self.workers.pop(worker, None)
+                self.draining.discard(worker)
+                self.capacities.pop(worker, None)
+        if change.queues:
+            needed = {queue.key for queue in self.configuration.queues}
+            needed.update(job.queue for job in self.jobs.values())
+            for key in set(change.queues) - needed:
+                self.queues.pop(key, None)
+                self.waiting.pop(key, None)
+
     def _register(self, worker: changes.WorkerRecord) -> None:
         if worker.id in self.gone or worker.id in self.workers:
             return
--- a/turmerichall/settings/queue_settings.py
+++ b/turmerichall/settings/queue_settings.py
@@ -15,6 +15,7 @@
     "Policy",
     "QueueSettings",
     "Replicas",
+    "Retention",
     "Scheduling",
     "Timing",
     "Zones",
@@ -173,6 +174,17 @@
         )
 
 
+class Retention(NamedTuple):
+    """How long records are kept in the replicated state.
+
+    Attributes:
+        ended_seconds: How long a record is kept after its use has ended: a job
+            after its end, a worker after it was last heard from.
+    """
+
+    ended_seconds: float = 3600.0
+
+
 class QueueSettings(NamedTuple):
     """All settings of a daemon that serves queues."""
 
@@ -184,6 +196,7 @@
     scheduling: Scheduling = Scheduling()
     zones: Zones = Zones()
     limits: Limits = Limits()
+    retention: Retention = Retention()
     logs: settings.Logs = settings.Logs()
 
 
@@ -264,6 +277,10 @@
             for key in ("disk_mb", "memory_mb")
         },
     ),
+    "retention": reader.Schema(
+        Retention,
+        {"ended": reader.Key("ended_seconds", values.duration)},
+    ),
     "logs": reader.SECTIONS["logs"],
 }
 
