--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: bench-configuration-bytes bench-control-io bench-dispatch bench-in-force bench-log-size venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-losses bench-capacity
+.PHONY: bench-configuration-bytes bench-control-io bench-dispatch bench-in-force bench-log-size venv demo test check format bench-placement bench-requests bench-state bench-wire bench-history bench-losses bench-capacity bench-year
 
 venv: $(VENV)/.ready
 
@@ -62,3 +62,6 @@
 
 bench-configuration-bytes: venv
 	$(BIN)/python -m turmerichall.benchmarks.configuration_bytes
+
+bench-year: venv
+	$(BIN)/python -m turmerichall.benchmarks.year
--- a/turmerichall/dispatch/retention/retention.py
+++ b/turmerichall/dispatch/retention/retention.py
@@ -85,11 +85,18 @@
     Attributes:
         owner: The leader.
         options: How long records are kept.
+        steady_seconds: Returns the steady clock in seconds.
     """
 
-    def __init__(self, owner: Owner, options: Options):
+    def __init__(
+        self,
+        owner: Owner,
+        options: Options,
+        steady_seconds: Callable[[], float] = leases.steady_seconds,
+    ):
         self.owner = owner
         self.options = options
+        self.steady_seconds = steady_seconds
         self._jobs = ages.Ages()
         self._gone = ages.Ages()
         self._silent = ages.Ages()
@@ -99,15 +106,19 @@
     async def run(self) -> None:
         """Remove records until cancelled."""
         while True:
-            await self._observe()
-            self._report_pressure()
-            change = self.next_change(leases.steady_seconds())
-            while change is not None and self.options.may_forget():
-                await self.remove(change)
-                await trio.sleep(BATCH_PAUSE_SECONDS)
-                change = self.next_change(leases.steady_seconds())
+            await self.check()
             await trio.sleep(CHECK_SECONDS)
 
+    async def check(self) -> None:
+        """Look at the whole state, and remove the records that are due."""
+        await self._observe()
+        self._report_pressure()
+        change = self.next_change(self.steady_seconds())
+        while change is not None and self.options.may_forget():
+            await self.remove(change)
+            await trio.sleep(BATCH_PAUSE_SECONDS)
+            change = self.next_change(self.steady_seconds())
+
     async def _observe(self) -> None:
         """Look at the whole state for records that may leave."""
         state = self.owner.queue_state
@@ -117,7 +128,7 @@
                 ended.append(job.id)
             if number % SLICE_JOBS == 0:
                 await trio.sleep(0)
-        now = leases.steady_seconds()
+        now = self.steady_seconds()
         self._jobs.observe(ended, now)
         self._gone.observe(state.gone, now)
         self._silent.observe(self._idle_workers(now), now)
