Bound what is learned about images and queues

Learned slowdowns, which are part of the replicated state, run times and idle latencies grew with each image and queue that there ever was.

The images seen least recently are forgotten beyond 256 of each kind, the oldest run times and idle latencies beyond 4,096. Deployments so far have a few of each, so nothing changes for them.

Evidence: the new tests fail without the bounds.

--- a/turmerichall/dispatch/durations.py
+++ b/turmerichall/dispatch/durations.py
@@ -9,6 +9,8 @@
 MIN_WEIGHT = 0.05
 # Number of recorded runs from which on the moving average is used.
 MIN_RUNS = 8
+# Most kinds of runs that are known; beyond that the oldest is forgotten.
+MAX_KINDS = 4096
 
 
 class DurationEstimator:
@@ -35,6 +37,9 @@
         weight = max(1.0 / count, MIN_WEIGHT)
         self._means[kind] = mean + weight * (seconds - mean)
         self._counts[kind] = count
+        if len(self._counts) > MAX_KINDS:
+            oldest = next(iter(self._counts))
+            del self._counts[oldest], self._means[oldest]
 
     def estimate(self, kind: tuple[str, str], estimate_seconds: float) -> float:
         """Return the expected time of a run in seconds.
--- a/turmerichall/dispatch/interference_model.py
+++ b/turmerichall/dispatch/interference_model.py
@@ -43,6 +43,9 @@
 # have been queueing, not how strong the interference is.
 MAX_SLOWDOWN = 2.0
 MAX_WEIGHT = 15.0
+# Most images of a kind that are known; those seen least recently are forgotten.
+# Images have new names with each release of what they run.
+MAX_IMAGES = 256
 # Weight of a sample above the fit relative to one below: a tail latency above
 # its target costs about this many times as much as work that waits.
 ASYMMETRY = 4.0
@@ -89,6 +92,8 @@
         # Upper estimates since the latest sample.
         self._upper_weights: dict[str, float] = {}
         self.evidence: dict[str, float] = {}
+        # Best-effort images, those seen least recently first.
+        self._recent: dict[str, None] = {}
         self._add_term(_INTERCEPT, 0.0, INTERCEPT_STRENGTH)
 
     def restore(
@@ -99,6 +104,19 @@
             strength = strengths.get(image, RESTORED_STRENGTH)
             strength = min(max(strength, PRIOR_STRENGTH), MAX_EVIDENCE)
             self._add_term(image, weight, strength)
+            self._recent[image] = None
+        self._forget_least_recent()
+
+    def _forget_least_recent(self) -> None:
+        """Forget images beyond the most that are kept."""
+        while len(self._recent) > MAX_IMAGES:
+            image = next(iter(self._recent))
+            del self._recent[image]
+            for by_image in (self.weights, self.evidence, self.products):
+                del by_image[image]
+            del self.squares[image]
+            for row in self.squares.values():
+                row.pop(image, None)
 
     def _add_term(self, image: str, weight: float, strength: float) -> None:
         self.weights[image] = weight
@@ -128,6 +146,9 @@
             if image not in self.weights:
                 self._add_term(image, PRIOR_WEIGHT, PRIOR_STRENGTH)
             expected += share * self.weights[image]
+            self._recent.pop(image, None)
+            self._recent[image] = None
+        self._forget_least_recent()
         if slowdown > expected:
             sample_weight *= ASYMMETRY
         terms = [(_INTERCEPT, 1.0), *shares.items()]
@@ -222,8 +243,13 @@
         fit = self._fits.get(long_running)
         if fit is None:
             fit = self._fits[long_running] = _Fit()
+            self._forget_oldest()
         fit.learn(shares, slowdown, noise)
 
+    def _forget_oldest(self) -> None:
+        while len(self._fits) > MAX_IMAGES:
+            del self._fits[next(iter(self._fits))]
+
     def weight(self, long_running: str, best_effort: str) -> float:
         """Return the likely slowdown of a long-running image.
 
@@ -358,6 +384,7 @@
                 self._fits[long_running].restore(
                     weights, strengths.get(long_running, {})
                 )
+        self._forget_oldest()
 
     def table(self) -> dict[str, dict[str, float]]:
         """Return likely slowdowns by long-running and best-effort image."""
--- a/turmerichall/dispatch/service_load.py
+++ b/turmerichall/dispatch/service_load.py
@@ -24,6 +24,8 @@
 # Older samples are ignored; workers are polled every 0.4 s while best-effort
 # tasks share them with long-running ones.
 MAX_SAMPLE_AGE_SECONDS = 0.9
+# Most images whose idle latency is known; beyond that the oldest is forgotten.
+MAX_IMAGES = 4096
 # A task that known neighbours slow by more than this share is not used to
 # estimate the load of its step.
 MAX_UNDISTURBED_SLOWDOWN = 0.1
@@ -209,6 +211,8 @@
         """
         least = min(self._min_tails_ms.get(image, tail_ms), tail_ms)
         self._min_tails_ms[image] = least
+        if len(self._min_tails_ms) > MAX_IMAGES:
+            del self._min_tails_ms[next(iter(self._min_tails_ms))]
         return max(least - IDLE_ROUNDING_MS, least / 2)
 
     def record(
--- a/turmerichall/dispatch/tests/test_interference_model.py
+++ b/turmerichall/dispatch/tests/test_interference_model.py
@@ -95,3 +95,27 @@
                 getattr(fresh, method)(*arguments)
             for pair in (("desk", "scan"), ("mail", "sort"), ("mail", "new")):
                 assert asked.upper_weight(*pair) == fresh.upper_weight(*pair)
+
+
+class TestManyImages:
+    """The model grew with each image that there ever was, on all replicas."""
+
+    def test_images_seen_least_recently_are_forgotten(self) -> None:
+        model = interference_models.InterferenceModel()
+        most = interference_models.MAX_IMAGES
+        for number in range(most + 50):
+            model.learn("desk", {"scan": 0.2, f"v{number}": 0.1}, 0.4)
+        table = model.table()["desk"]
+        assert len(table) == most
+        assert "scan" in table and "v0" not in table
+        assert f"v{most + 49}" in table
+        later = interference_models.InterferenceModel()
+        later.restore(model.table())
+        assert later.table() == model.table()
+
+    def test_long_running_images_are_bounded(self) -> None:
+        model = interference_models.InterferenceModel()
+        most = interference_models.MAX_IMAGES
+        for number in range(most + 50):
+            model.learn(f"desk{number}", {"scan": 0.2}, 0.4)
+        assert len(model.table()) == most
