--- a/turmerichall/dispatch/admission_control/waiting_work.py
+++ b/turmerichall/dispatch/admission_control/waiting_work.py
@@ -7,7 +7,7 @@
 from turmerichall.dispatch.forecasts import forecast
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
-from turmerichall.queues import state as states
+from turmerichall.queues import job as job_records
 
 __all__ = ["expected_seconds", "waiting_jobs"]
 
@@ -66,9 +66,9 @@
 
 
 def _waiting_job(
-    job: states.Job,
+    job: job_records.Job,
     queue: configurations.Queue,
-    progress: list[states.StepProgress],
+    progress: list[job_records.StepProgress],
     waiting: dict[int, int],
     age_seconds: float,
     expected: prediction.ExpectedSeconds,
--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -5,6 +5,7 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
+from turmerichall.queues import job as job_records
 from turmerichall.queues import state as states
 
 __all__ = ["Backlog", "GroupName", "TaskGroup", "may_begin"]
@@ -68,7 +69,7 @@
     def __init__(
         self,
         name: GroupName,
-        job: states.Job,
+        job: job_records.Job,
         queue: configurations.Queue,
     ):
         self.name = name
@@ -91,7 +92,7 @@
         """Return how long the first preempted task has waited; 0 if none."""
         return now - min(self.preempted.values(), default=now)
 
-    def records(self) -> list[states.TaskRecord]:
+    def records(self) -> list[job_records.TaskRecord]:
         """Return the states of the step's tasks, by index."""
         return self.job.steps(self.name.occurrence)[self.name.step].tasks
 
@@ -115,7 +116,7 @@
 MAX_OPEN_TASKS = 20_000
 
 
-def may_begin(job: states.Job) -> bool:
+def may_begin(job: job_records.Job) -> bool:
     """Return whether one more occurrence of a job may be added."""
     unfinished = len(job.occurrences) - job.finished
     tasks = sum(step.count for step in job.demand.steps)
@@ -138,7 +139,7 @@
         self.queue_state = queue_state
         self.groups: dict[GroupName, TaskGroup] = {}
 
-    def add_job(self, job: states.Job, now_ms: int) -> int:
+    def add_job(self, job: job_records.Job, now_ms: int) -> int:
         """Add those steps of due occurrences whose dependencies are done.
 
         Called when the job is accepted and when a leader's term begins.  Of a
@@ -156,12 +157,14 @@
             self.add_occurrence(job, occurrence)
         return job.demand.occurrences
 
-    def add_occurrence(self, job: states.Job, occurrence: int) -> None:
+    def add_occurrence(self, job: job_records.Job, occurrence: int) -> None:
         """Add those steps of an occurrence whose dependencies are done."""
         for step in range(len(job.demand.steps)):
             self.add_step(job, occurrence, step)
 
-    def add_step(self, job: states.Job, occurrence: int, step: int) -> None:
+    def add_step(
+        self, job: job_records.Job, occurrence: int, step: int
+    ) -> None:
         """Add a step whose dependencies are done.
 
         Does nothing if the step is done or already added, or the job has ended.
--- a/turmerichall/dispatch/departures/lost_runs.py
+++ b/turmerichall/dispatch/departures/lost_runs.py
@@ -7,12 +7,14 @@
 from collections.abc import Mapping
 
 from turmerichall.queues import change as changes
-from turmerichall.queues import state as states
+from turmerichall.queues import job as job_records
 
 __all__ = ["is_done"]
 
 
-def is_done(task: changes.TaskName, jobs: Mapping[str, states.Job]) -> bool:
+def is_done(
+    task: changes.TaskName, jobs: Mapping[str, job_records.Job]
+) -> bool:
     """Return whether a task is done according to the replicated state.
 
     Args:
--- a/turmerichall/dispatch/end_commits.py
+++ b/turmerichall/dispatch/end_commits.py
@@ -12,6 +12,7 @@
 import trio
 
 from turmerichall.queues import change as changes
+from turmerichall.queues import job as job_records
 from turmerichall.queues import state as states
 
 __all__ = ["Action", "Batch", "EndCommits", "MAX_ROWS"]
@@ -62,7 +63,7 @@
             action(self)
         self.committed.set()
 
-    def take_closed(self) -> list[states.Job]:
+    def take_closed(self) -> list[job_records.Job]:
         """Return the jobs that ended with this batch; each only once."""
         jobs = self._queue_state.jobs
         closed = [
--- a/turmerichall/dispatch/gang_checkpoint.py
+++ b/turmerichall/dispatch/gang_checkpoint.py
@@ -8,12 +8,12 @@
 import collections
 
 from turmerichall.queues import change as changes
-from turmerichall.queues import state as states
+from turmerichall.queues import job as job_records
 
 __all__ = ["choose_checkpoint"]
 
 
-def choose_checkpoint(job: states.Job, task: changes.TaskName) -> str:
+def choose_checkpoint(job: job_records.Job, task: changes.TaskName) -> str:
     """Return the checkpoint for the next run of a task, or an empty string.
 
     The members of a gang that ended together hold the newest one, so the one
--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -27,6 +27,7 @@
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import configuration_edits
 from turmerichall.queues import demand as demands
+from turmerichall.queues import job as job_records
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
 from turmerichall.supervision import rejections
@@ -315,7 +316,7 @@
             return memory_pressure.REFUSAL
         return None
 
-    def job_state(self, job_id: str) -> states.JobState | outcomes.Refusal:
+    def job_state(self, job_id: str) -> job_records.JobState | outcomes.Refusal:
         """Return the state of a job, or a refusal if it is unknown.
 
         The caller must have awaited `find_queue` just before, which confirms
--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -41,6 +41,7 @@
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import forgetting
+from turmerichall.queues import job as job_records
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
 from turmerichall.supervision import reporter as reporters
@@ -222,7 +223,7 @@
         self.registry.load(nursery)
         now_ms = wall_ms()
         for job in self.queue_state.jobs.values():
-            if job.state == states.JobState.FAILED:
+            if job.state == job_records.JobState.FAILED:
                 self._failed_jobs.add(job.id)
             for name, task in job.runs():
                 self.registry.adopt_run(job, name, task)
@@ -394,11 +395,11 @@
             self._close_ended_job(job)
         self._wake.set_room_changed()
 
-    def _close_ended_job(self, job: states.Job) -> None:
+    def _close_ended_job(self, job: job_records.Job) -> None:
         """Close a job that was completed, or failed."""
         if job.id in self._failed_jobs:
             return
-        if job.state == states.JobState.FAILED:
+        if job.state == job_records.JobState.FAILED:
             self._failed_jobs.add(job.id)
         self.metrics_registry.count("jobs_ended", state=job.state.value)
         reports.log_job_ended(self.log, job, wall_ms() - job.at_ms)
@@ -407,7 +408,7 @@
     def close_failed_job(self, job_id: str) -> None:
         """See `registry.Owner`."""
         job = self.queue_state.jobs.get(job_id)
-        if job is not None and job.state == states.JobState.FAILED:
+        if job is not None and job.state == job_records.JobState.FAILED:
             self._close_ended_job(job)
 
     def _close_job(self, job_id: str) -> None:
--- a/turmerichall/dispatch/recurring_jobs.py
+++ b/turmerichall/dispatch/recurring_jobs.py
@@ -1,6 +1,7 @@
 """Recurring jobs, whose occurrences are added to the backlog when due."""
 
 from turmerichall.dispatch import backlog as backlogs
+from turmerichall.queues import job as job_records
 from turmerichall.queues import state as states
 
 __all__ = ["RecurringJobs"]
@@ -22,7 +23,7 @@
         # Number of the next occurrence of each job, by id of the job.
         self._next: dict[str, int] = {}
 
-    def add(self, job: states.Job, now_ms: int) -> None:
+    def add(self, job: job_records.Job, now_ms: int) -> None:
         """Add a job's due occurrences to the backlog; schedule the later ones.
 
         Args:
--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -22,6 +22,7 @@
 from turmerichall.dispatch.retention import worker_bound
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
+from turmerichall.queues import job as job_records
 from turmerichall.queues import state as states
 
 __all__ = ["Owner", "Registry"]
@@ -90,9 +91,9 @@
 
     def adopt_run(
         self,
-        job: states.Job,
+        job: job_records.Job,
         name: changes.TaskName,
-        task: states.TaskRecord,
+        task: job_records.TaskRecord,
     ) -> None:
         """Add a run found in the replicated state to its worker."""
         worker = self.workers.get(task.worker)
--- a/turmerichall/dispatch/reports.py
+++ b/turmerichall/dispatch/reports.py
@@ -12,7 +12,7 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
-from turmerichall.queues import state as states
+from turmerichall.queues import job as job_records
 from turmerichall.telemetry import lightweight_metrics
 
 __all__ = [
@@ -268,7 +268,7 @@
     )
 
 
-def log_job_ended(log: link.Log, job: states.Job, age_ms: int) -> None:
+def log_job_ended(log: link.Log, job: job_records.Job, age_ms: int) -> None:
     """Log that a job was completed, or failed.
 
     Args:
--- a/turmerichall/dispatch/run_state.py
+++ b/turmerichall/dispatch/run_state.py
@@ -7,7 +7,7 @@
 from turmerichall.dispatch import worker_client
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
-from turmerichall.queues import state as states
+from turmerichall.queues import job as job_records
 
 __all__ = ["UNKNOWN_PACE", "Phase", "Run"]
 
@@ -171,7 +171,7 @@
         """
         return self.pace_told_at <= self.late_pace_until
 
-    def record_suspicion(self, task: states.TaskRecord) -> None:
+    def record_suspicion(self, task: job_records.TaskRecord) -> None:
         """Take over whether the task may have caused the crash of a worker."""
         self.suspected = task.suspected
         self.on_trial = task.on_trial
--- a/turmerichall/dispatch/tests/test_gang_checkpoint.py
+++ b/turmerichall/dispatch/tests/test_gang_checkpoint.py
@@ -7,7 +7,7 @@
 from turmerichall.dispatch.tests import fakes
 from turmerichall.dispatch.tests import test_leadership
 from turmerichall.queues import change as changes
-from turmerichall.queues import state as states
+from turmerichall.queues import job as job_records
 
 # Tests name the fixture as an argument, which makes them run on its clock.
 # pylint: disable=unused-argument
@@ -31,7 +31,7 @@
     def test_all_members_of_a_gang_carry_the_same(
         self, held: list[str], chosen: str
     ) -> None:
-        job = states.Job(JOB, "q", test_leadership.demand(3, gang=True), 0)
+        job = job_records.Job(JOB, "q", test_leadership.demand(3, gang=True), 0)
         for task, checkpoint in zip(TASKS, held, strict=True):
             job.task(task).checkpoint = checkpoint
         assert {
@@ -39,7 +39,7 @@
         } == {chosen}
 
     def test_a_task_of_no_gang_carries_its_own(self) -> None:
-        job = states.Job(JOB, "q", test_leadership.demand(3), 0)
+        job = job_records.Job(JOB, "q", test_leadership.demand(3), 0)
         job.task(TASKS[1]).checkpoint = "b1"
         assert [
             gang_checkpoint.choose_checkpoint(job, task) for task in TASKS
--- a/turmerichall/dispatch/trials.py
+++ b/turmerichall/dispatch/trials.py
@@ -10,7 +10,7 @@
 from turmerichall.dispatch import crash_attribution
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import worker_state
-from turmerichall.queues import state as states
+from turmerichall.queues import job as job_records
 
 __all__ = ["Trials"]
 
@@ -72,7 +72,7 @@
         ]
 
     def must_wait(
-        self, group: backlogs.TaskGroup, task: states.TaskRecord
+        self, group: backlogs.TaskGroup, task: job_records.TaskRecord
     ) -> bool:
         """Return whether a task waits, because one of its job is on trial."""
         return (
--- a/turmerichall/dispatch/waiting_order/remainder.py
+++ b/turmerichall/dispatch/waiting_order/remainder.py
@@ -8,7 +8,7 @@
 from turmerichall.dispatch.waiting_order import slots
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
-from turmerichall.queues import state as states
+from turmerichall.queues import job as job_records
 
 __all__ = ["Remainder", "remainder"]
 
@@ -39,7 +39,7 @@
 
 
 def remainder(
-    job: states.Job,
+    job: job_records.Job,
     occurrence: int,
     forecaster: forecast.Forecaster,
     find_run: FindRun,
--- a/turmerichall/dispatch/waiting_order/tests/replay.py
+++ b/turmerichall/dispatch/waiting_order/tests/replay.py
@@ -15,6 +15,7 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
+from turmerichall.queues import job as job_records
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
 
@@ -139,7 +140,7 @@
             self.worker.remove(run)
             self.backlog.record_done(task)
             state = self.queue_state.jobs[task.job].state
-            if state == states.JobState.COMPLETED:
+            if state == job_records.JobState.COMPLETED:
                 self.finished_ms[task.job] = now_ms
 
     def _start_runs(self, jobs: Mapping[str, ReplayedJob], now_ms: int) -> None:
--- a/turmerichall/queues/forgetting.py
+++ b/turmerichall/queues/forgetting.py
@@ -33,7 +33,7 @@
 
 
 class Job(Protocol):
-    """What is to be known of a job; `state.Job` implements it."""
+    """What is to be known of a job; `job.Job` implements it."""
 
     @property
     def open(self) -> bool:
--- a/turmerichall/queues/job_size.py
+++ b/turmerichall/queues/job_size.py
@@ -4,9 +4,7 @@
 the process may stay at its peak.
 """
 
-from typing import Protocol
-
-from turmerichall.queues import demand as demands
+from turmerichall.queues import job as job_records
 
 __all__ = ["estimate_bytes"]
 
@@ -17,21 +15,15 @@
 STEP_BYTES = 700
 
 
-class Job(Protocol):
-    """What is to be known of a job; `state.Job` implements it."""
-
-    demand: demands.JobDemand
-
-
-def estimate_bytes(job: Job) -> int:
+def estimate_bytes(job: job_records.Job) -> int:
     """Return an estimate of the memory that a job takes, in bytes.
 
     Each task counts as if it had started.
 
     Examples:
-        >>> import types
+        >>> from turmerichall.queues import demand as demands
         >>> demand = demands.JobDemand("spec", (demands.StepDemand(10, 1000),))
-        >>> estimate_bytes(types.SimpleNamespace(demand=demand))
+        >>> estimate_bytes(job_records.Job("5c0e", "batch", demand, 0))
         2454
     """
     demand = job.demand
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -5,7 +5,6 @@
 is not the current one, has no effect.
 """
 
-import enum
 from collections.abc import Iterable, Iterator
 
 import msgspec
@@ -16,136 +15,20 @@
 from turmerichall.queues import configuration_revision
 from turmerichall.queues import demand as demands
 from turmerichall.queues import forgetting
+from turmerichall.queues import job as job_records
 from turmerichall.queues import job_size
 
-__all__ = ["Job", "JobState", "QueueState", "StepProgress", "TaskRecord"]
+__all__ = ["QueueState"]
 
 
 _NO_DEMAND = demands.JobDemand("", ())
 
 
-class JobState(enum.StrEnum):
-    """State of a job."""
-
-    QUEUED = "queued"
-    ACTIVE = "active"
-    COMPLETED = "completed"
-    FAILED = "failed"
-    CANCELED = "canceled"
-
-
-class TaskRecord(msgspec.Struct, array_like=True):
-    """State of one task.
-
-    Attributes:
-        run: Number of its latest run; 0 if it never started.
-        worker: Id of the worker of the current run; empty if there is none.
-        failures: Number of runs that failed.
-        done: Whether a run completed the task.
-        checkpoint: Saved progress from which the next run resumes, or empty.
-        crashes: Number of crashes of workers with which it is charged.
-        on_trial: Whether nothing is to be started beside its next runs, until
-            they have run for a while.
-        doubtful_crashes: Number of crashes during which it may have run, or
-            not.
-    """
-
-    run: int = 0
-    worker: str = ""
-    failures: int = 0
-    done: bool = False
-    checkpoint: str = ""
-    crashes: int = 0
-    on_trial: bool = False
-    doubtful_crashes: int = 0
-
-    @property
-    def suspected(self) -> bool:
-        """Whether it may have caused the crash of a worker."""
-        return bool(self.crashes or self.doubtful_crashes or self.on_trial)
-
-
-class StepProgress(msgspec.Struct, array_like=True):
-    """State of one step in one occurrence of its job.
-
-    Attributes:
-        tasks: The tasks by index.
-        done: Number of tasks that are done.
-    """
-
-    tasks: list[TaskRecord]
-    done: int = 0
-
-
-class Job(msgspec.Struct, array_like=True):
-    """A job that was accepted.
-
-    Attributes:
-        id: Id of the job.
-        queue: Key of its queue.
-        demand: The job as its caller described it.
-        at_ms: Time of acceptance in ms since 1970.
-        state: Current state.
-        started: Whether any task has started.
-        occurrences: State of each step, by occurrence.
-        finished: Number of occurrences of which every step is done.
-    """
-
-    id: str
-    queue: str
-    demand: demands.JobDemand
-    at_ms: int
-    state: JobState = JobState.QUEUED
-    started: bool = False
-    occurrences: dict[int, list[StepProgress]] = {}
-    finished: int = 0
-
-    @property
-    def open(self) -> bool:
-        """Whether tasks of the job may still start."""
-        return self.state in (JobState.QUEUED, JobState.ACTIVE)
-
-    def steps(self, occurrence: int) -> list[StepProgress]:
-        """Return the states of an occurrence's steps; create them if needed."""
-        found = self.occurrences.get(occurrence)
-        if found is None:
-            found = [
-                StepProgress([TaskRecord() for _ in range(step.count)])
-                for step in self.demand.steps
-            ]
-            self.occurrences[occurrence] = found
-        return found
-
-    def task(self, name: changes.TaskName) -> TaskRecord:
-        """Return the state of one of the job's tasks."""
-        steps = self.steps(name.occurrence)
-        return steps[name.step].tasks[name.number]
-
-    def step_is_ready(self, occurrence: int, step: int) -> bool:
-        """Return whether all steps on which a step depends are done."""
-        steps = self.steps(occurrence)
-        return all(
-            steps[other].done == len(steps[other].tasks)
-            for other in self.demand.steps[step].after
-        )
-
-    def runs(self) -> Iterator[tuple[changes.TaskName, TaskRecord]]:
-        """Iterate over the tasks that have a current run."""
-        for occurrence, steps in self.occurrences.items():
-            for number, step in enumerate(steps):
-                for index, task in enumerate(step.tasks):
-                    if task.worker:
-                        name = changes.TaskName(
-                            self.id, occurrence, number, index
-                        )
-                        yield name, task
-
-
 class _Snapshot(msgspec.Struct, array_like=True):
     configuration: configurations.Configuration
     document: bytes
     queues: dict[str, configurations.Queue]
-    jobs: dict[str, Job]
+    jobs: dict[str, job_records.Job]
     workers: dict[str, changes.WorkerRecord]
     draining: list[str]
     gone: list[str]
@@ -206,7 +89,7 @@
         self.waiting: dict[str, set[str]] = {}
         self.jobs_bytes = sum(map(job_size.estimate_bytes, self.jobs.values()))
         for job in self.jobs.values():
-            if job.state == JobState.QUEUED:
+            if job.state == job_records.JobState.QUEUED:
                 self.waiting.setdefault(job.queue, set()).add(job.id)
 
     def snapshot(self) -> bytes:
@@ -245,7 +128,7 @@
             case changes.AcceptJob():
                 self._accept(change)
             case changes.CancelJob():
-                self._close(change.job, JobState.CANCELED)
+                self._close(change.job, job_records.JobState.CANCELED)
             case changes.SetConfiguration() | edits.ReviseConfiguration():
                 self._configure(change)
             case changes.RegisterWorker():
@@ -289,18 +172,20 @@
     def _accept(self, change: changes.AcceptJob) -> None:
         if change.job in self.jobs:
             return
-        job = Job(change.job, change.queue, change.demand, change.at_ms)
+        job = job_records.Job(
+            change.job, change.queue, change.demand, change.at_ms
+        )
         self.jobs[job.id] = job
         self.jobs_bytes += job_size.estimate_bytes(job)
         self.waiting.setdefault(job.queue, set()).add(job.id)
 
-    def _close(self, job_id: str, state: JobState) -> None:
+    def _close(self, job_id: str, state: job_records.JobState) -> None:
         job = self.jobs.get(job_id)
         if job is None or not job.open:
             return
         job.state = state
         self.waiting.get(job.queue, set()).discard(job_id)
-        if state == JobState.COMPLETED:
+        if state == job_records.JobState.COMPLETED:
             # Frees the memory of the job's demand and tasks; none of the tasks
             # runs or starts any more.
             self.jobs_bytes -= job_size.estimate_bytes(job)
@@ -319,10 +204,12 @@
         task.worker = started.worker
         if not job.started:
             job.started = True
-            job.state = JobState.ACTIVE
+            job.state = job_records.JobState.ACTIVE
             self.waiting.get(job.queue, set()).discard(job.id)
 
-    def _find_task(self, name: changes.TaskName) -> TaskRecord | None:
+    def _find_task(
+        self, name: changes.TaskName
+    ) -> job_records.TaskRecord | None:
         """Return the state of a task; None if it never started."""
         job = self.jobs.get(name.job)
         if job is None or name.occurrence not in job.occurrences:
@@ -331,7 +218,7 @@
 
     def _find_tasks(
         self, names: Iterable[changes.TaskName]
-    ) -> Iterator[TaskRecord]:
+    ) -> Iterator[job_records.TaskRecord]:
         """Yield the states of those tasks that ever started."""
         for name in names:
             task = self._find_task(name)
@@ -354,11 +241,13 @@
             queue = self.queues.get(job.queue)
             attempts = queue.max_attempts if queue else 1
             if task.failures >= attempts and not step.lasting:
-                self._close(job.id, JobState.FAILED)
+                self._close(job.id, job_records.JobState.FAILED)
         elif ended.ending == changes.Ending.DONE and not step.lasting:
             self._record_done(job, ended.task)
 
-    def _record_done(self, job: Job, name: changes.TaskName) -> None:
+    def _record_done(
+        self, job: job_records.Job, name: changes.TaskName
+    ) -> None:
         steps = job.steps(name.occurrence)
         step = steps[name.step]
         gang = job.demand.steps[name.step].gang
@@ -373,7 +262,7 @@
         if all(each.done == len(each.tasks) for each in steps):
             job.finished += 1
             if job.finished >= job.demand.occurrences:
-                self._close(job.id, JobState.COMPLETED)
+                self._close(job.id, job_records.JobState.COMPLETED)
 
     def _forget(self, change: forgetting.Forget) -> None:
         for job in forgetting.forget_jobs(self.jobs, change.jobs):
@@ -414,7 +303,7 @@
         for task in self._find_tasks(change.on_trial):
             task.on_trial = True
         for job in change.given_up:
-            self._close(job, JobState.FAILED)
+            self._close(job, job_records.JobState.FAILED)
         self._remove_worker(change.worker)
 
     def _remove_worker(self, worker: str) -> None:
--- a/turmerichall/queues/tests/test_state.py
+++ b/turmerichall/queues/tests/test_state.py
@@ -5,6 +5,7 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import demand as demands
+from turmerichall.queues import job as job_records
 from turmerichall.queues import state as states
 
 QUEUE = configurations.Queue(
@@ -54,10 +55,10 @@
             self.queue_state.apply(self.index, changes.encode(change))
 
     @property
-    def job(self) -> states.Job:
+    def job(self) -> job_records.Job:
         return self.queue_state.jobs["j"]
 
-    def task(self, index: int) -> states.TaskRecord:
+    def task(self, index: int) -> job_records.TaskRecord:
         return self.job.task(changes.TaskName("j", 0, 0, index))
 
 
@@ -65,16 +66,16 @@
 
     def test_a_job_is_completed_once_every_task_is_done(self) -> None:
         fixture = StateFixture()
-        assert fixture.job.state == states.JobState.QUEUED
+        assert fixture.job.state == job_records.JobState.QUEUED
         assert fixture.queue_state.waiting[QUEUE.key] == {"j"}
         fixture.apply(changes.StartRuns((started(0), started(1))))
-        assert fixture.job.state == states.JobState.ACTIVE
+        assert fixture.job.state == job_records.JobState.ACTIVE
         assert not fixture.queue_state.waiting[QUEUE.key]
         done = changes.Ending.DONE
         fixture.apply(changes.EndRuns((ended(0, done),)))
-        assert fixture.job.state == states.JobState.ACTIVE
+        assert fixture.job.state == job_records.JobState.ACTIVE
         fixture.apply(changes.EndRuns((ended(1, done),)))
-        assert fixture.job.state == states.JobState.COMPLETED
+        assert fixture.job.state == job_records.JobState.COMPLETED
 
     def test_a_resubmitted_job_is_ignored(self) -> None:
         fixture = StateFixture()
@@ -82,7 +83,7 @@
         other = demands.JobDemand("other", (demands.StepDemand(9),))
         fixture.apply(changes.AcceptJob("j", QUEUE.key, other, 2000))
         assert fixture.job.demand.spec == "text"
-        assert fixture.job.state == states.JobState.ACTIVE
+        assert fixture.job.state == job_records.JobState.ACTIVE
 
     def test_a_job_fails_after_the_last_attempt_only(self) -> None:
         fixture = StateFixture()
@@ -92,7 +93,7 @@
         assert fixture.job.open
         fixture.apply(changes.StartRuns((started(0, run=2),)))
         fixture.apply(changes.EndRuns((ended(0, failed, run=2),)))
-        assert fixture.job.state == states.JobState.FAILED
+        assert fixture.job.state == job_records.JobState.FAILED
 
     @pytest.mark.parametrize(
         "ending",
@@ -124,7 +125,7 @@
         ):
             fixture.apply(changes.StartRuns((started(0, run=run),)))
             fixture.apply(changes.EndRuns((ended(0, ending, run=run),)))
-        assert fixture.job.state == states.JobState.ACTIVE
+        assert fixture.job.state == job_records.JobState.ACTIVE
         assert not fixture.task(0).done
 
     def test_all_ends_of_a_gang_finish_one_occurrence(self) -> None:
@@ -133,13 +134,13 @@
         for index in (0, 1):
             fixture.apply(changes.EndRuns((ended(index, changes.Ending.DONE),)))
         assert fixture.job.finished == 1
-        assert fixture.job.state == states.JobState.ACTIVE
+        assert fixture.job.state == job_records.JobState.ACTIVE
 
     def test_one_done_member_completes_the_gang(self) -> None:
         fixture = StateFixture(gang=True)
         fixture.apply(changes.StartRuns((started(0), started(1))))
         fixture.apply(changes.EndRuns((ended(0, changes.Ending.DONE),)))
-        assert fixture.job.state == states.JobState.COMPLETED
+        assert fixture.job.state == job_records.JobState.COMPLETED
 
     def test_a_canceled_job_stays_canceled(self) -> None:
         fixture = StateFixture()
@@ -147,7 +148,7 @@
         fixture.apply(changes.CancelJob("j"))
         done = changes.Ending.DONE
         fixture.apply(changes.EndRuns((ended(0, done), ended(1, done))))
-        assert fixture.job.state == states.JobState.CANCELED
+        assert fixture.job.state == job_records.JobState.CANCELED
 
 
 class TestRuns:
