--- a/turmerichall/dispatch/retention/retention.py
+++ b/turmerichall/dispatch/retention/retention.py
@@ -85,24 +85,27 @@
     Attributes:
         owner: The leader.
         options: How long records are kept.
-        steady_seconds: Returns the steady clock in seconds.
+        clock: Returns the time in seconds; None for the steady clock.
     """
 
     def __init__(
         self,
         owner: Owner,
         options: Options,
-        steady_seconds: Callable[[], float] = leases.steady_seconds,
+        clock: Callable[[], float] | None = None,
     ):
         self.owner = owner
         self.options = options
-        self.steady_seconds = steady_seconds
+        self.clock = clock
         self._jobs = ages.Ages()
         self._gone = ages.Ages()
         self._silent = ages.Ages()
         self._queues = ages.Ages()
         self._level = memory_pressure.Level.NORMAL
 
+    def _now(self) -> float:
+        return self.clock() if self.clock else leases.steady_seconds()
+
     async def run(self) -> None:
         """Remove records until cancelled."""
         while True:
@@ -113,11 +116,11 @@
         """Look at the whole state, and remove the records that are due."""
         await self._observe()
         self._report_pressure()
-        change = self.next_change(self.steady_seconds())
+        change = self.next_change(self._now())
         while change is not None and self.options.may_forget():
             await self.remove(change)
             await trio.sleep(BATCH_PAUSE_SECONDS)
-            change = self.next_change(self.steady_seconds())
+            change = self.next_change(self._now())
 
     async def _observe(self) -> None:
         """Look at the whole state for records that may leave."""
@@ -128,7 +131,7 @@
                 ended.append(job.id)
             if number % SLICE_JOBS == 0:
                 await trio.sleep(0)
-        now = self.steady_seconds()
+        now = self._now()
         self._jobs.observe(ended, now)
         self._gone.observe(state.gone, now)
         self._silent.observe(self._idle_workers(now), now)
