Let a term last though hundreds of registered workers do not answer

Terms followed each other 1 to 2 s apart, each ended by "lost the quorum".

Cause: a term begins with one session for each registered worker, and all of them polled at once, then again in step. Polls that fail take up to a millisecond each, so the event loop was busy for longer than an election takes: the leader sent no heartbeat, and the next one began the same way.

At most 256 polls of workers that are not in touch are under way at a time, 64 of those that have not answered four polls in a row, and the pauses are spread at random. Leases are granted after the wait, with the quorum checked again.

Evidence: the new test fails without the limit (601 polls at once).

--- a/turmerichall/dispatch/retention/tests/test_retention.py
+++ b/turmerichall/dispatch/retention/tests/test_retention.py
@@ -1,12 +1,11 @@
 """Tests of records that leave the replicated state."""
 
-import math
-
 import trio
 import trio.testing
 
 from turmerichall import outcomes
 from turmerichall.dispatch import worker_client
+from turmerichall.dispatch.retention import poll_pacing
 from turmerichall.dispatch.retention import retention as retentions
 from turmerichall.dispatch.retention import worker_bound
 from turmerichall.dispatch.tests import fakes
@@ -232,19 +231,54 @@
 
         await test_leadership.run_script(cluster, script)
 
-    async def test_polls_of_silent_workers_are_limited_in_sum(
+
+class _CountedWorker(fakes.FakeWorker):
+    """A worker that counts the polls that are under way at the same time.
+
+    Attributes:
+        polls: Number of such polls of all workers, and the most so far.
+    """
+
+    polls = [0, 0]
+
+    async def poll(
+        self,
+        token: int,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> worker_client.WorkerStatus | worker_client.PollFailure:
+        """See `WorkerClient`."""
+        self.polls[0] += 1
+        self.polls[1] = max(self.polls)
+        try:
+            return await super().poll(token, acknowledged, deadline_ms, wait_ms)
+        finally:
+            self.polls[0] -= 1
+
+
+class TestPollsOfSilentWorkers:
+    """No term lasted, since their polls kept the event loop busy."""
+
+    async def test_are_limited_and_keep_no_other_worker_waiting(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        silent = [fakes.FakeWorker(f"s{number}") for number in range(600)]
+        _CountedWorker.polls = [0, 0]
+        silent = [_CountedWorker(f"s{number}") for number in range(600)]
         for each in silent:
-            each.down = True
-        cluster = new_cluster(*silent)
+            each.silent = True
+        answering = fakes.FakeWorker("w1")
+        cluster = new_cluster(*silent, answering)
 
         async def script() -> None:
-            await trio.sleep(5.0)
             leadership = cluster.leader_api.leadership
             assert leadership is not None
-            pause = leadership.poll_pacing.retry_seconds(math.inf)
-            assert len(silent) / pause <= 600
+            worker = leadership.workers["w1"]
+            await cluster.wait_until(lambda: worker.in_touch, 3.0)
+            assert _CountedWorker.polls[1] <= poll_pacing.FIRST_POLLS
+            await trio.sleep(10.0)
+            _CountedWorker.polls[1] = 0
+            await complete(cluster)
+            assert 0 < _CountedWorker.polls[1] <= poll_pacing.REPEATED_POLLS
 
         await test_leadership.run_script(cluster, script)
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -1,6 +1,6 @@
 """A leader's session with one worker: lease renewal, polls and orders."""
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import trio
 
@@ -97,6 +97,22 @@
         """
 
 
+class _Poll(NamedTuple):
+    """A poll, and its answer.
+
+    Attributes:
+        asked_at: When it was sent, on the steady clock.
+        renewed: Whether it renewed the lease.
+        wait_ms: How long the worker might wait before it answered.
+        status: The answer, or why there is none.
+    """
+
+    asked_at: float
+    renewed: bool
+    wait_ms: int
+    status: worker_client.WorkerStatus | worker_client.PollFailure
+
+
 class WorkerSession:
     """Session that renews a worker's lease, polls it and sends it orders.
 
@@ -122,6 +138,8 @@
         self._unanswered = False
         # Whether processing the latest answer failed.
         self._failed = False
+        # Number of polls in a row that were not answered.
+        self._failures = 0
         self._pause = pauses.GrowingPause(
             RETRY_SECONDS, MAX_FAILURE_PAUSE_SECONDS
         )
@@ -162,23 +180,20 @@
             await self._end_expired_runs()
             await trio.sleep(RETRY_SECONDS)
             return
-        now = leases.steady_seconds()
-        lease = worker.lease
-        # A poll without an answer may have renewed the lease, so the next one
-        # does not: a worker whose answers don't arrive must lose its lease.
-        renews = lease.known and not self._unanswered and not self._failed
-        deadline_ms = lease.grant(now) if renews else None
-        wait_ms = self._wait_ms()
-        status = await worker.client.poll(
-            owner.token, self.acknowledged, deadline_ms, wait_ms
-        )
+        poll = await self._renew_and_poll()
+        if poll is None:
+            await trio.sleep(NO_QUORUM_RETRY_SECONDS)
+            return
+        asked_at, renewed, wait_ms, status = poll
         arrived = leases.steady_seconds()
         self._unanswered = isinstance(status, worker_client.PollFailure)
         if isinstance(status, worker_client.PollFailure):
-            was_abrupt = arrived - now < wait_ms / 1000 + ABRUPT_SECONDS
+            was_abrupt = arrived - asked_at < wait_ms / 1000 + ABRUPT_SECONDS
             await self._handle_poll_failure(status.verdict, was_abrupt)
             return
-        if not lease.record_clock(status.clock_ms, arrived, now):
+        self._failures = 0
+        lease = worker.lease
+        if not lease.record_clock(status.clock_ms, arrived, asked_at):
             # Nothing else of this answer is relied on: whether starts can still
             # be carried out is told by the clock.
             self._unanswered = True
@@ -191,15 +206,15 @@
             await self._handle_poll_failure(Verdict.UNANSWERED, False)
             return
         lease.record_term_accepted()
-        if deadline_ms is None and not self._failed:
+        if not renewed and not self._failed:
             # This poll only read the worker's clock; the next renews the lease.
             return
-        if deadline_ms is not None and not worker.in_touch:
+        if renewed and not worker.in_touch:
             worker.record_contact()
             owner.log.info("worker in touch", worker=worker.record.id)
             owner.request_placement()
         await self._commit_ends(status)
-        await self._reconcile(status, now)
+        await self._reconcile(status, asked_at)
         await self._tail_controller.adjust()
         owner.move_stragglers(self)
         if self._failed:
@@ -207,6 +222,26 @@
             self._failed = False
             self._pause.reset()
 
+    async def _renew_and_poll(self) -> _Poll | None:
+        """Poll the worker in its turn; None while no lease may be renewed."""
+        owner, worker = self.owner, self.worker
+        async with owner.poll_pacing.turn(worker.in_touch, self._failures):
+            if not owner.may_renew():
+                return None
+            now = leases.steady_seconds()
+            # A poll without an answer may have renewed the lease, so the next
+            # one does not: a worker whose answers don't arrive must lose its
+            # lease.
+            renews = (
+                worker.lease.known and not self._unanswered and not self._failed
+            )
+            deadline_ms = worker.lease.grant(now) if renews else None
+            wait_ms = self._wait_ms()
+            status = await worker.client.poll(
+                owner.token, self.acknowledged, deadline_ms, wait_ms
+            )
+        return _Poll(now, renews, wait_ms, status)
+
     def _wait_ms(self) -> int:
         worker = self.worker
         if not worker.in_touch:
@@ -239,6 +274,7 @@
                 runs=len(worker.runs),
             )
         await self._end_expired_runs()
+        self._failures += 1
         now = leases.steady_seconds()
         await trio.sleep(owner.poll_pacing.retry_seconds(now))
 
