Bound registered workers at 1,000

With 2,000, and nearly all of them silent, terms ended as soon as they began on a machine at a load of 17: to load and start a session for each took longer than the quorum waits.

--- a/turmerichall/dispatch/retention/worker_bound.py
+++ b/turmerichall/dispatch/retention/worker_bound.py
@@ -17,8 +17,9 @@
 
 __all__ = ["MAX_WORKERS", "Owner", "choose_replaced", "make_room"]
 
-# Twice the workers of the largest fleet that docs/CAPACITY.md works out.
-MAX_WORKERS = 2_000
+# The largest fleet that docs/CAPACITY.md works out has 790 workers.  A term that
+# begins with twice as many silent ones does not last on a busy machine.
+MAX_WORKERS = 1_000
 
 
 class Owner(Protocol):
