--- a/turmerichall/dispatch/retention/worker_bound.py
+++ b/turmerichall/dispatch/retention/worker_bound.py
@@ -17,8 +17,8 @@
 
 __all__ = ["MAX_WORKERS", "Owner", "choose_replaced", "make_room"]
 
-# The largest fleet that docs/CAPACITY.md works out has 790 workers.  A term that
-# begins with twice as many silent ones does not last on a busy machine.
+# The largest fleet that docs/CAPACITY.md works out has 790 workers.  A term
+# that begins with 2,000 silent ones does not last on a busy machine.
 MAX_WORKERS = 1_000
 
 
