Use one piece of code for what replicas know, idle workers and dropped records

_may_revise and _may_forget asked the same of all links; is_idle repeated what quarantine.may_remove decides; a worker's record was dropped in two places of the state.

--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -1,5 +1,6 @@
 """Daemon of a replica, which votes, stores changes, and may lead."""
 
+from collections.abc import Callable
 import pathlib
 
 import msgspec
@@ -186,18 +187,17 @@
         Releases that take no messages in parts don't know changes that revise
         a configuration.
         """
-        links = self.network.links
-        return all(
-            each.name in links and links[each.name].max_message_bytes > 0
-            for each in self.replica.state.members
-            if each.name != self.network.name
-        )
+        return self._all_peers(lambda peer: peer.max_message_bytes > 0)
 
     def _may_forget(self) -> bool:
         """Return whether all other replicas are connected and recent."""
+        return self._all_peers(lambda peer: peer.changes_level > 0)
+
+    def _all_peers(self, condition: Callable[[link.Link], bool]) -> bool:
+        """Return whether a condition holds for the links to all replicas."""
         links = self.network.links
         return all(
-            each.name in links and links[each.name].changes_level > 0
+            each.name in links and condition(links[each.name])
             for each in self.replica.state.members
             if each.name != self.network.name
         )
--- a/turmerichall/dispatch/retention/retention.py
+++ b/turmerichall/dispatch/retention/retention.py
@@ -10,6 +10,7 @@
 import trio
 
 from turmerichall.dispatch import lease as leases
+from turmerichall.dispatch import quarantine
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.retention import ages
 from turmerichall.dispatch.retention import memory_pressure
@@ -73,9 +74,8 @@
     """
     return (
         not worker.in_touch
-        and not worker.runs
         and not worker.removing
-        and worker.lease.has_expired(now)
+        and quarantine.may_remove(worker, now)
     )
 
 
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -275,9 +275,7 @@
                 for _, task in job.runs()
             }
             for worker in set(change.silent) - busy:
-                self.workers.pop(worker, None)
-                self.draining.discard(worker)
-                self.capacities.pop(worker, None)
+                self._drop_worker(worker)
         if change.queues:
             needed = {queue.key for queue in self.configuration.queues}
             needed.update(job.queue for job in self.jobs.values())
@@ -306,11 +304,15 @@
             self._close(job, job_records.JobState.FAILED)
         self._remove_worker(change.worker)
 
-    def _remove_worker(self, worker: str) -> None:
-        if self.workers.pop(worker, None) is None:
-            return
+    def _drop_worker(self, worker: str) -> bool:
+        """Drop the record of a worker; return whether there was one."""
         self.draining.discard(worker)
         self.capacities.pop(worker, None)
+        return self.workers.pop(worker, None) is not None
+
+    def _remove_worker(self, worker: str) -> None:
+        if not self._drop_worker(worker):
+            return
         self.gone.add(worker)
         for job in self.jobs.values():
             for _, task in job.runs():
