--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,8 @@
-"""A job that lasts is given up after two crashes of its workers."""
+"""A task runs on after the cancelling of its job was acknowledged."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 from typing import Any
@@ -11,36 +12,43 @@
 
 import deployment as deployments  # pylint: disable=wrong-import-position
 
-WORKERS = 8
-CRASHES = 2
-# From a start of the task to the crash of its worker.
-CRASH_AFTER_SECONDS = 0.25
-# For how long a crashed worker is down.
-DOWN_SECONDS = 2.0
-# For how long the job is looked at after the last crash.
-WATCH_SECONDS = 16.0
+ENTRIES = 8
+WORKERS = 4
+FREEZE_SECONDS = 5.0
+# For how long the client waits for the answer to its submission.
+DEADLINE_SECONDS = 3.0
+# `contact_ms`, `cancel_ms` and `stop_grace_ms`, and what this test may be late.
+CONTACT_SECONDS, CANCEL_SECONDS, STOP_SECONDS = 3.0, 3.0, 0.4
+MARGIN_SECONDS = 1.0
+ACKNOWLEDGED = (200, 202, 204, 410)
 
 
 async def play(deployment: deployments.Deployment, trouble: bool) -> str:
     """Play the case; return what broke the rule."""
-    starts: asyncio.Queue[deployments.Process] = asyncio.Queue()
-    failed_ends: list[dict[str, Any]] = []
+    running: dict[tuple[str, int], float] = {}
 
-    def observe(process: deployments.Process, event: dict[str, Any]) -> None:
+    def observe(_: deployments.Process, event: dict[str, Any]) -> None:
         if event["what"] == "start":
-            starts.put_nowait(process)
-        elif event["what"] == "end" and event["how"] == "failed":
-            failed_ends.append(event)
+            running[event["task"], event["run"]] = time.monotonic()
+        elif event["what"] == "end":
+            running.pop((event["task"], event["run"]), None)
 
     deployment.on_event.append(observe)
-    await deployment.start()
+    await deployment.start(ENTRIES)
     await deployment.configure(1, [deployments.route("q", "/q/", "desk")])
     for number in range(WORKERS):
         await deployment.start_worker(f"worker-{number}")
     await deployment.wait_ready()
     await asyncio.sleep(3.0)
-    path = f"/q/{deployments.job_id()}"
-    await deployment.submit(
+    frozen = deployment.entries[0]
+    if trouble:
+        deployment.note(f"SIGSTOP to {frozen.name}")
+        frozen.signal(signal.SIGSTOP)
+    frozen_at = time.monotonic()
+    job = deployments.job_id()
+    path = f"/q/{job}"
+    await deployment.client(
+        "POST",
         path,
         {
             "spec": "lasts",
@@ -54,29 +62,38 @@
                 }
             ],
         },
+        entry=0,
+        timeout_seconds=DEADLINE_SECONDS,
     )
-    for number in range(CRASHES if trouble else 0):
-        try:
-            async with asyncio.timeout(20.0):
-                worker = await starts.get()
-        except TimeoutError:
+    # The client has no answer and does not want the job any more.
+    answer = None
+    for number in range(1, ENTRIES):
+        answer = await deployment.client("DELETE", path, entry=number)
+        if answer is not None and answer.status in ACKNOWLEDGED:
             break
-        await asyncio.sleep(CRASH_AFTER_SECONDS)
-        deployment.note(f"crash {number + 1}: SIGKILL to {worker.name}")
-        await worker.end()
-        await asyncio.sleep(DOWN_SECONDS)
-        await deployment.start_worker(worker.name)
-    deadline = time.monotonic() + WATCH_SECONDS
-    state = ""
-    while time.monotonic() < deadline:
-        await asyncio.sleep(1.0)
-        state = await deployment.state(path)
-        if state == "failed" and not failed_ends:
-            return (
-                "the job is shown as failed, though no run of it has ended"
-                " failed and nobody has cancelled it"
-            )
-    return ""
+    if answer is None or answer.status not in ACKNOWLEDGED:
+        raise deployments.CouldNotRun("the cancelling was not acknowledged")
+    cancelled_at = time.monotonic()
+    if trouble:
+        await asyncio.sleep(frozen_at + FREEZE_SECONDS - time.monotonic())
+        deployment.note(f"SIGCONT to {frozen.name}")
+        frozen.signal(signal.SIGCONT)
+    # A stretch without a disruption near, in which a task has to be gone.
+    await asyncio.sleep(
+        CONTACT_SECONDS + CANCEL_SECONDS + STOP_SECONDS + MARGIN_SECONDS
+    )
+    state = await deployment.state(path)
+    left = [
+        f"{task} run {run}" for task, run in running if task.startswith(job)
+    ]
+    if not left:
+        return ""
+    return (
+        f"{', '.join(left)} began after the cancelling was acknowledged with"
+        f" {answer.status}, and runs on"
+        f" {time.monotonic() - cancelled_at:.1f} s after that; the job is"
+        f" {state}"
+    )
 
 
 deployments.main(FOLDER, play)
