--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,7 @@
 # One of ten workers goes down, once.
 WORKERS = 10
 # For how long the worker is silent.
-DOWN_MS = 700
+DOWN_MS = 650
 # Most that a stop takes (`stop_grace_ms`); each stop takes nine tenths of it.
 STOP_GRACE_MS = 400
 WATCH_SECONDS = 14.0
