--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -309,6 +309,10 @@
         )
         return process
 
+    def options(self, name: str) -> dict[str, Any]:
+        """Return the options of the latest life of a worker."""
+        return self._options[name]
+
     # Operator and clients.
 
     async def configure(
--- a/review/common-2/worker.py
+++ b/review/common-2/worker.py
@@ -12,6 +12,7 @@
 * After `fall MS`, the next start that arrives finds the worker down: it is
   silent for that time, then it starts again under its id and knows nothing of
   before; `stand` takes that back.
+* `drain` makes it report at once that it is draining.
 """
 
 import asyncio
@@ -74,6 +75,8 @@
         # Number of the life; connections of an earlier one stay silent.
         self.life = 0
         self.down = False
+        self.draining = False
+        self.report_now = asyncio.Event()
         self.begin()
 
     def begin(self) -> None:
@@ -328,7 +331,7 @@
                 "zone": options["zone"],
                 "version": "v1",
                 "slots": 8,
-                "state": "ready",
+                "state": "draining" if self.draining else "ready",
                 "cold_remaining_ms": 0,
                 "capacity": {
                     "cpu": options["cpu"],
@@ -350,9 +353,16 @@
                     1.0,
                 )
                 if answer is not None and answer.status // 100 == 2:
+                    if report["state"] == "draining":
+                        self.note("drain acknowledged", seq=report["seq"])
                     break
                 index += 1
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            try:
+                async with asyncio.timeout(HEARTBEAT_SECONDS):
+                    await self.report_now.wait()
+                self.report_now.clear()
+            except TimeoutError:
+                pass
 
     async def obey(self) -> None:
         """Carry out what the test asks for on standard input."""
@@ -371,6 +381,9 @@
                 self.fall_ms = int(word.split()[1])
             elif word == "stand":
                 self.fall_ms = 0
+            elif word == "drain":
+                self.draining = True
+                self.report_now.set()
 
     async def run(self) -> None:
         """Work until the process is killed."""
