--- a/turmerichall/platform/tests/test_restarted_worker.py
+++ b/turmerichall/platform/tests/test_restarted_worker.py
@@ -173,6 +173,50 @@
         assert not started_after_done(cluster)
 
 
+class TestStartsInTheNextLife:
+    """A start that the next life carries out before the leader knows of it.
+
+    The leader tries it again while the worker is silent, and the worker comes
+    back in between.
+    """
+
+    # The run of the next life was taken for one that never began, so the task
+    # ran a second time: after its end, or while the run was being stopped.
+    @pytest.mark.parametrize("run_seconds", [0.15, 1.4])
+    @pytest.mark.parametrize("next_term", [False, True])
+    async def test_its_task_does_not_run_twice(
+        self,
+        mocked_clocks: trio.testing.MockClock,
+        run_seconds: float,
+        next_term: bool,
+    ) -> None:
+        worker = wire_worker.WireWorker("w1")
+        other = wire_worker.WireWorker("w2")
+        cluster = wire_worker.WireCluster(worker, other)
+
+        async def script() -> None:
+            await trio.sleep(60.0)
+            for each in (worker, other):
+                each.life.run_seconds = each.run_seconds = run_seconds
+                each.stop_seconds = 0.36
+            worker.hold_back = lambda path, _: path == "/v1/run-start"
+            await cluster.submit(JOB, test_leadership.demand(1))
+            await cluster.wait_until(lambda: bool(worker.held_back))
+            worker.life.silent = True
+            worker.hold_back = lambda *_: False
+            await trio.sleep(0.65)
+            worker.restart()
+            await cluster.wait_until(lambda: bool(worker.life.history), 1.0)
+            if next_term:
+                cluster.replica.lead(2)
+            await cluster.wait_for_state("completed", JOB)
+            await trio.sleep(3.0)
+
+        await run_script(cluster, script)
+        assert not cluster.overlaps()
+        assert not started_after_done(cluster)
+
+
 class TestLease:
 
     # A poll meant for the old life extends the lease of the new one; times of
--- a/turmerichall/platform/tests/wire_worker.py
+++ b/turmerichall/platform/tests/wire_worker.py
@@ -43,6 +43,8 @@
         born_at: Time of its start, in trio time.
         longest_lease_ms: Longest time until the deadline of a start.
         done_at: Time of each task's first end as done, in trio time.
+        stop_seconds: Time that a stop of a run takes.
+        stopping: Tasks whose runs are being stopped.
     """
 
     def __init__(self, name: str, cpu: int):
@@ -50,9 +52,27 @@
         self.born_at = trio.current_time()
         self.longest_lease_ms = 0
         self.done_at: dict[changes.TaskName, float] = {}
+        self.stop_seconds = 0.0
+        self.stopping: set[changes.TaskName] = set()
+
+    async def stop(
+        self, order: worker_client.Order, token: int
+    ) -> worker_client.OrderResult:
+        """See `FakeWorker`."""
+        run = self.runs.get(order.task)
+        if not self.stop_seconds or run is None or run.order.run != order.run:
+            return await super().stop(order, token)
+        if order.task not in self.stopping:
+            self.stopping.add(order.task)
+            now = trio.current_time()
+            run.ends_at = min(run.ends_at, now + self.stop_seconds)
+        return worker_client.OrderResult(fakes.Verdict.DONE, self.clock_ms())
 
     def end(self, task: changes.TaskName, ending: changes.Ending) -> None:
         """See `FakeWorker`."""
+        if task in self.stopping:
+            self.stopping.remove(task)
+            ending = changes.Ending.STOPPED
         if ending == changes.Ending.DONE:
             self.done_at.setdefault(task, trio.current_time())
         super().end(task, ending)
@@ -81,6 +101,7 @@
         self.name = name
         self.cpu = cpu
         self.run_seconds = 1.0
+        self.stop_seconds = 0.0
         self.lives = [Life(name, cpu)]
         self.sequence = 0
         self.hold_back: Callable[[str, dict[str, Any]], bool] = (
@@ -99,6 +120,7 @@
             self.life.crash()
         self.lives.append(Life(self.name, self.cpu))
         self.life.run_seconds = self.run_seconds
+        self.life.stop_seconds = self.stop_seconds
         self.life.lasting_jobs = self.lives[0].lasting_jobs
         self.sequence = 0
 
