Send orders only on connections to the expected life of a worker

Cause: orders and polls name the worker's id, which both lives have. Only the answer to a poll tells them apart, and calls were sent on any new connection before such an answer had come.

A connection ends with the process that accepted it. So each new connection to a worker that tells its start time begins with a poll that renews nothing and acknowledges nothing, and carries calls only if the expected life answers; otherwise the call counts as answered by another life, and as not sent. A worker that closes each connection is called as before, since none can be checked there.

--- a/turmerichall/http1/client.py
+++ b/turmerichall/http1/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client of one address, with a small connection pool."""
 
 import collections
+from collections.abc import Callable
 import select
 from typing import NamedTuple
 
@@ -9,7 +10,7 @@
 
 from turmerichall.http1 import message
 
-__all__ = ["CallFailure", "Client", "Limits"]
+__all__ = ["CallFailure", "Client", "Limits", "Opening"]
 
 READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_SECONDS = 0.8
@@ -37,10 +38,29 @@
     Attributes:
         possibly_sent: Whether the server may have received the request.
         detail: Human-readable reason.
+        rejected: Answer to the opening call of a connection that was therefore
+            not used; None if no connection was rejected.
     """
 
     possibly_sent: bool
     detail: str
+    rejected: message.Response | None = None
+
+
+class Opening(NamedTuple):
+    """Call that is sent first on a new connection, to find out who answers.
+
+    Attributes:
+        method: HTTP method.
+        target: Path.
+        body: Body of the request; the header fields are those of the call.
+        accepts: Returns whether the connection may be used after this answer.
+    """
+
+    method: str
+    target: str
+    body: bytes
+    accepts: Callable[[message.Response], bool]
 
 
 class _BrokenConnection(Exception):
@@ -182,6 +202,14 @@
         self.stream.socket.close()
 
 
+def _encode_opening(opening: Opening, request: message.Request) -> bytes:
+    return message.encode_request(
+        message.Request(
+            opening.method, opening.target, request.headers, opening.body
+        )
+    )
+
+
 class Client:
     """Client of one address, for idempotent calls only.
 
@@ -219,6 +247,7 @@
         body: bytes,
         headers: message.Headers,
         timeout_seconds: float,
+        opening: Opening | None = None,
     ) -> message.Response | CallFailure:
         """Send a request and wait for the response.
 
@@ -229,6 +258,7 @@
             headers: Header fields; `host` is added.
             timeout_seconds: Timeout of the whole call: waiting for a free
                 connection, connecting, sending and receiving.
+            opening: Call to send first, if a new connection is opened.
 
         Returns:
             The response, or the reason why there is none.
@@ -238,6 +268,9 @@
         )
         try:
             request_bytes = message.encode_request(request)
+            opening_bytes = (
+                b"" if opening is None else _encode_opening(opening, request)
+            )
         except ValueError as error:
             return CallFailure(False, f"the request can't be encoded: {error}")
         result = CallFailure(
@@ -255,19 +288,35 @@
                         if result.possibly_sent:
                             return result
                         return CallFailure(False, "connect failed")
-                    result = CallFailure(True, "no response within the timeout")
                     reusable = False
-                    if connection.used:
+                    reused = connection.used
+                    if reused:
                         reused_at = trio.current_time()
                     try:
+                        if opening is not None and not reused:
+                            answer = await connection.call(opening_bytes)
+                            if not opening.accepts(answer):
+                                return CallFailure(
+                                    result.possibly_sent,
+                                    "another server answers",
+                                    answer,
+                                )
+                            if not connection.keeps_alive:
+                                # Each connection of this server carries one
+                                # call, so none can be checked beforehand.
+                                opening = None
+                                continue
+                        result = CallFailure(
+                            True, "no response within the timeout"
+                        )
                         response = await connection.call(request_bytes)
                         reusable = connection.keeps_alive
                         return response._replace(resent=resent)
                     except _BrokenConnection as error:
-                        result = CallFailure(True, str(error))
+                        result = CallFailure(result.possibly_sent, str(error))
                         # The server may have closed a reused connection while
                         # it was idle, so the call is sent on another one.
-                        if not connection.used:
+                        if not reused:
                             return result
                         resent = True
                     finally:
--- a/turmerichall/platform/http_worker_client.py
+++ b/turmerichall/platform/http_worker_client.py
@@ -13,6 +13,7 @@
 
 __all__ = ["HttpWorkerClient", "task_from_wire", "task_to_wire"]
 
+POLL_PATH = "/v1/hold"
 ORDER_TIMEOUT_SECONDS = 0.35
 # Timeout of a poll beyond the time that it allows the worker to wait before it
 # responds.
@@ -108,7 +109,10 @@
 
     Every request names the worker in the header `expect-instance`; another
     worker at the same address responds with 421.  A later incarnation of the
-    same worker is told by `born`, which only the response to a poll contains.
+    same worker is told by `born`, which only the response to a poll contains,
+    and carries out whatever it receives.  A connection ends with the
+    incarnation, so each new one begins with a poll that changes nothing, and
+    carries orders only if the answer is that of the expected incarnation.
 
     Attributes:
         client: HTTP client for the address of the worker.
@@ -133,9 +137,27 @@
             _ENCODER.encode(body),
             self._headers,
             ORDER_TIMEOUT_SECONDS,
+            self._opening(body["fencing_token"]),
         )
         return _order_result(answer)
 
+    def _opening(self, token: int) -> http_client.Opening | None:
+        """Return the first call on a new connection; None if not needed."""
+        if not self.born_ms:
+            return None
+        body = {"fencing_token": token, "acked_through": 0}
+        return http_client.Opening(
+            "POST", POLL_PATH, _ENCODER.encode(body), self._is_expected
+        )
+
+    def _is_expected(self, answer: message.Response) -> bool:
+        """Return whether a poll was answered by the expected incarnation."""
+        if answer.status != 200:
+            return False
+        document = lenient_json.decode_object(answer.body) or {}
+        born_ms = lenient_json.bounded(document.get("born")) or 0
+        return born_ms in (0, self.born_ms)
+
     async def start(
         self, order: worker_client.Order, token: int, deadline_ms: int
     ) -> worker_client.OrderResult:
@@ -192,12 +214,15 @@
             body["deadline_ms"] = deadline_ms
         if wait_ms:
             body["wait_ms"] = wait_ms
+        # A poll that changes nothing checks the incarnation itself.
+        changes_nothing = not acknowledged and deadline_ms is None
         answer = await self.client.call(
             "POST",
-            "/v1/hold",
+            POLL_PATH,
             _ENCODER.encode(body),
             self._headers,
             POLL_MARGIN_SECONDS + wait_ms / 1000,
+            None if changes_nothing else self._opening(token),
         )
         if isinstance(answer, http_client.CallFailure) or answer.status != 200:
             return worker_client.PollFailure(_order_result(answer).verdict)
@@ -205,6 +230,8 @@
         if status is None:
             return worker_client.PollFailure(worker_client.Verdict.UNANSWERED)
         if self.born_ms and status.born_ms not in (0, self.born_ms):
+            # The connection would carry orders to the other incarnation.
+            self.client.close()
             return worker_client.PollFailure(worker_client.Verdict.REPLACED)
         return status
 
@@ -218,6 +245,8 @@
 ) -> worker_client.OrderResult:
     verdict = worker_client.Verdict
     if isinstance(answer, http_client.CallFailure):
+        if answer.rejected is not None:
+            return _rejection(answer.rejected, answer.possibly_sent)
         return worker_client.OrderResult(
             verdict.UNANSWERED if answer.possibly_sent else verdict.UNSENT
         )
@@ -233,6 +262,21 @@
     return worker_client.OrderResult(failure, clock_ms, answer.resent)
 
 
+def _rejection(
+    opening: message.Response, possibly_sent: bool
+) -> worker_client.OrderResult:
+    """Return the result of a call for which no connection could be used.
+
+    Args:
+        opening: Answer to the first call on the connection.
+        possibly_sent: Whether the call was sent on another connection before.
+    """
+    if opening.status == 200:
+        return worker_client.OrderResult(worker_client.Verdict.REPLACED)
+    result = _order_result(opening)
+    return result._replace(may_be_pending=possibly_sent)
+
+
 def _worker_status(
     body: bytes, known_tasks: _TasksByName
 ) -> worker_client.WorkerStatus | None:
--- a/turmerichall/platform/tests/wire_worker.py
+++ b/turmerichall/platform/tests/wire_worker.py
@@ -165,8 +165,9 @@
         body: bytes,
         headers: message.Headers,
         timeout_seconds: float,
+        _opening: http_client.Opening | None = None,
     ) -> message.Response | http_client.CallFailure:
-        """See `http1.client.Client`."""
+        """See `http1.client.Client`; calls may reach a later life."""
         await trio.sleep(0.002)
         life = self.life
         if life.down:
