Keep the cancellation of a job that is not known yet

Cause: the answer 410 was read from the state of that moment. The submission was still in the socket of a frozen entry instance, which forwarded it when it ran again, and nothing told the leader that the job had been canceled.

Evidence: in the record of the case the DELETE is answered 2 s before SIGCONT, and 'job accepted' follows 0.16 s after it.

--- a/turmerichall/dispatch/job_requests/job_requests.py
+++ b/turmerichall/dispatch/job_requests/job_requests.py
@@ -14,6 +14,8 @@
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.admission_control import controller
 from turmerichall.dispatch.job_requests import request_register
+from turmerichall.dispatch.retention import retention as retentions
+from turmerichall.dispatch.withdrawals import withdrawal
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import state as states
@@ -38,6 +40,7 @@
     queue_state: states.QueueState
     workers: dict[str, worker_state.Worker]
     token: int
+    retention: retentions.Retention
     log: link.Log
     metrics_registry: lightweight_metrics.MetricsRegistry
 
@@ -94,6 +97,13 @@
         pending = self.register.submissions.get(job_id)
         if pending is not None:
             return await pending.wait(CALLER_WAIT_SECONDS)
+        withdrawn = self.register.cancellations.get(job_id)
+        if withdrawn is not None:
+            failure = await withdrawn.wait(CALLER_WAIT_SECONDS)
+            return withdrawal.WITHDRAWN if failure is None else failure
+        if job_id in owner.queue_state.withdrawn:
+            owner.log.info("canceled job was submitted late", job=job_id)
+            return withdrawal.WITHDRAWN
         refusal = self.admission.decide(
             submission, owner.workers.values(), leases.steady_seconds()
         )
@@ -118,7 +128,8 @@
         """Cancel a job and stop its runs.
 
         Returns:
-            None once this is durable, or the failure.
+            None once this is durable, or the failure.  `UNKNOWN_JOB` if the
+            job is not known; it is refused from then on.
         """
         owner = self.owner
         # The job may be in the log already.
@@ -129,9 +140,7 @@
                 return failure
         job = owner.queue_state.jobs.get(job_id)
         if job is None:
-            return outcomes.Refusal(
-                outcomes.RefusalReason.UNKNOWN_NAME, "no such job"
-            )
+            return await self._withdraw(job_id)
         if not job.open:
             return None
         pending = self.register.cancellations.get(job_id)
@@ -149,6 +158,40 @@
             canceled,
         )
 
+    async def _withdraw(self, job_id: str) -> request_register.Failure:
+        """Cancel a job that is not known, so that it is not accepted later.
+
+        Returns:
+            `UNKNOWN_JOB` once this is durable, or why it may not be.
+        """
+        owner, register = self.owner, self.register
+        withdrawn = owner.queue_state.withdrawn
+        if job_id in withdrawn and owner.retention.renew_withdrawal(job_id):
+            return withdrawal.UNKNOWN_JOB
+        pending = register.cancellations.get(job_id)
+        if pending is not None:
+            failure = await pending.wait(CALLER_WAIT_SECONDS)
+            return withdrawal.UNKNOWN_JOB if failure is None else failure
+        refusal = withdrawal.find_refusal(
+            len(withdrawn) + len(register.cancellations)
+        )
+        if refusal is not None:
+            owner.metrics_registry.count("withdrawals_refused")
+            return refusal
+
+        def committed() -> None:
+            owner.metrics_registry.count("jobs_withdrawn")
+            owner.log.info("unknown job canceled", job=job_id)
+            owner.retention.job_withdrawn(job_id)
+
+        failure = await self._carry_out(
+            register.cancellations,
+            job_id,
+            changes.CancelJob(job_id),
+            committed,
+        )
+        return withdrawal.UNKNOWN_JOB if failure is None else failure
+
     async def _carry_out(
         self,
         in_progress: dict[str, request_register.PendingChange],
--- a/turmerichall/dispatch/retention/ages.py
+++ b/turmerichall/dispatch/retention/ages.py
@@ -58,6 +58,23 @@
             found.append(key)
         return tuple(found)
 
+    def renew(self, key: str, now: float) -> None:
+        """Count the time of a record anew.
+
+        Args:
+            key: Key of the record.
+            now: Current time on the steady clock.
+
+        Examples:
+            >>> ages = Ages()
+            >>> ages.observe(["a", "b"], 10.0)
+            >>> ages.renew("a", 20.0)
+            >>> ages.since
+            {'b': 10.0, 'a': 20.0}
+        """
+        self.since.pop(key, None)
+        self.since[key] = now
+
     def discard(self, keys: Iterable[str]) -> None:
         """Forget keys whose records have left."""
         for key in keys:
--- a/turmerichall/dispatch/retention/gauges.py
+++ b/turmerichall/dispatch/retention/gauges.py
@@ -40,6 +40,11 @@
         "Number of removed workers whose ids are still known.",
         lambda: len(queue_state.gone),
     )
+    add_gauge(
+        "state_withdrawn_jobs",
+        "Number of unknown jobs whose cancellation is kept.",
+        lambda: len(queue_state.withdrawn),
+    )
     add_gauge(
         "state_memory_pressure",
         "0 if there is memory for jobs, 1 if it fills up, 2 if almost full.",
--- a/turmerichall/dispatch/retention/retention.py
+++ b/turmerichall/dispatch/retention/retention.py
@@ -14,6 +14,7 @@
 from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.retention import ages
 from turmerichall.dispatch.retention import memory_pressure
+from turmerichall.dispatch.withdrawals import withdrawal
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
 from turmerichall.queues import forgetting
@@ -101,6 +102,7 @@
         self._gone = ages.Ages()
         self._silent = ages.Ages()
         self._queues = ages.Ages()
+        self._withdrawn = ages.Ages()
         self._level = memory_pressure.Level.NORMAL
 
     def _now(self) -> float:
@@ -137,6 +139,7 @@
         self._silent.observe(self._idle_workers(now), now)
         configured = {queue.key for queue in state.configuration.queues}
         self._queues.observe(state.queues.keys() - configured, now)
+        self._withdrawn.observe(state.withdrawn, now)
 
     def _idle_workers(self, now: float) -> Iterator[str]:
         for worker in self.owner.workers.values():
@@ -162,9 +165,23 @@
             self._gone.older_than(kept, now, BATCH_RECORDS),
             tuple(silent),
             self._queues.older_than(kept, now, BATCH_RECORDS),
+            self._withdrawn.older_than(
+                min(kept, withdrawal.KEPT_SECONDS), now, BATCH_RECORDS
+            ),
         )
         return None if change == forgetting.Forget() else change
 
+    def job_withdrawn(self, job_id: str) -> None:
+        """Count the time of a withdrawn job from now on."""
+        self._withdrawn.renew(job_id, self._now())
+
+    def renew_withdrawal(self, job_id: str) -> bool:
+        """Count the time of a withdrawn job anew, unless it is leaving."""
+        if job_id not in self._withdrawn.since:
+            return False
+        self._withdrawn.renew(job_id, self._now())
+        return True
+
     async def remove(self, change: forgetting.Forget) -> None:
         """Commit a change by which records leave, and act on it."""
         owner = self.owner
@@ -172,12 +189,15 @@
             # Nothing is planned there any more, even if it returns now.
             owner.workers[worker].draining = True
             owner.workers[worker].removing = True
+        # A cancellation that is repeated from now on is committed again.
+        self._withdrawn.discard(change.withdrawn)
         await owner.commit_or_resign(change)
         for kind, keys, seen in (
             ("job", change.jobs, self._jobs),
             ("removed worker", change.gone, self._gone),
             ("silent worker", change.silent, self._silent),
             ("queue", change.queues, self._queues),
+            ("withdrawn job", change.withdrawn, self._withdrawn),
         ):
             seen.discard(keys)
             if keys:
@@ -190,6 +210,7 @@
             removed_workers=len(change.gone),
             silent_workers=list(change.silent[:8]),
             queues=len(change.queues),
+            withdrawn_jobs=len(change.withdrawn),
             jobs_left=len(owner.queue_state.jobs),
         )
         await owner.records_forgotten(change)
--- a/turmerichall/platform/client_requests.py
+++ b/turmerichall/platform/client_requests.py
@@ -8,6 +8,7 @@
 from turmerichall import errors
 from turmerichall import outcomes
 from turmerichall.dispatch import leader_api as leader_apis
+from turmerichall.dispatch.withdrawals import withdrawal
 from turmerichall.entry import calls
 from turmerichall.http1 import message
 from turmerichall.queues import configuration as configurations
@@ -214,6 +215,9 @@
             return failure_response(state)
         return message.Response(200, _encode({"state": state.value}))
     if request.method == "DELETE" and job_id:
+        if not _JOB_ID.fullmatch(job_id):
+            # No job can have this id.
+            return to_response(withdrawal.UNKNOWN_JOB)
         failure = await leader_api.cancel(job_id)
         return to_response(failure)
     return message.Response(405)
--- a/turmerichall/queues/forgetting.py
+++ b/turmerichall/queues/forgetting.py
@@ -24,12 +24,14 @@
         silent: Ids of registered workers without runs that have been silent
             for long; they register again when they return.
         queues: Keys of queues that are not configured any more.
+        withdrawn: Ids of jobs that were canceled before they were known.
     """
 
     jobs: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
     silent: tuple[str, ...] = ()
     queues: tuple[str, ...] = ()
+    withdrawn: tuple[str, ...] = ()
 
 
 class Job(Protocol):
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -37,6 +37,7 @@
     evacuations: dict[str, int] = {}
     restored: dict[str, int] = {}
     interference_strengths: dict[str, dict[str, float]] = {}
+    withdrawn: list[str] = []
 
 
 def _empty_snapshot() -> _Snapshot:
@@ -65,6 +66,7 @@
             began, in ms since 1970, by name of the zone.
         restored: When each availability zone that was in evacuation was taken
             back, in ms since 1970, by name of the zone.
+        withdrawn: Ids of jobs that were canceled before they were known.
         waiting: Ids of open jobs of which no task has started, by key of the
             queue.
         jobs_bytes: Estimated memory of the jobs, in bytes.
@@ -86,6 +88,7 @@
         self.capacities = state.capacities
         self.evacuations = state.evacuations
         self.restored = state.restored
+        self.withdrawn = set(state.withdrawn)
         self.waiting: dict[str, set[str]] = {}
         self.jobs_bytes = sum(map(job_size.estimate_bytes, self.jobs.values()))
         for job in self.jobs.values():
@@ -108,6 +111,7 @@
                 self.evacuations,
                 self.restored,
                 self.interference_strengths,
+                sorted(self.withdrawn),
             )
         )
 
@@ -128,7 +132,7 @@
             case changes.AcceptJob():
                 self._accept(change)
             case changes.CancelJob():
-                self._close(change.job, job_records.JobState.CANCELED)
+                self._cancel(change.job)
             case changes.SetConfiguration() | edits.ReviseConfiguration():
                 self._configure(change)
             case changes.RegisterWorker():
@@ -172,6 +176,8 @@
     def _accept(self, change: changes.AcceptJob) -> None:
         if change.job in self.jobs:
             return
+        # Leaders of earlier releases accept withdrawn jobs.
+        self.withdrawn.discard(change.job)
         job = job_records.Job(
             change.job, change.queue, change.demand, change.at_ms
         )
@@ -179,6 +185,12 @@
         self.jobs_bytes += job_size.estimate_bytes(job)
         self.waiting.setdefault(job.queue, set()).add(job.id)
 
+    def _cancel(self, job_id: str) -> None:
+        if job_id in self.jobs:
+            self._close(job_id, job_records.JobState.CANCELED)
+        else:
+            self.withdrawn.add(job_id)
+
     def _close(self, job_id: str, state: job_records.JobState) -> None:
         job = self.jobs.get(job_id)
         if job is None or not job.open:
@@ -268,6 +280,7 @@
         for job in forgetting.forget_jobs(self.jobs, change.jobs):
             self.jobs_bytes -= job_size.estimate_bytes(job)
         self.gone.difference_update(change.gone)
+        self.withdrawn.difference_update(change.withdrawn)
         if change.silent:
             busy = {
                 task.worker
