Refuse submissions that an entry instance may have received long ago

Cause: an entry instance takes each request for one that has just arrived.

It now notices by the steady clock that it had no turn for a minute or more, and answers each submission that it reads in the next 5 s with 503 and Retry-After. Nothing was forwarded, so that the answer is true.

--- a/turmerichall/entry/entry_daemon.py
+++ b/turmerichall/entry/entry_daemon.py
@@ -2,8 +2,10 @@
 
 import trio
 
+from turmerichall.dispatch import lease as leases
 from turmerichall.entry import calls
 from turmerichall.entry import leader_client as leader_clients
+from turmerichall.entry import stalls
 from turmerichall.http1 import handler_errors
 from turmerichall.http1 import message
 from turmerichall.http1 import metrics
@@ -42,11 +44,13 @@
         metrics_registry: Metrics of this process.
         metrics_server: HTTP server for the metrics.
         draining: Whether the daemon is being drained and reports "not ready".
+        stalls: Detects that this process stood still.
     """
 
     def __init__(self, settings: queue_settings.QueueSettings):
         self.settings = settings
         self.draining = False
+        self.stalls = stalls.StallDetector(leases.steady_seconds())
         self.log = logs.Log("frontdoor")
         self.metrics_registry = lightweight_metrics.MetricsRegistry()
         self.network = networks.Network(
@@ -82,6 +86,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.network.run)
             nursery.start_soon(self.leader_client.run)
+            nursery.start_soon(self._watch_stalls)
             async with trio.open_nursery() as servers:
                 await servers.start(self.readiness_server.run, listen.ready)
                 await servers.start(self.client_server.run, listen.clients)
@@ -102,11 +107,23 @@
         await self.readiness_server.stop()
         await self.metrics_server.stop()
 
+    async def _watch_stalls(self) -> None:
+        while True:
+            self.stalls.turn(leases.steady_seconds())
+            await trio.sleep(stalls.TURN_SECONDS)
+
     async def _answer_ready(self, _: message.Request) -> message.Response:
         is_ready = not self.draining and self.leader_client.ready()
         return message.Response(200 if is_ready else 503)
 
     async def _answer(self, request: message.Request) -> message.Response:
+        refusal = self.stalls.find_refusal(leases.steady_seconds())
+        if request.method == "POST" and refusal is not None:
+            self.metrics_registry.count("submissions_refused_after_stall")
+            self.log.warning("submission refused", reason=refusal.detail)
+            return message.Response(
+                503, b"", {"retry-after": str(round(stalls.READ_SECONDS))}
+            )
         timeout_seconds = (
             client_timeout_seconds(request) - RESPONSE_MARGIN_SECONDS
         )
