Count tasks that start together as one trial of their worker

Cause: a tripped circuit breaker admits one trial, which the first member of the gang took. The second was not admitted, so both were taken back, but not the trial. For other tasks only the end of a run as done closed the breaker.

Tasks that start together are now one trial; runs that are gone without an outcome free the next; and a run that goes on for 1 s proves a worker after refused starts, or if it is long-running.

--- a/turmerichall/dispatch/backlog.py
+++ b/turmerichall/dispatch/backlog.py
@@ -48,6 +48,8 @@
             because urgent tasks took the room of some.
         no_room_round: Number of the latest placing round that found no worker
             for the waiting tasks; 0 if there was room or a task was added.
+        trial_name: What tasks that start together have in common, so that they
+            count as one trial of a worker; None if each starts by itself.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "queue",
         "starved_since",
         "step",
+        "trial_name",
         "waiting",
         "waiting_since",
     )
@@ -76,6 +79,8 @@
         self.job = job
         self.queue = queue
         self.step: demands.StepDemand = job.demand.steps[name.step]
+        starts_together = self.step.gang or self.step.same_rack
+        self.trial_name = name if starts_together else None
         self.waiting: set[int] = set()
         self.critical_path_seconds = job.demand.critical_path_ms() / 1000
         self.began_at_ms = job.at_ms
--- a/turmerichall/dispatch/circuit_breaker.py
+++ b/turmerichall/dispatch/circuit_breaker.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Hashable
 
 __all__ = ["CircuitBreaker"]
 
@@ -17,9 +18,13 @@
 # before a run has succeeded, up to the maximum.
 OPEN_SECONDS = 1.5
 MAX_OPEN_SECONDS = 6.0
-# Once the open time is over, a single trial run may start.  No further run
-# starts on the worker for this time, or until the trial run ends.
+# Once the open time is over, a single trial may start: one run, or all runs of
+# a gang.  No further run starts on the worker for this time, or until a run of
+# the trial ends or all of them are taken back.
 TRIAL_SECONDS = 2.0
+# Time for which a run of a trial has to go on to prove its worker, where the
+# end of the run can't: that of a long-running task, or after refused starts.
+PROVEN_SECONDS = 1.0
 
 
 class CircuitBreaker:
@@ -32,6 +37,8 @@
             tasks.
         tripped: Whether the breaker is open or half-open: it tripped, and no
             run has succeeded since.
+        proven: Whether a run has gone on for long enough since it tripped.  It
+            admits all tasks, but trips again at the next failure.
 
     Examples:
         >>> breaker = CircuitBreaker()
@@ -50,7 +57,11 @@
         )
         self.open_until = 0.0
         self.tripped = False
+        self.proven = False
+        self._refused = False
         self._trial_until = 0.0
+        self._trial: Hashable = None
+        self._trial_runs: set[Hashable] = set()
         self._open_seconds = OPEN_SECONDS
 
     def record(self, succeeded: bool, now: float, cause: str = "") -> None:
@@ -63,12 +74,12 @@
                 of the job; they count once, because a job that fails wherever
                 it runs says little about a worker.
         """
-        self._trial_until = 0.0
+        self._end_trial()
         if succeeded:
             self.outcomes.append((cause, True))
             if self.tripped:
                 self.outcomes.clear()
-                self.tripped = False
+                self.tripped = self.proven = self._refused = False
                 self._open_seconds = OPEN_SECONDS
             return
         if cause and (cause, False) in self.outcomes:
@@ -76,22 +87,78 @@
         self.outcomes.append((cause, False))
         failures = sum(not was_success for _, was_success in self.outcomes)
         if self.tripped or failures >= FAILURE_THRESHOLD:
+            self._refused = False
             self.trip(now)
 
+    def record_refusal(self, now: float) -> None:
+        """Record that the worker refused a start, and did nothing."""
+        if not self.tripped:
+            self._refused = True
+        self.trip(now)
+
     def trip(self, now: float) -> None:
         """Open the breaker for a while; `now` is on the steady clock."""
+        self.proven = False
         if now >= self.open_until:
             self.open_until = now + self._open_seconds
             self._open_seconds = min(2 * self._open_seconds, MAX_OPEN_SECONDS)
         self.tripped = True
 
-    def allows(self, now: float) -> bool:
-        """Return whether a task may start at a time on the steady clock."""
+    def record_running(self, seconds: float, lasting: bool) -> bool:
+        """Record that a run goes on; return whether that proves the worker.
+
+        Args:
+            seconds: How long it has been at work.
+            lasting: Whether it is long-running, so that its end is no success.
+        """
+        if not self.tripped or self.proven or seconds < PROVEN_SECONDS:
+            return False
+        self.proven = lasting or self._refused
+        return self.proven
+
+    def allows(self, now: float, trial: Hashable = None) -> bool:
+        """Return whether a task may start.
+
+        Args:
+            now: Current time on the steady clock.
+            trial: What all tasks that start together have in common; None for a
+                task that starts by itself.
+        """
         if now < self.open_until:
             return False
-        return not self.tripped or now >= self._trial_until
+        if not self.tripped or self.proven or now >= self._trial_until:
+            return True
+        return trial is not None and trial == self._trial
 
-    def record_start(self, now: float) -> None:
-        """Record that a task starts at a time on the steady clock."""
-        if self.tripped:
-            self._trial_until = now + TRIAL_SECONDS
+    def record_start(
+        self, now: float, run: Hashable = None, trial: Hashable = None
+    ) -> None:
+        """Record that a task starts.
+
+        Args:
+            now: Current time on the steady clock.
+            run: The run, for `take_back`.
+            trial: See `allows`.
+        """
+        if not self.tripped or self.proven:
+            return
+        if trial is None or trial != self._trial or now >= self._trial_until:
+            self._trial_runs.clear()
+        self._trial = trial
+        self._trial_runs.add(run)
+        self._trial_until = now + TRIAL_SECONDS
+
+    def take_back(self, run: Hashable) -> None:
+        """Record that a run is gone without an outcome.
+
+        The next trial may start at once when none of this one is left.
+        """
+        if run in self._trial_runs:
+            self._trial_runs.remove(run)
+            if not self._trial_runs:
+                self._end_trial()
+
+    def _end_trial(self) -> None:
+        self._trial_until = 0.0
+        self._trial = None
+        self._trial_runs.clear()
--- a/turmerichall/dispatch/placement.py
+++ b/turmerichall/dispatch/placement.py
@@ -6,7 +6,7 @@
 next peak of load.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Hashable, Iterable, Iterator
 import heapq
 
 from turmerichall.dispatch import interference_model as interference_models
@@ -37,6 +37,7 @@
     avoided: Iterable[str] = (),
     siblings: dict[str, int] | None = None,
     force: bool = False,
+    trial: Hashable = None,
 ) -> worker_state.Worker | None:
     """Return the worker for a task, or None if it has to wait.
 
@@ -50,11 +51,12 @@
         siblings: Number of tasks of its step on each worker, by id.
         force: Whether a best-effort task is placed even where it raises a tail
             latency too far; it is then throttled there.
+        trial: See `circuit_breaker.CircuitBreaker.allows`.
     """
     best: worker_state.Worker | None = None
     best_score = -float("inf")
     for worker, score in _eligible(
-        step, workers, now, interference_model, siblings, force
+        step, workers, now, interference_model, siblings, force, trial
     ):
         if worker.record.id in avoided:
             score -= 10 * worker.capacity.cpu
@@ -72,6 +74,7 @@
     job: str,
     avoided: Iterable[str],
     siblings: dict[str, int],
+    trial: Hashable = None,
 ) -> worker_state.Worker | None:
     """Return the worker for a task that may crash it, or None.
 
@@ -88,12 +91,13 @@
         avoided: Ids of workers on which the task failed or from which it was
             moved; used only if no other worker has room.
         siblings: Number of tasks of its step on each worker, by id.
+        trial: See `circuit_breaker.CircuitBreaker.allows`.
     """
     return max(
         (
             worker
             for worker, _ in _eligible(
-                step, workers, now, interference_model, siblings, False
+                step, workers, now, interference_model, siblings, False, trial
             )
         ),
         key=lambda worker: (
@@ -113,6 +117,7 @@
     interference_model: interference_models.InterferenceModel,
     siblings: dict[str, int] | None,
     force: bool,
+    trial: Hashable,
 ) -> Iterator[tuple[worker_state.Worker, float]]:
     """Yield the workers that a task may go to, each with its score.
 
@@ -121,7 +126,7 @@
     for worker in workers:
         if worker.draining or not worker.in_touch:
             continue
-        if not worker.breaker.allows(now):
+        if not worker.breaker.allows(now, trial):
             continue
         count = siblings.get(worker.record.id, 0) if siblings else 0
         score = _score_if_eligible(
@@ -151,6 +156,7 @@
         now: float,
         interference_model: interference_models.InterferenceModel,
         siblings: dict[str, int],
+        trial: Hashable = None,
     ):
         """Score the workers.
 
@@ -160,10 +166,12 @@
             now: Current time on the steady clock.
             interference_model: Learned slowdowns of long-running tasks.
             siblings: See the class.
+            trial: See `circuit_breaker.CircuitBreaker.allows`.
         """
         self.step = step
         self.siblings = siblings
         self._now = now
+        self._trial = trial
         self._interference_model = interference_model
         # Positions of the workers, and how often each was scored again.
         self._numbers: dict[str, int] = {}
@@ -195,7 +203,7 @@
         heapq.heapify(self._heap)
 
     def _entry(self, number: int, worker: worker_state.Worker) -> _Entry | None:
-        if not worker.breaker.allows(self._now):
+        if not worker.breaker.allows(self._now, self._trial):
             return None
         score = _score_if_eligible(
             self.step,
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -276,7 +276,7 @@
     def _undo(self, planned: PlannedRuns, now: float) -> None:
         """Give back what was reserved for runs that do not start."""
         for worker, run in planned:
-            worker.remove(run)
+            worker.take_back(run)
             self._trials.record_change(worker, run, now)
 
     def _plan_tasks(
@@ -308,6 +308,7 @@
                 avoided,
                 siblings,
                 force,
+                group.trial_name,
             )
             if worker is None:
                 return []
@@ -321,7 +322,12 @@
                 if self._changed_rounds[worker.record.id] > since
             ]
         candidates = placement.Candidates(
-            step, workers, now, self.interference_model, siblings
+            step,
+            workers,
+            now,
+            self.interference_model,
+            siblings,
+            group.trial_name,
         )
         planned: PlannedRuns = []
         tasks = group.records()
@@ -352,6 +358,7 @@
                     group.job.id,
                     avoided,
                     siblings,
+                    group.trial_name,
                 )
             elif avoided:
                 worker = placement.choose_worker(
@@ -361,6 +368,7 @@
                     self.interference_model,
                     avoided,
                     siblings,
+                    trial=group.trial_name,
                 )
             if worker is None:
                 break
@@ -390,5 +398,7 @@
         run.record_suspicion(tasks[number])
         worker.add(run)
         self._trials.record_change(worker, run, now)
-        worker.breaker.record_start(now)
+        worker.breaker.record_start(
+            now, (run.task, run.number), group.trial_name
+        )
         return run
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -250,6 +250,9 @@
             run.phase != run_state.Phase.RUNNING for run in worker.runs.values()
         ):
             return SHORT_WAIT_MS
+        if worker.breaker.tripped and not worker.breaker.proven:
+            # The poll after this one may show that the worker is sound.
+            return SHORT_WAIT_MS
         if worker.long_running_count and worker.cpu_best_effort:
             quiet = self._tail_controller.is_quiet()
             return MEDIUM_WAIT_MS if quiet else SHORT_WAIT_MS
@@ -347,6 +350,10 @@
                 run.phase = run_state.Phase.RUNNING
             if not run.confirmed_at:
                 run.confirmed_at = now
+            if worker.breaker.record_running(
+                now - run.confirmed_at, run.step.lasting
+            ):
+                owner.request_placement()
             run.load = row.recent_load
             run.record_progress(row.progress_percent, now)
             run.record_checkpoint(row.checkpoint)
@@ -488,7 +495,7 @@
         if verdict == Verdict.NO_TICKET:
             owner.ticket_refused(worker, run)
         if verdict in (Verdict.UNWELL, Verdict.NO_ROOM, Verdict.MALFORMED):
-            worker.breaker.trip(now)
+            worker.breaker.record_refusal(now)
         await owner.commit_ends(
             worker, [self._ended(run, changes.Ending.UNSTARTED)]
         )
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -225,10 +225,17 @@
                 del self.runs_by_job[job]
             if run.suspected:
                 self.suspected_runs.remove(run)
+            self.breaker.take_back((run.task, run.number))
             self._count(run.step, -1)
             if run.step.lasting:
                 self._forget_neighbour(run.task[:3])
 
+    def take_back(self, run: run_state.Run) -> None:
+        """Remove a run that was planned and does not start."""
+        if self.runs.get(run.task) is run:
+            self.remove(run)
+            self.start_budget += run.step.cpu
+
     def _forget_neighbour(self, step: tuple[str, int, int]) -> None:
         if not any(task[:3] == step for task in self.runs):
             self.neighbours.pop(step, None)
