Let a worker's own reports count after one with an odd number

Cause: heartbeats with a lower number than the highest one were acknowledged and did nothing, so that a single one put all reports of the worker out of reach.

Evidence: in the record of the case the foreign heartbeat is answered 200, and 'worker is draining' is never logged though each draining report is answered 200.

A drain now takes effect whatever its number. The same class was found in the ends of runs: one with a number far ahead made later ends count as known.

--- a/turmerichall/dispatch/registry.py
+++ b/turmerichall/dispatch/registry.py
@@ -147,12 +147,13 @@
         if identity.identify(record, worker.record) == identity.Sender.UNNAMED:
             reports.log_unnamed(self.log, record, worker)
             return False
-        if heartbeat.sequence < worker.heartbeat:
-            return True
-        worker.heartbeat = heartbeat.sequence
-        worker.cold_until = leases.steady_seconds() + heartbeat.cold_ms / 1000
-        if not await self._resize(worker, record.capacity):
-            return False
+        now = leases.steady_seconds()
+        if worker.heartbeats.is_newest(heartbeat.sequence, now):
+            worker.cold_until = now + heartbeat.cold_ms / 1000
+            if not await self._resize(worker, record.capacity):
+                return False
+        # An incarnation that drains goes on to its end, so a late report of it
+        # is true as well.
         return not heartbeat.draining or await self._drain(worker)
 
     def _namesake(
--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -11,6 +11,7 @@
 from turmerichall.dispatch import unexpected_runs as unexpected_run_sets
 from turmerichall.dispatch import worker_client
 from turmerichall.dispatch import worker_state
+from turmerichall.dispatch.heartbeats import sequence
 from turmerichall.dispatch.retention import poll_pacing as poll_pacings
 from turmerichall.peers import link
 from turmerichall.queues import change as changes
@@ -305,7 +306,7 @@
         for end in status.ends:
             if end.sequence <= self.acknowledged:
                 continue
-            last = max(last, end.sequence)
+            last = sequence.last_plausible(end.sequence, last)
             ended = end.ended
             if ended is None:
                 continue
--- a/turmerichall/dispatch/worker_state.py
+++ b/turmerichall/dispatch/worker_state.py
@@ -7,6 +7,7 @@
 from turmerichall.dispatch import run_state
 from turmerichall.dispatch import service_load
 from turmerichall.dispatch import worker_client
+from turmerichall.dispatch.heartbeats import sequence
 from turmerichall.queues import change as changes
 from turmerichall.queues import demand as demands
 
@@ -82,7 +83,7 @@
         suspected_runs: Runs of tasks that are suspected of a crash.
         lapsed_runs: Runs that were lost with the lease since the worker was
             last in touch.  It may have crashed.
-        heartbeat: Sequence number of the latest heartbeat.
+        heartbeats: Order of its heartbeats.
         evacuated: Whether its availability zone was in evacuation in the latest
             placing round.
         start_budget: Processors for which runs may still start there, beside
@@ -127,7 +128,7 @@
         self.replaced = False
         self.suspected_runs: list[run_state.Run] = []
         self.lapsed_runs: list[run_state.Run] = []
-        self.heartbeat = 0
+        self.heartbeats = sequence.HeartbeatOrder()
         self.evacuated = False
         self.start_budget = float("inf")
         self.cold_until = -float("inf")
