Show a job as begun only when a worker has begun it

Cause: a job left the waiting ones of the replicated state with the commit of a start, which comes before its worker is told, and was not put back when the start came to nothing.

Evidence: in the record of the case the starts are answered 503, the runs end as unstarted, and the count is 0 all the while.

A job of which no run is left and none may have begun waits again, in the state of all replicas. While starts are under way, the leader counts and shows a job as waiting until a worker confirms or lists a run of it.

--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -1,6 +1,6 @@
 """Requests of callers, workers and operators that only the leader answers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 import trio
@@ -16,8 +16,10 @@
 from turmerichall.dispatch import policy_client
 from turmerichall.dispatch import term_failures
 from turmerichall.dispatch import worker_client
+from turmerichall.dispatch import worker_state
 from turmerichall.dispatch.admission_control import controller
 from turmerichall.dispatch.evacuation import requests as evacuation_requests
+from turmerichall.dispatch.job_requests import begun_jobs
 from turmerichall.dispatch.job_requests import job_requests
 from turmerichall.dispatch.job_requests import request_register
 from turmerichall.dispatch.retention import memory_pressure
@@ -327,7 +329,12 @@
             return outcomes.Refusal(
                 outcomes.RefusalReason.UNKNOWN_NAME, "no such job"
             )
-        return job.state
+        return begun_jobs.find_state(job, self.queue_state, self._workers())
+
+    def _workers(self) -> Collection[worker_state.Worker]:
+        """Return the workers; none if this replica does not lead."""
+        leadership = self.leadership
+        return () if leadership is None else leadership.workers.values()
 
     async def cancel(self, job_id: str) -> Failure | None:
         """Cancel a job; return None once this is durable, or the failure."""
@@ -337,8 +344,10 @@
         return await leadership.job_requests.cancel(job_id)
 
     def pending(self, queue: configurations.Queue) -> int:
-        """Return the number of jobs of a queue that have not started."""
-        return len(self.queue_state.waiting.get(queue.key, ()))
+        """Return the number of jobs of a queue that have not begun."""
+        return begun_jobs.count_pending(
+            queue.key, self.queue_state, self._workers()
+        )
 
     async def heartbeat(self, heartbeat: worker_client.Heartbeat) -> bool:
         """Apply a worker's heartbeat; return whether to acknowledge it."""
--- a/turmerichall/queues/job.py
+++ b/turmerichall/queues/job.py
@@ -73,9 +73,11 @@
         demand: The job as its caller described it.
         at_ms: Time of acceptance in ms since 1970.
         state: Current state.
-        started: Whether any task has started.
+        started: Whether the start of any task was committed, and was not found
+            to have come to nothing.
         occurrences: State of each step, by occurrence.
         finished: Number of occurrences of which every step is done.
+        begun: Whether a run of any task may have begun and has ended.
     """
 
     id: str
@@ -86,6 +88,7 @@
     started: bool = False
     occurrences: dict[int, list[StepProgress]] = {}
     finished: int = 0
+    begun: bool = False
 
     @property
     def open(self) -> bool:
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -17,6 +17,7 @@
 from turmerichall.queues import forgetting
 from turmerichall.queues import job as job_records
 from turmerichall.queues import job_size
+from turmerichall.queues import ordered_jobs
 
 __all__ = ["QueueState"]
 
@@ -69,6 +70,8 @@
         withdrawn: Ids of jobs that were canceled before they were known.
         waiting: Ids of open jobs of which no task has started, by key of the
             queue.
+        ordered: Open jobs of which a start was committed, and nothing is known
+            to have begun.
         jobs_bytes: Estimated memory of the jobs, in bytes.
     """
 
@@ -94,6 +97,7 @@
         for job in self.jobs.values():
             if job.state == job_records.JobState.QUEUED:
                 self.waiting.setdefault(job.queue, set()).add(job.id)
+        self.ordered = ordered_jobs.OrderedJobs(self.jobs.values())
 
     def snapshot(self) -> bytes:
         """Return the whole state, encoded."""
@@ -197,6 +201,7 @@
             return
         job.state = state
         self.waiting.get(job.queue, set()).discard(job_id)
+        self.ordered.discard(job)
         if state == job_records.JobState.COMPLETED:
             # Frees the memory of the job's demand and tasks; none of the tasks
             # runs or starts any more.
@@ -214,11 +219,23 @@
             return
         task.run = started.run
         task.worker = started.worker
+        self.ordered.record_start(job)
         if not job.started:
             job.started = True
             job.state = job_records.JobState.ACTIVE
             self.waiting.get(job.queue, set()).discard(job.id)
 
+    def _record_begun(self, job: job_records.Job) -> None:
+        job.begun = True
+        self.ordered.discard(job)
+
+    def _record_unstarted(self, job: job_records.Job) -> None:
+        """Put a job back among the waiting ones if nothing of it has begun."""
+        if self.ordered.record_unstarted(job) and job.open:
+            job.started = False
+            job.state = job_records.JobState.QUEUED
+            self.waiting.setdefault(job.queue, set()).add(job.id)
+
     def _find_task(
         self, name: changes.TaskName
     ) -> job_records.TaskRecord | None:
@@ -245,6 +262,10 @@
         if task.run != ended.run or not task.worker:
             return
         task.worker = ""
+        if ended.ending == changes.Ending.UNSTARTED:
+            self._record_unstarted(job)
+        else:
+            self._record_begun(job)
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
         step = job.demand.steps[ended.task.step]
@@ -331,3 +352,4 @@
             for _, task in job.runs():
                 if task.worker == worker:
                     task.worker = ""
+                    self._record_begun(job)
