Read the limits in force when a request begins on an idle connection

Cause: the server took the limits before it waited for the first byte.

They are now taken when that byte has arrived. Both cases of the new test failed before: a limit that was raised, and one that was lowered. The limit on the idle time itself is the one in force when the wait began. The other server, of turmerichalld, takes its limits from its settings file, which a running process does not read again.

--- a/turmerichall/http1/server.py
+++ b/turmerichall/http1/server.py
@@ -215,7 +215,9 @@
         handler: Returns the response to a request.  If it raises an error, the
             client gets a 500 and its connection ends; a `StorageError` ends the
             server.
-        limits: Returns the current limits on requests; called for each request.
+        limits: Returns the current limits on requests; called for each request,
+            when its first byte has arrived.  The limit on the wait for that
+            byte is the one in force when the wait began.
         on_error: Called with the request and the error that its handler raised.
         stopping: Whether connections are closed after their next response.
         stopped: Set once the last connection is closed.
@@ -376,6 +378,8 @@
                 return 0
             if not reader.in_request:
                 began_at = trio.current_time()
+                # They may have changed while the connection was idle.
+                limits = reader.limits = self.limits()
             status = reader.feed(data)
             if status:
                 return status
--- a/turmerichall/http1/tests/test_server.py
+++ b/turmerichall/http1/tests/test_server.py
@@ -42,6 +42,30 @@
     return received
 
 
+class TestChangedLimits:
+
+    # The next request was refused with 413 by the limit in force when the
+    # connection became idle.
+    @pytest.mark.parametrize("first, then", [(10, 1000), (1000, 10)])
+    async def test_limit_counts_for_the_next_request_on_an_idle_connection(
+        self, first: int, then: int
+    ) -> None:
+        limits = server.Limits(body_bytes=first)
+        running = server.Server(_echo, lambda: limits)
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(running.run, "127.0.0.1:0")
+            client = http_client.Client(address)
+            await client.call("POST", "/", b"", {}, 2.0)
+            await trio.sleep(0.05)
+            limits = server.Limits(body_bytes=then)
+            response = await client.call("POST", "/", b"x" * 100, {}, 2.0)
+            assert client.connections_opened == 1
+            assert isinstance(response, message.Response)
+            assert response.status == (200 if then > 100 else 413)
+            client.close()
+            nursery.cancel_scope.cancel()
+
+
 class TestServer:
 
     async def test_reuses_a_connection(self) -> None:
