Start a limited number of tasks in one placing round

Cause: one round placed all tasks that had room and sent all of their starts at once. The task of each start runs before the leader's heartbeats have their next turn. An election begins after 1.0 s without one.

A round now ends at 400 starts, and the next one follows at once; only a step whose tasks start together is placed whole.

--- a/turmerichall/dispatch/leadership.py
+++ b/turmerichall/dispatch/leadership.py
@@ -437,7 +437,8 @@
                 continue
             began_at = time.perf_counter()
             planned = self._planner.plan(leases.steady_seconds(), wall_ms())
-            self._wake.end_placement(time.perf_counter() - began_at)
+            seconds = time.perf_counter() - began_at
+            self._wake.end_placement(seconds, self._planner.is_cut)
             self._stop_for_urgent_tasks()
             if planned:
                 await self._start_runs(planned)
--- a/turmerichall/dispatch/placement_trigger.py
+++ b/turmerichall/dispatch/placement_trigger.py
@@ -47,6 +47,13 @@
         self._is_set = trio.Event()
         self._room_changed = False
 
-    def end_placement(self, seconds: float) -> None:
-        """Record for how long placement has just kept the leader busy."""
+    def end_placement(self, seconds: float, is_cut: bool = False) -> None:
+        """Record that a placement has ended.
+
+        Args:
+            seconds: For how long it has kept the leader busy.
+            is_cut: Whether it left out tasks that may have room.
+        """
         self._pause_until = trio.current_time() + PAUSE_FACTOR * seconds
+        if is_cut:
+            self.set()
--- a/turmerichall/dispatch/planner.py
+++ b/turmerichall/dispatch/planner.py
@@ -31,6 +31,10 @@
 # one is placed even where it slows long-running tasks too far.  The daily
 # report counts a job as idle after 3 s.
 STARVATION_SECONDS = 1.0
+# Number of starts from which a round places no further group.  Each start takes
+# a task of the leader's, and all of them run before it serves anything else:
+# thousands kept it from its heartbeats for longer than the others wait for one.
+MAX_STARTS = 400
 
 PlannedRuns = list[tuple[worker_state.Worker, run_state.Run]]
 
@@ -45,6 +49,7 @@
         tickets: Permissions to run steps on workers, for queues with a policy.
         scheduling: Decisions that the deployment's settings ask for.
         forecaster: Forecasts of run times.
+        is_cut: Whether the latest round ended at `MAX_STARTS`.
     """
 
     def __init__(
@@ -63,6 +68,7 @@
         self.interference_model = interference_model
         self.tickets = tickets
         self.stops: list[preemption.Stop] = []
+        self.is_cut = False
         self.scheduling = scheduling
         self.forecaster = forecaster
         self._order = selection.make_order(
@@ -88,6 +94,7 @@
         """
         groups = self.backlog.ready()
         self.stops = []
+        self.is_cut = False
         if not groups:
             self._backfill.clear()
             return []
@@ -99,6 +106,9 @@
                 self._changed_rounds[worker_id] = self._round
         planned: PlannedRuns = []
         for rank, _, group in ranked:
+            if len(planned) >= MAX_STARTS:
+                self.is_cut = True
+                break
             workers = by_service.get(group.queue.service, [])
             advice = group.queue.advice
             if advice is None:
@@ -110,7 +120,8 @@
             if group.waiting:
                 eligible = self._eligible_workers(group, workers)
                 self.tickets.request(group.name, rank, advice, eligible, now)
-        self._choose_stops(ranked, by_service, now)
+        if not self.is_cut:
+            self._choose_stops(ranked, by_service, now)
         self._backfill.end_round(now)
         return planned
 
@@ -342,6 +353,9 @@
                 number,
             ),
         ):
+            if len(planned) >= MAX_STARTS and group.trial_name is None:
+                self.is_cut = True
+                break
             worker = self._backfill.best(candidates, group, now)
             if worker is None:
                 group.no_room_round = self._round
