Count the failed runs of a gang as a whole

Cause: each member's failures were counted apart.

A run in which a member failed now counts once for the gang. Two of the five new cases failed before, with members that fail in turn.

--- a/turmerichall/queues/job.py
+++ b/turmerichall/queues/job.py
@@ -58,10 +58,32 @@
     Attributes:
         tasks: The tasks by index.
         done: Number of tasks that are done.
+        failed_runs: Number of runs of a gang in which a member failed.
+        latest_failed_run: Number of the latest of these runs.
     """
 
     tasks: list[TaskRecord]
     done: int = 0
+    failed_runs: int = 0
+    latest_failed_run: int = 0
+
+    def record_failure(self, task: TaskRecord, gang: bool) -> int:
+        """Record that the current run of a task failed.
+
+        Args:
+            task: The task.
+            gang: Whether the tasks are a gang, which fails as a whole.
+
+        Returns:
+            How often the task, or its gang, has failed.
+        """
+        task.failures += 1
+        if not gang:
+            return task.failures
+        if task.run != self.latest_failed_run:
+            self.latest_failed_run = task.run
+            self.failed_runs += 1
+        return self.failed_runs
 
 
 class Job(msgspec.Struct, array_like=True):
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -270,10 +270,11 @@
             task.checkpoint = ended.checkpoint
         step = job.demand.steps[ended.task.step]
         if ended.ending == changes.Ending.FAILED:
-            task.failures += 1
+            progress = job.steps(ended.task.occurrence)[ended.task.step]
+            failures = progress.record_failure(task, step.gang)
             queue = self.queues.get(job.queue)
             attempts = queue.max_attempts if queue else 1
-            if task.failures >= attempts and not step.lasting:
+            if failures >= attempts and not step.lasting:
                 self._close(job.id, job_records.JobState.FAILED)
         elif ended.ending == changes.Ending.DONE and not step.lasting:
             self._record_done(job, ended.task)
--- a/turmerichall/queues/tests/test_state.py
+++ b/turmerichall/queues/tests/test_state.py
@@ -242,3 +242,50 @@
         assert other.snapshot() == fixture.queue_state.snapshot()
         assert other.draining == {"w1"}
         assert other.interference == {"desk": {"sort": 2.0}}
+
+
+class TestFailedGang:
+
+    # A gang whose members failed in turn was started more often than its queue
+    # permits, since the failures of each member were counted apart.
+    @pytest.mark.parametrize("members", [(0, 1), (1, 0), (0, 0)])
+    def test_it_fails_after_as_many_runs_as_a_task_may(
+        self, members: tuple[int, int]
+    ) -> None:
+        fixture = StateFixture(gang=True)
+        for run, member in enumerate(members, 1):
+            assert fixture.job.state == job_records.JobState(
+                "queued" if run == 1 else "active"
+            )
+            fixture.apply(
+                changes.StartRuns((started(0, run), started(1, run))),
+                changes.EndRuns(
+                    (
+                        ended(member, changes.Ending.FAILED, run),
+                        ended(1 - member, changes.Ending.BROKEN, run),
+                    )
+                ),
+            )
+        assert fixture.job.state == job_records.JobState.FAILED
+
+    def test_members_that_fail_in_one_run_count_once(self) -> None:
+        fixture = StateFixture(gang=True)
+        fixture.apply(
+            changes.StartRuns((started(0), started(1))),
+            changes.EndRuns(
+                (
+                    ended(0, changes.Ending.FAILED),
+                    ended(1, changes.Ending.FAILED),
+                )
+            ),
+        )
+        assert fixture.job.open
+
+    def test_tasks_that_start_by_themselves_are_counted_apart(self) -> None:
+        fixture = StateFixture()
+        for index in (0, 1):
+            fixture.apply(
+                changes.StartRuns((started(index),)),
+                changes.EndRuns((ended(index, changes.Ending.FAILED),)),
+            )
+        assert fixture.job.open
