--- a/turmerichall/dispatch/heartbeats/tests/test_sequence.py
+++ b/turmerichall/dispatch/heartbeats/tests/test_sequence.py
@@ -19,7 +19,7 @@
 HEARTBEAT_SECONDS = 1.1
 
 
-class _Reporter:
+class Reporter:
     """A worker that sends heartbeats, with a leader that receives them.
 
     Attributes:
@@ -60,7 +60,7 @@
     async def test_drain_that_is_acknowledged_takes_effect(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        reporter = _Reporter()
+        reporter = Reporter()
 
         async def script() -> None:
             assert await reporter.report()
@@ -74,7 +74,7 @@
     async def test_capacity_is_followed_again(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        reporter = _Reporter()
+        reporter = Reporter()
 
         async def script() -> None:
             assert await reporter.report()
@@ -89,7 +89,7 @@
     async def test_late_reports_do_not_replace_newer_ones(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        reporter = _Reporter()
+        reporter = Reporter()
 
         async def script() -> None:
             assert await reporter.report(cpu=9000)
