Raise the level of changes only when every replica can read it

One dead replica stopped the removal of what has ended for as long as it was away.

Cause: a leader wrote what all connected replicas could read at that moment. What a replica that comes back has to read was nobody's concern.

The replicated state now holds a level, which is raised by a change: one hour after all replicas of the last hour run a release that reads it, or by 'turmerichall release finalize'. A replica that can't read the level in force is refused in the handshake. Removal goes by the level, so a replica that is away no longer stops it.

turmerichalld has no level yet.

--- a/turmerichall/cli.py
+++ b/turmerichall/cli.py
@@ -18,6 +18,7 @@
 from turmerichall.command_line import instances
 from turmerichall.command_line import jobs
 from turmerichall.command_line import placement
+from turmerichall.command_line import releases
 from turmerichall.command_line import requests
 from turmerichall.command_line import session as sessions
 from turmerichall.command_line import settings_files
@@ -56,6 +57,7 @@
       requests        send
       config          check (settings of a daemon)
       configuration   check (configuration document of queues)
+      release         status, finalize (releases of the replicas of queues)
       status
 
     `turmerichall NOUN VERB --help` shows the arguments of a command.
@@ -116,6 +118,7 @@
         "requests": requests.Requests(options),
         "config": settings_files.SettingsFiles(output_format),
         "configuration": configuration_files.ConfigurationFiles(options),
+        "release": releases.Releases(options),
         "status": status,
     }
 
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -12,6 +12,8 @@
 from turmerichall.dispatch import leader_api as leader_apis
 from turmerichall.dispatch import replica_gauges
 from turmerichall.dispatch import term_watch
+from turmerichall.dispatch.releases import release_watch
+from turmerichall.dispatch.releases import requests as release_requests
 from turmerichall.dispatch.evacuation import gauges as evacuation_gauges
 from turmerichall.dispatch.retention import gauges as retention_gauges
 from turmerichall.dispatch.retention import retention as retentions
@@ -26,6 +28,7 @@
 from turmerichall.platform import control_requests
 from turmerichall.platform import http_policy_client
 from turmerichall.platform import http_worker_client
+from turmerichall.queues import levels
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
 from turmerichall.telemetry import lightweight_counters
@@ -63,6 +66,7 @@
         network: Connections to other instances.
         queue_state: The replicated state of queues.
         replica: This instance's replica of the agreed log.
+        release_watch: Raises the level of changes while this replica leads.
         leader_api: Answers requests while this replica leads.
         term_watch: Warns while this replica leads without doing its work.
         control: Server for workers and operators.
@@ -85,6 +89,7 @@
             timing=CONNECTION_TIMING,
         )
         self.queue_state = states.QueueState()
+        self.network.least_level = lambda: self.queue_state.level
         founders = seeds if settings.replicas.bootstrap and own in seeds else ()
         self.replica = replicas.Replica(
             name=own,
@@ -116,6 +121,15 @@
                 self._may_forget,
             ),
         )
+        self.release_watch = release_watch.ReleaseWatch(
+            lambda: self.leader_api.leadership,
+            release_watch.Options(
+                own,
+                lambda: (each.name for each in self.replica.state.members),
+                self._connected_levels,
+                settings.release.after_seconds(),
+            ),
+        )
         self.term_watch = term_watch.TermWatch(
             self.replica, self._is_work_under_way, self.log
         )
@@ -157,6 +171,7 @@
             await nursery.start(self.replica.run)
             nursery.start_soon(self.leader_api.run)
             nursery.start_soon(self.term_watch.run)
+            nursery.start_soon(self.release_watch.run)
             await nursery.start(self.control.run, listen.control)
             if listen.metrics:
                 await nursery.start(self.metrics.run, listen.metrics)
@@ -190,8 +205,16 @@
         return self._all_peers(lambda peer: peer.max_message_bytes > 0)
 
     def _may_forget(self) -> bool:
-        """Return whether all other replicas are connected and recent."""
-        return self._all_peers(lambda peer: peer.changes_level > 0)
+        """Return whether all replicas can read that records leave."""
+        return self.queue_state.level >= levels.FORGETTING
+
+    def _connected_levels(self) -> dict[str, int]:
+        """Return the levels that the connected replicas read, by name."""
+        return {
+            name: each.changes_level
+            for name, each in self.network.links.items()
+            if each.connected
+        }
 
     def _all_peers(self, condition: Callable[[link.Link], bool]) -> bool:
         """Return whether a condition holds for the links to all replicas."""
@@ -223,6 +246,8 @@
     async def _control_here(
         self, request: message.Request
     ) -> message.Response | outcomes.Refusal:
+        if release_requests.is_for_releases(request):
+            return await release_requests.handle(self.release_watch, request)
         return await control_requests.handle(
             self.leader_api, request, self.settings.listen.control, self.log
         )
--- a/turmerichall/errors.py
+++ b/turmerichall/errors.py
@@ -13,6 +13,7 @@
     "Finding",
     "InputError",
     "PeerError",
+    "ReleaseError",
     "SettingsError",
     "StorageError",
     "TurmerichallError",
@@ -66,5 +67,9 @@
     """Stored data is damaged, malformed or out of order."""
 
 
+class ReleaseError(TurmerichallError):
+    """The replicated state needs a later release than this one."""
+
+
 class PeerError(TurmerichallError):
     """A connection to another daemon broke or carried a malformed frame."""
--- a/turmerichall/peers/handshake.py
+++ b/turmerichall/peers/handshake.py
@@ -15,12 +15,17 @@
 from turmerichall.peers import envelope
 from turmerichall.peers import message_parts
 
-__all__ = ["CHANGES_LEVEL", "FORMAT_VERSION", "accept", "dial"]
+__all__ = [
+    "CHANGES_LEVEL",
+    "FORMAT_VERSION",
+    "accept",
+    "check_level",
+    "dial",
+]
 
 FORMAT_VERSION = 1
-# Level of the changes that this release can apply: 1 since it knows changes by
-# which records leave the state, 0 before.
-CHANGES_LEVEL = 1
+# Level of the changes that this release can apply; see `queues.levels`.
+CHANGES_LEVEL = 2
 MAX_DIGITS = 6
 NONCE_BYTES = 16
 
@@ -75,6 +80,28 @@
         raise errors.PeerError("the other end does not have the cluster's key")
 
 
+def check_level(
+    connection: envelope.Connection, address: str, least: int
+) -> None:
+    """Check that a replica can read what others may send it.
+
+    Args:
+        connection: A connection whose handshake is complete.
+        address: Address at which the other end accepts connections; empty for
+            an instance that holds no log.
+        least: Level of the changes in force.
+
+    Raises:
+        PeerError: The other end can't read changes of that level.
+    """
+    level = connection.peer_changes_level
+    if address and level < least:
+        raise errors.PeerError(
+            f"refused: its release reads changes up to level {level}, and"
+            f" level {least} is in force"
+        )
+
+
 async def _send(connection: envelope.Connection, body: bytes) -> None:
     # Earlier releases ignore the number and the kind.  They reject a hello of
     # more fields.
--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -140,6 +140,7 @@
         pending_calls: Calls that wait for an answer, by number.
         scope: Cancel scope of the task that maintains the connection.
         last_received_at: When the last frame arrived on it, trio time.
+        least_level: Returns the level of changes that the peer has to read.
     """
 
     def __init__(
@@ -153,8 +154,10 @@
         log: Log | None,
         counters: Counters,
         timing: ConnectionTiming = ConnectionTiming(),
+        least_level: Callable[[], int] = lambda: 0,
     ):
         self.own_name = own_name
+        self.least_level = least_level
         self.timing = timing
         self.peer = peer
         self.address = address
@@ -280,6 +283,9 @@
                         self.own_address(),
                         self.peer,
                     )
+                handshake.check_level(
+                    connection, self.address, self.least_level()
+                )
                 opened = True
                 await self._exchange_frames(connection)
             except (errors.PeerError, trio.TooSlowError) as error:
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -41,6 +41,8 @@
         critical_kinds: Kinds of messages whose handlers must not fail.
         counters: Counts failed attempts to connect and lost connections.
         timing: Timeouts of the connections and of their keep-alive pings.
+        least_level: Returns the level of changes that other replicas have to
+            read.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self.counters = counters or link.NullCounters()
         self.listen_address = ""
         self.links: dict[str, link.Link] = {}
+        self.least_level: Callable[[], int] = lambda: 0
         self.handlers: dict[str, Handler] = {}
         self.critical_kinds: set[str] = set()
         self._last_heard: dict[str, float] = {}
@@ -200,6 +203,7 @@
             self.log,
             self.counters,
             self.timing,
+            self.least_level,
         )
         self.links[name] = dialed
         self._nursery.start_soon(dialed.run)
@@ -224,6 +228,7 @@
                     connection, self.key, self.name, self.listen_address
                 )
             name = hello.name
+            handshake.check_level(connection, hello.address, self.least_level())
             self._learn_address(hello)
             await _Session(self, name, connection).run()
         except (errors.PeerError, trio.TooSlowError) as error:
--- a/turmerichall/queue_daemon.py
+++ b/turmerichall/queue_daemon.py
@@ -24,6 +24,8 @@
 
 EXIT_SETTINGS = 1
 EXIT_STORAGE = 3
+# The replicated state needs a later release.
+EXIT_RELEASE = 4
 # Ended by an exception that nothing expected.
 EXIT_ERROR = 70
 # Bound on the log lines about exceptions that ended the process together.
@@ -72,6 +74,12 @@
             await daemon.drain()
 
 
+async def _wait_for_stop() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            return
+
+
 def serve(
     settings_file: str,
     limits: queue_settings.Limits = queue_settings.Limits(),
@@ -97,6 +105,15 @@
     record = ends.record.after_orderly_end()
     try:
         trio.run(_run, settings, ends.record)
+    except* errors.ReleaseError as too_new:
+        # A restart would end in the same way, again and again.
+        for leaf in failures.leaves(too_new):
+            logs.Log("daemon").error(
+                "a later release is needed; waiting to be stopped",
+                reason=str(leaf),
+            )
+        trio.run(_wait_for_stop)
+        status = EXIT_RELEASE
     except* errors.StorageError as group:
         for each in group.exceptions:
             logs.Log("daemon").error("storage failed", reason=str(each))
--- a/turmerichall/queues/change.py
+++ b/turmerichall/queues/change.py
@@ -9,6 +9,7 @@
 from turmerichall.queues import configuration_edits
 from turmerichall.queues import demand as demands
 from turmerichall.queues import forgetting
+from turmerichall.queues import levels
 
 __all__ = [
     "AcceptJob",
@@ -367,6 +368,7 @@
     | EndEvacuation
     | configuration_edits.ReviseConfiguration
     | forgetting.Forget
+    | levels.RaiseLevel
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/turmerichall/queues/state.py
+++ b/turmerichall/queues/state.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from turmerichall import errors
 from turmerichall.queues import change as changes
 from turmerichall.queues import configuration as configurations
 from turmerichall.queues import configuration_edits as edits
@@ -17,6 +18,7 @@
 from turmerichall.queues import forgetting
 from turmerichall.queues import job as job_records
 from turmerichall.queues import job_size
+from turmerichall.queues import levels
 from turmerichall.queues import ordered_jobs
 
 __all__ = ["QueueState"]
@@ -39,6 +41,7 @@
     restored: dict[str, int] = {}
     interference_strengths: dict[str, dict[str, float]] = {}
     withdrawn: list[str] = []
+    level: int = 0
 
 
 def _empty_snapshot() -> _Snapshot:
@@ -68,6 +71,7 @@
         restored: When each availability zone that was in evacuation was taken
             back, in ms since 1970, by name of the zone.
         withdrawn: Ids of jobs that were canceled before they were known.
+        level: Level of changes in force; see `levels`.
         waiting: Ids of open jobs of which no task has started, by key of the
             queue.
         ordered: Open jobs of which a start was committed, and nothing is known
@@ -76,6 +80,7 @@
     """
 
     def __init__(self) -> None:
+        self.level = 0
         self._load(_empty_snapshot())
 
     def _load(self, state: _Snapshot) -> None:
@@ -92,6 +97,7 @@
         self.evacuations = state.evacuations
         self.restored = state.restored
         self.withdrawn = set(state.withdrawn)
+        self._set_level(state.level)
         self.waiting: dict[str, set[str]] = {}
         self.jobs_bytes = sum(map(job_size.estimate_bytes, self.jobs.values()))
         for job in self.jobs.values():
@@ -116,6 +122,7 @@
                 self.restored,
                 self.interference_strengths,
                 sorted(self.withdrawn),
+                self.level,
             )
         )
 
@@ -160,12 +167,29 @@
                 self.evacuations.setdefault(change.zone, change.at_ms)
                 self.restored.pop(change.zone, None)
             case forgetting.Forget():
+                # Earlier releases wrote it without a level in force.
+                self.level = max(self.level, levels.FORGETTING)
                 self._forget(change)
+            case levels.RaiseLevel():
+                self._set_level(max(self.level, change.level))
             case changes.EndEvacuation():
                 if self.evacuations.pop(change.zone, None) is not None:
                     self.restored[change.zone] = change.at_ms
         return b""
 
+    def _set_level(self, level: int) -> None:
+        """Put a level in force.
+
+        Raises:
+            ReleaseError: This release does not read it.
+        """
+        if level > levels.LATEST:
+            raise errors.ReleaseError(
+                f"changes of level {level} are in force; this release reads"
+                f" levels up to {levels.LATEST}"
+            )
+        self.level = level
+
     def is_evacuated(self, worker: changes.WorkerRecord) -> bool:
         """Return whether the availability zone of a worker is in evacuation."""
         return worker.zone in self.evacuations
--- a/turmerichall/settings/queue_settings.py
+++ b/turmerichall/settings/queue_settings.py
@@ -1,5 +1,6 @@
 """Settings of the daemon that serves queues of jobs."""
 
+import math
 from typing import NamedTuple
 
 from turmerichall import errors
@@ -185,6 +186,23 @@
     ended_seconds: float = 3600.0
 
 
+class Release(NamedTuple):
+    """When what a new release brings is put in force.
+
+    Attributes:
+        finalize: `auto`, or `manual` to leave it to operators.
+        finalize_seconds: For how long all replicas have to run the release
+            before, with `auto`.
+    """
+
+    finalize: str = "auto"
+    finalize_seconds: float = 3600.0
+
+    def after_seconds(self) -> float:
+        """Return the time until it is put in force; infinite for `manual`."""
+        return self.finalize_seconds if self.finalize == "auto" else math.inf
+
+
 class QueueSettings(NamedTuple):
     """All settings of a daemon that serves queues."""
 
@@ -197,6 +215,7 @@
     zones: Zones = Zones()
     limits: Limits = Limits()
     retention: Retention = Retention()
+    release: Release = Release()
     logs: settings.Logs = settings.Logs()
 
 
@@ -281,6 +300,13 @@
         Retention,
         {"ended": reader.Key("ended_seconds", values.duration)},
     ),
+    "release": reader.Schema(
+        Release,
+        {
+            "finalize": reader.Key("finalize", values.choice("auto", "manual")),
+            "finalize_after": reader.Key("finalize_seconds", values.duration),
+        },
+    ),
     "logs": reader.SECTIONS["logs"],
 }
 
