Play upgrades and ways back between releases with real processes

Three replicas and an entry instance run sound jobs while replicas are replaced by those of an earlier release and back, in random order, by SIGTERM or SIGKILL. A process that ends by itself, a job that is lost or a configuration that is not acknowledged is a fault.

--- a/turmerichall/fuzzing/deployment.py
+++ b/turmerichall/fuzzing/deployment.py
@@ -1,6 +1,7 @@
 """Three replicas and an entry instance as processes on loopback addresses."""
 
 import pathlib
+import signal
 import subprocess
 import sys
 from typing import NamedTuple
@@ -43,6 +44,9 @@
         ports: Ports on which it listens.
         process: The running process; None before the start.
         peak_mb: Highest resident memory seen, in MB.
+        tree: Folder of the source that it runs; None for this one.
+        settings: Further settings for that source.
+        is_replaced: Whether its process was told to end, for another one.
     """
 
     def __init__(self, name: str, host: str, ports: tuple[int, ...]):
@@ -51,6 +55,17 @@
         self.ports = ports
         self.process: subprocess.Popen[bytes] | None = None
         self.peak_mb = 0.0
+        self.tree: pathlib.Path | None = None
+        self.settings = ""
+        self.is_replaced = False
+
+    def replace(
+        self, tree: pathlib.Path | None, settings: str, number: signal.Signals
+    ) -> None:
+        """End the process, so that one of another source follows it."""
+        self.tree, self.settings, self.is_replaced = tree, settings, True
+        if self.process is not None:
+            self.process.send_signal(number)
 
     def measure(self) -> None:
         """Update the highest resident memory."""
@@ -122,6 +137,9 @@
             while process.poll() is None:
                 program.measure()
                 await trio.sleep(WATCH_SECONDS)
+            if program.is_replaced:
+                program.is_replaced = False
+                continue
             elapsed = trio.current_time() - self._began_at
             lines = self._last_lines(program)
             self.ends.append(
@@ -131,7 +149,8 @@
 
     def _start(self, program: Program) -> None:
         settings = self.folder / f"{program.name}.ini"
-        settings.write_text(self._settings(program), encoding="utf-8")
+        text = self._settings(program) + program.settings
+        settings.write_text(text, encoding="utf-8")
         with open(self.folder / f"{program.name}.log", "ab") as log:
             # The process outlives this call.
             # pylint: disable-next=consider-using-with
@@ -142,6 +161,7 @@
                     "turmerichall.queue_daemon",
                     str(settings),
                 ],
+                cwd=program.tree,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/turmerichall/fuzzing/processes.py
+++ b/turmerichall/fuzzing/processes.py
@@ -54,6 +54,7 @@
         inputs: Number of hostile inputs by kind.
         accepted: Ids of sound jobs that were accepted.
         faults: What went wrong, beside ends of processes.
+        workers: The sound workers.
     """
 
     def __init__(self, deployment: deployments.Deployment, rng: random.Random):
@@ -62,6 +63,7 @@
         self.inputs: collections.Counter[str] = collections.Counter()
         self.accepted: list[str] = []
         self.faults: list[str] = []
+        self.workers: list[wire_worker.WireWorker] = []
         self._version = 0
         self._jobs = 0
         self._controls = [
@@ -98,6 +100,7 @@
     ) -> None:
         worker = wire_worker.WireWorker(f"sound-{number}")
         worker.life.run_seconds = 0.2
+        self.workers.append(worker)
 
         async def answer(request: message.Request) -> message.Response:
             result = await worker.call(
