--- a/turmerichall/dispatch/heartbeats/tests/test_sequence.py
+++ b/turmerichall/dispatch/heartbeats/tests/test_sequence.py
@@ -1,5 +1,6 @@
 """Tests of numbers that no worker reaches, in reports about it."""
 
+from collections.abc import Awaitable, Callable
 import random
 
 import pytest
@@ -56,43 +57,47 @@
 class TestForeignHeartbeat:
     """One heartbeat of another writer, with a number far ahead."""
 
+    @staticmethod
+    async def run(
+        script: Callable[[Reporter], Awaitable[None]], foreign: int = FOREIGN
+    ) -> None:
+        """Run a script after the first heartbeat and a foreign one."""
+        reporter = Reporter()
+
+        async def with_heartbeats() -> None:
+            assert await reporter.report(cpu=9000)
+            if foreign:
+                assert await reporter.report(foreign)
+            await script(reporter)
+
+        await test_leadership.run_script(reporter.cluster, with_heartbeats)
+
     # A worker was given tasks after its drain had been acknowledged.
     async def test_drain_that_is_acknowledged_takes_effect(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        reporter = Reporter()
-
-        async def script() -> None:
-            assert await reporter.report()
-            assert await reporter.report(FOREIGN)
+        async def script(reporter: Reporter) -> None:
             assert await reporter.report(draining=True)
             assert reporter.cluster.queue_state.draining == {"w1"}
 
-        await test_leadership.run_script(reporter.cluster, script)
+        await self.run(script)
 
     # A worker that had shrunk was given more than it has.
     async def test_capacity_is_followed_again(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        reporter = Reporter()
-
-        async def script() -> None:
-            assert await reporter.report()
-            assert await reporter.report(FOREIGN)
+        async def script(reporter: Reporter) -> None:
             for _ in range(5):
                 assert await reporter.report(cpu=2000)
                 await trio.sleep(HEARTBEAT_SECONDS)
             assert reporter.known.cpu == 2000
 
-        await test_leadership.run_script(reporter.cluster, script)
+        await self.run(script)
 
     async def test_late_reports_do_not_replace_newer_ones(
         self, mocked_clocks: trio.testing.MockClock
     ) -> None:
-        reporter = Reporter()
-
-        async def script() -> None:
-            assert await reporter.report(cpu=9000)
+        async def script(reporter: Reporter) -> None:
             for number in range(2, 6):
                 reporter.number = 10 * number
                 assert await reporter.report(cpu=2000)
@@ -100,7 +105,7 @@
                 await trio.sleep(HEARTBEAT_SECONDS)
             assert reporter.known.cpu == 2000
 
-        await test_leadership.run_script(reporter.cluster, script)
+        await self.run(script, foreign=0)
 
 
 class TestHeartbeatOrder:
--- a/turmerichall/platform/tests/test_worker_connections.py
+++ b/turmerichall/platform/tests/test_worker_connections.py
@@ -94,6 +94,16 @@
         ]
 
 
+@pytest.fixture(name="machine")
+def _machine(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> _Machine:
+    """Machine to which all connections of the test lead."""
+    return _Machine(nursery, monkeypatch)
+
+
 def _client() -> http_worker_client.HttpWorkerClient:
     record = fakes.FakeWorker("w1").record._replace(
         id=changes.incarnation_id("w1", BORN_MS),
@@ -109,104 +119,73 @@
     # The next life carried out a start that was meant for the one before.
     @pytest.mark.parametrize("was_connected", [False, True])
     async def test_it_receives_no_start(
-        self,
-        autojump_clock: trio.testing.MockClock,
-        monkeypatch: pytest.MonkeyPatch,
-        was_connected: bool,
+        self, machine: _Machine, was_connected: bool
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            machine = _Machine(nursery, monkeypatch)
-            client = _client()
-            if was_connected:
-                await client.poll(TOKEN, 0, None, 0)
-            await machine.restart()
-            order = worker_client.Order(TASK, 1, "text")
-            result = await client.start(order, TOKEN, 60_000)
-            assert result.verdict == worker_client.Verdict.REPLACED
-            assert not machine.orders("/v1/run-start")
-            nursery.cancel_scope.cancel()
+        client = _client()
+        if was_connected:
+            await client.poll(TOKEN, 0, None, 0)
+        await machine.restart()
+        order = worker_client.Order(TASK, 1, "text")
+        result = await client.start(order, TOKEN, 60_000)
+        assert result.verdict == worker_client.Verdict.REPLACED
+        assert not machine.orders("/v1/run-start")
 
     # The number of an acknowledged end of the earlier life made the next one
     # forget its own ends, and its lease was extended to a time of another
     # clock.
     async def test_its_ends_are_not_acknowledged(
-        self,
-        autojump_clock: trio.testing.MockClock,
-        monkeypatch: pytest.MonkeyPatch,
+        self, machine: _Machine
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            machine = _Machine(nursery, monkeypatch)
-            client = _client()
-            status = await client.poll(TOKEN, 57, 60_000, 0)
-            assert isinstance(status, worker_client.WorkerStatus)
-            await machine.restart()
-            failure = await client.poll(TOKEN, 57, 60_000, 0)
-            assert isinstance(failure, worker_client.PollFailure)
-            assert failure.verdict == worker_client.Verdict.REPLACED
-            assert machine.acknowledged() == [(BORN_MS, 57)]
-            nursery.cancel_scope.cancel()
+        client = _client()
+        status = await client.poll(TOKEN, 57, 60_000, 0)
+        assert isinstance(status, worker_client.WorkerStatus)
+        await machine.restart()
+        failure = await client.poll(TOKEN, 57, 60_000, 0)
+        assert isinstance(failure, worker_client.PollFailure)
+        assert failure.verdict == worker_client.Verdict.REPLACED
+        assert machine.acknowledged() == [(BORN_MS, 57)]
 
     # A poll that changes nothing opened a connection, which carried orders.
     async def test_a_poll_leaves_no_connection_to_it(
-        self,
-        autojump_clock: trio.testing.MockClock,
-        monkeypatch: pytest.MonkeyPatch,
+        self, machine: _Machine
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            machine = _Machine(nursery, monkeypatch)
-            client = _client()
-            await machine.restart()
-            await client.poll(TOKEN, 0, None, 0)
-            result = await client.stop(worker_client.Order(TASK, 1), TOKEN)
-            assert result.verdict == worker_client.Verdict.REPLACED
-            assert not machine.orders("/v1/run-stop")
-            nursery.cancel_scope.cancel()
+        client = _client()
+        await machine.restart()
+        await client.poll(TOKEN, 0, None, 0)
+        result = await client.stop(worker_client.Order(TASK, 1), TOKEN)
+        assert result.verdict == worker_client.Verdict.REPLACED
+        assert not machine.orders("/v1/run-stop")
 
 
 class TestExpectedLife:
 
     async def test_a_connection_is_checked_once(
-        self,
-        autojump_clock: trio.testing.MockClock,
-        monkeypatch: pytest.MonkeyPatch,
+        self, machine: _Machine
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            machine = _Machine(nursery, monkeypatch)
-            client = _client()
-            for number in range(1, 5):
-                order = worker_client.Order(TASK, number, "text")
-                result = await client.start(order, TOKEN, 60_000)
-                assert result.verdict == worker_client.Verdict.DONE
-            assert machine.orders("/v1/run-start") == [BORN_MS] * 4
-            assert machine.orders("/v1/hold") == [BORN_MS]
-            nursery.cancel_scope.cancel()
+        client = _client()
+        for number in range(1, 5):
+            order = worker_client.Order(TASK, number, "text")
+            result = await client.start(order, TOKEN, 60_000)
+            assert result.verdict == worker_client.Verdict.DONE
+        assert machine.orders("/v1/run-start") == [BORN_MS] * 4
+        assert machine.orders("/v1/hold") == [BORN_MS]
 
     # Each connection that was checked was closed, so no order was sent.
     async def test_it_may_close_each_connection(
-        self,
-        autojump_clock: trio.testing.MockClock,
-        monkeypatch: pytest.MonkeyPatch,
+        self, machine: _Machine
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            machine = _Machine(nursery, monkeypatch)
-            machine.keeps_alive = False
-            order = worker_client.Order(TASK, 1, "text")
-            result = await _client().start(order, TOKEN, 60_000)
-            assert result.verdict == worker_client.Verdict.DONE
-            nursery.cancel_scope.cancel()
+        machine.keeps_alive = False
+        order = worker_client.Order(TASK, 1, "text")
+        result = await _client().start(order, TOKEN, 60_000)
+        assert result.verdict == worker_client.Verdict.DONE
 
     # An unwell worker refuses the check of the connection, and so the order.
     async def test_a_refused_check_refuses_the_order(
-        self,
-        autojump_clock: trio.testing.MockClock,
-        monkeypatch: pytest.MonkeyPatch,
+        self, machine: _Machine
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            machine = _Machine(nursery, monkeypatch)
-            machine.status = 503
-            order = worker_client.Order(TASK, 1, "text")
-            result = await _client().start(order, TOKEN, 60_000)
-            assert result.verdict == worker_client.Verdict.UNWELL
-            assert not result.may_be_pending
-            assert not machine.orders("/v1/run-start")
-            nursery.cancel_scope.cancel()
+        machine.status = 503
+        order = worker_client.Order(TASK, 1, "text")
+        result = await _client().start(order, TOKEN, 60_000)
+        assert result.verdict == worker_client.Verdict.UNWELL
+        assert not result.may_be_pending
+        assert not machine.orders("/v1/run-start")
