Keep no connection after a poll that did not show the expected life

A poll that changes nothing is not preceded by a check of its connection. If it was answered with an error, the connection stayed open and carried orders unchecked, perhaps to the next life of the worker. Found by reading the client; the new case of the test failed before.

A second test shows that removal of ended records does not wait for connections to all replicas.

--- a/turmerichall/dispatch/leader_api.py
+++ b/turmerichall/dispatch/leader_api.py
@@ -95,6 +95,7 @@
         leadership: The work of the current term; None if this replica does
             not lead.
         rejections: Reports messages that are rejected.
+        retention: How long records are kept.
         may_revise: Returns whether all replicas can apply a change of the
             configuration that holds only what differs.
     """
@@ -124,7 +125,7 @@
         self._policy = policy
         self._scheduling = scheduling
         self._zone_names = zone_names
-        self._retention = retention
+        self.retention = retention
         self._fence_response = fence_responses.FenceResponse(replica, log)
         self._durations = run_durations.DurationEstimator()
         self._interference_model = interference_models.InterferenceModel(
@@ -167,7 +168,7 @@
                 self._zone_names,
                 self._scheduling,
                 register,
-                self._retention,
+                self.retention,
             )
             try:
                 await leadership.run()
@@ -312,7 +313,7 @@
         if self.replica.is_disk_almost_full():
             return NO_ROOM
         pressure = memory_pressure.level(
-            self.queue_state.jobs_bytes, self._retention.memory_bytes
+            self.queue_state.jobs_bytes, self.retention.memory_bytes
         )
         if pressure == memory_pressure.Level.CRITICAL:
             return memory_pressure.REFUSAL
--- a/turmerichall/dispatch/tests/test_replica_daemon.py
+++ b/turmerichall/dispatch/tests/test_replica_daemon.py
@@ -11,6 +11,8 @@
 from turmerichall.agreement import member
 from turmerichall.dispatch import replica_daemon
 from turmerichall.http1 import message
+from turmerichall.queues import change as changes
+from turmerichall.queues import levels
 from turmerichall.settings import queue_settings
 
 HOST = "127.0.0.1"
@@ -35,6 +37,21 @@
     return queue_settings.parse(text + limits, "q.ini")
 
 
+class TestRemoval:
+
+    # One dead replica stopped the removal of what has ended.
+    def test_records_leave_while_a_replica_is_away(
+        self, daemon: replica_daemon.ReplicaDaemon
+    ) -> None:
+        may_forget = daemon.leader_api.retention.may_forget
+        assert not daemon.network.links
+        assert not may_forget()
+        daemon.queue_state.apply(
+            1, changes.encode(levels.RaiseLevel(levels.LATEST))
+        )
+        assert may_forget()
+
+
 class TestLimits:
 
     # The log filled a small disk, since nothing told the replica its size.
--- a/turmerichall/platform/http_worker_client.py
+++ b/turmerichall/platform/http_worker_client.py
@@ -224,14 +224,22 @@
             POLL_MARGIN_SECONDS + wait_ms / 1000,
             None if changes_nothing else self._opening(token),
         )
+        status = self._decode_poll(answer)
+        if isinstance(status, worker_client.PollFailure) and self.born_ms:
+            # The connection may lead to another incarnation, and would carry
+            # orders to it.
+            self.client.close()
+        return status
+
+    def _decode_poll(
+        self, answer: message.Response | http_client.CallFailure
+    ) -> worker_client.WorkerStatus | worker_client.PollFailure:
         if isinstance(answer, http_client.CallFailure) or answer.status != 200:
             return worker_client.PollFailure(_order_result(answer).verdict)
         status = _worker_status(answer.body, self._known_tasks)
         if status is None:
             return worker_client.PollFailure(worker_client.Verdict.UNANSWERED)
         if self.born_ms and status.born_ms not in (0, self.born_ms):
-            # The connection would carry orders to the other incarnation.
-            self.client.close()
             return worker_client.PollFailure(worker_client.Verdict.REPLACED)
         return status
 
--- a/turmerichall/platform/tests/test_worker_connections.py
+++ b/turmerichall/platform/tests/test_worker_connections.py
@@ -146,12 +146,15 @@
         assert machine.acknowledged() == [(BORN_MS, 57)]
 
     # A poll that changes nothing opened a connection, which carried orders.
+    @pytest.mark.parametrize("status", [200, 503])
     async def test_a_poll_leaves_no_connection_to_it(
-        self, machine: _Machine
+        self, machine: _Machine, status: int
     ) -> None:
         client = _client()
         await machine.restart()
+        machine.status = status
         await client.poll(TOKEN, 0, None, 0)
+        machine.status = 200
         result = await client.stop(worker_client.Order(TASK, 1), TOKEN)
         assert result.verdict == worker_client.Verdict.REPLACED
         assert not machine.orders("/v1/run-stop")
