--- a/turmerichall/http1/client.py
+++ b/turmerichall/http1/client.py
@@ -62,6 +62,12 @@
     body: bytes
     accepts: Callable[[message.Response], bool]
 
+    def encode(self, headers: message.Headers) -> bytes:
+        """Return the encoded call, with the header fields of another one."""
+        return message.encode_request(
+            message.Request(self.method, self.target, headers, self.body)
+        )
+
 
 class _BrokenConnection(Exception):
     """Error for a closed connection or a response that can't be used."""
@@ -202,14 +208,6 @@
         self.stream.socket.close()
 
 
-def _encode_opening(opening: Opening, request: message.Request) -> bytes:
-    return message.encode_request(
-        message.Request(
-            opening.method, opening.target, request.headers, opening.body
-        )
-    )
-
-
 class Client:
     """Client of one address, for idempotent calls only.
 
@@ -268,9 +266,6 @@
         )
         try:
             request_bytes = message.encode_request(request)
-            opening_bytes = (
-                b"" if opening is None else _encode_opening(opening, request)
-            )
         except ValueError as error:
             return CallFailure(False, f"the request can't be encoded: {error}")
         result = CallFailure(
@@ -294,7 +289,9 @@
                         reused_at = trio.current_time()
                     try:
                         if opening is not None and not reused:
-                            answer = await connection.call(opening_bytes)
+                            answer = await connection.call(
+                                opening.encode(request.headers)
+                            )
                             if not opening.accepts(answer):
                                 return CallFailure(
                                     result.possibly_sent,
--- a/turmerichall/platform/http_worker_client.py
+++ b/turmerichall/platform/http_worker_client.py
@@ -123,6 +123,7 @@
         self.client = http_client.Client(worker.address)
         self.born_ms = worker.born_ms
         self._known_tasks: _TasksByName = {}
+        self._openings: dict[int, http_client.Opening] = {}
         self._headers = {
             "expect-instance": worker.name,
             "content-type": message.JSON,
@@ -145,10 +146,15 @@
         """Return the first call on a new connection; None if not needed."""
         if not self.born_ms:
             return None
-        body = {"fencing_token": token, "acked_through": 0}
-        return http_client.Opening(
-            "POST", POLL_PATH, _ENCODER.encode(body), self._is_expected
-        )
+        opening = self._openings.get(token)
+        if opening is None:
+            body = {"fencing_token": token, "acked_through": 0}
+            opening = http_client.Opening(
+                "POST", POLL_PATH, _ENCODER.encode(body), self._is_expected
+            )
+            # A client serves one term.
+            self._openings = {token: opening}
+        return opening
 
     def _is_expected(self, answer: message.Response) -> bool:
         """Return whether a poll was answered by the expected incarnation."""
