Hold the later release in histories until records could leave, and skip a call

The histories of upgrades went back before a leader had looked for records that may leave, so that a change of a later level could not show in them. The check whether a run proves its worker is skipped where no breaker has tripped.

--- a/turmerichall/dispatch/session.py
+++ b/turmerichall/dispatch/session.py
@@ -351,7 +351,7 @@
                 run.phase = run_state.Phase.RUNNING
             if not run.confirmed_at:
                 run.confirmed_at = now
-            if worker.breaker.record_running(
+            if worker.breaker.tripped and worker.breaker.record_running(
                 now - run.confirmed_at, run.step.lasting
             ):
                 owner.request_placement()
--- a/turmerichall/fuzzing/releases.py
+++ b/turmerichall/fuzzing/releases.py
@@ -34,6 +34,9 @@
 """
 # Time between two replacements, in which the replicas catch up.
 STEP_SECONDS = (3.0, 9.0)
+# Time for which all replicas run the later release at first: longer than
+# between two looks of a leader at what may leave the state.
+HOLD_SECONDS = 35.0
 KILL_SHARE = 0.3
 RESTART_SHARE = 0.2
 
@@ -61,16 +64,17 @@
     async def _attack(self, worker_address: str) -> None:
         """Replace replicas, one after the other."""
         rng = self.rng
+        first = True
         while True:
             order = list(self.deployment.replicas)
             rng.shuffle(order)
-            upgrade = rng.random() < 0.6
-            for program in order[: rng.choice((1, 2, 3, 3))]:
+            upgrade = first or rng.random() < 0.6
+            for program in order[: 3 if first else rng.choice((1, 2, 3, 3))]:
                 await trio.sleep(rng.uniform(*STEP_SECONDS))
                 kill = rng.random() < KILL_SHARE
                 number = signal.Signals["SIGKILL" if kill else "SIGTERM"]
                 later = upgrade
-                if rng.random() < RESTART_SHARE:
+                if not first and rng.random() < RESTART_SHARE:
                     later = program.tree is None
                 self.steps.append(
                     f"{program.name} {'later' if later else 'earlier'}"
@@ -80,6 +84,9 @@
                     program.replace(None, SETTINGS, number)
                 else:
                     program.replace(self.earlier, "", number)
+            if first:
+                first = False
+                await trio.sleep(HOLD_SECONDS)
 
     async def _check(self) -> None:
         """See `Fuzzer`; a job that is not known any more must have run."""
@@ -126,7 +133,7 @@
     )
     parser.add_argument("--earlier", type=pathlib.Path, required=True)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=90.0)
+    parser.add_argument("--seconds", type=float, default=120.0)
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="releases-") as folder:
         status = trio.run(
