--- a/turmerichall/dispatch/releases/tests/test_releases.py
+++ b/turmerichall/dispatch/releases/tests/test_releases.py
@@ -1,6 +1,8 @@
 """Tests of two releases side by side, and of the way back."""
 
 from collections.abc import Iterable
+import types
+from typing import Any
 
 import msgspec
 import pytest
@@ -213,6 +215,60 @@
             assert not field.required
 
 
+class TestEarlierRelease:
+    """What this release writes below its own level, read as by level 0."""
+
+    @staticmethod
+    def earlier(
+        record: type[msgspec.Struct], replaced: dict[str, object]
+    ) -> type[msgspec.Struct]:
+        """Return a record without the fields of later levels.
+
+        Args:
+            record: The record of this release.
+            replaced: Types of fields that hold such records.
+        """
+        fields: list[tuple[str, object, object]] = []
+        for field in msgspec.structs.fields(record)[: TestTable.FIELDS[record]]:
+            kind = replaced.get(field.name, field.type)
+            fields.append((field.name, kind, msgspec.field(default=None)))
+        return msgspec.defstruct(  # type: ignore[call-overload, no-any-return]
+            record.__name__, fields, array_like=True
+        )
+
+    # Fields were added between two releases, and the earlier one could not
+    # load the snapshot.
+    def test_it_loads_a_snapshot(self) -> None:
+        state = states.QueueState()
+        demand = test_leadership.demand(2, gang=True)
+        task = changes.TaskName("j", 0, 0, 0)
+        for change in (
+            changes.SetConfiguration(fakes.CONFIGURATION, b"{}"),
+            changes.RegisterWorker(fakes.FakeWorker("w1").record),
+            changes.AcceptJob("j", fakes.QUEUE.key, demand, 0),
+            changes.StartRuns((changes.StartedRun(task, 1, "w1"),)),
+            changes.EndRuns(
+                (changes.EndedRun(task, 1, changes.Ending.FAILED, "c"),)
+            ),
+            changes.CancelJob("unknown"),
+        ):
+            state.apply(1, changes.encode(change))
+        step = self.earlier(job_records.StepProgress, {})
+        steps = types.GenericAlias(list, (step,))
+        job = self.earlier(
+            job_records.Job,
+            {"occurrences": types.GenericAlias(dict, (int, steps))},
+        )
+        snapshot = self.earlier(
+            states._Snapshot,  # pylint: disable=protected-access
+            {"jobs": types.GenericAlias(dict, (str, job))},
+        )
+        loaded: Any = msgspec.msgpack.decode(state.snapshot(), type=snapshot)
+        assert loaded.configuration == fakes.CONFIGURATION
+        tasks = loaded.jobs["j"].occurrences[0][0].tasks
+        assert tasks[0].failures == 1 and tasks[0].checkpoint == "c"
+
+
 class TestConnections:
 
     # A replica of an earlier release got changes that ended its process.
