--- a/turmerichall/dispatch/releases/tests/test_releases.py
+++ b/turmerichall/dispatch/releases/tests/test_releases.py
@@ -232,9 +232,7 @@
         for field in msgspec.structs.fields(record)[: TestTable.FIELDS[record]]:
             kind = replaced.get(field.name, field.type)
             fields.append((field.name, kind, msgspec.field(default=None)))
-        return msgspec.defstruct(  # type: ignore[call-overload, no-any-return]
-            record.__name__, fields, array_like=True
-        )
+        return msgspec.defstruct(record.__name__, fields, array_like=True)
 
     # Fields were added between two releases, and the earlier one could not
     # load the snapshot.
