Soak real processes with faults from outside

Three replicas, two entry instances and workers that fall silent and start again under their id run jobs that callers submit at several instances, resend, cancel and ask for, while replicas and entry instances are killed, stopped and frozen. Judged on what callers and workers have seen: two runs of a task at once, a start after an end that was noted, a start after an acknowledged cancellation, a rejected job that ran, a lost job, a process that ended by itself.

--- a/turmerichall/fuzzing/deployment.py
+++ b/turmerichall/fuzzing/deployment.py
@@ -86,16 +86,17 @@
     Attributes:
         folder: The folder.
         replicas: The replicas.
-        entry: The entry instance.
+        entries: The entry instances.
         ends: Ends of processes that nobody asked for.
     """
 
-    def __init__(self, folder: pathlib.Path, network: str):
+    def __init__(self, folder: pathlib.Path, network: str, entries: int = 1):
         """Create a deployment.
 
         Args:
             folder: An empty folder.
             network: First three numbers of the addresses, such as `127.9.8`.
+            entries: Number of entry instances.
         """
         self.folder = folder
         self.replicas = [
@@ -106,16 +107,26 @@
             )
             for number in (1, 2, 3)
         ]
-        self.entry = Program(
-            "entry-1", f"{network}.9", (CLIENT_PORT, READY_PORT, METRICS_PORT)
-        )
+        self.entries = [
+            Program(
+                f"entry-{number}",
+                f"{network}.{8 + number}",
+                (CLIENT_PORT, READY_PORT, METRICS_PORT),
+            )
+            for number in range(1, entries + 1)
+        ]
         self.ends: list[End] = []
         self._began_at = trio.current_time()
 
+    @property
+    def entry(self) -> Program:
+        """The first entry instance."""
+        return self.entries[0]
+
     @property
     def programs(self) -> list[Program]:
         """All instances."""
-        return [*self.replicas, self.entry]
+        return [*self.replicas, *self.entries]
 
     async def run(self) -> None:
         """Run the instances until cancelled."""
@@ -176,7 +187,7 @@
 port = {PEER_PORT}
 key = {KEY}
 """
-        if program is self.entry:
+        if program in self.entries:
             return f"""[instance]
 name = {program.name}
 zone = z
--- a/turmerichall/platform/tests/wire_worker.py
+++ b/turmerichall/platform/tests/wire_worker.py
@@ -45,6 +45,7 @@
         done_at: Time of each task's first end as done, in trio time.
         stop_seconds: Time that a stop of a run takes.
         stopping: Tasks whose runs are being stopped.
+        noted: Tasks whose end as done was acknowledged.
     """
 
     def __init__(self, name: str, cpu: int):
@@ -54,6 +55,25 @@
         self.done_at: dict[changes.TaskName, float] = {}
         self.stop_seconds = 0.0
         self.stopping: set[changes.TaskName] = set()
+        self.noted: set[changes.TaskName] = set()
+
+    async def poll(
+        self,
+        token: int,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> worker_client.WorkerStatus | worker_client.PollFailure:
+        """See `FakeWorker`."""
+        if not self.silent and not self.down and token >= self.token:
+            self.noted.update(
+                end.ended.task
+                for end in self.ends
+                if end.sequence <= acknowledged
+                and end.ended is not None
+                and end.ended.ending == changes.Ending.DONE
+            )
+        return await super().poll(token, acknowledged, deadline_ms, wait_ms)
 
     async def stop(
         self, order: worker_client.Order, token: int
