--- a/turmerichall/soak/__init__.py
+++ b/turmerichall/soak/__init__.py
@@ -1,4 +1,4 @@
-"""Soak of real processes with faults from outside, judged by what is seen there.
+"""Soak of real processes with faults from outside.
 
 python -m turmerichall.soak --seed N --minutes M
 """
--- /dev/null
+++ b/turmerichall/soak/tests/test_soak.py
@@ -0,0 +1,32 @@
+"""A short soak with real processes; see docs/SOAK.md for long ones."""
+
+import pathlib
+import random
+
+import trio
+
+from turmerichall.fuzzing import deployment as deployments
+from turmerichall.soak import plan as plans
+from turmerichall.soak import soak as soaks
+
+SEED = 1
+SECONDS = 12.0
+WORKERS = 4
+ENTRIES = 2
+LIMIT_SECONDS = 150.0
+
+
+class TestSoak:
+
+    # Tasks ran twice, and canceled jobs ran, on the release before.
+    async def test_no_promise_is_broken(self, tmp_path: pathlib.Path) -> None:
+        deployment = deployments.Deployment(tmp_path, "127.17.77", ENTRIES)
+        soak = soaks.Soak(deployment, WORKERS, random.Random(SEED))
+        faults = plans.draw(
+            SEED, SECONDS, len(deployment.replicas), ENTRIES, WORKERS
+        )
+        assert len({fault.kind for fault in faults}) >= 3
+        with trio.fail_after(LIMIT_SECONDS):
+            await soak.run(faults, SECONDS)
+        assert not soak.broken
+        assert sum(call.accepted for call in soak.calls.values()) > 10
--- a/turmerichall/soak/workers.py
+++ b/turmerichall/soak/workers.py
@@ -66,10 +66,9 @@
                 request.headers,
                 CALL_SECONDS,
             )
-        if not isinstance(result, message.Response) or life.silent:
+        while not isinstance(result, message.Response) or life.silent:
             # The connection ends with the life.
-            await trio.sleep_forever()
-            raise AssertionError
+            await trio.sleep(CALL_SECONDS)
         return result
 
     async def _send_heartbeats(
