--- a/turmerichall/soak/__main__.py
+++ b/turmerichall/queue_soak/__main__.py
@@ -9,8 +9,8 @@
 import trio
 
 from turmerichall.fuzzing import deployment as deployments
-from turmerichall.soak import plan as plans
-from turmerichall.soak import soak as soaks
+from turmerichall.queue_soak import plan as plans
+from turmerichall.queue_soak import soak as soaks
 
 ENTRIES = 2
 
--- a/turmerichall/soak/soak.py
+++ b/turmerichall/queue_soak/soak.py
@@ -11,9 +11,9 @@
 from turmerichall.http1 import client as http_client
 from turmerichall.http1 import message
 from turmerichall.platform import sound_messages
-from turmerichall.soak import checker
-from turmerichall.soak import plan as plans
-from turmerichall.soak import workers as served
+from turmerichall.queue_soak import checker
+from turmerichall.queue_soak import plan as plans
+from turmerichall.queue_soak import workers as served
 
 __all__ = ["Soak"]
 
--- a/turmerichall/soak/tests/test_checker.py
+++ b/turmerichall/queue_soak/tests/test_checker.py
@@ -6,7 +6,7 @@
 from turmerichall.dispatch import worker_client
 from turmerichall.platform.tests import wire_worker
 from turmerichall.queues import change as changes
-from turmerichall.soak import checker
+from turmerichall.queue_soak import checker
 
 # Tests name the clock as an argument, which makes them run on it.
 # pylint: disable=unused-argument
--- a/turmerichall/soak/tests/test_soak.py
+++ b/turmerichall/queue_soak/tests/test_soak.py
@@ -6,8 +6,8 @@
 import trio
 
 from turmerichall.fuzzing import deployment as deployments
-from turmerichall.soak import plan as plans
-from turmerichall.soak import soak as soaks
+from turmerichall.queue_soak import plan as plans
+from turmerichall.queue_soak import soak as soaks
 
 SEED = 1
 SECONDS = 12.0
