Let no field of a log line end its caller

Seen by operators: a leader of an empty cluster ended with exit status 70 within seconds, when it raised the level of changes; found by asking a deployment of real processes for its release status, 3 of 3 times.

Cause: both lines had a field named level, which each line has of its own; the logging library raises a TypeError for it.

A field with a reserved name is now written with an underscore behind it, the two fields have other names, and the logs of tests refuse such names. With that check six tests failed before, one of them the test of the memory pressure. The watch over releases reports its failures, and ends no process.

--- a/turmerichall/dispatch/releases/release_watch.py
+++ b/turmerichall/dispatch/releases/release_watch.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from turmerichall import errors
 from turmerichall import outcomes
 from turmerichall.dispatch import lease as leases
 from turmerichall.dispatch.releases import raising
@@ -12,6 +13,7 @@
 from turmerichall.queues import change as changes
 from turmerichall.queues import levels
 from turmerichall.queues import state as states
+from turmerichall.supervision import reporter as reporters
 
 __all__ = ["Options", "Owner", "ReleaseWatch"]
 
@@ -55,11 +57,18 @@
         leader: Returns the leader's work; None if this replica does not lead.
         options: When the level is raised.
         known: Levels that the replicas read, as seen in this term.
+        reporter: Receives failures of the watch.
     """
 
-    def __init__(self, leader: Callable[[], Owner | None], options: Options):
+    def __init__(
+        self,
+        leader: Callable[[], Owner | None],
+        options: Options,
+        reporter: reporters.FailureReporter,
+    ):
         self.leader = leader
         self.options = options
+        self.reporter = reporter
         self._begin(None)
 
     def _begin(self, owner: Owner | None) -> None:
@@ -72,7 +81,14 @@
     async def run(self) -> None:
         """Raise the level when it may be, until cancelled."""
         while True:
-            await self.check(leases.steady_seconds())
+            try:
+                await self.check(leases.steady_seconds())
+            except errors.StorageError:
+                raise
+            # The replica does everything else without it.
+            # pylint: disable-next=broad-exception-caught
+            except Exception as error:
+                self.reporter.report("watch over releases", error)
             await trio.sleep(CHECK_SECONDS)
 
     async def check(self, now: float) -> None:
@@ -128,7 +144,7 @@
         if failure is None:
             owner.log.info(
                 "level of changes in force",
-                level=level,
+                changes_level=level,
                 before=before,
                 brings=levels.describe(level),
             )
--- a/turmerichall/dispatch/releases/tests/test_releases.py
+++ b/turmerichall/dispatch/releases/tests/test_releases.py
@@ -24,6 +24,8 @@
 from turmerichall.queues import job as job_records
 from turmerichall.queues import levels
 from turmerichall.queues import state as states
+from turmerichall.supervision import reporter as reporters
+from turmerichall.telemetry import lightweight_metrics
 
 # Tests name the fixture as an argument, which makes them run on its clock.
 # pylint: disable=unused-argument
@@ -51,6 +53,9 @@
             release_watch.Options(
                 "a", lambda: self.names, lambda: self.connected, after_seconds
             ),
+            reporters.FailureReporter(
+                self.cluster.log, lightweight_metrics.MetricsRegistry()
+            ),
         )
 
     @property
--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -31,6 +31,7 @@
 from turmerichall.queues import levels
 from turmerichall.queues import state as states
 from turmerichall.settings import queue_settings
+from turmerichall.supervision import reporter as reporters
 from turmerichall.telemetry import lightweight_counters
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import logs
@@ -129,6 +130,7 @@
                 self._connected_levels,
                 settings.release.after_seconds(),
             ),
+            reporters.FailureReporter(self.log, self.metrics_registry),
         )
         self.term_watch = term_watch.TermWatch(
             self.replica, self._is_work_under_way, self.log
--- a/turmerichall/dispatch/retention/retention.py
+++ b/turmerichall/dispatch/retention/retention.py
@@ -224,7 +224,7 @@
             report = self.owner.log.warning if now else self.owner.log.info
             report(
                 "memory that the jobs take",
-                level=now.name.lower(),
+                pressure=now.name.lower(),
                 jobs=len(state.jobs),
                 jobs_bytes=state.jobs_bytes,
                 memory_bytes=memory_bytes,
--- a/turmerichall/dispatch/tests/fakes.py
+++ b/turmerichall/dispatch/tests/fakes.py
@@ -20,6 +20,7 @@
 from turmerichall.queues import demand as demands
 from turmerichall.queues import state as states
 from turmerichall.telemetry import lightweight_metrics
+from turmerichall.telemetry import logs
 
 QUEUE = configurations.Queue(
     "batch", "a.example", "/jobs/", "desk", max_attempts=3
@@ -391,15 +392,10 @@
 
     def info(self, message: str, **fields: object) -> None:
         """Keep a message."""
+        assert not fields.keys() & logs.RESERVED_FIELDS
         self.lines.append((message, fields))
 
-    def warning(self, message: str, **fields: object) -> None:
-        """Keep a message."""
-        self.lines.append((message, fields))
-
-    def error(self, message: str, **fields: object) -> None:
-        """Keep a message."""
-        self.lines.append((message, fields))
+    warning = error = info
 
 
 class FakeCluster:
--- a/turmerichall/telemetry/logs.py
+++ b/turmerichall/telemetry/logs.py
@@ -17,9 +17,20 @@
 
 import eliot
 
-__all__ = ["Level", "Log", "NonBlockingStream", "RateLimitedLog", "configure"]
-
-
+__all__ = [
+    "Level",
+    "Log",
+    "NonBlockingStream",
+    "RESERVED_FIELDS",
+    "RateLimitedLog",
+    "configure",
+]
+
+
+# Fields that each line has of its own.
+RESERVED_FIELDS = frozenset(
+    ("level", "message", "message_type", "task_level", "task_uuid", "timestamp")
+)
 # Maximum number of buffered lines: about 1 s of output of a busy leader.
 MAX_PENDING_LINES = 1000
 
@@ -80,6 +91,12 @@
     def _write(
         self, level: str, message: str, fields: dict[str, object]
     ) -> None:
+        if fields.keys() & RESERVED_FIELDS:
+            # A line of the log must not end what it tells about.
+            fields = {
+                f"{name}_" if name in RESERVED_FIELDS else name: value
+                for name, value in fields.items()
+            }
         eliot.log_message(
             message_type=self.part,
             level=level,
--- a/turmerichall/telemetry/tests/test_logs.py
+++ b/turmerichall/telemetry/tests/test_logs.py
@@ -71,6 +71,16 @@
         assert (line["request_id"], line["instance"]) == ("r1", "i1")
         assert line["level"] == "info"
 
+    # A field with the name of one that each line has ended its caller.
+    def test_field_with_a_reserved_name_is_renamed(
+        self, stream: io.StringIO
+    ) -> None:
+        logs.Log("gateway").info("full", level=2, timestamp="x")
+        line = json.loads(stream.getvalue())
+        assert line["level"] == "info"
+        assert line["level_"] == 2
+        assert line["timestamp_"] == "x"
+
     def test_level(self, stream: io.StringIO) -> None:
         logs.configure(logs.Level.WARNING, stream=stream)
         log = logs.Log("gateway")
