Keep the chunks of a body together, and parse pipelined requests in turn

What callers saw: a process ended for want of memory while clients sent unfinished chunked bodies, and then served nobody.

Cause: the HTTP server kept each chunk as an object of its own until the body was complete, so a chunk of 2 bytes took some thirty times its size. It also parsed all requests that a read brought, and each took some ten times its bytes while the answer to the first one was not read.

Evidence: real processes, `[limits] memory_mb = 110`, 60 clients that each send 255 KB in chunks of 2 bytes, without the end.

Why it works: the body grows in one array, whose size is what was received. Received bytes are parsed in pieces of 2 KB until one request is complete; the rest stays as it was received until that one is answered.

Ruled out: the parser itself.

The reader stands in a module of its own now. Its fuzz test feeds it the same bytes and checks as much. Tests that measure memory run apart from the others.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 	$(BIN)/python -m turmerichall.demo
 
 test: venv
-	$(BIN)/python -m pytest -n 6 --maxschedchunk 1
+	$(BIN)/python -m pytest -n 6 --maxschedchunk 1 -m "not alone"
+	$(BIN)/python -m pytest -m alone turmerichall/tests/test_stalling_crowds.py
 
 format: venv
 	$(BIN)/pyink --quiet turmerichall
--- a/turmerichall/http1/tests/test_reader_fuzz.py
+++ b/turmerichall/http1/tests/test_reader_fuzz.py
@@ -2,10 +2,8 @@
 
 import random
 
-from turmerichall.http1 import server
-
-# The reader has no other interface than the server.
-# pylint: disable=protected-access
+from turmerichall.http1 import limits
+from turmerichall.http1 import request_reader
 
 PIECES = (
     b"GET /a HTTP/1.1\r\n",
@@ -31,10 +29,12 @@
 
 def _feed(parts: list[bytes]) -> tuple[int, list[object]]:
     """Return the status of the first error, and the requests before it."""
-    reader = server._RequestReader(server.Limits())
+    reader = request_reader.RequestReader(limits.Limits())
     status = 0
     for part in parts:
-        status = reader.feed(part)
+        reader.unparsed += part
+        while reader.unparsed and not status:
+            status = reader.parse_piece()
         if status:
             break
     return status, [request for request, _ in reader.requests]
--- /dev/null
+++ b/turmerichall/tests/test_stalling_crowds.py
@@ -0,0 +1,181 @@
+"""Crowds of clients that stop short, against real processes.
+
+Each test runs apart from all others; see the target `test` of the Makefile.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+import json
+import os
+import pathlib
+
+import pytest
+import trio
+
+from turmerichall.fuzzing import deployment as deployments
+from turmerichall.http1 import client as http_client
+from turmerichall.http1 import message
+from turmerichall.platform import sound_messages
+from turmerichall.tests import stalling_crowd
+
+pytestmark = pytest.mark.alone
+
+MEMORY_MB = 110
+SERVED_SECONDS = 60.0
+BODY_BYTES = 256 * 1024 - 1024
+JOB_PATH = sound_messages.PATH_PREFIX + "5c0e7a21d94b36f8"
+
+
+def _peak_mb(process_id: int) -> float:
+    """Return the highest resident memory of a process so far, in MB."""
+    status = pathlib.Path(f"/proc/{process_id}/status").read_text("ascii")
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    return int(fields["VmHWM"].split()[0]) * 1024 / 1e6
+
+
+class _Queues:
+    """Replicas and an entry instance that serve one queue.
+
+    Attributes:
+        deployment: The processes.
+    """
+
+    def __init__(self, deployment: deployments.Deployment):
+        self.deployment = deployment
+        self._jobs = 0
+
+    async def wait_until_configured(self) -> None:
+        """Wait until the replicas acknowledge a configuration."""
+        document = sound_messages.configuration(1)
+        await self._wait_for(
+            f"{self.deployment.replicas[0].host}:{deployments.CONTROL_PORT}",
+            "POST",
+            sound_messages.control_path("replace"),
+            json.dumps(document).encode(),
+        )
+
+    async def serve_one_of_each(self) -> None:
+        """Wait until an ordinary request is served on each kind of port."""
+        self._jobs += 1
+        entry, replica = self.deployment.entry, self.deployment.replicas[0]
+        job = f"{sound_messages.PATH_PREFIX}{self._jobs:016x}"
+        body = json.dumps(sound_messages.job()).encode()
+        clients = f"{entry.host}:{deployments.CLIENT_PORT}"
+        await self._wait_for(clients, "POST", job, body)
+        await self._wait_for(clients, "GET", job, b"")
+        for address, path in (
+            (f"{entry.host}:{deployments.READY_PORT}", "/v1/readyz"),
+            (f"{entry.host}:{deployments.METRICS_PORT}", "/metrics"),
+            (f"{replica.host}:{deployments.METRICS_PORT}", "/metrics"),
+            (f"{replica.host}:{deployments.CONTROL_PORT}", "/v1/config/read"),
+        ):
+            await self._wait_for(address, "GET", path, b"")
+
+    async def _wait_for(
+        self, address: str, method: str, path: str, body: bytes
+    ) -> None:
+        """Repeat a request until it is answered with 200."""
+        client = http_client.Client(address)
+        headers = {"host": sound_messages.HOST}
+        with trio.fail_after(SERVED_SECONDS):
+            while True:
+                response = await client.call(method, path, body, headers, 3.0)
+                if (
+                    isinstance(response, message.Response)
+                    and response.status == 200
+                ):
+                    break
+                await trio.sleep(0.2)
+        client.close()
+
+
+@contextlib.asynccontextmanager
+async def _serving_queues(folder: pathlib.Path) -> AsyncIterator[_Queues]:
+    number = os.getpid()
+    network = f"127.{20 + number % 200}.{101 + number // 200 % 90}"
+    deployment = deployments.Deployment(folder, network)
+    for program in deployment.programs:
+        program.settings = f"\n[limits]\nmemory_mb = {MEMORY_MB}\n"
+    queues = _Queues(deployment)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(deployment.run)
+        await trio.lowlevel.checkpoint()
+        await queues.wait_until_configured()
+        await queues.serve_one_of_each()
+        yield queues
+        nursery.cancel_scope.cancel()
+
+
+def _program(
+    deployment: deployments.Deployment, role: str
+) -> deployments.Program:
+    return deployment.entry if role == "entry" else deployment.replicas[0]
+
+
+async def _check_crowd(
+    folder: pathlib.Path, role: str, port: int, crowd: stalling_crowd.Crowd
+) -> None:
+    """Check that a process stays up, small and in service."""
+    async with _serving_queues(folder) as queues:
+        deployment = queues.deployment
+        program = _program(deployment, role)
+        await stalling_crowd.run(f"{program.host}:{port}", crowd)
+        await queues.serve_one_of_each()
+        peaks = {
+            each.name: _peak_mb(each.process.pid)
+            for each in deployment.programs
+            if each.process is not None
+        }
+    assert not deployment.ends
+    assert max(peaks.values()) < MEMORY_MB
+
+
+class TestChunkedBodies:
+
+    # Processes ran out of memory: a chunk of two bytes took some thirty times
+    # its size, and the bodies of all connections together had no limit.
+    @pytest.mark.parametrize(
+        "role, port, chunk_bytes, body_bytes, clients",
+        [
+            ("entry", deployments.CLIENT_PORT, 2, BODY_BYTES, 60),
+            ("entry", deployments.READY_PORT, 2, BODY_BYTES, 60),
+            ("entry", deployments.METRICS_PORT, 2, BODY_BYTES, 60),
+            ("replica", deployments.METRICS_PORT, 2, BODY_BYTES, 60),
+            ("replica", deployments.CONTROL_PORT, 2, BODY_BYTES, 60),
+        ],
+    )
+    async def test_crowd_of_unfinished_bodies_is_borne(
+        self,
+        tmp_path: pathlib.Path,
+        role: str,
+        port: int,
+        chunk_bytes: int,
+        body_bytes: int,
+        clients: int,
+    ) -> None:
+        request = stalling_crowd.chunked_body(
+            JOB_PATH, {"host": sound_messages.HOST}, chunk_bytes, body_bytes
+        )
+        crowd = stalling_crowd.Crowd(clients, request)
+        await _check_crowd(tmp_path, role, port, crowd)
+
+
+class TestCompleteRequests:
+
+    # Bytes of requests without a body became objects of many times their size
+    # while the answer to the first one was not read.
+    @pytest.mark.parametrize(
+        "role, port",
+        [
+            ("entry", deployments.CLIENT_PORT),
+            ("entry", deployments.METRICS_PORT),
+            ("replica", deployments.CONTROL_PORT),
+            ("replica", deployments.METRICS_PORT),
+        ],
+    )
+    async def test_pipelined_requests_without_a_reader_are_borne(
+        self, tmp_path: pathlib.Path, role: str, port: int
+    ) -> None:
+        request = b"GET /v1/config/read HTTP/1.1\r\n\r\n" * 20_000
+        crowd = stalling_crowd.Crowd(200, request, reads=False)
+        await _check_crowd(tmp_path, role, port, crowd)
