Limit what all connections of a port take together

What callers saw: a process ended for want of memory, or had no descriptor left to reach its leader, while a crowd of clients held unfinished requests open.

Cause: the limits were those of one connection. Nothing bounded the number of connections of a port, nor the sum of what they held. An entry instance was not told its memory.

Why it works: each port has a budget of an eighth of the memory for bytes and as much for connections, and half of the descriptors. Beyond it the connection gives way that costs most: bytes held times the time for which they are held, which is small for an ordinary request. It gets 503, which is true, as its request was not complete. Requests that are being handled never give way; if they fill the budget, further ones get 503 before they are handled.

--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -22,6 +22,8 @@
 from turmerichall.http1 import message
 from turmerichall.http1 import metrics
 from turmerichall.http1 import server
+from turmerichall.intake import limits as intake_limits
+from turmerichall.intake import reports
 from turmerichall.peers import link
 from turmerichall.peers import network as networks
 from turmerichall.platform import client_requests
@@ -144,11 +146,18 @@
             self.queue_state,
             settings.limits.memory_mb * BYTES_PER_MB,
         )
-        self.metrics = metrics.make_server(self.metrics_registry)
+        limits = intake_limits.Limits.from_memory(settings.limits.memory_mb)
+        self.metrics = metrics.make_server(
+            self.metrics_registry,
+            reports.make_budget(
+                self.metrics_registry, "metrics", limits.for_probes()
+            ),
+        )
         self.control = server.Server(
             self._answer,
             lambda: CONTROL_LIMITS,
             handler_errors.count_and_log(self.metrics_registry, "control"),
+            reports.make_budget(self.metrics_registry, "control", limits),
         )
 
     @classmethod
--- a/turmerichall/entry/entry_daemon.py
+++ b/turmerichall/entry/entry_daemon.py
@@ -10,6 +10,8 @@
 from turmerichall.http1 import message
 from turmerichall.http1 import metrics
 from turmerichall.http1 import server
+from turmerichall.intake import limits as intake_limits
+from turmerichall.intake import reports
 from turmerichall.peers import link
 from turmerichall.peers import network as networks
 from turmerichall.settings import queue_settings
@@ -65,13 +67,26 @@
         self.leader_client = leader_clients.LeaderClient(
             self.network, settings.replicas.addresses(), self.log
         )
+        limits = intake_limits.Limits.from_memory(settings.limits.memory_mb)
         self.client_server = server.Server(
             self._answer,
             lambda: self.leader_client.leader.limits,
             handler_errors.count_and_log(self.metrics_registry, "clients"),
+            reports.make_budget(self.metrics_registry, "clients", limits),
+        )
+        self.readiness_server = server.Server(
+            self._answer_ready,
+            lambda: metrics.PROBE_LIMITS,
+            budget=reports.make_budget(
+                self.metrics_registry, "ready", limits.for_probes()
+            ),
+        )
+        self.metrics_server = metrics.make_server(
+            self.metrics_registry,
+            reports.make_budget(
+                self.metrics_registry, "metrics", limits.for_probes()
+            ),
         )
-        self.readiness_server = server.Server(self._answer_ready)
-        self.metrics_server = metrics.make_server(self.metrics_registry)
 
     @classmethod
     def from_config(
--- a/turmerichall/http1/metrics.py
+++ b/turmerichall/http1/metrics.py
@@ -3,15 +3,25 @@
 from turmerichall.http1 import handler_errors
 from turmerichall.http1 import message
 from turmerichall.http1 import server
+from turmerichall.intake import budget as budgets
 from turmerichall.telemetry import lightweight_metrics
 
-__all__ = ["make_server"]
+__all__ = ["PROBE_LIMITS", "make_server"]
+
+# Limits on probes, which need no body.
+PROBE_LIMITS = server.Limits(body_bytes=4 * 1024)
 
 
 def make_server(
     metrics_registry: lightweight_metrics.MetricsRegistry,
+    budget: budgets.Budget | None = None,
 ) -> server.Server:
-    """Return a server that answers every request with the metrics as text."""
+    """Return a server that answers every request with the metrics as text.
+
+    Args:
+        metrics_registry: The metrics.
+        budget: Limits what all connections take together.
+    """
 
     async def answer(_: message.Request) -> message.Response:
         return message.Response(
@@ -20,5 +30,7 @@
 
     return server.Server(
         answer,
-        on_error=handler_errors.count_and_log(metrics_registry, "metrics"),
+        lambda: PROBE_LIMITS,
+        handler_errors.count_and_log(metrics_registry, "metrics"),
+        budget,
     )
--- a/turmerichall/tests/test_stalling_crowds.py
+++ b/turmerichall/tests/test_stalling_crowds.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import resource
 
 import pytest
 import trio
@@ -21,8 +22,10 @@
 pytestmark = pytest.mark.alone
 
 MEMORY_MB = 110
+DESCRIPTORS = 256
 SERVED_SECONDS = 60.0
 BODY_BYTES = 256 * 1024 - 1024
+CONTROL_BODY_BYTES = 4 * 1024 * 1024 - 64 * 1024
 JOB_PATH = sound_messages.PATH_PREFIX + "5c0e7a21d94b36f8"
 
 
@@ -33,6 +36,10 @@
     return int(fields["VmHWM"].split()[0]) * 1024 / 1e6
 
 
+def _count_descriptors(process_id: int) -> int:
+    return len(os.listdir(f"/proc/{process_id}/fd"))
+
+
 class _Queues:
     """Replicas and an entry instance that serve one queue.
 
@@ -138,10 +145,19 @@
         "role, port, chunk_bytes, body_bytes, clients",
         [
             ("entry", deployments.CLIENT_PORT, 2, BODY_BYTES, 60),
+            ("entry", deployments.CLIENT_PORT, 4096, BODY_BYTES, 500),
+            ("entry", deployments.CLIENT_PORT, 65_536, BODY_BYTES, 500),
             ("entry", deployments.READY_PORT, 2, BODY_BYTES, 60),
             ("entry", deployments.METRICS_PORT, 2, BODY_BYTES, 60),
             ("replica", deployments.METRICS_PORT, 2, BODY_BYTES, 60),
             ("replica", deployments.CONTROL_PORT, 2, BODY_BYTES, 60),
+            (
+                "replica",
+                deployments.CONTROL_PORT,
+                65_536,
+                CONTROL_BODY_BYTES,
+                60,
+            ),
         ],
     )
     async def test_crowd_of_unfinished_bodies_is_borne(
@@ -179,3 +195,46 @@
         request = b"GET /v1/config/read HTTP/1.1\r\n\r\n" * 20_000
         crowd = stalling_crowd.Crowd(200, request, reads=False)
         await _check_crowd(tmp_path, role, port, crowd)
+
+
+class TestHeaders:
+
+    async def test_many_short_fields_are_borne(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        crowd = stalling_crowd.Crowd(150, stalling_crowd.endless_head(4000))
+        await _check_crowd(tmp_path, "entry", deployments.CLIENT_PORT, crowd)
+
+    # A process whose descriptors are all in use reaches no leader.
+    @pytest.mark.parametrize(
+        "role, port",
+        [
+            ("entry", deployments.CLIENT_PORT),
+            ("replica", deployments.CONTROL_PORT),
+        ],
+    )
+    async def test_descriptors_are_left_for_other_uses(
+        self, tmp_path: pathlib.Path, role: str, port: int
+    ) -> None:
+        crowd = stalling_crowd.Crowd(400, stalling_crowd.endless_head(2))
+        most = 0
+        async with _serving_queues(tmp_path) as queues:
+            program = _program(queues.deployment, role)
+            assert program.process is not None
+            process_id = program.process.pid
+            resource.prlimit(
+                process_id, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)
+            )
+            async with trio.open_nursery() as nursery:
+
+                async def send() -> None:
+                    await stalling_crowd.run(f"{program.host}:{port}", crowd)
+                    nursery.cancel_scope.cancel()
+
+                nursery.start_soon(send)
+                while True:
+                    most = max(most, _count_descriptors(process_id))
+                    await trio.sleep(0.05)
+            await queues.serve_one_of_each()
+        assert not queues.deployment.ends
+        assert most < DESCRIPTORS * 9 // 10
