Parse the input of one costly connection in each round of the loop

What callers saw: beside clients that send chunks of 2 bytes, ordinary requests waited for seconds; a leader's heartbeats wait in the same loop.

Cause: all that had arrived on a connection was parsed at once, and so for all connections, before any other task ran. A body in chunks of 2 bytes takes some hundred times the processor time of an ordinary one.

Why it works: after 64 header fields or pieces of a body a connection waits for its turn, and there is one turn in each round of the loop. Ordinary requests have fewer parts, so they take none. A body in chunks of one byte is still served in calm.

--- a/turmerichall/http1/server.py
+++ b/turmerichall/http1/server.py
@@ -11,6 +11,7 @@
 from turmerichall.http1 import message
 from turmerichall.http1 import request_reader
 from turmerichall.intake import budget as budgets
+from turmerichall.intake import turns
 
 __all__ = ["Handler", "Limits", "Server"]
 
@@ -90,6 +91,7 @@
         self.stopped = trio.Event()
         self._idle_scopes: set[trio.CancelScope] = set()
         self._accept_scope = trio.CancelScope()
+        self._turns = turns.Turns()
 
     async def run(
         self, address: str, *, task_status: Any = trio.TASK_STATUS_IGNORED
@@ -239,6 +241,7 @@
         reader = connection.reader
         reader.limits = self.limits()
         began_at = trio.current_time()
+        turn_at = turns.PARTS_PER_TURN
         while not reader.requests:
             if not reader.unparsed:
                 status = await self._receive(connection, began_at)
@@ -248,6 +251,7 @@
                 began_at = trio.current_time()
                 # They may have changed while the connection was idle.
                 reader.limits = self.limits()
+                turn_at = turns.PARTS_PER_TURN
             status = reader.parse_piece()
             if status:
                 return status
@@ -255,6 +259,12 @@
                 break
             now = trio.current_time()
             self._record(connection, budgets.Activity.RECEIVING, 0, now)
+            if reader.parts >= turn_at and not connection.has_given_up:
+                turn_at = reader.parts + turns.PARTS_PER_TURN
+                await self._turns.wait()
+                deadline = began_at + reader.limits.request_seconds
+                if trio.current_time() > deadline:
+                    return 408
             if connection.has_given_up:
                 return connection.status_at_the_end()
             if reader.awaits_continue:
--- a/turmerichall/http1/tests/test_crowded_server.py
+++ b/turmerichall/http1/tests/test_crowded_server.py
@@ -3,11 +3,13 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+import pytest
 import trio
 import trio.testing
 
 from turmerichall.http1 import client as http_client
 from turmerichall.http1 import message
+from turmerichall.http1 import request_reader
 from turmerichall.http1 import server
 from turmerichall.intake import budget as budgets
 from turmerichall.intake import limits as intake_limits
@@ -29,8 +31,8 @@
         response: Body of the response to the target `/large`.
     """
 
-    def __init__(self, max_connections: int = 50):
-        limits = intake_limits.Limits(MAX_BYTES, max_connections)
+    def __init__(self, max_connections: int = 50, max_bytes: int = MAX_BYTES):
+        limits = intake_limits.Limits(max_bytes, max_connections)
         self.budget = budgets.Budget(limits)
         self.handled: list[bytes] = []
         self.go_on = trio.Event()
@@ -150,3 +152,59 @@
             assert (await _post(address, "/", b"ordinary")).status == 200
             for stream in streams:
                 await stream.aclose()
+
+
+class TestSmallParts:
+
+    # All that was received of each connection was parsed at once, so that
+    # heartbeats and ordinary requests waited for it.
+    async def test_other_tasks_run_between_the_pieces(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        pieces = most = 0
+        parse_piece = request_reader.RequestReader.parse_piece
+
+        def count(reader: request_reader.RequestReader) -> int:
+            nonlocal pieces
+            pieces += 1
+            return parse_piece(reader)
+
+        async def watch() -> None:
+            nonlocal pieces, most
+            while True:
+                most, pieces = max(most, pieces), 0
+                await trio.lowlevel.checkpoint()
+
+        monkeypatch.setattr(request_reader.RequestReader, "parse_piece", count)
+        crowded = _Crowded(max_bytes=10 * MAX_BYTES)
+        head, _, _ = UNFINISHED.partition(b"c350")
+        data = head + b"2\r\nxx\r\n" * 8000
+        connections = 4
+        async with crowded.serving() as address:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch)
+                streams = [
+                    await _open(address, data) for _ in range(connections)
+                ]
+                with trio.fail_after(5.0):
+                    while len(crowded.budget.holdings) < connections:
+                        await trio.sleep(0.01)
+                await trio.sleep(0.2)
+                assert (await _post(address, "/", b"ordinary")).status == 200
+                nursery.cancel_scope.cancel()
+            for stream in streams:
+                await stream.aclose()
+        # A connection's first piece needs no turn.
+        assert 0 < most <= 2 * connections
+
+    async def test_body_in_one_byte_chunks_is_served_in_calm(self) -> None:
+        crowded = _Crowded()
+        head, _, _ = UNFINISHED.partition(b"c350")
+        data = head + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n"
+        async with crowded.serving() as address:
+            stream = await _open(address, data)
+            with trio.fail_after(5.0):
+                answer = await stream.receive_some()
+            assert answer.startswith(b"HTTP/1.1 200")
+            await stream.aclose()
+        assert crowded.handled == [b"x" * 50_000]
