Receive short frames only until the other end has shown the key

What callers saw: nothing yet; found by the tests of the crowds beside the HTTP ports. A replica could be ended for want of memory through its port for other instances, without the cluster's key.

Cause: a frame of 4 MiB was received, and kept until it was complete, before the handshake. The number of connections in a handshake had no limit, and each that failed wrote a log line.

Evidence: 60 connections that send 4 MB of such a frame took 374 MB of a replica with 110 MB.

Why it works: a frame of the handshake may have 16 KiB, fifty times what it needs, and 256 connections may be in a handshake, of which the oldest gives way to a new one.

--- a/turmerichall/peers/envelope.py
+++ b/turmerichall/peers/envelope.py
@@ -16,12 +16,15 @@
     "Envelope",
     "FrameKind",
     "MAX_FRAME_BYTES",
+    "MAX_HELLO_BYTES",
     "connection_error",
     "decode",
     "encode",
 ]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Frames of a handshake have names, an address, a nonce and a proof.
+MAX_HELLO_BYTES = 16 * 1024
 READ_BYTES = 64 * 1024
 LENGTH_BYTES = 4
 
@@ -141,6 +144,8 @@
     Attributes:
         stream: The underlying stream.
         buffer: Received bytes that are not decoded yet.
+        max_frame_bytes: Size of the longest frame that it receives.  It is
+            small until `end_handshake`, since anyone may connect.
         peer_max_message_bytes: Size of the largest message that the other end
             accepts in parts; 0 before the handshake, and of a peer of an
             earlier release, which accepts none.
@@ -151,9 +156,14 @@
     def __init__(self, stream: trio.abc.Stream):
         self.stream = stream
         self.buffer = bytearray()
+        self.max_frame_bytes = MAX_HELLO_BYTES
         self.peer_max_message_bytes = 0
         self.peer_changes_level = 0
 
+    def end_handshake(self) -> None:
+        """Receive frames of any valid size from now on."""
+        self.max_frame_bytes = MAX_FRAME_BYTES
+
     async def receive(self) -> Envelope:
         """Wait for the next envelope.
 
@@ -166,7 +176,7 @@
         """
         await self._receive_until(LENGTH_BYTES)
         length = int.from_bytes(self.buffer[:LENGTH_BYTES], "big")
-        if length > MAX_FRAME_BYTES:
+        if length > self.max_frame_bytes:
             raise errors.PeerError(
                 f"frame of {length} bytes exceeds the size limit"
             )
@@ -179,7 +189,9 @@
     async def _receive_until(self, size: int) -> None:
         while len(self.buffer) < size:
             try:
-                received = await self.stream.receive_some(READ_BYTES)
+                received = await self.stream.receive_some(
+                    min(READ_BYTES, self.max_frame_bytes)
+                )
             except (
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
--- a/turmerichall/peers/link.py
+++ b/turmerichall/peers/link.py
@@ -283,6 +283,7 @@
                         self.own_address(),
                         self.peer,
                     )
+                connection.end_handshake()
                 handshake.check_level(
                     connection, self.address, self.least_level()
                 )
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -18,6 +18,7 @@
 from turmerichall.peers import link
 from turmerichall.peers import message_parts
 from turmerichall.peers import send_queue
+from turmerichall.peers import strangers
 
 __all__ = ["Handler", "Network"]
 
@@ -43,6 +44,7 @@
         timing: Timeouts of the connections and of their keep-alive pings.
         least_level: Returns the level of changes that other replicas have to
             read.
+        strangers: Accepted connections whose handshake is not complete.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self.least_level: Callable[[], int] = lambda: 0
         self.handlers: dict[str, Handler] = {}
         self.critical_kinds: set[str] = set()
+        self.strangers = strangers.Strangers()
         self._last_heard: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -223,22 +226,40 @@
         connection = envelope.Connection(stream)
         name = ""
         try:
-            with trio.fail_after(self.timing.connect_seconds):
-                hello = await handshake.accept(
-                    connection, self.key, self.name, self.listen_address
-                )
+            hello = await self.strangers.shake_hands(
+                connection,
+                self.key,
+                self.name,
+                self.listen_address,
+                self.timing.connect_seconds,
+            )
             name = hello.name
             handshake.check_level(connection, hello.address, self.least_level())
             self._learn_address(hello)
             await _Session(self, name, connection).run()
         except (errors.PeerError, trio.TooSlowError) as error:
-            if self.log is not None:
-                message = f"connection from {name or 'unknown'} ended"
-                self.log.info(message, peer=name, reason=str(error))
+            self._log_end(name, str(error))
         finally:
             with trio.CancelScope(shield=True, deadline=0):
                 await stream.aclose()
 
+    def _log_end(self, name: str, reason: str) -> None:
+        """Log the end of an accepted connection, unless many are strangers'."""
+        if self.log is None:
+            return
+        if name:
+            message = f"connection from {name} ended"
+            self.log.info(message, peer=name, reason=reason)
+            return
+        times = self.strangers.ends.count(trio.current_time())
+        if times:
+            self.log.info(
+                "connection from unknown ended",
+                peer="",
+                reason=reason,
+                times=times,
+            )
+
 
 class _Session:
     """Accepted connection, on which calls and messages are handled.
--- a/turmerichall/tests/test_stalling_crowds.py
+++ b/turmerichall/tests/test_stalling_crowds.py
@@ -238,3 +238,15 @@
             await queues.serve_one_of_each()
         assert not queues.deployment.ends
         assert most < DESCRIPTORS * 9 // 10
+
+
+class TestFramesOfStrangers:
+
+    # Each connection without the cluster's key could announce a frame of 4 MiB
+    # and have all but its last byte kept.
+    async def test_crowd_without_the_key_is_borne(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        frame = (4 * 1024 * 1024).to_bytes(4, "big") + bytes(4_000_000)
+        crowd = stalling_crowd.Crowd(60, frame)
+        await _check_crowd(tmp_path, "replica", deployments.PEER_PORT, crowd)
