Keep unfinished bodies in blocks

Cause: a body grew as one array, which is moved to a larger place again and again. Many beside each other leave gaps between them.

--- a/turmerichall/http1/request_reader.py
+++ b/turmerichall/http1/request_reader.py
@@ -6,6 +6,7 @@
 
 from turmerichall.http1 import limits as limits_module
 from turmerichall.http1 import message
+from turmerichall.intake import block_buffer
 
 __all__ = ["CONTINUE_RESPONSE", "RequestReader", "request_size"]
 
@@ -66,7 +67,7 @@
         self.parts = 0
         self._target = b""
         self._headers: message.Headers = {}
-        self._body = bytearray()
+        self._body = block_buffer.BlockBuffer()
         self._header_bytes = 0
         self._parsed_bytes = 0
         self._unparsed_field_bytes = 0
@@ -90,14 +91,14 @@
         self.requests.clear()
         self.unparsed = bytearray()
         self._headers = {}
-        self._body = bytearray()
+        self._body.clear()
 
     # pylint: disable=missing-function-docstring
     def on_message_begin(self) -> None:
         self.in_request = True
         self._target = b""
         self._headers = {}
-        self._body = bytearray()
+        self._body.clear()
         self._header_bytes = 0
         self._parsed_bytes = 0
         self._unparsed_field_bytes = 0
@@ -116,7 +117,7 @@
     def on_body(self, body: bytes) -> None:
         if len(self._body) + len(body) > self.limits.body_bytes:
             raise _Refused(413)
-        self._body += body
+        self._body.add(body)
         self.parts += 1
 
     def on_message_complete(self) -> None:
@@ -124,10 +125,9 @@
             self.parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             self._headers,
-            bytes(self._body),
+            self._body.take(),
         )
         self._headers = {}
-        self._body = bytearray()
         self._header_bytes = 0
         self._unparsed_field_bytes = 0
         self.in_request = False
