Limit what all callers of turmerichalld take together

What callers saw: the daemon ended for want of memory while callers, operators or workers held unfinished bodies open; and once 1,024 connections were open, idle ones included, each new one was closed.

Cause: the number of connections had a limit which the first comers could fill; the sum of the bodies had none.

Why it works: both listeners have a budget, as the ports of the queue daemon do. The connection that holds most for longest is closed, an idle one for a new one, and complete requests beyond the budget get 503 `overloaded`, before they are sent to a backend server. `[limits] max_held_bytes` is 64 MiB, sixteen requests as large as one may be. What arrives is read in parts of 16 KiB, as each connection holds a few of them.

--- a/turmerichall/daemon.py
+++ b/turmerichall/daemon.py
@@ -27,6 +27,7 @@
 from turmerichall.instances import instance as instances
 from turmerichall.instances import registration
 from turmerichall.instances import share_lease as share_leases
+from turmerichall.intake import reports
 from turmerichall.operators import application as operators_application
 from turmerichall.operators import exchange as operator_exchange
 from turmerichall.peers import network as networks
@@ -227,6 +228,7 @@
                 queue_requests=limits.queue_length,
                 concurrency=limits.max_requests_in_flight,
                 retry_ratio=limits.retry_ratio,
+                held_bytes=limits.max_held_bytes,
             ),
             self.share_lease,
         )
@@ -280,6 +282,7 @@
                     limit,
                     gateway_limits.Limits(),
                     OPERATORS_KEEP_ALIVE_SECONDS,
+                    reports.count_refusals(self.counters, "operators"),
                 )
                 await servers.start(
                     gateway_server.serve,
@@ -288,6 +291,8 @@
                     self.stop,
                     limit,
                     self.gateway.limits,
+                    gateway_server.KEEP_ALIVE_SECONDS,
+                    reports.count_refusals(self.counters, "gateway"),
                 )
                 self.log.info("serving", callers=listen.callers)
             nursery.cancel_scope.cancel()
--- a/turmerichall/gateway/application.py
+++ b/turmerichall/gateway/application.py
@@ -22,6 +22,7 @@
 from turmerichall.gateway import maintenance
 from turmerichall.gateway import peer_calls
 from turmerichall.gateway import pool as pools
+from turmerichall.gateway import received_body
 from turmerichall.gateway import request as requests
 from turmerichall.gateway import request_telemetry
 from turmerichall.gateway import selection
@@ -222,7 +223,12 @@
         if isinstance(request, outcomes.Refusal):
             return request
         with trio.move_on_at(request.deadline):
-            return await _read_body(request, receive, self.limits.body_bytes)
+            body = await received_body.read(
+                scope, receive, self.limits.body_bytes
+            )
+            if isinstance(body, bytes):
+                return request._replace(body=body)
+            return body
         return outcomes.Refusal(
             outcomes.RefusalReason.TIMEOUT,
             "the body did not arrive before the deadline",
@@ -335,26 +341,6 @@
     return request_id
 
 
-async def _read_body(
-    request: requests.Request, receive: Receive, max_bytes: int
-) -> requests.Request | outcomes.Refusal | None:
-    parts = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return None
-        parts.append(message.get("body", b""))
-        size += len(parts[-1])
-        if size > max_bytes:
-            return outcomes.Refusal(
-                outcomes.RefusalReason.TOO_LARGE,
-                f"the body is larger than {max_bytes} bytes",
-            )
-        if not message.get("more_body", False):
-            return request._replace(body=b"".join(parts))
-
-
 async def _discard_body(receive: Receive) -> None:
     """Discard what the caller still sends, so that it can read the error."""
     while (await receive())["type"] != "http.disconnect":
--- a/turmerichall/gateway/limits.py
+++ b/turmerichall/gateway/limits.py
@@ -19,6 +19,8 @@
         caller_stall_seconds: Timeout for sending a part of a response to a
             caller; a caller that doesn't read it by then is disconnected.
         caller_connections: Maximum number of connections of callers.
+        held_bytes: Maximum size of all requests of callers, and parts of
+            responses, that are in memory.
         queue_requests: Maximum number of requests that wait for a slot.
         queue_seconds: How long a request may wait for a slot during a burst.
         standing_queue_seconds: How long it may wait once the queue has not been
@@ -39,6 +41,7 @@
     idle_seconds: float = 3.0
     caller_stall_seconds: float = 20.0
     caller_connections: int = 1024
+    held_bytes: int = 64 * 1024**2
     queue_requests: int = 256
     queue_seconds: float = 1.0
     standing_queue_seconds: float = 0.2
--- a/turmerichall/gateway/server.py
+++ b/turmerichall/gateway/server.py
@@ -1,5 +1,6 @@
 """HTTP server that accepts and serves connections of callers."""
 
+from collections.abc import Callable
 import functools
 import logging
 from typing import Any
@@ -12,6 +13,8 @@
 
 from turmerichall.gateway import caller_connection
 from turmerichall.gateway import limits as limits_module
+from turmerichall.intake import budget as budgets
+from turmerichall.intake import limits as intake_limits
 
 __all__ = ["serve"]
 
@@ -29,6 +32,7 @@
     drain_limit_seconds: float,
     limits: limits_module.Limits = DEFAULT_LIMITS,
     keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
+    on_given_up: Callable[[budgets.Reason], None] = lambda _: None,
     *,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -42,6 +46,8 @@
         limits: Limits of the request path.
         keep_alive_seconds: How long a connection may be idle; also the timeout
             for the head of a request.
+        on_given_up: Called with the reason when a connection gives way to
+            others, or a request is refused for them.
         task_status: Receives the `host:port` of the listener.
     """
     wrapped = hypercorn.app_wrappers.ASGIWrapper(app)
@@ -50,7 +56,12 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(lifespan.handle_lifespan)
         await lifespan.wait_for_startup()
-        handler = _Handler(wrapped, config, limits)
+        budget = budgets.Budget(
+            intake_limits.Limits(limits.held_bytes, limits.caller_connections),
+            on_given_up,
+            copies=1,
+        )
+        handler = _Handler(wrapped, config, limits, budget)
         host, _, port = listen.rpartition(":")
         listeners = list(
             await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
@@ -90,37 +101,39 @@
 
     Attributes:
         context: Signals connections that the server is stopping.
-        open_connections: Number of open connections.
+        budget: Limits what the connections take together.
     """
 
     def __init__(
-        self, app: Any, config: hypercorn.Config, limits: limits_module.Limits
+        self,
+        app: Any,
+        config: hypercorn.Config,
+        limits: limits_module.Limits,
+        budget: budgets.Budget,
     ):
         self.app = app
         self.config = config
         self.limits = limits
         self.context = hypercorn.trio.worker_context.WorkerContext(None)
-        self.open_connections = 0
+        self.budget = budget
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection; an error in it doesn't affect the others."""
-        if self.open_connections >= self.limits.caller_connections:
-            await trio.aclose_forcefully(stream)
-            return
-        self.open_connections += 1
         connection = caller_connection.CallerConnection(
             self.app,
             self.config,
             self.context,
             self.limits.caller_stall_seconds,
             stream,
+            self.budget,
         )
+        if not connection.open():
+            await trio.aclose_forcefully(stream)
+            return
         try:
             await connection.run()
         except Exception:  # pylint: disable=broad-exception-caught
             _LOGGER.exception("gateway: connection of a caller failed")
-        finally:
-            self.open_connections -= 1
 
 
 def _config(keep_alive_seconds: float) -> hypercorn.Config:
--- /dev/null
+++ b/turmerichall/gateway/tests/test_crowded_listener.py
@@ -0,0 +1,87 @@
+"""Tests of callers that together take more than their listener may."""
+
+import contextlib
+from typing import Any
+
+import httpcore
+import trio
+
+HEAD = (
+    b"POST /v1/requests/c/s HTTP/1.1\r\nhost: a\r\n"
+    b"turmerichall-idempotent: true\r\ntransfer-encoding: chunked\r\n\r\n"
+)
+UNFINISHED = HEAD + b"c350\r\n" + b"x" * 50_000 + b"\r\n"
+MAX_BYTES = 200_000
+TIMEOUT_SECONDS = 5.0
+
+
+async def _open(url: str, data: bytes) -> trio.SocketStream:
+    """Open a connection and send bytes on it."""
+    host, port = url.removeprefix("http://").split(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    await stream.send_all(data)
+    return stream
+
+
+async def _send(caller: Any, body: bytes) -> httpcore.Response:
+    response: httpcore.Response = await caller.send(
+        body, turmerichall_idempotent="true"
+    )
+    return response
+
+
+async def _is_closed(stream: trio.SocketStream) -> bool:
+    """Return whether a connection is closed without an answer."""
+    with trio.move_on_after(TIMEOUT_SECONDS):
+        with contextlib.suppress(trio.BrokenResourceError):
+            return not await stream.receive_some()
+        return True
+    return False
+
+
+class TestUnfinishedRequests:
+
+    # The number of connections was limited, and the sum of their bodies not.
+    async def test_earlier_ones_are_closed_and_ordinary_ones_served(
+        self, testbed: Any
+    ) -> None:
+        backend = await testbed.backend("w1")
+        caller = await testbed.caller(backend, held_bytes=MAX_BYTES)
+        streams = [
+            await _open(caller.gateway.url, UNFINISHED) for _ in range(8)
+        ]
+        assert await _is_closed(streams[0])
+        response = await _send(caller, b"ordinary")
+        assert response.status == 200
+        assert len(backend.request_ids) == 1
+        for stream in streams:
+            await stream.aclose()
+
+
+class TestConnections:
+
+    # New connections were closed while others held all places without a
+    # request.
+    async def test_idle_one_is_closed_for_a_new_one(self, testbed: Any) -> None:
+        backend = await testbed.backend("w1")
+        caller = await testbed.caller(backend, caller_connections=3)
+        streams = []
+        for _ in range(3):
+            streams.append(await _open(caller.gateway.url, b""))
+            await trio.sleep(0.02)
+        assert (await _send(caller, b"new")).status == 200
+        assert await _is_closed(streams[0])
+        for stream in streams:
+            await stream.aclose()
+
+
+class TestCompleteRequests:
+
+    async def test_refused_one_has_not_run(self, testbed: Any) -> None:
+        backend = await testbed.backend("w1")
+        caller = await testbed.caller(backend, held_bytes=MAX_BYTES)
+        response = await _send(caller, b"x" * 190_000)
+        assert response.status == 503
+        assert b'"reason":"overloaded"' in response.content
+        assert not backend.request_ids
+        assert (await _send(caller, b"x" * 100_000)).status == 200
--- a/turmerichall/intake/budget.py
+++ b/turmerichall/intake/budget.py
@@ -25,8 +25,8 @@
 # are handled, so that smaller ones are still served.
 LARGE_BYTES = 64 * 1024
 LARGE_SHARE = 3 / 4
-# Copies of a request that exist while it is handled: its body, its encoded form
-# for another instance, and the frame of that.
+# Copies of a request that exist while it is forwarded to another instance: its
+# body, its encoded form, and the frame of that.
 COPIES = 3
 
 
@@ -80,15 +80,18 @@
             handled.
         on_given_up: Called with the reason when a connection gives way or a
             request is refused.
+        copies: Number of copies of a request that exist while it is handled.
     """
 
     def __init__(
         self,
         limits: limits_module.Limits = limits_module.Limits.from_memory(0),
         on_given_up: Callable[[Reason], None] = lambda _: None,
+        copies: int = COPIES,
     ):
         self.limits = limits
         self.on_given_up = on_given_up
+        self.copies = copies
         self.holdings: set[Holding] = set()
         self.size = 0
         self.handled_size = 0
@@ -158,7 +161,7 @@
         Returns:
             Whether it may be handled; otherwise it has to be refused.
         """
-        charge = COPIES * size
+        charge = self.copies * size
         share = LARGE_SHARE if size >= LARGE_BYTES else 1.0
         if self.handled_size + charge > self.limits.max_bytes * share:
             self.on_given_up(Reason.HANDLED)
--- a/turmerichall/intake/reports.py
+++ b/turmerichall/intake/reports.py
@@ -2,14 +2,23 @@
 
 from collections.abc import Callable
 import time
+from typing import Protocol
 
+from turmerichall import outcomes
 from turmerichall.intake import budget as budgets
 from turmerichall.intake import limits as limits_module
 from turmerichall.telemetry import lightweight_metrics
 from turmerichall.telemetry import logs
 from turmerichall.telemetry import repeat_limit
 
-__all__ = ["count_and_log", "make_budget", "register"]
+__all__ = ["count_and_log", "count_refusals", "make_budget", "register"]
+
+
+class Counters(Protocol):
+    """Counters of refusals by part of the daemon and by reason."""
+
+    def refused(self, part: str, reason: outcomes.RefusalReason) -> None:
+        """Count a refusal."""
 
 
 def make_budget(
@@ -38,18 +47,44 @@
         metrics_registry.count(
             "connections_given_up", port=port, reason=reason.value
         )
-        times = limit.count(time.monotonic())
-        if times:
-            logs.Log("intake").warning(
-                "connections gave way, or requests were refused for them",
-                port=port,
-                reason=reason.value,
-                times=times,
-            )
+        _log(limit, port, reason)
+
+    return report
+
+
+def count_refusals(
+    counters: Counters, part: str
+) -> Callable[[budgets.Reason], None]:
+    """Return a callback that counts refusals and logs some of them.
+
+    Args:
+        counters: Counts them as overload.
+        part: Part of the daemon, such as `gateway`.
+    """
+    limit = repeat_limit.RepeatLimit()
+
+    def report(reason: budgets.Reason) -> None:
+        if reason == budgets.Reason.IDLE:
+            return
+        counters.refused(part, outcomes.RefusalReason.OVERLOADED)
+        _log(limit, part, reason)
 
     return report
 
 
+def _log(
+    limit: repeat_limit.RepeatLimit, port: str, reason: budgets.Reason
+) -> None:
+    times = limit.count(time.monotonic())
+    if times:
+        logs.Log("intake").warning(
+            "connections gave way, or requests were refused for them",
+            port=port,
+            reason=reason.value,
+            times=times,
+        )
+
+
 def register(
     metrics_registry: lightweight_metrics.MetricsRegistry,
     port: str,
--- a/turmerichall/operators/application.py
+++ b/turmerichall/operators/application.py
@@ -152,7 +152,7 @@
         findings = template.name_findings("path", match.name or "none")
         if findings:
             raise errors.InputError(findings)
-        body = await exchange.read_body(receive, self.services.bounds)
+        body = await exchange.read_body(scope, receive, self.services.bounds)
         if isinstance(body, outcomes.Refusal):
             return body
         complete_request = request.with_body(body, match.name)
--- a/turmerichall/operators/exchange.py
+++ b/turmerichall/operators/exchange.py
@@ -8,6 +8,7 @@
 import trio
 
 from turmerichall import outcomes
+from turmerichall.gateway import received_body
 from turmerichall.settings import settings
 
 __all__ = [
@@ -126,11 +127,12 @@
 
 
 async def read_body(
-    receive: Receive, bounds: Bounds
+    scope: Scope, receive: Receive, bounds: Bounds
 ) -> bytes | outcomes.Refusal:
     """Read the body of a request within its size and time limits.
 
     Args:
+        scope: The ASGI scope.
         receive: The ASGI callable that returns the next event.
         bounds: Bounds on the request.
 
@@ -142,28 +144,16 @@
             complete.
     """
     with trio.move_on_after(bounds.body_timeout_seconds):
-        return await _read_parts(receive, bounds)
+        body = await received_body.read(scope, receive, bounds.max_body_bytes)
+        if body is None:
+            raise ClientDisconnected
+        return body
     return outcomes.Refusal(
         outcomes.RefusalReason.TIMEOUT,
         f"the body did not arrive within {bounds.body_timeout_seconds} s",
     )
 
 
-async def _read_parts(
-    receive: Receive, bounds: Bounds
-) -> bytes | outcomes.Refusal:
-    parts = bytearray()
-    while True:
-        event = await receive()
-        if event["type"] != "http.request":
-            raise ClientDisconnected
-        parts += event.get("body", b"")
-        if len(parts) > bounds.max_body_bytes:
-            return _too_large(f"body above {bounds.max_body_bytes} B")
-        if not event.get("more_body", False):
-            return bytes(parts)
-
-
 async def send_response(send: Send, response: Response) -> None:
     """Send a complete response."""
     fields = (
--- a/turmerichall/settings/reader.py
+++ b/turmerichall/settings/reader.py
@@ -88,6 +88,7 @@
         settings.Limits,
         {
             "max_request_bytes": Key("max_request_bytes", values.size),
+            "max_held_bytes": Key("max_held_bytes", values.size),
             "max_requests_in_flight": Key(
                 "max_requests_in_flight", values.count
             ),
--- a/turmerichall/settings/settings.py
+++ b/turmerichall/settings/settings.py
@@ -105,6 +105,8 @@
 
     Attributes:
         max_request_bytes: Maximum size of the body of a request.
+        max_held_bytes: Maximum size of all requests of callers that are in
+            memory, complete or not.
         max_requests_in_flight: Maximum number of requests of callers that hold
             a slot of a backend server at the same time; others wait in the
             queue.
@@ -129,6 +131,7 @@
     max_deadline_seconds: float = 60.0
     max_header_count: int = 64
     max_header_bytes: int = 16 * 1024
+    max_held_bytes: int = 64 * 1024**2
 
 
 class Placement(NamedTuple):
--- a/turmerichall/tests/test_stalling_crowds.py
+++ b/turmerichall/tests/test_stalling_crowds.py
@@ -10,6 +10,7 @@
 import pathlib
 import resource
 
+import httpcore
 import pytest
 import trio
 
@@ -17,15 +18,20 @@
 from turmerichall.http1 import client as http_client
 from turmerichall.http1 import message
 from turmerichall.platform import sound_messages
+from turmerichall.tests import local_cluster
 from turmerichall.tests import stalling_crowd
 
 pytestmark = pytest.mark.alone
 
 MEMORY_MB = 110
 DESCRIPTORS = 256
+# turmerichalld has no setting of its memory; this is the smallest machine.
+DAEMON_MEMORY_MB = 160
 SERVED_SECONDS = 60.0
 BODY_BYTES = 256 * 1024 - 1024
 CONTROL_BODY_BYTES = 4 * 1024 * 1024 - 64 * 1024
+CUSTOMER = "ikengwu"
+REQUEST_PATH = f"/v1/requests/{CUSTOMER}/offers"
 JOB_PATH = sound_messages.PATH_PREFIX + "5c0e7a21d94b36f8"
 
 
@@ -250,3 +256,93 @@
         frame = (4 * 1024 * 1024).to_bytes(4, "big") + bytes(4_000_000)
         crowd = stalling_crowd.Crowd(60, frame)
         await _check_crowd(tmp_path, "replica", deployments.PEER_PORT, crowd)
+
+
+class TestDaemonOfServices:
+
+    # The same crowds on `turmerichalld`, which bounded connections only.
+    @pytest.mark.parametrize(
+        "port, path, chunk_bytes, body_bytes, clients",
+        [
+            ("callers", REQUEST_PATH, 65_536, 1_000_000, 250),
+            ("callers", REQUEST_PATH, 2, 60_000, 200),
+            ("operators", "/v1/workers/announce", 65_536, 1_000_000, 250),
+            ("operators", "/v1/workers/announce", 2, 60_000, 200),
+        ],
+    )
+    async def test_crowd_of_unfinished_bodies_is_borne(
+        self,
+        tmp_path: pathlib.Path,
+        port: str,
+        path: str,
+        chunk_bytes: int,
+        body_bytes: int,
+        clients: int,
+    ) -> None:
+        headers = {
+            "host": "a",
+            "authorization": f"Bearer {local_cluster.WORKERS_KEY}",
+            "turmerichall-idempotent": "true",
+        }
+        request = stalling_crowd.chunked_body(
+            path, headers, chunk_bytes, body_bytes
+        )
+        await _check_daemon(
+            tmp_path, port, stalling_crowd.Crowd(clients, request)
+        )
+
+    async def test_crowd_without_the_key_is_borne(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        frame = (4 * 1024 * 1024).to_bytes(4, "big") + bytes(4_000_000)
+        await _check_daemon(tmp_path, "peers", stalling_crowd.Crowd(60, frame))
+
+
+async def _check_daemon(
+    folder: pathlib.Path, port: str, crowd: stalling_crowd.Crowd
+) -> None:
+    """Check that a daemon of services stays up, small and in service."""
+    cluster = local_cluster.LocalCluster(folder, ("z1",))
+    try:
+        await cluster.start(workers_per_zone=1)
+        await _publish(cluster)
+        callers = f"http://{cluster.instances['i1'].callers}{REQUEST_PATH}"
+        await _wait_until_served(callers)
+        process = cluster.processes["i1"]
+        address: str = getattr(cluster.instances["i1"], port)
+        await stalling_crowd.run(address, crowd)
+        await cluster.wait_ready("i1")
+        await _wait_until_served(callers)
+        assert process.poll() is None
+        peak_mb = _peak_mb(process.pid)
+    finally:
+        cluster.kill_all()
+    assert peak_mb < DAEMON_MEMORY_MB
+
+
+async def _publish(cluster: local_cluster.LocalCluster) -> None:
+    """Set up one customer with one service."""
+    for command in (
+        "template publish offers --kind service --processors 1 --memory_mb 500",
+        f"customer set {CUSTOMER} --team desk --urgency urgent --zones z1"
+        " --services offers=1",
+    ):
+        code, output = await cluster.run_cli(*command.split())
+        assert code == 0, output
+
+
+async def _wait_until_served(url: str) -> None:
+    """Repeat a request until it is answered with 200."""
+    headers = [("turmerichall-idempotent", "true")]
+    with trio.fail_after(SERVED_SECONDS):
+        while True:
+            async with httpcore.AsyncConnectionPool() as pool:
+                with contextlib.suppress(
+                    httpcore.NetworkError, httpcore.ProtocolError
+                ):
+                    response = await pool.request(
+                        "POST", url, headers=headers, content=b"9:30"
+                    )
+                    if response.status == 200:
+                        return
+            await trio.sleep(0.2)
