Keep the chunks of an answer together

What callers saw: nothing yet; found beside the reader of requests. A worker that answers in small chunks could end the leader for want of memory.

Cause: the client kept each chunk of an answer as an object of its own, as the server did with bodies. An answer may have 2 MiB, and a leader has six connections to each worker.

Evidence: an answer of 1 MB in chunks of 2 bytes took 63 MB at its peak.

Why it works: the answer grows in blocks; the test's bound is four times its size.

--- a/turmerichall/http1/client.py
+++ b/turmerichall/http1/client.py
@@ -9,6 +9,7 @@
 import trio
 
 from turmerichall.http1 import message
+from turmerichall.intake import block_buffer
 
 __all__ = ["CallFailure", "Client", "Limits", "Opening"]
 
@@ -92,21 +93,19 @@
         self._poll = select.poll()
         self._poll.register(stream.socket.fileno(), select.POLLIN)
         self._limits = limits
-        self._body: list[bytes] = []
+        self._body = block_buffer.BlockBuffer()
         self._headers: message.Headers = {}
         self._complete = False
         self._status = 0
         self._header_bytes = 0
-        self._body_bytes = 0
 
     # pylint: disable=missing-function-docstring
     def on_message_begin(self) -> None:
         if self._complete:
             raise _BrokenConnection("a second response to one call")
-        self._body = []
+        self._body.clear()
         self._headers = {}
         self._header_bytes = 0
-        self._body_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._header_bytes += len(name) + len(value)
@@ -120,10 +119,9 @@
             raise _BrokenConnection("the response's header is too large")
 
     def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > self._limits.body_bytes:
+        if len(self._body) + len(body) > self._limits.body_bytes:
             raise _BrokenConnection("the response's body is too large")
-        self._body.append(body)
+        self._body.add(body)
 
     def on_message_complete(self) -> None:
         # The parser returns valid values only until it is fed the next bytes.
@@ -155,7 +153,7 @@
                     raise _BrokenConnection("the server closed the connection")
                 self._parse(received)
                 # The parser keeps a header field until it is complete.
-                parsed_bytes = self._header_bytes + self._body_bytes
+                parsed_bytes = self._header_bytes + len(self._body)
                 unparsed_bytes += len(received)
                 if parsed_bytes != progress:
                     progress, unparsed_bytes = parsed_bytes, 0
@@ -167,7 +165,7 @@
         self.last_response_at = trio.current_time()
         return message.Response(
             self._status,
-            b"".join(self._body),
+            self._body.take(),
             self._headers,
         )
 
--- a/turmerichall/http1/tests/test_answers.py
+++ b/turmerichall/http1/tests/test_answers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import tracemalloc
 
 import pytest
 import trio
@@ -132,3 +133,24 @@
             response = await client.call("GET", "/", b"", {}, 5.0)
         assert isinstance(response, message.Response)
         assert response.body == body
+
+
+class TestSmallChunks:
+
+    # Each chunk was an object of its own until the answer was complete.
+    async def test_answer_takes_little_more_than_its_size(self) -> None:
+        size = 1_000_000
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        chunks = b"2\r\nxx\r\n" * (size // 2)
+        async with _answering(head + chunks + b"0\r\n\r\n") as client:
+            tracemalloc.start()
+            try:
+                answer = await client.call("POST", "/", b"", {}, 20.0)
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            client.close()
+        assert isinstance(answer, message.Response)
+        assert answer.body == b"x" * size
+        # The answer, the blocks that it is put together from, and one read.
+        assert peak < 4 * size
