Limit the messages of other instances that a replica handles at once

Each entry instance limits its own callers; the bodies that all of them forward met no limit at the leader, which has less memory than 33 entry instances together.

Cause: 1,024 calls at a time for each connection between instances, whatever their size.

Evidence: five calls of 100 KB were all handled with a limit of 250 KB in mind; now two are, and three get a refusal without effect.

The log, votes and members are exempt, and a call that is larger than the limit is handled alone. The entry instance tries again for as long as its caller waits, and then answers 503, which is true, as nothing was handled; so does a replica that forwards a worker's or an operator's call.

--- a/turmerichall/dispatch/replica_daemon.py
+++ b/turmerichall/dispatch/replica_daemon.py
@@ -147,6 +147,7 @@
             settings.limits.memory_mb * BYTES_PER_MB,
         )
         limits = intake_limits.Limits.from_memory(settings.limits.memory_mb)
+        self.network.messages.max_bytes = limits.max_bytes
         self.metrics = metrics.make_server(
             self.metrics_registry,
             reports.make_budget(
@@ -293,6 +294,9 @@
             elif reply.reason == outcomes.RefusalReason.TOO_LARGE:
                 body = msgspec.json.encode({"error": [reply.detail]})
                 return message.Response(413, body)
-            elif reply.reason != outcomes.RefusalReason.UNREACHABLE:
+            elif reply.reason not in (
+                outcomes.RefusalReason.UNREACHABLE,
+                outcomes.RefusalReason.OVERLOADED,
+            ):
                 return message.Response(504)
         return client_requests.failure_response(leader_apis.NO_QUORUM)
--- a/turmerichall/peers/network.py
+++ b/turmerichall/peers/network.py
@@ -12,6 +12,7 @@
 
 from turmerichall import errors
 from turmerichall import outcomes
+from turmerichall.intake import messages
 from turmerichall.peers import envelope
 from turmerichall.peers import handler_failures
 from turmerichall.peers import handshake
@@ -45,6 +46,7 @@
         least_level: Returns the level of changes that other replicas have to
             read.
         strangers: Accepted connections whose handshake is not complete.
+        messages: Limits the messages being handled whose kind isn't critical.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.handlers: dict[str, Handler] = {}
         self.critical_kinds: set[str] = set()
         self.strangers = strangers.Strangers()
+        self.messages = messages.Messages()
         self._last_heard: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -238,28 +241,15 @@
             self._learn_address(hello)
             await _Session(self, name, connection).run()
         except (errors.PeerError, trio.TooSlowError) as error:
-            self._log_end(name, str(error))
+            if not name:
+                self.strangers.report(self.log, str(error))
+            elif self.log is not None:
+                message = f"connection from {name} ended"
+                self.log.info(message, peer=name, reason=str(error))
         finally:
             with trio.CancelScope(shield=True, deadline=0):
                 await stream.aclose()
 
-    def _log_end(self, name: str, reason: str) -> None:
-        """Log the end of an accepted connection, unless many are strangers'."""
-        if self.log is None:
-            return
-        if name:
-            message = f"connection from {name} ended"
-            self.log.info(message, peer=name, reason=reason)
-            return
-        times = self.strangers.ends.count(trio.current_time())
-        if times:
-            self.log.info(
-                "connection from unknown ended",
-                peer="",
-                reason=reason,
-                times=times,
-            )
-
 
 class _Session:
     """Accepted connection, on which calls and messages are handled.
@@ -307,12 +297,23 @@
                 continue
             if frame.frame_kind == envelope.FrameKind.PING:
                 self.queue.add(envelope.Envelope(envelope.FrameKind.PONG))
-            elif self.handlers_running >= MAX_CONCURRENT_CALLS:
+            elif (
+                self.handlers_running >= MAX_CONCURRENT_CALLS
+                or not self._begin(frame)
+            ):
                 self._queue_refusal(frame, outcomes.RefusalReason.OVERLOADED)
             else:
-                self.handlers_running += 1
                 nursery.start_soon(self._handle, frame)
 
+    def _begin(self, frame: envelope.Envelope) -> bool:
+        """Count a message, and return whether it may be handled."""
+        network = self.network
+        if frame.kind not in network.critical_kinds:
+            if not network.messages.begin(len(frame.body)):
+                return False
+        self.handlers_running += 1
+        return True
+
     async def _handle(self, frame: envelope.Envelope) -> None:
         try:
             handler = self.network.handlers.get(frame.kind)
@@ -340,6 +341,8 @@
             self._queue_refusal(frame, refusal.reason, refusal.detail)
         finally:
             self.handlers_running -= 1
+            if frame.kind not in self.network.critical_kinds:
+                self.network.messages.end(len(frame.body))
 
     def _queue_refusal(
         self,
--- a/turmerichall/peers/strangers.py
+++ b/turmerichall/peers/strangers.py
@@ -7,6 +7,7 @@
 from turmerichall.intake import limits as intake_limits
 from turmerichall.peers import envelope
 from turmerichall.peers import handshake
+from turmerichall.peers import link
 from turmerichall.telemetry import repeat_limit
 
 __all__ = ["MAX_STRANGERS", "Strangers"]
@@ -26,12 +27,11 @@
 
     Attributes:
         budget: Limits their number.
-        ends: Limits log lines about those that fail.
     """
 
     def __init__(self) -> None:
         self.budget = budgets.Budget(LIMITS)
-        self.ends = repeat_limit.RepeatLimit()
+        self._log_limit = repeat_limit.RepeatLimit()
 
     async def shake_hands(
         self,
@@ -62,3 +62,14 @@
         finally:
             self.budget.close(holding)
         raise errors.PeerError("it gave way to newer connections")
+
+    def report(self, log: link.Log | None, reason: str) -> None:
+        """Log that a handshake failed, unless another one has just done."""
+        times = self._log_limit.count(trio.current_time())
+        if log is not None and times:
+            log.info(
+                "connection from unknown ended",
+                peer="",
+                reason=reason,
+                times=times,
+            )
--- a/turmerichall/peers/tests/test_network.py
+++ b/turmerichall/peers/tests/test_network.py
@@ -329,3 +329,51 @@
         await trio.testing.wait_all_tasks_blocked()
         assert scope.cancelled_caught
         assert not left.links["b"].connected
+
+
+class TestLargeMessages:
+
+    # A replica held the sum of the bodies that all entry instances forwarded.
+    async def test_more_than_may_be_handled_at_once_is_refused(
+        self, nursery: trio.Nursery
+    ) -> None:
+        left, right = await _pair(nursery)
+        await _wait_until(lambda: left.links["b"].connected)
+        handled = 0
+        go_on = trio.Event()
+
+        async def wait(_: str, __: bytes) -> bytes:
+            nonlocal handled
+            handled += 1
+            await go_on.wait()
+            return b""
+
+        right.handle("wait", wait)
+        right.handle("vote", _echo, is_critical=True)
+        right.messages.max_bytes = 250_000
+        body = bytes(100_000)
+        results: list[bytes | outcomes.Refusal] = []
+
+        async def call() -> None:
+            results.append(await left.call("b", "wait", body, CALL_SECONDS))
+
+        async with trio.open_nursery() as calls:
+            for _ in range(5):
+                calls.start_soon(call)
+            await _wait_until(lambda: len(results) == 3)
+            assert handled == 2
+            # The log and votes go on.
+            answer = await left.call("b", "vote", body, CALL_SECONDS)
+            assert isinstance(answer, bytes)
+            go_on.set()
+        refusals = [
+            each for each in results if isinstance(each, outcomes.Refusal)
+        ]
+        assert len(refusals) == 3
+        assert {each.reason for each in refusals} == {
+            outcomes.RefusalReason.OVERLOADED
+        }
+        assert right.messages.size == 0
+        answer = await left.call("b", "echo", bytes(900_000), CALL_SECONDS)
+        assert isinstance(answer, bytes)
+        nursery.cancel_scope.cancel()
