Handle any single request, however little memory a port has

What callers saw: nothing yet; found with 110 MB: a configuration of 4 MB on an idle replica got 503, and would have got it for ever.

Cause: three copies of it are more than the three quarters of the port's budget that large requests may have.

Why it works: the limit counts for a request beside others that are being handled. One alone is handled as before the limits.

--- a/turmerichall/intake/budget.py
+++ b/turmerichall/intake/budget.py
@@ -159,11 +159,13 @@
             now: Current time, in seconds of a steady clock.
 
         Returns:
-            Whether it may be handled; otherwise it has to be refused.
+            Whether it may be handled; otherwise it has to be refused.  Any
+            request may be handled alone.
         """
         charge = self.copies * size
         share = LARGE_SHARE if size >= LARGE_BYTES else 1.0
-        if self.handled_size + charge > self.limits.max_bytes * share:
+        allowed = self.limits.max_bytes * share
+        if self.handled_size and self.handled_size + charge > allowed:
             self.on_given_up(Reason.HANDLED)
             return False
         return self.update(holding, Activity.HANDLING, charge, now)
--- a/turmerichall/intake/tests/test_budget.py
+++ b/turmerichall/intake/tests/test_budget.py
@@ -127,6 +127,14 @@
         assert port.budget.admit(small, 5000, 1.0)
         assert port.budget.size <= MAX_BYTES
 
+    # Otherwise no configuration of 4 MiB would be taken with little memory.
+    def test_one_of_any_size_is_handled_alone(self) -> None:
+        port = _Port()
+        holding = port.receive("large", 600_000, 0.0)
+        assert port.budget.admit(holding, 600_000, 1.0)
+        other = port.receive("small", 5000, 1.0)
+        assert not port.budget.admit(other, 5000, 1.0)
+
 
 class TestLimits:
 
