Limit the values and findings of a document

What callers saw: nothing yet; found while the limits on the sum of requests were tried with complete ones.

Cause: a document of 4 MB may hold half a million small objects, each of which takes some thirty times its text, and a configuration got one finding for each.

Evidence: one such request on the control port took a replica from 49 to 275 MB, of machines with 160 to 424 MB, and its answer had more than 2 MB.

Why it works: a document has 400,000 values at most, counted by its commas and brackets before it is decoded; a configuration of 4 MiB whose routes have their least fields has fewer. A configuration gets 1,000 findings at most.

--- a/turmerichall/platform/configuration_document.py
+++ b/turmerichall/platform/configuration_document.py
@@ -16,6 +16,9 @@
 
 __all__ = ["Document", "decode", "document_field"]
 
+# A document with more errors is no configuration at all.
+MAX_ERRORS = 1000
+
 _Numbered = list[tuple[int, dict[str, Any]]]
 
 # Names in documents of the fields that the configuration calls otherwise.
@@ -52,17 +55,18 @@
 
 
 class _Errors:
-    """Errors of entries that can't be decoded."""
+    """Errors of entries that can't be decoded, `MAX_ERRORS` of them at most."""
 
     def __init__(self) -> None:
         self.findings: list[configuration_check.Finding] = []
 
     def add(self, place: str, reason: str) -> None:
-        self.findings.append(
-            configuration_check.Finding(
-                configuration_check.Severity.ERROR, place, reason
+        if len(self.findings) < MAX_ERRORS:
+            self.findings.append(
+                configuration_check.Finding(
+                    configuration_check.Severity.ERROR, place, reason
+                )
             )
-        )
 
 
 def document_field(name: str, value: Any) -> tuple[str, Any]:
@@ -83,7 +87,9 @@
     document = lenient_json.decode_object(body)
     errors = _Errors()
     if document is None:
-        errors.add("configuration", "is not a JSON object")
+        errors.add(
+            "configuration", "is not a JSON object, or has too many values"
+        )
         return Document(configurations.Configuration(), tuple(errors.findings))
     version = document.get("version")
     if isinstance(version, bool) or not isinstance(version, int):
--- a/turmerichall/platform/control_requests.py
+++ b/turmerichall/platform/control_requests.py
@@ -88,7 +88,9 @@
     document = lenient_json.decode_object(body)
     place = f"heartbeat of {worker[:MAX_TEXT_CHARS]}"
     if document is None:
-        return errors.Finding(place, "is not a JSON object")
+        return errors.Finding(
+            place, "is not a JSON object, or has too many values"
+        )
     state = document.get("state")
     if state not in ("ready", "draining"):
         return errors.Finding(place, "state is unknown")
@@ -265,7 +267,8 @@
 ) -> message.Response | outcomes.Refusal:
     document = configuration_document.decode(body)
     if document.errors:
-        reasons = [str(finding) for finding in document.errors]
+        shown = document.errors[: configuration_document.MAX_ERRORS]
+        reasons = [str(finding) for finding in shown]
         log.info("configuration rejected", findings=_excerpt(reasons))
         return message.Response(400, msgspec.json.encode({"error": reasons}))
     configuration = document.configuration
--- a/turmerichall/platform/lenient_json.py
+++ b/turmerichall/platform/lenient_json.py
@@ -8,18 +8,32 @@
 
 import msgspec
 
-__all__ = ["MAX_NUMBER", "bounded", "decode_object", "integer", "text"]
+__all__ = [
+    "MAX_NUMBER",
+    "MAX_VALUES",
+    "bounded",
+    "decode_object",
+    "integer",
+    "text",
+]
 
 # Largest number that other programs send exactly (RFC 8259, section 6).  Sums
 # of thousands of them still fit into the log and into floating-point numbers.
 MAX_NUMBER = 2**53 - 1
 
+# Largest number of values in a document.  Small objects take thirty times their
+# text once they are decoded.  A configuration of 4 MiB whose routes have their
+# least fields, of 11 bytes a value, has less.
+MAX_VALUES = 400_000
+
 _DECODER = msgspec.json.Decoder()
 
 
 def decode_object(body: bytes) -> dict[str, Any] | None:
     """Return the JSON object in `body`; None if it is anything else.
 
+    Also None if it has more than `MAX_VALUES`, counting each comma and bracket.
+
     Examples:
         >>> decode_object(b'{"a":1}')
         {'a': 1}
@@ -27,7 +41,11 @@
         (None, None)
         >>> decode_object(b"[" * 100_000) is None
         True
+        >>> decode_object(b'{"a":[' + b"{}," * MAX_VALUES + b"{}]}") is None
+        True
     """
+    if body.count(b",") + body.count(b"{") + body.count(b"[") > MAX_VALUES:
+        return None
     try:
         document = _DECODER.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
