--- a/turmerichall/tests/test_stalling_crowds.py
+++ b/turmerichall/tests/test_stalling_crowds.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import resource
+import signal
 
 import httpcore
 import pytest
@@ -202,6 +203,34 @@
         crowd = stalling_crowd.Crowd(200, request, reads=False)
         await _check_crowd(tmp_path, role, port, crowd)
 
+    # Bodies that wait for a leader were kept with their copies in frames,
+    # however many there were.
+    async def test_bodies_that_wait_for_a_leader_are_borne(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        body = b"x" * BODY_BYTES
+        head = (
+            f"POST {JOB_PATH} HTTP/1.1\r\nhost: {sound_messages.HOST}\r\n"
+            f"deadline: 59000\r\ncontent-length: {len(body)}\r\n\r\n"
+        )
+        crowd = stalling_crowd.Crowd(300, (head.encode() + body) * 4)
+        async with _serving_queues(tmp_path) as queues:
+            deployment = queues.deployment
+            processes = [
+                each.process for each in deployment.replicas if each.process
+            ]
+            for process in processes:
+                process.send_signal(signal.SIGSTOP)
+            clients = f"{deployment.entry.host}:{deployments.CLIENT_PORT}"
+            await stalling_crowd.run(clients, crowd)
+            for process in processes:
+                process.send_signal(signal.SIGCONT)
+            await queues.serve_one_of_each()
+            assert deployment.entry.process is not None
+            peak_mb = _peak_mb(deployment.entry.process.pid)
+        assert not deployment.ends
+        assert peak_mb < MEMORY_MB
+
 
 class TestHeaders:
 
