Leave half of the free bytes to requests that are received

What callers saw: nothing yet; found on reading the budget again. While large requests that are being handled take nearly all bytes of a port, each new request made all others that were being received give way.

Why it works: no more is freed than half of what the handled requests leave.

--- a/turmerichall/intake/budget.py
+++ b/turmerichall/intake/budget.py
@@ -183,7 +183,11 @@
         """Let the costliest connections give way if the budget is exceeded."""
         if self.size <= self.limits.max_bytes:
             return
-        target = self.limits.max_bytes * (1 - SLACK)
+        # Little is freed if most of it belongs to requests being handled.
+        room = max(0, self.limits.max_bytes - self.handled_size)
+        target = self.limits.max_bytes - min(
+            self.limits.max_bytes * SLACK, room / 2
+        )
         candidates = [
             each
             for each in self.holdings
--- a/turmerichall/intake/tests/test_budget.py
+++ b/turmerichall/intake/tests/test_budget.py
@@ -127,6 +127,19 @@
         assert port.budget.admit(small, 5000, 1.0)
         assert port.budget.size <= MAX_BYTES
 
+    # Each further request would have made all that are received give way.
+    def test_small_ones_are_received_beside_them(self) -> None:
+        port = _Port()
+        for number in range(16):
+            holding = port.open(f"handled-{number}", 0.0)
+            assert port.budget.admit(holding, 20_000, 0.0)
+        crowd = port.receive("crowd", 30_000, 1.0)
+        small = port.receive("small", 4000, 2.0)
+        port.receive("next", 10_000, 2.1)
+        assert port.given_up == ["crowd"]
+        assert not port.budget.update(crowd, RECEIVING, 30_000, 2.1)
+        assert port.budget.update(small, RECEIVING, 4000, 2.1)
+
     # Otherwise no configuration of 4 MiB would be taken with little memory.
     def test_one_of_any_size_is_handled_alone(self) -> None:
         port = _Port()
