Count the size of waiting requests once each

What callers saw: nothing; pipelined requests took time that grew with the square of their number in one piece of 2 KB, up to 113.

Cause: the size of a connection added up all waiting requests each time that it was asked for.

Why it works: the sum changes with each request that comes and goes; the test checks that nothing is left of it at the end.

--- a/turmerichall/http1/request_reader.py
+++ b/turmerichall/http1/request_reader.py
@@ -65,6 +65,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.unparsed = bytearray()
         self.parts = 0
+        self._waiting_bytes = 0
         self._target = b""
         self._headers: message.Headers = {}
         self._body = block_buffer.BlockBuffer()
@@ -76,9 +77,8 @@
     @property
     def size(self) -> int:
         """Estimated memory of all that was received and not answered."""
-        waiting = sum(request_size(request) for request, _ in self.requests)
         return (
-            waiting
+            self._waiting_bytes
             + len(self.unparsed)
             + self._header_bytes
             + FIELD_BYTES * len(self._headers)
@@ -86,9 +86,16 @@
             + len(self._body)
         )
 
+    def take(self) -> tuple[message.Request, bool]:
+        """Return the first of `requests`, and remove it."""
+        request, keeps_alive = self.requests.popleft()
+        self._waiting_bytes -= request_size(request)
+        return request, keeps_alive
+
     def discard(self) -> None:
         """Release what was received.  The reader can't be used any more."""
         self.requests.clear()
+        self._waiting_bytes = 0
         self.unparsed = bytearray()
         self._headers = {}
         self._body.clear()
@@ -132,6 +139,7 @@
         self._unparsed_field_bytes = 0
         self.in_request = False
         self.requests.append((request, self.parser.should_keep_alive()))
+        self._waiting_bytes += request_size(request)
 
     # pylint: enable=missing-function-docstring
 
@@ -168,6 +176,7 @@
                 data = data[offer.args[0] :]
             # The parser has taken the header for the whole request.
             request, keeps_alive = self.requests.pop()
+            self._waiting_bytes -= request_size(request)
             self.in_request = True
             if request.method == "CONNECT":
                 raise _Refused(501)
--- a/turmerichall/http1/server.py
+++ b/turmerichall/http1/server.py
@@ -151,7 +151,7 @@
                 return
             # What was complete before the error is answered before it.
             while reader.requests:
-                request, keep_alive = reader.requests.popleft()
+                request, keep_alive = reader.take()
                 close = not keep_alive or self.stopping
                 if await self._respond(connection, request, close):
                     return
--- a/turmerichall/http1/tests/test_request_reader.py
+++ b/turmerichall/http1/tests/test_request_reader.py
@@ -57,11 +57,13 @@
         assert reader.size < 5 * len(request) * count
         answered = 0
         while reader.requests:
-            reader.requests.clear()
+            while reader.requests:
+                reader.take()
             answered += 1
             while reader.unparsed and not reader.requests:
                 assert not reader.parse_piece()
         assert answered * parsed >= count
+        assert reader.size == 0
 
 
 class TestDiscard:
