Release what a connection holds when it ends

What callers saw: nothing yet; the tests of turmerichalld's crowds failed on a machine with a load of 16, and passed on a quiet one.

Cause: a connection and its parser refer to each other, so an ended one stays until the next collection of garbage, with the body that it had received; no budget counted that. On a slow machine more connections end before they give way.

Why it works: the body is released with the connection, in both servers and in the client.

--- a/turmerichall/gateway/caller_connection.py
+++ b/turmerichall/gateway/caller_connection.py
@@ -126,6 +126,9 @@
         except OSError:
             pass
         finally:
+            # The connection and its protocol refer to each other, so that they
+            # may stay in memory for long.
+            self.received_body.clear()
             if self.holding is not None:
                 self.budget.close(self.holding)
             await self._close()
--- a/turmerichall/http1/client.py
+++ b/turmerichall/http1/client.py
@@ -203,6 +203,9 @@
 
     def close(self) -> None:
         """Close the connection immediately."""
+        # It and its parser refer to each other, so that they may stay in
+        # memory for long.
+        self._body.clear()
         self.stream.socket.close()
 
 
--- a/turmerichall/http1/server.py
+++ b/turmerichall/http1/server.py
@@ -140,6 +140,9 @@
             # The client has disconnected.
             return
         finally:
+            # The reader and its parser refer to each other, so that they may
+            # stay in memory for long.
+            connection.reader.discard()
             if holding is not None:
                 self.budget.close(holding)
 
--- a/turmerichall/http1/tests/test_crowded_server.py
+++ b/turmerichall/http1/tests/test_crowded_server.py
@@ -208,3 +208,32 @@
             assert answer.startswith(b"HTTP/1.1 200")
             await stream.aclose()
         assert crowded.handled == [b"x" * 50_000]
+
+
+class TestEndedConnections:
+
+    # The reader and its parser refer to each other, so that the bodies stayed
+    # until the next collection of garbage, and no budget counted them.
+    async def test_nothing_of_them_is_kept(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        readers: list[request_reader.RequestReader] = []
+        create = request_reader.RequestReader.__init__
+
+        def record(
+            reader: request_reader.RequestReader, limits: server.Limits
+        ) -> None:
+            create(reader, limits)
+            readers.append(reader)
+
+        monkeypatch.setattr(request_reader.RequestReader, "__init__", record)
+        crowded = _Crowded()
+        async with crowded.serving() as address:
+            stream = await _open(address, UNFINISHED)
+            with trio.fail_after(2.0):
+                while not readers or readers[0].size < 50_000:
+                    await trio.sleep(0.01)
+                await stream.aclose()
+                while crowded.budget.holdings:
+                    await trio.sleep(0.01)
+        assert readers[0].size < 1000
