Begin each body of a connection of turmerichalld empty

What callers saw: nothing yet; found on reading again. A request that followed a refused one on the same connection would have got the bytes of both.

Cause: the body belongs to the connection since it counts toward a budget, and a refusal of a body that is too long left it there.

Why it works: the body is emptied before a request is read; the answer now echoes the 2 bytes.

--- a/turmerichall/gateway/received_body.py
+++ b/turmerichall/gateway/received_body.py
@@ -37,6 +37,8 @@
         if connection is None
         else connection.received_body
     )
+    # An earlier request on the connection may have been refused midway.
+    body.clear()
     while True:
         event = await receive()
         if event["type"] != "http.request":
--- a/turmerichall/gateway/tests/test_crowded_listener.py
+++ b/turmerichall/gateway/tests/test_crowded_listener.py
@@ -103,3 +103,24 @@
             go_on.set()
         assert statuses == [503, 200, 200]
         assert len(backend.request_ids) == 2
+
+
+class TestRefusedBody:
+
+    # The next request on the connection got the bytes of the refused one, too.
+    async def test_nothing_of_it_is_in_the_next_one(self, testbed: Any) -> None:
+        backend = await testbed.backend("w1")
+        caller = await testbed.caller(backend, body_bytes=10)
+        too_long = HEAD + b"b\r\n" + b"x" * 11 + b"\r\n0\r\n\r\n"
+        stream = await _open(caller.gateway.url, too_long)
+        answer = await stream.receive_some()
+        assert answer.startswith(b"HTTP/1.1 413")
+        await stream.send_all(HEAD + b"2\r\nok\r\n0\r\n\r\n")
+        answer = b""
+        with trio.fail_after(TIMEOUT_SECONDS):
+            while not answer.endswith(b"ok"):
+                part = await stream.receive_some()
+                assert part
+                answer += part
+        assert answer.endswith(b"\r\n\r\nok")
+        await stream.aclose()
